--- /dev/null
+++ b/adapter/callers/reply.go
@@ -0,0 +1,202 @@
+package callers
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/violettally/violettally/answer"
+	"github.com/violettally/violettally/dispatch"
+)
+
+// errorBody is a refusal as the OpenAI API shapes errors, with what callers
+// need beyond it: whether the request ran, and when to come back.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message     string  `json:"message"`
+	Type        string  `json:"type"`
+	Code        string  `json:"code"`
+	Param       *string `json:"param"`
+	Ran         string  `json:"ran"`
+	RetryMillis int64   `json:"retry_after_ms,omitempty"`
+	RequestID   string  `json:"request_id,omitempty"`
+}
+
+func bodyOf(f *answer.Failure, requestID string) errorBody {
+	kind := "server_error"
+	if f.Status < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	return errorBody{Error: errorDetail{
+		Message:     f.Message,
+		Type:        kind,
+		Code:        f.Reason,
+		Ran:         f.Ran,
+		RetryMillis: f.RetryMillis,
+		RequestID:   requestID,
+	}}
+}
+
+// fail answers with an error, whatever its origin.
+func (d *Door) fail(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var failure *answer.Failure
+	var refusal *dispatch.Refusal
+	var httpErr *echo.HTTPError
+	switch {
+	case errors.As(err, &failure):
+	case errors.As(err, &refusal):
+		failure = refusal.Failure()
+	case errors.As(err, &httpErr):
+		failure = &answer.Failure{
+			Reason:  codeOf(httpErr.Code),
+			Message: http.StatusText(httpErr.Code),
+			Status:  httpErr.Code,
+			Ran:     dispatch.RanNo.String(),
+		}
+		if text, ok := httpErr.Message.(string); ok {
+			failure.Message = text
+		}
+	default:
+		failure = &answer.Failure{
+			Reason:  "internal",
+			Message: "the node failed while it answered",
+			Status:  http.StatusInternalServerError,
+			Ran:     dispatch.RanUnknown.String(),
+		}
+	}
+	setRetryAfter(c, time.Duration(failure.RetryMillis)*time.Millisecond)
+	_ = c.JSON(failure.Status, bodyOf(failure, c.Response().Header().Get(requestIDHeader)))
+}
+
+// codeOf names the errors of the HTTP library.
+func codeOf(status int) string {
+	switch status {
+	case http.StatusUnauthorized:
+		return "unauthorized"
+	case http.StatusRequestEntityTooLarge:
+		return "body_too_large"
+	case http.StatusNotFound:
+		return "route_not_found"
+	case http.StatusMethodNotAllowed:
+		return "method_not_allowed"
+	default:
+		return "invalid"
+	}
+}
+
+func unauthorized(message string) error {
+	return echo.NewHTTPError(http.StatusUnauthorized, message)
+}
+
+// setRetryAfter sets the header in whole seconds, rounded up; the body has
+// milliseconds.
+func setRetryAfter(c echo.Context, wait time.Duration) {
+	if wait > 0 {
+		seconds := int64((wait + time.Second - 1) / time.Second)
+		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+}
+
+// deliver gives an answer as it grows.
+func deliver(c echo.Context, x *answer.Exchange, wantsUsage bool) error {
+	w := &writer{c: c, wantsUsage: wantsUsage}
+	for sent := 0; ; {
+		state := x.From(sent)
+		sent += len(state.Parts)
+		if state.Headed {
+			w.begin(state.Head)
+		}
+		for _, part := range state.Parts {
+			if err := w.part(part); err != nil {
+				return err
+			}
+		}
+		if state.Done {
+			return w.end(state.Failure)
+		}
+		select {
+		case <-state.Changed:
+		case <-c.Request().Context().Done():
+			return c.Request().Context().Err()
+		}
+	}
+}
+
+// writer writes one answer, whole or as server-sent events.
+type writer struct {
+	c          echo.Context
+	wantsUsage bool
+	begun      bool
+	head       answer.Head
+	whole      []byte
+}
+
+func (w *writer) begin(head answer.Head) {
+	if w.begun {
+		return
+	}
+	w.begun, w.head = true, head
+	if head.Version != "" {
+		w.c.Response().Header().Set(modelHeader, head.Model+"@"+head.Version)
+	}
+	if !head.Streamed {
+		return
+	}
+	w.c.Response().Header().Set("Content-Type", "text/event-stream")
+	w.c.Response().Header().Set("Cache-Control", "no-cache")
+	w.c.Response().WriteHeader(head.Status)
+	w.c.Response().Flush()
+}
+
+func (w *writer) part(part []byte) error {
+	if !w.head.Streamed {
+		w.whole = append(w.whole, part...)
+		return nil
+	}
+	if !w.wantsUsage && dispatch.UsageOnly(part) {
+		return nil
+	}
+	return w.event(part)
+}
+
+func (w *writer) event(data []byte) error {
+	line := make([]byte, 0, len(data)+8)
+	line = append(line, "data: "...)
+	line = append(line, data...)
+	line = append(line, "\n\n"...)
+	if _, err := w.c.Response().Write(line); err != nil {
+		return err
+	}
+	w.c.Response().Flush()
+	return nil
+}
+
+// end closes the answer. A stream that failed after its start carries the
+// error as its last event and has no end mark, so that no client takes it for
+// whole.
+func (w *writer) end(failure *answer.Failure) error {
+	switch {
+	case failure != nil && w.c.Response().Committed:
+		data, err := json.Marshal(bodyOf(failure, w.c.Response().Header().Get(requestIDHeader)))
+		if err != nil {
+			return err
+		}
+		return w.event(data)
+	case failure != nil:
+		return failure
+	case w.head.Streamed:
+		return w.event([]byte("[DONE]"))
+	default:
+		return w.c.Blob(w.head.Status, w.head.ContentType, w.whole)
+	}
+}
--- /dev/null
+++ b/adapter/engine/engine.go
@@ -0,0 +1,323 @@
+// Package engine is the adapter to the backend servers: model engines, which
+// speak the OpenAI-compatible API with server-sent events, and plain services,
+// which speak HTTP. docs/INTERFACES.md describes what goes beyond those:
+// stream ids and resume, load reports, and load orders.
+//
+// The adapter's first duty is to tell truthfully whether a request ran. It
+// says dispatch.NotRun only if no connection was made, or if the server itself
+// said so; everything else is dispatch.Failed.
+//
+// # Usage
+//
+//	client := engine.New()
+//	stream, err := client.Complete(ctx, server, call)
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/dispatch"
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/placement"
+	"github.com/violettally/violettally/route"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout must stay below the servers' own, or a request may be sent
+	// on a connection that is being closed.
+	idleTimeout = 30 * time.Second
+	maxIdle     = 64
+	// notRunHeader is a server's word that it did not run the request.
+	notRunHeader = "X-Not-Run"
+	streamHeader = "X-Stream-Id"
+	// maxLine bounds one server-sent event.
+	maxLine = 1 << 20
+)
+
+// Client talks to backend servers. It is safe for concurrent use.
+type Client struct {
+	http     *http.Client
+	maxBytes int64
+}
+
+// Option changes a Client as New makes it.
+type Option func(*Client)
+
+// WithMaxBytes bounds an answer.
+func WithMaxBytes(n int64) Option { return func(c *Client) { c.maxBytes = n } }
+
+const defaultMaxBytes = 1 << 20
+
+// New returns a client.
+func New(options ...Option) *Client {
+	c := &Client{
+		maxBytes: defaultMaxBytes,
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				MaxIdleConnsPerHost: maxIdle,
+				IdleConnTimeout:     idleTimeout,
+				DisableCompression:  true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Complete sends a chat completion to an engine.
+func (c *Client) Complete(ctx context.Context, server config.Server, call dispatch.EngineCall) (dispatch.EngineStream, error) {
+	body, err := engineBody(call)
+	if err != nil {
+		return nil, errs.Wrap(dispatch.NotRun, "complete", err, "request body")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, errs.Wrap(dispatch.NotRun, "complete", err, "server %s", server.Name)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Request-Id", call.RequestID)
+	request.Header.Set("X-Priority", call.Priority.String())
+	response, err := c.send(request, server)
+	if err != nil {
+		return nil, err
+	}
+	return c.stream(response, call.Stream), nil
+}
+
+// Resume follows an engine's stream again.
+func (c *Client) Resume(ctx context.Context, server config.Server, streamID string, after int, call dispatch.EngineCall) (dispatch.EngineStream, error) {
+	query := url.Values{"after": {strconv.Itoa(after)}, "model": {call.Model}}
+	address := server.URL + "/v1/streams/" + url.PathEscape(streamID) + "?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return nil, errs.Wrap(dispatch.Failed, "resume", err, "server %s", server.Name)
+	}
+	response, err := c.send(request, server)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, errs.New(dispatch.Failed, "resume", "server %s answered %d", server.Name, response.StatusCode)
+	}
+	resumed := c.stream(response, true)
+	resumed.id = streamID
+	return resumed, nil
+}
+
+// engineBody puts the engine's name of the model into the body, and asks for
+// the usage at the end of a stream.
+func engineBody(call dispatch.EngineCall) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(call.Body, &fields); err != nil {
+		return nil, err
+	}
+	model, err := json.Marshal(call.Model)
+	if err != nil {
+		return nil, err
+	}
+	fields["model"] = model
+	if call.Stream {
+		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	}
+	return json.Marshal(fields)
+}
+
+// send sends a request and sorts its failures.
+func (c *Client) send(request *http.Request, server config.Server) (*http.Response, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		kind := dispatch.Failed
+		var opErr *net.OpError
+		if errors.As(err, &opErr) && opErr.Op == "dial" {
+			kind = dispatch.NotRun
+		}
+		return nil, errs.Wrap(kind, "send", err, "server %s", server.Name)
+	}
+	if response.Header.Get(notRunHeader) != "" {
+		defer response.Body.Close()
+		return nil, errs.Wrap(dispatch.NotRun, "send", dispatch.ErrDeclined, "server %s answered %d", server.Name, response.StatusCode)
+	}
+	return response, nil
+}
+
+func (c *Client) stream(response *http.Response, streamed bool) *stream {
+	s := &stream{response: response, id: response.Header.Get(streamHeader), left: c.maxBytes}
+	if streamed && response.StatusCode < http.StatusMultipleChoices {
+		s.events = bufio.NewScanner(response.Body)
+		s.events.Buffer(make([]byte, 0, 4<<10), maxLine)
+	}
+	return s
+}
+
+// stream is an engine's answer as it comes in.
+type stream struct {
+	response *http.Response
+	id       string
+	// events is nil for an answer that is not streamed.
+	events *bufio.Scanner
+	left   int64
+	read   bool
+}
+
+func (s *stream) Status() int         { return s.response.StatusCode }
+func (s *stream) ContentType() string { return s.response.Header.Get("Content-Type") }
+func (s *stream) ID() string          { return s.id }
+func (s *stream) Close()              { s.response.Body.Close() }
+
+// Next returns the next event's data, or the whole body.
+func (s *stream) Next() ([]byte, error) {
+	if s.response.StatusCode >= http.StatusInternalServerError {
+		return nil, errs.New(dispatch.Failed, "read", "engine answered %d", s.response.StatusCode)
+	}
+	if s.events == nil {
+		return s.whole()
+	}
+	for s.events.Scan() {
+		data, ok := strings.CutPrefix(s.events.Text(), "data:")
+		if !ok {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == "[DONE]" {
+			return nil, io.EOF
+		}
+		if s.left -= int64(len(data)); s.left < 0 {
+			return nil, errs.New(dispatch.TooLarge, "read", "the answer exceeds its bound")
+		}
+		return []byte(data), nil
+	}
+	// A stream that ends without its end mark was cut.
+	err := s.events.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return nil, errs.Wrap(dispatch.Failed, "read", err, "stream broke off")
+}
+
+func (s *stream) whole() ([]byte, error) {
+	if s.read {
+		return nil, io.EOF
+	}
+	s.read = true
+	data, err := io.ReadAll(io.LimitReader(s.response.Body, s.left+1))
+	if err != nil {
+		return nil, errs.Wrap(dispatch.Failed, "read", err, "answer broke off")
+	}
+	if int64(len(data)) > s.left {
+		return nil, errs.New(dispatch.TooLarge, "read", "the answer exceeds %d bytes", s.left)
+	}
+	if s.response.StatusCode < http.StatusMultipleChoices && !json.Valid(data) {
+		return nil, errs.New(dispatch.Failed, "read", "the answer is no JSON")
+	}
+	return data, nil
+}
+
+// Call sends a call to a plain service.
+func (c *Client) Call(ctx context.Context, server config.Server, call dispatch.ServiceCall) (dispatch.ServiceAnswer, error) {
+	address := server.URL + call.Path
+	if call.Query != "" {
+		address += "?" + call.Query
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, address, bytes.NewReader(call.Body))
+	if err != nil {
+		return dispatch.ServiceAnswer{}, errs.Wrap(dispatch.NotRun, "call", err, "server %s", server.Name)
+	}
+	// The transport must not send a call a second time by itself; without
+	// GetBody it cannot.
+	request.GetBody = nil
+	if call.ContentType != "" {
+		request.Header.Set("Content-Type", call.ContentType)
+	}
+	request.Header.Set("X-Request-Id", call.RequestID)
+	response, err := c.send(request, server)
+	if err != nil {
+		return dispatch.ServiceAnswer{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxBytes+1))
+	if err != nil {
+		return dispatch.ServiceAnswer{}, errs.Wrap(dispatch.Failed, "call", err, "answer of server %s broke off", server.Name)
+	}
+	if int64(len(body)) > c.maxBytes {
+		return dispatch.ServiceAnswer{}, errs.New(dispatch.TooLarge, "call", "answer of server %s exceeds %d bytes", server.Name, c.maxBytes)
+	}
+	return dispatch.ServiceAnswer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// controlTimeout bounds load reports.
+const controlTimeout = time.Second
+
+// Load asks a server for its load report.
+func (c *Client) Load(ctx context.Context, server config.Server) (route.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+"/load", nil)
+	if err != nil {
+		return route.Report{}, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return route.Report{}, err
+	}
+	defer response.Body.Close()
+	var in struct {
+		Running   int      `json:"running"`
+		Waiting   int      `json:"waiting"`
+		Leaving   bool     `json:"leaving"`
+		Models    []string `json:"models"`
+		AgeMillis int64    `json:"age_ms"`
+	}
+	if response.StatusCode != http.StatusOK {
+		return route.Report{}, fmt.Errorf("server %s answered %d", server.Name, response.StatusCode)
+	}
+	if err := json.NewDecoder(response.Body).Decode(&in); err != nil {
+		return route.Report{}, err
+	}
+	return route.Report{
+		Running: in.Running,
+		Waiting: in.Waiting,
+		Leaving: in.Leaving,
+		Models:  in.Models,
+		At:      time.Now().Add(-time.Duration(in.AgeMillis) * time.Millisecond),
+	}, nil
+}
+
+// Order gives an engine a load order with its fencing token.
+func (c *Client) Order(ctx context.Context, o placement.Order, token int64) error {
+	body, err := json.Marshal(map[string]any{"token": token, "action": o.Action, "model": o.Model})
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, o.Server.URL+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("server %s answered %d", o.Server.Name, response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/adapter/etcd/etcd.go
@@ -0,0 +1,277 @@
+// Package etcd is the adapter to the platform's key-value service, which
+// speaks etcd's v3 API in its JSON form over HTTP (etcd documentation, "gRPC
+// gateway"; bytes in base64, 64-bit integers as strings).
+//
+// A write whose answer is lost may have taken effect. The adapter never
+// repeats a write by itself; it returns [Unavailable], and the caller reads
+// back (see package document).
+//
+// # Usage
+//
+//	store := etcd.New([]string{"http://127.0.0.1:2379"}, "violettally/")
+//	data, revision, err := store.Get(ctx, "view")
+//	revision, won, err := store.Swap(ctx, "view", changed, revision)
+package etcd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/ledger"
+)
+
+var (
+	namespace = errs.Namespace("etcd")
+
+	// Unavailable says that no answer came; a write may have taken effect.
+	Unavailable = namespace.NewType("unavailable")
+	// Refused says that the service answered and did nothing.
+	Refused = namespace.NewType("refused")
+)
+
+// callTimeout bounds one call; the service answers in milliseconds when it
+// is well.
+const callTimeout = 2 * time.Second
+
+// Client talks to the key-value service. It is safe for concurrent use.
+type Client struct {
+	endpoints []string
+	prefix    string
+	http      *http.Client
+	next      atomic.Uint32
+	calls     func(operation string)
+}
+
+// Option changes a Client as New makes it.
+type Option func(*Client)
+
+// WithCallCounter calls count once for each call to the service, since the
+// platform counts them too.
+func WithCallCounter(count func(operation string)) Option {
+	return func(c *Client) { c.calls = count }
+}
+
+// New returns a client of the service at the endpoints, which are base URLs.
+// The prefix goes before every key.
+func New(endpoints []string, prefix string, options ...Option) *Client {
+	c := &Client{
+		endpoints: endpoints,
+		prefix:    prefix,
+		calls:     func(string) {},
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+			MaxIdleConnsPerHost: 8,
+		}},
+	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Pair is one key of a listing, without the client's prefix.
+type Pair struct {
+	Key      string
+	Data     []byte
+	Revision int64
+}
+
+// Get returns a key's value and the revision at which it was last written;
+// zero if there is no such key.
+func (c *Client) Get(ctx context.Context, key string) ([]byte, int64, error) {
+	var out rangeResponse
+	err := c.call(ctx, "range", "/v3/kv/range", rangeRequest{Key: c.key(key)}, &out)
+	if err != nil || len(out.KVs) == 0 {
+		return nil, 0, err
+	}
+	return out.KVs[0].Value, out.KVs[0].ModRevision, nil
+}
+
+// List returns all keys that start with a prefix.
+func (c *Client) List(ctx context.Context, prefix string) ([]Pair, error) {
+	start := c.key(prefix)
+	var out rangeResponse
+	err := c.call(ctx, "range", "/v3/kv/range", rangeRequest{Key: start, RangeEnd: prefixEnd(start)}, &out)
+	if err != nil {
+		return nil, err
+	}
+	pairs := make([]Pair, len(out.KVs))
+	for i, kv := range out.KVs {
+		pairs[i] = Pair{Key: string(kv.Key[len(c.prefix):]), Data: kv.Value, Revision: kv.ModRevision}
+	}
+	return pairs, nil
+}
+
+// Swap writes a key if its revision still is the expected one, zero standing
+// for "no such key". It returns the new revision and whether it won.
+func (c *Client) Swap(ctx context.Context, key string, data []byte, expected int64) (int64, bool, error) {
+	return c.SwapLeased(ctx, key, data, expected, 0)
+}
+
+// SwapLeased is Swap with the key bound to a lease, so that it goes when the
+// lease does. Lease zero binds to none.
+func (c *Client) SwapLeased(ctx context.Context, key string, data []byte, expected, lease int64) (int64, bool, error) {
+	in := txnRequest{
+		Compare: []compare{{Result: "EQUAL", Target: "MOD", Key: c.key(key), ModRevision: expected}},
+		Success: []requestOp{{Put: &putRequest{Key: c.key(key), Value: data, Lease: lease}}},
+	}
+	return c.txn(ctx, in)
+}
+
+// Delete removes a key if its revision still is the expected one.
+func (c *Client) Delete(ctx context.Context, key string, expected int64) (bool, error) {
+	in := txnRequest{
+		Compare: []compare{{Result: "EQUAL", Target: "MOD", Key: c.key(key), ModRevision: expected}},
+		Success: []requestOp{{Delete: &rangeRequest{Key: c.key(key)}}},
+	}
+	_, won, err := c.txn(ctx, in)
+	return won, err
+}
+
+func (c *Client) txn(ctx context.Context, in txnRequest) (int64, bool, error) {
+	var out txnResponse
+	if err := c.call(ctx, "txn", "/v3/kv/txn", in, &out); err != nil {
+		return 0, false, err
+	}
+	return out.Header.Revision, out.Succeeded, nil
+}
+
+// Grant makes a lease that lasts for ttl, in whole seconds rounded up.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	var out leaseResponse
+	err := c.call(ctx, "lease_grant", "/v3/lease/grant", leaseRequest{TTL: seconds}, &out)
+	return out.ID, err
+}
+
+// KeepAlive renews a lease. It returns false if the lease is gone.
+func (c *Client) KeepAlive(ctx context.Context, lease int64) (bool, error) {
+	var out keepAliveResponse
+	err := c.call(ctx, "lease_keepalive", "/v3/lease/keepalive", leaseRequest{ID: lease}, &out)
+	return out.Result.TTL > 0, err
+}
+
+// Revoke ends a lease and removes the keys bound to it.
+func (c *Client) Revoke(ctx context.Context, lease int64) error {
+	return c.call(ctx, "lease_revoke", "/v3/lease/revoke", leaseRequest{ID: lease}, new(leaseResponse))
+}
+
+// Shared returns the documents whose keys start with a prefix, by the rest of
+// their keys.
+func (c *Client) Shared(ctx context.Context, prefix string) (map[string]document.Item, error) {
+	pairs, err := c.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	items := make(map[string]document.Item, len(pairs))
+	for _, pair := range pairs {
+		items[strings.TrimPrefix(pair.Key, prefix)] = document.Item{Data: pair.Data, Revision: pair.Revision}
+	}
+	return items, nil
+}
+
+// Journals returns the bills' journals (package ledger).
+func (c *Client) Journals(ctx context.Context) ([]ledger.Account, error) {
+	pairs, err := c.List(ctx, ledger.Prefix)
+	if err != nil {
+		return nil, err
+	}
+	journals := make([]ledger.Account, len(pairs))
+	for i, pair := range pairs {
+		if journals[i], err = ledger.Decode(pair.Data, strings.TrimPrefix(pair.Key, ledger.Prefix)); err != nil {
+			return nil, err
+		}
+	}
+	return journals, nil
+}
+
+// WatchPrefix calls changed for each write of a key that starts with a prefix
+// after the given revision, until the context ends or the connection breaks,
+// which it returns.
+func (c *Client) WatchPrefix(ctx context.Context, prefix string, after int64, changed func(key string, item document.Item)) error {
+	c.calls("watch")
+	start := c.key(prefix)
+	in := watchRequest{Create: watchCreate{Key: start, RangeEnd: prefixEnd(start), StartRevision: after + 1}}
+	response, err := c.post(ctx, "watch", "/v3/watch", in)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var out watchResponse
+		if err := decoder.Decode(&out); err != nil {
+			return errs.Wrap(Unavailable, "watch", err, "watch of %s broke", prefix)
+		}
+		for _, event := range out.Result.Events {
+			if event.Type == deleted {
+				continue
+			}
+			changed(string(event.KV.Key[len(c.prefix):]), document.Item{Data: event.KV.Value, Revision: event.KV.ModRevision})
+		}
+	}
+}
+
+func (c *Client) key(name string) []byte { return []byte(c.prefix + name) }
+
+// prefixEnd returns the first key after all keys that start with a prefix.
+func prefixEnd(prefix []byte) []byte {
+	end := bytes.Clone(prefix)
+	end[len(end)-1]++
+	return end
+}
+
+func (c *Client) call(ctx context.Context, operation, path string, in, out any) error {
+	c.calls(operation)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := c.post(ctx, operation, path, in)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+		return errs.Wrap(Unavailable, operation, err, "answer of the key-value service broke off")
+	}
+	return nil
+}
+
+// post sends a request to the endpoint that last worked, and moves on to the
+// next one when it does not.
+func (c *Client) post(ctx context.Context, operation, path string, in any) (*http.Response, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, errs.Wrap(Refused, operation, err, "request cannot be encoded")
+	}
+	at := c.next.Load()
+	endpoint := c.endpoints[int(at)%len(c.endpoints)]
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errs.Wrap(Refused, operation, err, "request cannot be made")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		c.next.CompareAndSwap(at, at+1)
+		return nil, errs.Wrap(Unavailable, operation, err, "key-value service")
+	}
+	if response.StatusCode != http.StatusOK {
+		defer response.Body.Close()
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 512))
+		kind := Refused
+		if response.StatusCode >= http.StatusInternalServerError {
+			kind = Unavailable
+		}
+		return nil, errs.New(kind, operation, "key-value service answered %d: %s", response.StatusCode, text)
+	}
+	return response, nil
+}
--- /dev/null
+++ b/adapter/peer/messages.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"github.com/violettally/violettally/answer"
+	"github.com/violettally/violettally/claim"
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/ledger"
+	"github.com/violettally/violettally/rollout"
+)
+
+// The names of the calls between nodes.
+const (
+	callProbe      = "probe"
+	callProbeVia   = "probe_via"
+	callFetch      = "fetch"
+	callPush       = "push"
+	callClaim      = "claim"
+	callLookup     = "lookup"
+	callAdvance    = "advance"
+	callRelease    = "release"
+	callTransfer   = "transfer"
+	callLimit      = "limit"
+	callCounts     = "counts"
+	callRecall     = "recall"
+	callCheckpoint = "checkpoint"
+	callAttach     = "attach"
+	callCancel     = "cancel"
+	callExplain    = "explain"
+)
+
+// empty is the answer of calls that only take something.
+type empty struct{}
+
+type probeVia struct {
+	Target string `cbor:"1,keyasint"`
+}
+
+type fetchRequest struct {
+	Known map[string]int64 `cbor:"1,keyasint"`
+}
+
+type fetchReply struct {
+	Items map[string]document.Item `cbor:"1,keyasint"`
+}
+
+type pushRequest struct {
+	Name string        `cbor:"1,keyasint"`
+	Item document.Item `cbor:"2,keyasint"`
+}
+
+type releaseRequest struct {
+	Key   claim.Key `cbor:"1,keyasint"`
+	Token string    `cbor:"2,keyasint"`
+}
+
+type countsReply struct {
+	Node   string         `cbor:"1,keyasint"`
+	Counts rollout.Counts `cbor:"2,keyasint"`
+}
+
+type recallRequest struct {
+	Journal string `cbor:"1,keyasint"`
+}
+
+// RecallReply is what one node remembers of a journal.
+type RecallReply struct {
+	Checkpoint ledger.Account `cbor:"1,keyasint"`
+	Bills      []claim.Entry  `cbor:"2,keyasint"`
+}
+
+type attemptRequest struct {
+	Attempt string `cbor:"1,keyasint"`
+}
+
+// attachPart is one message of an answer that is followed from another node.
+// The first one says whether the attempt is known.
+type attachPart struct {
+	Found   bool            `cbor:"1,keyasint"`
+	Ran     bool            `cbor:"2,keyasint"`
+	Headed  bool            `cbor:"3,keyasint"`
+	Head    answer.Head     `cbor:"4,keyasint"`
+	Parts   [][]byte        `cbor:"5,keyasint"`
+	Done    bool            `cbor:"6,keyasint"`
+	Failure *answer.Failure `cbor:"7,keyasint,omitempty"`
+}
+
+type cancelReply struct {
+	Stopped bool `cbor:"1,keyasint"`
+}
+
+type explainRequest struct {
+	RequestID string `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/adapter/peer/server.go
@@ -0,0 +1,172 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/violettally/violettally/answer"
+	"github.com/violettally/violettally/claim"
+	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/ledger"
+	"github.com/violettally/violettally/limit"
+	"github.com/violettally/violettally/member"
+	"github.com/violettally/violettally/rollout"
+)
+
+// maxMessage bounds one message between nodes. The largest are pages of a
+// transfer: 256 claims, of which patient ones hold their request.
+const maxMessage = 64 << 20
+
+// Node is what a node answers its peers with.
+type Node interface {
+	Probe(h member.Heartbeat) member.Heartbeat
+	Newer(known map[string]int64) map[string]document.Item
+	Offer(name string, item document.Item)
+	Grant(ask limit.Ask) limit.Grant
+	Counts() (node string, counts rollout.Counts)
+	Recall(journal string) RecallReply
+	KeepCheckpoint(a ledger.Account)
+	FindAnswer(attempt string) (x *answer.Exchange, ran bool)
+	CancelAnswer(attempt string) bool
+	Explain(requestID string) (decision.Summary, bool)
+}
+
+// Server answers the calls of other nodes.
+type Server struct {
+	node    Node
+	replica *claim.Replica
+	client  *Client
+	calls   map[string]func(drpc.Stream) error
+}
+
+// NewServer returns a server of the node and its claim replica. The client is
+// used to probe on behalf of others.
+func NewServer(node Node, replica *claim.Replica, client *Client) *Server {
+	s := &Server{node: node, replica: replica, client: client}
+	s.calls = map[string]func(drpc.Stream) error{
+		callProbe:    handle(func(_ context.Context, h member.Heartbeat) (member.Heartbeat, error) { return node.Probe(h), nil }),
+		callProbeVia: handle(s.probeVia),
+		callFetch: handle(func(_ context.Context, r fetchRequest) (fetchReply, error) {
+			return fetchReply{Items: node.Newer(r.Known)}, nil
+		}),
+		callPush: handle(func(_ context.Context, r pushRequest) (empty, error) {
+			node.Offer(r.Name, r.Item)
+			return empty{}, nil
+		}),
+		callClaim:  handle(func(_ context.Context, r claim.Request) (claim.Reply, error) { return replica.Claim(r), nil }),
+		callLookup: handle(func(_ context.Context, r claim.Request) (claim.Reply, error) { return replica.Lookup(r), nil }),
+		callAdvance: handle(func(_ context.Context, e claim.Entry) (empty, error) {
+			replica.Advance(e)
+			return empty{}, nil
+		}),
+		callRelease: handle(func(_ context.Context, r releaseRequest) (empty, error) {
+			replica.Release(r.Key, r.Token)
+			return empty{}, nil
+		}),
+		callTransfer: handle(func(_ context.Context, r claim.TransferRequest) (claim.TransferReply, error) {
+			return replica.Transfer(r), nil
+		}),
+		callLimit: handle(func(_ context.Context, a limit.Ask) (limit.Grant, error) { return node.Grant(a), nil }),
+		callCounts: handle(func(context.Context, empty) (countsReply, error) {
+			name, counts := node.Counts()
+			return countsReply{Node: name, Counts: counts}, nil
+		}),
+		callRecall: handle(func(_ context.Context, r recallRequest) (RecallReply, error) { return node.Recall(r.Journal), nil }),
+		callCheckpoint: handle(func(_ context.Context, a ledger.Account) (empty, error) {
+			node.KeepCheckpoint(a)
+			return empty{}, nil
+		}),
+		callCancel: handle(func(_ context.Context, r attemptRequest) (cancelReply, error) {
+			return cancelReply{Stopped: node.CancelAnswer(r.Attempt)}, nil
+		}),
+		callExplain: handle(func(_ context.Context, r explainRequest) (decision.Summary, error) {
+			summary, _ := node.Explain(r.RequestID)
+			return summary, nil
+		}),
+		callAttach: s.attach,
+	}
+	return s
+}
+
+// handle makes a call with one request and one answer.
+func handle[Request, Reply any](answer func(context.Context, Request) (Reply, error)) func(drpc.Stream) error {
+	return func(stream drpc.Stream) error {
+		var in Request
+		if err := stream.MsgRecv(&in, codec{}); err != nil {
+			return err
+		}
+		out, err := answer(stream.Context(), in)
+		if err != nil {
+			return err
+		}
+		return stream.MsgSend(&out, codec{})
+	}
+}
+
+// HandleRPC answers one call.
+func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
+	call := s.calls[rpc]
+	if call == nil {
+		return errs.New(Unknown, "serve", "no call %q", rpc)
+	}
+	return call(stream)
+}
+
+// Serve answers calls on a listener until the context ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener, config *tls.Config) error {
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	server := drpcserver.NewWithOptions(s, drpcserver.Options{
+		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}},
+		Log:     func(err error) { slog.Debug("peer call failed", "error", err) },
+	})
+	err := server.Serve(ctx, listener)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) probeVia(ctx context.Context, r probeVia) (empty, error) {
+	return empty{}, s.client.reach(ctx, r.Target)
+}
+
+// attach streams an answer to another node as it grows.
+func (s *Server) attach(stream drpc.Stream) error {
+	var in attemptRequest
+	if err := stream.MsgRecv(&in, codec{}); err != nil {
+		return err
+	}
+	x, ran := s.node.FindAnswer(in.Attempt)
+	if x == nil {
+		return stream.MsgSend(&attachPart{Ran: ran}, codec{})
+	}
+	defer x.Attach()()
+	for sent := 0; ; {
+		state := x.From(sent)
+		sent += len(state.Parts)
+		part := attachPart{Found: true, Headed: state.Headed, Head: state.Head, Parts: state.Parts, Done: state.Done, Failure: state.Failure}
+		if err := stream.MsgSend(&part, codec{}); err != nil {
+			return err
+		}
+		if state.Done {
+			return nil
+		}
+		select {
+		case <-state.Changed:
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
--- /dev/null
+++ b/answer/answer.go
@@ -0,0 +1,321 @@
+// Package answer holds the answers of the requests that a node runs or has
+// lately run, so that a caller who comes back, on any node, is joined to the
+// running answer or handed the finished one.
+//
+// An [Exchange] is one request's answer as it grows: the run appends parts,
+// and any number of readers follow from the start. The [Store] keeps the
+// exchanges by their attempt, bounded in bytes and time.
+//
+// # Usage
+//
+//	x := store.Open(attempt)
+//	go run(x) // x.Append(part) …, x.Finish()
+//	for i := 0; ; {
+//		parts, done, changed := x.From(i)
+//		…
+//	}
+package answer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/timer"
+)
+
+// Head is what comes before the parts of an answer.
+type Head struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint"`
+	Model       string `cbor:"3,keyasint"`
+	Version     string `cbor:"4,keyasint"`
+	// Streamed answers have one part per server-sent event; others have one
+	// part in all.
+	Streamed bool `cbor:"5,keyasint"`
+}
+
+// Failure is why an answer ended without being whole. It is the wire form of
+// a refusal (package dispatch).
+type Failure struct {
+	Reason      string `cbor:"1,keyasint"`
+	Message     string `cbor:"2,keyasint"`
+	Status      int    `cbor:"3,keyasint"`
+	Ran         string `cbor:"4,keyasint"`
+	RetryMillis int64  `cbor:"5,keyasint"`
+}
+
+// Error makes a Failure an error.
+func (f *Failure) Error() string { return f.Reason + ": " + f.Message }
+
+// Exchange is one request's answer. It is safe for concurrent use.
+type Exchange struct {
+	attempt string
+	cancel  context.CancelFunc
+
+	mu       sync.Mutex
+	head     Head
+	headed   bool
+	parts    [][]byte
+	bytes    int64
+	done     bool
+	failure  *Failure
+	changed  chan struct{}
+	readers  int
+	pinned   bool
+	finished time.Time
+}
+
+// NewExchange returns an exchange that no store keeps. Cancel stops its run.
+func NewExchange(attempt string, cancel context.CancelFunc) *Exchange {
+	return &Exchange{attempt: attempt, cancel: cancel, changed: make(chan struct{})}
+}
+
+// Attempt returns the attempt's identity.
+func (x *Exchange) Attempt() string { return x.attempt }
+
+// Pin keeps callers from cancelling the run, for work that may not be repeated
+// and must not be cut.
+func (x *Exchange) Pin() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.pinned = true
+}
+
+// Cancel stops the run for its callers. It returns false if the run is pinned
+// or has ended.
+func (x *Exchange) Cancel() bool {
+	x.mu.Lock()
+	stops := !x.pinned && !x.done
+	x.mu.Unlock()
+	if stops {
+		x.cancel()
+	}
+	return stops
+}
+
+// Close gives back what the run holds, once it has ended.
+func (x *Exchange) Close() { x.cancel() }
+
+// Begin sets what comes before the parts. Later calls change nothing.
+func (x *Exchange) Begin(h Head) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.headed {
+		x.head, x.headed = h, true
+		x.wake()
+	}
+}
+
+// Append adds a part.
+func (x *Exchange) Append(part []byte) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.done {
+		return
+	}
+	x.parts = append(x.parts, part)
+	x.bytes += int64(len(part))
+	x.wake()
+}
+
+// Finish ends the answer as whole.
+func (x *Exchange) Finish() { x.end(nil) }
+
+// Fail ends the answer with a failure.
+func (x *Exchange) Fail(f *Failure) { x.end(f) }
+
+func (x *Exchange) end(f *Failure) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.done {
+		return
+	}
+	x.done, x.failure, x.finished = true, f, time.Now()
+	x.wake()
+}
+
+func (x *Exchange) wake() {
+	close(x.changed)
+	x.changed = make(chan struct{})
+}
+
+// State is a moment of an exchange.
+type State struct {
+	Head    Head
+	Headed  bool
+	Parts   [][]byte
+	Done    bool
+	Failure *Failure
+	// Changed is closed when there is more.
+	Changed <-chan struct{}
+}
+
+// From returns the present state with the parts from the nth on.
+func (x *Exchange) From(n int) State {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return State{
+		Head:    x.head,
+		Headed:  x.headed,
+		Parts:   x.parts[min(n, len(x.parts)):],
+		Done:    x.done,
+		Failure: x.failure,
+		Changed: x.changed,
+	}
+}
+
+// Wait returns once the answer has ended.
+func (x *Exchange) Wait(ctx context.Context) (State, error) {
+	for {
+		s := x.From(0)
+		if s.Done {
+			return s, nil
+		}
+		select {
+		case <-s.Changed:
+		case <-ctx.Done():
+			return s, ctx.Err()
+		}
+	}
+}
+
+// Attach counts a reader in; the function it returns counts it out and tells
+// whether it was the last.
+func (x *Exchange) Attach() (detach func() (last bool)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.readers++
+	return func() bool {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.readers--
+		return x.readers == 0
+	}
+}
+
+func (x *Exchange) size() (bytes int64, finished time.Time, done bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.bytes, x.finished, x.done
+}
+
+// Store keeps a node's exchanges by attempt. It is safe for concurrent use.
+type Store struct {
+	timers   *timer.Service
+	life     time.Duration
+	maxBytes int64
+
+	mu        sync.Mutex
+	exchanges map[string]*Exchange
+	// order lists the attempts in the order of their start.
+	order []string
+	// ran remembers attempts that must not run again, until the time given.
+	ran map[string]time.Time
+}
+
+// NewStore returns an empty store that keeps finished answers for life, and
+// fewer if they exceed maxBytes.
+func NewStore(timers *timer.Service, life time.Duration, maxBytes int64) *Store {
+	return &Store{
+		timers:    timers,
+		life:      life,
+		maxBytes:  maxBytes,
+		exchanges: make(map[string]*Exchange),
+		ran:       make(map[string]time.Time),
+	}
+}
+
+// Open makes the exchange of a new attempt.
+func (s *Store) Open(attempt string, cancel context.CancelFunc) *Exchange {
+	x := NewExchange(attempt, cancel)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exchanges[attempt] = x
+	s.order = append(s.order, attempt)
+	return x
+}
+
+// Forget removes an attempt that did not run.
+func (s *Store) Forget(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.exchanges, attempt)
+	delete(s.ran, attempt)
+}
+
+// Remember keeps the knowledge that an attempt has run beyond its answer.
+func (s *Store) Remember(attempt string, life time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ran[attempt] = s.timers.Now().Add(life)
+}
+
+// Find returns the exchange of an attempt, or nil. Ran reports whether an
+// attempt without exchange is known to have run.
+func (s *Store) Find(attempt string) (x *Exchange, ran bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ran = s.ran[attempt]
+	return s.exchanges[attempt], ran
+}
+
+// Running returns how many answers have not ended.
+func (s *Store) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	running := 0
+	for _, x := range s.exchanges {
+		if _, _, done := x.size(); !done {
+			running++
+		}
+	}
+	return running
+}
+
+const sweepInterval = time.Second
+
+// Run drops what is too old or too much until the context ends.
+func (s *Store) Run(ctx context.Context) {
+	ticks := s.timers.Subscribe(sweepInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+			s.sweep()
+		}
+	}
+}
+
+func (s *Store) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.timers.Now()
+	for attempt, until := range s.ran {
+		if now.After(until) {
+			delete(s.ran, attempt)
+		}
+	}
+	total := int64(0)
+	for _, x := range s.exchanges {
+		bytes, _, _ := x.size()
+		total += bytes
+	}
+	kept := s.order[:0]
+	for _, attempt := range s.order {
+		x := s.exchanges[attempt]
+		if x == nil {
+			continue
+		}
+		bytes, finished, done := x.size()
+		if done && (now.Sub(finished) > s.life || total > s.maxBytes) {
+			delete(s.exchanges, attempt)
+			total -= bytes
+			continue
+		}
+		kept = append(kept, attempt)
+	}
+	s.order = kept
+}
--- /dev/null
+++ b/claim/claimer.go
@@ -0,0 +1,268 @@
+package claim
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/view"
+)
+
+const (
+	// voteTimeout bounds one message to one replica; data halls of a region
+	// are milliseconds apart.
+	voteTimeout = 300 * time.Millisecond
+	// voteRounds is how often a claim is tried while the view changes.
+	voteRounds = 4
+	// releaseTries is how often a release is sent to a replica that does not
+	// answer.
+	releaseTries = 3
+)
+
+// Claimer makes claims for one node.
+type Claimer struct {
+	views Views
+	peers Transport
+	count func(Verdict)
+}
+
+// ClaimerOption changes a Claimer as NewClaimer makes it.
+type ClaimerOption func(*Claimer)
+
+// WithVerdictCounter counts the replicas' answers.
+func WithVerdictCounter(count func(Verdict)) ClaimerOption {
+	return func(c *Claimer) { c.count = count }
+}
+
+// NewClaimer returns a claimer.
+func NewClaimer(views Views, peers Transport, options ...ClaimerOption) *Claimer {
+	c := &Claimer{views: views, peers: peers, count: func(Verdict) {}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Outcome of a claim that did not fail.
+type Outcome struct {
+	// Won says that the claim is this caller's, under Token.
+	Won   bool
+	Token string
+	// Other is the entry that has the key, if not won. OtherWon says that
+	// enough replicas were seen to hold it to know that it has won; without,
+	// it may still be given up.
+	Other    *Entry
+	OtherWon bool
+	// LostBefore is the time before which claims for the key may be lost.
+	LostBefore time.Time
+}
+
+// Claim tries to win a key. It asks the replicas in the view's order, so that
+// races meet at the first. The token of e must be new on all nodes; each round
+// claims under a token of its own, made from it by [RoundToken].
+func (c *Claimer) Claim(ctx context.Context, e Entry) (Outcome, error) {
+	return c.rounds(ctx, e, false)
+}
+
+// Override tries to win a key although a replica holds a claim of somebody
+// who does not answer. It fails to win if that claim was won.
+func (c *Claimer) Override(ctx context.Context, e Entry) (Outcome, error) {
+	return c.rounds(ctx, e, true)
+}
+
+func (c *Claimer) rounds(ctx context.Context, e Entry, override bool) (Outcome, error) {
+	var err error
+	base := e.Token
+	for n := range voteRounds {
+		changed := c.views.Changed()
+		var outcome Outcome
+		var again bool
+		e.Token = RoundToken(base, n)
+		outcome, again, err = c.round(ctx, e, override)
+		if err == nil {
+			return outcome, nil
+		}
+		if !again {
+			return Outcome{}, err
+		}
+		// Claimer and replicas were at different epochs, or a range was being
+		// taken over; either passes soon.
+		timer := time.NewTimer(voteTimeout)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return Outcome{}, err
+		}
+		timer.Stop()
+	}
+	return Outcome{}, err
+}
+
+// RoundToken returns the token of the nth round of an attempt.
+func RoundToken(attempt string, n int) string { return attempt + "/" + strconv.Itoa(n) }
+
+// AttemptOf returns the attempt that a round's token belongs to.
+func AttemptOf(token string) string {
+	attempt, _, _ := strings.Cut(token, "/")
+	return attempt
+}
+
+// votes counts one round.
+type votes struct {
+	granted    int
+	taken      map[string]int
+	entries    map[string]*Entry
+	again      bool
+	lostBefore time.Time
+	asked      []view.Member
+}
+
+func (v *votes) count(reply Reply, err error) {
+	if err != nil {
+		return
+	}
+	if reply.LostBefore.After(v.lostBefore) {
+		v.lostBefore = reply.LostBefore
+	}
+	switch reply.Verdict {
+	case VerdictGranted:
+		v.granted++
+	case VerdictTaken:
+		v.taken[reply.Entry.Token]++
+		if known := v.entries[reply.Entry.Token]; known == nil || known.State < reply.Entry.State {
+			v.entries[reply.Entry.Token] = reply.Entry
+		}
+	case VerdictEpoch, VerdictNotReady:
+		v.again = true
+	}
+}
+
+// leading returns the foreign claim with the most votes.
+func (v *votes) leading() (*Entry, int) {
+	var best *Entry
+	most := 0
+	for token, n := range v.taken {
+		if n > most {
+			best, most = v.entries[token], n
+		}
+	}
+	return best, most
+}
+
+// round asks for the votes of one epoch.
+func (c *Claimer) round(ctx context.Context, e Entry, override bool) (_ Outcome, again bool, _ error) {
+	current := c.views.Current()
+	replicas := current.Replicas(e.Key.Region, e.Key.String())
+	if len(replicas) == 0 {
+		return Outcome{}, true, errs.New(Unreachable, "claim", "no VM of region %q is in the view", e.Key.Region)
+	}
+	need := quorum(len(replicas))
+	v := &votes{taken: make(map[string]int), entries: make(map[string]*Entry)}
+	for _, m := range replicas {
+		v.asked = append(v.asked, m)
+		reply, err := c.ask(ctx, m, Request{Epoch: current.Epoch(), Replica: m.ID, Entry: e})
+		v.count(reply, err)
+		if v.granted >= need {
+			return Outcome{Won: true, Token: e.Token, LostBefore: v.lostBefore}, false, nil
+		}
+		other, n := v.leading()
+		if other != nil && (n >= need || !override) {
+			c.release(v.asked, e.Key, e.Token)
+			return Outcome{Other: other, OtherWon: n >= need, LostBefore: v.lostBefore}, false, nil
+		}
+	}
+	c.release(v.asked, e.Key, e.Token)
+	if other, n := v.leading(); other != nil {
+		return Outcome{Other: other, OtherWon: n >= need, LostBefore: v.lostBefore}, false, nil
+	}
+	if v.granted > 0 {
+		return Outcome{}, v.again, errs.New(Split, "claim", "%d of %d votes for %s", v.granted, need, e.Key)
+	}
+	return Outcome{}, v.again, errs.New(Unreachable, "claim", "no vote for %s of %d replicas", e.Key, len(replicas))
+}
+
+func (c *Claimer) ask(ctx context.Context, m view.Member, r Request) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+	defer cancel()
+	reply, err := c.peers.Claim(ctx, m, r)
+	if err == nil {
+		c.count(reply.Verdict)
+	}
+	return reply, err
+}
+
+// Release gives up a claim that was won and whose work did not start.
+func (c *Claimer) Release(key Key, token string) {
+	c.release(c.views.Current().Replicas(key.Region, key.String()), key, token)
+}
+
+// release goes on after the caller has its answer. A replica that misses it
+// holds a claim whose token its holder no longer knows, which whoever asks
+// the holder finds out.
+func (c *Claimer) release(from []view.Member, key Key, token string) {
+	for _, m := range from {
+		go func() {
+			for range releaseTries {
+				ctx, cancel := context.WithTimeout(context.Background(), voteTimeout)
+				err := c.peers.Release(ctx, m, key, token)
+				cancel()
+				if err == nil {
+					return
+				}
+			}
+			slog.Debug("release not delivered", "replica", m.ID, "key", key.String())
+		}()
+	}
+}
+
+// Advance tells the replicas how far the work under a claim has come. It
+// returns how many took it and how many there are.
+func (c *Claimer) Advance(ctx context.Context, e Entry) (took, of int) {
+	replicas := c.views.Current().Replicas(e.Key.Region, e.Key.String())
+	done := make(chan bool, len(replicas))
+	for _, m := range replicas {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+			defer cancel()
+			done <- c.peers.Advance(ctx, m, e) == nil
+		}()
+	}
+	for range replicas {
+		if <-done {
+			took++
+		}
+	}
+	return took, len(replicas)
+}
+
+// Lookup reads a key without claiming it. Complete says that enough replicas
+// answered to be sure that an absent key was not won.
+func (c *Claimer) Lookup(ctx context.Context, key Key) (found *Entry, complete bool) {
+	current := c.views.Current()
+	replicas := current.Replicas(key.Region, key.String())
+	v := &votes{taken: make(map[string]int), entries: make(map[string]*Entry)}
+	empty := 0
+	for _, m := range replicas {
+		reply, err := c.lookup(ctx, m, Request{Epoch: current.Epoch(), Replica: m.ID, Entry: Entry{Key: key}})
+		v.count(reply, err)
+		if err == nil && reply.Verdict == VerdictGranted {
+			empty++
+		}
+		if other, n := v.leading(); other != nil && n >= quorum(len(replicas)) {
+			return other, true
+		}
+	}
+	other, _ := v.leading()
+	return other, other != nil || (len(replicas) > 0 && empty >= quorum(len(replicas)))
+}
+
+func (c *Claimer) lookup(ctx context.Context, m view.Member, r Request) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+	defer cancel()
+	return c.peers.Lookup(ctx, m, r)
+}
--- /dev/null
+++ b/claim/replica.go
@@ -0,0 +1,302 @@
+package claim
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/view"
+)
+
+const (
+	sweepInterval = time.Second
+	// pullInterval is how soon a read of an earlier replica is tried again.
+	pullInterval = 100 * time.Millisecond
+	// releasedLife is how long a released token is remembered, so that its
+	// claim is not granted when it arrives late. It outlives every timeout
+	// of a claim message.
+	releasedLife = time.Minute
+	// entryOverhead estimates the memory of an entry beside its payload.
+	entryOverhead = 512
+)
+
+// ReplicaOption changes a Replica as NewReplica makes it.
+type ReplicaOption func(*Replica)
+
+// WithMemory bounds the bytes that a replica keeps.
+func WithMemory(bytes int64) ReplicaOption { return func(r *Replica) { r.maxBytes = bytes } }
+
+// WithFolded names the test for bills that need not be kept any longer.
+func WithFolded(folded func(holder string, sequence int64) bool) ReplicaOption {
+	return func(r *Replica) { r.folded = folded }
+}
+
+const defaultMemory = 24 << 20
+
+// Replica is one node's part of the claims: a bounded table in memory.
+type Replica struct {
+	self     string
+	views    Views
+	peers    Transport
+	timers   *timer.Service
+	maxBytes int64
+	folded   func(holder string, sequence int64) bool
+
+	mu       sync.Mutex
+	entries  map[string]*Entry
+	bytes    int64
+	released map[string]time.Time
+	transfer *transfer
+	// own is what this replica's table can vouch for.
+	own reading
+	// hasVoted is set once this replica was a member of a view.
+	hasVoted bool
+	gaps     []Gap
+}
+
+// NewReplica returns an empty replica of the member self.
+func NewReplica(self string, views Views, peers Transport, timers *timer.Service, options ...ReplicaOption) *Replica {
+	r := &Replica{
+		self:     self,
+		views:    views,
+		peers:    peers,
+		timers:   timers,
+		maxBytes: defaultMemory,
+		folded:   func(string, int64) bool { return true },
+		entries:  make(map[string]*Entry),
+		released: make(map[string]time.Time),
+		transfer: newTransfer(self, view.Empty(), reading{}),
+	}
+	for _, option := range options {
+		option(r)
+	}
+	return r
+}
+
+// Claim gives or refuses this replica's vote.
+func (r *Replica) Claim(in Request) Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.transfer.current
+	reply := Reply{Epoch: current.Epoch()}
+	key := in.Entry.Key.String()
+	replicas := current.Replicas(in.Entry.Key.Region, key)
+	switch {
+	case in.Replica != r.self:
+		reply.Verdict = VerdictNotMine
+		return reply
+	case in.Epoch != current.Epoch() || !contains(replicas, r.self):
+		reply.Verdict = VerdictEpoch
+		return reply
+	case !r.transfer.ready(in.Entry.Key.Region, key, replicas):
+		reply.Verdict = VerdictNotReady
+		return reply
+	}
+	reply.LostBefore = r.lostBefore(in.Entry.Key.Region, key)
+	if held := r.live(key); held != nil {
+		if held.Token != in.Entry.Token {
+			reply.Verdict, reply.Entry = VerdictTaken, clone(held)
+		}
+		return reply
+	}
+	if _, gone := r.released[in.Entry.Token]; gone {
+		// The claimer has given this attempt up; the message is late.
+		reply.Verdict = VerdictNotReady
+		return reply
+	}
+	if r.bytes+size(&in.Entry) > r.maxBytes {
+		reply.Verdict = VerdictFull
+		return reply
+	}
+	r.put(key, in.Entry)
+	return reply
+}
+
+// Lookup returns the entry that has a key, if any, without a vote.
+func (r *Replica) Lookup(in Request) Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := in.Entry.Key.String()
+	reply := Reply{
+		Epoch:      r.transfer.current.Epoch(),
+		LostBefore: r.lostBefore(in.Entry.Key.Region, key),
+	}
+	if held := r.live(key); held != nil {
+		reply.Verdict, reply.Entry = VerdictTaken, clone(held)
+		return reply
+	}
+	replicas := r.transfer.current.Replicas(in.Entry.Key.Region, key)
+	if !contains(replicas, r.self) || !r.transfer.ready(in.Entry.Key.Region, key, replicas) {
+		reply.Verdict = VerdictNotReady
+	}
+	return reply
+}
+
+// Advance moves a claim on that this replica has granted or taken over, or
+// prolongs its life. A claim never goes back to an earlier state.
+func (r *Replica) Advance(e Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := r.live(e.Key.String())
+	if held == nil || held.Token != e.Token || held.State > e.State {
+		return
+	}
+	if e.Expires.After(held.Expires) {
+		held.Expires = e.Expires
+	}
+	if held.State == e.State {
+		return
+	}
+	r.bytes -= size(held)
+	held.State, held.Answer = e.State, e.Answer
+	if e.State == StateDone {
+		// The request is not taken over any more.
+		held.Value = nil
+	}
+	r.bytes += size(held)
+}
+
+// Release removes the claim of one attempt and refuses it from now on.
+func (r *Replica) Release(key Key, token string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.released[token] = r.timers.Now().Add(releasedLife)
+	name := key.String()
+	if held := r.entries[name]; held != nil && held.Token == token {
+		r.drop(name)
+	}
+}
+
+// Bills returns the bills of one holder beyond a sequence, in their order.
+func (r *Replica) Bills(holder string, after int64) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var bills []Entry
+	for _, e := range r.entries {
+		if e.Key.Kind == KindBill && e.Holder.ID == holder && e.Sequence > after {
+			bills = append(bills, *clone(e))
+		}
+	}
+	sort.Slice(bills, func(i, j int) bool { return bills[i].Sequence < bills[j].Sequence })
+	return bills
+}
+
+// BillHolders returns the journals of the bills that this replica remembers.
+func (r *Replica) BillHolders() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	holders := make(map[string]bool)
+	for _, e := range r.entries {
+		if e.Key.Kind == KindBill {
+			holders[e.Holder.ID] = true
+		}
+	}
+	return holders
+}
+
+// Orphans returns the patient work that this replica remembers and whose
+// holder does not answer.
+func (r *Replica) Orphans(answers func(holder string) bool) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var orphans []Entry
+	now := r.timers.Now()
+	for _, e := range r.entries {
+		if e.Patient && e.State < StateDone && now.Before(e.Expires) && !answers(e.Holder.ID) {
+			orphans = append(orphans, *clone(e))
+		}
+	}
+	return orphans
+}
+
+// Len returns the number of entries and the bytes that they take.
+func (r *Replica) Len() (entries int, bytes int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries), r.bytes
+}
+
+// Run sweeps out expired entries and takes over ranges after a change of the
+// view, until the context ends.
+func (r *Replica) Run(ctx context.Context) {
+	sweeps := r.timers.Subscribe(sweepInterval)
+	defer sweeps.Stop()
+	pulls := r.timers.Subscribe(pullInterval)
+	defer pulls.Stop()
+	for {
+		changed := r.views.Changed()
+		r.pull(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-pulls.C():
+		case <-sweeps.C():
+			r.sweep()
+		}
+	}
+}
+
+func (r *Replica) sweep() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.timers.Now()
+	for key, e := range r.entries {
+		if now.After(e.Expires) && !r.needed(e) {
+			r.drop(key)
+		}
+	}
+	for token, until := range r.released {
+		if now.After(until) {
+			delete(r.released, token)
+		}
+	}
+	r.gaps = liveGaps(r.gaps, now)
+}
+
+// needed keeps a bill past its life until it stands in the ledger.
+func (r *Replica) needed(e *Entry) bool {
+	return e.Key.Kind == KindBill && !r.folded(e.Holder.ID, e.Sequence)
+}
+
+// live returns an entry whose life has not ended.
+func (r *Replica) live(key string) *Entry {
+	e := r.entries[key]
+	if e == nil || (r.timers.Now().After(e.Expires) && !r.needed(e)) {
+		return nil
+	}
+	return e
+}
+
+func (r *Replica) put(key string, e Entry) {
+	if r.entries[key] != nil {
+		r.drop(key)
+	}
+	r.entries[key] = &e
+	r.bytes += size(&e)
+}
+
+func (r *Replica) drop(key string) {
+	r.bytes -= size(r.entries[key])
+	delete(r.entries, key)
+}
+
+func size(e *Entry) int64 {
+	return int64(entryOverhead + len(e.Key.ID) + len(e.Value) + len(e.Answer))
+}
+
+func clone(e *Entry) *Entry {
+	copied := *e
+	return &copied
+}
+
+func contains(members []view.Member, id string) bool {
+	for _, m := range members {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/claim/transfer.go
@@ -0,0 +1,490 @@
+package claim
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/view"
+)
+
+// A change of the view.
+//
+// A replica that has seen epoch e refuses claims of every other epoch. For a
+// key whose replicas changed it grants no claim until it has read two of the
+// three replicas of the epoch before, itself included, or as many as are not
+// dead. Two of three reads meet two of three votes, so it sees every claim
+// that has been won. Each node that answers a read has itself seen epoch e,
+// so no vote of an earlier epoch can come after it.
+//
+// A node that was read may have missed epochs, or still be taking over. It
+// lists the epochs at which it held all won claims of its ranges ("settled").
+// One node among those read that had settled at an epoch is enough for
+// everything before that epoch, since it has read the replicas before it;
+// without one, the replicas of one epoch further back are read as well. The
+// view carries the history for this.
+//
+// Where two of three replicas died at once, claims may be lost. The range
+// gets a [Gap], and claims of ids older than the gap are answered with "lost"
+// instead of a vote that may be wrong.
+
+const (
+	// pageSize is the number of entries in one page of a transfer.
+	pageSize = 256
+	// gapLife covers the longest life of a claim.
+	gapLife = 24 * time.Hour
+	// transferTimeout bounds one page.
+	transferTimeout = 2 * time.Second
+)
+
+// Gap says that claims made before At may be lost if two of the replicas of a
+// key, or all of them, were among the missing members of a view.
+type Gap struct {
+	At      time.Time `cbor:"1,keyasint"`
+	View    []byte    `cbor:"2,keyasint"`
+	Missing []string  `cbor:"3,keyasint"`
+
+	decoded *view.View
+}
+
+func (g *Gap) covers(region, key string) bool {
+	if g.decoded == nil {
+		g.decoded, _ = view.Decode(g.View)
+	}
+	if g.decoded == nil {
+		return true
+	}
+	replicas := g.decoded.Replicas(region, key)
+	missing := 0
+	for _, m := range replicas {
+		for _, id := range g.Missing {
+			if id == m.ID {
+				missing++
+			}
+		}
+	}
+	return missing > 0 && len(replicas)-missing < readQuorum(len(replicas))
+}
+
+func liveGaps(gaps []Gap, now time.Time) []Gap {
+	kept := gaps[:0]
+	for _, g := range gaps {
+		if now.Sub(g.At) < gapLife {
+			kept = append(kept, g)
+		}
+	}
+	return kept
+}
+
+// transfer is the taking over of ranges at one epoch.
+type transfer struct {
+	self    string
+	current *view.View
+	// earlier views, latest first, as far as the history reaches. It is
+	// whole if it reaches back to the first member.
+	earlier []*view.View
+	whole   bool
+	// answered holds what each member that was read can vouch for.
+	answered map[string]reading
+	dead     map[string]bool
+	settled  bool
+	outgoing map[string][]*Entry
+}
+
+// reading is what a member that was read can vouch for: the epochs that it had
+// settled at, and the first one whose votes it still has.
+type reading struct {
+	settled []int64
+	since   int64
+}
+
+func (r reading) settledAt(epoch int64) bool { return slices.Contains(r.settled, epoch) }
+
+// newTransfer starts taking over for current. This node's own table counts as
+// read.
+func newTransfer(self string, current *view.View, own reading) *transfer {
+	t := &transfer{
+		self:     self,
+		current:  current,
+		answered: map[string]reading{self: own},
+		dead:     make(map[string]bool),
+	}
+	for _, before := range current.Earlier() {
+		if len(before.Members()) == 0 {
+			t.whole = true
+			break
+		}
+		t.earlier = append(t.earlier, before)
+	}
+	return t
+}
+
+// ready reports whether enough replicas of a key's earlier epochs were read.
+func (t *transfer) ready(region, key string, replicas []view.Member) bool {
+	if t.settled {
+		return true
+	}
+	for _, v := range t.earlier {
+		before := v.Replicas(region, key)
+		read, needed, settled := t.tally(v, before)
+		if !sameMembers(before, replicas) && read < needed {
+			return false
+		}
+		if settled {
+			return true
+		}
+	}
+	return t.whole
+}
+
+// tally counts the replicas of an earlier epoch that were read, how many have
+// to be, and whether one of those read had settled at it.
+func (t *transfer) tally(v *view.View, before []view.Member) (read, needed int, settled bool) {
+	alive := 0
+	for _, m := range before {
+		got, answered := t.answered[m.ID]
+		switch {
+		case answered && got.since <= v.Epoch():
+			read++
+			alive++
+			settled = settled || got.settledAt(v.Epoch())
+		case !answered && !t.dead[m.ID]:
+			alive++
+		}
+	}
+	return read, min(readQuorum(len(before)), alive), settled
+}
+
+// loss names members of one epoch that died without having been read.
+type loss struct {
+	view    *view.View
+	members []string
+}
+
+// complete reports whether every key is ready, judged by the members alone,
+// and what was lost.
+func (t *transfer) complete() (losses []loss, ok bool) {
+	for _, v := range t.earlier {
+		unread := t.survey(v)
+		mayMiss := unread.spread(v) > tolerable(v)
+		if unread.waiting > 0 && mayMiss {
+			return nil, false
+		}
+		if len(unread.dead) > 0 && mayMiss {
+			losses = append(losses, loss{view: v, members: unread.dead})
+		}
+		if unread.unsettled == 0 {
+			return losses, true
+		}
+	}
+	if !t.whole && len(t.earlier) > 0 {
+		// The history ends before anybody had settled: count the oldest
+		// members as lost, which is never wrong.
+		oldest := t.earlier[len(t.earlier)-1]
+		losses = append(losses, loss{view: oldest, members: memberIDs(oldest)})
+	}
+	return losses, true
+}
+
+func memberIDs(v *view.View) []string {
+	ids := make([]string, len(v.Members()))
+	for i, m := range v.Members() {
+		ids[i] = m.ID
+	}
+	return ids
+}
+
+// surveyed sums up how far the members of one epoch were read.
+type surveyed struct {
+	dead []string
+	// unread counts members that were not read, dead ones included; halls are
+	// theirs.
+	unread int
+	halls  map[string]bool
+	// waiting counts unread members that are not dead.
+	waiting int
+	// unsettled counts living members that had not settled at the epoch.
+	unsettled int
+}
+
+// spread returns how many replicas of one key may be unread at the most. With
+// enough data halls the replicas of a key lie in different ones.
+func (s surveyed) spread(v *view.View) int {
+	if halls(v) >= view.ReplicaCount {
+		return len(s.halls)
+	}
+	return s.unread
+}
+
+// tolerable returns how many replicas of a key may stay unread.
+func tolerable(v *view.View) int {
+	replicas := min(view.ReplicaCount, len(v.Members()))
+	return replicas - readQuorum(replicas)
+}
+
+func (t *transfer) survey(v *view.View) surveyed {
+	s := surveyed{halls: make(map[string]bool)}
+	for _, m := range v.Members() {
+		got, answered := t.answered[m.ID]
+		if answered && got.since <= v.Epoch() {
+			if !got.settledAt(v.Epoch()) {
+				s.unsettled++
+			}
+			continue
+		}
+		s.unread++
+		s.halls[m.DataHall] = true
+		if answered || t.dead[m.ID] {
+			s.dead = append(s.dead, m.ID)
+		} else {
+			s.waiting++
+		}
+	}
+	return s
+}
+
+func halls(v *view.View) int {
+	seen := make(map[string]bool)
+	for _, m := range v.Members() {
+		seen[m.DataHall] = true
+	}
+	return len(seen)
+}
+
+func sameMembers(a, b []view.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, m := range a {
+		if !contains(b, m.ID) {
+			return false
+		}
+	}
+	return true
+}
+
+// settledEpochs bounds how many epochs a replica remembers having settled at.
+const settledEpochs = 64
+
+// SetView starts the taking over for a new epoch. A member that was removed
+// keeps its claims for those who take them over. If it joins again, it forgets
+// them: others have decided since, and it no longer knows which were won.
+func (r *Replica) SetView(v *view.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v.Has(r.self) && !r.transfer.current.Has(r.self) && r.hasVoted {
+		clear(r.entries)
+		r.bytes = 0
+		r.own = reading{since: v.Epoch()}
+	}
+	r.hasVoted = r.hasVoted || v.Has(r.self)
+	r.transfer = newTransfer(r.self, v, r.own)
+	if len(r.transfer.earlier) == 0 && v.Has(r.self) {
+		r.markSettled(r.transfer)
+	}
+}
+
+func (r *Replica) markSettled(t *transfer) {
+	t.settled = true
+	settled := append(slices.Clone(r.own.settled), t.current.Epoch())
+	r.own.settled = settled[max(0, len(settled)-settledEpochs):]
+}
+
+// Settled reports whether this replica answers for all its ranges.
+func (r *Replica) Settled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.transfer.settled
+}
+
+// lostBefore returns the time before which claims for a key may be lost.
+func (r *Replica) lostBefore(region, key string) time.Time {
+	var latest time.Time
+	for i := range r.gaps {
+		if r.gaps[i].At.After(latest) && r.gaps[i].covers(region, key) {
+			latest = r.gaps[i].At
+		}
+	}
+	return latest
+}
+
+// Transfer answers an asker with the entries that it takes over.
+func (r *Replica) Transfer(in TransferRequest) TransferReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.transfer
+	if in.Owner != r.self || t.current.Epoch() < in.Epoch {
+		return TransferReply{}
+	}
+	if t.outgoing == nil {
+		t.outgoing = r.outgoing(t)
+	}
+	reply := TransferReply{Ready: true, Settled: r.own.settled, Since: r.own.since}
+	if in.After == "" {
+		reply.Gaps = append(reply.Gaps, r.gaps...)
+	}
+	for _, e := range t.outgoing[in.Asker] {
+		key := e.Key.String()
+		if key <= in.After || r.entries[key] == nil {
+			continue
+		}
+		if len(reply.Entries) == pageSize {
+			reply.Next = reply.Entries[pageSize-1].Key.String()
+			break
+		}
+		reply.Entries = append(reply.Entries, *clone(r.entries[key]))
+	}
+	return reply
+}
+
+// outgoing sorts the entries by the members that answer for them now. It is
+// made once per epoch: entries granted later need no transfer.
+func (r *Replica) outgoing(t *transfer) map[string][]*Entry {
+	out := make(map[string][]*Entry)
+	for key, e := range r.entries {
+		for _, m := range t.current.Replicas(e.Key.Region, key) {
+			if m.ID != r.self {
+				out[m.ID] = append(out[m.ID], e)
+			}
+		}
+	}
+	for _, entries := range out {
+		sort.Slice(entries, func(i, j int) bool { return entries[i].Key.String() < entries[j].Key.String() })
+	}
+	return out
+}
+
+// pull reads the earlier replicas, all at once, and settles if that was
+// enough. What is missing is tried again at the next tick.
+func (r *Replica) pull(ctx context.Context) {
+	r.mu.Lock()
+	t := r.transfer
+	done := t.settled || !t.current.Has(r.self)
+	unread := r.unread(t)
+	r.mu.Unlock()
+	if done {
+		return
+	}
+	var reads sync.WaitGroup
+	for _, m := range unread {
+		reads.Go(func() { r.readFrom(ctx, t, m) })
+	}
+	reads.Wait()
+	r.settle(t, unread)
+}
+
+func (r *Replica) unread(t *transfer) []view.Member {
+	var unread []view.Member
+	seen := make(map[string]bool)
+	for _, v := range t.earlier {
+		for _, m := range v.Members() {
+			_, answered := t.answered[m.ID]
+			if !answered && !seen[m.ID] {
+				seen[m.ID] = true
+				unread = append(unread, m)
+			}
+		}
+	}
+	return unread
+}
+
+func (r *Replica) readFrom(ctx context.Context, t *transfer, m view.Member) {
+	in := TransferRequest{Epoch: t.current.Epoch(), Asker: r.self, Owner: m.ID}
+	var entries []Entry
+	var gaps []Gap
+	for {
+		pageCtx, cancel := context.WithTimeout(ctx, transferTimeout)
+		reply, err := r.peers.Transfer(pageCtx, m, in)
+		cancel()
+		if err != nil || !reply.Ready {
+			return
+		}
+		entries = append(entries, reply.Entries...)
+		gaps = append(gaps, reply.Gaps...)
+		if reply.Next == "" {
+			r.adopt(t, m.ID, reading{settled: reply.Settled, since: reply.Since}, entries, gaps)
+			return
+		}
+		in.After = reply.Next
+	}
+}
+
+// adopt takes in what one member had. A claim seen at one replica counts as
+// perhaps won; two that differ leave the key unknown.
+func (r *Replica) adopt(t *transfer, from string, got reading, entries []Entry, gaps []Gap) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.transfer != t {
+		return
+	}
+	for _, e := range entries {
+		r.adoptEntry(e)
+	}
+	for _, g := range gaps {
+		r.addGap(g)
+	}
+	t.answered[from] = got
+}
+
+func (r *Replica) adoptEntry(e Entry) {
+	key := e.Key.String()
+	held := r.entries[key]
+	switch {
+	case held == nil:
+		r.put(key, e)
+	case held.Token == e.Token:
+		if e.State > held.State {
+			r.put(key, e)
+		}
+	default:
+		held.State = StateUnknown
+	}
+}
+
+func (r *Replica) addGap(g Gap) {
+	for _, known := range r.gaps {
+		if known.At.Equal(g.At) {
+			return
+		}
+	}
+	r.gaps = append(r.gaps, g)
+}
+
+// settle ends the taking over if every key is ready.
+func (r *Replica) settle(t *transfer, unread []view.Member) {
+	dead := make(map[string]bool)
+	for _, m := range unread {
+		dead[m.ID] = r.views.Dead(m)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.transfer != t {
+		return
+	}
+	for id, isDead := range dead {
+		t.dead[id] = isDead
+	}
+	losses, ok := t.complete()
+	if !ok {
+		return
+	}
+	for _, l := range losses {
+		r.noteGap(l)
+	}
+	r.markSettled(t)
+	slog.Info("claims settled", "epoch", t.current.Epoch(), "read", len(t.answered), "losses", len(losses))
+}
+
+// noteGap remembers which members died unread. Whether a key is concerned is
+// found out when it is claimed.
+func (r *Replica) noteGap(l loss) {
+	encoded, err := l.view.Encode()
+	if err != nil {
+		slog.Error("gap not kept", "error", err)
+		return
+	}
+	r.addGap(Gap{At: r.timers.Now(), View: encoded, Missing: l.members})
+}
--- /dev/null
+++ b/cmd/violettally/main.go
@@ -0,0 +1,17 @@
+// Command violettally is a model-aware router for versions and cascades. It is
+// the only program that runs on entry VMs (`violettally serve`) and the
+// operators' tool.
+//
+//	violettally serve --settings node.json
+//	violettally check config.json
+//	violettally apply config.json --expect 4
+//	violettally explain 01932f6e-…
+package main
+
+import (
+	"os"
+
+	"github.com/violettally/violettally/command"
+)
+
+func main() { os.Exit(command.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,524 @@
+// Package dispatch is the path of a request: account, limits, claim, session
+// pin or roll-out stage, cascade plan, admission, server choice, run, rating,
+// bill, answer. Every step leaves a line in the request's decision record.
+//
+// The package decides nothing by itself that another package is for; it
+// brings their decisions in order and sees to it that what a caller is told
+// is true: whether a refused request ran, and that an id is never run twice
+// where that is not allowed.
+//
+// # Usage
+//
+//	x, refusal := dispatcher.Start(ctx, request)
+//	if refusal != nil {
+//		return refusal
+//	}
+//	// follow x (package answer) until it is done
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/admit"
+	"github.com/violettally/violettally/answer"
+	"github.com/violettally/violettally/cascade"
+	"github.com/violettally/violettally/claim"
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/ledger"
+	"github.com/violettally/violettally/retry"
+	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/session"
+	"github.com/violettally/violettally/timer"
+)
+
+// Request is one caller's request. The exported fields that are not derived
+// from the account ride with the claim of patient work.
+type Request struct {
+	// ID names the request within its account. Given ids were chosen by the
+	// caller, who may come back with them.
+	ID      string
+	Given   bool
+	Account *config.Account
+	// Patient work is answered with 202 and fetched later.
+	Patient  bool
+	Deadline time.Time
+	Body     []byte
+	// Digest of everything that makes the request what it is.
+	Digest uint64
+
+	// Chat is set for a request to a model, Plain for one to a service.
+	Chat  *Chat
+	Plain *Plain
+
+	// takenOver marks patient work of a node that is gone; its account has
+	// paid for it.
+	takenOver bool
+}
+
+// Chat is a request to a model.
+type Chat struct {
+	Model   string
+	Session string
+	Stream  bool
+	// Prefix hashes the start of the prompt, Class groups like requests.
+	Prefix uint64
+	Class  string
+	// Prompt is the text that an answer is rated against.
+	Prompt string
+}
+
+// Plain is a call of a plain service.
+type Plain struct {
+	Service     *config.Service
+	Call        *config.Call
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+}
+
+// Claims is the write-once memory.
+type Claims interface {
+	Claim(ctx context.Context, e claim.Entry) (claim.Outcome, error)
+	Override(ctx context.Context, e claim.Entry) (claim.Outcome, error)
+	Lookup(ctx context.Context, key claim.Key) (found *claim.Entry, complete bool)
+	Advance(ctx context.Context, e claim.Entry) (took, of int)
+	Release(key claim.Key, token string)
+}
+
+// Holders reaches the nodes that hold claims.
+type Holders interface {
+	// Attach follows an attempt's answer at its holder. Found is false if
+	// the holder does not know the attempt; ran then tells whether it knows
+	// that the attempt has run.
+	Attach(ctx context.Context, h claim.Holder, attempt string) (x *answer.Exchange, found, ran bool, err error)
+	// Cancel stops an attempt at its holder.
+	Cancel(ctx context.Context, h claim.Holder, attempt string) (bool, error)
+	// Answers reports whether a node is neither suspected nor gone.
+	Answers(id string) bool
+	// Gone reports whether a node is confirmed not to answer.
+	Gone(id string) bool
+}
+
+// Rater rates answers.
+type Rater interface {
+	Rate(ctx context.Context, model, version, prompt, answer string) (float64, error)
+}
+
+// Limits holds accounts to their limits.
+type Limits interface {
+	Take(account *config.Account) (wait time.Duration, ok bool)
+}
+
+// Queues returns the admission queue of a pool.
+type Queues interface {
+	Queue(pool string) *admit.Queue
+}
+
+// Counters counts what operators want to see.
+type Counters interface {
+	Refused(reason Reason, account string)
+	Retried(reason string)
+	Answered(model, version string, firstToken, total time.Duration)
+	Billed(b ledger.Bill)
+}
+
+// Parts is what a Dispatcher is made of.
+type Parts struct {
+	Self     claim.Holder
+	Config   func() *config.Snapshot
+	Current  func() bool
+	Claims   Claims
+	Holders  Holders
+	Answers  *answer.Store
+	Pins     *session.Pins
+	Picker   *rollout.Picker
+	Planner  *cascade.Planner
+	Limits   Limits
+	Queues   Queues
+	Chooser  *route.Chooser
+	Budgets  *retry.Budgets
+	Engines  Engines
+	Services Services
+	Rater    Rater
+	Journal  *ledger.Journal
+	Records  *decision.Log
+	Counters Counters
+	Timers   *timer.Service
+	NewID    func() string
+	// AnswerLife is how long an answer can be fetched, AnswerBytes how large
+	// it may be.
+	AnswerLife  time.Duration
+	AnswerBytes int64
+}
+
+// Dispatcher takes requests along their path. It is safe for concurrent use.
+type Dispatcher struct {
+	Parts
+	runs     sync.WaitGroup
+	draining chan struct{}
+	once     sync.Once
+}
+
+// New returns a dispatcher.
+func New(parts Parts) *Dispatcher {
+	return &Dispatcher{Parts: parts, draining: make(chan struct{})}
+}
+
+const (
+	// comeBackSoon is told where a fault passes within seconds.
+	comeBackSoon = time.Second
+	// comeBackLater is told where an operator or a roll-out has to act.
+	comeBackLater = 10 * time.Second
+	// maxAttempts bounds how often one id is taken over.
+	maxAttempts = 8
+	// joinRounds bounds how often a claim that turned out to be given up is
+	// made anew.
+	joinRounds = 4
+)
+
+// Start takes a request up, or joins it to the run that its id has already.
+func (d *Dispatcher) Start(ctx context.Context, r *Request) (*answer.Exchange, *Refusal) {
+	record := d.Records.Start(r.ID, r.Account.Name)
+	x, refusal := d.start(ctx, r, record)
+	if refusal != nil {
+		record.Note("refused", "%s", refusal.Error())
+		record.End("refused: " + refusal.reason.String())
+		d.Counters.Refused(refusal.reason, r.Account.Name)
+	}
+	return x, refusal
+}
+
+func (d *Dispatcher) start(ctx context.Context, r *Request, record *decision.Record) (*answer.Exchange, *Refusal) {
+	if refusal := d.ready(r); refusal != nil {
+		return nil, refusal
+	}
+	if !r.Given {
+		if refusal := d.limit(r, record); refusal != nil {
+			return nil, refusal
+		}
+		return d.startMinted(ctx, r, record)
+	}
+	return d.startGiven(ctx, r, record)
+}
+
+// ready checks what needs no other node.
+func (d *Dispatcher) ready(r *Request) *Refusal {
+	snapshot := d.Config()
+	switch {
+	case d.Draining():
+		return refuse(ReasonDraining, RanNo, comeBackSoon, "this node is leaving; ask for addresses again")
+	case snapshot.Revision() == 0:
+		return refuse(ReasonNoConfiguration, RanNo, comeBackSoon, "no configuration is in force")
+	case !d.Current():
+		return refuse(ReasonCutOff, RanNo, comeBackSoon, "this node is cut off and may have missed a withdrawal; ask another")
+	case r.Chat != nil:
+		return d.allowed(snapshot, r)
+	}
+	return nil
+}
+
+// allowed answers a model that does not exist like one that the account may
+// not use.
+func (d *Dispatcher) allowed(s *config.Snapshot, r *Request) *Refusal {
+	if _, ok := resolve(s, r.Account, r.Chat.Model); !ok {
+		return refuse(ReasonModelNotFound, RanNo, 0, "model %q is not one that account %q may use", r.Chat.Model, r.Account.Name)
+	}
+	return nil
+}
+
+func (d *Dispatcher) limit(r *Request, record *decision.Record) *Refusal {
+	wait, ok := d.Limits.Take(r.Account)
+	if !ok {
+		return refuse(ReasonRateLimited, RanNo, wait, "account %q is at its limit of %g requests a second", r.Account.Name, r.Account.Limits.RequestsPerSecond)
+	}
+	record.Note("limit", "within the account's share")
+	return nil
+}
+
+func (d *Dispatcher) key(r *Request, attempt int) claim.Key {
+	return claim.Key{Region: r.Account.HomeRegion(), Account: r.Account.Name, Kind: claim.KindRequest, ID: attemptID(r.ID, attempt)}
+}
+
+// attemptID names a take-over of an id. The separator cannot stand in an id.
+func attemptID(id string, attempt int) string {
+	if attempt == 0 {
+		return id
+	}
+	return id + "~" + string(rune('0'+attempt))
+}
+
+func (d *Dispatcher) entry(r *Request, attempt int, exchange string) claim.Entry {
+	e := claim.Entry{
+		Key:        d.key(r, attempt),
+		Token:      exchange,
+		Holder:     d.Self,
+		Repeatable: r.Repeatable(),
+		Patient:    r.Patient,
+		Body:       r.Digest,
+		Expires:    d.Timers.Now().Add(d.claimLife(r)),
+	}
+	if r.Patient {
+		e.Value = encodeRequest(r)
+	}
+	return e
+}
+
+// Repeatable reports whether the request may run more than once.
+func (r *Request) Repeatable() bool { return r.Plain == nil || r.Plain.Call.Repeatable }
+
+// claimLife outlives the deadline and the time for which an answer is kept.
+func (d *Dispatcher) claimLife(r *Request) time.Duration {
+	life := d.AnswerLife
+	if !r.Deadline.IsZero() {
+		life += r.Deadline.Sub(d.Timers.Now())
+	}
+	if !r.Repeatable() {
+		life = max(life, r.Plain.Call.ClaimLife())
+	}
+	return life
+}
+
+// startMinted runs a request whose id nobody knows yet. Its claim only serves
+// to find the answer later, so the run need not wait for it.
+func (d *Dispatcher) startMinted(ctx context.Context, r *Request, record *decision.Record) (*answer.Exchange, *Refusal) {
+	if r.Patient || !r.Repeatable() {
+		return d.startGiven(ctx, r, record)
+	}
+	exchange := d.NewID()
+	runCtx, stop := context.WithCancel(context.Background())
+	x := d.Answers.Open(exchange, stop)
+	d.run(runCtx, r, x, record, nil)
+	e := d.entry(r, 0, exchange)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), claimTime)
+		defer cancel()
+		_, _ = d.Claims.Claim(ctx, e)
+	}()
+	return x, nil
+}
+
+// claimTime bounds the claim of one request with all its rounds.
+const claimTime = 3 * time.Second
+
+// startGiven claims a request's id before it runs.
+func (d *Dispatcher) startGiven(ctx context.Context, r *Request, record *decision.Record) (*answer.Exchange, *Refusal) {
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	for attempt := 0; attempt < maxAttempts; attempt++ {
+		x, next, refusal := d.claimAttempt(ctx, r, attempt, record)
+		if !next {
+			return x, refusal
+		}
+		record.Note("take-over", "holder of attempt %d is gone", attempt)
+	}
+	return nil, refuse(ReasonOutcomeUnknown, RanUnknown, 0, "the request was taken over %d times", maxAttempts)
+}
+
+// claimAttempt claims one attempt of an id, or joins the one who has it. Next
+// says that its holder is gone and that the work may be taken over.
+func (d *Dispatcher) claimAttempt(ctx context.Context, r *Request, attempt int, record *decision.Record) (x *answer.Exchange, next bool, _ *Refusal) {
+	override := false
+	for range joinRounds {
+		exchange := d.NewID()
+		e := d.entry(r, attempt, exchange)
+		runCtx, cancel := context.WithCancel(context.Background())
+		opened := d.Answers.Open(exchange, cancel)
+		claimIt := d.Claims.Claim
+		if override {
+			claimIt = d.Claims.Override
+		}
+		outcome, err := claimIt(ctx, e)
+		if err == nil && outcome.Won {
+			return d.won(runCtx, r, opened, outcome, e, record)
+		}
+		d.giveUp(opened, refuse(ReasonClaimBusy, RanNo, comeBackSoon, "the id is claimed by another node"))
+		if err != nil {
+			return nil, false, refuse(ReasonClaimUnreachable, RanNo, comeBackSoon, "%v", err)
+		}
+		record.Note("claim", "id is claimed by %s", outcome.Other.Holder.ID)
+		j := d.join(ctx, r, outcome)
+		switch {
+		case j.abandoned:
+			// Its holder has given it up and never runs it: clear it away.
+			d.Claims.Release(outcome.Other.Key, outcome.Other.Token)
+			override = true
+		case j.override:
+			override = true
+		default:
+			return j.exchange, j.next, j.refusal
+		}
+	}
+	return nil, false, refuse(ReasonClaimBusy, RanUnknown, comeBackSoon, "the id is being claimed by others")
+}
+
+// won starts the run of a claim that was won, unless the key may have been
+// used before.
+func (d *Dispatcher) won(ctx context.Context, r *Request, x *answer.Exchange, outcome claim.Outcome, e claim.Entry, record *decision.Record) (*answer.Exchange, bool, *Refusal) {
+	e.Token = outcome.Token
+	refusal := d.checkLost(r, outcome.LostBefore)
+	if refusal == nil && r.Given && !r.takenOver {
+		refusal = d.limit(r, record)
+	}
+	if refusal != nil {
+		d.giveUp(x, refusal)
+		d.Claims.Release(e.Key, e.Token)
+		return nil, false, refusal
+	}
+	if !r.Repeatable() {
+		x.Pin()
+	}
+	record.Note("claim", "won as %s", e.Key.ID)
+	d.run(ctx, r, x, record, &e)
+	return x, false, nil
+}
+
+// giveUp ends an attempt that never runs. Whoever has joined it learns so.
+func (d *Dispatcher) giveUp(x *answer.Exchange, refusal *Refusal) {
+	d.Answers.Forget(x.Attempt())
+	x.Fail(refusal.Failure())
+	x.Close()
+}
+
+// checkLost refuses an id that may have been used before its claim was lost
+// with two replicas. An id that carries a later time is new.
+func (d *Dispatcher) checkLost(r *Request, lostBefore time.Time) *Refusal {
+	if lostBefore.IsZero() || idTime(r.ID).After(lostBefore) {
+		return nil
+	}
+	return refuse(ReasonOutcomeUnknown, RanUnknown, 0, "two replicas were lost together; whether this id has run is not known")
+}
+
+// joined is what became of joining a claim's holder.
+type joined struct {
+	exchange *answer.Exchange
+	refusal  *Refusal
+	// next allows a take-over as the next attempt, override one that tries
+	// to win in place of a claim that may not have been won.
+	next      bool
+	override  bool
+	abandoned bool
+}
+
+// join follows the answer of a claim that somebody else has.
+func (d *Dispatcher) join(ctx context.Context, r *Request, outcome claim.Outcome) joined {
+	other := outcome.Other
+	switch {
+	case other.State == claim.StateUnknown:
+		return joined{refusal: refuse(ReasonOutcomeUnknown, RanUnknown, 0, "two claims of this id survived; which one ran is not known")}
+	case other.Body != r.Digest:
+		return joined{refusal: refuse(ReasonIDReused, RanNo, 0, "the id was used for another request")}
+	}
+	x, found, ran, err := d.Holders.Attach(ctx, other.Holder, claim.AttemptOf(other.Token))
+	switch {
+	case err == nil && found:
+		return joined{exchange: x}
+	case other.State == claim.StateDone && len(other.Answer) > 0:
+		return joined{exchange: decodeAnswer(other.Answer)}
+	case err == nil && !ran && other.State == claim.StateClaimed:
+		return joined{abandoned: true}
+	case err == nil && other.Repeatable:
+		// It ran, but its answer is not kept any more.
+		return joined{next: true}
+	case err == nil:
+		return joined{refusal: refuse(ReasonAnswerExpired, RanYes, 0, "the request has run; its answer is not kept any more")}
+	case !d.Holders.Gone(other.Holder.ID):
+		return joined{refusal: refuse(ReasonHolderUnreachable, RanUnknown, comeBackSoon, "node %s, which has the request, does not answer now", other.Holder.ID)}
+	case other.Repeatable:
+		return joined{next: true}
+	case !outcome.OtherWon && other.State == claim.StateClaimed:
+		return joined{override: true}
+	default:
+		return joined{refusal: refuse(ReasonOutcomeUnknown, RanUnknown, 0, "the node that had the request is gone; whether it ran is not known")}
+	}
+}
+
+// Find returns the answer of a request, wherever it is, without starting it.
+func (d *Dispatcher) Find(ctx context.Context, account *config.Account, id string) (*answer.Exchange, *Refusal) {
+	e, refusal := d.latest(ctx, account, id)
+	if refusal != nil {
+		return nil, refusal
+	}
+	x, found, _, err := d.Holders.Attach(ctx, e.Holder, claim.AttemptOf(e.Token))
+	switch {
+	case err == nil && found:
+		return x, nil
+	case e.State == claim.StateDone && len(e.Answer) > 0:
+		return decodeAnswer(e.Answer), nil
+	case err == nil:
+		return nil, refuse(ReasonAnswerExpired, RanYes, 0, "the answer is not kept any more")
+	case e.Patient && !d.Holders.Answers(e.Holder.ID):
+		// Another node is about to take it over.
+		return answer.NewExchange(e.Token, func() {}), nil
+	default:
+		return nil, refuse(ReasonHolderUnreachable, RanUnknown, comeBackSoon, "node %s, which has the request, does not answer now", e.Holder.ID)
+	}
+}
+
+// latest returns the claim of the last attempt of an id.
+func (d *Dispatcher) latest(ctx context.Context, account *config.Account, id string) (*claim.Entry, *Refusal) {
+	var last *claim.Entry
+	r := &Request{ID: id, Account: account}
+	for attempt := 0; attempt < maxAttempts; attempt++ {
+		found, complete := d.Claims.Lookup(ctx, d.key(r, attempt))
+		if found == nil && !complete && last == nil {
+			return nil, refuse(ReasonClaimUnreachable, RanUnknown, comeBackSoon, "too few replicas answer")
+		}
+		if found == nil {
+			break
+		}
+		last = found
+	}
+	if last == nil {
+		return nil, refuse(ReasonRequestNotFound, RanUnknown, 0, "no request %q of this account is remembered", id)
+	}
+	return last, nil
+}
+
+// Holder returns the node that decided a request.
+func (d *Dispatcher) Holder(ctx context.Context, account *config.Account, id string) (claim.Holder, *Refusal) {
+	e, refusal := d.latest(ctx, account, id)
+	if refusal != nil {
+		return claim.Holder{}, refusal
+	}
+	return e.Holder, nil
+}
+
+// Cancel stops a request, wherever it runs.
+func (d *Dispatcher) Cancel(ctx context.Context, account *config.Account, id string) (bool, *Refusal) {
+	e, refusal := d.latest(ctx, account, id)
+	if refusal != nil {
+		return false, refusal
+	}
+	stopped, err := d.Holders.Cancel(ctx, e.Holder, claim.AttemptOf(e.Token))
+	if err != nil {
+		return false, refuse(ReasonHolderUnreachable, RanUnknown, comeBackSoon, "node %s, which has the request, does not answer now", e.Holder.ID)
+	}
+	return stopped, nil
+}
+
+// CancelAttempt stops an attempt that this node runs.
+func (d *Dispatcher) CancelAttempt(attempt string) bool {
+	x, _ := d.Answers.Find(attempt)
+	return x != nil && x.Cancel()
+}
+
+// Drain refuses new requests from now on.
+func (d *Dispatcher) Drain() { d.once.Do(func() { close(d.draining) }) }
+
+// Draining reports whether Drain was called.
+func (d *Dispatcher) Draining() bool {
+	select {
+	case <-d.draining:
+		return true
+	default:
+		return false
+	}
+}
+
+// Wait returns once no request runs.
+func (d *Dispatcher) Wait() { d.runs.Wait() }
--- /dev/null
+++ b/dispatch/plain.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/violettally/violettally/admit"
+	"github.com/violettally/violettally/answer"
+	"github.com/violettally/violettally/claim"
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/route"
+)
+
+// runPlain calls a plain service.
+func (d *Dispatcher) runPlain(ctx context.Context, r *Request, x *answer.Exchange, record *decision.Record, e *claim.Entry) *Refusal {
+	pool := r.Plain.Service.Pool
+	release, refusal := d.admit(ctx, r, pool, record)
+	if refusal != nil {
+		return refusal
+	}
+	defer release()
+	s := d.Config()
+	if !d.Current() {
+		return refuse(ReasonCutOff, RanNo, comeBackSoon, "this node is cut off; ask another")
+	}
+	if !r.Repeatable() && !d.markRunning(x, r, e) {
+		return refuse(ReasonClaimUnreachable, RanNo, comeBackSoon, "too few replicas took note of the run")
+	}
+	if p := s.Pool(pool); p != nil {
+		d.Budgets.Paid(pool, p.RetryShare())
+	}
+	tried := make(map[string]bool)
+	for {
+		attempt, err := d.Chooser.Choose(route.Request{Pool: pool, Servers: s.Servers(pool), Exclude: tried})
+		if err != nil {
+			return refuse(ReasonNoServer, RanNo, comeBackSoon, "%v", err)
+		}
+		tried[attempt.Server().Name] = true
+		record.Choose(r.Plain.Service.Name, "", attempt.Server().Name)
+		record.Note("server", "%s", attempt.Server().Name)
+		refusal := d.callOnce(ctx, r, x, attempt)
+		if refusal == nil {
+			return nil
+		}
+		mayRetry := refusal.ran == RanNo || r.Repeatable()
+		if !mayRetry || ctx.Err() != nil || !d.Budgets.Take(pool) {
+			return refusal
+		}
+		d.Counters.Retried(refusal.reason.String())
+		record.Note("retry", "%s", refusal.Error())
+	}
+}
+
+// markRunning makes known, here and at most of the replicas, that a call that
+// may not be repeated is about to run.
+func (d *Dispatcher) markRunning(x *answer.Exchange, r *Request, e *claim.Entry) bool {
+	d.Answers.Remember(x.Attempt(), r.Plain.Call.ClaimLife())
+	return d.advance(e, claim.StateRunning, nil)
+}
+
+func (d *Dispatcher) callOnce(ctx context.Context, r *Request, x *answer.Exchange, attempt *route.Attempt) *Refusal {
+	start := d.Timers.Now()
+	got, err := d.Services.Call(ctx, attempt.Server(), ServiceCall{
+		RequestID:   r.ID,
+		Method:      r.Plain.Method,
+		Path:        r.Plain.Path,
+		Query:       r.Plain.Query,
+		ContentType: r.Plain.ContentType,
+		Body:        r.Body,
+	})
+	took := d.Timers.Now().Sub(start)
+	attempt.End(outcomeOf(ctx, err), took)
+	if err != nil {
+		return backendRefusal(ctx, err, r.Repeatable())
+	}
+	x.Begin(answer.Head{Status: got.Status, ContentType: got.ContentType, Model: r.Plain.Service.Name})
+	x.Append(got.Body)
+	d.Counters.Answered(r.Plain.Service.Name, "", took, took)
+	return nil
+}
+
+// outcomeOf tells what an attempt's error says about the server.
+func outcomeOf(ctx context.Context, err error) route.Outcome {
+	switch {
+	case err == nil:
+		return route.OutcomeOK
+	case errorx.IsOfType(err, NotRun) && errs.Is(err, ErrDeclined):
+		return route.OutcomeDeclined
+	case errors.Is(ctx.Err(), context.Canceled):
+		return route.OutcomeNeutral
+	default:
+		return route.OutcomeFailed
+	}
+}
+
+// ErrDeclined is the cause of a NotRun error by which a server itself said
+// that it does not run the request now.
+var ErrDeclined = errors.New("declined by the server")
+
+// backendRefusal tells the caller what is known of a failed attempt.
+func backendRefusal(ctx context.Context, err error, repeatable bool) *Refusal {
+	ran := RanUnknown
+	if errorx.IsOfType(err, NotRun) {
+		ran = RanNo
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return refuse(ReasonCancelled, ran, 0, "the request was cancelled")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && (repeatable || ran == RanNo):
+		return refuse(ReasonDeadline, ran, comeBackSoon, "the deadline passed while the request ran")
+	case errorx.IsOfType(err, TooLarge):
+		return refuse(ReasonAnswerTooLarge, RanYes, 0, "%v", err)
+	case ran == RanUnknown && !repeatable:
+		return refuse(ReasonOutcomeUnknown, RanUnknown, 0, "%v", err)
+	default:
+		return refuse(ReasonServerFailed, ran, comeBackSoon, "%v", err)
+	}
+}
+
+// admit waits for the pool's capacity, or refuses at once.
+func (d *Dispatcher) admit(ctx context.Context, r *Request, pool string, record *decision.Record) (release func(), _ *Refusal) {
+	start := d.Timers.Now()
+	ticket := admit.Ticket{Account: r.Account.Name, Priority: r.Account.Priority, Deadline: r.Deadline}
+	if r.Patient {
+		ticket.Priority = config.PriorityPatient
+	}
+	release, err := d.Queues.Queue(pool).Acquire(ctx, ticket)
+	waited := d.Timers.Now().Sub(start)
+	switch {
+	case err == nil:
+		record.Note("admission", "to pool %s after %s", pool, waited.Round(time.Millisecond))
+		return release, nil
+	case errors.Is(ctx.Err(), context.Canceled):
+		return nil, refuse(ReasonCancelled, RanNo, 0, "the request was cancelled while it waited")
+	case errorx.IsOfType(err, admit.Full):
+		return nil, refuse(ReasonOverloaded, RanNo, admit.RetryAfter(err), "%v", err)
+	case errorx.IsOfType(err, admit.Late):
+		return nil, refuse(ReasonDeadline, RanNo, admit.RetryAfter(err), "%v", err)
+	default:
+		return nil, refuse(ReasonDeadline, RanNo, comeBackSoon, "%v", err)
+	}
+}
--- /dev/null
+++ b/dispatch/target.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"context"
+	"strings"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/session"
+)
+
+// target is what a caller's model name stands for.
+type target struct {
+	cascade *config.Cascade
+	models  []string
+	// version is set if the caller asked for one.
+	version string
+}
+
+// resolve finds what a model name stands for, as far as the account may use
+// it.
+func resolve(s *config.Snapshot, account *config.Account, name string) (target, bool) {
+	if c := s.Cascade(name); c != nil {
+		return target{cascade: c, models: c.Models}, mentions(account, name)
+	}
+	model, version, _ := strings.Cut(name, "@")
+	m := s.Model(model)
+	if m == nil {
+		return target{}, false
+	}
+	t := target{models: []string{model}, version: version}
+	for _, v := range m.Versions {
+		if (version == "" || version == v.Name) && s.Allows(account, "", model, v.Name) {
+			return t, true
+		}
+	}
+	return target{}, false
+}
+
+func mentions(account *config.Account, name string) bool {
+	for _, ref := range account.Models {
+		if ref == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Models lists what an account may use: cascades, models and versions.
+func Models(s *config.Snapshot, account *config.Account) []string {
+	var names []string
+	for _, c := range s.Cascades() {
+		if mentions(account, c.Name) {
+			names = append(names, c.Name)
+		}
+	}
+	for _, m := range s.Models() {
+		var versions []string
+		for _, v := range m.Versions {
+			if v.State != config.VersionWithdrawn && s.Allows(account, "", m.Name, v.Name) {
+				versions = append(versions, m.Name+"@"+v.Name)
+			}
+		}
+		if len(versions) > 0 {
+			names = append(append(names, m.Name), versions...)
+		}
+	}
+	return names
+}
+
+// versionOf decides which version of a model serves the request.
+func (d *Dispatcher) versionOf(ctx context.Context, r *Request, t target, model string, record *decision.Record) (string, *Refusal) {
+	s := d.Config()
+	m := s.Model(model)
+	if m == nil {
+		return "", refuse(ReasonModelNotFound, RanNo, 0, "model %q is not declared any more", model)
+	}
+	if t.version != "" {
+		return d.askedVersion(s, r, m, t.version, record)
+	}
+	allowed := func(version string) bool { return s.Allows(r.Account, t.cascadeName(), model, version) }
+	pick := func() (string, error) {
+		key := r.ID
+		if r.Chat.Session != "" {
+			key = r.Chat.Session
+		}
+		v, err := d.Picker.Pick(m, r.Account.Name+"/"+key, allowed)
+		if err != nil {
+			return "", err
+		}
+		return v.Name, nil
+	}
+	if r.Chat.Session == "" {
+		version, err := pick()
+		if err != nil {
+			return "", refuse(ReasonNoVersion, RanNo, comeBackLater, "%v", err)
+		}
+		record.Note("version", "%s@%s by roll-out stage", model, version)
+		return version, nil
+	}
+	version, err := d.Pins.Version(ctx, session.Request{
+		Region:  r.Account.HomeRegion(),
+		Account: r.Account.Name,
+		Session: r.Chat.Session,
+		Model:   model,
+		Pick:    pick,
+		Usable:  func(version string) bool { return usable(s, m, version) && allowed(version) },
+		MayMove: m.MoveSessions,
+	})
+	if err != nil {
+		return "", pinRefusal(err)
+	}
+	record.Note("version", "%s@%s by session pin", model, version)
+	return version, nil
+}
+
+func (t target) cascadeName() string {
+	if t.cascade == nil {
+		return ""
+	}
+	return t.cascade.Name
+}
+
+func pinRefusal(err error) *Refusal {
+	switch {
+	case errorx.IsOfType(err, session.Withdrawn):
+		return refuse(ReasonVersionWithdrawn, RanNo, 0, "%v", err)
+	case errorx.IsOfType(err, rollout.NoVersion):
+		return refuse(ReasonNoVersion, RanNo, comeBackLater, "%v", err)
+	default:
+		return refuse(ReasonClaimUnreachable, RanNo, comeBackSoon, "%v", err)
+	}
+}
+
+// askedVersion checks a version that the caller named. A retired version only
+// keeps the sessions that it has.
+func (d *Dispatcher) askedVersion(s *config.Snapshot, r *Request, m *config.Model, version string, record *decision.Record) (string, *Refusal) {
+	v := s.Version(m.Name, version)
+	switch {
+	case v == nil || !s.Allows(r.Account, "", m.Name, version):
+		return "", refuse(ReasonModelNotFound, RanNo, 0, "%s@%s is not one that account %q may use", m.Name, version, r.Account.Name)
+	case v.State == config.VersionWithdrawn:
+		return "", refuse(ReasonVersionWithdrawn, RanNo, 0, "%s@%s is withdrawn", m.Name, version)
+	case v.State == config.VersionRetired:
+		return "", refuse(ReasonVersionWithdrawn, RanNo, 0, "%s@%s takes no new sessions", m.Name, version)
+	}
+	record.Note("version", "%s@%s as asked", m.Name, version)
+	return version, nil
+}
+
+func usable(s *config.Snapshot, m *config.Model, version string) bool {
+	v := s.Version(m.Name, version)
+	return v != nil && v.State != config.VersionWithdrawn
+}
+
+// stillAllowed checks, at the moment before the work goes to a server, that
+// the configuration now in force allows it. The request may have waited since
+// its version was chosen.
+func (d *Dispatcher) stillAllowed(r *Request, t target, model, version string) (*config.Version, *Refusal) {
+	s := d.Config()
+	v := s.Version(model, version)
+	account := s.Account(r.Account.Name)
+	switch {
+	case !d.Current():
+		return nil, refuse(ReasonCutOff, RanNo, comeBackSoon, "this node is cut off and may have missed a withdrawal; ask another")
+	case account == nil || !s.Allows(account, t.cascadeName(), model, version):
+		return nil, refuse(ReasonModelNotFound, RanNo, 0, "%s@%s is not one that account %q may use", model, version, r.Account.Name)
+	case v == nil || v.State == config.VersionWithdrawn:
+		return nil, refuse(ReasonVersionWithdrawn, RanNo, comeBackSoon, "%s@%s was withdrawn meanwhile", model, version)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/e2e/faults_test.go
@@ -0,0 +1,445 @@
+package e2e_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/internal/standin"
+)
+
+var (
+	seedFlag  = flag.Uint64("seed", 0, "seed of one randomised fault run; 0 runs the fixed seeds")
+	stepsFlag = flag.Int("steps", 4, "faults in a randomised run")
+)
+
+var faultShape = shape{
+	halls: 3, perHall: 2, engines: 2, plain: 1,
+	engineArgs: []string{"--token-ms", "1", "--tokens", fmt.Sprint(answerSize), "--fencing"},
+	plainArgs:  []string{"--delay-ms", "5"},
+}
+
+// faultTime is how long a fault lasts while the workload goes on.
+const faultTime = 1500 * time.Millisecond
+
+// fault is one thing that goes wrong while callers go on, and its end.
+type fault struct {
+	name   string
+	inject func(w *workload, random *rand.Rand)
+}
+
+// pick returns a random node.
+func pick(w *workload, random *rand.Rand) *entry {
+	return w.f.nodes[random.IntN(len(w.f.nodes))]
+}
+
+// replace gives a VM that has ended a new process, and waits for it.
+func replace(w *workload, nodes ...*entry) {
+	for _, n := range nodes {
+		w.f.restart(n)
+	}
+	w.f.waitReady(nodes...)
+}
+
+// faults are the single faults; the randomised run draws from them, two at
+// once too.
+var faults = []fault{
+	{"kill a node", func(w *workload, random *rand.Rand) {
+		n := pick(w, random)
+		w.note("kill %s", n.vm)
+		n.kill()
+		hold(faultTime)
+		replace(w, n)
+		w.note("%s is back with an empty memory", n.vm)
+	}},
+	{"freeze a node", func(w *workload, random *rand.Rand) {
+		n := pick(w, random)
+		w.note("freeze %s", n.vm)
+		n.freeze()
+		hold(2 * faultTime)
+		n.thaw()
+		w.note("thaw %s", n.vm)
+		w.f.waitReady(n)
+	}},
+	{"cut a node off inward", func(w *workload, random *rand.Rand) {
+		n := pick(w, random)
+		w.note("peers do not reach %s", n.vm)
+		n.peerProxy.setCut(true)
+		hold(2 * faultTime)
+		n.peerProxy.setCut(false)
+		w.note("peers reach %s", n.vm)
+	}},
+	{"cut a data hall off from the platform", func(w *workload, random *rand.Rand) {
+		hall := pick(w, random).hall
+		w.note("%s does not reach the platform", hall)
+		for _, n := range w.f.nodes {
+			if n.hall == hall {
+				n.platformProxy.setCut(true)
+			}
+		}
+		hold(2 * faultTime)
+		for _, n := range w.f.nodes {
+			n.platformProxy.setCut(false)
+		}
+		w.note("%s reaches the platform", hall)
+	}},
+	{"platform down", func(w *workload, _ *rand.Rand) {
+		w.note("platform down")
+		w.f.fault(w.f.kv, standin.Fault{Down: true})
+		hold(2 * faultTime)
+		w.f.fault(w.f.kv, standin.Fault{})
+		w.note("platform up")
+	}},
+	{"platform slow", func(w *workload, _ *rand.Rand) {
+		w.note("platform slow")
+		w.f.fault(w.f.kv, standin.Fault{SlowMillis: 400})
+		hold(2 * faultTime)
+		w.f.fault(w.f.kv, standin.Fault{})
+		w.note("platform fast")
+	}},
+	{"platform loses answers", func(w *workload, _ *rand.Rand) {
+		w.note("platform loses answers after the write")
+		w.f.fault(w.f.kv, standin.Fault{LoseAnswers: true})
+		hold(2 * faultTime)
+		w.f.fault(w.f.kv, standin.Fault{})
+		w.note("platform answers")
+	}},
+	{"rating service down", func(w *workload, _ *rand.Rand) {
+		w.note("rating down")
+		w.f.fault(w.f.rating, standin.Fault{Down: true})
+		hold(faultTime)
+		w.f.fault(w.f.rating, standin.Fault{})
+		w.note("rating up")
+	}},
+	{"an engine breaks its streams", func(w *workload, random *rand.Rand) {
+		engine := w.f.engines[random.IntN(len(w.f.engines))]
+		w.note("engine %s breaks streams after 5 tokens", engine)
+		w.f.behave(engine, map[string]any{"die_after": 5})
+		hold(faultTime)
+		w.f.behave(engine, map[string]any{"die_after": 0})
+		w.note("engine %s is whole", engine)
+	}},
+	{"an engine fails", func(w *workload, random *rand.Rand) {
+		engine := w.f.engines[random.IntN(len(w.f.engines))]
+		w.note("engine %s answers 500", engine)
+		w.f.behave(engine, map[string]any{"fail_share": 1})
+		hold(faultTime)
+		w.f.behave(engine, map[string]any{"fail_share": 0})
+		w.note("engine %s is well", engine)
+	}},
+	{"planned stop of a node", func(w *workload, random *rand.Rand) {
+		n := pick(w, random)
+		w.note("stop %s", n.vm)
+		n.stop()
+		replace(w, n)
+		w.note("%s is back", n.vm)
+	}},
+	{"a data hall is lost and replaced", func(w *workload, random *rand.Rand) {
+		hall := pick(w, random).hall
+		w.note("kill all of %s", hall)
+		var lost []*entry
+		for _, n := range w.f.nodes {
+			if n.hall == hall {
+				n.kill()
+				lost = append(lost, n)
+			}
+		}
+		hold(faultTime)
+		replace(w, lost...)
+		w.note("%s is back", hall)
+	}},
+}
+
+// TestFaults runs the workload under each single fault and checks all ten
+// points from the outside.
+func TestFaults(t *testing.T) {
+	for i, fault := range faults {
+		t.Run(strings.ReplaceAll(fault.name, " ", "_"), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, faultShape)
+			w := startWorkload(f, uint64(i))
+			w.flow()
+			fault.inject(w, rand.New(rand.NewPCG(uint64(i), 0)))
+			w.flow()
+			w.stop()
+			w.check(t)
+			t.Log(w.summary())
+		})
+	}
+}
+
+// TestRandomFaults draws faults by a seed, some two at once. The run is
+// repeated by `go test ./e2e -run TestRandomFaults -seed N -steps M`.
+func TestRandomFaults(t *testing.T) {
+	seeds := []uint64{1, 2, 3}
+	if *seedFlag != 0 {
+		seeds = []uint64{*seedFlag}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			t.Parallel()
+			t.Logf("seed %d, %d steps", seed, *stepsFlag)
+			random := rand.New(rand.NewPCG(seed, 99))
+			f := newFleet(t, faultShape)
+			w := startWorkload(f, seed)
+			w.flow()
+			for range *stepsFlag {
+				w.step(random)
+				w.flow()
+			}
+			w.stop()
+			w.check(t)
+			t.Log(w.summary())
+		})
+	}
+}
+
+// step injects one fault, or two at once if they do not act on the same part.
+func (w *workload) step(random *rand.Rand) {
+	first := faults[random.IntN(len(faults))]
+	second := faults[random.IntN(len(faults))]
+	seedA, seedB := random.Uint64(), random.Uint64()
+	if random.IntN(2) == 0 || onNodes(first) && onNodes(second) || onPlatform(first) && onPlatform(second) {
+		first.inject(w, rand.New(rand.NewPCG(seedA, 0)))
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		second.inject(w, rand.New(rand.NewPCG(seedB, 0)))
+	}()
+	first.inject(w, rand.New(rand.NewPCG(seedA, 0)))
+	<-done
+}
+
+func onNodes(f fault) bool {
+	return strings.Contains(f.name, "node") || strings.Contains(f.name, "data hall is")
+}
+
+func onPlatform(f fault) bool { return strings.Contains(f.name, "platform") }
+
+// TestPlannedStopCutsNothing replaces every VM in turn while callers go on.
+// None of them may see more than a refusal that says where to go, and none of
+// their requests may be cut.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, shape{halls: 3, perHall: 1, engines: 2, plain: 1, engineArgs: faultShape.engineArgs})
+	w := startWorkload(f, 7)
+	w.flow()
+	for _, n := range f.nodes {
+		w.note("stop %s", n.vm)
+		n.stop()
+		replace(w, n)
+		w.flow()
+	}
+	w.stop()
+	w.check(t)
+	for _, e := range w.events {
+		if !e.answered && e.kind != kindForbidden {
+			t.Errorf("%s (%s) was not answered: %q", e.id, e.kind, e.tries)
+		}
+		for _, try := range e.tries {
+			if strings.Contains(try, "EOF") || strings.Contains(try, "reset") || strings.Contains(try, "unknown") {
+				t.Errorf("%s (%s) was cut: %q", e.id, e.kind, e.tries)
+			}
+		}
+	}
+	if t.Failed() {
+		w.print(t)
+	}
+}
+
+// TestWithdrawn withdraws a version under load, with one node frozen over the
+// change and the platform down after it: once the withdrawal is in force, no
+// work starts on the version.
+func TestWithdrawn(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, faultShape)
+	f.apply(f.declaration(func(c *config.Config) { c.Models[1].Versions[1].State = config.VersionRetired }))
+	w := startWorkload(f, 11)
+	w.flow()
+	f.nodes[5].freeze()
+	f.apply(f.declaration(func(c *config.Config) {
+		c.Models[1].Versions[0].State = config.VersionWithdrawn
+		c.Models[1].Versions[1].State = config.VersionInService
+	}))
+	f.fault(f.kv, standin.Fault{Down: true})
+	f.waitFor("the withdrawal everywhere", func() bool { return f.revisionEverywhere(3, f.nodes[:5]...) })
+	inForce := time.Now()
+	f.nodes[5].thaw()
+	f.waitFor("the withdrawal at the node that was frozen", func() bool { return f.revisionEverywhere(3, f.nodes[5]) })
+	late := time.Now()
+	w.flow()
+	f.fault(f.kv, standin.Fault{})
+	w.stop()
+	for id, runs := range f.ran(f.engines) {
+		for _, run := range runs {
+			if run.Model == "brief@v1" && run.Started.After(late) {
+				t.Errorf("%s started on the withdrawn version %s after the withdrawal", id, run.Started.Sub(inForce))
+			}
+		}
+	}
+}
+
+// revisionEverywhere reports whether nodes have a revision in force.
+func (f *fleet) revisionEverywhere(revision int, nodes ...*entry) bool {
+	for _, n := range nodes {
+		if !strings.Contains(string(f.get(n.operator, "/metrics")), fmt.Sprintf("violettally_config_revision{otel_scope_name=\"violettally\",otel_scope_schema_url=\"\",otel_scope_version=\"\"} %d\n", revision)) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestLeavingServer takes a backend server out by the VM list: a few seconds
+// later it gets no new work.
+func TestLeavingServer(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, faultShape)
+	w := startWorkload(f, 13)
+	w.flow()
+	f.setVM("e0", "leaving")
+	hold(2 * time.Second)
+	late := time.Now()
+	w.flow()
+	w.stop()
+	w.check(t)
+	for id, runs := range f.ran(f.engines[:1]) {
+		for _, run := range runs {
+			if run.Started.After(late) {
+				t.Errorf("%s started on a server that has left", id)
+			}
+		}
+	}
+}
+
+// TestOperatorsRace lets operators apply at once, with an expected revision,
+// and with the platform losing answers.
+func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, usual)
+	file := f.write(f.declaration(func(c *config.Config) { c.Accounts[0].Priority = config.PriorityStandard }))
+	codes := make(chan int, 3)
+	outs := make(chan string, 3)
+	for _, n := range f.nodes {
+		go func() {
+			code, out := f.operator(n, "apply", file, "--expect", "1")
+			codes <- code
+			outs <- out
+		}()
+	}
+	count := make(map[int]int)
+	for range f.nodes {
+		count[<-codes]++
+		if out := <-outs; strings.Contains(out, "nothing was applied") {
+			must.StrContains(t, out, "revision 2 by ops")
+		}
+	}
+	must.Eq(t, map[int]int{0: 1, 3: 2}, count)
+
+	f.fault(f.kv, standin.Fault{LoseAnswers: true})
+	code, out := f.operator(f.nodes[0], "apply", f.write(f.declaration(nil)), "--change", "change-1")
+	must.Eq(t, 4, code, must.Sprint(out))
+	f.fault(f.kv, standin.Fault{})
+	code, out = f.operator(f.nodes[1], "apply", f.write(f.declaration(nil)), "--change", "change-1")
+	must.Eq(t, 0, code, must.Sprint(out))
+	must.StrContains(t, out, "revision 3 in force")
+	f.waitFor("the change everywhere", func() bool { return f.revisionEverywhere(3, f.nodes...) })
+}
+
+// TestStartsDuringOutage starts a node while the platform is down: it takes
+// configuration and view from its peers.
+func TestStartsDuringOutage(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, usual)
+	f.fault(f.kv, standin.Fault{Down: true})
+	n := f.startNode("n9", "hall-0", usual)
+	f.waitFor("the configuration from peers", func() bool { return f.revisionEverywhere(1, n) })
+	r := f.chat(n, "brief", "in the outage")
+	must.True(t, r.whole(), must.Sprint(r.body))
+	f.fault(f.kv, standin.Fault{})
+	f.waitReady(n)
+}
+
+// TestPatientOutlivesItsNode kills the node that took patient work: another
+// finishes it, and it is billed once.
+func TestPatientOutlivesItsNode(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, shape{halls: 3, perHall: 1, engines: 1, plain: 1, engineArgs: []string{"--token-ms", "150", "--tokens", "16"}})
+	r := f.chat(f.nodes[0], "brief", "slow digest", "Prefer", "respond-async", "Idempotency-Key", "slow")
+	must.Eq(t, 202, r.status)
+	f.waitFor("the run to start", func() bool { return len(f.ran(f.engines)["slow"]) == 1 })
+	f.nodes[0].kill()
+	f.setVM(f.nodes[0].vm, "")
+	f.waitFor("the answer at another node", func() bool {
+		r = f.call(t.Context(), f.nodes[1], "GET", "/v1/requests/slow", "")
+		return r.whole()
+	})
+	must.Eq(t, standin.AnswerText("brief@v1", "slow digest", 16), textOf(r.body, false))
+	f.waitFor("the bill", func() bool { return f.billed(f.nodes[1])["desk/brief@v1"].Requests == 1 })
+}
+
+// TestCutOffNodeStops cuts a node off from platform and peers: it must not
+// start work that may have been withdrawn, and says so.
+func TestCutOffNodeStops(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, usual)
+	n := f.nodes[0]
+	n.platformProxy.setCut(true)
+	for _, other := range f.nodes {
+		other.peerProxy.setCut(true)
+	}
+	f.waitFor("the refusal", func() bool { return f.chat(n, "brief", "x").code == "cut_off" })
+	n.platformProxy.setCut(false)
+	for _, other := range f.nodes {
+		other.peerProxy.setCut(false)
+	}
+	f.waitFor("an answer", func() bool { return f.chat(n, "brief", "x").whole() })
+}
+
+// TestRolloutStops rolls out a bad version: it is stopped after few answers,
+// also when the node that drives the roll-out is killed.
+func TestRolloutStops(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, usual)
+	for _, engine := range f.engines {
+		f.behave(engine, map[string]any{"quality": map[string]float64{"brief@v1": 0.9, "brief@v2": 0.2}})
+	}
+	f.apply(f.declaration(func(c *config.Config) {
+		c.Models[1].Versions[1].State = config.VersionRollingOut
+		c.Models[1].Rollout = &config.Rollout{
+			Version: "v2",
+			Stages:  []config.Stage{{Share: 0.5, MinSamples: 1000}, {Share: 1, MinSamples: 1000}},
+			Guards:  config.Guards{BadRating: 0.5, MaxBadIncrease: 0.2, FalseAlarm: 0.01},
+		}
+	}))
+	bad := 0
+	n := 0
+	f.waitFor("the stop", func() bool {
+		n++
+		r := f.chat(f.nodes[1+n%2], "brief", fmt.Sprint("question ", n))
+		if strings.HasSuffix(r.header.Get("X-Model-Version"), "v2") {
+			bad++
+		}
+		if n == 8 {
+			f.nodes[0].kill()
+		}
+		_, out := f.operator(f.nodes[1], "show", "rollouts")
+		var progress map[string]struct{ Verdict string }
+		_ = json.Unmarshal([]byte(out), &progress)
+		return progress["brief"].Verdict == "stopped"
+	})
+	t.Logf("%d answers by the bad version, of %d", bad, n)
+	must.Positive(t, bad)
+	for i := range 20 {
+		r := f.chat(f.nodes[1], "brief", fmt.Sprint("after ", i))
+		must.Eq(t, "brief@v1", r.header.Get("X-Model-Version"))
+	}
+}
--- /dev/null
+++ b/e2e/harness_test.go
@@ -0,0 +1,554 @@
+// Package e2e_test proves the promises from the outside, with real processes:
+// nodes of the shipped binary, and stand-ins for all that surrounds them.
+// Faults are signals to processes the test started (kill, freeze), cuts in a
+// small TCP proxy, and misbehaviour that the stand-ins are told.
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/internal/standin"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	code := func() int {
+		dir, err := os.MkdirTemp("", "violettally-e2e")
+		if err != nil {
+			panic(err)
+		}
+		defer os.RemoveAll(dir)
+		binaries = dir
+		for _, target := range []string{"../cmd/violettally", "../internal/standin/cmd/standin"} {
+			build := exec.Command("go", append(buildFlags, "-o", dir, target)...)
+			build.Stderr = os.Stderr
+			if err := build.Run(); err != nil {
+				panic(err)
+			}
+		}
+		return m.Run()
+	}()
+	os.Exit(code)
+}
+
+const (
+	operatorKey = "operator-key"
+	accountKey  = "account-key"
+	otherKey    = "other-key"
+	// patience bounds every wait for a condition; nothing is judged by time.
+	patience = 40 * time.Second
+)
+
+// Ports are handed out from below the range that outgoing connections use, and
+// none twice, or a process could find its port taken.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+var nextPort atomic.Int32
+
+// freeAddress returns an address that nothing listens on.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			listener.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// process is one process that the test started.
+type process struct {
+	t    testing.TB
+	name string
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+}
+
+func start(t testing.TB, name, binary string, args ...string) *process {
+	t.Helper()
+	logFile := filepath.Join(t.TempDir(), strings.ReplaceAll(name, "/", "-")+".log")
+	out, err := os.Create(logFile)
+	must.NoError(t, err)
+	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binaries, binary), args...), log: logFile, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	must.NoError(t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		out.Close()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+		if data, _ := os.ReadFile(p.log); bytes.Contains(data, []byte("DATA RACE")) {
+			t.Errorf("%s has a data race", p.name)
+		}
+		if t.Failed() {
+			p.printLog()
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.done:
+	default:
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+func (p *process) kill()   { p.signal(syscall.SIGKILL); <-p.done }
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+
+// stop asks the process to end and waits until it has.
+func (p *process) stop() {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		p.t.Fatalf("%s did not stop", p.name)
+	}
+}
+
+// maxLog is how much of a process's log a failed test prints.
+const maxLog = 4000
+
+func (p *process) printLog() {
+	data, _ := os.ReadFile(p.log)
+	p.t.Logf("log of %s:\n%s", p.name, data[max(0, len(data)-maxLog):])
+}
+
+// entry is one node of the system with the addresses that the test uses. The
+// node tells its peers the address of a proxy, so that the test can cut it.
+type entry struct {
+	*process
+	vm, hall                 string
+	caller, operator         string
+	peerProxy, platformProxy *proxy
+	settingsFile             string
+	peerListen               string
+}
+
+// fleet is one deployment.
+type fleet struct {
+	t        testing.TB
+	dir      string
+	kv       string
+	vms      string
+	rating   string
+	engines  []string
+	plain    []string
+	backends []*process
+	nodes    []*entry
+	mu       sync.Mutex
+	listed   map[string]string
+}
+
+// shape is what a fleet consists of.
+type shape struct {
+	halls   int
+	perHall int
+	engines int
+	plain   int
+	// engineArgs go to every engine stand-in.
+	engineArgs []string
+	plainArgs  []string
+	// tls lets the peers speak mutual TLS.
+	certificates func(name string) (certificate, key, authority string)
+}
+
+var usual = shape{halls: 3, perHall: 1, engines: 2, plain: 1, engineArgs: []string{"--token-ms", "1"}}
+
+// newFleet starts stand-ins and nodes and applies the first configuration.
+func newFleet(t testing.TB, s shape) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), listed: make(map[string]string)}
+	f.kv, f.vms, f.rating = freeAddress(t), freeAddress(t), freeAddress(t)
+	start(t, "kv", "standin", "kv", "--listen", f.kv)
+	start(t, "vmlist", "standin", "vmlist", "--listen", f.vms)
+	start(t, "rating", "standin", "rating", "--listen", f.rating)
+	for i := range s.engines {
+		address := freeAddress(t)
+		args := append([]string{"engine", "--listen", address, "--name", fmt.Sprintf("e%d", i)}, s.engineArgs...)
+		f.backends = append(f.backends, start(t, fmt.Sprintf("e%d", i), "standin", args...))
+		f.engines = append(f.engines, address)
+		f.listed[fmt.Sprintf("e%d", i)] = "live"
+	}
+	for i := range s.plain {
+		address := freeAddress(t)
+		args := append([]string{"plain", "--listen", address}, s.plainArgs...)
+		f.backends = append(f.backends, start(t, fmt.Sprintf("p%d", i), "standin", args...))
+		f.plain = append(f.plain, address)
+		f.listed[fmt.Sprintf("p%d", i)] = "live"
+	}
+	f.waitFor("stand-ins", func() bool { return f.putVMs() == nil && f.get(f.kv, "/calls") != nil && f.get(f.rating, "/x") != nil })
+	for hall := range s.halls {
+		for i := range s.perHall {
+			f.startNode(fmt.Sprintf("n%d%c", hall, 'a'+i), fmt.Sprintf("hall-%d", hall), s)
+		}
+	}
+	f.waitFor("a node's operator door", func() bool { return f.get(f.nodes[0].operator, "/health") != nil })
+	f.apply(f.declaration(nil))
+	f.waitReady(f.nodes...)
+	return f
+}
+
+func (f *fleet) startNode(vm, hall string, s shape) *entry {
+	f.t.Helper()
+	n := &entry{vm: vm, hall: hall, caller: freeAddress(f.t), operator: freeAddress(f.t), peerListen: freeAddress(f.t)}
+	n.peerProxy = newProxy(f.t, n.peerListen)
+	n.platformProxy = newProxy(f.t, f.kv)
+	values := map[string]any{
+		"name": vm, "data_hall": hall,
+		"caller":        map[string]any{"listen": n.caller},
+		"operator":      map[string]any{"listen": n.operator},
+		"platform":      map[string]any{"key_value": []string{"http://" + n.platformProxy.address()}, "vm_list": "http://" + f.vms, "rating": "http://" + f.rating},
+		"bootstrap_key": config.Digest(operatorKey),
+		"times":         map[string]any{"probe_ms": 200, "address_ttl_ms": 500, "fold_ms": 500, "vm_list_ms": 300, "lease_ms": 4000, "answer_life_ms": 60000, "request_ms": 30000},
+	}
+	door := map[string]any{"listen": n.peerListen, "advertise": n.peerProxy.address()}
+	if s.certificates != nil {
+		door["certificate"], door["key"], door["authority"] = three(s.certificates(vm))
+	}
+	values["peer"] = door
+	n.settingsFile = filepath.Join(f.dir, vm+".json")
+	data, err := json.Marshal(values)
+	must.NoError(f.t, err)
+	must.NoError(f.t, os.WriteFile(n.settingsFile, data, 0o600))
+	f.mu.Lock()
+	f.listed[vm] = "live"
+	f.mu.Unlock()
+	must.NoError(f.t, f.putVMs())
+	n.process = start(f.t, vm, "violettally", "serve", "--settings", n.settingsFile)
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+func three(a, b, c string) (any, any, any) { return a, b, c }
+
+// restart starts a new process on the VM of a node that has ended.
+func (f *fleet) restart(n *entry) {
+	f.t.Helper()
+	n.process = start(f.t, n.vm, "violettally", "serve", "--settings", n.settingsFile)
+}
+
+// setVM changes a VM's state on the list; "" takes it off.
+func (f *fleet) setVM(name, state string) {
+	f.mu.Lock()
+	if state == "" {
+		delete(f.listed, name)
+	} else {
+		f.listed[name] = state
+	}
+	f.mu.Unlock()
+	must.NoError(f.t, f.putVMs())
+}
+
+func (f *fleet) putVMs() error {
+	f.mu.Lock()
+	list := []standin.VM{}
+	for name, state := range f.listed {
+		vm := standin.VM{Name: name, State: state}
+		for _, n := range f.nodes {
+			if n.vm == name {
+				vm.Peer = n.peerProxy.address()
+			}
+		}
+		list = append(list, vm)
+	}
+	f.mu.Unlock()
+	return f.post(f.vms, "/vms", map[string]any{"vms": list})
+}
+
+// fault tells a stand-in how to misbehave.
+func (f *fleet) fault(address string, fault standin.Fault) {
+	f.t.Helper()
+	must.NoError(f.t, f.post(address, "/fault", fault))
+}
+
+// behave changes an engine's behaviour; fields that are not given stay.
+func (f *fleet) behave(address string, fields map[string]any) {
+	f.t.Helper()
+	must.NoError(f.t, f.post(address, "/behave", fields))
+}
+
+var httpClient = &http.Client{Timeout: patience}
+
+func (f *fleet) post(address, path string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	response, err := httpClient.Post("http://"+address+path, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s%s answered %d", address, path, response.StatusCode)
+	}
+	return nil
+}
+
+// get returns a body whatever the status, nil if nobody answers.
+func (f *fleet) get(address, path string) []byte {
+	response, err := httpClient.Get("http://" + address + path)
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return append(body, '\n')
+}
+
+// waitFor polls a condition until it holds.
+func (f *fleet) waitFor(what string, holds func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (f *fleet) waitReady(nodes ...*entry) {
+	f.t.Helper()
+	for _, n := range nodes {
+		f.waitFor(n.vm+" to be ready", func() bool { return strings.HasPrefix(string(f.get(n.operator, "/ready")), "ready") })
+	}
+}
+
+// ran lists what the backend servers did, by request id.
+func (f *fleet) ran(addresses []string) map[string][]standin.Run {
+	f.t.Helper()
+	all := make(map[string][]standin.Run)
+	for _, address := range addresses {
+		var in struct{ Runs []standin.Run }
+		must.NoError(f.t, json.Unmarshal(f.get(address, "/ran"), &in))
+		for _, run := range in.Runs {
+			all[run.RequestID] = append(all[run.RequestID], run)
+		}
+	}
+	return all
+}
+
+// operator runs an operator's command and returns its exit code and output.
+func (f *fleet) operator(n *entry, args ...string) (int, string) {
+	f.t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, "violettally"), append(args, "--node", "http://"+n.operator, "--key", operatorKey)...)
+	out, err := cmd.CombinedOutput()
+	if exit, ok := err.(*exec.ExitError); ok {
+		return exit.ExitCode(), string(out)
+	}
+	must.NoError(f.t, err)
+	return 0, string(out)
+}
+
+// apply puts a declaration in force by way of the first node.
+func (f *fleet) apply(c *config.Config) {
+	f.t.Helper()
+	code, out := f.operator(f.nodes[0], "apply", f.write(c))
+	must.Eq(f.t, 0, code, must.Sprint(out))
+}
+
+func (f *fleet) write(c *config.Config) string {
+	f.t.Helper()
+	data, err := json.MarshalIndent(c, "", " ")
+	must.NoError(f.t, err)
+	file := filepath.Join(f.t.TempDir(), "declaration.json")
+	must.NoError(f.t, os.WriteFile(file, data, 0o600))
+	return file
+}
+
+// declaration is the usual configuration, changed by change.
+func (f *fleet) declaration(change func(*config.Config)) *config.Config {
+	c := &config.Config{
+		Operators: []config.Operator{{Name: "ops", Keys: []string{config.Digest(operatorKey)}}},
+		Accounts: []config.Account{
+			{Name: "desk", Keys: []string{config.Digest(accountKey)}, Models: []string{"auto", "brief", "small"}, Services: []string{"records"}, Priority: config.PriorityInteractive},
+			{Name: "clerk", Keys: []string{config.Digest(otherKey)}, Models: []string{"brief@v1"}, Priority: config.PriorityStandard},
+		},
+		Models: []config.Model{
+			{Name: "small", Versions: []config.Version{{Name: "v1", Pool: "runners", PromptPrice: 100, CompletionPrice: 300}}},
+			{Name: "brief", MoveSessions: true, Versions: []config.Version{
+				{Name: "v1", Pool: "runners", PromptPrice: 500, CompletionPrice: 1500},
+				{Name: "v2", State: config.VersionRetired, Pool: "runners", PromptPrice: 500, CompletionPrice: 1500},
+			}},
+		},
+		Cascades: []config.Cascade{{Name: "auto", Models: []string{"small", "brief"}, MinRating: 0.7, QualityTarget: 0.8}},
+		Pools:    []config.Pool{{Name: "runners"}, {Name: "records"}},
+		Services: []config.Service{{Name: "records", Pool: "records", Calls: []config.Call{
+			{Method: "GET", Path: "/", Repeatable: true},
+			{Method: "POST", Path: "/proofs"},
+		}}},
+	}
+	for i, address := range f.engines {
+		c.Pools[0].Servers = append(c.Pools[0].Servers, config.Server{Name: fmt.Sprintf("e%d", i), URL: "http://" + address, DataHall: "hall-0", Slots: 16, ChecksFencing: true})
+	}
+	for i, address := range f.plain {
+		c.Pools[1].Servers = append(c.Pools[1].Servers, config.Server{Name: fmt.Sprintf("p%d", i), URL: "http://" + address, DataHall: "hall-0", Slots: 64})
+	}
+	if change != nil {
+		change(c)
+	}
+	return c
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	code   string
+	ran    string
+}
+
+// whole reports whether a caller has a whole answer.
+func (r reply) whole() bool { return r.err == nil && r.status == http.StatusOK && r.code == "" }
+
+// call sends one request as a caller does.
+func (f *fleet) call(ctx context.Context, n *entry, method, path, body string, headers ...string) reply {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.caller+path, strings.NewReader(body))
+	must.NoError(f.t, err)
+	request.Header.Set("Authorization", "Bearer "+accountKey)
+	request.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := httpClient.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	r := reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+	var refusal struct {
+		Error struct{ Code, Ran string }
+	}
+	if json.Unmarshal(data, &refusal) == nil {
+		r.code, r.ran = refusal.Error.Code, refusal.Error.Ran
+	}
+	return r
+}
+
+func chatBody(model, prompt string) string {
+	return fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}]}`, model, prompt)
+}
+
+// chat sends a chat completion and returns the reply.
+func (f *fleet) chat(n *entry, model, prompt string, headers ...string) reply {
+	return f.call(context.Background(), n, http.MethodPost, "/v1/chat/completions", chatBody(model, prompt), headers...)
+}
+
+// proof sends a call that may not be repeated.
+func (f *fleet) proof(n *entry, id string) reply {
+	return f.call(context.Background(), n, http.MethodPost, "/v1/services/records/proofs", `{"drop":"`+id+`"}`, "Idempotency-Key", id)
+}
+
+// billed returns the ledger's totals, as any node shows them.
+func (f *fleet) billed(n *entry) map[string]struct{ Requests, Cost int64 } {
+	code, out := f.operator(n, "show", "ledger")
+	if code != 0 {
+		return nil
+	}
+	var in struct {
+		Totals map[string]struct{ Requests, Cost int64 }
+	}
+	must.NoError(f.t, json.Unmarshal([]byte(out), &in))
+	return in.Totals
+}
+
+// proxy passes TCP connections on until it is cut.
+type proxy struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	cut      bool
+	open     map[net.Conn]bool
+}
+
+func newProxy(t testing.TB, target string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	p := &proxy{listener: listener, target: target, open: make(map[net.Conn]bool)}
+	t.Cleanup(func() { listener.Close(); p.setCut(true) })
+	go p.accept()
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// setCut breaks all connections and refuses new ones, or lets them through.
+func (p *proxy) setCut(cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = cut
+	if cut {
+		for conn := range p.open {
+			conn.Close()
+		}
+		clear(p.open)
+	}
+}
+
+func (p *proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.pass(conn)
+	}
+}
+
+func (p *proxy) pass(conn net.Conn) {
+	defer conn.Close()
+	p.mu.Lock()
+	if p.cut {
+		p.mu.Unlock()
+		return
+	}
+	target, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		p.mu.Unlock()
+		return
+	}
+	p.open[conn], p.open[target] = true, true
+	p.mu.Unlock()
+	defer target.Close()
+	go func() { _, _ = io.Copy(target, conn); target.Close() }()
+	_, _ = io.Copy(conn, target)
+}
--- /dev/null
+++ b/e2e/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e_test
+
+var buildFlags = []string{"build"}
--- /dev/null
+++ b/internal/errs/errs.go
@@ -0,0 +1,65 @@
+// Package errs gives every package of the project the same shape of error:
+// one errorx namespace per package, one errorx type per kind of failure, and
+// the operation that failed as a printable property.
+//
+// # Usage
+//
+//	var (
+//		namespace = errs.Namespace("lease")
+//		Lapsed    = namespace.NewType("lapsed")
+//	)
+//
+//	return errs.Wrap(Lapsed, "renew", err, "lease %s", name)
+//
+// A caller tells kinds apart with errorx.IsOfType and reads the operation with
+// [Op].
+package errs
+
+import (
+	"errors"
+
+	"github.com/joomcode/errorx"
+)
+
+var opProperty = errorx.RegisterPrintableProperty("op")
+
+// Namespace returns the namespace of a package's errors. They carry no stack
+// trace: the operation says where they come from, and refusals are made by the
+// thousand when the system is overloaded.
+func Namespace(name string) errorx.Namespace {
+	return errorx.NewNamespace(name).ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+}
+
+// New returns an error of the given kind that names the operation op.
+func New(kind *errorx.Type, op, format string, args ...any) error {
+	return kind.New(format, args...).WithProperty(opProperty, op)
+}
+
+// Wrap returns an error of the given kind that names the operation op and
+// carries err as its cause.
+func Wrap(kind *errorx.Type, op string, err error, format string, args ...any) error {
+	return kind.Wrap(err, format, args...).WithProperty(opProperty, op)
+}
+
+// Op returns the operation that an error made by this package names, or "".
+func Op(err error) string {
+	op, _ := errorx.ExtractProperty(err, opProperty)
+	name, _ := op.(string)
+	return name
+}
+
+// Is reports whether target is err or one of its causes. The standard
+// errors.Is does not see the causes of errorx errors.
+func Is(err, target error) bool {
+	for err != nil {
+		if errors.Is(err, target) {
+			return true
+		}
+		typed := errorx.Cast(err)
+		if typed == nil {
+			return false
+		}
+		err = typed.Cause()
+	}
+	return false
+}
--- /dev/null
+++ b/ledger/closer.go
@@ -0,0 +1,175 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"maps"
+	"time"
+
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/timer"
+)
+
+// Remembered is a bill of a gone node as the claim replicas remember it.
+type Remembered struct {
+	Sequence int64
+	Bill     Bill
+	// Won says that enough replicas hold it to know that it was won.
+	Won bool
+}
+
+// Memory asks all replicas what they remember of a journal.
+type Memory interface {
+	// Recall returns the highest checkpoint and the bills beyond it. Complete
+	// is false while replicas are missing that may know more.
+	Recall(ctx context.Context, journal string) (checkpoint Account, bills []Remembered, complete bool)
+	// Gone lists journals of nodes that are no longer in the view, as far as
+	// this node knows of them.
+	Gone() []string
+	// Rebill tries to win a bill of which it is not known whether it was won,
+	// for this node's own journal.
+	Rebill(ctx context.Context, b Bill) error
+}
+
+// Listing lists the journals at the platform.
+type Listing interface {
+	document.Store
+	Journals(ctx context.Context) ([]Account, error)
+}
+
+const (
+	closeInterval = 5 * time.Second
+	// listEvery is the number of rounds between two listings at the platform.
+	listEvery = 12
+)
+
+// Closer closes the journals of nodes that are gone, so that no bill is lost
+// with its node.
+type Closer struct {
+	store  Listing
+	memory Memory
+	member func(journal string) bool
+	duty   func() bool
+	timers *timer.Service
+	closed map[string]bool
+}
+
+// NewCloser returns a closer. It works while duty reports true, and leaves
+// alone the journals of present members.
+func NewCloser(store Listing, memory Memory, member func(journal string) bool, duty func() bool, timers *timer.Service) *Closer {
+	return &Closer{
+		store:  store,
+		memory: memory,
+		member: member,
+		duty:   duty,
+		timers: timers,
+		closed: make(map[string]bool),
+	}
+}
+
+// Run closes journals until the context ends.
+func (c *Closer) Run(ctx context.Context) {
+	ticks := c.timers.Subscribe(closeInterval)
+	defer ticks.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+		}
+		if !c.duty() {
+			continue
+		}
+		for _, journal := range c.candidates(ctx, round%listEvery == 0) {
+			if err := c.Close(ctx, journal); err != nil {
+				slog.Warn("journal not closed", "journal", journal, "error", err)
+			}
+		}
+	}
+}
+
+func (c *Closer) candidates(ctx context.Context, list bool) []string {
+	names := c.memory.Gone()
+	if list {
+		stored, err := c.store.Journals(ctx)
+		if err != nil {
+			return nil
+		}
+		for _, a := range stored {
+			if a.Closed {
+				c.closed[a.Journal] = true
+			} else {
+				names = append(names, a.Journal)
+			}
+		}
+	}
+	var open []string
+	for _, name := range names {
+		if !c.closed[name] && !c.member(name) {
+			open = append(open, name)
+		}
+	}
+	return open
+}
+
+// Close folds what the replicas remember of a gone node's bills and marks its
+// journal closed. A bill that may or may not have been won is claimed anew.
+func (c *Closer) Close(ctx context.Context, journal string) error {
+	checkpoint, bills, complete := c.memory.Recall(ctx, journal)
+	if !complete {
+		return nil
+	}
+	var won []Remembered
+	for _, b := range bills {
+		if b.Won {
+			won = append(won, b)
+		} else if err := c.memory.Rebill(ctx, b.Bill); err != nil {
+			return err
+		}
+	}
+	_, err := document.Update(ctx, c.store, Key(journal), func(old []byte) ([]byte, error) {
+		stored, err := Decode(old, journal)
+		if err != nil {
+			return nil, err
+		}
+		if stored.Closed {
+			return nil, document.ErrUnchanged
+		}
+		return json.Marshal(closing(stored, checkpoint, won))
+	})
+	if err != nil && !errors.Is(err, document.ErrUnchanged) {
+		return err
+	}
+	c.closed[journal] = true
+	slog.Info("journal closed", "journal", journal, "bills", len(won))
+	return nil
+}
+
+// closing returns the last form of a journal.
+func closing(stored, checkpoint Account, won []Remembered) Account {
+	last := stored
+	if checkpoint.Sequence > last.Sequence {
+		last.Sequence, last.Totals = checkpoint.Sequence, maps.Clone(checkpoint.Totals)
+	}
+	for _, b := range won {
+		if b.Sequence > last.Sequence {
+			last.add(b.Bill.Line(), b.Bill.Sum())
+			last.Swept = append(last.Swept, b.Sequence)
+		}
+	}
+	last.Closed = true
+	return last
+}
+
+// Total sums up journals by line, for `violettally show ledger`.
+func Total(journals []Account) map[string]Sum {
+	total := make(map[string]Sum)
+	for _, a := range journals {
+		for line, sum := range a.Totals {
+			total[line] = total[line].Add(sum)
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/limit/grantor.go
@@ -0,0 +1,155 @@
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/timer"
+)
+
+// Limits returns an account's limit in requests a second, zero for none.
+type Limits func(account string) float64
+
+// Grantor leases out shares of the accounts that the view gives to this node.
+// It is safe for concurrent use.
+type Grantor struct {
+	limits Limits
+	timers *timer.Service
+
+	mu       sync.Mutex
+	epoch    int64
+	accounts map[string]*outstanding
+}
+
+// outstanding is what has been leased of one account's limit.
+type outstanding struct {
+	// since is when this node became the account's grantor.
+	since  time.Time
+	leases map[string]*leased
+}
+
+// leased is one node's lease: what it was granted last, and what it last said
+// to hold. It may hold either, if the grant's answer was lost.
+type leased struct {
+	granted float64
+	held    float64
+	demand  float64
+	expires time.Time
+}
+
+func (l *leased) most() float64 { return max(l.granted, l.held) }
+
+// takeoverWait is how long a new grantor only renews. Every node that it can
+// reach has told it by then what it holds; a node that it cannot reach may
+// hold an older lease for the rest of leaseLife, and the limit is exceeded by
+// that lease at most.
+const takeoverWait = 3 * time.Second
+
+// NewGrantor returns a grantor without leases.
+func NewGrantor(limits Limits, timers *timer.Service) *Grantor {
+	return &Grantor{limits: limits, timers: timers, accounts: make(map[string]*outstanding)}
+}
+
+// SetEpoch tells the grantor that the view changed and which accounts are its
+// own now. What it knew of the others is out of date and forgotten.
+func (g *Grantor) SetEpoch(epoch int64, own func(account string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.epoch = epoch
+	for account := range g.accounts {
+		if !own(account) {
+			delete(g.accounts, account)
+		}
+	}
+}
+
+// Grant answers an ask. It refuses asks of another epoch, since two views may
+// name two grantors.
+func (g *Grantor) Grant(ask Ask) Grant {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ask.Epoch != g.epoch {
+		return Grant{Refused: true}
+	}
+	now := g.timers.Now()
+	o := g.outstanding(ask.Account, now)
+	o.expire(now)
+	mine := o.leases[ask.Node]
+	if mine == nil {
+		mine = &leased{}
+		o.leases[ask.Node] = mine
+	}
+	mine.demand, mine.held = ask.Demand, ask.Held
+	pool := g.limits(ask.Account) * (1 - evenShare)
+	share := min(o.fairShare(ask.Node, pool), pool-o.others(ask.Node))
+	if now.Sub(o.since) < takeoverWait {
+		// Leases of the grantor before may still be out: renew, no more.
+		share = min(share, ask.Held)
+	}
+	mine.granted = max(0, share)
+	mine.expires = now.Add(max(leaseLife, time.Duration(ask.HeldMillis)*time.Millisecond))
+	return Grant{Share: mine.granted, LifeMillis: leaseLife.Milliseconds()}
+}
+
+func (g *Grantor) outstanding(account string, now time.Time) *outstanding {
+	o := g.accounts[account]
+	if o == nil {
+		o = &outstanding{since: now, leases: make(map[string]*leased)}
+		g.accounts[account] = o
+	}
+	return o
+}
+
+func (o *outstanding) expire(now time.Time) {
+	for node, l := range o.leases {
+		if now.After(l.expires) {
+			delete(o.leases, node)
+		}
+	}
+}
+
+// others returns what all other nodes may hold.
+func (o *outstanding) others(node string) float64 {
+	sum := 0.0
+	for other, l := range o.leases {
+		if other != node {
+			sum += l.most()
+		}
+	}
+	return sum
+}
+
+// headroom lets a share exceed the demand, so that a rise is not refused
+// before the next renewal.
+const headroom = 1.3
+
+// fairShare fills the pool evenly up to each node's demand (max-min
+// fairness); what is left over is split evenly.
+func (o *outstanding) fairShare(node string, pool float64) float64 {
+	want := make(map[string]float64, len(o.leases))
+	for name, l := range o.leases {
+		want[name] = l.demand * headroom
+	}
+	left, open := pool, len(want)
+	share := make(map[string]float64, len(want))
+	for open > 0 {
+		even := left / float64(open)
+		filled := false
+		for name, w := range want {
+			if w <= even {
+				share[name] = w
+				left -= w
+				open--
+				delete(want, name)
+				filled = true
+			}
+		}
+		if !filled {
+			for name := range want {
+				share[name] = even
+			}
+			return share[node]
+		}
+	}
+	return share[node] + left/float64(len(share))
+}
--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,206 @@
+// Package limit holds each client account to its limit over all nodes.
+//
+// No request asks another node. Each node leases a share of the account's
+// limit from the account's grantor, which is the node that the view names for
+// it, and renews the lease every second with its demand. The grantor never
+// has more outstanding than the limit: it counts what a node was granted or
+// says that it holds, whichever is more, until that has expired. A small part
+// of the limit is not leased but split evenly, so that a node without a lease
+// can still answer.
+//
+// When the view names a new grantor, it renews only what nodes hold from the
+// one before, until every node that it can reach has said what that is.
+//
+// # Usage
+//
+//	if wait, ok := limiter.Take(account); !ok {
+//		return refuse("rate_limited", wait)
+//	}
+package limit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/timer"
+)
+
+const (
+	leaseInterval = time.Second
+	// leaseLife outlasts the removal of a dead grantor from the view, so that
+	// nodes keep their shares until there is a new one.
+	leaseLife = 15 * time.Second
+	// evenShare is the part of a limit that is split evenly without leases.
+	evenShare = 0.1
+	// demandMemory is the weight of the last second's demand in the average.
+	demandMemory = 0.5
+	// idleLease is the demand, in requests a second, below which a node asks
+	// for no lease.
+	idleLease = 0.01
+	minBurst  = 1
+)
+
+// Ask is a node's request for a share, in requests a second.
+type Ask struct {
+	Epoch   int64   `cbor:"1,keyasint"`
+	Account string  `cbor:"2,keyasint"`
+	Node    string  `cbor:"3,keyasint"`
+	Demand  float64 `cbor:"4,keyasint"`
+	// Held is the share that the node holds now, for HeldMillis longer.
+	Held       float64 `cbor:"5,keyasint"`
+	HeldMillis int64   `cbor:"6,keyasint"`
+}
+
+// Grant is the answer. A refused ask leaves the node what it holds.
+type Grant struct {
+	Refused    bool    `cbor:"1,keyasint"`
+	Share      float64 `cbor:"2,keyasint"`
+	LifeMillis int64   `cbor:"3,keyasint"`
+}
+
+// Grantors finds an account's grantor and asks it.
+type Grantors interface {
+	// Ask sends the ask to the grantor that the view in force names; it fills
+	// in epoch and node.
+	Ask(ctx context.Context, ask Ask) (Grant, error)
+	// Members returns the number of nodes in the view.
+	Members() int
+}
+
+// Limiter is one node's part of the limits. It is safe for concurrent use.
+type Limiter struct {
+	grantors Grantors
+	timers   *timer.Service
+
+	mu       sync.Mutex
+	accounts map[string]*share
+}
+
+// share is what this node may use of one account's limit.
+type share struct {
+	limit   float64
+	bucket  *rate.Limiter
+	granted float64
+	expires time.Time
+	arrived int
+	demand  float64
+}
+
+// New returns a limiter.
+func New(grantors Grantors, timers *timer.Service) *Limiter {
+	return &Limiter{grantors: grantors, timers: timers, accounts: make(map[string]*share)}
+}
+
+// Take takes one request out of the account's share. If there is none left,
+// it returns when to come back.
+func (l *Limiter) Take(account *config.Account) (wait time.Duration, ok bool) {
+	limit := account.Limits.RequestsPerSecond
+	if limit <= 0 {
+		return 0, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.share(account.Name, limit)
+	s.arrived++
+	l.refresh(s, account.Limits.Burst)
+	reservation := s.bucket.Reserve()
+	if wait := reservation.Delay(); wait > 0 {
+		reservation.Cancel()
+		return wait, false
+	}
+	return 0, true
+}
+
+func (l *Limiter) share(account string, limit float64) *share {
+	s := l.accounts[account]
+	if s == nil {
+		s = &share{bucket: rate.NewLimiter(0, minBurst)}
+		l.accounts[account] = s
+	}
+	s.limit = limit
+	return s
+}
+
+// refresh sets the bucket to the share that is in force now. The burst is
+// split like the limit, so that all buckets together hold one burst.
+func (l *Limiter) refresh(s *share, burst int) {
+	now := l.timers.Now()
+	held := s.limit * evenShare / float64(max(1, l.grantors.Members()))
+	if now.Before(s.expires) {
+		held += s.granted
+	}
+	held = min(held, s.limit)
+	if float64(s.bucket.Limit()) != held {
+		s.bucket.SetLimitAt(now, rate.Limit(held))
+	}
+	if burst == 0 {
+		burst = int(s.limit)
+	}
+	own := max(minBurst, int(float64(burst)*held/s.limit))
+	if s.bucket.Burst() != own {
+		s.bucket.SetBurstAt(now, own)
+	}
+}
+
+// Run renews the leases until the context ends.
+func (l *Limiter) Run(ctx context.Context) {
+	ticks := l.timers.Subscribe(leaseInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+			l.renew(ctx)
+		}
+	}
+}
+
+func (l *Limiter) renew(ctx context.Context) {
+	var renewals sync.WaitGroup
+	for _, ask := range l.asks() {
+		renewals.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, leaseInterval)
+			defer cancel()
+			start := l.timers.Now()
+			grant, err := l.grantors.Ask(ctx, ask)
+			if err == nil && !grant.Refused {
+				l.take(ask.Account, grant, start)
+			}
+		})
+	}
+	renewals.Wait()
+}
+
+func (l *Limiter) asks() []Ask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timers.Now()
+	var asks []Ask
+	for name, s := range l.accounts {
+		s.demand = s.demand*(1-demandMemory) + float64(s.arrived)*demandMemory
+		s.arrived = 0
+		ask := Ask{Account: name, Demand: s.demand}
+		if now.Before(s.expires) {
+			ask.Held = s.granted
+			ask.HeldMillis = s.expires.Sub(now).Milliseconds()
+		}
+		if s.demand > idleLease || ask.Held > 0 {
+			asks = append(asks, ask)
+		}
+	}
+	return asks
+}
+
+// take puts a grant in force. Its life counts from before the ask was sent.
+func (l *Limiter) take(account string, grant Grant, start time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.accounts[account]
+	s.granted = grant.Share
+	s.expires = start.Add(time.Duration(grant.LifeMillis) * time.Millisecond)
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,174 @@
+// Package metrics holds the counters and histograms that operators scrape, by
+// OpenTelemetry with a Prometheus exporter. Every refusal and every retry is
+// counted under its reason.
+//
+// # Usage
+//
+//	m, err := metrics.New()
+//	mux.Handle("/metrics", m.Handler())
+//	m.Refused(dispatch.ReasonRateLimited, "dispatch")
+package metrics
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/violettally/violettally/claim"
+	"github.com/violettally/violettally/dispatch"
+	"github.com/violettally/violettally/ledger"
+	"github.com/violettally/violettally/member"
+)
+
+// Metrics is one node's instruments. It is safe for concurrent use.
+type Metrics struct {
+	registry *prometheus.Registry
+	meter    metric.Meter
+
+	refusals   metric.Int64Counter
+	retries    metric.Int64Counter
+	answers    metric.Int64Counter
+	firstToken metric.Float64Histogram
+	total      metric.Float64Histogram
+	billed     metric.Int64Counter
+	billedCost metric.Int64Counter
+	votes      metric.Int64Counter
+	statuses   metric.Int64Counter
+	platform   metric.Int64Counter
+	peerCalls  metric.Int64Counter
+	peerBytes  metric.Int64Counter
+	breakers   metric.Int64Counter
+}
+
+// latencyBounds are the histogram's bounds in seconds; the letter's targets,
+// 66 ms and 1 s, lie between bounds close to them.
+var latencyBounds = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.066, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60}
+
+// New returns instruments that all stand at zero.
+func New() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, err
+	}
+	m := &Metrics{
+		registry: registry,
+		meter:    sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("violettally"),
+	}
+	return m, m.instruments()
+}
+
+func (m *Metrics) instruments() error {
+	counters := []struct {
+		into *metric.Int64Counter
+		name string
+		help string
+	}{
+		{&m.refusals, "violettally_refusals", "Requests refused, by reason and account."},
+		{&m.retries, "violettally_retries", "Attempts made again, by reason."},
+		{&m.answers, "violettally_answers", "Answers given, by model and version."},
+		{&m.billed, "violettally_bills", "Bills won, by account, model and version."},
+		{&m.billedCost, "violettally_billed_cost", "Cost billed, in millionths of the currency unit."},
+		{&m.votes, "violettally_claim_votes", "Replies of claim replicas, by verdict."},
+		{&m.statuses, "violettally_member_status", "Changes of opinion on members, by new status."},
+		{&m.platform, "violettally_platform_calls", "Calls to the platform's key-value service, by operation."},
+		{&m.peerCalls, "violettally_peer_calls", "Calls to other nodes, by call."},
+		{&m.peerBytes, "violettally_peer_sent_bytes", "Bytes sent to other nodes before framing, by call."},
+		{&m.breakers, "violettally_breakers_opened", "Backend servers taken out after failures."},
+	}
+	for _, c := range counters {
+		counter, err := m.meter.Int64Counter(c.name, metric.WithDescription(c.help))
+		if err != nil {
+			return err
+		}
+		*c.into = counter
+	}
+	var err error
+	m.firstToken, err = m.meter.Float64Histogram("violettally_first_token_seconds",
+		metric.WithDescription("Time to the first token, from the choice of the model on."),
+		metric.WithExplicitBucketBoundaries(latencyBounds...))
+	if err != nil {
+		return err
+	}
+	m.total, err = m.meter.Float64Histogram("violettally_answer_seconds",
+		metric.WithDescription("Time to the whole answer, from the choice of the model on."),
+		metric.WithExplicitBucketBoundaries(latencyBounds...))
+	return err
+}
+
+// Gauge registers a value that is read at each scrape.
+func (m *Metrics) Gauge(name, help string, read func() float64) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(help),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return err
+}
+
+// Handler returns what is scraped.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func add(c metric.Int64Counter, n int64, attributes ...attribute.KeyValue) {
+	c.Add(context.Background(), n, metric.WithAttributes(attributes...))
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(reason dispatch.Reason, account string) {
+	add(m.refusals, 1, attribute.String("reason", reason.String()), attribute.String("account", account))
+}
+
+// Retried counts a retry.
+func (m *Metrics) Retried(reason string) { add(m.retries, 1, attribute.String("reason", reason)) }
+
+// Answered counts an answer and its times.
+func (m *Metrics) Answered(model, version string, firstToken, total time.Duration) {
+	attributes := []attribute.KeyValue{attribute.String("model", model), attribute.String("version", version)}
+	add(m.answers, 1, attributes...)
+	m.firstToken.Record(context.Background(), firstToken.Seconds(), metric.WithAttributes(attributes...))
+	m.total.Record(context.Background(), total.Seconds(), metric.WithAttributes(attributes...))
+}
+
+// Billed counts a bill.
+func (m *Metrics) Billed(b ledger.Bill) {
+	attributes := []attribute.KeyValue{
+		attribute.String("account", b.Account), attribute.String("model", b.Model), attribute.String("version", b.Version),
+	}
+	add(m.billed, 1, attributes...)
+	add(m.billedCost, b.Cost, attributes...)
+}
+
+// Vote counts a claim replica's reply.
+func (m *Metrics) Vote(v claim.Verdict) { add(m.votes, 1, attribute.String("verdict", v.String())) }
+
+// Status counts a change of opinion on a member.
+func (m *Metrics) Status(s member.Status) {
+	add(m.statuses, 1, attribute.String("status", s.String()))
+}
+
+// PlatformCall counts a call to the key-value service.
+func (m *Metrics) PlatformCall(operation string) {
+	add(m.platform, 1, attribute.String("operation", operation))
+}
+
+// PeerCall counts a call to another node.
+func (m *Metrics) PeerCall(call string, sent int) {
+	add(m.peerCalls, 1, attribute.String("call", call))
+	add(m.peerBytes, int64(sent), attribute.String("call", call))
+}
+
+// BreakerOpened counts a server that was taken out.
+func (m *Metrics) BreakerOpened(server string) {
+	add(m.breakers, 1, attribute.String("server", server))
+}
--- /dev/null
+++ b/node/backends.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/adapter/engine"
+	"github.com/violettally/violettally/admit"
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/placement"
+	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/settings"
+)
+
+const (
+	// loadServers is how many servers of each pool a node asks for their
+	// load; the chooser uses the same subset.
+	loadServers = 20
+	// overcommit lets a node use more than its even part of a pool, since
+	// callers do not spread evenly over nodes.
+	overcommit = 1.25
+)
+
+// backends follows the backend servers' load and keeps a queue per pool.
+type backends struct {
+	n       *Node
+	engines *engine.Client
+	chooser *route.Chooser
+
+	mu     sync.Mutex
+	queues map[string]*admit.Queue
+	asking map[string]bool
+}
+
+func newBackends(n *Node, engines *engine.Client, chooser *route.Chooser) *backends {
+	return &backends{
+		n:       n,
+		engines: engines,
+		chooser: chooser,
+		queues:  make(map[string]*admit.Queue),
+		asking:  make(map[string]bool),
+	}
+}
+
+// Queue returns the admission queue of a pool.
+func (b *backends) Queue(pool string) *admit.Queue {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q := b.queues[pool]
+	if q == nil {
+		q = admit.New(func() int { return b.capacity(pool) })
+		b.queues[pool] = q
+	}
+	return q
+}
+
+// capacity is this node's part of a pool's slots.
+func (b *backends) capacity(pool string) int {
+	slots := 0
+	for _, s := range b.n.Config().Servers(pool) {
+		if !b.n.vms.Leaving(s.Name) {
+			slots += s.Slots
+		}
+	}
+	nodes := len(b.n.prober.Alive()) + 1
+	return int(math.Ceil(overcommit * float64(slots) / float64(nodes)))
+}
+
+// Run asks the servers for their load until the context ends.
+func (b *backends) Run(ctx context.Context) {
+	ticks := b.n.timers.Subscribe(settings.Millis(b.n.settings.Times.LoadMillis))
+	defer ticks.Stop()
+	for {
+		for _, pool := range b.n.Config().Pools() {
+			for _, server := range route.Subset(b.n.self.ID, pool.Servers, loadServers) {
+				b.ask(ctx, pool.Name, server)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+		}
+	}
+}
+
+// ask asks one server, unless the last question is still open.
+func (b *backends) ask(ctx context.Context, pool string, server config.Server) {
+	key := pool + "/" + server.Name
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.asking[key] {
+		return
+	}
+	b.asking[key] = true
+	go func() {
+		if report, err := b.engines.Load(ctx, server); err == nil {
+			b.chooser.Observe(pool, server.Name, report)
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.asking, key)
+	}()
+}
+
+// holdingTimeout bounds asking all servers of a pool what they hold.
+const holdingTimeout = time.Second
+
+// Holding returns what the servers of a pool say they hold.
+func (b *backends) Holding(pool string) []placement.Holding {
+	ctx, cancel := context.WithTimeout(context.Background(), holdingTimeout)
+	defer cancel()
+	servers := b.n.Config().Servers(pool)
+	holdings := make([]placement.Holding, len(servers))
+	var asks sync.WaitGroup
+	for i, server := range servers {
+		asks.Go(func() {
+			holdings[i].Server = server
+			if report, err := b.engines.Load(ctx, server); err == nil {
+				holdings[i].Models = report.Models
+			}
+		})
+	}
+	asks.Wait()
+	return holdings
+}
+
+// Order gives a load order.
+func (b *backends) Order(ctx context.Context, o placement.Order, token int64) error {
+	return b.engines.Order(ctx, o, token)
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,247 @@
+// Package placement decides which backend servers hold which model version,
+// and orders the engines to load and unload.
+//
+// How many copies a version wants follows from its state and its roll-out
+// share. Loads are ordered one at a time, since the weight store is
+// rate-limited; the last copy of a version that is in use is never taken.
+//
+// Only the node that holds the driver's lease gives orders, and each order
+// carries the lease's fencing token. A backend server that does not check the
+// token gets an order only while the lease surely outlives it, and only after
+// the holder has waited out the longest order of the one before.
+//
+// # Usage
+//
+//	order, ok := placement.Next(servers, wants)
+package placement
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/timer"
+)
+
+//go:generate go tool enumer -type=Action -trimprefix=Action -transform=snake -text -output=placement_enumer.go
+
+// Action is what an order tells an engine to do.
+type Action int
+
+// The actions.
+const (
+	ActionLoad Action = iota
+	ActionUnload
+)
+
+// Order is one order to one engine.
+type Order struct {
+	Server config.Server
+	Action Action
+	Model  string
+}
+
+// Holding is a server and what it says it holds. A server that says nothing
+// is left alone.
+type Holding struct {
+	Server config.Server
+	Models []string
+}
+
+// Want is how many copies of an engine model a pool should hold.
+type Want struct {
+	Model  string
+	Copies int
+	// InUse versions keep their last copy whatever else is wanted.
+	InUse bool
+}
+
+// Engines gives orders.
+type Engines interface {
+	Order(ctx context.Context, o Order, token int64) error
+	Holding(pool string) []Holding
+}
+
+// Lease tells whether this node gives the orders.
+type Lease interface {
+	Held(d time.Duration) (token int64, ok bool)
+	HeldFor() time.Duration
+}
+
+const (
+	planInterval = 2 * time.Second
+	// orderTime is the longest that an order may take.
+	orderTime = 2 * time.Second
+	// maxModels is how many versions an engine holds beside each other.
+	maxModels = 2
+)
+
+// Next returns the order that brings a pool closest to what is wanted. Loads
+// come before unloads; a server with room comes before one that must first
+// give up a surplus copy.
+func Next(holdings []Holding, wants []Want) (Order, bool) {
+	copies := make(map[string]int)
+	for _, h := range holdings {
+		for _, m := range h.Models {
+			copies[m]++
+		}
+	}
+	for _, w := range byNeed(wants, copies) {
+		if copies[w.Model] >= w.Copies {
+			continue
+		}
+		if at := roomFor(holdings, w.Model); at >= 0 {
+			return Order{Server: holdings[at].Server, Action: ActionLoad, Model: w.Model}, true
+		}
+	}
+	return surplus(holdings, wants, copies)
+}
+
+// byNeed sorts the wants so that a version without any copy comes first.
+func byNeed(wants []Want, copies map[string]int) []Want {
+	sorted := append([]Want(nil), wants...)
+	sort.SliceStable(sorted, func(i, j int) bool {
+		return need(sorted[i], copies) > need(sorted[j], copies)
+	})
+	return sorted
+}
+
+func need(w Want, copies map[string]int) float64 {
+	if copies[w.Model] == 0 && w.Copies > 0 {
+		return math.Inf(1)
+	}
+	return float64(w.Copies-copies[w.Model]) / math.Max(1, float64(w.Copies))
+}
+
+// roomFor returns the server with the fewest models that lacks this one.
+func roomFor(holdings []Holding, model string) int {
+	best := -1
+	for i, h := range holdings {
+		if len(h.Models) == 0 || len(h.Models) >= maxModels || contains(h.Models, model) {
+			continue
+		}
+		if best < 0 || len(h.Models) < len(holdings[best].Models) {
+			best = i
+		}
+	}
+	return best
+}
+
+// surplus returns the unloading of a copy beyond what is wanted, on the server
+// that holds the most.
+func surplus(holdings []Holding, wants []Want, copies map[string]int) (Order, bool) {
+	wanted := make(map[string]Want, len(wants))
+	for _, w := range wants {
+		wanted[w.Model] = w
+	}
+	best, bestModel := -1, ""
+	for i, h := range holdings {
+		for _, model := range h.Models {
+			w := wanted[model]
+			lastInUse := w.InUse && copies[model] <= 1
+			if copies[model] <= w.Copies || lastInUse || len(h.Models) < maxModels {
+				continue
+			}
+			if best < 0 || len(h.Models) > len(holdings[best].Models) {
+				best, bestModel = i, model
+			}
+		}
+	}
+	if best < 0 {
+		return Order{}, false
+	}
+	return Order{Server: holdings[best].Server, Action: ActionUnload, Model: bestModel}, true
+}
+
+func contains(models []string, model string) bool {
+	for _, m := range models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+// Wants returns what a pool should hold, given the share of each version.
+func Wants(s *config.Snapshot, pool string, servers int, share func(m *config.Model, version string) float64) []Want {
+	var wants []Want
+	models := s.Models()
+	for i := range models {
+		m := &models[i]
+		for j := range m.Versions {
+			v := &m.Versions[j]
+			if v.Pool != pool {
+				continue
+			}
+			w := Want{Model: v.EngineName(m.Name), InUse: v.State != config.VersionWithdrawn}
+			if w.InUse {
+				w.Copies = max(1, int(math.Ceil(share(m, v.Name)*float64(servers))))
+			}
+			wants = append(wants, w)
+		}
+	}
+	return wants
+}
+
+// Planner gives orders while this node holds the lease.
+type Planner struct {
+	engines  Engines
+	lease    Lease
+	timers   *timer.Service
+	snapshot func() *config.Snapshot
+	share    func(m *config.Model, version string) float64
+}
+
+// New returns a planner. The share of a version is the part of its model's
+// new sessions that it gets.
+func New(engines Engines, lease Lease, snapshot func() *config.Snapshot, share func(m *config.Model, version string) float64, timers *timer.Service) *Planner {
+	return &Planner{engines: engines, lease: lease, timers: timers, snapshot: snapshot, share: share}
+}
+
+// Run gives orders until the context ends.
+func (p *Planner) Run(ctx context.Context) {
+	ticks := p.timers.Subscribe(planInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+			p.Step(ctx)
+		}
+	}
+}
+
+// Step gives at most one order to each pool.
+func (p *Planner) Step(ctx context.Context) {
+	s := p.snapshot()
+	for _, pool := range s.Pools() {
+		holdings := p.engines.Holding(pool.Name)
+		if order, ok := Next(holdings, Wants(s, pool.Name, len(holdings), p.share)); ok {
+			p.give(ctx, order)
+		}
+	}
+}
+
+// give sends an order if the lease allows it.
+func (p *Planner) give(ctx context.Context, o Order) {
+	token, ok := p.lease.Held(orderTime)
+	if !ok {
+		return
+	}
+	if !o.Server.ChecksFencing && p.lease.HeldFor() < 2*orderTime {
+		// The holder before may have an order under way that the server
+		// would not refuse.
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	if err := p.engines.Order(ctx, o, token); err != nil {
+		slog.Warn("order failed", "server", o.Server.Name, "action", o.Action.String(), "model", o.Model, "error", err)
+		return
+	}
+	slog.Info("order given", "server", o.Server.Name, "action", o.Action.String(), "model", o.Model, "token", token)
+}
--- /dev/null
+++ b/rollout/driver.go
@@ -0,0 +1,186 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/timer"
+)
+
+// Shared changes the stages at the platform and puts them in force.
+type Shared interface {
+	Update(ctx context.Context, name string, change func(old []byte) ([]byte, error)) (document.Item, error)
+}
+
+// Collector asks all nodes for their counts.
+type Collector interface {
+	Collect(ctx context.Context) map[string]Counts
+}
+
+// Lease tells whether this node is the driver.
+type Lease interface {
+	Held(d time.Duration) (token int64, ok bool)
+}
+
+const (
+	driveInterval = time.Second
+	// writeTime is how long a write of the stages may take.
+	writeTime = time.Second
+)
+
+// Driver moves roll-outs on while this node holds the lease.
+type Driver struct {
+	name      string
+	shared    Shared
+	collector Collector
+	lease     Lease
+	timers    *timer.Service
+	snapshot  func() *config.Snapshot
+
+	tests map[string]*Test
+	nodes map[string]Counts
+}
+
+// NewDriver returns a driver that writes the shared document of that name.
+func NewDriver(name string, shared Shared, collector Collector, lease Lease, snapshot func() *config.Snapshot, timers *timer.Service) *Driver {
+	return &Driver{
+		name:      name,
+		shared:    shared,
+		collector: collector,
+		lease:     lease,
+		timers:    timers,
+		snapshot:  snapshot,
+		tests:     make(map[string]*Test),
+		nodes:     make(map[string]Counts),
+	}
+}
+
+// Run drives until the context ends.
+func (d *Driver) Run(ctx context.Context) {
+	ticks := d.timers.Subscribe(driveInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+			if token, ok := d.lease.Held(writeTime); ok {
+				d.Step(ctx, token)
+			}
+		}
+	}
+}
+
+// Step collects the counts once and writes what follows from them.
+func (d *Driver) Step(ctx context.Context, token int64) {
+	active := false
+	for _, m := range d.snapshot().Models() {
+		active = active || m.Rollout != nil
+	}
+	if !active {
+		return
+	}
+	for node, counts := range d.collector.Collect(ctx) {
+		d.nodes[node] = counts
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	_, err := d.shared.Update(ctx, d.name, func(old []byte) ([]byte, error) { return d.change(old, token) })
+	if err != nil && !errors.Is(err, document.ErrUnchanged) {
+		slog.Warn("roll-outs not moved on", "error", err)
+	}
+}
+
+// change moves every roll-out on in the stored stages.
+func (d *Driver) change(old []byte, token int64) ([]byte, error) {
+	stages, err := DecodeStages(old)
+	if err != nil {
+		return nil, err
+	}
+	if stages.Token > token {
+		return nil, errs.New(Fenced, "change", "token %d is behind %d", token, stages.Token)
+	}
+	changed := false
+	for _, m := range d.snapshot().Models() {
+		if m.Rollout == nil {
+			continue
+		}
+		before, known := stages.Models[m.Name]
+		after := d.next(&m, before, known)
+		if !known || after != before {
+			slog.Info("roll-out moved", "model", m.Name, "version", after.Version, "stage", after.Stage,
+				"verdict", after.Verdict.String(), "reason", after.Reason)
+			stages.Models[m.Name] = after
+			changed = true
+		}
+	}
+	if !changed {
+		return nil, document.ErrUnchanged
+	}
+	stages.Token = token
+	return json.Marshal(stages)
+}
+
+// next returns the progress that follows from the present counts.
+func (d *Driver) next(m *config.Model, p Progress, known bool) Progress {
+	now := d.timers.Now().UTC()
+	if !known || p.Version != m.Rollout.Version {
+		return Progress{Version: m.Rollout.Version, Since: now, Reason: "started"}
+	}
+	if p.Verdict != VerdictRunning {
+		return p
+	}
+	candidate, baseline := d.totals(m)
+	test := d.test(m)
+	if test.Update(m.Rollout.Guards, candidate, baseline) {
+		p.Verdict, p.Evidence, p.Samples = VerdictStopped, test.Score(), candidate.Answers
+		p.Reason = fmt.Sprintf("%d of %d answers bad, against %d of %d in service", candidate.Bad, candidate.Answers, baseline.Bad, baseline.Answers)
+		return p
+	}
+	stage := m.Rollout.Stages[min(p.Stage, len(m.Rollout.Stages)-1)]
+	enough := candidate.Answers-p.Samples >= int64(stage.MinSamples)
+	longEnough := now.Sub(p.Since).Seconds() >= stage.MinSeconds
+	if !enough || !longEnough {
+		return p
+	}
+	p.Since, p.Evidence, p.Samples = now, test.Score(), candidate.Answers
+	if p.Stage+1 < len(m.Rollout.Stages) {
+		p.Stage++
+		p.Reason = "stage passed"
+	} else {
+		p.Verdict, p.Reason = VerdictComplete, "all stages passed"
+	}
+	return p
+}
+
+func (d *Driver) test(m *config.Model) *Test {
+	name := m.Name + "@" + m.Rollout.Version
+	if d.tests[name] == nil {
+		d.tests[name] = &Test{}
+	}
+	return d.tests[name]
+}
+
+// totals sums up the counts of all nodes, of the candidate and of the version
+// in service. Counts of nodes that have gone stay in, at their last value.
+func (d *Driver) totals(m *config.Model) (candidate, baseline Count) {
+	inService := m.InService()
+	for _, counts := range d.nodes {
+		candidate = candidate.add(counts[m.Name+"@"+m.Rollout.Version])
+		if inService != nil {
+			baseline = baseline.add(counts[m.Name+"@"+inService.Name])
+		}
+	}
+	return candidate, baseline
+}
+
+func (c Count) add(other Count) Count {
+	return Count{Answers: c.Answers + other.Answers, Bad: c.Bad + other.Bad}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,281 @@
+// Package settings reads what one process is told about itself: its name, its
+// addresses, its data hall, and where the platform is. Everything that the
+// fleet shares stands in the operators' declarations instead (package config).
+//
+// # Usage
+//
+//	s, err := settings.Load("node.json")
+//	if err != nil {
+//		return err // every fault, each with file, line and column
+//	}
+//
+// What differs by VM can come from the environment, so that one file serves a
+// whole data hall; VIOLETTALLY_NAME, VIOLETTALLY_DATA_HALL,
+// VIOLETTALLY_CALLER_LISTEN and the other names stand in the `env` tags below.
+package settings
+
+import (
+	"errors"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/caarlos0/env/v11"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/strictjson"
+)
+
+var (
+	namespace = errs.Namespace("settings")
+
+	// Unreadable says that the settings file cannot be read.
+	Unreadable = namespace.NewType("unreadable")
+	// Invalid says that the settings were read and are wrong.
+	Invalid = namespace.NewType("invalid")
+)
+
+// Settings of one process. The fields are exported for the codecs.
+type Settings struct {
+	// Name of the VM; unique among the VMs that are alive.
+	Name     string `json:"name" env:"NAME"`
+	Region   string `json:"region" env:"REGION"`
+	DataHall string `json:"data_hall" env:"DATA_HALL"`
+
+	Caller   Door     `json:"caller" envPrefix:"CALLER_"`
+	Operator Door     `json:"operator" envPrefix:"OPERATOR_"`
+	Peer     PeerDoor `json:"peer" envPrefix:"PEER_"`
+	Platform Platform `json:"platform" envPrefix:"PLATFORM_"`
+	Bounds   Bounds   `json:"bounds"`
+	Times    Times    `json:"times"`
+
+	// BootstrapKey is the digest of the key that may apply the first
+	// configuration.
+	BootstrapKey string `json:"bootstrap_key" env:"BOOTSTRAP_KEY"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level" env:"LOG_LEVEL"`
+}
+
+// Door is one address that the process listens on. Advertise is the address
+// that others are told; Listen if empty.
+type Door struct {
+	Listen    string `json:"listen" env:"LISTEN"`
+	Advertise string `json:"advertise" env:"ADVERTISE"`
+}
+
+// Address returns the address that others use.
+func (d Door) Address() string {
+	if d.Advertise != "" {
+		return d.Advertise
+	}
+	return d.Listen
+}
+
+// PeerDoor is the door for other nodes. Without certificates it may only
+// listen on loopback.
+type PeerDoor struct {
+	Door
+	Certificate string `json:"certificate" env:"CERTIFICATE"`
+	Key         string `json:"key" env:"KEY"`
+	Authority   string `json:"authority" env:"AUTHORITY"`
+}
+
+// Encrypted reports whether peers speak mutual TLS.
+func (d PeerDoor) Encrypted() bool { return d.Certificate != "" }
+
+// Platform says where the platform's services are.
+type Platform struct {
+	KeyValue []string `json:"key_value" env:"KEY_VALUE"`
+	VMList   string   `json:"vm_list" env:"VM_LIST"`
+	Rating   string   `json:"rating" env:"RATING"`
+	// Prefix separates the keys of this system from others.
+	Prefix string `json:"prefix" env:"PREFIX"`
+}
+
+// Bounds on what comes from outside. Zero takes the default.
+type Bounds struct {
+	BodyBytes    int64 `json:"body_bytes"`
+	HeaderBytes  int   `json:"header_bytes"`
+	Connections  int   `json:"connections"`
+	AnswerBytes  int64 `json:"answer_bytes"`
+	AnswerMemory int64 `json:"answer_memory"`
+}
+
+// Times that operators may tune, in milliseconds. Zero takes the default.
+type Times struct {
+	ProbeMillis      int `json:"probe_ms"`
+	AddressTTLMillis int `json:"address_ttl_ms"`
+	RequestMillis    int `json:"request_ms"`
+	AnswerLifeMillis int `json:"answer_life_ms"`
+	FoldMillis       int `json:"fold_ms"`
+	VMListMillis     int `json:"vm_list_ms"`
+	LoadMillis       int `json:"load_ms"`
+	LeaseMillis      int `json:"lease_ms"`
+}
+
+// The defaults of [Bounds] and [Times].
+const (
+	defaultBodyBytes    = 1 << 20
+	defaultHeaderBytes  = 16 << 10
+	defaultConnections  = 4096
+	defaultAnswerBytes  = 1 << 20
+	defaultAnswerMemory = 32 << 20
+
+	defaultProbe      = 500
+	defaultAddressTTL = 5_000
+	defaultRequest    = 120_000
+	defaultAnswerLife = 300_000
+	defaultFold       = 5_000
+	defaultVMList     = 2_000
+	defaultLoad       = 250
+	defaultLease      = 5_000
+)
+
+func (s *Settings) setDefaults() {
+	setDefault(&s.Region, config.DefaultRegion)
+	setDefault(&s.LogLevel, "info")
+	setDefault(&s.Platform.Prefix, "violettally/")
+	setDefault(&s.Bounds.BodyBytes, defaultBodyBytes)
+	setDefault(&s.Bounds.HeaderBytes, defaultHeaderBytes)
+	setDefault(&s.Bounds.Connections, defaultConnections)
+	setDefault(&s.Bounds.AnswerBytes, defaultAnswerBytes)
+	setDefault(&s.Bounds.AnswerMemory, defaultAnswerMemory)
+	setDefault(&s.Times.ProbeMillis, defaultProbe)
+	setDefault(&s.Times.AddressTTLMillis, defaultAddressTTL)
+	setDefault(&s.Times.RequestMillis, defaultRequest)
+	setDefault(&s.Times.AnswerLifeMillis, defaultAnswerLife)
+	setDefault(&s.Times.FoldMillis, defaultFold)
+	setDefault(&s.Times.VMListMillis, defaultVMList)
+	setDefault(&s.Times.LoadMillis, defaultLoad)
+	setDefault(&s.Times.LeaseMillis, defaultLease)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Millis turns a setting in milliseconds into a duration.
+func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Load reads a settings file, applies the environment and checks the whole.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errs.Wrap(Unreadable, "load", err, "settings file %s", file)
+	}
+	return Parse(file, data, environment())
+}
+
+// environmentPrefix starts the name of every variable that overrides a
+// setting.
+const environmentPrefix = "VIOLETTALLY_"
+
+func environment() map[string]string {
+	variables := make(map[string]string)
+	for _, pair := range os.Environ() {
+		name, value, _ := strings.Cut(pair, "=")
+		if strings.HasPrefix(name, environmentPrefix) {
+			variables[name] = value
+		}
+	}
+	return variables
+}
+
+// Parse reads settings from data with the given environment.
+func Parse(file string, data []byte, environment map[string]string) (*Settings, error) {
+	s := new(Settings)
+	var overrideErr error
+	faults := strictjson.Decode(file, data, s, func(fault strictjson.Report) {
+		overrideErr = env.ParseWithOptions(s, env.Options{Prefix: environmentPrefix, Environment: environment})
+		s.setDefaults()
+		s.check(fault)
+	})
+	if overrideErr != nil {
+		return nil, errs.Wrap(Invalid, "load", overrideErr, "environment")
+	}
+	if len(faults) > 0 {
+		lines := make([]error, len(faults))
+		for i, f := range faults {
+			lines[i] = errors.New(f.String())
+		}
+		return nil, errs.Wrap(Invalid, "load", errors.Join(lines...), "settings file %s has %d faults", file, len(faults))
+	}
+	return s, nil
+}
+
+func (s *Settings) check(fault strictjson.Report) {
+	if s.Name == "" {
+		fault("/name", "want the VM's name, here or in %sNAME", environmentPrefix)
+	}
+	if s.DataHall == "" {
+		fault("/data_hall", "want the data hall's name, here or in %sDATA_HALL", environmentPrefix)
+	}
+	checkDoor(fault, "/caller", s.Caller)
+	checkDoor(fault, "/operator", s.Operator)
+	checkDoor(fault, "/peer", s.Peer.Door)
+	s.checkPeerDoor(fault)
+	if len(s.Platform.KeyValue) == 0 {
+		fault("/platform/key_value", "want the URL of the key-value service")
+	}
+	for _, u := range s.Platform.KeyValue {
+		checkURL(fault, "/platform/key_value", u)
+	}
+	checkURL(fault, "/platform/vm_list", s.Platform.VMList)
+	if s.Platform.Rating != "" {
+		checkURL(fault, "/platform/rating", s.Platform.Rating)
+	}
+	if s.BootstrapKey != "" && !config.ValidDigest(s.BootstrapKey) {
+		fault("/bootstrap_key", "want a digest as printed by `violettally digest`")
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		fault("/log_level", "want debug, info, warn or error, found %q", s.LogLevel)
+	}
+}
+
+func (s *Settings) checkPeerDoor(fault strictjson.Report) {
+	d := s.Peer
+	named := d.Certificate != "" && d.Key != "" && d.Authority != ""
+	some := d.Certificate != "" || d.Key != "" || d.Authority != ""
+	switch {
+	case some && !named:
+		fault("/peer", "mutual TLS needs certificate, key and authority together")
+	case !some && !isLoopback(d.Listen):
+		fault("/peer/listen", "without certificates peers may only meet on loopback, found %q", d.Listen)
+	}
+}
+
+func checkDoor(fault strictjson.Report, path string, d Door) {
+	checkAddress(fault, path+"/listen", d.Listen)
+	if d.Advertise != "" {
+		checkAddress(fault, path+"/advertise", d.Advertise)
+	}
+}
+
+// checkAddress wants an IP number, since the VMs have no names to look up.
+func checkAddress(fault strictjson.Report, path, address string) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		fault(path, "want IP:PORT, found %q", address)
+	}
+}
+
+func checkURL(fault strictjson.Report, path, raw string) {
+	u, err := url.Parse(raw)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		fault(path, "want an http or https URL, found %q", raw)
+	}
+}
+
+func isLoopback(address string) bool {
+	host, _, _ := net.SplitHostPort(address)
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
--- /dev/null
+++ b/spread/spread.go
@@ -0,0 +1,340 @@
+// Package spread brings the shared documents (configuration, view, roll-out
+// stages) from the platform's key-value service to every node.
+//
+// A waiting watch costs the platform a call, so only [watchersPerHall] nodes
+// in each data hall hold one. Whoever learns of a newer document pushes it to
+// a few peers, which push it on; the revisions carried on heartbeats repair
+// what a push missed. A node moves only to higher revisions, so nothing ever
+// reverts. A node that starts during an outage takes the highest from peers.
+//
+// # Usage
+//
+//	s := spread.New(store, peers, timers, self)
+//	s.Subscribe("config", func(item document.Item) { … })
+//	go s.Run(ctx)
+//	item, err := s.Update(ctx, "config", change)
+package spread
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/view"
+)
+
+// Names of the shared documents.
+const (
+	Config   = "config"
+	View     = "view"
+	Rollouts = "rollouts"
+)
+
+// Prefix starts the keys of the shared documents at the platform, so that one
+// watch covers them all.
+const Prefix = "shared/"
+
+const (
+	watchersPerHall = 2
+	fanout          = 4
+	repairInterval  = time.Second
+	// platformFresh is how long a contact with the platform counts.
+	platformFresh = 4 * time.Second
+)
+
+// Store is what the package needs of the key-value service.
+type Store interface {
+	document.Store
+	Shared(ctx context.Context, prefix string) (map[string]document.Item, error)
+	WatchPrefix(ctx context.Context, prefix string, after int64, changed func(key string, item document.Item)) error
+}
+
+// Peers is what the package needs of the other nodes.
+type Peers interface {
+	// Fetch asks a peer for the documents that are newer than known.
+	Fetch(ctx context.Context, address string, known map[string]int64) (map[string]document.Item, error)
+	// Push gives a peer a newer document.
+	Push(ctx context.Context, address, name string, item document.Item) error
+}
+
+// Members tells which peers there are.
+type Members interface {
+	// Alive returns the members that answer, without this node.
+	Alive() []view.Member
+	// Hears reports whether more than half of the view answers.
+	Hears() bool
+	// Rank returns this node's place among the answering members of its
+	// data hall.
+	Rank() int
+	// Seeds returns peer addresses to ask before there is a view.
+	Seeds() []string
+}
+
+// Spreader keeps the newest known form of each shared document.
+type Spreader struct {
+	store   Store
+	peers   Peers
+	members Members
+	timers  *timer.Service
+
+	mu          sync.Mutex
+	items       map[string]document.Item
+	subscribers map[string][]func(document.Item)
+	contact     time.Time
+	delivery    sync.Mutex
+}
+
+// New returns a spreader without documents.
+func New(store Store, peers Peers, timers *timer.Service) *Spreader {
+	return &Spreader{
+		store:       store,
+		peers:       peers,
+		timers:      timers,
+		items:       make(map[string]document.Item),
+		subscribers: make(map[string][]func(document.Item)),
+	}
+}
+
+// SetMembers names the source of peers. It must be called before Run; the
+// members follow from the view, which this package brings.
+func (s *Spreader) SetMembers(m Members) { s.members = m }
+
+// Subscribe calls changed with each newer form of a document, one call at a
+// time, in the order of revisions. It must be called before Run.
+func (s *Spreader) Subscribe(name string, changed func(document.Item)) {
+	s.subscribers[name] = append(s.subscribers[name], changed)
+}
+
+// Revisions returns the revision of each known document.
+func (s *Spreader) Revisions() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revisions := make(map[string]int64, len(s.items))
+	for name, item := range s.items {
+		revisions[name] = item.Revision
+	}
+	return revisions
+}
+
+// Newer returns the documents that are newer than known.
+func (s *Spreader) Newer(known map[string]int64) map[string]document.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newer := make(map[string]document.Item)
+	for name, item := range s.items {
+		if item.Revision > known[name] {
+			newer[name] = item
+		}
+	}
+	return newer
+}
+
+// Offer takes a document if it is newer than the known one, tells the
+// subscribers, and pushes it on to a few peers.
+func (s *Spreader) Offer(name string, item document.Item) {
+	if s.take(name, item) {
+		go s.push(name, item)
+	}
+}
+
+func (s *Spreader) take(name string, item document.Item) bool {
+	s.delivery.Lock()
+	defer s.delivery.Unlock()
+	s.mu.Lock()
+	if item.Revision <= s.items[name].Revision {
+		s.mu.Unlock()
+		return false
+	}
+	s.items[name] = item
+	s.mu.Unlock()
+	for _, changed := range s.subscribers[name] {
+		changed(item)
+	}
+	return true
+}
+
+func (s *Spreader) push(name string, item document.Item) {
+	alive := s.members.Alive()
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	ctx, cancel := context.WithTimeout(context.Background(), repairInterval)
+	defer cancel()
+	var pushes sync.WaitGroup
+	for _, m := range alive[:min(fanout, len(alive))] {
+		pushes.Go(func() {
+			if err := s.peers.Push(ctx, m.Peer, name, item); err != nil {
+				slog.Debug("push failed", "document", name, "peer", m.ID, "error", err)
+			}
+		})
+	}
+	pushes.Wait()
+}
+
+// Heard compares the revisions that a peer's heartbeat carried with its own
+// and fetches what is newer.
+func (s *Spreader) Heard(address string, revisions map[string]int64) {
+	known := s.Revisions()
+	for name, revision := range revisions {
+		if revision > known[name] {
+			go s.fetch(address)
+			return
+		}
+	}
+}
+
+func (s *Spreader) fetch(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), repairInterval)
+	defer cancel()
+	newer, err := s.peers.Fetch(ctx, address, s.Revisions())
+	if err != nil {
+		slog.Debug("fetch failed", "peer", address, "error", err)
+		return
+	}
+	for name, item := range newer {
+		s.Offer(name, item)
+	}
+}
+
+// Update changes a shared document at the platform and puts it in force here.
+func (s *Spreader) Update(ctx context.Context, name string, change func(old []byte) ([]byte, error)) (document.Item, error) {
+	item, err := document.Update(ctx, s.store, Prefix+name, change)
+	if err == nil || err == document.ErrUnchanged {
+		s.touch()
+		s.Offer(name, item)
+	}
+	return item, err
+}
+
+// Current reports whether this node can still learn of changes: it has lately
+// reached the platform, or it hears more than half of the view. Without
+// either, a withdrawal could pass it by, and it must start no new work.
+func (s *Spreader) Current() bool {
+	s.mu.Lock()
+	fresh := s.timers.Now().Sub(s.contact) < platformFresh
+	s.mu.Unlock()
+	return fresh || s.members.Hears()
+}
+
+func (s *Spreader) touch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contact = s.timers.Now()
+}
+
+// Run watches the platform where this node is one of its data hall's
+// watchers, and reads it where the node hears too few peers.
+func (s *Spreader) Run(ctx context.Context) {
+	ticks := s.timers.Subscribe(repairInterval)
+	defer ticks.Stop()
+	s.start(ctx)
+	stopWatch := func() {}
+	watching := false
+	defer func() { stopWatch() }()
+	for {
+		duty := s.members.Rank() < watchersPerHall
+		if duty != watching {
+			stopWatch()
+			stopWatch = s.watchIf(ctx, duty)
+			watching = duty
+		}
+		if !duty && !s.members.Hears() {
+			s.read(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+		}
+	}
+}
+
+// watchIf starts a watch if this node is to hold one. The function that it
+// returns ends the watch.
+func (s *Spreader) watchIf(ctx context.Context, duty bool) context.CancelFunc {
+	ctx, stop := context.WithCancel(ctx)
+	if duty {
+		go s.watch(ctx)
+	}
+	return stop
+}
+
+// start takes the documents from the platform, or from peers if it is out.
+func (s *Spreader) start(ctx context.Context) {
+	if s.read(ctx) {
+		return
+	}
+	for _, address := range s.members.Seeds() {
+		s.fetch(address)
+	}
+}
+
+func (s *Spreader) read(ctx context.Context) bool {
+	items, err := s.store.Shared(ctx, Prefix)
+	if err != nil {
+		return false
+	}
+	s.touch()
+	for name, item := range items {
+		s.Offer(name, item)
+	}
+	return true
+}
+
+// watch follows the platform until the context ends. Each new watch starts
+// with a read, since the one before may have missed changes.
+func (s *Spreader) watch(ctx context.Context) {
+	ticks := s.timers.Subscribe(repairInterval)
+	defer ticks.Stop()
+	for ctx.Err() == nil {
+		if s.read(ctx) {
+			s.follow(ctx)
+		} else {
+			s.start(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticks.C():
+		}
+	}
+}
+
+// follow holds one watch. The contact with the platform counts as long as the
+// watch stands, which a slow read beside it confirms.
+func (s *Spreader) follow(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.confirm(ctx, cancel)
+	var after int64
+	for _, revision := range s.Revisions() {
+		after = max(after, revision)
+	}
+	err := s.store.WatchPrefix(ctx, Prefix, after, func(key string, item document.Item) {
+		s.touch()
+		s.Offer(strings.TrimPrefix(key, Prefix), item)
+	})
+	if err != nil && ctx.Err() == nil {
+		slog.Warn("watch of the platform broke", "error", err)
+	}
+}
+
+// confirm reads the platform now and then beside a watch, so that a watch
+// whose connection died in silence is noticed and replaced.
+func (s *Spreader) confirm(ctx context.Context, broken context.CancelFunc) {
+	ticks := s.timers.Subscribe(platformFresh / 2)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+			if !s.read(ctx) {
+				broken()
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/timer/timer.go
@@ -0,0 +1,115 @@
+// Package timer is the time source that the other packages subscribe to.
+//
+// Periodic work (heartbeats, folds, configuration repair) must not run in
+// step on every node, so each subscription spreads its ticks by a random
+// jitter. Tests run the same code under testing/synctest, whose bubble
+// replaces the clock; the package needs no manual clock of its own.
+//
+// # Usage
+//
+//	timers := timer.New()
+//	defer timers.Close()
+//	ticks := timers.Subscribe(time.Second)
+//	defer ticks.Stop()
+//	for {
+//		select {
+//		case <-ctx.Done():
+//			return
+//		case now := <-ticks.C():
+//			probe(now)
+//		}
+//	}
+package timer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// jitterShare is the largest share of an interval by which a tick comes early
+// or late.
+const jitterShare = 0.1
+
+// Service hands out subscriptions to the passing of time. It is safe for use
+// by many goroutines.
+type Service struct {
+	mu            sync.Mutex
+	subscriptions map[*Subscription]struct{}
+	closed        bool
+}
+
+// New returns a running service.
+func New() *Service {
+	return &Service{subscriptions: make(map[*Subscription]struct{})}
+}
+
+// Now returns the present time.
+func (s *Service) Now() time.Time { return time.Now() }
+
+// Subscribe returns a subscription that ticks about every interval, within a
+// tenth of it. A tick that nobody has taken is not queued twice.
+func (s *Service) Subscribe(interval time.Duration) *Subscription {
+	sub := &Subscription{
+		service:  s,
+		interval: interval,
+		ticks:    make(chan time.Time, 1),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return sub
+	}
+	s.subscriptions[sub] = struct{}{}
+	sub.timer = time.AfterFunc(sub.next(), sub.fire)
+	return sub
+}
+
+// Close ends every subscription. Their channels stay open and silent.
+func (s *Service) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for sub := range s.subscriptions {
+		sub.timer.Stop()
+	}
+	clear(s.subscriptions)
+}
+
+// Subscription is one subscriber's stream of ticks.
+type Subscription struct {
+	service  *Service
+	interval time.Duration
+	ticks    chan time.Time
+	timer    *time.Timer
+}
+
+// C returns the channel on which the ticks arrive.
+func (s *Subscription) C() <-chan time.Time { return s.ticks }
+
+// Stop ends the subscription.
+func (s *Subscription) Stop() {
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	delete(s.service.subscriptions, s)
+}
+
+func (s *Subscription) fire() {
+	select {
+	case s.ticks <- time.Now():
+	default:
+	}
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	if _, live := s.service.subscriptions[s]; live {
+		s.timer.Reset(s.next())
+	}
+}
+
+func (s *Subscription) next() time.Duration {
+	spread := (rand.Float64()*2 - 1) * jitterShare
+	return time.Duration(float64(s.interval) * (1 + spread))
+}
