--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,251 @@
+// Package view holds the agreed list of the system's own VMs. The list is a
+// small document in the platform's key-value service, changed by
+// compare-and-swap only when a VM has joined, left or is confirmed gone; each
+// change has the next epoch. Which VMs answer for a key follows from the view
+// alone, by rendezvous hashing, so nobody has to be asked.
+//
+// # Usage
+//
+//	replicas := current.Replicas("home", key) // three VMs in three data halls
+//
+// A VM that restarts has lost its memory and is a new member: a member's ID
+// is the VM's name and the incarnation of its process.
+package view
+
+import (
+	"encoding/json"
+	"math/bits"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/violettally/violettally/internal/errs"
+)
+
+var (
+	namespace = errs.Namespace("view")
+
+	// Malformed says that a stored view cannot be read.
+	Malformed = namespace.NewType("malformed")
+)
+
+// ReplicaCount is the number of VMs that answer for a key.
+const ReplicaCount = 3
+
+// historyLength is how many earlier member lists a view carries, so that a VM
+// which missed some epochs can still read from the replicas of each of them.
+const historyLength = 32
+
+// Member is one process on one VM.
+type Member struct {
+	ID       string `json:"id"`
+	VM       string `json:"vm"`
+	Region   string `json:"region"`
+	DataHall string `json:"data_hall"`
+	Caller   string `json:"caller"`
+	Peer     string `json:"peer"`
+	// Joined is when the member joined, in Unix seconds.
+	Joined int64 `json:"joined"`
+}
+
+// MemberID returns the ID of one incarnation of a VM's process.
+func MemberID(vm, incarnation string) string { return vm + "#" + incarnation }
+
+// VMOf returns the name of the VM that a member ID belongs to.
+func VMOf(id string) string {
+	vm, _, _ := strings.Cut(id, "#")
+	return vm
+}
+
+// stored is the stored form of a view.
+type stored struct {
+	Epoch   int64    `json:"epoch"`
+	Members []Member `json:"members"`
+	History []change `json:"history"`
+}
+
+// change tells how the list of one epoch came from the one before.
+type change struct {
+	Epoch   int64    `json:"epoch"`
+	Added   []string `json:"added"`
+	Removed []Member `json:"removed"`
+}
+
+// View is the member list of one epoch. It is immutable.
+type View struct {
+	stored stored
+	byID   map[string]int
+	hashes []uint64
+}
+
+// Empty returns the view of epoch zero, without members.
+func Empty() *View { return build(stored{}) }
+
+func build(d stored) *View {
+	v := &View{stored: d, byID: make(map[string]int, len(d.Members)), hashes: make([]uint64, len(d.Members))}
+	for i, m := range d.Members {
+		v.byID[m.ID] = i
+		v.hashes[i] = xxhash.Sum64String(m.ID)
+	}
+	return v
+}
+
+// Decode reads a stored view; no data stands for the empty one.
+func Decode(data []byte) (*View, error) {
+	if len(data) == 0 {
+		return Empty(), nil
+	}
+	var d stored
+	if err := json.Unmarshal(data, &d); err != nil {
+		return nil, errs.Wrap(Malformed, "decode", err, "stored view")
+	}
+	return build(d), nil
+}
+
+// Encode returns the stored form.
+func (v *View) Encode() ([]byte, error) { return json.Marshal(v.stored) }
+
+// Epoch counts the changes of the view.
+func (v *View) Epoch() int64 { return v.stored.Epoch }
+
+// Members returns all members, sorted by ID. The slice must not be changed.
+func (v *View) Members() []Member { return v.stored.Members }
+
+// Member returns the member with an ID.
+func (v *View) Member(id string) (Member, bool) {
+	i, ok := v.byID[id]
+	if !ok {
+		return Member{}, false
+	}
+	return v.stored.Members[i], true
+}
+
+// Has reports whether a member with the ID is in the view.
+func (v *View) Has(id string) bool {
+	_, ok := v.byID[id]
+	return ok
+}
+
+// Change returns the view of the next epoch, with members added and others
+// removed. A member that is added takes the place of earlier incarnations of
+// its VM. It returns nil if nothing would change.
+func (v *View) Change(add []Member, remove []string) *View {
+	next := stored{Epoch: v.Epoch() + 1}
+	step := change{Epoch: next.Epoch}
+	for _, m := range v.stored.Members {
+		replaced := slices.ContainsFunc(add, func(a Member) bool { return a.VM == m.VM && a.ID != m.ID })
+		if replaced || slices.Contains(remove, m.ID) {
+			step.Removed = append(step.Removed, m)
+			continue
+		}
+		next.Members = append(next.Members, m)
+	}
+	for _, m := range add {
+		if !v.Has(m.ID) {
+			next.Members = append(next.Members, m)
+			step.Added = append(step.Added, m.ID)
+		}
+	}
+	if len(step.Added) == 0 && len(step.Removed) == 0 {
+		return nil
+	}
+	sort.Slice(next.Members, func(i, j int) bool { return next.Members[i].ID < next.Members[j].ID })
+	next.History = append(slices.Clone(v.stored.History), step)
+	next.History = next.History[max(0, len(next.History)-historyLength):]
+	return build(next)
+}
+
+// Earlier returns the views of the epochs before this one, latest first, as
+// far as the history reaches.
+func (v *View) Earlier() []*View {
+	var views []*View
+	members := v.stored.Members
+	for i := len(v.stored.History) - 1; i >= 0; i-- {
+		step := v.stored.History[i]
+		before := slices.Clone(step.Removed)
+		for _, m := range members {
+			if !slices.Contains(step.Added, m.ID) {
+				before = append(before, m)
+			}
+		}
+		members = before
+		views = append(views, build(stored{Epoch: step.Epoch - 1, Members: members}))
+	}
+	return views
+}
+
+// Replicas returns the members that answer for a key of a region, in the
+// order in which they are asked: three in different data halls, as far as
+// there are so many.
+func (v *View) Replicas(region, key string) []Member {
+	return v.rank(region, key, ReplicaCount, nil)
+}
+
+// Owner returns the first member of a region by rendezvous hashing among
+// those that pass the filter.
+func (v *View) Owner(region, key string, filter func(id string) bool) (Member, bool) {
+	ranked := v.rank(region, key, 1, filter)
+	if len(ranked) == 0 {
+		return Member{}, false
+	}
+	return ranked[0], true
+}
+
+// rank returns up to n members of a region, highest score first, those of
+// data halls that are not yet among them before the rest.
+func (v *View) rank(region, key string, n int, filter func(id string) bool) []Member {
+	keyHash := xxhash.Sum64String(key)
+	chosen := make([]int, 0, n)
+	for pass := 0; pass < 2 && len(chosen) < n; pass++ {
+		for len(chosen) < n {
+			best := v.best(region, keyHash, chosen, pass == 0, filter)
+			if best < 0 {
+				break
+			}
+			chosen = append(chosen, best)
+		}
+	}
+	members := make([]Member, len(chosen))
+	for i, at := range chosen {
+		members[i] = v.stored.Members[at]
+	}
+	return members
+}
+
+func (v *View) best(region string, keyHash uint64, chosen []int, newHall bool, filter func(id string) bool) int {
+	best, bestScore := -1, uint64(0)
+	for i := range v.stored.Members {
+		m := &v.stored.Members[i]
+		if m.Region != region {
+			continue
+		}
+		score := mix(keyHash, v.hashes[i])
+		if best >= 0 && score <= bestScore {
+			continue
+		}
+		if v.taken(m, i, chosen, newHall) || (filter != nil && !filter(m.ID)) {
+			continue
+		}
+		best, bestScore = i, score
+	}
+	return best
+}
+
+func (v *View) taken(m *Member, index int, chosen []int, newHall bool) bool {
+	for _, at := range chosen {
+		if at == index || (newHall && v.stored.Members[at].DataHall == m.DataHall) {
+			return true
+		}
+	}
+	return false
+}
+
+// mix folds two hashes into one score by a 128-bit product.
+func mix(a, b uint64) uint64 {
+	const odd = 0x9e3779b97f4a7c15
+	hi, lo := bits.Mul64(a^b^odd, bits.RotateLeft64(a, 32)|1)
+	hi2, lo2 := bits.Mul64(hi^lo^b, odd)
+	return hi2 ^ lo2
+}
