ledger: close the journals that the view's history names

Cause: the closer looked only at journals of which its own replica held bills, and a replica holds those of some keys only; a bill whose claim failed was retried beside the drain and lost with the process. Ruled out: replicas dropping bills early (their life is 2 min, the runs take 10 s).

--- a/dispatch/bill.go
+++ b/dispatch/bill.go
@@ -26,12 +26,13 @@
 		return won
 	}
 	d.Counters.Retried("bill_claim")
-	go func() {
+	// A planned stop waits for the bill as for a request.
+	d.runs.Go(func() {
 		for err != nil {
 			time.Sleep(billPause)
 			_, err = d.claimBill(b)
 		}
-	}()
+	})
 	return false
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -399,10 +399,14 @@
 	return b.n.keeper.Current().Has(strings.TrimRight(journal, "+"))
 }
 
-// Gone lists the journals of nodes that have left the view, of which this
-// node remembers bills or sums.
+// Gone lists the journals of nodes that have left the view: those of which this
+// node remembers bills or sums, and those that the view's history names, since
+// a node remembers the bills of some keys only.
 func (b *bills) Gone() []string {
 	known := b.n.replica.BillHolders()
+	for _, m := range b.n.keeper.Current().Removed() {
+		known[m.ID] = true
+	}
 	b.mu.Lock()
 	for journal := range b.checkpoints {
 		known[journal] = true
--- a/view/view.go
+++ b/view/view.go
@@ -176,6 +176,15 @@
 	return views
 }
 
+// Removed returns the members that have left, as far as the history reaches.
+func (v *View) Removed() []Member {
+	var removed []Member
+	for _, step := range v.stored.History {
+		removed = append(removed, step.Removed...)
+	}
+	return removed
+}
+
 // Replicas returns the members that answer for a key of a region, in the
 // order in which they are asked: three in different data halls, as far as
 // there are so many.
