claim: a later round of an attempt takes the place of an earlier one

Cause: a round that found too few votes is released beside the claim; until the release arrives, and after a change of the view has copied the vote to another replica, the claimer met its own earlier round and took it for somebody else's. For a bill that meant 'billed elsewhere' by nobody.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -64,23 +64,24 @@
 // races meet at the first. The token of e must be new on all nodes; each round
 // claims under a token of its own, made from it by [RoundToken].
 func (c *Claimer) Claim(ctx context.Context, e Entry) (Outcome, error) {
-	return c.rounds(ctx, e, false)
+	return c.rounds(ctx, e, 0, false)
 }
 
 // Override tries to win a key although a replica holds a claim of somebody
-// who does not answer. It fails to win if that claim was won.
+// who does not answer. It fails to win if that claim was won. After a Claim, it
+// may be called with the same token.
 func (c *Claimer) Override(ctx context.Context, e Entry) (Outcome, error) {
-	return c.rounds(ctx, e, true)
+	return c.rounds(ctx, e, voteRounds, true)
 }
 
-func (c *Claimer) rounds(ctx context.Context, e Entry, override bool) (Outcome, error) {
+func (c *Claimer) rounds(ctx context.Context, e Entry, first int, override bool) (Outcome, error) {
 	var err error
 	base := e.Token
 	for n := range voteRounds {
 		changed := c.views.Changed()
 		var outcome Outcome
 		var again bool
-		e.Token = RoundToken(base, n)
+		e.Token = RoundToken(base, first+n)
 		outcome, again, err = c.round(ctx, e, override)
 		if err == nil {
 			return outcome, nil
@@ -106,6 +107,20 @@
 // RoundToken returns the token of the nth round of an attempt.
 func RoundToken(attempt string, n int) string { return attempt + "/" + strconv.Itoa(n) }
 
+// supersedes reports whether a token is of a later round of the same attempt
+// than another. The claimer has given the earlier round up.
+func supersedes(token, other string) bool {
+	attempt, round := splitToken(token)
+	otherAttempt, otherRound := splitToken(other)
+	return attempt == otherAttempt && round > otherRound
+}
+
+func splitToken(token string) (attempt string, round int) {
+	attempt, number, _ := strings.Cut(token, "/")
+	round, _ = strconv.Atoi(number)
+	return attempt, round
+}
+
 // AttemptOf returns the attempt that a round's token belongs to.
 func AttemptOf(token string) string {
 	attempt, _, _ := strings.Cut(token, "/")
--- a/claim/replica.go
+++ b/claim/replica.go
@@ -95,7 +95,8 @@
 		return reply
 	}
 	reply.LostBefore = r.lostBefore(in.Entry.Key.Region, key)
-	if held := r.live(key); held != nil {
+	held := r.live(key)
+	if held != nil && !supersedes(in.Entry.Token, held.Token) {
 		if held.Token != in.Entry.Token {
 			reply.Verdict, reply.Entry = VerdictTaken, clone(held)
 		}
--- a/dispatch/bill.go
+++ b/dispatch/bill.go
@@ -68,12 +68,15 @@
 	}
 	outcome, err := d.Claims.Claim(ctx, e)
 	if err == nil && !outcome.Won && !outcome.OtherWon {
-		e.Token = d.NewID()
 		outcome, err = d.Claims.Override(ctx, e)
 	}
 	if err == nil && !outcome.Won && !outcome.OtherWon {
 		err = refuse(ReasonClaimBusy, RanUnknown, billPause, "bill of %s is being claimed", b.RequestID)
 	}
+	if err == nil && !outcome.Won && d.gaveUp(outcome.Other) {
+		d.Claims.Release(outcome.Other.Key, outcome.Other.Token)
+		err = refuse(ReasonClaimBusy, RanUnknown, billPause, "an earlier claim of the bill of %s has to go first", b.RequestID)
+	}
 	if err != nil || !outcome.Won {
 		d.Journal.Skip(sequence)
 		return false, err
@@ -82,3 +85,10 @@
 	d.Counters.Billed(b)
 	return true, nil
 }
+
+// gaveUp reports whether a bill's claim is an own one that was not won. A
+// change of the view can carry such a claim over to enough replicas to look
+// won.
+func (d *Dispatcher) gaveUp(e *claim.Entry) bool {
+	return e.Holder.ID == d.Journal.Name() && d.Journal.GaveUp(e.Sequence)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -178,7 +178,9 @@
 	maxAttempts = 8
 	// joinRounds bounds how often a claim that turned out to be given up is
 	// made anew.
-	joinRounds = 4
+	joinRounds = 6
+	// joinPause lies before the second of those rounds and grows with each.
+	joinPause = 20 * time.Millisecond
 )
 
 // Start takes a request up, or joins it to the run that its id has already.
@@ -323,7 +325,8 @@
 // says that its holder is gone and that the work may be taken over.
 func (d *Dispatcher) claimAttempt(ctx context.Context, r *Request, attempt int, record *decision.Record) (x *answer.Exchange, next bool, _ *Refusal) {
 	override := false
-	for range joinRounds {
+	for round := range joinRounds {
+		d.rest(ctx, time.Duration(round)*joinPause)
 		exchange := d.NewID()
 		e := d.entry(r, attempt, exchange)
 		runCtx, cancel := context.WithCancel(context.Background())
@@ -356,6 +359,13 @@
 	return nil, false, refuse(ReasonClaimBusy, RanUnknown, comeBackSoon, "the id is being claimed by others")
 }
 
+// rest waits, so that what was released has gone before the next round.
+func (d *Dispatcher) rest(ctx context.Context, pause time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
+	<-ctx.Done()
+}
+
 // won starts the run of a claim that was won, unless the key may have been
 // used before.
 func (d *Dispatcher) won(ctx context.Context, r *Request, x *answer.Exchange, outcome claim.Outcome, e claim.Entry, record *decision.Record) (*answer.Exchange, bool, *Refusal) {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -138,7 +138,12 @@
 	open    map[int64]bool
 	entries map[int64]Bill
 	sums    Account
-	safe    int64
+	// folded is the sequence that stands at the platform, safe the one that
+	// stands there or at peers.
+	folded int64
+	safe   int64
+	// skipped lists sequences whose bill this node has given up, latest last.
+	skipped []int64
 }
 
 // New returns an empty journal. The interval between two folds is asked for
@@ -184,9 +189,24 @@
 func (j *Journal) Skip(sequence int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.skipped = append(j.skipped, sequence)
+	j.skipped = j.skipped[max(0, len(j.skipped)-maxSkipped):]
 	j.resolve(sequence)
 }
 
+// maxSkipped bounds the sequences remembered as given up; each stands for a
+// bill whose claim found too few replicas.
+const maxSkipped = 4096
+
+// GaveUp reports whether this node has given up the bill of a sequence. A
+// claim of it that turns up again, carried over by a change of the view, was
+// not won.
+func (j *Journal) GaveUp(sequence int64) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Contains(j.skipped, sequence)
+}
+
 // resolve moves the contiguous part of the journal into the sums.
 func (j *Journal) resolve(sequence int64) {
 	delete(j.open, sequence)
@@ -235,7 +255,7 @@
 // Fold writes the sums to the platform, or to peers if it is out.
 func (j *Journal) Fold(ctx context.Context) error {
 	sums := j.snapshot()
-	if sums.Sequence == j.Safe() {
+	if sums.Sequence == j.atPlatform() {
 		return nil
 	}
 	var stored Account
@@ -251,7 +271,7 @@
 	})
 	switch {
 	case err == nil:
-		j.markSafe(sums)
+		j.markFolded(sums)
 	case stored.Closed:
 		j.reopen(stored)
 	case j.checkpoints.Checkpoint(ctx, sums):
@@ -268,6 +288,21 @@
 	return copied
 }
 
+func (j *Journal) atPlatform() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.folded
+}
+
+func (j *Journal) markFolded(sums Account) {
+	j.markSafe(sums)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.name == sums.Journal {
+		j.folded = max(j.folded, sums.Sequence)
+	}
+}
+
 func (j *Journal) markSafe(sums Account) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -294,7 +329,7 @@
 	}
 	j.name += "+"
 	j.sums = Account{Journal: j.name, Sequence: j.done, Totals: missed.Totals}
-	j.safe = 0
+	j.folded, j.safe = 0, 0
 	slog.Warn("journal was closed meanwhile; going on in a new one", "journal", j.name)
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -161,7 +161,6 @@
 	if err == nil && !outcome.Won && !outcome.OtherWon {
 		// The other claim may yet be given up, and a session must not follow
 		// a pin that never was: find out, or win in its place.
-		e.Token = p.token()
 		outcome, err = p.claims.Override(ctx, e)
 	}
 	switch {
