claim: claims that only help to find an answer give way

Cause: at 5,000 requests/s on three nodes the claims of minted ids filled the replicas (24 MB) within 6 s, and every request with an id of its own was then refused as 'claim unreachable': 0 answers/s in the modes given id, session and proof of TestMeasure/rate. Change: claims of minted ids are soft and take half of the memory at most; their bills are kept until folded and not for a caller's retry; the memory is 48 MB and a full one is refused under a reason of its own. Ruled out: shorter life of all claims (a caller's retry needs it).

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -197,9 +197,12 @@
 func (x *Exchange) size() (bytes int64, finished time.Time, done bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.bytes, x.finished, x.done
+	return x.bytes + exchangeOverhead, x.finished, x.done
 }
 
+// exchangeOverhead estimates the memory of an exchange beside its parts.
+const exchangeOverhead = 1 << 10
+
 // Store keeps a node's exchanges by attempt. It is safe for concurrent use.
 type Store struct {
 	timers   *timer.Service
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -45,9 +45,9 @@
 	// Split says that the votes were split; the claim is released and what
 	// it was for has not run.
 	Split = namespace.NewType("split")
-	// Lost says that claims for the key may have been lost with their
-	// replicas, so nobody can say whether the key was used before.
-	Lost = namespace.NewType("lost")
+	// Full says that too few replicas had memory left; the claim is released
+	// and what it was for has not run.
+	Full = namespace.NewType("full")
 )
 
 // Kind separates the uses of a key.
@@ -114,8 +114,11 @@
 	Answer []byte `cbor:"9,keyasint"`
 	// Expires ends the claim's life.
 	Expires time.Time `cbor:"10,keyasint"`
-	// Journal and Sequence place a bill in its holder's journal.
+	// Sequence places a bill in its holder's journal.
 	Sequence int64 `cbor:"11,keyasint"`
+	// Soft claims only help to find an answer. They give way when a replica's
+	// memory is half full.
+	Soft bool `cbor:"12,keyasint"`
 }
 
 // Verdict is a replica's answer to a claim.
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -133,6 +133,7 @@
 	taken      map[string]int
 	entries    map[string]*Entry
 	again      bool
+	full       bool
 	lostBefore time.Time
 	asked      []view.Member
 }
@@ -154,6 +155,8 @@
 		}
 	case VerdictEpoch, VerdictNotReady:
 		v.again = true
+	case VerdictFull:
+		v.full = true
 	}
 }
 
@@ -195,6 +198,9 @@
 	if other, n := v.leading(); other != nil {
 		return Outcome{Other: other, OtherWon: n >= need, LostBefore: v.lostBefore}, false, nil
 	}
+	if v.full {
+		return Outcome{}, false, errs.New(Full, "claim", "the replicas of %s have no memory left", e.Key)
+	}
 	if v.granted > 0 {
 		return Outcome{}, v.again, errs.New(Split, "claim", "%d of %d votes for %s", v.granted, need, e.Key)
 	}
--- a/claim/replica.go
+++ b/claim/replica.go
@@ -33,7 +33,7 @@
 	return func(r *Replica) { r.folded = folded }
 }
 
-const defaultMemory = 24 << 20
+const defaultMemory = 48 << 20
 
 // Replica is one node's part of the claims: a bounded table in memory.
 type Replica struct {
@@ -107,7 +107,7 @@
 		reply.Verdict = VerdictNotReady
 		return reply
 	}
-	if r.bytes+size(&in.Entry) > r.maxBytes {
+	if r.full(&in.Entry) {
 		reply.Verdict = VerdictFull
 		return reply
 	}
@@ -115,6 +115,14 @@
 	return reply
 }
 
+func (r *Replica) full(e *Entry) bool {
+	bound := r.maxBytes
+	if e.Soft {
+		bound /= 2
+	}
+	return r.bytes+size(e) > bound
+}
+
 // Lookup returns the entry that has a key, if any, without a vote.
 func (r *Replica) Lookup(in Request) Reply {
 	r.mu.Lock()
--- a/dispatch/bill.go
+++ b/dispatch/bill.go
@@ -17,11 +17,15 @@
 	billPause = 2 * time.Second
 )
 
+// mintedBillLife is how long a bill is remembered whose request nobody can come
+// back with. Any bill is kept until it is folded.
+const mintedBillLife = time.Second
+
 // Bill claims a bill and enters it in the journal. It returns false if the
 // request is billed already, or if its replicas do not answer; then it goes
 // on trying beside the request until they do.
-func (d *Dispatcher) Bill(b ledger.Bill) bool {
-	won, err := d.claimBill(b)
+func (d *Dispatcher) Bill(b ledger.Bill, life time.Duration) bool {
+	won, err := d.claimBill(b, life)
 	if err == nil {
 		return won
 	}
@@ -30,7 +34,7 @@
 	d.runs.Go(func() {
 		for err != nil {
 			time.Sleep(billPause)
-			_, err = d.claimBill(b)
+			_, err = d.claimBill(b, life)
 		}
 	})
 	return false
@@ -39,13 +43,13 @@
 // Rebill is Bill for a bill of a node that is gone, of which it is not known
 // whether it was won.
 func (d *Dispatcher) Rebill(_ context.Context, b ledger.Bill) error {
-	_, err := d.claimBill(b)
+	_, err := d.claimBill(b, 2*d.AnswerLife)
 	return err
 }
 
 // claimBill tries once to win a bill. A claim of somebody else that may not
 // have been won does not count as a bill, so it is overridden or found won.
-func (d *Dispatcher) claimBill(b ledger.Bill) (bool, error) {
+func (d *Dispatcher) claimBill(b ledger.Bill, life time.Duration) (bool, error) {
 	account := d.Config().Account(b.Account)
 	if account == nil {
 		account = &config.Account{}
@@ -64,7 +68,7 @@
 		State:    claim.StateDone,
 		Value:    value,
 		Sequence: sequence,
-		Expires:  d.Timers.Now().Add(2 * d.AnswerLife),
+		Expires:  d.Timers.Now().Add(life),
 	}
 	outcome, err := d.Claims.Claim(ctx, e)
 	if err == nil && !outcome.Won && !outcome.OtherWon {
--- a/dispatch/chat.go
+++ b/dispatch/chat.go
@@ -377,7 +377,11 @@
 		CompletionTokens: got.usage.Completion,
 		Cost:             cost,
 	}
-	if d.Bill(b) {
+	life := 2 * d.AnswerLife
+	if !r.Given {
+		life = mintedBillLife
+	}
+	if d.Bill(b, life) {
 		record.Note("bill", "%d prompt and %d completion tokens, cost %d", b.PromptTokens, b.CompletionTokens, b.Cost)
 		return
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -21,6 +21,8 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/violettally/violettally/admit"
 	"github.com/violettally/violettally/answer"
 	"github.com/violettally/violettally/cascade"
@@ -296,6 +298,7 @@
 	x := d.Answers.Open(exchange, stop)
 	d.run(runCtx, r, x, record, nil)
 	e := d.entry(r, 0, exchange)
+	e.Soft = true
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimTime)
 		defer cancel()
@@ -341,7 +344,7 @@
 		}
 		d.giveUp(opened, refuse(ReasonClaimBusy, RanNo, comeBackSoon, "the id is claimed by another node"))
 		if err != nil {
-			return nil, false, refuse(ReasonClaimUnreachable, RanNo, comeBackSoon, "%v", err)
+			return nil, false, claimRefusal(err)
 		}
 		record.Note("claim", "id is claimed by %s", outcome.Other.Holder.ID)
 		j := d.join(ctx, r, outcome)
@@ -366,6 +369,14 @@
 	<-ctx.Done()
 }
 
+// claimRefusal tells why no claim was won. Its request has not run.
+func claimRefusal(err error) *Refusal {
+	if errorx.IsOfType(err, claim.Full) {
+		return refuse(ReasonClaimMemory, RanNo, comeBackLater, "%v", err)
+	}
+	return refuse(ReasonClaimUnreachable, RanNo, comeBackSoon, "%v", err)
+}
+
 // won starts the run of a claim that was won, unless the key may have been
 // used before.
 func (d *Dispatcher) won(ctx context.Context, r *Request, x *answer.Exchange, outcome claim.Outcome, e claim.Entry, record *decision.Record) (*answer.Exchange, bool, *Refusal) {
--- a/dispatch/dispatch_enumer.go
+++ b/dispatch/dispatch_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_failedrejectedclaim_unreachableclaim_busyoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
+const _ReasonName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_failedrejectedclaim_unreachableclaim_busyclaim_memoryoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
 
-var _ReasonIndex = [...]uint16{0, 15, 32, 42, 59, 76, 87, 99, 109, 117, 126, 139, 147, 164, 174, 189, 207, 216, 232, 239, 247, 256, 273, 287, 303, 310, 324}
+var _ReasonIndex = [...]uint16{0, 15, 32, 42, 59, 76, 87, 99, 109, 117, 126, 139, 147, 164, 174, 186, 201, 219, 228, 244, 251, 259, 268, 285, 299, 315, 322, 336}
 
-const _ReasonLowerName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_failedrejectedclaim_unreachableclaim_busyoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
+const _ReasonLowerName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_failedrejectedclaim_unreachableclaim_busyclaim_memoryoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -38,21 +38,22 @@
 	_ = x[ReasonRejected-(11)]
 	_ = x[ReasonClaimUnreachable-(12)]
 	_ = x[ReasonClaimBusy-(13)]
-	_ = x[ReasonOutcomeUnknown-(14)]
-	_ = x[ReasonHolderUnreachable-(15)]
-	_ = x[ReasonIDReused-(16)]
-	_ = x[ReasonNoConfiguration-(17)]
-	_ = x[ReasonCutOff-(18)]
-	_ = x[ReasonDraining-(19)]
-	_ = x[ReasonCancelled-(20)]
-	_ = x[ReasonRequestNotFound-(21)]
-	_ = x[ReasonAnswerExpired-(22)]
-	_ = x[ReasonAnswerTooLarge-(23)]
-	_ = x[ReasonInvalid-(24)]
-	_ = x[ReasonBodyTooLarge-(25)]
-}
-
-var _ReasonValues = []Reason{ReasonModelNotFound, ReasonVersionWithdrawn, ReasonNoVersion, ReasonServiceNotFound, ReasonCallNotDeclared, ReasonKeyMissing, ReasonRateLimited, ReasonOverloaded, ReasonDeadline, ReasonNoServer, ReasonServerFailed, ReasonRejected, ReasonClaimUnreachable, ReasonClaimBusy, ReasonOutcomeUnknown, ReasonHolderUnreachable, ReasonIDReused, ReasonNoConfiguration, ReasonCutOff, ReasonDraining, ReasonCancelled, ReasonRequestNotFound, ReasonAnswerExpired, ReasonAnswerTooLarge, ReasonInvalid, ReasonBodyTooLarge}
+	_ = x[ReasonClaimMemory-(14)]
+	_ = x[ReasonOutcomeUnknown-(15)]
+	_ = x[ReasonHolderUnreachable-(16)]
+	_ = x[ReasonIDReused-(17)]
+	_ = x[ReasonNoConfiguration-(18)]
+	_ = x[ReasonCutOff-(19)]
+	_ = x[ReasonDraining-(20)]
+	_ = x[ReasonCancelled-(21)]
+	_ = x[ReasonRequestNotFound-(22)]
+	_ = x[ReasonAnswerExpired-(23)]
+	_ = x[ReasonAnswerTooLarge-(24)]
+	_ = x[ReasonInvalid-(25)]
+	_ = x[ReasonBodyTooLarge-(26)]
+}
+
+var _ReasonValues = []Reason{ReasonModelNotFound, ReasonVersionWithdrawn, ReasonNoVersion, ReasonServiceNotFound, ReasonCallNotDeclared, ReasonKeyMissing, ReasonRateLimited, ReasonOverloaded, ReasonDeadline, ReasonNoServer, ReasonServerFailed, ReasonRejected, ReasonClaimUnreachable, ReasonClaimBusy, ReasonClaimMemory, ReasonOutcomeUnknown, ReasonHolderUnreachable, ReasonIDReused, ReasonNoConfiguration, ReasonCutOff, ReasonDraining, ReasonCancelled, ReasonRequestNotFound, ReasonAnswerExpired, ReasonAnswerTooLarge, ReasonInvalid, ReasonBodyTooLarge}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:15]:    ReasonModelNotFound,
@@ -69,18 +70,19 @@
 	_ReasonName[139:147]: ReasonRejected,
 	_ReasonName[147:164]: ReasonClaimUnreachable,
 	_ReasonName[164:174]: ReasonClaimBusy,
-	_ReasonName[174:189]: ReasonOutcomeUnknown,
-	_ReasonName[189:207]: ReasonHolderUnreachable,
-	_ReasonName[207:216]: ReasonIDReused,
-	_ReasonName[216:232]: ReasonNoConfiguration,
-	_ReasonName[232:239]: ReasonCutOff,
-	_ReasonName[239:247]: ReasonDraining,
-	_ReasonName[247:256]: ReasonCancelled,
-	_ReasonName[256:273]: ReasonRequestNotFound,
-	_ReasonName[273:287]: ReasonAnswerExpired,
-	_ReasonName[287:303]: ReasonAnswerTooLarge,
-	_ReasonName[303:310]: ReasonInvalid,
-	_ReasonName[310:324]: ReasonBodyTooLarge,
+	_ReasonName[174:186]: ReasonClaimMemory,
+	_ReasonName[186:201]: ReasonOutcomeUnknown,
+	_ReasonName[201:219]: ReasonHolderUnreachable,
+	_ReasonName[219:228]: ReasonIDReused,
+	_ReasonName[228:244]: ReasonNoConfiguration,
+	_ReasonName[244:251]: ReasonCutOff,
+	_ReasonName[251:259]: ReasonDraining,
+	_ReasonName[259:268]: ReasonCancelled,
+	_ReasonName[268:285]: ReasonRequestNotFound,
+	_ReasonName[285:299]: ReasonAnswerExpired,
+	_ReasonName[299:315]: ReasonAnswerTooLarge,
+	_ReasonName[315:322]: ReasonInvalid,
+	_ReasonName[322:336]: ReasonBodyTooLarge,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -98,18 +100,19 @@
 	_ReasonLowerName[139:147]: ReasonRejected,
 	_ReasonLowerName[147:164]: ReasonClaimUnreachable,
 	_ReasonLowerName[164:174]: ReasonClaimBusy,
-	_ReasonLowerName[174:189]: ReasonOutcomeUnknown,
-	_ReasonLowerName[189:207]: ReasonHolderUnreachable,
-	_ReasonLowerName[207:216]: ReasonIDReused,
-	_ReasonLowerName[216:232]: ReasonNoConfiguration,
-	_ReasonLowerName[232:239]: ReasonCutOff,
-	_ReasonLowerName[239:247]: ReasonDraining,
-	_ReasonLowerName[247:256]: ReasonCancelled,
-	_ReasonLowerName[256:273]: ReasonRequestNotFound,
-	_ReasonLowerName[273:287]: ReasonAnswerExpired,
-	_ReasonLowerName[287:303]: ReasonAnswerTooLarge,
-	_ReasonLowerName[303:310]: ReasonInvalid,
-	_ReasonLowerName[310:324]: ReasonBodyTooLarge,
+	_ReasonLowerName[174:186]: ReasonClaimMemory,
+	_ReasonLowerName[186:201]: ReasonOutcomeUnknown,
+	_ReasonLowerName[201:219]: ReasonHolderUnreachable,
+	_ReasonLowerName[219:228]: ReasonIDReused,
+	_ReasonLowerName[228:244]: ReasonNoConfiguration,
+	_ReasonLowerName[244:251]: ReasonCutOff,
+	_ReasonLowerName[251:259]: ReasonDraining,
+	_ReasonLowerName[259:268]: ReasonCancelled,
+	_ReasonLowerName[268:285]: ReasonRequestNotFound,
+	_ReasonLowerName[285:299]: ReasonAnswerExpired,
+	_ReasonLowerName[299:315]: ReasonAnswerTooLarge,
+	_ReasonLowerName[315:322]: ReasonInvalid,
+	_ReasonLowerName[322:336]: ReasonBodyTooLarge,
 }
 
 var _ReasonNames = []string{
@@ -127,18 +130,19 @@
 	_ReasonName[139:147],
 	_ReasonName[147:164],
 	_ReasonName[164:174],
-	_ReasonName[174:189],
-	_ReasonName[189:207],
-	_ReasonName[207:216],
-	_ReasonName[216:232],
-	_ReasonName[232:239],
-	_ReasonName[239:247],
-	_ReasonName[247:256],
-	_ReasonName[256:273],
-	_ReasonName[273:287],
-	_ReasonName[287:303],
-	_ReasonName[303:310],
-	_ReasonName[310:324],
+	_ReasonName[174:186],
+	_ReasonName[186:201],
+	_ReasonName[201:219],
+	_ReasonName[219:228],
+	_ReasonName[228:244],
+	_ReasonName[244:251],
+	_ReasonName[251:259],
+	_ReasonName[259:268],
+	_ReasonName[268:285],
+	_ReasonName[285:299],
+	_ReasonName[299:315],
+	_ReasonName[315:322],
+	_ReasonName[322:336],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/dispatch/refusal.go
+++ b/dispatch/refusal.go
@@ -29,6 +29,7 @@
 	ReasonRejected
 	ReasonClaimUnreachable
 	ReasonClaimBusy
+	ReasonClaimMemory
 	ReasonOutcomeUnknown
 	ReasonHolderUnreachable
 	ReasonIDReused
--- a/e2e/history_test.go
+++ b/e2e/history_test.go
@@ -40,6 +40,7 @@
 	session string
 	prompt  string
 	start   time.Time
+	took    time.Duration
 	tries   []string
 	// answered holds the whole answer's version, text and body.
 	answered bool
@@ -116,6 +117,7 @@
 		w.events = append(w.events, e)
 		w.mu.Unlock()
 		w.pursue(e, known, random.IntN(2) == 0)
+		e.took = time.Since(e.start)
 		if e.answered {
 			w.answered.Add(1)
 		}
--- /dev/null
+++ b/e2e/measure_test.go
@@ -0,0 +1,294 @@
+package e2e_test
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/config"
+)
+
+// The measurements of docs/MEASUREMENTS.md. They judge nothing, so they run
+// only by command:
+//
+//	go test ./e2e -run TestMeasure/path -measure -v
+var measureFlag = flag.Bool("measure", false, "run the measurements")
+
+func TestMeasure(t *testing.T) {
+	if !*measureFlag {
+		t.Skip("run with -measure")
+	}
+	t.Run("path", measurePath)
+	t.Run("rate", measureRate)
+	t.Run("apply", measureApply)
+	t.Run("nodes", measureNodes)
+	t.Run("faults", measureFaults)
+}
+
+// measured is one kind of call with its times in microseconds.
+type measured struct {
+	first, whole *hdrhistogram.Histogram
+}
+
+func newMeasured() measured {
+	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
+	return measured{first: histogram(), whole: histogram()}
+}
+
+// streamOnce times the first event and the whole of one streamed answer.
+func (m measured) streamOnce(t testing.TB, address, key, model string) {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"Route for 14 drops"}]}`, model)
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	must.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+key)
+	start := time.Now()
+	response, err := httpClient.Do(request)
+	must.NoError(t, err)
+	defer response.Body.Close()
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	scanner := bufio.NewScanner(response.Body)
+	first := true
+	for scanner.Scan() {
+		if first && strings.HasPrefix(scanner.Text(), "data:") {
+			_ = m.first.RecordValue(time.Since(start).Microseconds())
+			first = false
+		}
+	}
+	_ = m.whole.RecordValue(time.Since(start).Microseconds())
+}
+
+func (m measured) row(name string) string {
+	q := func(h *hdrhistogram.Histogram, p float64) float64 { return float64(h.ValueAtQuantile(p)) / 1000 }
+	return fmt.Sprintf("| %s | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f |", name,
+		q(m.first, 50), q(m.first, 95), q(m.first, 99), q(m.whole, 50), q(m.whole, 95), q(m.whole, 99))
+}
+
+// measurePath compares a call through a node with one straight to the engine,
+// by turns in one run.
+func measurePath(t *testing.T) {
+	f := newFleet(t, shape{halls: 3, perHall: 2, engines: 1, plain: 1, engineArgs: []string{"--token-ms", "2", "--tokens", "32", "--slots", "64"}})
+	direct, minted := newMeasured(), newMeasured()
+	const rounds = 400
+	for i := range rounds + 20 {
+		if i == 20 {
+			direct, minted = newMeasured(), newMeasured()
+		}
+		direct.streamOnce(t, f.engines[0], "", "brief@v1")
+		minted.streamOnce(t, f.nodes[i%6].caller, accountKey, "brief")
+	}
+	t.Logf("\n| %d streams each, by turns | first p50 ms | p95 | p99 | whole p50 | p95 | p99 |\n|---|---|---|---|---|---|---|\n%s\n%s",
+		rounds, direct.row("engine, directly"), minted.row("through a node"))
+}
+
+// measureRate finds the requests that a node answers per second of its
+// processor time, the memory it takes, and the calls that a request costs.
+func measureRate(t *testing.T) {
+	f := newFleet(t, shape{halls: 3, perHall: 1, engines: 3, plain: 1, engineArgs: []string{"--token-ms", "0", "--prefill-ms", "0", "--slots", "512"}})
+	f.apply(f.declaration(func(c *config.Config) {
+		for i := range c.Pools[0].Servers {
+			c.Pools[0].Servers[i].Slots = 512
+		}
+	}))
+	var lines []string
+	for _, mode := range []string{"idle", "minted id", "given id", "session", "proof"} {
+		before := f.scrapeAll()
+		var done atomic.Int64
+		start := time.Now()
+		f.load(mode, 24, 6*time.Second, &done)
+		after := f.scrapeAll()
+		seconds := time.Since(start).Seconds()
+		cpu := after.sum("process_cpu_seconds_total") - before.sum("process_cpu_seconds_total")
+		calls := after.sum("violettally_peer_calls_total") - before.sum("violettally_peer_calls_total")
+		bytes := after.sum("violettally_peer_sent_bytes_total") - before.sum("violettally_peer_sent_bytes_total")
+		n := float64(max(1, done.Load()))
+		lines = append(lines, fmt.Sprintf("| %s | %.0f | %.3f | %.0f | %.2f | %.1f | %.0f | %.0f |", mode, float64(done.Load())/seconds, cpu/seconds/3,
+			float64(done.Load())/max(cpu, 0.001), cpu/n*1000, calls/n, bytes/n, after.sum("process_resident_memory_bytes")/3/1e6))
+	}
+	t.Logf("\n| 3 nodes | requests/s | cores per node | requests per core second | CPU ms per request | peer calls per request | peer bytes per request | resident MB per node |\n|---|---|---|---|---|---|---|---|\n%s", strings.Join(lines, "\n"))
+}
+
+// load keeps callers busy for a while.
+func (f *fleet) load(mode string, callers int, d time.Duration, done *atomic.Int64) {
+	if mode == "idle" {
+		time.Sleep(d)
+		return
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				path, body := "/v1/chat/completions", chatBody("brief", "Route for 14 drops")
+				if mode == "proof" {
+					path, body = "/v1/services/records/proofs", "{}"
+				}
+				request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.nodes[n%len(f.nodes)].caller+path, strings.NewReader(body))
+				must.NoError(f.t, err)
+				request.Header.Set("Authorization", "Bearer "+accountKey)
+				switch mode {
+				case "given id", "proof":
+					request.Header.Set("Idempotency-Key", fmt.Sprintf("%s-%d-%d", strings.ReplaceAll(mode, " ", ""), i, n))
+				case "session":
+					request.Header.Set("X-Session-Id", fmt.Sprintf("s-%d", i))
+				}
+				response, err := client.Do(request)
+				if err != nil {
+					continue
+				}
+				scanner := bufio.NewScanner(response.Body)
+				for scanner.Scan() {
+				}
+				response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					done.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// scrape is the sum of all nodes' metrics by name, labels left out.
+type scrape map[string]float64
+
+func (s scrape) sum(name string) float64 { return s[name] }
+
+func (f *fleet) scrapeAll() scrape {
+	all := make(scrape)
+	for _, n := range f.nodes {
+		for _, line := range strings.Split(string(f.get(n.operator, "/metrics")), "\n") {
+			if strings.HasPrefix(line, "#") || line == "" {
+				continue
+			}
+			at := strings.LastIndexByte(line, ' ')
+			if at < 0 {
+				continue
+			}
+			name, _, _ := strings.Cut(line[:at], "{")
+			value, _ := strconv.ParseFloat(line[at+1:], 64)
+			all[name] += value
+			if call := label(line, "call"); call != "" {
+				all[name+"/"+call] += value
+			}
+		}
+	}
+	return all
+}
+
+func label(line, name string) string {
+	_, rest, ok := strings.Cut(line, name+`="`)
+	if !ok {
+		return ""
+	}
+	value, _, _ := strings.Cut(rest, `"`)
+	return value
+}
+
+// measureApply times from the start of an apply until every node has the
+// revision in force, half the nodes without a watch of their own.
+func measureApply(t *testing.T) {
+	f := newFleet(t, shape{halls: 3, perHall: 4, engines: 1, plain: 1})
+	var times []float64
+	for i := range 20 {
+		file := f.write(f.declaration(func(c *config.Config) { c.Accounts[0].Limits.Burst = i }))
+		start := time.Now()
+		code, out := f.operator(f.nodes[i%len(f.nodes)], "apply", file)
+		must.Eq(t, 0, code, must.Sprint(out))
+		for !f.revisionEverywhere(i+2, f.nodes...) {
+			time.Sleep(time.Millisecond)
+		}
+		times = append(times, time.Since(start).Seconds()*1000)
+	}
+	sort.Float64s(times)
+	t.Logf("12 nodes, 20 applies: command to in force everywhere, p50 %.0f ms, p95 %.0f ms, most %.0f ms (with the polling of 12 nodes)", times[10], times[18], times[19])
+}
+
+// measureNodes finds what an idle node spends for control, over the size of
+// the fleet.
+func measureNodes(t *testing.T) {
+	var lines []string
+	for _, perHall := range []int{1, 2, 4, 8, 12} {
+		f := newFleet(t, shape{halls: 3, perHall: perHall, engines: 2, plain: 1})
+		time.Sleep(3 * time.Second)
+		before := f.scrapeAll()
+		const seconds = 10
+		time.Sleep(seconds * time.Second)
+		after := f.scrapeAll()
+		nodes := float64(3 * perHall)
+		each := func(name string) float64 { return (after.sum(name) - before.sum(name)) / nodes / seconds }
+		lines = append(lines, fmt.Sprintf("| %.0f | %.2f%% | %.1f | %.1f | %.0f | %.2f | %.1f |", nodes, 100*each("process_cpu_seconds_total"),
+			each("violettally_peer_calls_total"), each("violettally_peer_calls_total/probe"), each("violettally_peer_sent_bytes_total"),
+			(after.sum("violettally_platform_calls_total")-before.sum("violettally_platform_calls_total"))/seconds, after.sum("process_resident_memory_bytes")/nodes/1e6))
+		f.end()
+	}
+	t.Logf("\n| nodes | core per node | peer calls/s per node | of them probes | peer bytes/s per node | platform calls/s, all nodes | resident MB per node |\n|---|---|---|---|---|---|---|\n%s", strings.Join(lines, "\n"))
+}
+
+// end kills the fleet's nodes before the test's end, to make room.
+func (f *fleet) end() {
+	for _, n := range f.nodes {
+		n.kill()
+	}
+	for _, b := range f.backends {
+		b.kill()
+	}
+}
+
+// measureFaults tells what callers see around each single fault.
+func measureFaults(t *testing.T) {
+	var lines []string
+	for i, fault := range faults {
+		f := newFleet(t, faultShape)
+		w := startWorkload(f, uint64(i))
+		w.flow()
+		fault.inject(w, rand.New(rand.NewPCG(uint64(i), 0)))
+		w.flow()
+		w.stop()
+		w.check(t)
+		lines = append(lines, fmt.Sprintf("| %s | %s |", fault.name, w.row()))
+		f.end()
+	}
+	t.Logf("\n| fault | requests | answered at once | answered after retries | refused, not run | unknown | whole p50 ms | p95 | longest |\n|---|---|---|---|---|---|---|---|---|\n%s", strings.Join(lines, "\n"))
+}
+
+// row sums up a workload for a table.
+func (w *workload) row() string {
+	once, again, refused, unknown, total := 0, 0, 0, 0, 0
+	h := hdrhistogram.New(1, 120_000_000, 3)
+	for _, e := range w.events {
+		if e.kind == kindForbidden {
+			continue
+		}
+		total++
+		switch {
+		case e.answered && (len(e.tries) == 1 || e.kind == kindPatient):
+			once++
+		case e.answered:
+			again++
+		case e.unknown:
+			unknown++
+		default:
+			refused++
+		}
+		if e.answered && e.kind != kindPatient {
+			_ = h.RecordValue(e.took.Microseconds())
+		}
+	}
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return fmt.Sprintf("%d | %d | %d | %d | %d | %.0f | %.0f | %.0f", total, once, again, refused, unknown, ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(95)), ms(h.Max()))
+}
