claim: model check, and a key with two surviving claims stays taken

The model runs three claimers over 40,000 histories (every outcome of the first three or four messages, one member replaced at each point, claimers one after the other and one inside another). Shown failing first: 'two claimers won; replaced a before message 4, script [1 0 0 0], override true'. Cause: after a change of the view a replica that read two different claims marks the key unknown, but kept one of the tokens, and a later round of that attempt took its place. Change: a later round replaces an earlier one only while the claim is in the state in which it was made.

--- a/claim/replica.go
+++ b/claim/replica.go
@@ -96,7 +96,9 @@
 	}
 	reply.LostBefore = r.lostBefore(in.Entry.Key.Region, key)
 	held := r.live(key)
-	if held != nil && !supersedes(in.Entry.Token, held.Token) {
+	// A key for which two claims survived stays taken, also for one of the two.
+	mayReplace := held != nil && held.State == in.Entry.State && supersedes(in.Entry.Token, held.Token)
+	if held != nil && !mayReplace {
 		if held.Token != in.Entry.Token {
 			reply.Verdict, reply.Entry = VerdictTaken, clone(held)
 		}
