admit: estimate waits under fairness, refuse what became late

Cause: the expected wait counted the whole queue as first come first served, though accounts take turns; a flooding account's requests were let in and then ran past their deadline, and a small account's were refused for a wait that it would not have had. Change: a request waits behind its account's own, at the account's part of the capacity, corrected by the account's observed pace; one that can no longer make its deadline when its turn comes gives its place to the next.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -84,17 +84,36 @@
 	byOwner map[string]int
 	waiting []*waiter
 	mean    time.Duration
+	paces   map[string]*pace
 }
 
+// waiter is a request in the queue. Its channel is closed when it is admitted
+// or, with late set, refused.
 type waiter struct {
-	ticket   Ticket
-	arrived  time.Time
-	admitted chan struct{}
+	ticket  Ticket
+	arrived time.Time
+	decided chan struct{}
+	late    bool
+}
+
+// pace is how fast an account's waiting requests are admitted, which under
+// fairness is not how fast the queue moves.
+type pace struct {
+	last     time.Time
+	interval time.Duration
+}
+
+// paceMemory is the weight of one admission in an account's pace.
+const paceMemory = 0.1
+
+func (p *pace) step(now time.Time) {
+	p.interval += time.Duration(paceMemory * float64(now.Sub(p.last)-p.interval))
+	p.last = now
 }
 
 // New returns an empty queue. Its capacity is asked for anew each time.
 func New(capacity func() int) *Queue {
-	return &Queue{capacity: capacity, byOwner: make(map[string]int)}
+	return &Queue{capacity: capacity, byOwner: make(map[string]int), paces: make(map[string]*pace)}
 }
 
 // Acquire waits until the request may run. The function that it returns must
@@ -111,26 +130,34 @@
 		late = timer.C
 	}
 	select {
-	case <-w.admitted:
-		return q.releaser(t), nil
+	case <-w.decided:
+		return q.decided(w)
 	case <-ctx.Done():
 		err = ctx.Err()
 	case <-late:
 		err = context.DeadlineExceeded
 	}
 	if !q.leave(w) {
-		// It was admitted in the same moment.
-		return q.releaser(t), nil
+		// It was decided in the same moment.
+		return q.decided(w)
 	}
 	return nil, errs.Wrap(GivenUp, "acquire", err, "waited %s", time.Since(w.arrived).Round(time.Millisecond))
 }
 
+// decided returns what became of a request that has left the queue.
+func (q *Queue) decided(w *waiter) (release func(), err error) {
+	if w.late {
+		return nil, refused(Late, minRetryAfter, "waited %s and cannot make the deadline any more", time.Since(w.arrived).Round(time.Millisecond))
+	}
+	return q.releaser(w.ticket), nil
+}
+
 // enter admits, queues or refuses a request.
 func (q *Queue) enter(t Ticket) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	capacity := max(1, q.capacity())
-	w := &waiter{ticket: t, arrived: time.Now(), admitted: make(chan struct{})}
+	w := &waiter{ticket: t, arrived: time.Now(), decided: make(chan struct{})}
 	if q.running < capacity && len(q.waiting) == 0 {
 		q.admit(w)
 		return w, nil
@@ -162,11 +189,27 @@
 	return err.WithProperty(retryAfterProperty, max(minRetryAfter, wait))
 }
 
-// expectedWait estimates how long a new request waits behind those of its
-// priority and above.
+// expectedWait estimates how long a new request waits: behind those of its
+// priority and above, or, since accounts take turns, behind its account's own
+// at the account's part of the capacity, whichever is less. What the account's
+// requests really waited for lately corrects both upwards.
 func (q *Queue) expectedWait(t Ticket, capacity int) time.Duration {
-	rounds := float64(q.ahead(t.Priority)+1) / float64(capacity)
-	return time.Duration(rounds * float64(q.mean))
+	own, accounts := 1, map[string]bool{t.Account: true}
+	for _, w := range q.waiting {
+		if w.ticket.Priority < t.Priority {
+			continue
+		}
+		accounts[w.ticket.Account] = true
+		if w.ticket.Account == t.Account {
+			own++
+		}
+	}
+	places := min(q.ahead(t.Priority)+1, own*len(accounts))
+	wait := time.Duration(float64(places) / float64(capacity) * float64(q.mean))
+	if p := q.paces[t.Account]; p != nil && own > 1 {
+		wait = max(wait, time.Duration(own)*p.interval)
+	}
+	return wait
 }
 
 // ahead counts the waiting requests of a priority and above.
@@ -186,7 +229,7 @@
 	if w.ticket.Priority == config.PriorityPatient {
 		q.patient++
 	}
-	close(w.admitted)
+	close(w.decided)
 }
 
 // releaser returns the function that ends a request's work, once.
@@ -213,17 +256,36 @@
 	q.fill()
 }
 
-// fill admits waiting requests while there is capacity.
+// fill admits waiting requests while there is capacity. One that has waited
+// too long to make its deadline gives its place to the next.
 func (q *Queue) fill() {
 	capacity := max(1, q.capacity())
+	now := time.Now()
 	for q.running < capacity && len(q.waiting) > 0 {
 		at := q.best(capacity)
 		w := q.waiting[at]
 		q.waiting = append(q.waiting[:at], q.waiting[at+1:]...)
+		q.keepPace(w, now)
+		if deadline := w.ticket.Deadline; !deadline.IsZero() && now.Add(q.mean).After(deadline) {
+			w.late = true
+			close(w.decided)
+			continue
+		}
 		q.admit(w)
 	}
 }
 
+// keepPace counts an admission; the pace starts anew once an account has
+// nothing waiting.
+func (q *Queue) keepPace(w *waiter, now time.Time) {
+	p := q.paces[w.ticket.Account]
+	if p == nil || p.last.Before(w.arrived) {
+		q.paces[w.ticket.Account] = &pace{last: now, interval: q.mean / time.Duration(max(1, q.capacity()))}
+		return
+	}
+	p.step(now)
+}
+
 // best returns the waiting request that runs next.
 func (q *Queue) best(capacity int) int {
 	floor := int(math.Ceil(patientFloor * float64(capacity)))
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,113 @@
+package limit_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/limit"
+	"github.com/violettally/violettally/timer"
+)
+
+const accountLimit = 100.0
+
+// fleet is a few limiters with one grantor, which may be out of reach.
+type fleet struct {
+	grantor *limit.Grantor
+	nodes   []*limit.Limiter
+	down    bool
+	epoch   int64
+}
+
+// link is one node's way to the grantor.
+type link struct {
+	f    *fleet
+	name string
+}
+
+func (l link) Members() int { return len(l.f.nodes) }
+
+func (l link) Ask(_ context.Context, ask limit.Ask) (limit.Grant, error) {
+	if l.f.down {
+		return limit.Grant{}, fmt.Errorf("the grantor does not answer")
+	}
+	ask.Node, ask.Epoch = l.name, l.f.epoch
+	return l.f.grantor.Grant(ask), nil
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{}
+	timers := timer.New()
+	t.Cleanup(timers.Close)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	f.grantor = limit.NewGrantor(func(string) float64 { return accountLimit }, timers)
+	for i := range n {
+		node := limit.New(link{f, fmt.Sprint(i)}, timers)
+		f.nodes = append(f.nodes, node)
+		go node.Run(ctx)
+	}
+	return f
+}
+
+// offer sends requests to the nodes at the given rates for a while and
+// returns how many passed per second.
+func (f *fleet) offer(d time.Duration, rates ...float64) float64 {
+	account := &config.Account{Name: "desk", Limits: config.Limits{RequestsPerSecond: accountLimit, Burst: 20}}
+	const step = 10 * time.Millisecond
+	owed := make([]float64, len(rates))
+	passed := 0
+	for range int(d / step) {
+		for i, rate := range rates {
+			for owed[i] += rate * step.Seconds(); owed[i] >= 1; owed[i]-- {
+				if _, ok := f.nodes[i].Take(account); ok {
+					passed++
+				}
+			}
+		}
+		time.Sleep(step)
+	}
+	return float64(passed) / d.Seconds()
+}
+
+// TestShares holds an account to its limit while its demand shifts from node
+// to node, and while the grantor is out or another one.
+func TestShares(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(f *fleet)
+		rates  []float64
+		// least and most that may pass per second, in the steady state.
+		least, most float64
+	}{
+		{"even demand", nil, []float64{100, 100, 100, 100}, 90, 101},
+		{"one node has it all", nil, []float64{300, 0, 0, 0}, 85, 101},
+		{"demand below the limit passes", nil, []float64{40, 10, 0, 0}, 49, 51},
+		{"demand shifts", func(f *fleet) { f.offer(10*time.Second, 300, 0, 0, 0) }, []float64{0, 0, 0, 300}, 85, 101},
+		{"grantor lost, leases held", func(f *fleet) { f.offer(10*time.Second, 100, 100, 100, 100); f.down = true }, []float64{100, 100, 100, 100}, 45, 101},
+		{"new grantor", func(f *fleet) {
+			f.offer(10*time.Second, 100, 100, 100, 100)
+			f.epoch = 2
+			f.grantor.SetEpoch(2, func(string) bool { return false })
+		}, []float64{100, 100, 100, 100}, 85, 101},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 4)
+				if tt.before != nil {
+					tt.before(f)
+				}
+				f.offer(5*time.Second, tt.rates...)
+				got := f.offer(20*time.Second, tt.rates...)
+				t.Logf("%.1f requests/s passed at a limit of %.0f", got, accountLimit)
+				must.Between(t, tt.least, got, tt.most)
+			})
+		})
+	}
+}
