rollout: two sums with separate bounds in the sequential test

Change: Wald's sum from the start with that bound, and Page's with a bound that grows with the planned answers.

--- a/config/config.go
+++ b/config/config.go
@@ -158,6 +158,15 @@
 	Guards  Guards  `json:"guards"`
 }
 
+// Samples returns the number of answers that all stages need together.
+func (r *Rollout) Samples() int {
+	sum := 0
+	for _, s := range r.Stages {
+		sum += s.MinSamples
+	}
+	return sum
+}
+
 // Stage is one step of a roll-out.
 type Stage struct {
 	// Share of new sessions, in (0, 1].
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -139,7 +139,7 @@
 	}
 	candidate, baseline := d.totals(m)
 	test := d.test(m)
-	if test.Update(m.Rollout.Guards, candidate, baseline) {
+	if test.Update(m.Rollout.Guards, m.Rollout.Samples(), candidate, baseline) {
 		p.Verdict, p.Evidence, p.Samples = VerdictStopped, test.Score(), candidate.Answers
 		p.Reason = fmt.Sprintf("%d of %d answers bad, against %d of %d in service", candidate.Bad, candidate.Answers, baseline.Bad, baseline.Answers)
 		return p
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,196 @@
+package rollout_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/timer"
+)
+
+var guards = config.Guards{BadRating: 0.5, MaxBadIncrease: 0.1, FalseAlarm: 0.01}
+
+// usualBad is the share of bad answers of the version in service.
+const usualBad = 0.05
+
+// exposure runs the sequential test on answers of a version that is worse by
+// increase and returns after how many of them it is stopped, limit if never.
+func exposure(random *rand.Rand, increase float64, turnsBadAt, limit int) int {
+	test := &rollout.Test{}
+	candidate, baseline := rollout.Count{}, rollout.Count{Answers: 2000, Bad: 100}
+	for n := 1; n <= limit; n++ {
+		rate := usualBad
+		if n > turnsBadAt {
+			rate += increase
+		}
+		candidate.Answers++
+		if random.Float64() < rate {
+			candidate.Bad++
+		}
+		if test.Update(guards, limit, candidate, baseline) {
+			return n - turnsBadAt
+		}
+	}
+	return limit - turnsBadAt
+}
+
+// fixedStage is the baseline: judge once at the end of a stage of 500 answers.
+func fixedStage(random *rand.Rand, increase float64) (answers int, stopped bool) {
+	const stage = 500
+	bad := 0
+	for range stage {
+		if random.Float64() < usualBad+increase {
+			bad++
+		}
+	}
+	return stage, float64(bad)/stage > usualBad+guards.MaxBadIncrease/2
+}
+
+// TestExposure compares the sequential test with a stage of fixed size, over
+// seeds: how many answers a bad version gives before it is stopped, and how
+// often a good one is.
+func TestExposure(t *testing.T) {
+	const runs, limit = 200, 2000
+	mean := make(map[float64]float64)
+	for _, increase := range []float64{0, 0.1, 0.2, 0.5, 0.9} {
+		random := rand.New(rand.NewPCG(1, uint64(increase*100)))
+		total, stopped, lateTotal, fixedStopped := 0, 0, 0, 0
+		for range runs {
+			n := exposure(random, increase, 0, limit)
+			total += n
+			if n < limit {
+				stopped++
+			}
+			lateTotal += exposure(random, increase, 500, limit+500)
+			if _, stops := fixedStage(random, increase); stops {
+				fixedStopped++
+			}
+		}
+		mean[increase] = float64(total) / runs
+		t.Logf("worse by %.1f: stopped in %d of %d runs, after %.0f answers on average; %.0f if it turns bad after 500; a fixed stage: 500 answers, stopped in %d",
+			increase, stopped, runs, mean[increase], float64(lateTotal)/runs, fixedStopped)
+		if increase == 0 {
+			must.LessEq(t, runs/20, stopped, must.Sprint("false alarms within 2000 answers"))
+		} else {
+			must.Eq(t, runs, stopped)
+		}
+	}
+	must.Less(t, 20, mean[0.5])
+	must.Less(t, 10, mean[0.9])
+}
+
+// driverWorld is a driver with a store in memory and counts from nodes.
+type driverWorld struct {
+	stored []byte
+	counts map[string]rollout.Counts
+	token  int64
+	writes int
+}
+
+func (w *driverWorld) Update(_ context.Context, _ string, change func([]byte) ([]byte, error)) (document.Item, error) {
+	data, err := change(w.stored)
+	if err != nil {
+		return document.Item{}, err
+	}
+	w.stored = data
+	w.writes++
+	return document.Item{Data: data, Revision: int64(w.writes)}, nil
+}
+
+func (w *driverWorld) Collect(context.Context) map[string]rollout.Counts { return w.counts }
+
+func (w *driverWorld) Held(time.Duration) (int64, bool) { return w.token, true }
+
+func snapshot(t *testing.T) *config.Snapshot {
+	c := config.Config{
+		Pools: []config.Pool{{Name: "p", Servers: []config.Server{{Name: "s", URL: "http://127.0.0.1:1", Slots: 1}}}},
+		Models: []config.Model{{
+			Name:     "m",
+			Versions: []config.Version{{Name: "v1", Pool: "p"}, {Name: "v2", State: config.VersionRollingOut, Pool: "p"}},
+			Rollout:  &config.Rollout{Version: "v2", Stages: []config.Stage{{Share: 0.1, MinSamples: 10}, {Share: 1, MinSamples: 10}}, Guards: guards},
+		}},
+	}
+	source, err := json.Marshal(c)
+	must.NoError(t, err)
+	s, faults := config.NewSnapshot(config.Document{Revision: 1, Source: string(source)})
+	must.SliceEmpty(t, faults)
+	return s
+}
+
+// TestDriver moves a roll-out on, hands it to another driver in the middle,
+// and fences off a driver that was paused.
+func TestDriver(t *testing.T) {
+	w := &driverWorld{token: 5, counts: map[string]rollout.Counts{}}
+	s := snapshot(t)
+	newDriver := func() *rollout.Driver {
+		return rollout.NewDriver("rollouts", w, w, w, func() *config.Snapshot { return s }, timer.New())
+	}
+	progress := func() rollout.Progress {
+		stages, err := rollout.DecodeStages(w.stored)
+		must.NoError(t, err)
+		return stages.Models["m"]
+	}
+	step := func(d *rollout.Driver, token int64, answers, bad int64) {
+		w.counts["n1"] = rollout.Counts{"m@v2": {Answers: answers, Bad: bad}, "m@v1": {Answers: 1000, Bad: 50}}
+		d.Step(t.Context(), token)
+	}
+	first, second := newDriver(), newDriver()
+	step(first, 5, 0, 0)
+	must.Eq(t, rollout.Progress{Version: "v2", Stage: 0, Since: progress().Since, Reason: "started"}, progress())
+	step(first, 5, 10, 0)
+	must.Eq(t, 1, progress().Stage)
+	step(second, 7, 12, 0)
+	must.Eq(t, 1, progress().Stage, must.Sprint("the new driver goes on where the roll-out was"))
+	step(second, 7, 20, 0)
+	must.Eq(t, rollout.VerdictComplete, progress().Verdict)
+
+	w.stored = []byte(`{"token": 9, "models": {"m": {"version": "v2"}}}`)
+	before := string(w.stored)
+	step(first, 5, 50, 50)
+	must.Eq(t, before, string(w.stored), must.Sprint("a driver with an older token must not write"))
+	step(newDriver(), 9, 100, 60)
+	must.Eq(t, rollout.VerdictStopped, progress().Verdict)
+}
+
+// TestPick lists who gets which version.
+func TestPick(t *testing.T) {
+	m := snapshot(t).Model("m")
+	all := func(string) bool { return true }
+	tests := []struct {
+		name    string
+		stages  string
+		allowed func(string) bool
+		want    float64
+	}{
+		{"no stage yet", `{}`, all, 0},
+		{"first stage", `{"models": {"m": {"version": "v2"}}}`, all, 0.1},
+		{"complete", `{"models": {"m": {"version": "v2", "stage": 1, "verdict": "complete"}}}`, all, 1},
+		{"stopped", `{"models": {"m": {"version": "v2", "verdict": "stopped"}}}`, all, 0},
+		{"stage of another version", `{"models": {"m": {"version": "v0", "verdict": "complete"}}}`, all, 0},
+		{"only the candidate allowed", `{"models": {"m": {"version": "v2"}}}`, func(v string) bool { return v == "v2" }, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := rollout.NewPicker()
+			must.NoError(t, p.Take(document.Item{Data: []byte(tt.stages), Revision: 1}))
+			got := 0
+			const keys = 2000
+			for i := range keys {
+				v, err := p.Pick(m, fmt.Sprint(i), tt.allowed)
+				must.NoError(t, err)
+				if v.Name == "v2" {
+					got++
+				}
+			}
+			must.Between(t, tt.want-0.03, float64(got)/keys, tt.want+0.03)
+		})
+	}
+}
