route: let a stale report give way to the pool's usual load, within a service time

Cause: (1) the observed time of a request included its wait, so a loaded server's speed was counted twice and, once avoided, stayed bad; (2) the discounted report went towards zero, so a loaded server looked idle to every node at once, and the half-life of 500 ms was five service times long; (3) at 2,800 servers and 480 nodes a subset of 20 per node left 3 in 100 servers without any node. Change: the speed is what a request would take on the idle server; a report gives way to the pool's mean load within one service time; each server picks its nodes, so none is left out.

--- a/node/backends.go
+++ b/node/backends.go
@@ -14,14 +14,9 @@
 	"github.com/violettally/violettally/settings"
 )
 
-const (
-	// loadServers is how many servers of each pool a node asks for their
-	// load; the chooser uses the same subset.
-	loadServers = 20
-	// overcommit lets a node use more than its even part of a pool, since
-	// callers do not spread evenly over nodes.
-	overcommit = 1.25
-)
+// overcommit lets a node use more than its even part of a pool, since callers do
+// not spread evenly over nodes.
+const overcommit = 1.25
 
 // backends follows the backend servers' load and keeps a queue per pool.
 type backends struct {
@@ -74,7 +69,7 @@
 	defer ticks.Stop()
 	for {
 		for _, pool := range b.n.Config().Pools() {
-			for _, server := range route.Subset(b.n.self.ID, pool.Servers, loadServers) {
+			for _, server := range b.chooser.Subset(pool.Name, pool.Servers) {
 				b.ask(ctx, pool.Name, server)
 			}
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -183,7 +183,11 @@
 		lease.WithCandidates(n.mayDrive))
 	n.driver = rollout.NewDriver(spread.Rollouts, n.spreader, collector{n}, n.leases, n.Config, n.timers)
 	engines := engine.New(engine.WithMaxBytes(s.Bounds.AnswerBytes))
-	chooser := route.New(n.self.ID, route.WithLeaving(n.vms.Leaving), route.WithBreakerCounter(n.metrics.BreakerOpened))
+	chooser := route.New(n.self.ID,
+		route.WithLeaving(n.vms.Leaving),
+		route.WithNodes(n.sharers),
+		route.WithBreakerCounter(n.metrics.BreakerOpened),
+	)
 	n.backends = newBackends(n, engines, chooser)
 	n.loads = placement.New(n.backends, n.leases, n.Config, n.shareOf, n.timers)
 	n.dispatch = dispatch.New(dispatch.Parts{
--- a/node/peers.go
+++ b/node/peers.go
@@ -46,6 +46,15 @@
 	n.spreader.Heard(h.Peer, h.Revisions)
 }
 
+// sharers returns the nodes among which the backend servers are shared out.
+func (n *Node) sharers() (epoch int64, ids []string) {
+	v := n.keeper.Current()
+	for _, m := range v.Members() {
+		ids = append(ids, m.ID)
+	}
+	return v.Epoch(), ids
+}
+
 // onDuty reports whether this node is the first of its region that answers.
 // What such a node does is safe when two believe to be it.
 func (n *Node) onDuty() bool { return n.rank() == 0 && n.replica.Settled() }
--- a/route/route.go
+++ b/route/route.go
@@ -23,8 +23,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/internal/errs"
 )
@@ -53,18 +51,18 @@
 )
 
 const (
-	// subsetSize is how many servers of a pool a node uses.
-	subsetSize = 20
 	// candidates are drawn at random for each choice.
 	candidates = 3
-	// reportHalfLife discounts a load report by its age.
-	reportHalfLife = 500 * time.Millisecond
 	// speedMemory is the weight of one answer in a server's observed speed.
 	speedMemory = 0.1
 	// startService is the assumed time of a request on an unknown server.
 	startService = 200 * time.Millisecond
+	// speedHalfLife is how soon an observed speed is forgotten.
+	speedHalfLife = 10 * time.Second
 	// cacheShare is the part of a request's time that a cached prefix saves.
 	cacheShare = 0.3
+	// crowdingShare is how much a full batch slows down each request in it.
+	crowdingShare = 0.3
 	// cacheEntries bounds the prefixes remembered per server.
 	cacheEntries = 512
 )
@@ -100,6 +98,9 @@
 	return func(c *Chooser) { c.leaving = leaving }
 }
 
+// WithNodes names the source of the nodes that share the servers.
+func WithNodes(nodes Nodes) Option { return func(c *Chooser) { c.nodes = nodes } }
+
 // WithBreakerCounter counts the servers taken out.
 func WithBreakerCounter(count func(server string)) Option {
 	return func(c *Chooser) { c.opened = count }
@@ -111,18 +112,24 @@
 	node    string
 	leaving func(server string) bool
 	opened  func(server string)
+	nodes   Nodes
 
 	mu      sync.Mutex
 	servers map[string]*server
+	subsets map[string]*subset
 }
 
 // server is what this node knows of one backend server.
 type server struct {
 	inflight int
 	report   Report
-	mean     time.Duration
-	breaker  breaker
-	cache    map[uint64]time.Time
+	// ownAtReport is the part of the reported load that is this node's.
+	ownAtReport int
+	// speed is the time of a request on the idle server, as last observed.
+	speed   time.Duration
+	usedAt  time.Time
+	breaker breaker
+	cache   map[uint64]time.Time
 }
 
 // New returns a chooser that knows no server.
@@ -131,7 +138,9 @@
 		node:    node,
 		leaving: func(string) bool { return false },
 		opened:  func(string) {},
+		nodes:   func() (int64, []string) { return 0, []string{node} },
 		servers: make(map[string]*server),
+		subsets: make(map[string]*subset),
 	}
 	for _, option := range options {
 		option(c)
@@ -145,6 +154,9 @@
 	server  config.Server
 	key     string
 	prefix  uint64
+	// stretch is how much longer than on the idle server the request was
+	// expected to take.
+	stretch float64
 	once    sync.Once
 }
 
@@ -165,18 +177,22 @@
 	if len(usable) == 0 {
 		return nil, errs.New(NoServer, "choose", "pool %s has no server for %s", r.Pool, r.EngineModel)
 	}
-	best, bestCost := -1, math.Inf(1)
+	pool := c.average(r.Pool, usable)
+	best, bestCost, bestStretch := -1, math.Inf(1), 1.0
 	for _, i := range c.draw(r, usable) {
-		if cost := c.cost(r, usable[i], now); cost < bestCost {
-			best, bestCost = i, cost
+		s := c.server(serverKey(r.Pool, usable[i].Name))
+		stretch := s.stretch(usable[i].Slots, r.Prefix, pool, now)
+		if cost := s.expected(pool, now) * stretch; cost < bestCost {
+			best, bestCost, bestStretch = i, cost, stretch
 		}
 	}
 	chosen := usable[best]
 	key := serverKey(r.Pool, chosen.Name)
 	s := c.server(key)
 	s.inflight++
+	s.usedAt = now
 	s.breaker.begin(now)
-	return &Attempt{chooser: c, server: chosen, key: key, prefix: r.Prefix}, nil
+	return &Attempt{chooser: c, server: chosen, key: key, prefix: r.Prefix, stretch: bestStretch}, nil
 }
 
 func serverKey(pool, name string) string { return pool + "/" + name }
@@ -184,7 +200,7 @@
 func (c *Chooser) server(key string) *server {
 	s := c.servers[key]
 	if s == nil {
-		s = &server{mean: startService, cache: make(map[uint64]time.Time)}
+		s = &server{speed: startService, cache: make(map[uint64]time.Time)}
 		c.servers[key] = s
 	}
 	return s
@@ -193,7 +209,7 @@
 // usable returns the servers of this node's subset that may take the request;
 // if there are none, those of the whole pool.
 func (c *Chooser) usable(r Request, now time.Time) []config.Server {
-	usable := c.filter(r, Subset(c.node, r.Servers, subsetSize), now)
+	usable := c.filter(r, c.subset(r.Pool, r.Servers), now)
 	if len(usable) == 0 {
 		usable = c.filter(r, r.Servers, now)
 	}
@@ -247,30 +263,57 @@
 	return drawn
 }
 
-// cost is the expected time until the request is done, in seconds.
-func (c *Chooser) cost(r Request, candidate config.Server, now time.Time) float64 {
-	s := c.server(serverKey(r.Pool, candidate.Name))
-	service := s.mean.Seconds()
-	if _, cached := s.cache[r.Prefix]; cached && r.Prefix != 0 {
-		service *= 1 - cacheShare
+// average is what is usual among the servers of a pool.
+type average struct {
+	// others is the load by other nodes per server, speed as in server, in
+	// seconds.
+	others, speed float64
+}
+
+func (c *Chooser) average(pool string, servers []config.Server) average {
+	var sum average
+	for _, candidate := range servers {
+		s := c.server(serverKey(pool, candidate.Name))
+		sum.others += s.others()
+		sum.speed += s.speed.Seconds()
 	}
-	ahead := math.Max(float64(s.inflight), s.reported(now))
-	queued := math.Max(0, ahead+1-float64(candidate.Slots)) / float64(candidate.Slots)
-	// Below its slots a batching engine still slows down with its load.
-	crowding := ahead / float64(candidate.Slots) * crowdingShare
-	return service * (1 + queued + crowding)
+	n := float64(len(servers))
+	return average{others: sum.others / n, speed: sum.speed / n}
 }
 
-// crowdingShare is how much a full batch slows down each request in it.
-const crowdingShare = 0.5
+// others returns the load that other nodes put on the server when it last
+// reported.
+func (s *server) others() float64 {
+	return math.Max(0, float64(s.report.Running+s.report.Waiting-s.ownAtReport))
+}
 
-// reported returns the reported load, discounted by its age.
-func (s *server) reported(now time.Time) float64 {
-	if s.report.At.IsZero() {
-		return 0
+// expected returns the time of a request on the idle server, in seconds. What
+// was observed long ago gives way to what is usual in the pool, so that a
+// server that was slow once is tried again.
+func (s *server) expected(pool average, now time.Time) float64 {
+	return pool.speed + (s.speed.Seconds()-pool.speed)*fresh(now.Sub(s.usedAt), speedHalfLife)
+}
+
+// stretch returns how much longer a request takes than on the idle server. The
+// node's own work there is known; what others put there gives way, as the
+// report ages, to what is usual in the pool. Were it to give way to zero, a
+// loaded server would look idle to every node at once.
+func (s *server) stretch(slots int, prefix uint64, pool average, now time.Time) float64 {
+	weight := fresh(now.Sub(s.report.At), time.Duration(pool.speed*float64(time.Second)))
+	ahead := float64(s.inflight) + weight*s.others() + (1-weight)*pool.others
+	queued := math.Max(0, ahead+1-float64(slots)) / float64(slots)
+	// Below its slots a batching engine still slows down with its load.
+	crowding := math.Min(1, ahead/float64(slots)) * crowdingShare
+	stretch := 1 + queued + crowding
+	if _, cached := s.cache[prefix]; cached && prefix != 0 {
+		stretch -= cacheShare
 	}
-	age := now.Sub(s.report.At).Seconds() / reportHalfLife.Seconds()
-	return float64(s.report.Running+s.report.Waiting) * math.Exp2(-age)
+	return stretch
+}
+
+// fresh is the weight of what is known since age, from 1 to 0.
+func fresh(age, halfLife time.Duration) float64 {
+	return math.Exp2(-age.Seconds() / halfLife.Seconds())
 }
 
 func (c *Chooser) end(a *Attempt, outcome Outcome, took time.Duration) {
@@ -281,7 +324,8 @@
 	now := time.Now()
 	switch outcome {
 	case OutcomeOK:
-		s.mean += time.Duration(speedMemory * float64(took-s.mean))
+		idle := time.Duration(float64(took) / a.stretch)
+		s.speed += time.Duration(speedMemory * float64(idle-s.speed))
 		s.breaker.succeed()
 		s.remember(a.prefix, now)
 	case OutcomeFailed:
@@ -316,7 +360,8 @@
 func (c *Chooser) Observe(pool, name string, report Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.server(serverKey(pool, name)).report = report
+	s := c.server(serverKey(pool, name))
+	s.report, s.ownAtReport = report, s.inflight
 }
 
 // Holding returns the models that a server last reported.
@@ -325,34 +370,3 @@
 	defer c.mu.Unlock()
 	return c.server(serverKey(pool, name)).report.Models
 }
-
-// Subset returns the n servers of a pool that a node uses, by rendezvous
-// hashing, so that each server is used by few nodes and the choice is stable
-// while servers come and go.
-func Subset(node string, servers []config.Server, n int) []config.Server {
-	if len(servers) <= n {
-		return servers
-	}
-	type scored struct {
-		score  uint64
-		server config.Server
-	}
-	var best []scored
-	for _, s := range servers {
-		score := xxhash.Sum64String(node + "/" + s.Name)
-		at := len(best)
-		for at > 0 && best[at-1].score < score {
-			at--
-		}
-		if at == n {
-			continue
-		}
-		best = append(best[:at], append([]scored{{score, s}}, best[at:]...)...)
-		best = best[:min(n, len(best))]
-	}
-	subset := make([]config.Server, len(best))
-	for i, b := range best {
-		subset[i] = b.server
-	}
-	return subset
-}
--- a/view/view.go
+++ b/view/view.go
@@ -14,14 +14,12 @@
 
 import (
 	"encoding/json"
-	"math/bits"
 	"slices"
 	"sort"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/rendezvous"
 )
 
 var (
@@ -87,7 +85,7 @@
 	v := &View{stored: d, byID: make(map[string]int, len(d.Members)), hashes: make([]uint64, len(d.Members))}
 	for i, m := range d.Members {
 		v.byID[m.ID] = i
-		v.hashes[i] = xxhash.Sum64String(m.ID)
+		v.hashes[i] = rendezvous.Hash(m.ID)
 	}
 	return v
 }
@@ -205,7 +203,7 @@
 // rank returns up to n members of a region, highest score first, those of
 // data halls that are not yet among them before the rest.
 func (v *View) rank(region, key string, n int, filter func(id string) bool) []Member {
-	keyHash := xxhash.Sum64String(key)
+	keyHash := rendezvous.Hash(key)
 	chosen := make([]int, 0, n)
 	for pass := 0; pass < 2 && len(chosen) < n; pass++ {
 		for len(chosen) < n {
@@ -230,7 +228,7 @@
 		if m.Region != region {
 			continue
 		}
-		score := mix(keyHash, v.hashes[i])
+		score := rendezvous.Score(keyHash, v.hashes[i])
 		if best >= 0 && score <= bestScore {
 			continue
 		}
@@ -250,11 +248,3 @@
 	}
 	return false
 }
-
-// mix folds two hashes into one score by a 128-bit product.
-func mix(a, b uint64) uint64 {
-	const odd = 0x9e3779b97f4a7c15
-	hi, lo := bits.Mul64(a^b^odd, bits.RotateLeft64(a, 32)|1)
-	hi2, lo2 := bits.Mul64(hi^lo^b, odd)
-	return hi2 ^ lo2
-}
