--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -24,6 +24,18 @@
 	halls: 3, perHall: 2, engines: 2, plain: 1,
 	engineArgs: []string{"--token-ms", "1", "--tokens", fmt.Sprint(answerSize), "--fencing"},
 	plainArgs:  []string{"--delay-ms", "5"},
+	declare:    rollingOut,
+}
+
+// rollingOut has a roll-out under way, whose stages move on while the workload
+// runs, so that a session that is not pinned would change its version.
+func rollingOut(c *config.Config) {
+	c.Models[1].Versions[1].State = config.VersionRollingOut
+	c.Models[1].Rollout = &config.Rollout{
+		Version: "v2",
+		Stages:  []config.Stage{{Share: 0.3, MinSamples: 15}, {Share: 0.7, MinSamples: 15}, {Share: 1, MinSamples: 100_000}},
+		Guards:  config.Guards{BadRating: 0.1, MaxBadIncrease: 0.9, FalseAlarm: 0.001},
+	}
 }
 
 // faultTime is how long a fault lasts while the workload goes on.
@@ -230,7 +242,7 @@
 // their requests may be cut.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, shape{halls: 3, perHall: 1, engines: 2, plain: 1, engineArgs: faultShape.engineArgs})
+	f := newFleet(t, shape{halls: 3, perHall: 1, engines: 2, plain: 1, engineArgs: faultShape.engineArgs, declare: rollingOut})
 	w := startWorkload(f, 7)
 	w.flow()
 	for _, n := range f.nodes {
@@ -262,7 +274,6 @@
 func TestWithdrawn(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, faultShape)
-	f.apply(f.declaration(func(c *config.Config) { c.Models[1].Versions[1].State = config.VersionRetired }))
 	w := startWorkload(f, 11)
 	w.flow()
 	f.nodes[5].freeze()
@@ -271,10 +282,10 @@
 		c.Models[1].Versions[1].State = config.VersionInService
 	}))
 	f.fault(f.kv, standin.Fault{Down: true})
-	f.waitFor("the withdrawal everywhere", func() bool { return f.revisionEverywhere(3, f.nodes[:5]...) })
+	f.waitFor("the withdrawal everywhere", func() bool { return f.revisionEverywhere(2, f.nodes[:5]...) })
 	inForce := time.Now()
 	f.nodes[5].thaw()
-	f.waitFor("the withdrawal at the node that was frozen", func() bool { return f.revisionEverywhere(3, f.nodes[5]) })
+	f.waitFor("the withdrawal at the node that was frozen", func() bool { return f.revisionEverywhere(2, f.nodes[5]) })
 	late := time.Now()
 	w.flow()
 	f.fault(f.kv, standin.Fault{})
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -65,7 +65,12 @@
 	lastPort  = 32_000
 )
 
-var nextPort atomic.Int32
+var (
+	nextPort atomic.Int32
+	// forking keeps a process that is being started from holding a listener of
+	// freeAddress open between its fork and its exec.
+	forking sync.Mutex
+)
 
 // freeAddress returns an address that nothing listens on.
 func freeAddress(t testing.TB) string {
@@ -73,8 +78,7 @@
 	for range lastPort - firstPort {
 		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if listener, err := net.Listen("tcp", address); err == nil {
-			listener.Close()
+		if isFree(address) {
 			return address
 		}
 	}
@@ -82,6 +86,17 @@
 	return ""
 }
 
+func isFree(address string) bool {
+	forking.Lock()
+	defer forking.Unlock()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	listener.Close()
+	return true
+}
+
 // process is one process that the test started.
 type process struct {
 	t    testing.TB
@@ -98,7 +113,10 @@
 	must.NoError(t, err)
 	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binaries, binary), args...), log: logFile, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	must.NoError(t, p.cmd.Start())
+	forking.Lock()
+	err = p.cmd.Start()
+	forking.Unlock()
+	must.NoError(t, err)
 	go func() {
 		_ = p.cmd.Wait()
 		out.Close()
@@ -184,6 +202,8 @@
 	plainArgs  []string
 	// tls lets the peers speak mutual TLS.
 	certificates func(name string) (certificate, key, authority string)
+	// declare changes the first configuration.
+	declare func(*config.Config)
 }
 
 var usual = shape{halls: 3, perHall: 1, engines: 2, plain: 1, engineArgs: []string{"--token-ms", "1"}}
@@ -217,7 +237,7 @@
 		}
 	}
 	f.waitFor("a node's operator door", func() bool { return f.get(f.nodes[0].operator, "/health") != nil })
-	f.apply(f.declaration(nil))
+	f.apply(f.declaration(s.declare))
 	f.waitReady(f.nodes...)
 	return f
 }
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,218 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/ledger"
+	"github.com/violettally/violettally/timer"
+)
+
+var errDown = errors.New("down")
+
+// platform is a store that can be down or lose answers after the write.
+type platform struct {
+	data     map[string][]byte
+	revision map[string]int64
+	down     bool
+	lose     int
+}
+
+func newPlatform() *platform {
+	return &platform{data: make(map[string][]byte), revision: make(map[string]int64)}
+}
+
+func (p *platform) Get(_ context.Context, key string) ([]byte, int64, error) {
+	if p.down {
+		return nil, 0, errDown
+	}
+	return p.data[key], p.revision[key], nil
+}
+
+func (p *platform) Swap(_ context.Context, key string, data []byte, expected int64) (int64, bool, error) {
+	if p.down {
+		return 0, false, errDown
+	}
+	if p.revision[key] != expected {
+		return 0, false, nil
+	}
+	p.data[key] = data
+	p.revision[key]++
+	if p.lose > 0 {
+		p.lose--
+		return 0, false, errDown
+	}
+	return p.revision[key], true, nil
+}
+
+func (p *platform) Journals(context.Context) ([]ledger.Account, error) {
+	var all []ledger.Account
+	for key, data := range p.data {
+		a, err := ledger.Decode(data, key[len(ledger.Prefix):])
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, a)
+	}
+	return all, nil
+}
+
+// total returns what the platform has for the one line of these tests.
+func (p *platform) total(t *testing.T) int64 {
+	journals, err := p.Journals(t.Context())
+	must.NoError(t, err)
+	return ledger.Total(journals)["desk/brief@v1"].Requests
+}
+
+// replicas remember bills and sums.
+type replicas struct {
+	checkpoint ledger.Account
+	bills      []ledger.Remembered
+	rebilled   int
+	complete   bool
+}
+
+func (r *replicas) Checkpoint(_ context.Context, a ledger.Account) bool {
+	r.checkpoint = a
+	return true
+}
+
+func (r *replicas) Recall(context.Context, string) (ledger.Account, []ledger.Remembered, bool) {
+	return r.checkpoint, r.bills, r.complete
+}
+
+func (r *replicas) Gone() []string { return nil }
+
+func (r *replicas) Rebill(context.Context, ledger.Bill) error {
+	r.rebilled++
+	return nil
+}
+
+var bill = ledger.Bill{Account: "desk", Model: "brief", Version: "v1", PromptTokens: 2, CompletionTokens: 3, Cost: 4}
+
+func newJournal(p *platform, r *replicas) *ledger.Journal {
+	return ledger.New("n#1", p, r, timer.New(), func() time.Duration { return time.Hour })
+}
+
+// enter bills n requests and remembers each at the replicas.
+func enter(j *ledger.Journal, r *replicas, n int) {
+	for range n {
+		sequence := j.Begin()
+		j.Enter(sequence, bill)
+		r.bills = append(r.bills, ledger.Remembered{Sequence: sequence, Bill: bill, Won: true})
+	}
+}
+
+// TestFold folds under each fault of the platform: every bill counts once.
+func TestFold(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(p *platform)
+		// safe is what need not be remembered after a fold under the fault.
+		safe int64
+	}{
+		{"platform well", func(*platform) {}, 5},
+		{"an answer lost after the write", func(p *platform) { p.lose = 1 }, 5},
+		{"all answers lost for a while", func(p *platform) { p.lose = 5 }, 5},
+		{"platform down: summed up at peers", func(p *platform) { p.down = true }, 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, r := newPlatform(), &replicas{}
+			j := newJournal(p, r)
+			enter(j, r, 5)
+			tt.fault(p)
+			_ = j.Fold(t.Context())
+			must.Eq(t, tt.safe, j.Safe())
+			p.down, p.lose = false, 0
+			must.NoError(t, j.Fold(t.Context()))
+			must.Eq(t, 5, p.total(t), must.Sprint("also without a new bill"))
+			enter(j, r, 2)
+			must.NoError(t, j.Fold(t.Context()))
+			must.Eq(t, 7, p.total(t))
+		})
+	}
+}
+
+// TestGaps folds only what is contiguous, and passes over what was given up.
+func TestGaps(t *testing.T) {
+	p, r := newPlatform(), &replicas{}
+	j := newJournal(p, r)
+	first := j.Begin()
+	enter(j, r, 3)
+	must.NoError(t, j.Fold(t.Context()))
+	must.Eq(t, 0, p.total(t))
+	j.Skip(first)
+	must.True(t, j.GaveUp(first))
+	must.NoError(t, j.Fold(t.Context()))
+	must.Eq(t, 3, p.total(t))
+}
+
+// TestClose closes a gone node's journal from what replicas remember.
+func TestClose(t *testing.T) {
+	tests := []struct {
+		name  string
+		setup func(p *platform, r *replicas, j *ledger.Journal)
+		want  int64
+		again int
+	}{
+		{"never folded", func(*platform, *replicas, *ledger.Journal) {}, 5, 0},
+		{"folded in part", func(p *platform, r *replicas, j *ledger.Journal) {
+			_ = j.Fold(context.Background())
+			enter(j, r, 3)
+		}, 8, 0},
+		{"summed up at peers in an outage", func(p *platform, r *replicas, j *ledger.Journal) {
+			p.down = true
+			_ = j.Fold(context.Background())
+			p.down = false
+			enter(j, r, 3)
+			r.bills = r.bills[5:]
+		}, 8, 0},
+		{"a bill that may not have been won", func(_ *platform, r *replicas, _ *ledger.Journal) {
+			r.bills[4].Won = false
+		}, 4, 1},
+		{"the answer lost after the write", func(p *platform, _ *replicas, _ *ledger.Journal) { p.lose = 1 }, 5, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, r := newPlatform(), &replicas{complete: true}
+			j := newJournal(p, r)
+			enter(j, r, 5)
+			tt.setup(p, r, j)
+			closer := ledger.NewCloser(p, r, func(string) bool { return false }, func() bool { return true }, timer.New())
+			must.NoError(t, closer.Close(t.Context(), "n#1"))
+			must.Eq(t, tt.want, p.total(t))
+			must.Eq(t, tt.again, r.rebilled)
+			must.NoError(t, closer.Close(t.Context(), "n#1"))
+			must.Eq(t, tt.want, p.total(t), must.Sprint("closing twice adds nothing"))
+		})
+	}
+}
+
+// TestPausedOwner closes a journal whose owner was only paused: what the
+// closer did not find goes into a new journal, and nothing counts twice.
+func TestPausedOwner(t *testing.T) {
+	p, r := newPlatform(), &replicas{complete: true}
+	j := newJournal(p, r)
+	enter(j, r, 5)
+	closer := ledger.NewCloser(p, r, func(string) bool { return false }, func() bool { return true }, timer.New())
+	must.NoError(t, closer.Close(t.Context(), "n#1"))
+	enter(j, r, 2)
+	must.Error(t, j.Fold(t.Context()))
+	must.NoError(t, j.Fold(t.Context()))
+	must.Eq(t, "n#1+", j.Name())
+	must.Eq(t, 7, p.total(t))
+}
+
+// TestNotComplete waits while replicas are missing that may know more.
+func TestNotComplete(t *testing.T) {
+	p, r := newPlatform(), &replicas{}
+	enter(newJournal(p, r), r, 5)
+	closer := ledger.NewCloser(p, r, func(string) bool { return false }, func() bool { return true }, timer.New())
+	must.NoError(t, closer.Close(t.Context(), "n#1"))
+	must.MapEmpty(t, p.data)
+}
