claim: a won claim is told to the third replica; spread: documents are fetched once, compressed

Cause (claim): a pin was held by two of three replicas, so after the death of one of them no other node could see that it was won until the view changed (10 s and more), and refused the session. Change: the replica that was not needed is told beside the caller; claims that nobody comes back to go without. Cost: one message for each session's first request and each request with an id of its own. Change: peers are told the revision and fetch once; documents are gzipped at the platform and between nodes.

--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -96,8 +96,10 @@
 	pool  *drpcpool.Pool[string, drpcpool.Conn]
 	calls func(call string, sent int)
 	self  string
-	node  Node
-	local *claim.Replica
+	// address is this node's own peer address.
+	address string
+	node    Node
+	local   *claim.Replica
 }
 
 // Option changes a Client as NewClient makes it.
@@ -124,8 +126,8 @@
 
 // SetLocal names this node, whose own calls stay inside. It must be called
 // before the first call.
-func (c *Client) SetLocal(self string, node Node, replica *claim.Replica) {
-	c.self, c.node, c.local = self, node, replica
+func (c *Client) SetLocal(self, address string, node Node, replica *claim.Replica) {
+	c.self, c.address, c.node, c.local = self, address, node, replica
 }
 
 // TLS returns the configuration of this node's peer door; nil for plain TCP.
@@ -197,7 +199,7 @@
 	}
 	defer conn.Close()
 	var out empty
-	if err := conn.Invoke(ctx, callPush, codec{}, &pushRequest{}, &out); err != nil {
+	if err := conn.Invoke(ctx, callNotify, codec{}, &notifyRequest{}, &out); err != nil {
 		return errs.Wrap(Unreachable, "reach", err, "peer %s", address)
 	}
 	return nil
@@ -209,9 +211,9 @@
 	return reply.Items, err
 }
 
-// Push gives a peer a newer document.
-func (c *Client) Push(ctx context.Context, address, name string, item document.Item) error {
-	_, err := invoke[pushRequest, empty](ctx, c, address, callPush, pushRequest{Name: name, Item: item})
+// Notify tells a peer which revisions this node has.
+func (c *Client) Notify(ctx context.Context, address string, revisions map[string]int64) error {
+	_, err := invoke[notifyRequest, empty](ctx, c, address, callNotify, notifyRequest{From: c.address, Revisions: revisions})
 	return err
 }
 
--- a/adapter/peer/messages.go
+++ b/adapter/peer/messages.go
@@ -13,7 +13,7 @@
 	callProbe      = "probe"
 	callProbeVia   = "probe_via"
 	callFetch      = "fetch"
-	callPush       = "push"
+	callNotify     = "notify"
 	callClaim      = "claim"
 	callLookup     = "lookup"
 	callAdvance    = "advance"
@@ -43,9 +43,10 @@
 	Items map[string]document.Item `cbor:"1,keyasint"`
 }
 
-type pushRequest struct {
-	Name string        `cbor:"1,keyasint"`
-	Item document.Item `cbor:"2,keyasint"`
+type notifyRequest struct {
+	// From is the sender's peer address.
+	From      string           `cbor:"1,keyasint"`
+	Revisions map[string]int64 `cbor:"2,keyasint"`
 }
 
 type releaseRequest struct {
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -31,7 +31,7 @@
 type Node interface {
 	Probe(h member.Heartbeat) member.Heartbeat
 	Newer(known map[string]int64) map[string]document.Item
-	Offer(name string, item document.Item)
+	Heard(address string, revisions map[string]int64)
 	Grant(ask limit.Ask) limit.Grant
 	Counts() (node string, counts rollout.Counts)
 	Recall(journal string) RecallReply
@@ -59,8 +59,8 @@
 		callFetch: handle(func(_ context.Context, r fetchRequest) (fetchReply, error) {
 			return fetchReply{Items: node.Newer(r.Known)}, nil
 		}),
-		callPush: handle(func(_ context.Context, r pushRequest) (empty, error) {
-			node.Offer(r.Name, r.Item)
+		callNotify: handle(func(_ context.Context, r notifyRequest) (empty, error) {
+			node.Heard(r.From, r.Revisions)
 			return empty{}, nil
 		}),
 		callClaim:  handle(func(_ context.Context, r claim.Request) (claim.Reply, error) { return replica.Claim(r), nil }),
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -27,6 +27,8 @@
 	views Views
 	peers Transport
 	count func(Verdict)
+	// beside runs what goes on beside the caller.
+	beside func(task func())
 }
 
 // ClaimerOption changes a Claimer as NewClaimer makes it.
@@ -37,9 +39,15 @@
 	return func(c *Claimer) { c.count = count }
 }
 
+// WithTasks replaces how tasks are run beside the caller, for tests that need
+// one order of things.
+func WithTasks(beside func(task func())) ClaimerOption {
+	return func(c *Claimer) { c.beside = beside }
+}
+
 // NewClaimer returns a claimer.
 func NewClaimer(views Views, peers Transport, options ...ClaimerOption) *Claimer {
-	c := &Claimer{views: views, peers: peers, count: func(Verdict) {}}
+	c := &Claimer{views: views, peers: peers, count: func(Verdict) {}, beside: func(task func()) { go task() }}
 	for _, option := range options {
 		option(c)
 	}
@@ -186,6 +194,7 @@
 		reply, err := c.ask(ctx, m, Request{Epoch: current.Epoch(), Replica: m.ID, Entry: e})
 		v.count(reply, err)
 		if v.granted >= need {
+			c.fill(replicas[len(v.asked):], Request{Epoch: current.Epoch(), Entry: e})
 			return Outcome{Won: true, Token: e.Token, LostBefore: v.lostBefore}, false, nil
 		}
 		other, n := v.leading()
@@ -207,6 +216,19 @@
 	return Outcome{}, v.again, errs.New(Unreachable, "claim", "no vote for %s of %d replicas", e.Key, len(replicas))
 }
 
+// fill lets the replicas that were not needed for a win know of it, beside the
+// caller, so that whoever asks while one of the others does not answer can
+// still see that the claim was won. Claims that nobody waits for go without.
+func (c *Claimer) fill(rest []view.Member, r Request) {
+	if r.Entry.Soft || r.Entry.Key.Kind == KindBill {
+		return
+	}
+	for _, m := range rest {
+		r.Replica = m.ID
+		c.beside(func() { _, _ = c.ask(context.Background(), m, r) })
+	}
+}
+
 func (c *Claimer) ask(ctx context.Context, m view.Member, r Request) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
 	defer cancel()
@@ -227,7 +249,7 @@
 // the holder finds out.
 func (c *Claimer) release(from []view.Member, key Key, token string) {
 	for _, m := range from {
-		go func() {
+		c.beside(func() {
 			for range releaseTries {
 				ctx, cancel := context.WithTimeout(context.Background(), voteTimeout)
 				err := c.peers.Release(ctx, m, key, token)
@@ -237,7 +259,7 @@
 				}
 			}
 			slog.Debug("release not delivered", "replica", m.ID, "key", key.String())
-		}()
+		})
 	}
 }
 
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -454,3 +454,52 @@
 		must.Eq(t, "brief@v1", r.header.Get("X-Model-Version"))
 	}
 }
+
+// TestSessionKeepsVersion moves a roll-out from its first stage to its last:
+// sessions keep the version that they began with, on every node, also after a
+// node was killed; new ones get the new version.
+func TestSessionKeepsVersion(t *testing.T) {
+	t.Parallel()
+	s := usual
+	s.declare = rollingOut
+	f := newFleet(t, s)
+	f.waitFor("the first stage", func() bool { return f.stage(f.nodes[1]) == 0 })
+	session := func(n *entry, name string) string {
+		r := f.chat(n, "brief", "in session "+name, "X-Session-Id", name)
+		must.True(t, r.whole(), must.Sprint(r.body))
+		return r.header.Get("X-Model-Version")
+	}
+	versions := make(map[string]string)
+	for i := range 30 {
+		name := fmt.Sprintf("s%d", i)
+		versions[name] = session(f.nodes[i%3], name)
+	}
+	f.waitFor("the last stage", func() bool {
+		for i := range 10 {
+			f.chat(f.nodes[1], "brief", fmt.Sprint(time.Now(), i))
+		}
+		return f.stage(f.nodes[1]) == 2
+	})
+	f.nodes[0].kill()
+	f.setVM(f.nodes[0].vm, "")
+	kept := make(map[string]int)
+	for name, version := range versions {
+		for _, n := range f.nodes[1:] {
+			must.Eq(t, version, session(n, name), must.Sprint("session "+name))
+		}
+		kept[version]++
+	}
+	must.Positive(t, kept["brief@v1"])
+	must.Eq(t, "brief@v2", session(f.nodes[2], "new"))
+}
+
+// stage returns the stage of the roll-out that a node knows; -1 for none.
+func (f *fleet) stage(n *entry) int {
+	_, out := f.operator(n, "show", "rollouts")
+	var progress map[string]struct{ Stage int }
+	_ = json.Unmarshal([]byte(out), &progress)
+	if p, ok := progress["brief"]; ok {
+		return p.Stage
+	}
+	return -1
+}
--- a/node/node.go
+++ b/node/node.go
@@ -166,7 +166,7 @@
 	n.journal = ledger.New(n.self.ID, n.store, n.bills, n.timers, n.foldInterval)
 	n.closer = ledger.NewCloser(n.store, n.bills, n.bills.isMember, n.onDuty, n.timers)
 	n.answers = answer.NewStore(n.timers, settings.Millis(s.Times.AnswerLifeMillis), s.Bounds.AnswerMemory)
-	n.client.SetLocal(n.self.ID, peerNode{n}, n.replica)
+	n.client.SetLocal(n.self.ID, n.self.Peer, peerNode{n}, n.replica)
 	n.peers = peer.NewServer(peerNode{n}, n.replica, n.client)
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -102,10 +102,8 @@
 	return p.n.spreader.Newer(known)
 }
 
-func (p peerNode) Offer(name string, item document.Item) {
-	if name != "" {
-		p.n.spreader.Offer(name, item)
-	}
+func (p peerNode) Heard(address string, revisions map[string]int64) {
+	p.n.spreader.Heard(address, revisions)
 }
 
 func (p peerNode) Grant(ask limit.Ask) limit.Grant { return p.n.grantor.Grant(ask) }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -2,10 +2,12 @@
 // stages) from the platform's key-value service to every node.
 //
 // A waiting watch costs the platform a call, so only [watchersPerHall] nodes
-// in each data hall hold one. Whoever learns of a newer document pushes it to
-// a few peers, which push it on; the revisions carried on heartbeats repair
-// what a push missed. A node moves only to higher revisions, so nothing ever
-// reverts. A node that starts during an outage takes the highest from peers.
+// in each data hall hold one. Whoever learns of a newer document tells a few
+// peers, which fetch it once and tell others; the revisions carried on
+// heartbeats repair what that missed. Documents are compressed at the platform
+// and between nodes, since a large configuration changes many times a day. A
+// node moves only to higher revisions, so nothing ever reverts. A node that
+// starts during an outage takes the highest from peers.
 //
 // # Usage
 //
@@ -58,8 +60,8 @@
 type Peers interface {
 	// Fetch asks a peer for the documents that are newer than known.
 	Fetch(ctx context.Context, address string, known map[string]int64) (map[string]document.Item, error)
-	// Push gives a peer a newer document.
-	Push(ctx context.Context, address, name string, item document.Item) error
+	// Notify tells a peer which revisions this node has.
+	Notify(ctx context.Context, address string, revisions map[string]int64) error
 }
 
 // Members tells which peers there are.
@@ -86,7 +88,9 @@
 	items       map[string]document.Item
 	subscribers map[string][]func(document.Item)
 	contact     time.Time
-	delivery    sync.Mutex
+	// fetching is the highest revision of each document that is being fetched.
+	fetching map[string]int64
+	delivery sync.Mutex
 }
 
 // New returns a spreader without documents.
@@ -97,6 +101,7 @@
 		timers:      timers,
 		items:       make(map[string]document.Item),
 		subscribers: make(map[string][]func(document.Item)),
+		fetching:    make(map[string]int64),
 	}
 }
 
@@ -121,7 +126,8 @@
 	return revisions
 }
 
-// Newer returns the documents that are newer than known.
+// Newer returns the documents that are newer than known, compressed as they
+// are stored.
 func (s *Spreader) Newer(known map[string]int64) map[string]document.Item {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,11 +140,11 @@
 	return newer
 }
 
-// Offer takes a document if it is newer than the known one, tells the
-// subscribers, and pushes it on to a few peers.
+// Offer takes a stored document if it is newer than the known one, tells the
+// subscribers, and a few peers.
 func (s *Spreader) Offer(name string, item document.Item) {
 	if s.take(name, item) {
-		go s.push(name, item)
+		go s.notify()
 	}
 }
 
@@ -152,36 +158,61 @@
 	}
 	s.items[name] = item
 	s.mu.Unlock()
+	plain, err := expand(item.Data)
+	if err != nil {
+		slog.Error("stored document cannot be read", "document", name, "revision", item.Revision, "error", err)
+		return true
+	}
 	for _, changed := range s.subscribers[name] {
-		changed(item)
+		changed(document.Item{Data: plain, Revision: item.Revision})
 	}
 	return true
 }
 
-func (s *Spreader) push(name string, item document.Item) {
+func (s *Spreader) notify() {
+	revisions := s.Revisions()
 	alive := s.members.Alive()
 	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
 	ctx, cancel := context.WithTimeout(context.Background(), repairInterval)
 	defer cancel()
-	var pushes sync.WaitGroup
+	var calls sync.WaitGroup
 	for _, m := range alive[:min(fanout, len(alive))] {
-		pushes.Go(func() {
-			if err := s.peers.Push(ctx, m.Peer, name, item); err != nil {
-				slog.Debug("push failed", "document", name, "peer", m.ID, "error", err)
+		calls.Go(func() {
+			if err := s.peers.Notify(ctx, m.Peer, revisions); err != nil {
+				slog.Debug("notice failed", "peer", m.ID, "error", err)
 			}
 		})
 	}
-	pushes.Wait()
+	calls.Wait()
 }
 
-// Heard compares the revisions that a peer's heartbeat carried with its own
-// and fetches what is newer.
+// Heard compares the revisions that a peer has with its own and fetches what
+// is newer, unless that is being fetched already.
 func (s *Spreader) Heard(address string, revisions map[string]int64) {
-	known := s.Revisions()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newer := make(map[string]int64)
 	for name, revision := range revisions {
-		if revision > known[name] {
-			go s.fetch(address)
-			return
+		if revision > max(s.items[name].Revision, s.fetching[name]) {
+			newer[name] = revision
+			s.fetching[name] = revision
+		}
+	}
+	if len(newer) > 0 {
+		go func() {
+			s.fetch(address)
+			s.fetched(newer)
+		}()
+	}
+}
+
+// fetched lets another peer be asked for what a fetch did not bring.
+func (s *Spreader) fetched(revisions map[string]int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, revision := range revisions {
+		if s.fetching[name] == revision {
+			delete(s.fetching, name)
 		}
 	}
 }
@@ -200,8 +231,19 @@
 }
 
 // Update changes a shared document at the platform and puts it in force here.
+// The change sees and makes the document as it is before compression.
 func (s *Spreader) Update(ctx context.Context, name string, change func(old []byte) ([]byte, error)) (document.Item, error) {
-	item, err := document.Update(ctx, s.store, Prefix+name, change)
+	item, err := document.Update(ctx, s.store, Prefix+name, func(old []byte) ([]byte, error) {
+		plain, err := expand(old)
+		if err != nil {
+			return nil, err
+		}
+		changed, err := change(plain)
+		if err != nil {
+			return nil, err
+		}
+		return compress(changed)
+	})
 	if err == nil || err == document.ErrUnchanged {
 		s.touch()
 		s.Offer(name, item)
--- /dev/null
+++ b/spread/spread_test.go
@@ -0,0 +1,281 @@
+package spread_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/spread"
+	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/view"
+)
+
+var errDown = errors.New("down")
+
+// platform is the shared documents in memory, with one watcher each.
+type platform struct {
+	mu       sync.Mutex
+	items    map[string]document.Item
+	revision int64
+	watchers map[int]func(string, document.Item)
+	down     bool
+	watches  int
+}
+
+func (p *platform) Get(_ context.Context, key string) ([]byte, int64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return nil, 0, errDown
+	}
+	return p.items[key].Data, p.items[key].Revision, nil
+}
+
+func (p *platform) Swap(_ context.Context, key string, data []byte, expected int64) (int64, bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return 0, false, errDown
+	}
+	if p.items[key].Revision != expected {
+		return 0, false, nil
+	}
+	p.revision++
+	p.items[key] = document.Item{Data: data, Revision: p.revision}
+	for _, changed := range p.watchers {
+		changed(key, p.items[key])
+	}
+	return p.revision, true, nil
+}
+
+func (p *platform) Shared(context.Context, string) (map[string]document.Item, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return nil, errDown
+	}
+	items := make(map[string]document.Item)
+	for key, item := range p.items {
+		items[key[len(spread.Prefix):]] = item
+	}
+	return items, nil
+}
+
+func (p *platform) WatchPrefix(ctx context.Context, _ string, _ int64, changed func(string, document.Item)) error {
+	p.mu.Lock()
+	p.watches++
+	id := p.watches
+	p.watchers[id] = changed
+	p.mu.Unlock()
+	<-ctx.Done()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.watchers, id)
+	return ctx.Err()
+}
+
+// fleet is nodes that reach each other by name.
+type fleet struct {
+	platform *platform
+	nodes    []*spread.Spreader
+	perHall  int
+	cut      sync.Map
+	fetches  int
+	mu       sync.Mutex
+}
+
+func (f *fleet) isCut(at int) bool {
+	_, cut := f.cut.Load(at)
+	return cut
+}
+
+// peers is one node's view of the fleet.
+type peers struct {
+	f  *fleet
+	at int
+}
+
+func (p peers) node(address string) (*spread.Spreader, error) {
+	var at int
+	_, _ = fmt.Sscan(address, &at)
+	if p.f.isCut(at) || p.f.isCut(p.at) {
+		return nil, errDown
+	}
+	return p.f.nodes[at], nil
+}
+
+func (p peers) Fetch(_ context.Context, address string, known map[string]int64) (map[string]document.Item, error) {
+	n, err := p.node(address)
+	if err != nil {
+		return nil, err
+	}
+	p.f.mu.Lock()
+	p.f.fetches++
+	p.f.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	return n.Newer(known), nil
+}
+
+func (p peers) Notify(_ context.Context, address string, revisions map[string]int64) error {
+	n, err := p.node(address)
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Millisecond)
+	n.Heard(fmt.Sprint(p.at), revisions)
+	return nil
+}
+
+func (p peers) Alive() []view.Member {
+	var alive []view.Member
+	for i := range p.f.nodes {
+		if i != p.at && !p.f.isCut(i) && !p.f.isCut(p.at) {
+			alive = append(alive, view.Member{ID: fmt.Sprint(i), Peer: fmt.Sprint(i)})
+		}
+	}
+	return alive
+}
+
+func (p peers) Hears() bool     { return 2*(len(p.Alive())+1) > len(p.f.nodes) }
+func (p peers) Rank() int       { return p.at % p.f.perHall }
+func (p peers) Seeds() []string { return []string{"0", "1"} }
+
+func newFleet(t *testing.T, halls, perHall int) *fleet {
+	f := &fleet{platform: &platform{items: make(map[string]document.Item), watchers: make(map[int]func(string, document.Item))}, perHall: perHall}
+	for i := range halls * perHall {
+		timers := timer.New()
+		t.Cleanup(timers.Close)
+		s := spread.New(f.platform, peers{f, i}, timers)
+		s.SetMembers(peers{f, i})
+		f.nodes = append(f.nodes, s)
+	}
+	return f
+}
+
+func (f *fleet) start(ctx context.Context) {
+	for i, n := range f.nodes {
+		go n.Run(ctx)
+		go f.beat(ctx, i)
+	}
+}
+
+// beat stands in for the heartbeats, which carry the revisions of a random
+// peer twice a second.
+func (f *fleet) beat(ctx context.Context, at int) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
+		if from := rand.IntN(len(f.nodes)); !f.isCut(at) && !f.isCut(from) {
+			f.nodes[at].Heard(fmt.Sprint(from), f.nodes[from].Revisions())
+		}
+	}
+}
+
+func (f *fleet) apply(n int, text string) error {
+	_, err := f.nodes[n].Update(context.Background(), spread.Config, func([]byte) ([]byte, error) { return []byte(text), nil })
+	return err
+}
+
+// have counts the nodes that have a revision.
+func (f *fleet) have(revision int64) int {
+	n := 0
+	for _, s := range f.nodes {
+		if s.Revisions()[spread.Config] >= revision {
+			n++
+		}
+	}
+	return n
+}
+
+// TestEverywhere applies a document at one of 140 nodes in seven data halls:
+// all have it within the letter's 4 s, few watch, and each fetches about once.
+func TestEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 20)
+		ctx, cancel := context.WithCancel(t.Context())
+		f.start(ctx)
+		time.Sleep(2 * time.Second)
+		start := time.Now()
+		must.NoError(t, f.apply(77, "one"))
+		for f.have(1) < len(f.nodes) && time.Since(start) < 4*time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		t.Logf("%d of %d nodes have it after %s, with %d watches and %d fetches", f.have(1), len(f.nodes), time.Since(start), f.platform.watches, f.fetches)
+		must.Eq(t, len(f.nodes), f.have(1))
+		must.Eq(t, 14, f.platform.watches)
+		must.LessEq(t, 2*len(f.nodes), f.fetches)
+		cancel()
+		time.Sleep(time.Minute) // let the last calls end
+	})
+}
+
+// TestCutOff lists when a node may go on.
+func TestCutOff(t *testing.T) {
+	tests := []struct {
+		name     string
+		platform bool
+		cut      []int
+		node     int
+		want     bool
+	}{
+		{"all well", true, nil, 0, true},
+		{"platform out, peers heard", false, nil, 0, true},
+		{"alone, with the platform", true, []int{0}, 0, true},
+		{"alone, without it", false, []int{0}, 0, false},
+		{"the others, without the platform", false, []int{0}, 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3, 2)
+				ctx, cancel := context.WithCancel(t.Context())
+				f.start(ctx)
+				time.Sleep(2 * time.Second)
+				f.platform.mu.Lock()
+				f.platform.down = !tt.platform
+				f.platform.mu.Unlock()
+				for _, at := range tt.cut {
+					f.cut.Store(at, true)
+				}
+				time.Sleep(10 * time.Second)
+				must.Eq(t, tt.want, f.nodes[tt.node].Current())
+				cancel()
+				time.Sleep(time.Minute) // let the last calls end
+			})
+		})
+	}
+}
+
+// TestNeverBack offers documents out of order: subscribers see them rise.
+func TestNeverBack(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	var seen []int64
+	f.nodes[0].Subscribe(spread.Config, func(item document.Item) { seen = append(seen, item.Revision) })
+	for _, revision := range []int64{3, 1, 3, 2, 7, 6} {
+		f.nodes[0].Offer(spread.Config, document.Item{Data: []byte("x"), Revision: revision})
+	}
+	must.Eq(t, []int64{3, 7}, seen)
+}
+
+// TestCompressed stores documents compressed and gives them out whole.
+func TestCompressed(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	var got []byte
+	f.nodes[0].Subscribe(spread.Config, func(item document.Item) { got = item.Data })
+	text := bytes.Repeat([]byte("a line of a declaration\n"), 1000)
+	must.NoError(t, f.apply(0, string(text)))
+	must.Eq(t, string(text), string(got))
+	must.Less(t, len(text)/20, len(f.platform.items[spread.Prefix+spread.Config].Data))
+}
