--- a/config/check.go
+++ b/config/check.go
@@ -132,7 +132,6 @@
 	for name, value := range map[string]float64{
 		"requests_per_second": a.Limits.RequestsPerSecond,
 		"burst":               float64(a.Limits.Burst),
-		"tokens_per_second":   a.Limits.TokensPerSecond,
 	} {
 		if value < 0 {
 			k.fault(path+"/limits/"+name, "want zero or more")
--- a/config/config.go
+++ b/config/config.go
@@ -107,7 +107,6 @@
 type Limits struct {
 	RequestsPerSecond float64 `json:"requests_per_second"`
 	Burst             int     `json:"burst"`
-	TokensPerSecond   float64 `json:"tokens_per_second"`
 }
 
 // DefaultRegion is the home of accounts that declare none.
