claim: a holder's later incarnation does not speak for it

Cause: a node that was killed and started again at once answered for its predecessor that it did not know an attempt, which was taken for 'never ran'; the claim was then cleared away on all replicas, also where they knew that the work had begun, and a call that may not be repeated could run again. Change: attempts are asked for by the holder's member ID; only its owner may release a claim whose work has begun. TestRestartedHolder; with both changes taken out it fails (scratch copy). Found by reading. dispatch: chunks in the middle of an answer are not decoded, and events that came together are flushed together.

--- a/adapter/callers/reply.go
+++ b/adapter/callers/reply.go
@@ -124,6 +124,7 @@
 		if state.Done {
 			return w.end(state.Failure)
 		}
+		w.flush()
 		select {
 		case <-state.Changed:
 		case <-c.Request().Context().Done():
@@ -155,7 +156,6 @@
 	w.c.Response().Header().Set("Content-Type", "text/event-stream")
 	w.c.Response().Header().Set("Cache-Control", "no-cache")
 	w.c.Response().WriteHeader(head.Status)
-	w.c.Response().Flush()
 }
 
 func (w *writer) part(part []byte) error {
@@ -174,11 +174,15 @@
 	line = append(line, "data: "...)
 	line = append(line, data...)
 	line = append(line, "\n\n"...)
-	if _, err := w.c.Response().Write(line); err != nil {
-		return err
+	_, err := w.c.Response().Write(line)
+	return err
+}
+
+// flush sends what has been written; events that came together go together.
+func (w *writer) flush() {
+	if w.head.Streamed {
+		w.c.Response().Flush()
 	}
-	w.c.Response().Flush()
-	return nil
 }
 
 // end closes the answer. A stream that failed after its start carries the
--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -244,12 +244,12 @@
 }
 
 // Release gives a claim up at a replica.
-func (c *Client) Release(ctx context.Context, to view.Member, key claim.Key, token string) error {
+func (c *Client) Release(ctx context.Context, to view.Member, key claim.Key, token string, upTo claim.State) error {
 	if to.ID == c.self {
-		c.local.Release(key, token)
+		c.local.Release(key, token, upTo)
 		return nil
 	}
-	_, err := invoke[releaseRequest, empty](ctx, c, to.Peer, callRelease, releaseRequest{Key: key, Token: token})
+	_, err := invoke[releaseRequest, empty](ctx, c, to.Peer, callRelease, releaseRequest{Key: key, Token: token, UpTo: upTo})
 	return err
 }
 
@@ -299,7 +299,7 @@
 	if h.ID == c.self {
 		return c.node.CancelAnswer(attempt), nil
 	}
-	reply, err := invoke[attemptRequest, cancelReply](ctx, c, h.Peer, callCancel, attemptRequest{Attempt: attempt})
+	reply, err := invoke[attemptRequest, cancelReply](ctx, c, h.Peer, callCancel, attemptRequest{Attempt: attempt, Holder: h.ID})
 	return reply.Stopped, err
 }
 
@@ -329,7 +329,7 @@
 		cancel()
 		return nil, false, false, errs.Wrap(Unreachable, callAttach, err, "peer %s", h.Peer)
 	}
-	first, err := firstPart(stream, attempt)
+	first, err := firstPart(stream, attemptRequest{Attempt: attempt, Holder: h.ID})
 	if !timer.Stop() && err == nil {
 		err = context.DeadlineExceeded
 	}
@@ -355,9 +355,9 @@
 	return x, true, true, nil
 }
 
-func firstPart(stream drpc.Stream, attempt string) (attachPart, error) {
+func firstPart(stream drpc.Stream, r attemptRequest) (attachPart, error) {
 	var part attachPart
-	if err := stream.MsgSend(&attemptRequest{Attempt: attempt}, codec{}); err != nil {
+	if err := stream.MsgSend(&r, codec{}); err != nil {
 		return part, err
 	}
 	err := stream.MsgRecv(&part, codec{})
--- a/adapter/peer/messages.go
+++ b/adapter/peer/messages.go
@@ -50,8 +50,9 @@
 }
 
 type releaseRequest struct {
-	Key   claim.Key `cbor:"1,keyasint"`
-	Token string    `cbor:"2,keyasint"`
+	Key   claim.Key   `cbor:"1,keyasint"`
+	Token string      `cbor:"2,keyasint"`
+	UpTo  claim.State `cbor:"3,keyasint"`
 }
 
 type countsReply struct {
@@ -69,8 +70,12 @@
 	Bills      []claim.Entry  `cbor:"2,keyasint"`
 }
 
+// attemptRequest names an attempt and the member that holds it. A later
+// incarnation at the same address knows nothing of it, which is not to say
+// that it did not run.
 type attemptRequest struct {
 	Attempt string `cbor:"1,keyasint"`
+	Holder  string `cbor:"2,keyasint"`
 }
 
 // attachPart is one message of an answer that is followed from another node.
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -70,7 +70,7 @@
 			return empty{}, nil
 		}),
 		callRelease: handle(func(_ context.Context, r releaseRequest) (empty, error) {
-			replica.Release(r.Key, r.Token)
+			replica.Release(r.Key, r.Token, r.UpTo)
 			return empty{}, nil
 		}),
 		callTransfer: handle(func(_ context.Context, r claim.TransferRequest) (claim.TransferReply, error) {
@@ -87,6 +87,9 @@
 			return empty{}, nil
 		}),
 		callCancel: handle(func(_ context.Context, r attemptRequest) (cancelReply, error) {
+			if err := s.checkHolder(r); err != nil {
+				return cancelReply{}, err
+			}
 			return cancelReply{Stopped: node.CancelAnswer(r.Attempt)}, nil
 		}),
 		callExplain: handle(func(_ context.Context, r explainRequest) (decision.Summary, error) {
@@ -142,12 +145,22 @@
 	return empty{}, s.client.reach(ctx, r.Target)
 }
 
+func (s *Server) checkHolder(r attemptRequest) error {
+	if r.Holder != s.client.self {
+		return errs.New(Unknown, "serve", "this is %s, not %s", s.client.self, r.Holder)
+	}
+	return nil
+}
+
 // attach streams an answer to another node as it grows.
 func (s *Server) attach(stream drpc.Stream) error {
 	var in attemptRequest
 	if err := stream.MsgRecv(&in, codec{}); err != nil {
 		return err
 	}
+	if err := s.checkHolder(in); err != nil {
+		return err
+	}
 	x, ran := s.node.FindAnswer(in.Attempt)
 	if x == nil {
 		return stream.MsgSend(&attachPart{Ran: ran}, codec{})
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -187,7 +187,7 @@
 	Claim(ctx context.Context, to view.Member, r Request) (Reply, error)
 	Lookup(ctx context.Context, to view.Member, r Request) (Reply, error)
 	Advance(ctx context.Context, to view.Member, e Entry) error
-	Release(ctx context.Context, to view.Member, key Key, token string) error
+	Release(ctx context.Context, to view.Member, key Key, token string, upTo State) error
 	Transfer(ctx context.Context, to view.Member, r TransferRequest) (TransferReply, error)
 }
 
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -199,11 +199,11 @@
 		}
 		other, n := v.leading()
 		if other != nil && (n >= need || !override) {
-			c.release(v.asked, e.Key, e.Token)
+			c.release(v.asked, e.Key, e.Token, StateDone)
 			return Outcome{Other: other, OtherWon: n >= need, LostBefore: v.lostBefore}, false, nil
 		}
 	}
-	c.release(v.asked, e.Key, e.Token)
+	c.release(v.asked, e.Key, e.Token, StateDone)
 	if other, n := v.leading(); other != nil {
 		return Outcome{Other: other, OtherWon: n >= need, LostBefore: v.lostBefore}, false, nil
 	}
@@ -239,20 +239,26 @@
 	return reply, err
 }
 
-// Release gives up a claim that was won and whose work did not start.
+// Release gives up an own claim that was won and whose work did not run.
 func (c *Claimer) Release(key Key, token string) {
-	c.release(c.views.Current().Replicas(key.Region, key.String()), key, token)
+	c.release(c.views.Current().Replicas(key.Region, key.String()), key, token, StateDone)
+}
+
+// Abandon clears away a claim that its holder does not know any more. Where a
+// replica knows that its work has begun, the claim stays.
+func (c *Claimer) Abandon(key Key, token string) {
+	c.release(c.views.Current().Replicas(key.Region, key.String()), key, token, StateClaimed)
 }
 
 // release goes on after the caller has its answer. A replica that misses it
 // holds a claim whose token its holder no longer knows, which whoever asks
 // the holder finds out.
-func (c *Claimer) release(from []view.Member, key Key, token string) {
+func (c *Claimer) release(from []view.Member, key Key, token string, upTo State) {
 	for _, m := range from {
 		c.beside(func() {
 			for range releaseTries {
 				ctx, cancel := context.WithTimeout(context.Background(), voteTimeout)
-				err := c.peers.Release(ctx, m, key, token)
+				err := c.peers.Release(ctx, m, key, token, upTo)
 				cancel()
 				if err == nil {
 					return
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -140,7 +140,9 @@
 func (w *world) Advance(context.Context, view.Member, claim.Entry) error { return nil }
 
 // Release never arrives: the worst that can happen to it.
-func (w *world) Release(context.Context, view.Member, claim.Key, string) error { return errLost }
+func (w *world) Release(context.Context, view.Member, claim.Key, string, claim.State) error {
+	return errLost
+}
 
 func (w *world) Transfer(_ context.Context, to view.Member, r claim.TransferRequest) (claim.TransferReply, error) {
 	if w.dead[to.ID] {
--- a/claim/replica.go
+++ b/claim/replica.go
@@ -169,13 +169,19 @@
 	r.bytes += size(held)
 }
 
-// Release removes the claim of one attempt and refuses it from now on.
-func (r *Replica) Release(key Key, token string) {
+// Release removes the claim of one attempt and refuses it from now on, unless
+// its work has come further than upTo.
+func (r *Replica) Release(key Key, token string, upTo State) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.released[token] = r.timers.Now().Add(releasedLife)
 	name := key.String()
-	if held := r.entries[name]; held != nil && held.Token == token {
+	held := r.entries[name]
+	mine := held != nil && held.Token == token
+	if mine && held.State > upTo {
+		return
+	}
+	r.released[token] = r.timers.Now().Add(releasedLife)
+	if mine {
 		r.drop(name)
 	}
 }
--- a/claim/replica_test.go
+++ b/claim/replica_test.go
@@ -42,7 +42,7 @@
 		t.Run(test.what, func(t *testing.T) { must.Eq(t, test.want, test.got) })
 	}
 
-	r.Release(entry("k", "").Key, "x/1")
+	r.Release(entry("k", "").Key, "x/1", claim.StateClaimed)
 	must.Eq(t, claim.VerdictNotReady, ask(id, 1, "k", "x/1"), must.Sprint("a released token must not be granted late"))
 	must.Eq(t, claim.VerdictGranted, ask(id, 1, "k", "y/1"))
 
@@ -55,6 +55,8 @@
 	reply := r.Lookup(claim.Request{Entry: entry("k", "")})
 	must.Eq(t, claim.StateDone, reply.Entry.State, must.Sprint("a claim goes back to no earlier state"))
 	must.Eq(t, "answer", string(reply.Entry.Answer))
+	r.Release(entry("k", "").Key, "y/1", claim.StateClaimed)
+	must.Eq(t, claim.VerdictTaken, ask(id, 1, "k", "z/0"), must.Sprint("work that has run is not abandoned"))
 }
 
 // TestSoftClaimsGiveWay fills a replica with soft claims and finds room for
--- a/dispatch/chat.go
+++ b/dispatch/chat.go
@@ -35,7 +35,6 @@
 	version    *config.Version
 	head       answer.Head
 	parts      [][]byte
-	text       strings.Builder
 	usage      usage
 	firstToken time.Duration
 	total      time.Duration
@@ -45,6 +44,8 @@
 	cost int64
 }
 
+func (r *result) text() string { return textOf(r.parts, r.head.Streamed) }
+
 // runChat answers a request to a model or a cascade.
 func (d *Dispatcher) runChat(ctx context.Context, r *Request, x *answer.Exchange, record *decision.Record) *Refusal {
 	t, ok := resolve(d.Config(), r.Account, r.Chat.Model)
@@ -113,7 +114,7 @@
 func (d *Dispatcher) rate(ctx context.Context, r *Request, got *result, record *decision.Record) float64 {
 	ctx, cancel := context.WithTimeout(ctx, rateTimeout)
 	defer cancel()
-	rating, err := d.Rater.Rate(ctx, got.model, got.version.Name, r.Chat.Prompt, got.text.String())
+	rating, err := d.Rater.Rate(ctx, got.model, got.version.Name, r.Chat.Prompt, got.text())
 	if err != nil {
 		record.Note("rating", "none: %v", err)
 		return noRating
@@ -136,7 +137,7 @@
 		count(rating)
 		return
 	}
-	text := got.text.String()
+	text := got.text()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), rateTimeout)
 		defer cancel()
@@ -348,10 +349,9 @@
 // take adds one part. A later try on another server has to repeat what was
 // given out already; if it does not, the answer cannot be made whole.
 func (m *modelRun) take(part []byte) error {
-	info := inspect(part, m.got.head.Streamed)
 	if m.matched < len(m.got.parts) {
 		before := inspect(m.got.parts[m.matched], m.got.head.Streamed)
-		if before.text != info.text {
+		if before.text != inspect(part, m.got.head.Streamed).text {
 			return errs.New(Failed, "take", "another server's answer differs from what was given out already")
 		}
 		m.matched++
@@ -360,13 +360,17 @@
 	if len(m.got.parts) == 0 {
 		m.got.firstToken = m.d.Timers.Now().Sub(m.start)
 	}
-	if info.usage.known() {
-		m.got.usage = info.usage
+	last := false
+	if !isRunning(part) {
+		info := inspect(part, m.got.head.Streamed)
+		last = info.last
+		if info.usage.known() {
+			m.got.usage = info.usage
+		}
 	}
-	m.got.text.WriteString(info.text)
 	m.got.parts = append(m.got.parts, part)
 	m.matched++
-	if m.x != nil && m.got.head.Streamed && !info.last && m.got.sent == len(m.got.parts)-1 {
+	if m.x != nil && m.got.head.Streamed && !last && m.got.sent == len(m.got.parts)-1 {
 		m.x.Append(part)
 		m.got.sent++
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -93,6 +93,7 @@
 	Lookup(ctx context.Context, key claim.Key) (found *claim.Entry, complete bool)
 	Advance(ctx context.Context, e claim.Entry) (took, of int)
 	Release(key claim.Key, token string)
+	Abandon(key claim.Key, token string)
 }
 
 // Holders reaches the nodes that hold claims.
@@ -354,7 +355,7 @@
 		switch {
 		case j.abandoned:
 			// Its holder has given it up and never runs it: clear it away.
-			d.Claims.Release(outcome.Other.Key, outcome.Other.Token)
+			d.Claims.Abandon(outcome.Other.Key, outcome.Other.Token)
 			override = true
 		case j.override:
 			override = true
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
 
@@ -34,6 +35,27 @@
 	return (total + pricedTokens - 1) / pricedTokens
 }
 
+// running marks a chunk in the middle of an answer as engines write it. Most
+// parts are such, and need no decoding.
+var (
+	running  = []byte(`"finish_reason":null`)
+	hasUsage = []byte(`"usage":{`)
+)
+
+// isRunning reports whether a chunk surely is in the middle of its answer.
+func isRunning(part []byte) bool {
+	return bytes.Contains(part, running) && !bytes.Contains(part, hasUsage)
+}
+
+// textOf returns the text of an answer's parts.
+func textOf(parts [][]byte, streamed bool) string {
+	var text strings.Builder
+	for _, part := range parts {
+		text.WriteString(inspect(part, streamed).text)
+	}
+	return text.String()
+}
+
 // partInfo is what the path needs to know of a part.
 type partInfo struct {
 	text  string
@@ -76,6 +98,9 @@
 // UsageOnly reports whether a chunk holds nothing but the usage, which goes
 // only to callers who asked for it.
 func UsageOnly(part []byte) bool {
+	if isRunning(part) {
+		return false
+	}
 	info := inspect(part, true)
 	return info.empty && info.usage.known()
 }
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -506,3 +506,27 @@
 	}
 	return -1
 }
+
+// TestRestartedHolder kills a node in the middle of a call that may not be
+// repeated and starts it again at once: the new process knows nothing of the
+// call, and that must not pass for "did not run".
+func TestRestartedHolder(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, shape{halls: 3, perHall: 1, plain: 1, engines: 1, plainArgs: []string{"--delay-ms", "1500"}})
+	for i := range 4 {
+		id := fmt.Sprint("restarted-", i)
+		go f.proof(f.nodes[0], id)
+		f.waitFor("the call to run", func() bool { return len(f.ran(f.plain)[id]) == 1 })
+		f.nodes[0].kill()
+		f.restart(f.nodes[0])
+		f.waitFor("the new process", func() bool { return f.get(f.nodes[0].operator, "/health") != nil })
+		var r reply
+		f.waitFor("a final word", func() bool {
+			r = f.proof(f.nodes[1], id)
+			return r.code != "holder_unreachable" && r.code != "claim_unreachable" && r.code != "claim_busy"
+		})
+		must.Eq(t, "outcome_unknown", r.code, must.Sprint(r.body))
+		must.Len(t, 1, f.ran(f.plain)[id])
+		f.waitReady(f.nodes...)
+	}
+}
