--- a/adapter/etcd/etcd.go
+++ b/adapter/etcd/etcd.go
@@ -98,10 +98,14 @@
 
 // List returns all keys that start with a prefix.
 func (c *Client) List(ctx context.Context, prefix string) ([]Pair, error) {
+	return c.list(ctx, prefix, false)
+}
+
+func (c *Client) list(ctx context.Context, prefix string, keysOnly bool) ([]Pair, error) {
 	start := c.key(prefix)
+	in := rangeRequest{Key: start, RangeEnd: prefixEnd(start), KeysOnly: keysOnly}
 	var out rangeResponse
-	err := c.call(ctx, "range", "/v3/kv/range", rangeRequest{Key: start, RangeEnd: prefixEnd(start)}, &out)
-	if err != nil {
+	if err := c.call(ctx, "range", "/v3/kv/range", in, &out); err != nil {
 		return nil, err
 	}
 	pairs := make([]Pair, len(out.KVs))
@@ -179,6 +183,20 @@
 	return items, nil
 }
 
+// SharedRevisions returns the revisions of the keys that start with a prefix,
+// by the rest of the keys.
+func (c *Client) SharedRevisions(ctx context.Context, prefix string) (map[string]int64, error) {
+	pairs, err := c.list(ctx, prefix, true)
+	if err != nil {
+		return nil, err
+	}
+	revisions := make(map[string]int64, len(pairs))
+	for _, pair := range pairs {
+		revisions[strings.TrimPrefix(pair.Key, prefix)] = pair.Revision
+	}
+	return revisions, nil
+}
+
 // Journals returns the bills' journals (package ledger).
 func (c *Client) Journals(ctx context.Context) ([]ledger.Account, error) {
 	pairs, err := c.List(ctx, ledger.Prefix)
--- a/adapter/etcd/messages.go
+++ b/adapter/etcd/messages.go
@@ -17,6 +17,7 @@
 type rangeRequest struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+	KeysOnly bool   `json:"keys_only,omitempty"`
 }
 
 type rangeResponse struct {
--- a/internal/standin/keyvalue.go
+++ b/internal/standin/keyvalue.go
@@ -82,6 +82,7 @@
 type rangeJSON struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end"`
+	KeysOnly bool   `json:"keys_only"`
 }
 
 func (s *KeyValue) rangeKeys(w http.ResponseWriter, r *http.Request) {
@@ -111,6 +112,9 @@
 	var found []stored
 	for key, kv := range s.keys {
 		if in.holds(key) {
+			if in.KeysOnly {
+				kv.Value = nil
+			}
 			found = append(found, kv)
 		}
 	}
--- a/spread/size_test.go
+++ b/spread/size_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/control"
 	"github.com/violettally/violettally/spread"
 	"github.com/violettally/violettally/view"
 )
@@ -17,30 +18,64 @@
 // 2,800 servers, and logs what they take; they must fit the platform's value.
 func TestSizes(t *testing.T) {
 	f := newFleet(t, 1, 1)
+	plainView, plainConfig := largeView(t), largeConfig(t)
 	store := func(name string, plain []byte) int {
 		_, err := f.nodes[0].Update(context.Background(), name, func([]byte) ([]byte, error) { return plain, nil })
 		must.NoError(t, err)
 		return len(f.platform.items[spread.Prefix+name].Data)
 	}
+	t.Logf("view: %d bytes, stored %d; configuration: %d bytes, stored %d", len(plainView), store(spread.View, plainView), len(plainConfig), store(spread.Config, plainConfig))
+	must.Less(t, 1<<20, store(spread.Config, plainConfig))
+}
+
+func largeView(t testing.TB) []byte {
 	v := view.Empty()
 	for i := range 480 {
 		hall := i % 7
 		m := view.Member{ID: view.MemberID(fmt.Sprintf("entry-%d-%03d", hall, i), fmt.Sprintf("dna8l%07d", i*7919)), VM: fmt.Sprintf("entry-%d-%03d", hall, i), Region: fmt.Sprint("region-", hall%3), DataHall: fmt.Sprint("hall-", hall), Caller: fmt.Sprintf("10.%d.0.%d:8101", hall, i), Peer: fmt.Sprintf("10.%d.0.%d:8301", hall, i), Joined: 1796213619 + int64(i)*311}
 		v = v.Change([]view.Member{m}, nil)
 	}
-	plainView, err := v.Encode()
+	data, err := v.Encode()
 	must.NoError(t, err)
+	return data
+}
+
+func largeConfig(t testing.TB) []byte {
 	c := config.Config{Pools: []config.Pool{{Name: "runners"}}}
 	for i := range 2800 {
 		c.Pools[0].Servers = append(c.Pools[0].Servers, config.Server{Name: fmt.Sprintf("runner-%d", i), URL: fmt.Sprintf("http://10.%d.%d.%d:8000", i%7, i/250, i%250), DataHall: fmt.Sprint("hall-", i%7), Slots: 8, ChecksFencing: true})
 	}
 	for i := range 200 {
-		c.Accounts = append(c.Accounts, config.Account{Name: fmt.Sprint("account-", i), Keys: []string{config.Digest(fmt.Sprint(i))}, Models: []string{"a", "b", "c"}})
+		c.Accounts = append(c.Accounts, config.Account{Name: fmt.Sprint("account-", i), Keys: []string{config.Digest(fmt.Sprint(i))}, Models: []string{"m"}})
+	}
+	for i := range 6 {
+		c.Models = append(c.Models, config.Model{Name: []string{"m", "a", "b", "c", "d", "e"}[i], Versions: []config.Version{{Name: "v1", Pool: "runners"}}})
 	}
 	source, err := json.Marshal(c)
 	must.NoError(t, err)
-	plainConfig, err := json.Marshal(config.Document{Source: string(source)})
+	data, err := json.Marshal(config.Document{Source: string(source)})
 	must.NoError(t, err)
-	t.Logf("view: %d bytes, stored %d; configuration: %d bytes, stored %d", len(plainView), store(spread.View, plainView), len(plainConfig), store(spread.Config, plainConfig))
-	must.Less(t, 1<<20, store(spread.Config, plainConfig))
+	return data
+}
+
+// BenchmarkTakeView takes a changed view, with the earlier ones that a replica
+// may have to read from.
+func BenchmarkTakeView(b *testing.B) {
+	data := largeView(b)
+	for b.Loop() {
+		v, err := view.Decode(data)
+		must.NoError(b, err)
+		v.Earlier()
+	}
+}
+
+// BenchmarkTakeConfig checks and indexes a changed configuration.
+func BenchmarkTakeConfig(b *testing.B) {
+	data := largeConfig(b)
+	for b.Loop() {
+		d, err := control.Decode(data)
+		must.NoError(b, err)
+		_, faults := config.NewSnapshot(d)
+		must.SliceEmpty(b, faults)
+	}
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -53,6 +53,8 @@
 type Store interface {
 	document.Store
 	Shared(ctx context.Context, prefix string) (map[string]document.Item, error)
+	// SharedRevisions is Shared without the documents themselves.
+	SharedRevisions(ctx context.Context, prefix string) (map[string]int64, error)
 	WatchPrefix(ctx context.Context, prefix string, after int64, changed func(key string, item document.Item)) error
 }
 
@@ -363,7 +365,24 @@
 	}
 }
 
-// confirm reads the platform now and then beside a watch, so that a watch
+// compare asks the platform for the documents' revisions alone, and for the
+// documents if one is newer. It returns false if the platform does not answer.
+func (s *Spreader) compare(ctx context.Context) bool {
+	stored, err := s.store.SharedRevisions(ctx, Prefix)
+	if err != nil {
+		return false
+	}
+	s.touch()
+	known := s.Revisions()
+	for name, revision := range stored {
+		if revision > known[name] {
+			return s.read(ctx)
+		}
+	}
+	return true
+}
+
+// confirm asks the platform now and then beside a watch, so that a watch
 // whose connection died in silence is noticed and replaced.
 func (s *Spreader) confirm(ctx context.Context, broken context.CancelFunc) {
 	ticks := s.timers.Subscribe(platformFresh / 2)
@@ -373,7 +392,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticks.C():
-			if !s.read(ctx) {
+			if !s.compare(ctx) {
 				broken()
 				return
 			}
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -70,6 +70,15 @@
 	return items, nil
 }
 
+func (p *platform) SharedRevisions(ctx context.Context, prefix string) (map[string]int64, error) {
+	items, err := p.Shared(ctx, prefix)
+	revisions := make(map[string]int64)
+	for name, item := range items {
+		revisions[name] = item.Revision
+	}
+	return revisions, err
+}
+
 func (p *platform) WatchPrefix(ctx context.Context, _ string, _ int64, changed func(string, document.Item)) error {
 	p.mu.Lock()
 	p.watches++
