--- /dev/null
+++ b/ledger/archive.go
@@ -0,0 +1,93 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/violettally/violettally/document"
+)
+
+// Archive is the journal that takes up the closed ones, or they would grow in
+// number with every VM that was ever replaced.
+const Archive = "archive"
+
+// archiveAfter is how long a closed journal stands by itself, for an owner that
+// was only paused. A process that was paused for longer than this does not
+// come back: its VM has been replaced.
+const archiveAfter = 24 * time.Hour
+
+// archive moves closed journals into the archive: first their sums, together
+// with their names, then the journals themselves, then the names. Whatever is
+// cut short goes on in the next round without counting anything twice.
+func (c *Closer) archive(ctx context.Context, stored []Account) error {
+	var old, standing []string
+	sums := make(map[string]Account)
+	for _, a := range stored {
+		standing = append(standing, a.Journal)
+		if a.Closed && a.Journal != Archive && c.timers.Now().Sub(a.ClosedAt) > archiveAfter {
+			old = append(old, a.Journal)
+			sums[a.Journal] = a
+		}
+	}
+	if len(old) == 0 {
+		return nil
+	}
+	_, err := document.Update(ctx, c.store, Key(Archive), func(data []byte) ([]byte, error) {
+		archive, err := Decode(data, Archive)
+		if err != nil {
+			return nil, err
+		}
+		return json.Marshal(absorb(archive, old, sums, standing))
+	})
+	if err != nil {
+		return err
+	}
+	for _, journal := range old {
+		if err := c.remove(ctx, journal); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// absorb adds the old journals that the archive does not have yet, and forgets
+// the names of those that do not stand beside it any more.
+func absorb(archive Account, old []string, sums map[string]Account, standing []string) Account {
+	archive.Closed = true
+	var names []string
+	for _, name := range archive.Absorbed {
+		if slices.Contains(standing, name) {
+			names = append(names, name)
+		}
+	}
+	for _, name := range old {
+		if slices.Contains(archive.Absorbed, name) {
+			continue
+		}
+		for line, sum := range sums[name].Totals {
+			archive.add(line, sum)
+		}
+		names = append(names, name)
+	}
+	archive.Absorbed = names
+	return archive
+}
+
+// errReopened says that a journal changed after it was closed, which nothing
+// does.
+var errReopened = errors.New("a closed journal changed")
+
+func (c *Closer) remove(ctx context.Context, journal string) error {
+	_, revision, err := c.store.Get(ctx, Key(journal))
+	if err != nil || revision == 0 {
+		return err
+	}
+	removed, err := c.store.Delete(ctx, Key(journal), revision)
+	if err == nil && !removed {
+		return errReopened
+	}
+	return err
+}
--- a/ledger/closer.go
+++ b/ledger/closer.go
@@ -37,6 +37,7 @@
 type Listing interface {
 	document.Store
 	Journals(ctx context.Context) ([]Account, error)
+	Delete(ctx context.Context, key string, expected int64) (bool, error)
 }
 
 const (
@@ -97,6 +98,9 @@
 		if err != nil {
 			return nil
 		}
+		if err := c.archive(ctx, stored); err != nil {
+			slog.Warn("closed journals not archived", "error", err)
+		}
 		for _, a := range stored {
 			if a.Closed {
 				c.closed[a.Journal] = true
@@ -137,7 +141,9 @@
 		if stored.Closed {
 			return nil, document.ErrUnchanged
 		}
-		return json.Marshal(closing(stored, checkpoint, won))
+		last := closing(stored, checkpoint, won)
+		last.ClosedAt = c.timers.Now().UTC()
+		return json.Marshal(last)
 	})
 	if err != nil && !errors.Is(err, document.ErrUnchanged) {
 		return err
@@ -165,8 +171,17 @@
 
 // Total sums up journals by line, for `violettally show ledger`.
 func Total(journals []Account) map[string]Sum {
+	absorbed := make(map[string]bool)
+	for _, a := range journals {
+		for _, name := range a.Absorbed {
+			absorbed[name] = true
+		}
+	}
 	total := make(map[string]Sum)
 	for _, a := range journals {
+		if absorbed[a.Journal] {
+			continue
+		}
 		for line, sum := range a.Totals {
 			total[line] = total[line].Add(sum)
 		}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -88,8 +88,12 @@
 	Totals   map[string]Sum `json:"totals"`
 	// Closed journals take no more bills. Swept lists the sequences beyond
 	// Sequence that the closer has found and added.
-	Closed bool    `json:"closed"`
-	Swept  []int64 `json:"swept,omitempty"`
+	Closed   bool      `json:"closed"`
+	ClosedAt time.Time `json:"closed_at,omitzero"`
+	Swept    []int64   `json:"swept,omitempty"`
+	// Absorbed lists, in the archive, journals that are in it and may still
+	// stand beside it.
+	Absorbed []string `json:"absorbed,omitempty"`
 }
 
 func (a *Account) add(line string, sum Sum) {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -49,6 +50,15 @@
 	return p.revision[key], true, nil
 }
 
+func (p *platform) Delete(_ context.Context, key string, expected int64) (bool, error) {
+	if p.down || p.revision[key] != expected {
+		return false, errDown
+	}
+	delete(p.data, key)
+	delete(p.revision, key)
+	return true, nil
+}
+
 func (p *platform) Journals(context.Context) ([]ledger.Account, error) {
 	var all []ledger.Account
 	for key, data := range p.data {
@@ -94,6 +104,32 @@
 
 var bill = ledger.Bill{Account: "desk", Model: "brief", Version: "v1", PromptTokens: 2, CompletionTokens: 3, Cost: 4}
 
+// TestArchive takes closed journals up after a day, with answers lost after the
+// write at each point: the total stays what it was, and they are gone.
+func TestArchive(t *testing.T) {
+	for lose := range 4 {
+		synctest.Test(t, func(t *testing.T) {
+			p, r := newPlatform(), &replicas{complete: true}
+			timers := timer.New()
+			defer timers.Close()
+			closer := ledger.NewCloser(p, r, func(string) bool { return true }, func() bool { return true }, timers)
+			enter(newJournal(p, r), r, 5)
+			must.NoError(t, closer.Close(t.Context(), "n#1"))
+			must.NoError(t, closer.Close(t.Context(), "n#2"))
+			ctx, cancel := context.WithCancel(t.Context())
+			p.lose = lose
+			go closer.Run(ctx)
+			for range 30 {
+				time.Sleep(time.Hour)
+				must.Eq(t, 10, p.total(t))
+			}
+			must.MapLen(t, 1, p.data)
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
 func newJournal(p *platform, r *replicas) *ledger.Journal {
 	return ledger.New("n#1", p, r, timer.New(), func() time.Duration { return time.Hour })
 }
