dispatch: a version that no server holds yet gets no sessions

Cause: a roll-out's stage sent its share to the new version as soon as it was declared; until a first server had loaded it those requests were refused with no_server. Shown failing first by TestLoadOrders, which also kills the driver: the next one's orders carry a later token.

--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -87,7 +87,7 @@
 		if r.Chat.Session != "" {
 			key = r.Chat.Session
 		}
-		v, err := d.Picker.Pick(m, r.Account.Name+"/"+key, allowed)
+		v, err := d.pick(s, m, r.Account.Name+"/"+key, allowed)
 		if err != nil {
 			return "", err
 		}
@@ -117,6 +117,23 @@
 	return version, nil
 }
 
+// pick picks by the roll-out's stage. A version that is being rolled out and
+// that no server holds yet gives way to the one in service.
+func (d *Dispatcher) pick(s *config.Snapshot, m *config.Model, key string, allowed func(string) bool) (*config.Version, error) {
+	picked, err := d.Picker.Pick(m, key, allowed)
+	if err != nil || picked.State != config.VersionRollingOut {
+		return picked, err
+	}
+	if d.Chooser.Available(picked.Pool, s.Servers(picked.Pool), picked.EngineName(m.Name)) {
+		return picked, nil
+	}
+	other, err := d.Picker.Pick(m, key, func(version string) bool { return version != picked.Name && allowed(version) })
+	if err != nil {
+		return picked, nil
+	}
+	return other, nil
+}
+
 func (t target) cascadeName() string {
 	if t.cascade == nil {
 		return ""
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -530,3 +531,74 @@
 		f.waitReady(f.nodes...)
 	}
 }
+
+// orders lists what an engine was told to load and unload.
+func (f *fleet) orders(engine string) []standin.Order {
+	var in struct{ Orders []standin.Order }
+	must.NoError(f.t, json.Unmarshal(f.get(engine, "/ran"), &in))
+	return in.Orders
+}
+
+// TestLoadOrders rolls a version out to engines that do not hold it: one with
+// room is told to load it and gets its work, others get none. When the version
+// is withdrawn under another driver, the order to unload has a later token.
+func TestLoadOrders(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, shape{halls: 3, perHall: 1, engines: 3, plain: 1, engineArgs: []string{"--token-ms", "1", "--fencing"}})
+	held := [][]string{{"brief@v1", "small@v1"}, {"brief@v1"}, {"small@v1"}}
+	for i, models := range held {
+		f.behave(f.engines[i], map[string]any{"loaded": models})
+	}
+	f.apply(f.declaration(rollingOut))
+	var first int64
+	f.waitFor("the order to load", func() bool {
+		for _, engine := range f.engines[1:] {
+			for _, order := range f.orders(engine) {
+				if order.Action == "load" && order.Model == "brief@v2" {
+					first = order.Token
+				}
+			}
+		}
+		return first > 0
+	})
+	f.waitFor("an answer by the new version", func() bool {
+		r := f.chat(f.nodes[1], "brief", fmt.Sprint(time.Now()))
+		must.True(t, r.whole(), must.Sprint(r.body))
+		return r.header.Get("X-Model-Version") == "brief@v2"
+	})
+	must.SliceEmpty(t, f.orders(f.engines[0]), must.Sprint("a full engine is left alone"))
+	for _, runs := range f.ran(f.engines[:1]) {
+		for _, run := range runs {
+			must.NotEq(t, "brief@v2", run.Model)
+		}
+	}
+	f.restartDriver(first)
+	f.apply(f.declaration(func(c *config.Config) { c.Models[1].Versions[1].State = config.VersionWithdrawn }))
+	f.waitFor("the order to unload", func() bool {
+		for _, engine := range f.engines[1:] {
+			for _, order := range f.orders(engine) {
+				if order.Action == "unload" && order.Model == "brief@v2" {
+					must.Greater(t, first, order.Token)
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
+// restartDriver kills the node that holds the driver's lease and starts it
+// again.
+func (f *fleet) restartDriver(token int64) {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		log, _ := os.ReadFile(n.log)
+		if strings.Contains(string(log), fmt.Sprintf(`"lease":"driver","token":%d}`, token)) {
+			n.kill()
+			f.restart(n)
+			f.waitReady(f.nodes...)
+			return
+		}
+	}
+	f.t.Fatalf("no node logged the lease with token %d", token)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -364,9 +364,15 @@
 	s.report, s.ownAtReport = report, s.inflight
 }
 
-// Holding returns the models that a server last reported.
-func (c *Chooser) Holding(pool, name string) []string {
+// Available reports whether some server of a pool may hold a model, as far as
+// they have reported what they hold.
+func (c *Chooser) Available(pool string, servers []config.Server, model string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.server(serverKey(pool, name)).report.Models
+	for _, s := range c.subset(pool, servers) {
+		if holds(c.server(serverKey(pool, s.Name)).report.Models, model) {
+			return true
+		}
+	}
+	return false
 }
