limit: an idle account keeps its lease; shared ticks; files split

Cause (limit): an account that came back after a pause found a tenth of its limit split over all nodes, one request of a burst of 20 per node, and the rest refused. Change: idle accounts keep a lease for ten minutes, renewed as it runs out, and a fifth is split evenly. TestBurstAfterIdling: 5 of 20 pass at one of four nodes.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -70,8 +70,6 @@
 	Priority config.Priority
 	// Deadline by which the work has to be done; zero for none.
 	Deadline time.Time
-	// Expected is how long the work will take; zero takes the queue's mean.
-	Expected time.Duration
 }
 
 // Queue admits the requests to one pool. It is safe for concurrent use.
@@ -163,12 +161,8 @@
 		return w, nil
 	}
 	wait := q.expectedWait(t, capacity)
-	expected := t.Expected
-	if expected == 0 {
-		expected = q.mean
-	}
-	if !t.Deadline.IsZero() && time.Now().Add(wait+expected).After(t.Deadline) {
-		return nil, refused(Late, wait, "would wait %s and run %s", wait.Round(time.Millisecond), expected.Round(time.Millisecond))
+	if !t.Deadline.IsZero() && time.Now().Add(wait+q.mean).After(t.Deadline) {
+		return nil, refused(Late, wait, "would wait %s and run %s", wait.Round(time.Millisecond), q.mean.Round(time.Millisecond))
 	}
 	if q.ahead(t.Priority) >= capacity*q.room(t.Priority) {
 		return nil, refused(Full, wait, "%d requests wait", len(q.waiting))
--- a/answer/answer.go
+++ b/answer/answer.go
@@ -280,16 +280,7 @@
 
 // Run drops what is too old or too much until the context ends.
 func (s *Store) Run(ctx context.Context) {
-	ticks := s.timers.Subscribe(sweepInterval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			s.sweep()
-		}
-	}
+	s.timers.Every(ctx, sweepInterval, s.sweep)
 }
 
 func (s *Store) sweep() {
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -84,15 +84,9 @@
 	return s
 }
 
-// defaultRecords is how many records a node keeps; at about a kilobyte each
+// keptRecords is how many records a node keeps; at about a kilobyte each
 // they take eight megabytes.
-const defaultRecords = 8192
-
-// Option changes a Log as New makes it.
-type Option func(*Log)
-
-// WithRecords sets how many records are kept.
-func WithRecords(n int) Option { return func(l *Log) { l.ring = make([]*Record, n) } }
+const keptRecords = 8192
 
 // Log is a node's latest records. It is safe for concurrent use.
 type Log struct {
@@ -104,12 +98,8 @@
 }
 
 // New returns an empty log of the named node.
-func New(node string, options ...Option) *Log {
-	l := &Log{node: node, ring: make([]*Record, defaultRecords), byID: make(map[string]*Record)}
-	for _, option := range options {
-		option(l)
-	}
-	return l
+func New(node string) *Log {
+	return &Log{node: node, ring: make([]*Record, keptRecords), byID: make(map[string]*Record)}
 }
 
 // Start opens a record. It takes the place of the oldest one.
--- /dev/null
+++ b/dispatch/find.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/violettally/violettally/answer"
+	"github.com/violettally/violettally/claim"
+	"github.com/violettally/violettally/config"
+)
+
+// Find returns the answer of a request, wherever it is, without starting it.
+func (d *Dispatcher) Find(ctx context.Context, account *config.Account, id string) (*answer.Exchange, *Refusal) {
+	e, refusal := d.latest(ctx, account, id)
+	if refusal != nil {
+		return nil, refusal
+	}
+	x, found, _, err := d.Holders.Attach(ctx, e.Holder, claim.AttemptOf(e.Token))
+	switch {
+	case err == nil && found:
+		return x, nil
+	case e.State == claim.StateDone && len(e.Answer) > 0:
+		return decodeAnswer(e.Answer), nil
+	case err == nil:
+		return nil, refuse(ReasonAnswerExpired, RanYes, 0, "the answer is not kept any more")
+	case e.Patient && !d.Holders.Answers(e.Holder.ID):
+		// Another node is about to take it over.
+		return answer.NewExchange(e.Token, func() {}), nil
+	default:
+		return nil, refuse(ReasonHolderUnreachable, RanUnknown, comeBackSoon, "node %s, which has the request, does not answer now", e.Holder.ID)
+	}
+}
+
+// latest returns the claim of the last attempt of an id.
+func (d *Dispatcher) latest(ctx context.Context, account *config.Account, id string) (*claim.Entry, *Refusal) {
+	var last *claim.Entry
+	r := &Request{ID: id, Account: account}
+	for attempt := 0; attempt < maxAttempts; attempt++ {
+		found, complete := d.Claims.Lookup(ctx, d.key(r, attempt))
+		if found == nil && !complete && last == nil {
+			return nil, refuse(ReasonClaimUnreachable, RanUnknown, comeBackSoon, "too few replicas answer")
+		}
+		if found == nil {
+			break
+		}
+		last = found
+	}
+	if last == nil {
+		return nil, refuse(ReasonRequestNotFound, RanUnknown, 0, "no request %q of this account is remembered", id)
+	}
+	return last, nil
+}
+
+// Holder returns the node that decided a request.
+func (d *Dispatcher) Holder(ctx context.Context, account *config.Account, id string) (claim.Holder, *Refusal) {
+	e, refusal := d.latest(ctx, account, id)
+	if refusal != nil {
+		return claim.Holder{}, refusal
+	}
+	return e.Holder, nil
+}
+
+// Cancel stops a request, wherever it runs.
+func (d *Dispatcher) Cancel(ctx context.Context, account *config.Account, id string) (bool, *Refusal) {
+	e, refusal := d.latest(ctx, account, id)
+	if refusal != nil {
+		return false, refusal
+	}
+	stopped, err := d.Holders.Cancel(ctx, e.Holder, claim.AttemptOf(e.Token))
+	if err != nil {
+		return false, refuse(ReasonHolderUnreachable, RanUnknown, comeBackSoon, "node %s, which has the request, does not answer now", e.Holder.ID)
+	}
+	return stopped, nil
+}
+
+// CancelAttempt stops an attempt that this node runs.
+func (d *Dispatcher) CancelAttempt(attempt string) bool {
+	x, _ := d.Answers.Find(attempt)
+	return x != nil && x.Cancel()
+}
--- /dev/null
+++ b/dispatch/join.go
@@ -0,0 +1,160 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/violettally/violettally/answer"
+	"github.com/violettally/violettally/claim"
+	"github.com/violettally/violettally/decision"
+)
+
+// startGiven claims a request's id before it runs.
+func (d *Dispatcher) startGiven(ctx context.Context, r *Request, record *decision.Record) (*answer.Exchange, *Refusal) {
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	for attempt := 0; attempt < maxAttempts; attempt++ {
+		x, next, refusal := d.claimAttempt(ctx, r, attempt, record)
+		if !next {
+			return x, refusal
+		}
+		record.Note("take-over", "holder of attempt %d is gone", attempt)
+	}
+	return nil, refuse(ReasonOutcomeUnknown, RanUnknown, 0, "the request was taken over %d times", maxAttempts)
+}
+
+// claimAttempt claims one attempt of an id, or joins the one who has it. Next
+// says that its holder is gone and that the work may be taken over.
+func (d *Dispatcher) claimAttempt(ctx context.Context, r *Request, attempt int, record *decision.Record) (x *answer.Exchange, next bool, _ *Refusal) {
+	override := false
+	for round := range joinRounds {
+		d.rest(ctx, time.Duration(round)*joinPause)
+		exchange := d.NewID()
+		e := d.entry(r, attempt, exchange)
+		runCtx, cancel := context.WithCancel(context.Background())
+		opened := d.Answers.Open(exchange, cancel)
+		claimIt := d.Claims.Claim
+		if override {
+			claimIt = d.Claims.Override
+		}
+		outcome, err := claimIt(ctx, e)
+		if err == nil && outcome.Won {
+			return d.won(runCtx, r, opened, outcome, e, record)
+		}
+		d.giveUp(opened, refuse(ReasonClaimBusy, RanNo, comeBackSoon, "the id is claimed by another node"))
+		if err != nil {
+			return nil, false, claimRefusal(err)
+		}
+		record.Note("claim", "id is claimed by %s", outcome.Other.Holder.ID)
+		j := d.join(ctx, r, outcome)
+		switch {
+		case j.abandoned:
+			// Its holder has given it up and never runs it: clear it away.
+			d.Claims.Abandon(outcome.Other.Key, outcome.Other.Token)
+			override = true
+		case j.override:
+			override = true
+		default:
+			return j.exchange, j.next, j.refusal
+		}
+	}
+	return nil, false, refuse(ReasonClaimBusy, RanUnknown, comeBackSoon, "the id is being claimed by others")
+}
+
+// rest waits, so that what was released has gone before the next round.
+func (d *Dispatcher) rest(ctx context.Context, pause time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
+	<-ctx.Done()
+}
+
+// claimRefusal tells why no claim was won. Its request has not run.
+func claimRefusal(err error) *Refusal {
+	if errorx.IsOfType(err, claim.Full) {
+		return refuse(ReasonClaimMemory, RanNo, comeBackLater, "%v", err)
+	}
+	return refuse(ReasonClaimUnreachable, RanNo, comeBackSoon, "%v", err)
+}
+
+// won starts the run of a claim that was won, unless the key may have been
+// used before.
+func (d *Dispatcher) won(ctx context.Context, r *Request, x *answer.Exchange, outcome claim.Outcome, e claim.Entry, record *decision.Record) (*answer.Exchange, bool, *Refusal) {
+	e.Token = outcome.Token
+	refusal := d.checkLost(r, outcome.LostBefore)
+	if refusal == nil && r.Given && !r.takenOver {
+		refusal = d.limit(r, record)
+	}
+	if refusal != nil {
+		d.giveUp(x, refusal)
+		d.Claims.Release(e.Key, e.Token)
+		return nil, false, refusal
+	}
+	if !r.Repeatable() {
+		x.Pin()
+	}
+	record.Note("claim", "won as %s", e.Key.ID)
+	d.run(ctx, r, x, record, &e)
+	return x, false, nil
+}
+
+// giveUp ends an attempt that never runs. Whoever has joined it learns so.
+func (d *Dispatcher) giveUp(x *answer.Exchange, refusal *Refusal) {
+	d.Answers.Forget(x.Attempt())
+	x.Fail(refusal.Failure())
+	x.Close()
+}
+
+// checkLost refuses an id that may have been used before its claim was lost
+// with two replicas. An id that carries a later time is new.
+func (d *Dispatcher) checkLost(r *Request, lostBefore time.Time) *Refusal {
+	if lostBefore.IsZero() || idTime(r.ID).After(lostBefore) {
+		return nil
+	}
+	return refuse(ReasonOutcomeUnknown, RanUnknown, 0, "two replicas were lost together; whether this id has run is not known")
+}
+
+// joined is what became of joining a claim's holder.
+type joined struct {
+	exchange *answer.Exchange
+	refusal  *Refusal
+	// next allows a take-over as the next attempt, override one that tries
+	// to win in place of a claim that may not have been won.
+	next      bool
+	override  bool
+	abandoned bool
+}
+
+// join follows the answer of a claim that somebody else has.
+func (d *Dispatcher) join(ctx context.Context, r *Request, outcome claim.Outcome) joined {
+	other := outcome.Other
+	switch {
+	case other.State == claim.StateUnknown:
+		return joined{refusal: refuse(ReasonOutcomeUnknown, RanUnknown, 0, "two claims of this id survived; which one ran is not known")}
+	case other.Body != r.Digest:
+		return joined{refusal: refuse(ReasonIDReused, RanNo, 0, "the id was used for another request")}
+	}
+	x, found, ran, err := d.Holders.Attach(ctx, other.Holder, claim.AttemptOf(other.Token))
+	switch {
+	case err == nil && found:
+		return joined{exchange: x}
+	case other.State == claim.StateDone && len(other.Answer) > 0:
+		return joined{exchange: decodeAnswer(other.Answer)}
+	case err == nil && !ran && other.State == claim.StateClaimed:
+		return joined{abandoned: true}
+	case err == nil && other.Repeatable:
+		// It ran, but its answer is not kept any more.
+		return joined{next: true}
+	case err == nil:
+		return joined{refusal: refuse(ReasonAnswerExpired, RanYes, 0, "the request has run; its answer is not kept any more")}
+	case !d.Holders.Gone(other.Holder.ID):
+		return joined{refusal: refuse(ReasonHolderUnreachable, RanUnknown, comeBackSoon, "node %s, which has the request, does not answer now", other.Holder.ID)}
+	case other.Repeatable:
+		return joined{next: true}
+	case !outcome.OtherWon && other.State == claim.StateClaimed:
+		return joined{override: true}
+	default:
+		return joined{refusal: refuse(ReasonOutcomeUnknown, RanUnknown, 0, "the node that had the request is gone; whether it ran is not known")}
+	}
+}
--- a/ledger/closer.go
+++ b/ledger/closer.go
@@ -72,21 +72,19 @@
 
 // Run closes journals until the context ends.
 func (c *Closer) Run(ctx context.Context) {
-	ticks := c.timers.Subscribe(closeInterval)
-	defer ticks.Stop()
-	for round := 0; ; round++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
+	round := 0
+	c.timers.Every(ctx, closeInterval, func() {
+		if c.duty() {
+			c.closeAll(ctx, round%listEvery == 0)
 		}
-		if !c.duty() {
-			continue
-		}
-		for _, journal := range c.candidates(ctx, round%listEvery == 0) {
-			if err := c.Close(ctx, journal); err != nil {
-				slog.Warn("journal not closed", "journal", journal, "error", err)
-			}
+		round++
+	})
+}
+
+func (c *Closer) closeAll(ctx context.Context, list bool) {
+	for _, journal := range c.candidates(ctx, list) {
+		if err := c.Close(ctx, journal); err != nil {
+			slog.Warn("journal not closed", "journal", journal, "error", err)
 		}
 	}
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -35,13 +35,15 @@
 	// nodes keep their shares until there is a new one.
 	leaseLife = 15 * time.Second
 	// evenShare is the part of a limit that is split evenly without leases.
-	evenShare = 0.1
+	evenShare = 0.2
 	// demandMemory is the weight of the last second's demand in the average.
 	demandMemory = 0.5
-	// idleLease is the demand, in requests a second, below which a node asks
-	// for no lease.
-	idleLease = 0.01
-	minBurst  = 1
+	// idleDemand, in requests a second, is no demand. An account without it
+	// keeps a lease for idleLife, so that its next burst finds one, and renews
+	// it only as it runs out.
+	idleDemand = 0.01
+	idleLife   = 10 * time.Minute
+	minBurst   = 1
 )
 
 // Ask is a node's request for a share, in requests a second.
@@ -83,11 +85,21 @@
 // share is what this node may use of one account's limit.
 type share struct {
 	limit   float64
+	burst   int
 	bucket  *rate.Limiter
 	granted float64
 	expires time.Time
 	arrived int
 	demand  float64
+	usedAt  time.Time
+}
+
+// wanted reports whether the share is to be renewed now.
+func (s *share) wanted(now time.Time) bool {
+	if s.demand > idleDemand {
+		return true
+	}
+	return now.Sub(s.usedAt) < idleLife && s.expires.Sub(now) < leaseLife/2
 }
 
 // New returns a limiter.
@@ -104,9 +116,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.share(account.Name, limit)
+	s := l.share(account.Name, account.Limits)
 	s.arrived++
-	l.refresh(s, account.Limits.Burst)
+	s.usedAt = l.timers.Now()
+	l.refresh(s)
 	reservation := s.bucket.Reserve()
 	if wait := reservation.Delay(); wait > 0 {
 		reservation.Cancel()
@@ -115,19 +128,22 @@
 	return 0, true
 }
 
-func (l *Limiter) share(account string, limit float64) *share {
+func (l *Limiter) share(account string, limits config.Limits) *share {
 	s := l.accounts[account]
 	if s == nil {
 		s = &share{bucket: rate.NewLimiter(0, minBurst)}
 		l.accounts[account] = s
 	}
-	s.limit = limit
+	s.limit, s.burst = limits.RequestsPerSecond, limits.Burst
+	if s.burst == 0 {
+		s.burst = int(s.limit)
+	}
 	return s
 }
 
 // refresh sets the bucket to the share that is in force now. The burst is
 // split like the limit, so that all buckets together hold one burst.
-func (l *Limiter) refresh(s *share, burst int) {
+func (l *Limiter) refresh(s *share) {
 	now := l.timers.Now()
 	held := s.limit * evenShare / float64(max(1, l.grantors.Members()))
 	if now.Before(s.expires) {
@@ -137,10 +153,7 @@
 	if float64(s.bucket.Limit()) != held {
 		s.bucket.SetLimitAt(now, rate.Limit(held))
 	}
-	if burst == 0 {
-		burst = int(s.limit)
-	}
-	own := max(minBurst, int(float64(burst)*held/s.limit))
+	own := max(minBurst, int(float64(s.burst)*held/s.limit))
 	if s.bucket.Burst() != own {
 		s.bucket.SetBurstAt(now, own)
 	}
@@ -148,16 +161,7 @@
 
 // Run renews the leases until the context ends.
 func (l *Limiter) Run(ctx context.Context) {
-	ticks := l.timers.Subscribe(leaseInterval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			l.renew(ctx)
-		}
-	}
+	l.timers.Every(ctx, leaseInterval, func() { l.renew(ctx) })
 }
 
 func (l *Limiter) renew(ctx context.Context) {
@@ -184,12 +188,13 @@
 	for name, s := range l.accounts {
 		s.demand = s.demand*(1-demandMemory) + float64(s.arrived)*demandMemory
 		s.arrived = 0
+		l.refresh(s)
 		ask := Ask{Account: name, Demand: s.demand}
 		if now.Before(s.expires) {
 			ask.Held = s.granted
 			ask.HeldMillis = s.expires.Sub(now).Milliseconds()
 		}
-		if s.demand > idleLease || ask.Held > 0 {
+		if s.wanted(now) {
 			asks = append(asks, ask)
 		}
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -166,19 +166,12 @@
 
 // Run probes until the context ends.
 func (p *Prober) Run(ctx context.Context) {
-	ticks := p.timers.Subscribe(p.interval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			p.confirmSuspects()
-			if target, ok := p.next(); ok {
-				go p.probe(ctx, target)
-			}
+	p.timers.Every(ctx, p.interval, func() {
+		p.confirmSuspects()
+		if target, ok := p.next(); ok {
+			go p.probe(ctx, target)
 		}
-	}
+	})
 }
 
 // next returns the member to probe now, each once per round.
--- a/node/backends.go
+++ b/node/backends.go
@@ -51,6 +51,17 @@
 	return q
 }
 
+// load returns how many requests run and wait in all queues.
+func (b *backends) load() (running, waiting int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, q := range b.queues {
+		r, w := q.Load()
+		running, waiting = running+r, waiting+w
+	}
+	return running, waiting
+}
+
 // capacity is this node's part of a pool's slots.
 func (b *backends) capacity(pool string) int {
 	slots := 0
--- /dev/null
+++ b/node/operators.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"github.com/violettally/violettally/claim"
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/control"
+	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/ledger"
+	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/spread"
+	"github.com/violettally/violettally/view"
+)
+
+// operatorNode answers operators.
+type operatorNode struct{ n *Node }
+
+func (o operatorNode) Ready() string {
+	n := o.n
+	switch {
+	case n.prober.Leaving():
+		return "leaving"
+	case n.Config().Revision() == 0:
+		return "no configuration is in force"
+	case !n.keeper.Current().Has(n.self.ID):
+		return "not in the view"
+	case !n.replica.Settled():
+		return "claims are being taken over"
+	case !n.spreader.Current():
+		return "cut off from the platform and most of the view"
+	}
+	return ""
+}
+
+func (o operatorNode) Config() *config.Snapshot { return o.n.Config() }
+
+func (o operatorNode) Apply(ctx context.Context, c control.Change) (control.Result, error) {
+	return control.Apply(ctx, o.n.spreader, spread.Config, c, o.n.timers.Now())
+}
+
+// Explain looks for a decision record here, then at the request's holder, and
+// for an unknown account at every node.
+func (o operatorNode) Explain(ctx context.Context, account, id string) (decision.Summary, bool) {
+	n := o.n
+	if summary, ok := n.records.Find(id); ok {
+		return summary, true
+	}
+	if a := n.Config().Account(account); a != nil {
+		if h, refusal := n.dispatch.Holder(ctx, a, id); refusal == nil {
+			if summary, err := n.client.Explain(ctx, h, id); err == nil && summary.RequestID != "" {
+				return summary, true
+			}
+		}
+	}
+	var mu sync.Mutex
+	var found decision.Summary
+	n.eachMember(ctx, func(ctx context.Context, m view.Member) {
+		summary, err := n.client.Explain(ctx, claim.Holder{ID: m.ID, Peer: m.Peer}, id)
+		if err != nil || summary.RequestID == "" {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		found = summary
+	})
+	return found, found.RequestID != ""
+}
+
+func (o operatorNode) View() *view.View { return o.n.keeper.Current() }
+
+func (o operatorNode) Status(id string) string {
+	status, _ := o.n.prober.Status(id)
+	return status.String()
+}
+
+func (o operatorNode) Rollouts() map[string]rollout.Progress {
+	progress := make(map[string]rollout.Progress)
+	for _, m := range o.n.Config().Models() {
+		if p, ok := o.n.picker.Progress(m.Name); ok {
+			progress[m.Name] = p
+		}
+	}
+	return progress
+}
+
+func (o operatorNode) Journals(ctx context.Context) ([]ledger.Account, error) {
+	return o.n.store.Journals(ctx)
+}
+
+func (o operatorNode) NewID() string { return newID() }
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
+	"maps"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,8 +21,6 @@
 	"github.com/violettally/violettally/limit"
 	"github.com/violettally/violettally/member"
 	"github.com/violettally/violettally/rollout"
-	"github.com/violettally/violettally/settings"
-	"github.com/violettally/violettally/spread"
 	"github.com/violettally/violettally/view"
 )
 
@@ -243,28 +240,17 @@
 // that remember it, the first that answers does; if two believe to be it, the
 // claim of the next attempt decides.
 func (n *Node) adoptOrphans(ctx context.Context) {
-	ticks := n.timers.Subscribe(orphanInterval)
-	defer ticks.Stop()
 	adopted := make(map[string]time.Time)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-		}
+	n.timers.Every(ctx, orphanInterval, func() {
 		now := n.timers.Now()
-		for token, until := range adopted {
-			if now.After(until) {
-				delete(adopted, token)
-			}
-		}
+		maps.DeleteFunc(adopted, func(_ string, until time.Time) bool { return now.After(until) })
 		for _, e := range n.replica.Orphans(func(id string) bool { return !(holders{n}).Gone(id) }) {
 			if _, seen := adopted[e.Token]; !seen && n.firstReplica(e.Key) {
 				adopted[e.Token] = e.Expires
 				n.dispatch.TakeOver(ctx, e)
 			}
 		}
-	}
+	})
 }
 
 func (n *Node) firstReplica(key claim.Key) bool {
@@ -278,257 +264,3 @@
 	}
 	return false
 }
-
-// operatorNode answers operators.
-type operatorNode struct{ n *Node }
-
-func (o operatorNode) Ready() string {
-	n := o.n
-	switch {
-	case n.prober.Leaving():
-		return "leaving"
-	case n.Config().Revision() == 0:
-		return "no configuration is in force"
-	case !n.keeper.Current().Has(n.self.ID):
-		return "not in the view"
-	case !n.replica.Settled():
-		return "claims are being taken over"
-	case !n.spreader.Current():
-		return "cut off from the platform and most of the view"
-	}
-	return ""
-}
-
-func (o operatorNode) Config() *config.Snapshot { return o.n.Config() }
-
-func (o operatorNode) Apply(ctx context.Context, c control.Change) (control.Result, error) {
-	return control.Apply(ctx, o.n.spreader, spread.Config, c, o.n.timers.Now())
-}
-
-// Explain looks for a decision record here, then at the request's holder, and
-// for an unknown account at every node.
-func (o operatorNode) Explain(ctx context.Context, account, id string) (decision.Summary, bool) {
-	n := o.n
-	if summary, ok := n.records.Find(id); ok {
-		return summary, true
-	}
-	if a := n.Config().Account(account); a != nil {
-		if h, refusal := n.dispatch.Holder(ctx, a, id); refusal == nil {
-			if summary, err := n.client.Explain(ctx, h, id); err == nil && summary.RequestID != "" {
-				return summary, true
-			}
-		}
-	}
-	var mu sync.Mutex
-	var found decision.Summary
-	n.eachMember(ctx, func(ctx context.Context, m view.Member) {
-		summary, err := n.client.Explain(ctx, claim.Holder{ID: m.ID, Peer: m.Peer}, id)
-		if err != nil || summary.RequestID == "" {
-			return
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		found = summary
-	})
-	return found, found.RequestID != ""
-}
-
-func (o operatorNode) View() *view.View { return o.n.keeper.Current() }
-
-func (o operatorNode) Status(id string) string {
-	status, _ := o.n.prober.Status(id)
-	return status.String()
-}
-
-func (o operatorNode) Rollouts() map[string]rollout.Progress {
-	progress := make(map[string]rollout.Progress)
-	for _, m := range o.n.Config().Models() {
-		if p, ok := o.n.picker.Progress(m.Name); ok {
-			progress[m.Name] = p
-		}
-	}
-	return progress
-}
-
-func (o operatorNode) Journals(ctx context.Context) ([]ledger.Account, error) {
-	return o.n.store.Journals(ctx)
-}
-
-func (o operatorNode) NewID() string { return newID() }
-
-// bills connects the ledger with the claim replicas that remember bills.
-type bills struct {
-	n  *Node
-	mu sync.Mutex
-	// safe is how far each journal's bills are kept elsewhere, heardAt when
-	// its node last spoke of it.
-	safe        map[string]int64
-	heardAt     map[string]time.Time
-	checkpoints map[string]ledger.Account
-}
-
-func newBills(n *Node) *bills {
-	return &bills{
-		n:           n,
-		safe:        make(map[string]int64),
-		heardAt:     make(map[string]time.Time),
-		checkpoints: make(map[string]ledger.Account),
-	}
-}
-
-func (b *bills) heard(journal string, safe int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.safe[journal] = max(b.safe[journal], safe)
-	b.heardAt[journal] = b.n.timers.Now()
-}
-
-// silentLife is how long bills of a silent journal are kept; its closing
-// takes seconds, in an outage of the platform as long as that lasts.
-const silentLife = 6 * time.Hour
-
-// isFolded reports whether a bill need not be remembered any longer.
-func (b *bills) isFolded(journal string, sequence int64) bool {
-	if journal == b.n.journal.Name() {
-		return sequence <= b.n.journal.Safe()
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.n.timers.Now()
-	if _, known := b.heardAt[journal]; !known {
-		b.heardAt[journal] = now
-	}
-	return sequence <= b.safe[journal] || now.Sub(b.heardAt[journal]) > silentLife
-}
-
-// isMember reports whether a journal belongs to a member of the view.
-func (b *bills) isMember(journal string) bool {
-	return b.n.keeper.Current().Has(strings.TrimRight(journal, "+"))
-}
-
-// Gone lists the journals of nodes that have left the view: those of which this
-// node remembers bills or sums, and those that the view's history names, since
-// a node remembers the bills of some keys only.
-func (b *bills) Gone() []string {
-	known := b.n.replica.BillHolders()
-	for _, m := range b.n.keeper.Current().Removed() {
-		known[m.ID] = true
-	}
-	b.mu.Lock()
-	for journal := range b.checkpoints {
-		known[journal] = true
-	}
-	b.mu.Unlock()
-	var gone []string
-	for journal := range known {
-		if !b.isMember(journal) {
-			gone = append(gone, journal)
-		}
-	}
-	return gone
-}
-
-// keep takes the sums of a journal.
-func (b *bills) keep(a ledger.Account) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if a.Sequence > b.checkpoints[a.Journal].Sequence {
-		b.checkpoints[a.Journal] = a
-	}
-}
-
-// Checkpoint gives the sums of this node's journal to two other nodes of
-// other data halls, as the view names them for the journal.
-func (b *bills) Checkpoint(ctx context.Context, a ledger.Account) bool {
-	took := 0
-	for _, m := range b.n.keeper.Current().Replicas(b.n.self.Region, ledger.Key(a.Journal)) {
-		if m.ID != b.n.self.ID && b.n.client.Checkpoint(ctx, m, a) == nil {
-			took++
-		}
-	}
-	return took >= 2
-}
-
-func (b *bills) recallLocal(journal string) peer.RecallReply {
-	b.mu.Lock()
-	checkpoint := b.checkpoints[journal]
-	b.mu.Unlock()
-	return peer.RecallReply{Checkpoint: checkpoint, Bills: b.n.replica.Bills(journal, checkpoint.Sequence)}
-}
-
-// Recall asks all nodes what they remember of a journal. It is complete if
-// the nodes that did not answer all are of one data hall, since a bill is
-// remembered in two.
-func (b *bills) Recall(ctx context.Context, journal string) (ledger.Account, []ledger.Remembered, bool) {
-	var mu sync.Mutex
-	var replies []peer.RecallReply
-	answered := make(map[string]bool)
-	b.n.eachMember(ctx, func(ctx context.Context, m view.Member) {
-		reply, err := b.n.client.Recall(ctx, m, journal)
-		if err != nil {
-			return
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		answered[m.ID] = true
-		replies = append(replies, reply)
-	})
-	checkpoint, remembered := b.merge(replies)
-	return checkpoint, remembered, b.enough(answered)
-}
-
-func (b *bills) enough(answered map[string]bool) bool {
-	missing := make(map[string]bool)
-	for _, m := range b.n.keeper.Current().Members() {
-		if !answered[m.ID] {
-			missing[m.DataHall] = true
-		}
-	}
-	return len(missing) <= 1
-}
-
-// merge counts on how many replicas each bill stands.
-func (b *bills) merge(replies []peer.RecallReply) (ledger.Account, []ledger.Remembered) {
-	var checkpoint ledger.Account
-	votes := make(map[string]int)
-	entries := make(map[string]claim.Entry)
-	for _, reply := range replies {
-		if reply.Checkpoint.Sequence > checkpoint.Sequence {
-			checkpoint = reply.Checkpoint
-		}
-		for _, e := range reply.Bills {
-			votes[e.Token]++
-			entries[e.Token] = e
-		}
-	}
-	var remembered []ledger.Remembered
-	for token, e := range entries {
-		var bill ledger.Bill
-		if e.Sequence <= checkpoint.Sequence || json.Unmarshal(e.Value, &bill) != nil {
-			continue
-		}
-		replicas := b.n.keeper.Current().Replicas(e.Key.Region, e.Key.String())
-		remembered = append(remembered, ledger.Remembered{
-			Sequence: e.Sequence,
-			Bill:     bill,
-			Won:      votes[token] > len(replicas)/2,
-		})
-	}
-	sort.Slice(remembered, func(i, j int) bool { return remembered[i].Sequence < remembered[j].Sequence })
-	return checkpoint, remembered
-}
-
-// Rebill claims a bill of which it is not known whether it was won.
-func (b *bills) Rebill(ctx context.Context, bill ledger.Bill) error {
-	return b.n.dispatch.Rebill(ctx, bill)
-}
-
-// foldsPerSecond is how many journals the whole fleet writes per second, a
-// tenth of what the platform takes.
-const foldsPerSecond = 10
-
-// foldInterval grows with the fleet.
-func (n *Node) foldInterval() time.Duration {
-	members := time.Duration(len(n.keeper.Current().Members()))
-	return max(settings.Millis(n.settings.Times.FoldMillis), members*time.Second/foldsPerSecond)
-}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -203,16 +203,7 @@
 
 // Run gives orders until the context ends.
 func (p *Planner) Run(ctx context.Context) {
-	ticks := p.timers.Subscribe(planInterval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			p.Step(ctx)
-		}
-	}
+	p.timers.Every(ctx, planInterval, func() { p.Step(ctx) })
 }
 
 // Step gives at most one order to each pool.
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -64,18 +64,11 @@
 
 // Run drives until the context ends.
 func (d *Driver) Run(ctx context.Context) {
-	ticks := d.timers.Subscribe(driveInterval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			if token, ok := d.lease.Held(writeTime); ok {
-				d.Step(ctx, token)
-			}
+	d.timers.Every(ctx, driveInterval, func() {
+		if token, ok := d.lease.Held(writeTime); ok {
+			d.Step(ctx, token)
 		}
-	}
+	})
 }
 
 // Step collects the counts once and writes what follows from them.
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -385,17 +385,9 @@
 // confirm asks the platform now and then beside a watch, so that a watch
 // whose connection died in silence is noticed and replaced.
 func (s *Spreader) confirm(ctx context.Context, broken context.CancelFunc) {
-	ticks := s.timers.Subscribe(platformFresh / 2)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			if !s.compare(ctx) {
-				broken()
-				return
-			}
+	s.timers.Every(ctx, platformFresh/2, func() {
+		if !s.compare(ctx) {
+			broken()
 		}
-	}
+	})
 }
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -9,6 +9,10 @@
 //
 //	timers := timer.New()
 //	defer timers.Close()
+//	timers.Every(ctx, time.Second, fold) // until ctx ends
+//
+// or, where a task waits for other things too,
+//
 //	ticks := timers.Subscribe(time.Second)
 //	defer ticks.Stop()
 //	for {
@@ -22,6 +26,7 @@
 package timer
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -65,6 +70,20 @@
 	return sub
 }
 
+// Every calls do at each tick until the context ends.
+func (s *Service) Every(ctx context.Context, interval time.Duration, do func()) {
+	ticks := s.Subscribe(interval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+			do()
+		}
+	}
+}
+
 // Close ends every subscription. Their channels stay open and silent.
 func (s *Service) Close() {
 	s.mu.Lock()
--- a/view/view.go
+++ b/view/view.go
@@ -16,7 +16,6 @@
 	"encoding/json"
 	"slices"
 	"sort"
-	"strings"
 
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/internal/rendezvous"
@@ -51,12 +50,6 @@
 // MemberID returns the ID of one incarnation of a VM's process.
 func MemberID(vm, incarnation string) string { return vm + "#" + incarnation }
 
-// VMOf returns the name of the VM that a member ID belongs to.
-func VMOf(id string) string {
-	vm, _, _ := strings.Cut(id, "#")
-	return vm
-}
-
 // stored is the stored form of a view.
 type stored struct {
 	Epoch   int64    `json:"epoch"`
