--- a/e2e/measure_test.go
+++ b/e2e/measure_test.go
@@ -19,6 +19,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/internal/standin"
 )
 
 // The measurements of docs/MEASUREMENTS.md. They judge nothing, so they run
@@ -37,7 +38,9 @@
 	t.Run("apply", measureApply)
 	t.Run("nodes", measureNodes)
 	t.Run("servers", measureServers)
+	t.Run("calls", measureCalls)
 	t.Run("faults", measureFaults)
+	t.Run("outage", measureOutage)
 }
 
 // measured is one kind of call with its times in microseconds.
@@ -316,6 +319,94 @@
 	t.Logf("\n| fault | requests | answered at once | answered after retries | refused, not run | unknown | whole p50 ms | p95 | longest |\n|---|---|---|---|---|---|---|---|---|\n%s", strings.Join(lines, "\n"))
 }
 
+// measureOutage takes the platform away for two minutes, and kills a node and
+// gives it back in the middle.
+func measureOutage(t *testing.T) {
+	f := newFleet(t, faultShape)
+	w := startWorkload(f, 5)
+	w.flow()
+	before := f.scrapeAll()
+	f.fault(f.kv, standin.Fault{Down: true})
+	time.Sleep(time.Minute)
+	middle := f.scrapeAll()
+	f.nodes[2].kill()
+	time.Sleep(30 * time.Second)
+	f.restart(f.nodes[2])
+	time.Sleep(30 * time.Second)
+	f.fault(f.kv, standin.Fault{})
+	f.waitReady(f.nodes...)
+	w.flow()
+	w.stop()
+	w.check(t)
+	t.Logf("\n| fault | requests | answered at once | answered after retries | refused, not run | unknown | whole p50 ms | p95 | longest |\n|---|---|---|---|---|---|---|---|---|\n| platform down for 120 s, a node dead from 60 to 90 | %s |", w.row())
+	t.Logf("%s", w.summary())
+	t.Logf("claims and bills remembered per node: %.0f before, %.0f after 60 s; resident %.1f and %.1f MB", before.sum("violettally_claims")/6, middle.sum("violettally_claims")/6, before.sum("process_resident_memory_bytes")/6e6, middle.sum("process_resident_memory_bytes")/6e6)
+	f.end()
+}
+
+// measureCalls breaks the calls between nodes down by kind, over rates and over
+// the number of accounts that have limits and demand.
+func measureCalls(t *testing.T) {
+	kinds := []string{"probe", "claim", "advance", "release", "lookup", "attach", "limit"}
+	var lines []string
+	add := func(name string, f *fleet, run func(done *atomic.Int64)) {
+		before := f.scrapeAll()
+		var done atomic.Int64
+		start := time.Now()
+		run(&done)
+		after := f.scrapeAll()
+		seconds := time.Since(start).Seconds()
+		line := fmt.Sprintf("| %s | %.0f |", name, float64(done.Load())/seconds)
+		for _, kind := range kinds {
+			calls := after.sum("violettally_peer_calls_total/"+kind) - before.sum("violettally_peer_calls_total/"+kind)
+			bytes := after.sum("violettally_peer_sent_bytes_total/"+kind) - before.sum("violettally_peer_sent_bytes_total/"+kind)
+			line += fmt.Sprintf(" %.1f / %.0f |", calls/seconds, bytes/seconds)
+		}
+		cpu := after.sum("process_cpu_seconds_total") - before.sum("process_cpu_seconds_total")
+		lines = append(lines, line+fmt.Sprintf(" %.1f |", 100*cpu/seconds))
+	}
+	f := newFleet(t, shape{halls: 3, perHall: 2, engines: 2, plain: 1, engineArgs: []string{"--token-ms", "0", "--prefill-ms", "0", "--slots", "512"}})
+	for _, mode := range []string{"idle", "minted id", "given id", "proof"} {
+		for _, callers := range []int{2, 8} {
+			if mode == "idle" && callers > 2 {
+				continue
+			}
+			add(fmt.Sprintf("%s, %d callers", mode, callers), f, func(done *atomic.Int64) { f.load(mode, callers, 4*time.Second, done) })
+		}
+	}
+	f.end()
+	for _, accounts := range []int{1, 10, 40} {
+		f := newFleet(t, shape{halls: 3, perHall: 2, engines: 2, plain: 1, engineArgs: []string{"--token-ms", "0", "--prefill-ms", "0"}, declare: func(c *config.Config) {
+			for i := range accounts {
+				c.Accounts = append(c.Accounts, config.Account{Name: fmt.Sprint("limited-", i), Keys: []string{config.Digest(fmt.Sprint("limited-", i))}, Models: []string{"brief"}, Limits: config.Limits{RequestsPerSecond: 1000}})
+			}
+		}})
+		f.demand(accounts, 3*time.Second)
+		add(fmt.Sprintf("%d accounts with limits, 5 requests/s each", accounts), f, func(done *atomic.Int64) { done.Add(f.demand(accounts, 5*time.Second)) })
+		f.end()
+	}
+	t.Logf("\n| 6 nodes, all of them together, per second | requests | %s | %% of a core |\n|---|---|%s---|\n%s", strings.Join(kinds, " calls / bytes | ")+" calls / bytes", strings.Repeat("---|", len(kinds)), strings.Join(lines, "\n"))
+}
+
+// demand sends five requests a second for each account, to all nodes in turn.
+func (f *fleet) demand(accounts int, d time.Duration) int64 {
+	var done atomic.Int64
+	var group sync.WaitGroup
+	for i := range accounts {
+		group.Go(func() {
+			for n, start := 0, time.Now(); time.Since(start) < d; n++ {
+				r := f.chat(f.nodes[n%len(f.nodes)], "brief", "x", "Authorization", fmt.Sprint("Bearer limited-", i))
+				if r.whole() {
+					done.Add(1)
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	return done.Load()
+}
+
 // row sums up a workload for a table.
 func (w *workload) row() string {
 	once, again, refused, unknown, total := 0, 0, 0, 0, 0
--- a/node/bills.go
+++ b/node/bills.go
@@ -60,6 +60,26 @@
 	return sequence <= b.safe[journal] || now.Sub(b.heardAt[journal]) > silentLife
 }
 
+// sweepInterval is how often what is known of silent journals is gone through.
+const sweepInterval = time.Hour
+
+// Run forgets the journals that have been silent for long, until the context
+// ends.
+func (b *bills) Run(ctx context.Context) {
+	b.n.timers.Every(ctx, sweepInterval, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		now := b.n.timers.Now()
+		for journal, at := range b.heardAt {
+			if now.Sub(at) > 2*silentLife {
+				delete(b.heardAt, journal)
+				delete(b.safe, journal)
+				delete(b.checkpoints, journal)
+			}
+		}
+	})
+}
+
 // isMember reports whether a journal belongs to a member of the view.
 func (b *bills) isMember(journal string) bool {
 	return b.n.keeper.Current().Has(strings.TrimRight(journal, "+"))
@@ -91,6 +111,7 @@
 func (b *bills) keep(a ledger.Account) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.heardAt[a.Journal] = b.n.timers.Now()
 	if a.Sequence > b.checkpoints[a.Journal].Sequence {
 		b.checkpoints[a.Journal] = a
 	}
