claim: an id whose work failed is remembered as having been reached

Cause: work that failed and may be repeated gave its claim back, and with it the knowledge that it may have run; a caller told 'unknown' twice and 'no server' the third time was told 'not run'. Change: such a claim is left as failed; whoever claims the key again learns that it was reached, also after a change of the view.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -67,6 +67,9 @@
 const (
 	StateClaimed State = iota
 	StateRunning
+	// StateFailed marks work that may have run and gave no answer. Others may
+	// claim the key again, and learn that it was reached before.
+	StateFailed
 	StateDone
 	// StateUnknown marks a key for which two different claims survived a
 	// change of the view: either may have won.
@@ -116,6 +119,8 @@
 	Expires time.Time `cbor:"10,keyasint"`
 	// Sequence places a bill in its holder's journal.
 	Sequence int64 `cbor:"11,keyasint"`
+	// Reached says that an earlier attempt under the key may have run.
+	Reached bool `cbor:"13,keyasint"`
 	// Soft claims only help to find an answer. They give way when a replica's
 	// memory is half full.
 	Soft bool `cbor:"12,keyasint"`
@@ -155,6 +160,9 @@
 	// LostBefore is the time before which claims for the key may have been
 	// lost; zero if none were.
 	LostBefore time.Time `cbor:"4,keyasint,omitempty"`
+	// Reached comes with a vote for a key that an earlier attempt may have run
+	// under.
+	Reached bool `cbor:"5,keyasint,omitempty"`
 }
 
 // TransferRequest asks an earlier replica for the entries that the asker
--- a/claim/claim_enumer.go
+++ b/claim/claim_enumer.go
@@ -84,11 +84,11 @@
 	return false
 }
 
-const _StateName = "claimedrunningdoneunknown"
+const _StateName = "claimedrunningfaileddoneunknown"
 
-var _StateIndex = [...]uint8{0, 7, 14, 18, 25}
+var _StateIndex = [...]uint8{0, 7, 14, 20, 24, 31}
 
-const _StateLowerName = "claimedrunningdoneunknown"
+const _StateLowerName = "claimedrunningfaileddoneunknown"
 
 func (i State) String() string {
 	if i < 0 || i >= State(len(_StateIndex)-1) {
@@ -103,31 +103,35 @@
 	var x [1]struct{}
 	_ = x[StateClaimed-(0)]
 	_ = x[StateRunning-(1)]
-	_ = x[StateDone-(2)]
-	_ = x[StateUnknown-(3)]
+	_ = x[StateFailed-(2)]
+	_ = x[StateDone-(3)]
+	_ = x[StateUnknown-(4)]
 }
 
-var _StateValues = []State{StateClaimed, StateRunning, StateDone, StateUnknown}
+var _StateValues = []State{StateClaimed, StateRunning, StateFailed, StateDone, StateUnknown}
 
 var _StateNameToValueMap = map[string]State{
 	_StateName[0:7]:   StateClaimed,
 	_StateName[7:14]:  StateRunning,
-	_StateName[14:18]: StateDone,
-	_StateName[18:25]: StateUnknown,
+	_StateName[14:20]: StateFailed,
+	_StateName[20:24]: StateDone,
+	_StateName[24:31]: StateUnknown,
 }
 
 var _StateLowerNameToValueMap = map[string]State{
 	_StateLowerName[0:7]:   StateClaimed,
 	_StateLowerName[7:14]:  StateRunning,
-	_StateLowerName[14:18]: StateDone,
-	_StateLowerName[18:25]: StateUnknown,
+	_StateLowerName[14:20]: StateFailed,
+	_StateLowerName[20:24]: StateDone,
+	_StateLowerName[24:31]: StateUnknown,
 }
 
 var _StateNames = []string{
 	_StateName[0:7],
 	_StateName[7:14],
-	_StateName[14:18],
-	_StateName[18:25],
+	_StateName[14:20],
+	_StateName[20:24],
+	_StateName[24:31],
 }
 
 // StateString retrieves an enum value from the enum constants string name.
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -66,6 +66,8 @@
 	OtherWon bool
 	// LostBefore is the time before which claims for the key may be lost.
 	LostBefore time.Time
+	// Reached says that an earlier attempt under the key may have run.
+	Reached bool
 }
 
 // Claim tries to win a key. It asks the replicas in the view's order, so that
@@ -145,6 +147,7 @@
 	again      bool
 	full       bool
 	lostBefore time.Time
+	reached    bool
 	asked      []view.Member
 }
 
@@ -155,6 +158,7 @@
 	if reply.LostBefore.After(v.lostBefore) {
 		v.lostBefore = reply.LostBefore
 	}
+	v.reached = v.reached || reply.Reached
 	switch reply.Verdict {
 	case VerdictGranted:
 		v.granted++
@@ -199,7 +203,7 @@
 		v.count(reply, err)
 		if v.granted >= need {
 			c.fill(replicas[len(v.asked):], Request{Epoch: current.Epoch(), Entry: e})
-			return Outcome{Won: true, Token: e.Token, LostBefore: v.lostBefore}, false, nil
+			return Outcome{Won: true, Token: e.Token, LostBefore: v.lostBefore, Reached: v.reached}, false, nil
 		}
 		other, n := v.leading()
 		if other != nil && (n >= need || !override) {
--- a/claim/replica.go
+++ b/claim/replica.go
@@ -96,14 +96,24 @@
 	}
 	reply.LostBefore = r.lostBefore(in.Entry.Key.Region, key)
 	held := r.live(key)
+	if held != nil && held.State == StateFailed {
+		// What failed is over; that it may have run is carried on.
+		in.Entry.Reached = true
+		held = nil
+	}
 	// A key for which two claims survived stays taken, also for one of the two.
 	mayReplace := held != nil && held.State == in.Entry.State && supersedes(in.Entry.Token, held.Token)
 	if held != nil && !mayReplace {
 		if held.Token != in.Entry.Token {
 			reply.Verdict, reply.Entry = VerdictTaken, clone(held)
 		}
+		reply.Reached = held.Reached
 		return reply
 	}
+	if held != nil {
+		in.Entry.Reached = held.Reached
+	}
+	reply.Reached = in.Entry.Reached
 	if _, gone := r.released[in.Entry.Token]; gone {
 		// The claimer has given this attempt up; the message is late.
 		reply.Verdict = VerdictNotReady
@@ -221,7 +231,7 @@
 	var orphans []Entry
 	now := r.timers.Now()
 	for _, e := range r.entries {
-		if e.Patient && e.State < StateDone && now.Before(e.Expires) && !answers(e.Holder.ID) {
+		if e.Patient && e.State < StateFailed && now.Before(e.Expires) && !answers(e.Holder.ID) {
 			orphans = append(orphans, *clone(e))
 		}
 	}
--- a/claim/replica_test.go
+++ b/claim/replica_test.go
@@ -59,6 +59,22 @@
 	must.Eq(t, claim.VerdictTaken, ask(id, 1, "k", "z/0"), must.Sprint("work that has run is not abandoned"))
 }
 
+// TestFailedWork lets a key be claimed again after work that gave no answer,
+// and tells the next claimer that it may have run; also after a transfer.
+func TestFailedWork(t *testing.T) {
+	w := newWorld(t, nil)
+	failed := claim.Entry{Key: claim.Key{Region: "home", Account: "desk", ID: "k"}, Token: "first/0", State: claim.StateFailed}
+	must.True(t, w.claim("first", false).Won)
+	for _, r := range w.replicas {
+		r.Advance(failed)
+	}
+	w.replaceMember("a", "north")
+	second := w.claim("second", false)
+	must.True(t, second.Won)
+	must.True(t, second.Reached)
+	must.False(t, w.claim("third", true).Won)
+}
+
 // TestSoftClaimsGiveWay fills a replica with soft claims and finds room for
 // one that is not.
 func TestSoftClaimsGiveWay(t *testing.T) {
--- a/claim/transfer.go
+++ b/claim/transfer.go
@@ -252,6 +252,11 @@
 		if e.State > held.State {
 			r.put(key, e)
 		}
+	case held.State == StateFailed:
+		e.Reached = true
+		r.put(key, e)
+	case e.State == StateFailed:
+		held.Reached = true
 	default:
 		held.State = StateUnknown
 	}
--- a/dispatch/join.go
+++ b/dispatch/join.go
@@ -20,6 +20,7 @@
 		if !next {
 			return x, refusal
 		}
+		r.reached = true
 		record.Note("take-over", "holder of attempt %d is gone", attempt)
 	}
 	return nil, refuse(ReasonOutcomeUnknown, RanUnknown, 0, "the request was taken over %d times", maxAttempts)
@@ -99,6 +100,7 @@
 // used before.
 func (d *Dispatcher) won(ctx context.Context, r *Request, x *answer.Exchange, outcome claim.Outcome, e claim.Entry, record *decision.Record) (*answer.Exchange, bool, *Refusal) {
 	e.Token = outcome.Token
+	r.reached = r.reached || outcome.Reached
 	refusal := d.checkAge(r)
 	if refusal == nil {
 		refusal = d.checkLost(r, outcome.LostBefore)
@@ -108,8 +110,8 @@
 	}
 	if refusal != nil {
 		d.giveUp(x, refusal)
-		d.Claims.Release(e.Key, e.Token)
-		return nil, false, refusal
+		d.endClaim(r, &e)
+		return nil, false, refusal.after(r.reached)
 	}
 	if !r.Repeatable() {
 		x.Pin()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -78,18 +78,28 @@
 	record.Note("refused", "%s", refusal.Error())
 	record.End("refused: " + refusal.reason.String())
 	d.Counters.Refused(refusal.reason, r.Account.Name)
-	if refusal.ran == RanNo || r.Repeatable() {
-		// A later retry may win the id and run.
+	if refusal.ran == RanNo {
 		d.Answers.Forget(x.Attempt())
-		if e != nil {
-			d.Claims.Release(e.Key, e.Token)
-		}
-	} else if e != nil {
-		d.advance(e, claim.StateUnknown, nil)
+	}
+	if e != nil {
+		d.endClaim(r, e)
 	}
 	x.Fail(refusal.Failure())
 }
 
+// endClaim ends the claim of a request that gave no answer. A later retry may
+// win the id and run, unless what may have run may not be repeated.
+func (d *Dispatcher) endClaim(r *Request, e *claim.Entry) {
+	switch {
+	case !r.reached:
+		d.Claims.Release(e.Key, e.Token)
+	case r.Repeatable():
+		d.advance(e, claim.StateFailed, nil)
+	default:
+		d.advance(e, claim.StateUnknown, nil)
+	}
+}
+
 // keep tells the replicas that the work is done, with the answer if others
 // may have to hand it out.
 func (d *Dispatcher) keep(r *Request, x *answer.Exchange, e *claim.Entry) {
