read once more: look a server up once per choice; library calls and one piece for twins

Found reading the whole change; behaviour and assertions stay as they were. - route: filter, average, draw and end each made the server's key anew and looked it up; a choice now carries the server's state.

--- a/adapter/callers/request.go
+++ b/adapter/callers/request.go
@@ -8,6 +8,7 @@
 	"math/bits"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -195,7 +196,7 @@
 	}
 	name, path := c.Param("service"), "/"+c.Param("*")
 	service := d.Config().Service(name)
-	if service == nil || !allowsService(r, name) {
+	if service == nil || !slices.Contains(r.Account.Services, name) {
 		return nil, dispatch.Refuse(dispatch.ReasonServiceNotFound, 0, "service %q is not one that account %q may use", name, r.Account.Name)
 	}
 	call := service.Call(c.Request().Method, path)
@@ -216,15 +217,6 @@
 	return r, nil
 }
 
-func allowsService(r *dispatch.Request, name string) bool {
-	for _, s := range r.Account.Services {
-		if s == name {
-			return true
-		}
-	}
-	return false
-}
-
 func bearer(r *http.Request) string {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
--- a/claim/replica.go
+++ b/claim/replica.go
@@ -96,14 +96,7 @@
 	}
 	reply.LostBefore = r.lostBefore(in.Entry.Key.Region, key)
 	held := r.live(key)
-	if held != nil && held.State == StateFailed {
-		// What failed is over; that it may have run is carried on.
-		in.Entry.Reached = true
-		held = nil
-	}
-	// A key for which two claims survived stays taken, also for one of the two.
-	mayReplace := held != nil && held.State == in.Entry.State && supersedes(in.Entry.Token, held.Token)
-	if held != nil && !mayReplace {
+	if held != nil && !replaceable(held, &in.Entry) {
 		if held.Token != in.Entry.Token {
 			reply.Verdict, reply.Entry = VerdictTaken, clone(held)
 		}
@@ -111,7 +104,7 @@
 		return reply
 	}
 	if held != nil {
-		in.Entry.Reached = held.Reached
+		in.Entry.Reached = held.Reached || held.State == StateFailed
 	}
 	reply.Reached = in.Entry.Reached
 	if _, gone := r.released[in.Entry.Token]; gone {
@@ -127,6 +120,13 @@
 	return reply
 }
 
+// replaceable reports whether a new claim may take the place of the one held:
+// what failed is over, and an attempt gives up its earlier rounds. A key for
+// which two claims survived stays taken, also for one of the two.
+func replaceable(held, by *Entry) bool {
+	return held.State == StateFailed || held.State == by.State && supersedes(by.Token, held.Token)
+}
+
 func (r *Replica) full(e *Entry) bool {
 	bound := r.maxBytes
 	if e.Soft {
--- a/dispatch/dispatch_enumer.go
+++ b/dispatch/dispatch_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_failedrejectedclaim_unreachableclaim_busyclaim_memoryoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
+const _ReasonName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_failedclaim_unreachableclaim_busyclaim_memoryoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
 
-var _ReasonIndex = [...]uint16{0, 15, 32, 42, 59, 76, 87, 99, 109, 117, 126, 139, 147, 164, 174, 186, 201, 219, 228, 244, 251, 259, 268, 285, 299, 315, 322, 336}
+var _ReasonIndex = [...]uint16{0, 15, 32, 42, 59, 76, 87, 99, 109, 117, 126, 139, 156, 166, 178, 193, 211, 220, 236, 243, 251, 260, 277, 291, 307, 314, 328}
 
-const _ReasonLowerName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_failedrejectedclaim_unreachableclaim_busyclaim_memoryoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
+const _ReasonLowerName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_failedclaim_unreachableclaim_busyclaim_memoryoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -35,25 +35,24 @@
 	_ = x[ReasonDeadline-(8)]
 	_ = x[ReasonNoServer-(9)]
 	_ = x[ReasonServerFailed-(10)]
-	_ = x[ReasonRejected-(11)]
-	_ = x[ReasonClaimUnreachable-(12)]
-	_ = x[ReasonClaimBusy-(13)]
-	_ = x[ReasonClaimMemory-(14)]
-	_ = x[ReasonOutcomeUnknown-(15)]
-	_ = x[ReasonHolderUnreachable-(16)]
-	_ = x[ReasonIDReused-(17)]
-	_ = x[ReasonNoConfiguration-(18)]
-	_ = x[ReasonCutOff-(19)]
-	_ = x[ReasonDraining-(20)]
-	_ = x[ReasonCancelled-(21)]
-	_ = x[ReasonRequestNotFound-(22)]
-	_ = x[ReasonAnswerExpired-(23)]
-	_ = x[ReasonAnswerTooLarge-(24)]
-	_ = x[ReasonInvalid-(25)]
-	_ = x[ReasonBodyTooLarge-(26)]
-}
-
-var _ReasonValues = []Reason{ReasonModelNotFound, ReasonVersionWithdrawn, ReasonNoVersion, ReasonServiceNotFound, ReasonCallNotDeclared, ReasonKeyMissing, ReasonRateLimited, ReasonOverloaded, ReasonDeadline, ReasonNoServer, ReasonServerFailed, ReasonRejected, ReasonClaimUnreachable, ReasonClaimBusy, ReasonClaimMemory, ReasonOutcomeUnknown, ReasonHolderUnreachable, ReasonIDReused, ReasonNoConfiguration, ReasonCutOff, ReasonDraining, ReasonCancelled, ReasonRequestNotFound, ReasonAnswerExpired, ReasonAnswerTooLarge, ReasonInvalid, ReasonBodyTooLarge}
+	_ = x[ReasonClaimUnreachable-(11)]
+	_ = x[ReasonClaimBusy-(12)]
+	_ = x[ReasonClaimMemory-(13)]
+	_ = x[ReasonOutcomeUnknown-(14)]
+	_ = x[ReasonHolderUnreachable-(15)]
+	_ = x[ReasonIDReused-(16)]
+	_ = x[ReasonNoConfiguration-(17)]
+	_ = x[ReasonCutOff-(18)]
+	_ = x[ReasonDraining-(19)]
+	_ = x[ReasonCancelled-(20)]
+	_ = x[ReasonRequestNotFound-(21)]
+	_ = x[ReasonAnswerExpired-(22)]
+	_ = x[ReasonAnswerTooLarge-(23)]
+	_ = x[ReasonInvalid-(24)]
+	_ = x[ReasonBodyTooLarge-(25)]
+}
+
+var _ReasonValues = []Reason{ReasonModelNotFound, ReasonVersionWithdrawn, ReasonNoVersion, ReasonServiceNotFound, ReasonCallNotDeclared, ReasonKeyMissing, ReasonRateLimited, ReasonOverloaded, ReasonDeadline, ReasonNoServer, ReasonServerFailed, ReasonClaimUnreachable, ReasonClaimBusy, ReasonClaimMemory, ReasonOutcomeUnknown, ReasonHolderUnreachable, ReasonIDReused, ReasonNoConfiguration, ReasonCutOff, ReasonDraining, ReasonCancelled, ReasonRequestNotFound, ReasonAnswerExpired, ReasonAnswerTooLarge, ReasonInvalid, ReasonBodyTooLarge}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:15]:    ReasonModelNotFound,
@@ -67,22 +66,21 @@
 	_ReasonName[109:117]: ReasonDeadline,
 	_ReasonName[117:126]: ReasonNoServer,
 	_ReasonName[126:139]: ReasonServerFailed,
-	_ReasonName[139:147]: ReasonRejected,
-	_ReasonName[147:164]: ReasonClaimUnreachable,
-	_ReasonName[164:174]: ReasonClaimBusy,
-	_ReasonName[174:186]: ReasonClaimMemory,
-	_ReasonName[186:201]: ReasonOutcomeUnknown,
-	_ReasonName[201:219]: ReasonHolderUnreachable,
-	_ReasonName[219:228]: ReasonIDReused,
-	_ReasonName[228:244]: ReasonNoConfiguration,
-	_ReasonName[244:251]: ReasonCutOff,
-	_ReasonName[251:259]: ReasonDraining,
-	_ReasonName[259:268]: ReasonCancelled,
-	_ReasonName[268:285]: ReasonRequestNotFound,
-	_ReasonName[285:299]: ReasonAnswerExpired,
-	_ReasonName[299:315]: ReasonAnswerTooLarge,
-	_ReasonName[315:322]: ReasonInvalid,
-	_ReasonName[322:336]: ReasonBodyTooLarge,
+	_ReasonName[139:156]: ReasonClaimUnreachable,
+	_ReasonName[156:166]: ReasonClaimBusy,
+	_ReasonName[166:178]: ReasonClaimMemory,
+	_ReasonName[178:193]: ReasonOutcomeUnknown,
+	_ReasonName[193:211]: ReasonHolderUnreachable,
+	_ReasonName[211:220]: ReasonIDReused,
+	_ReasonName[220:236]: ReasonNoConfiguration,
+	_ReasonName[236:243]: ReasonCutOff,
+	_ReasonName[243:251]: ReasonDraining,
+	_ReasonName[251:260]: ReasonCancelled,
+	_ReasonName[260:277]: ReasonRequestNotFound,
+	_ReasonName[277:291]: ReasonAnswerExpired,
+	_ReasonName[291:307]: ReasonAnswerTooLarge,
+	_ReasonName[307:314]: ReasonInvalid,
+	_ReasonName[314:328]: ReasonBodyTooLarge,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -97,22 +95,21 @@
 	_ReasonLowerName[109:117]: ReasonDeadline,
 	_ReasonLowerName[117:126]: ReasonNoServer,
 	_ReasonLowerName[126:139]: ReasonServerFailed,
-	_ReasonLowerName[139:147]: ReasonRejected,
-	_ReasonLowerName[147:164]: ReasonClaimUnreachable,
-	_ReasonLowerName[164:174]: ReasonClaimBusy,
-	_ReasonLowerName[174:186]: ReasonClaimMemory,
-	_ReasonLowerName[186:201]: ReasonOutcomeUnknown,
-	_ReasonLowerName[201:219]: ReasonHolderUnreachable,
-	_ReasonLowerName[219:228]: ReasonIDReused,
-	_ReasonLowerName[228:244]: ReasonNoConfiguration,
-	_ReasonLowerName[244:251]: ReasonCutOff,
-	_ReasonLowerName[251:259]: ReasonDraining,
-	_ReasonLowerName[259:268]: ReasonCancelled,
-	_ReasonLowerName[268:285]: ReasonRequestNotFound,
-	_ReasonLowerName[285:299]: ReasonAnswerExpired,
-	_ReasonLowerName[299:315]: ReasonAnswerTooLarge,
-	_ReasonLowerName[315:322]: ReasonInvalid,
-	_ReasonLowerName[322:336]: ReasonBodyTooLarge,
+	_ReasonLowerName[139:156]: ReasonClaimUnreachable,
+	_ReasonLowerName[156:166]: ReasonClaimBusy,
+	_ReasonLowerName[166:178]: ReasonClaimMemory,
+	_ReasonLowerName[178:193]: ReasonOutcomeUnknown,
+	_ReasonLowerName[193:211]: ReasonHolderUnreachable,
+	_ReasonLowerName[211:220]: ReasonIDReused,
+	_ReasonLowerName[220:236]: ReasonNoConfiguration,
+	_ReasonLowerName[236:243]: ReasonCutOff,
+	_ReasonLowerName[243:251]: ReasonDraining,
+	_ReasonLowerName[251:260]: ReasonCancelled,
+	_ReasonLowerName[260:277]: ReasonRequestNotFound,
+	_ReasonLowerName[277:291]: ReasonAnswerExpired,
+	_ReasonLowerName[291:307]: ReasonAnswerTooLarge,
+	_ReasonLowerName[307:314]: ReasonInvalid,
+	_ReasonLowerName[314:328]: ReasonBodyTooLarge,
 }
 
 var _ReasonNames = []string{
@@ -127,22 +124,21 @@
 	_ReasonName[109:117],
 	_ReasonName[117:126],
 	_ReasonName[126:139],
-	_ReasonName[139:147],
-	_ReasonName[147:164],
-	_ReasonName[164:174],
-	_ReasonName[174:186],
-	_ReasonName[186:201],
-	_ReasonName[201:219],
-	_ReasonName[219:228],
-	_ReasonName[228:244],
-	_ReasonName[244:251],
-	_ReasonName[251:259],
-	_ReasonName[259:268],
-	_ReasonName[268:285],
-	_ReasonName[285:299],
-	_ReasonName[299:315],
-	_ReasonName[315:322],
-	_ReasonName[322:336],
+	_ReasonName[139:156],
+	_ReasonName[156:166],
+	_ReasonName[166:178],
+	_ReasonName[178:193],
+	_ReasonName[193:211],
+	_ReasonName[211:220],
+	_ReasonName[220:236],
+	_ReasonName[236:243],
+	_ReasonName[243:251],
+	_ReasonName[251:260],
+	_ReasonName[260:277],
+	_ReasonName[277:291],
+	_ReasonName[291:307],
+	_ReasonName[307:314],
+	_ReasonName[314:328],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/dispatch/find.go
+++ b/dispatch/find.go
@@ -26,7 +26,7 @@
 		// Another node is about to take it over.
 		return answer.NewExchange(e.Token, func() {}), nil
 	default:
-		return nil, refuse(ReasonHolderUnreachable, RanUnknown, comeBackSoon, "node %s, which has the request, does not answer now", e.Holder.ID)
+		return nil, holderUnreachable(e.Holder.ID)
 	}
 }
 
@@ -67,7 +67,7 @@
 	}
 	stopped, err := d.Holders.Cancel(ctx, e.Holder, claim.AttemptOf(e.Token))
 	if err != nil {
-		return false, refuse(ReasonHolderUnreachable, RanUnknown, comeBackSoon, "node %s, which has the request, does not answer now", e.Holder.ID)
+		return false, holderUnreachable(e.Holder.ID)
 	}
 	return stopped, nil
 }
--- a/dispatch/join.go
+++ b/dispatch/join.go
@@ -181,7 +181,7 @@
 	case err == nil:
 		return joined{refusal: refuse(ReasonAnswerExpired, RanYes, 0, "the request has run; its answer is not kept any more")}
 	case !d.Holders.Gone(other.Holder.ID):
-		return joined{refusal: refuse(ReasonHolderUnreachable, RanUnknown, comeBackSoon, "node %s, which has the request, does not answer now", other.Holder.ID)}
+		return joined{refusal: holderUnreachable(other.Holder.ID)}
 	case other.Repeatable:
 		return joined{next: true}
 	case !outcome.OtherWon && other.State == claim.StateClaimed:
--- a/dispatch/refusal.go
+++ b/dispatch/refusal.go
@@ -26,7 +26,6 @@
 	ReasonDeadline
 	ReasonNoServer
 	ReasonServerFailed
-	ReasonRejected
 	ReasonClaimUnreachable
 	ReasonClaimBusy
 	ReasonClaimMemory
@@ -65,7 +64,6 @@
 	ReasonRateLimited:      http.StatusTooManyRequests,
 	ReasonDeadline:         http.StatusServiceUnavailable,
 	ReasonServerFailed:     http.StatusBadGateway,
-	ReasonRejected:         http.StatusBadRequest,
 	ReasonOutcomeUnknown:   http.StatusConflict,
 	ReasonIDReused:         http.StatusUnprocessableEntity,
 	ReasonCancelled:        499,
@@ -95,6 +93,12 @@
 	return refuse(reason, RanNo, retryAfter, format, args...)
 }
 
+// holderUnreachable refuses for as long as nobody knows what became of the node
+// that has the request.
+func holderUnreachable(holder string) *Refusal {
+	return refuse(ReasonHolderUnreachable, RanUnknown, comeBackSoon, "node %s, which has the request, does not answer now", holder)
+}
+
 // Error reads as code and message.
 func (r *Refusal) Error() string { return r.reason.String() + ": " + r.message }
 
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -24,7 +25,7 @@
 // it.
 func resolve(s *config.Snapshot, account *config.Account, name string) (target, bool) {
 	if c := s.Cascade(name); c != nil {
-		return target{cascade: c, models: c.Models}, mentions(account, name)
+		return target{cascade: c, models: c.Models}, slices.Contains(account.Models, name)
 	}
 	model, version, _ := strings.Cut(name, "@")
 	m := s.Model(model)
@@ -40,20 +41,11 @@
 	return target{}, false
 }
 
-func mentions(account *config.Account, name string) bool {
-	for _, ref := range account.Models {
-		if ref == name {
-			return true
-		}
-	}
-	return false
-}
-
 // Models lists what an account may use: cascades, models and versions.
 func Models(s *config.Snapshot, account *config.Account) []string {
 	var names []string
 	for _, c := range s.Cascades() {
-		if mentions(account, c.Name) {
+		if slices.Contains(account.Models, c.Name) {
 			names = append(names, c.Name)
 		}
 	}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -172,18 +172,23 @@
 	for i, fault := range faults {
 		t.Run(strings.ReplaceAll(fault.name, " ", "_"), func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t, faultShape)
-			w := startWorkload(f, uint64(i))
-			w.flow()
-			fault.inject(w, rand.New(rand.NewPCG(uint64(i), 0)))
-			w.flow()
-			w.stop()
-			w.check(t)
-			t.Log(w.summary())
+			t.Log(runFault(t, fault, uint64(i)).summary())
 		})
 	}
 }
 
+// runFault runs the workload under one fault and checks it.
+func runFault(t *testing.T, what fault, seed uint64) *workload {
+	f := newFleet(t, faultShape)
+	w := startWorkload(f, seed)
+	w.flow()
+	what.inject(w, rand.New(rand.NewPCG(seed, 0)))
+	w.flow()
+	w.stop()
+	w.check(t)
+	return w
+}
+
 // TestRandomFaults draws faults by a seed, some two at once. The run is
 // repeated by `go test ./e2e -run TestRandomFaults -seed N -steps M`.
 func TestRandomFaults(t *testing.T) {
--- a/e2e/measure_test.go
+++ b/e2e/measure_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -306,15 +305,9 @@
 func measureFaults(t *testing.T) {
 	var lines []string
 	for i, fault := range faults {
-		f := newFleet(t, faultShape)
-		w := startWorkload(f, uint64(i))
-		w.flow()
-		fault.inject(w, rand.New(rand.NewPCG(uint64(i), 0)))
-		w.flow()
-		w.stop()
-		w.check(t)
+		w := runFault(t, fault, uint64(i))
 		lines = append(lines, fmt.Sprintf("| %s | %s |", fault.name, w.row()))
-		f.end()
+		w.f.end()
 	}
 	t.Logf("\n| fault | requests | answered at once | answered after retries | refused, not run | unknown | whole p50 ms | p95 | longest |\n|---|---|---|---|---|---|---|---|---|\n%s", strings.Join(lines, "\n"))
 }
--- a/member/member.go
+++ b/member/member.go
@@ -450,9 +450,18 @@
 // Rank returns this node's place, by ID, among the answering members of its
 // data hall; zero is the first.
 func (p *Prober) Rank() int {
+	return p.rank(func(m view.Member) bool { return m.Region == p.self.Region && m.DataHall == p.self.DataHall })
+}
+
+// RegionRank is Rank within the whole region.
+func (p *Prober) RegionRank() int {
+	return p.rank(func(m view.Member) bool { return m.Region == p.self.Region })
+}
+
+func (p *Prober) rank(among func(view.Member) bool) int {
 	rank := 0
 	for _, m := range p.Alive() {
-		if m.Region == p.self.Region && m.DataHall == p.self.DataHall && m.ID < p.self.ID {
+		if among(m) && m.ID < p.self.ID {
 			rank++
 		}
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -54,23 +54,13 @@
 
 // onDuty reports whether this node is the first of its region that answers.
 // What such a node does is safe when two believe to be it.
-func (n *Node) onDuty() bool { return n.rank() == 0 && n.replica.Settled() }
+func (n *Node) onDuty() bool { return n.prober.RegionRank() == 0 && n.replica.Settled() }
 
 // driverCandidates is how many nodes compete for the driver's lease.
 const driverCandidates = 3
 
 func (n *Node) mayDrive() bool {
-	return n.rank() < driverCandidates && n.keeper.Current().Has(n.self.ID) && !n.prober.Leaving()
-}
-
-func (n *Node) rank() int {
-	rank := 0
-	for _, m := range n.prober.Alive() {
-		if m.Region == n.self.Region && m.ID < n.self.ID {
-			rank++
-		}
-	}
-	return rank
+	return n.prober.RegionRank() < driverCandidates && n.keeper.Current().Has(n.self.ID) && !n.prober.Leaving()
 }
 
 // addresses returns the nodes for callers, those of a data hall first.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,6 +19,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -120,7 +121,7 @@
 func roomFor(holdings []Holding, model string) int {
 	best := -1
 	for i, h := range holdings {
-		if len(h.Models) == 0 || len(h.Models) >= maxModels || contains(h.Models, model) {
+		if len(h.Models) == 0 || len(h.Models) >= maxModels || slices.Contains(h.Models, model) {
 			continue
 		}
 		if best < 0 || len(h.Models) < len(holdings[best].Models) {
@@ -156,15 +157,6 @@
 	return Order{Server: holdings[best].Server, Action: ActionUnload, Model: bestModel}, true
 }
 
-func contains(models []string, model string) bool {
-	for _, m := range models {
-		if m == model {
-			return true
-		}
-	}
-	return false
-}
-
 // Wants returns what a pool should hold, given the share of each version.
 func Wants(s *config.Snapshot, pool string, servers int, share func(m *config.Model, version string) float64) []Want {
 	var wants []Want
--- a/route/route.go
+++ b/route/route.go
@@ -20,6 +20,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -152,7 +153,7 @@
 type Attempt struct {
 	chooser *Chooser
 	server  config.Server
-	key     string
+	state   *server
 	prefix  uint64
 	// stretch is how much longer than on the idle server the request was
 	// expected to take.
@@ -177,22 +178,24 @@
 	if len(usable) == 0 {
 		return nil, errs.New(NoServer, "choose", "pool %s has no server for %s", r.Pool, r.EngineModel)
 	}
-	pool := c.average(r.Pool, usable)
-	best, bestCost, bestStretch := -1, math.Inf(1), 1.0
-	for _, i := range c.draw(r, usable) {
-		s := c.server(serverKey(r.Pool, usable[i].Name))
-		stretch := s.stretch(usable[i].Slots, r.Prefix, pool, now)
-		if cost := s.expected(pool, now) * stretch; cost < bestCost {
-			best, bestCost, bestStretch = i, cost, stretch
+	pool := averageOf(usable)
+	best, bestCost, bestStretch := choice{}, math.Inf(1), 1.0
+	for _, o := range draw(r, usable) {
+		stretch := o.state.stretch(o.server.Slots, r.Prefix, pool, now)
+		if cost := o.state.expected(pool, now) * stretch; cost < bestCost {
+			best, bestCost, bestStretch = o, cost, stretch
 		}
 	}
-	chosen := usable[best]
-	key := serverKey(r.Pool, chosen.Name)
-	s := c.server(key)
-	s.inflight++
-	s.usedAt = now
-	s.breaker.begin(now)
-	return &Attempt{chooser: c, server: chosen, key: key, prefix: r.Prefix, stretch: bestStretch}, nil
+	best.state.inflight++
+	best.state.usedAt = now
+	best.state.breaker.begin(now)
+	return &Attempt{chooser: c, server: best.server, state: best.state, prefix: r.Prefix, stretch: bestStretch}, nil
+}
+
+// choice is a server that may be chosen, with what is known of it.
+type choice struct {
+	server config.Server
+	state  *server
 }
 
 func serverKey(pool, name string) string { return pool + "/" + name }
@@ -208,7 +211,7 @@
 
 // usable returns the servers of this node's subset that may take the request;
 // if there are none, those of the whole pool.
-func (c *Chooser) usable(r Request, now time.Time) []config.Server {
+func (c *Chooser) usable(r Request, now time.Time) []choice {
 	usable := c.filter(r, c.subset(r.Pool, r.Servers), now)
 	if len(usable) == 0 {
 		usable = c.filter(r, r.Servers, now)
@@ -216,8 +219,8 @@
 	return usable
 }
 
-func (c *Chooser) filter(r Request, servers []config.Server, now time.Time) []config.Server {
-	var usable []config.Server
+func (c *Chooser) filter(r Request, servers []config.Server, now time.Time) []choice {
+	usable := make([]choice, 0, len(servers))
 	for _, candidate := range servers {
 		s := c.server(serverKey(r.Pool, candidate.Name))
 		switch {
@@ -225,39 +228,34 @@
 		case !holds(s.report.Models, r.EngineModel):
 		case !s.breaker.allows(now):
 		default:
-			usable = append(usable, candidate)
+			usable = append(usable, choice{candidate, s})
 		}
 	}
 	return usable
 }
 
 func holds(models []string, model string) bool {
-	if len(models) == 0 || model == "" {
-		return true
-	}
-	for _, m := range models {
-		if m == model {
-			return true
-		}
-	}
-	return false
+	return len(models) == 0 || model == "" || slices.Contains(models, model)
 }
 
-// draw returns the indexes of a few random candidates, and of the one that
-// most lately had the prompt's prefix.
-func (c *Chooser) draw(r Request, usable []config.Server) []int {
-	drawn := rand.Perm(len(usable))
-	drawn = drawn[:min(candidates, len(drawn))]
+// draw returns a few random candidates, and the one that most lately had the
+// prompt's prefix.
+func draw(r Request, usable []choice) []choice {
+	var drawn []choice
+	for _, i := range rand.Perm(len(usable))[:min(candidates, len(usable))] {
+		drawn = append(drawn, usable[i])
+	}
 	if r.Prefix == 0 {
 		return drawn
 	}
-	latest, at := -1, time.Time{}
-	for i, candidate := range usable {
-		if seen := c.server(serverKey(r.Pool, candidate.Name)).cache[r.Prefix]; seen.After(at) {
-			latest, at = i, seen
+	var latest choice
+	var at time.Time
+	for _, o := range usable {
+		if seen := o.state.cache[r.Prefix]; seen.After(at) {
+			latest, at = o, seen
 		}
 	}
-	if latest >= 0 {
+	if !at.IsZero() {
 		drawn = append(drawn, latest)
 	}
 	return drawn
@@ -270,14 +268,13 @@
 	others, speed float64
 }
 
-func (c *Chooser) average(pool string, servers []config.Server) average {
+func averageOf(options []choice) average {
 	var sum average
-	for _, candidate := range servers {
-		s := c.server(serverKey(pool, candidate.Name))
-		sum.others += s.others()
-		sum.speed += s.speed.Seconds()
+	for _, o := range options {
+		sum.others += o.state.others()
+		sum.speed += o.state.speed.Seconds()
 	}
-	n := float64(len(servers))
+	n := float64(len(options))
 	return average{others: sum.others / n, speed: sum.speed / n}
 }
 
@@ -319,7 +316,7 @@
 func (c *Chooser) end(a *Attempt, outcome Outcome, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.server(a.key)
+	s := a.state
 	s.inflight--
 	now := time.Now()
 	switch outcome {
--- a/view/keeper.go
+++ b/view/keeper.go
@@ -23,6 +23,9 @@
 	Alive() []Member
 	// Hears reports whether more than half of the view answers.
 	Hears() bool
+	// RegionRank returns this node's place among the answering members of its
+	// region.
+	RegionRank() int
 	// Reaches reports whether a peer reaches this node.
 	Reaches(ctx context.Context, via Member) bool
 }
@@ -195,15 +198,7 @@
 }
 
 // proposes reports whether this node is one of the few that propose removals.
-func (k *Keeper) proposes() bool {
-	rank := 0
-	for _, m := range k.opinions.Alive() {
-		if m.Region == k.self.Region && m.ID < k.self.ID {
-			rank++
-		}
-	}
-	return rank < proposers
-}
+func (k *Keeper) proposes() bool { return k.opinions.RegionRank() < proposers }
 
 func (k *Keeper) change(ctx context.Context, why string, add []Member, remove []string) {
 	_, err := k.shared.Update(ctx, k.name, func(old []byte) ([]byte, error) {
