--- a/command/command.go
+++ b/command/command.go
@@ -34,6 +34,10 @@
 	Settings string `arg:"-s,--settings,required" help:"settings file of this VM (JSON)"`
 }
 
+type gatewayArgs struct {
+	Settings string `arg:"-s,--settings,env:VIOLETTALLY_SETTINGS,required" help:"settings file of this VM (JSON)"`
+}
+
 type fileArgs struct {
 	File string `arg:"positional,required" help:"declaration file (JSON)"`
 }
@@ -73,6 +77,7 @@
 
 type arguments struct {
 	Serve     *serveArgs     `arg:"subcommand:serve" help:"run a node on this VM"`
+	Gateway   *gatewayArgs   `arg:"subcommand:gateway" help:"run a node on the users' platform, passing requests through"`
 	Check     *fileArgs      `arg:"subcommand:check" help:"check a declaration file and print every fault"`
 	Apply     *applyArgs     `arg:"subcommand:apply" help:"put a declaration file in force, whole or not at all"`
 	Show      *showArgs      `arg:"subcommand:show" help:"print what is in force"`
@@ -123,6 +128,8 @@
 	switch {
 	case args.Serve != nil:
 		return r.serve(args.Serve)
+	case args.Gateway != nil:
+		return r.gateway(args.Gateway)
 	case args.Check != nil:
 		return r.check(args.Check)
 	case args.Apply != nil:
--- /dev/null
+++ b/command/gateway.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/violettally/violettally/gateway"
+	"github.com/violettally/violettally/logs"
+	"github.com/violettally/violettally/settings"
+)
+
+// gateway runs a gateway until SIGTERM or SIGINT, then drains it. SIGHUP
+// reads the settings again.
+func (r *runner) gateway(args *gatewayArgs) int {
+	s, err := settings.LoadGateway(args.Settings)
+	if err != nil {
+		fmt.Fprintln(r.stderr, err)
+		return ExitUsage
+	}
+	var level slog.LevelVar
+	setLevel(&level, s.LogLevel)
+	out := logs.New(r.stdout)
+	defer out.Close()
+	slog.SetDefault(slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: &level})).With("vm", s.Name))
+	slog.Info("starting", "version", version(), "settings", args.Settings)
+	g, err := gateway.New(s)
+	if err != nil {
+		slog.Error("gateway cannot start", "error", err)
+		return ExitFailure
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	go reload(ctx, args.Settings, func(s *settings.Gateway) { setLevel(&level, s.LogLevel) })
+	if err := g.Run(ctx); err != nil {
+		slog.Error("gateway failed", "error", err)
+		return ExitFailure
+	}
+	slog.Info("stopped")
+	return ExitOK
+}
+
+func setLevel(level *slog.LevelVar, name string) {
+	if err := level.UnmarshalText([]byte(name)); err != nil {
+		slog.Error("log level unknown; it stays as it is", "level", name)
+	}
+}
+
+// reload reads the settings at each SIGHUP. Settings with faults change
+// nothing.
+func reload(ctx context.Context, file string, apply func(*settings.Gateway)) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		s, err := settings.LoadGateway(file)
+		if err != nil {
+			slog.Error("settings not read again; the last ones stay in force", "error", err)
+			continue
+		}
+		apply(s)
+		slog.Info("settings read again", "file", file)
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -155,6 +155,10 @@
 	Version string  `json:"version"`
 	Stages  []Stage `json:"stages"`
 	Guards  Guards  `json:"guards"`
+	// Replace says that whatever holds the version in service is stopped when
+	// the roll-out is complete, so that nothing may run there any more. It is
+	// set by code alone.
+	Replace bool `json:"-"`
 }
 
 // Samples returns the number of answers that all stages need together.
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -57,6 +57,20 @@
 	})
 }
 
+// Name sets the account, where it is only known after the start.
+func (r *Record) Name(account string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.summary.Account = account
+}
+
+// Account returns the account's name.
+func (r *Record) Account() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.summary.Account
+}
+
 // Choose notes which version and backend server do the work.
 func (r *Record) Choose(model, version, server string) {
 	r.mu.Lock()
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,311 @@
+// Package gateway puts one process together for a platform that keeps the
+// declarations, the servers and the list of nodes in its store: it makes the
+// parts, joins them, and runs them until the process is told to stop.
+//
+// It stands beside package node, which serves the product's own interface. A
+// gateway keeps nothing that outlasts it, asks the store nothing on the path
+// of a request, and sends its peers nothing on that path either.
+//
+// # Usage
+//
+//	g, err := gateway.New(settings)
+//	if err != nil {
+//		return err
+//	}
+//	return g.Run(ctx) // until ctx ends; then the gateway drains and leaves
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/violettally/violettally/adapter/peer"
+	"github.com/violettally/violettally/cascade"
+	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/lease"
+	"github.com/violettally/violettally/metrics"
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/platform"
+	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/relay"
+	"github.com/violettally/violettally/retry"
+	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/settings"
+	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/view"
+)
+
+var (
+	namespace = errs.Namespace("gateway")
+
+	// Start says that the gateway could not be made or opened.
+	Start = namespace.NewType("start")
+)
+
+const (
+	// driverLease is the lease of the gateway that drives roll-outs.
+	driverLease = "driver"
+	// leaseTime is how long a gateway's entry and the driver's lease outlive
+	// their holder. Shorter leases cost more renewals; a driver that is gone
+	// is replaced well within the bound for stopping a bad version (5 s).
+	leaseTime = 2500 * time.Millisecond
+	// addressTTL is how long clients keep the addresses that they are told.
+	// A node that leaves serves on for longer than that.
+	addressTTL = 2 * time.Second
+	// retryShare is the part of the platform's retry ratio that is used; the
+	// rest is margin for requests that arrive unevenly at the nodes.
+	retryShare = 0.9
+	// retryBurst is the part of the platform's slack that all nodes together
+	// hold back for bursts.
+	retryBurst = 0.5
+	// canaryMargin keeps the first stage of a roll-out below the agreed share,
+	// since requests fall on either side by chance.
+	canaryMargin = 0.7
+)
+
+// Gateway is one process of the system.
+type Gateway struct {
+	settings *settings.Gateway
+	self     view.Member
+
+	timers   *timer.Service
+	metrics  *metrics.Metrics
+	store    *platform.Store
+	mirror   *mirror.Mirror
+	registry *registry.Registry
+	balancer *route.Balancer
+	picker   *rollout.Picker
+	services *rollout.Services
+	driver   *rollout.Driver
+	leases   *lease.Holder
+	client   *peer.Client
+	nodes    *nodes
+
+	callers *platform.Callers
+	catalog atomic.Pointer[catalog.Catalog]
+	leaving atomic.Bool
+}
+
+// New makes a gateway that does not run yet.
+func New(s *settings.Gateway) (*Gateway, error) {
+	instruments, err := metrics.New()
+	if err != nil {
+		return nil, errs.Wrap(Start, "new", err, "metrics")
+	}
+	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
+	g := &Gateway{
+		settings: s,
+		timers:   timer.New(),
+		metrics:  instruments,
+		self: view.Member{
+			ID:       view.MemberID(s.Name, incarnation),
+			VM:       s.Name,
+			Region:   s.Region,
+			DataHall: s.DataHall,
+			Caller:   s.Caller.Address(),
+			Peer:     s.Peer.Address(),
+		},
+	}
+	g.catalog.Store(catalog.Empty())
+	g.store = platform.NewStore(s.Store.Address, instruments.PlatformCall)
+	g.client = peer.NewClient(nil, peer.WithCallCounter(instruments.PeerCall))
+	g.registry = registry.New(g.timers)
+	g.balancer = route.NewBalancer(s.DataHall, instruments.BreakerOpened)
+	g.nodes = newNodes(g)
+	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers)
+	g.makeRollouts()
+	g.subscribe()
+	g.makeCallers()
+	return g, nil
+}
+
+func (g *Gateway) makeRollouts() {
+	g.picker = rollout.NewPicker()
+	g.services = rollout.NewServices(g.picker, canaryMargin*g.settings.Bounds.CanaryShare)
+	g.leases = lease.New(driverLease, g.self.ID, g.store, g.timers, leaseTime, lease.WithCandidates(g.mayDrive))
+	g.driver = rollout.NewDriver(stagesKey, stages{g}, collector{g}, g.leases, g.services.Models, g.timers)
+}
+
+func (g *Gateway) makeCallers() {
+	r := relay.New(relay.Parts{
+		Catalog:    g.Catalog,
+		Servers:    g.registry,
+		Versions:   versions{g.services, g.picker},
+		Balancer:   g.balancer,
+		Ladder:     cascade.NewLadder(),
+		Budgets:    retry.New(retry.WithBurst(retryBurst * g.settings.Bounds.RetrySlack / expectedNodes)),
+		RetryShare: retryShare * g.settings.Bounds.RetryRatio,
+		Backends:   platform.NewRunners(),
+		Records:    decision.New(g.self.ID),
+		Counters:   g.metrics.Relay(),
+		Timers:     g.timers,
+	})
+	limits := func() catalog.Limits { return g.Catalog().Limits() }
+	refused := func(reason relay.Reason) { g.metrics.Relay().Refused(reason, "") }
+	g.callers = platform.NewCallers(r, limits, refused)
+}
+
+// expectedNodes share the slack for retries. The deployments of today have 6
+// and 7 nodes.
+const expectedNodes = 7
+
+// Catalog returns the declaration in force.
+func (g *Gateway) Catalog() *catalog.Catalog { return g.catalog.Load() }
+
+// subscribe joins what the store holds to the parts that go by it.
+func (g *Gateway) subscribe() {
+	g.mirror.OnRegained(g.registry.StoreReturned)
+	g.mirror.Subscribe(platform.CatalogKey, g.takeCatalog)
+	g.mirror.Subscribe(platform.ServerPrefix, g.takeServer)
+	g.mirror.Subscribe(platform.OrderPrefix, g.takeOrder)
+	g.mirror.Subscribe(stagesKey, g.takeStages)
+	g.mirror.Subscribe(nodePrefix, g.nodes.take)
+}
+
+// takeCatalog puts a declaration in force. Versions only rise.
+func (g *Gateway) takeCatalog(c mirror.Change) {
+	if c.Deleted {
+		slog.Warn("declaration is gone from the store; the last one stays in force", "version", g.Catalog().Version())
+		return
+	}
+	next, err := platform.DecodeCatalog(c.Value)
+	if err != nil {
+		slog.Error("stored declaration cannot be used; the last one stays in force",
+			"version", g.Catalog().Version(), "revision", c.Revision, "error", err)
+		return
+	}
+	if next.Version() <= g.Catalog().Version() {
+		return
+	}
+	g.catalog.Store(next)
+	slog.Info("declaration in force", "version", next.Version(), "revision", c.Revision)
+}
+
+func (g *Gateway) takeServer(c mirror.Change) {
+	id := c.Key[len(platform.ServerPrefix):]
+	if c.Deleted {
+		kept := g.registry.Drop(id)
+		slog.Info("server is gone", "server", id, "revision", c.Revision, "kept_ms", kept.Milliseconds())
+		return
+	}
+	server, err := platform.DecodeServer(c.Key, c.Value)
+	if err != nil {
+		slog.Error("server entry cannot be read", "server", id, "revision", c.Revision, "error", err)
+		return
+	}
+	g.registry.Put(server)
+	slog.Info("server", "server", id, "service", server.Service, "address", server.Address,
+		"version", server.Version, "leaving", server.Leaving, "revision", c.Revision)
+}
+
+// Run opens the doors and runs the gateway until the context ends; then it
+// drains and leaves.
+func (g *Gateway) Run(ctx context.Context) error {
+	doors, err := g.listen()
+	if err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, len(doors))
+	for _, d := range doors {
+		go func() { failed <- d.serve(work, d.listener) }()
+	}
+	for _, run := range []func(context.Context){g.mirror.Run, g.nodes.run, g.leases.Run, g.driver.Run} {
+		go run(work)
+	}
+	slog.Info("gateway is up", "id", g.self.ID, "caller", g.self.Caller, "data_hall", g.self.DataHall, "store", g.settings.Store.Address)
+	select {
+	case <-ctx.Done():
+		g.drain()
+		return nil
+	case err := <-failed:
+		return errs.Wrap(Start, "run", err, "a door closed")
+	}
+}
+
+// door is one address that the gateway listens on.
+type door struct {
+	listener net.Listener
+	serve    func(context.Context, net.Listener) error
+}
+
+func (g *Gateway) listen() ([]door, error) {
+	s := g.settings
+	peers := peer.NewGatewayServer(g)
+	doors := []struct {
+		address string
+		serve   func(context.Context, net.Listener) error
+	}{
+		{s.Caller.Listen, func(_ context.Context, l net.Listener) error { return g.callers.Serve(l) }},
+		{s.Ready.Listen, serveHTTP(platform.Ready(g.ready))},
+		{s.Directory.Listen, serveHTTP(platform.Directory(g.nodes.addresses, addressTTL))},
+		{s.Metrics.Listen, serveHTTP(g.metrics.Handler())},
+		{s.Peer.Listen, func(ctx context.Context, l net.Listener) error { return peers.Serve(ctx, l, nil) }},
+	}
+	var open []door
+	for _, d := range doors {
+		listener, err := net.Listen("tcp", d.address)
+		if err != nil {
+			return nil, errs.Wrap(Start, "listen", err, "address %s", d.address)
+		}
+		open = append(open, door{listener, d.serve})
+	}
+	return open, nil
+}
+
+func serveHTTP(handler http.Handler) func(context.Context, net.Listener) error {
+	return func(_ context.Context, l net.Listener) error {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: readTime}
+		return server.Serve(l)
+	}
+}
+
+// readTime bounds a header at the doors other than the callers'.
+const readTime = 5 * time.Second
+
+// ready reports whether this gateway takes requests.
+func (g *Gateway) ready() bool { return !g.leaving.Load() && g.Catalog().Version() > 0 }
+
+const (
+	// noticeShare of the grace is how long a gateway that leaves still takes
+	// new connections: clients keep its address that long. The platform does
+	// not count requests that came later than 3 s after the signal.
+	noticeShare = 0.375
+	// endShare of the grace is when whatever still runs is left.
+	endShare = 0.95
+)
+
+// drain takes the gateway out of the directory, serves until clients have new
+// addresses and the last request has its answer, and returns.
+func (g *Gateway) drain() {
+	start := g.timers.Now()
+	grace := g.settings.Grace()
+	g.leaving.Store(true)
+	slog.Info("gateway is leaving", "grace_ms", grace.Milliseconds())
+	g.nodes.leave()
+	g.callers.CloseIdle()
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(endShare*float64(grace))))
+	defer cancel()
+	pause, endPause := context.WithTimeout(ctx, time.Duration(noticeShare*float64(grace)))
+	defer endPause()
+	<-pause.Done()
+	if err := g.callers.Shutdown(ctx); err != nil {
+		slog.Warn("requests were still under way", "error", err)
+	}
+	slog.Info("gateway has left", "after_ms", g.timers.Now().Sub(start).Milliseconds())
+}
+
+// After answers a peer that follows this gateway's copy of the store.
+func (g *Gateway) After(revision int64) mirror.Batch { return g.mirror.After(revision) }
+
+// Counts answers the driver of roll-outs.
+func (g *Gateway) Counts() (string, rollout.Counts) { return g.self.ID, g.picker.Counts() }
--- /dev/null
+++ b/gateway/nodes.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/view"
+)
+
+const (
+	// nodePrefix starts the keys of the gateways' own entries.
+	nodePrefix = "nodes/"
+	// renewals of a gateway's entry within the life of its lease.
+	renewals = 3
+	// leastInHall is how many gateways of a client's data hall must be known
+	// for it to be told of these alone.
+	leastInHall = 2
+	// storeWords bounds the last call of a gateway that leaves.
+	storeWords = time.Second
+)
+
+// nodes is the list of gateways: each keeps an entry in the store that goes
+// with its lease.
+type nodes struct {
+	g *Gateway
+
+	mu    sync.Mutex
+	known map[string]view.Member
+	lease int64
+}
+
+func newNodes(g *Gateway) *nodes { return &nodes{g: g, known: make(map[string]view.Member)} }
+
+// take follows the entries in the store.
+func (n *nodes) take(c mirror.Change) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c.Deleted {
+		delete(n.known, c.Key)
+		slog.Info("gateway is gone", "key", c.Key, "revision", c.Revision)
+		return
+	}
+	var m view.Member
+	if err := json.Unmarshal(c.Value, &m); err != nil {
+		slog.Error("gateway's entry cannot be read", "key", c.Key, "error", err)
+		return
+	}
+	n.known[c.Key] = m
+	slog.Info("gateway", "id", m.ID, "caller", m.Caller, "data_hall", m.DataHall, "revision", c.Revision)
+}
+
+// others returns the known gateways without this one.
+func (n *nodes) others() []view.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var others []view.Member
+	for key, m := range n.known {
+		if key != n.key() {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+func (n *nodes) key() string { return nodePrefix + n.g.self.VM }
+
+// addresses returns where a client should go: the gateways of its data hall,
+// or all of its region if that has too few.
+func (n *nodes) addresses(region, dataHall string) []string {
+	members := n.others()
+	if !n.g.leaving.Load() {
+		members = append(members, n.g.self)
+	}
+	var inHall, inRegion, all []string
+	for _, m := range members {
+		all = append(all, m.Caller)
+		if m.Region == region {
+			inRegion = append(inRegion, m.Caller)
+		}
+		if m.DataHall == dataHall {
+			inHall = append(inHall, m.Caller)
+		}
+	}
+	for _, found := range [][]string{inHall, inRegion} {
+		if len(found) >= leastInHall {
+			slices.Sort(found)
+			return found
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// run keeps this gateway's entry until the context ends.
+func (n *nodes) run(ctx context.Context) {
+	ticks := n.g.timers.Subscribe(leaseTime / renewals)
+	defer ticks.Stop()
+	for {
+		if !n.g.leaving.Load() {
+			n.keep(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+		}
+	}
+}
+
+// keep renews the entry's lease, or makes both anew.
+func (n *nodes) keep(ctx context.Context) {
+	n.mu.Lock()
+	id := n.lease
+	n.mu.Unlock()
+	if id != 0 {
+		alive, err := n.g.store.KeepAlive(ctx, id)
+		if err != nil || alive {
+			return
+		}
+		slog.Warn("own entry has lapsed; writing it anew")
+	}
+	if err := n.announce(ctx); err != nil {
+		slog.Debug("own entry not written", "error", err)
+	}
+}
+
+func (n *nodes) announce(ctx context.Context) error {
+	entry, err := json.Marshal(n.g.self)
+	if err != nil {
+		return err
+	}
+	id, err := n.g.store.Grant(ctx, leaseTime)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.lease = id
+	n.mu.Unlock()
+	return n.g.store.Put(ctx, n.key(), entry, id)
+}
+
+// leave ends this gateway's entry.
+func (n *nodes) leave() {
+	n.mu.Lock()
+	id := n.lease
+	n.lease = 0
+	n.mu.Unlock()
+	if id == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeWords)
+	defer cancel()
+	if err := n.g.store.Revoke(ctx, id); err != nil {
+		slog.Warn("own entry not taken back; it lapses with its lease", "error", err)
+	}
+}
+
+// mirrorPeers lets the mirror follow other gateways.
+type mirrorPeers struct{ g *Gateway }
+
+// Addresses returns the known gateways', or the seeds' before any is known.
+func (p mirrorPeers) Addresses() []string {
+	var addresses []string
+	for _, m := range p.g.nodes.others() {
+		addresses = append(addresses, m.Peer)
+	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	return slices.DeleteFunc(slices.Clone(p.g.settings.Seeds), func(a string) bool { return a == p.g.self.Peer })
+}
+
+// Follow asks one of them.
+func (p mirrorPeers) Follow(ctx context.Context, address string, after int64) (mirror.Batch, error) {
+	return p.g.client.Follow(ctx, address, after)
+}
--- /dev/null
+++ b/gateway/rollouts.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/lease"
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/platform"
+	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/rollout"
+)
+
+const (
+	// stagesKey holds the stages of all roll-outs, so that the next driver
+	// goes on where the last one was.
+	stagesKey = "rollouts"
+	// collectTime bounds asking a peer for its counts.
+	collectTime = 400 * time.Millisecond
+)
+
+func (g *Gateway) takeOrder(c mirror.Change) {
+	service := strings.TrimPrefix(c.Key, platform.OrderPrefix)
+	if c.Deleted {
+		g.services.Drop(service)
+		return
+	}
+	order, err := platform.DecodeOrder(c.Value)
+	if err != nil {
+		slog.Error("roll-out order cannot be read", "service", service, "error", err)
+		return
+	}
+	g.services.Take(order)
+}
+
+func (g *Gateway) takeStages(c mirror.Change) {
+	if c.Deleted {
+		return
+	}
+	if err := g.picker.Take(document.Item{Data: c.Value, Revision: c.Revision}); err != nil {
+		slog.Error("stored stages cannot be read", "revision", c.Revision, "error", err)
+		return
+	}
+	slog.Info("roll-out stages", "stages", string(c.Value), "revision", c.Revision)
+}
+
+// mayDrive lets a gateway compete for the driver's lease while there is
+// something to drive and nobody is known to hold it.
+func (g *Gateway) mayDrive() bool {
+	_, held := g.mirror.Get(lease.Prefix + driverLease)
+	return !held && !g.leaving.Load() && g.rolling()
+}
+
+// rolling reports whether some ordered roll-out is not at its end.
+func (g *Gateway) rolling() bool {
+	for _, m := range g.services.Models() {
+		p, known := g.picker.Progress(m.Name)
+		if !known || p.Version != m.Rollout.Version || p.Verdict == rollout.VerdictRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// versions is what the relay asks of roll-outs.
+type versions struct {
+	services *rollout.Services
+	*rollout.Picker
+}
+
+func (v versions) Choose(service, key string, servers []registry.Server) ([]registry.Server, string) {
+	return v.services.Choose(service, key, servers)
+}
+
+// stages writes the drivers' document.
+type stages struct{ g *Gateway }
+
+// Update changes the stages at the store, together with what operators see.
+func (s stages) Update(ctx context.Context, key string, change func([]byte) ([]byte, error)) (document.Item, error) {
+	if !s.g.rolling() {
+		return document.Item{}, document.ErrUnchanged
+	}
+	return document.Update(ctx, stagesStore{s.g}, key, change)
+}
+
+// stagesStore reads the stages from the mirror, which costs no call, and
+// writes them along with the operators' status. A stale read loses the swap
+// and is made again.
+type stagesStore struct{ g *Gateway }
+
+func (s stagesStore) Get(_ context.Context, key string) ([]byte, int64, error) {
+	item, _ := s.g.mirror.Get(key)
+	return item.Value, item.Revision, nil
+}
+
+func (s stagesStore) Swap(ctx context.Context, key string, data []byte, expected int64) (int64, bool, error) {
+	decoded, err := rollout.DecodeStages(data)
+	if err != nil {
+		return 0, false, err
+	}
+	puts := []mirror.Item{{Key: key, Value: data}}
+	for service, p := range decoded.Models {
+		statusKey, value, err := platform.EncodeStatus(service, p.Version, p.Verdict)
+		if err != nil {
+			return 0, false, err
+		}
+		puts = append(puts, mirror.Item{Key: statusKey, Value: value})
+	}
+	return s.g.store.SwapAll(ctx, key, expected, puts)
+}
+
+// collector asks all gateways for their counts.
+type collector struct{ g *Gateway }
+
+func (c collector) Collect(ctx context.Context) map[string]rollout.Counts {
+	ctx, cancel := context.WithTimeout(ctx, collectTime)
+	defer cancel()
+	name, own := c.g.Counts()
+	all := map[string]rollout.Counts{name: own}
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, m := range c.g.nodes.others() {
+		calls.Go(func() {
+			node, counts, err := c.g.client.Counts(ctx, m)
+			if err != nil {
+				slog.Debug("gateway gave no counts", "id", m.ID, "error", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all[node] = counts
+		})
+	}
+	calls.Wait()
+	return all
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -47,6 +47,9 @@
 	peerBytes  metric.Int64Counter
 	breakers   metric.Int64Counter
 	reports    metric.Int64Counter
+
+	escalations metric.Int64Counter
+	resumes     metric.Int64Counter
 }
 
 // latencyBounds are the histogram's bounds in seconds; the letter's targets,
@@ -85,6 +88,8 @@
 		{&m.peerCalls, "violettally_peer_calls", "Calls to other nodes, by call."},
 		{&m.peerBytes, "violettally_peer_sent_bytes", "Bytes sent to other nodes before framing, by call."},
 		{&m.reports, "violettally_load_reports", "Load reports asked of backend servers."},
+		{&m.escalations, "violettally_escalations", "Answers dropped for one of a costlier model, by that model."},
+		{&m.resumes, "violettally_resumes", "Streams that went on at another backend server."},
 		{&m.breakers, "violettally_breakers_opened", "Backend servers taken out after failures."},
 	}
 	for _, c := range counters {
@@ -138,7 +143,11 @@
 func (m *Metrics) Answered(model, version string, firstToken, total time.Duration) {
 	attributes := []attribute.KeyValue{attribute.String("model", model), attribute.String("version", version)}
 	add(m.answers, 1, attributes...)
-	m.firstToken.Record(context.Background(), firstToken.Seconds(), metric.WithAttributes(attributes...))
+	m.observe(firstToken, total, attributes...)
+}
+
+func (m *Metrics) observe(first, total time.Duration, attributes ...attribute.KeyValue) {
+	m.firstToken.Record(context.Background(), first.Seconds(), metric.WithAttributes(attributes...))
 	m.total.Record(context.Background(), total.Seconds(), metric.WithAttributes(attributes...))
 }
 
--- /dev/null
+++ b/metrics/relay.go
@@ -0,0 +1,37 @@
+package metrics
+
+import (
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/violettally/violettally/relay"
+)
+
+// Relay counts what package relay decides.
+type Relay struct{ m *Metrics }
+
+// Relay returns the instruments of package relay.
+func (m *Metrics) Relay() Relay { return Relay{m} }
+
+// Refused counts a refusal.
+func (r Relay) Refused(reason relay.Reason, account string) {
+	add(r.m.refusals, 1, attribute.String("reason", reason.String()), attribute.String("account", account))
+}
+
+// Retried counts a request that is sent again.
+func (r Relay) Retried(reason relay.Reason) { r.m.Retried(reason.String()) }
+
+// Escalated counts an answer that was dropped for one of a costlier model.
+func (r Relay) Escalated(model string) { add(r.m.escalations, 1, attribute.String("model", model)) }
+
+// Resumed counts a stream that goes on at another server.
+func (r Relay) Resumed() { add(r.m.resumes, 1) }
+
+// Answered counts an answer and its times.
+func (r Relay) Answered(route string, status int, first, total time.Duration) {
+	attributes := []attribute.KeyValue{attribute.String("route", route), attribute.String("status", strconv.Itoa(status))}
+	add(r.m.answers, 1, attributes...)
+	r.m.observe(first, total, attributes[:1]...)
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,388 @@
+// Package mirror keeps a node's copy of what the platform's store holds, so
+// that no request has to ask the store.
+//
+// The store counts its revisions in one row, so what a node knows is named by
+// one number: all changes up to that revision. A node that reaches the store
+// follows it by waiting watches. One that does not, follows its peers, which
+// answer from their own copy; a copy with a higher revision always replaces
+// one with a lower, never the other way round.
+//
+// # Usage
+//
+//	m := mirror.New(store, peers, timers)
+//	m.Subscribe("servers/", func(c mirror.Change) { … })
+//	go m.Run(ctx)
+package mirror
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/timer"
+)
+
+var (
+	namespace = errs.Namespace("mirror")
+
+	// HistoryGone says that the changes since a revision are not kept any
+	// more; the whole has to be read anew.
+	HistoryGone = namespace.NewType("history_gone")
+)
+
+// Item is one key as it was last written.
+type Item struct {
+	Key      string `cbor:"1,keyasint"`
+	Value    []byte `cbor:"2,keyasint,omitempty"`
+	Revision int64  `cbor:"3,keyasint"`
+	// Deleted marks a key that is gone since Revision.
+	Deleted bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Batch is a run of changes up to a revision, or the whole.
+type Batch struct {
+	Items []Item `cbor:"1,keyasint"`
+	// Revision up to which nothing is missing.
+	Revision int64 `cbor:"2,keyasint"`
+	// Whole says that keys which are not among Items do not exist.
+	Whole bool `cbor:"3,keyasint,omitempty"`
+	// Age is how long ago the sender last heard from the store.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// Change is one key's change as subscribers see it.
+type Change struct {
+	Item
+}
+
+// Store is what the package needs of the platform's store.
+type Store interface {
+	// ReadAll returns the whole.
+	ReadAll(ctx context.Context) (Batch, error)
+	// Follow returns the changes after a revision as soon as there are some,
+	// none after wait, or HistoryGone.
+	Follow(ctx context.Context, after int64, wait time.Duration) (Batch, error)
+}
+
+// Peers is what the package needs of the other nodes.
+type Peers interface {
+	// Addresses returns the peers to ask, in no order.
+	Addresses() []string
+	// Follow asks a peer for what it knows beyond a revision.
+	Follow(ctx context.Context, address string, after int64) (Batch, error)
+}
+
+const (
+	// followWait is how long a watch waits at the store. A path that is cut
+	// in silence is noticed after it, so it stays well below the time within
+	// which a change must be in force (2 s, the bounds of both deployments).
+	followWait = 1500 * time.Millisecond
+	// followSlack is how late the store may answer a watch that ran out.
+	followSlack = 500 * time.Millisecond
+	// gatherTime lies between two watches. Changes that come close together
+	// are then fetched by one call; 300 ms halved the calls in a trial.
+	gatherTime = 250 * time.Millisecond
+	// readTimeout bounds reading the whole.
+	readTimeout = 2 * time.Second
+	// peerInterval lies between two questions to peers while the store is
+	// out of reach.
+	peerInterval = 300 * time.Millisecond
+	peerTimeout  = 500 * time.Millisecond
+	// peersAsked at once, so that one silent peer costs no time.
+	peersAsked = 2
+	// kept is the number of changes that are kept for peers; it covers the
+	// few seconds by which peers lie apart.
+	kept = 2048
+)
+
+// Mirror is the copy. It is safe for concurrent use.
+type Mirror struct {
+	store  Store
+	peers  Peers
+	timers *timer.Service
+
+	mu          sync.Mutex
+	items       map[string]Item
+	revision    int64
+	recent      []Item
+	recentFrom  int64
+	contact     time.Time
+	away        bool
+	subscribers []subscriber
+	regained    []func()
+	// delivery keeps changes in order for subscribers.
+	delivery sync.Mutex
+}
+
+type subscriber struct {
+	prefix  string
+	changed func(Change)
+}
+
+// New returns an empty mirror.
+func New(store Store, peers Peers, timers *timer.Service) *Mirror {
+	return &Mirror{store: store, peers: peers, timers: timers, items: make(map[string]Item)}
+}
+
+// Subscribe calls changed with each change of a key under the prefix, one at
+// a time and in the order of revisions. It must be called before Run.
+func (m *Mirror) Subscribe(prefix string, changed func(Change)) {
+	m.subscribers = append(m.subscribers, subscriber{prefix, changed})
+}
+
+// OnRegained calls do whenever the store is reached again after an outage,
+// before the changes that it then tells. It must be called before Run.
+func (m *Mirror) OnRegained(do func()) { m.regained = append(m.regained, do) }
+
+// Revision returns the revision up to which this node knows everything.
+func (m *Mirror) Revision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// Get returns a key's item.
+func (m *Mirror) Get(key string) (Item, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	item, ok := m.items[key]
+	return item, ok
+}
+
+// Under returns the items whose keys begin with the prefix, sorted by key.
+func (m *Mirror) Under(prefix string) []Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var under []Item
+	for key, item := range m.items {
+		if strings.HasPrefix(key, prefix) {
+			under = append(under, item)
+		}
+	}
+	slices.SortFunc(under, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
+	return under
+}
+
+// Age returns how long ago the store, or a peer that had heard from it, last
+// confirmed what this node knows.
+func (m *Mirror) Age() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.timers.Now().Sub(m.contact)
+}
+
+// After answers a peer: what this node knows beyond a revision.
+func (m *Mirror) After(after int64) Batch {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := Batch{Revision: m.revision, Age: m.timers.Now().Sub(m.contact)}
+	switch {
+	case after >= m.revision:
+	case after >= m.recentFrom:
+		for _, item := range m.recent {
+			if item.Revision > after {
+				b.Items = append(b.Items, item)
+			}
+		}
+	default:
+		b.Items, b.Whole = slices.Collect(maps.Values(m.items)), true
+	}
+	return b
+}
+
+// Run follows the store, or peers while it is out of reach, until the context
+// ends.
+func (m *Mirror) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := m.step(ctx); err != nil && ctx.Err() == nil {
+			m.lost(err)
+			m.askPeers(ctx)
+			m.pause(ctx, peerInterval)
+			continue
+		}
+		m.pause(ctx, gatherTime)
+	}
+}
+
+// step does one round with the store.
+func (m *Mirror) step(ctx context.Context) error {
+	after := m.Revision()
+	if after == 0 || m.isAway() {
+		return m.readAll(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	defer cancel()
+	batch, err := m.store.Follow(ctx, after, followWait)
+	if errorx.IsOfType(err, HistoryGone) {
+		slog.Info("history of the store is gone; reading the whole", "after", after)
+		return m.readAll(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	m.take(batch)
+	m.confirm(0)
+	return nil
+}
+
+func (m *Mirror) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	batch, err := m.store.ReadAll(ctx)
+	if err != nil {
+		return err
+	}
+	m.gained()
+	m.take(batch)
+	m.confirm(0)
+	return nil
+}
+
+// askPeers takes what a few random peers know.
+func (m *Mirror) askPeers(ctx context.Context) {
+	addresses := m.peers.Addresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, address := range addresses[:min(peersAsked, len(addresses))] {
+		calls.Go(func() {
+			batch, err := m.peers.Follow(ctx, address, m.Revision())
+			if err != nil {
+				slog.Debug("peer did not answer", "peer", address, "error", err)
+				return
+			}
+			m.take(batch)
+			m.confirm(batch.Age)
+		})
+	}
+	calls.Wait()
+}
+
+// confirm notes that what this node knows was in force age ago.
+func (m *Mirror) confirm(age time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at := m.timers.Now().Add(-age); at.After(m.contact) {
+		m.contact = at
+	}
+}
+
+func (m *Mirror) isAway() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.away
+}
+
+func (m *Mirror) lost(err error) {
+	m.mu.Lock()
+	before := m.away
+	m.away = true
+	revision := m.revision
+	m.mu.Unlock()
+	if !before {
+		slog.Warn("store is out of reach; following peers", "revision", revision, "error", err)
+	}
+}
+
+func (m *Mirror) gained() {
+	m.mu.Lock()
+	before := m.away
+	m.away = false
+	m.mu.Unlock()
+	if before {
+		slog.Info("store is reached again", "away_ms", m.Age().Milliseconds())
+		for _, do := range m.regained {
+			do()
+		}
+	}
+}
+
+// take puts a batch in force if it brings anything new.
+func (m *Mirror) take(b Batch) {
+	m.delivery.Lock()
+	defer m.delivery.Unlock()
+	for _, change := range m.apply(b) {
+		for _, s := range m.subscribers {
+			if strings.HasPrefix(change.Key, s.prefix) {
+				s.changed(change)
+			}
+		}
+	}
+}
+
+// apply changes the copy and returns what changed.
+func (m *Mirror) apply(b Batch) []Change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if b.Revision <= m.revision && m.revision != 0 {
+		return nil
+	}
+	items := b.Items
+	if b.Whole {
+		items = append(slices.Clone(items), m.missing(b)...)
+	}
+	slices.SortStableFunc(items, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	var changes []Change
+	for _, item := range items {
+		known, ok := m.items[item.Key]
+		if (ok && item.Revision <= known.Revision) || (!ok && item.Deleted) {
+			continue
+		}
+		if item.Deleted {
+			delete(m.items, item.Key)
+		} else {
+			m.items[item.Key] = item
+		}
+		m.recent = append(m.recent, item)
+		changes = append(changes, Change{item})
+	}
+	m.revision = b.Revision
+	m.trim(b.Whole)
+	return changes
+}
+
+// missing returns the deletions that a whole implies.
+func (m *Mirror) missing(b Batch) []Item {
+	present := make(map[string]bool, len(b.Items))
+	for _, item := range b.Items {
+		present[item.Key] = true
+	}
+	var gone []Item
+	for key := range m.items {
+		if !present[key] {
+			gone = append(gone, Item{Key: key, Revision: b.Revision, Deleted: true})
+		}
+	}
+	return gone
+}
+
+// trim bounds the changes that are kept. After a whole the steps between are
+// not known, so peers that lag behind it need the whole too.
+func (m *Mirror) trim(whole bool) {
+	if whole {
+		m.recent, m.recentFrom = nil, m.revision
+	}
+	if surplus := len(m.recent) - kept; surplus > 0 {
+		m.recentFrom = m.recent[surplus-1].Revision
+		m.recent = slices.Clone(m.recent[surplus:])
+	}
+}
+
+func (m *Mirror) pause(ctx context.Context, d time.Duration) {
+	ticks := m.timers.Subscribe(d)
+	defer ticks.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ticks.C():
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -181,7 +181,7 @@
 	n.spreader.Subscribe(spread.Rollouts, n.takeRollouts)
 	n.leases = lease.New(driverLease, n.self.ID, n.store, n.timers, settings.Millis(s.Times.LeaseMillis),
 		lease.WithCandidates(n.mayDrive))
-	n.driver = rollout.NewDriver(spread.Rollouts, n.spreader, collector{n}, n.leases, n.Config, n.timers)
+	n.driver = rollout.NewDriver(spread.Rollouts, n.spreader, collector{n}, n.leases, func() []config.Model { return n.Config().Models() }, n.timers)
 	engines := engine.New(engine.WithMaxBytes(s.Bounds.AnswerBytes))
 	chooser := route.New(n.self.ID,
 		route.WithLeaving(n.vms.Leaving),
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,128 @@
+// Package registry knows the backend servers that have announced themselves,
+// and which of them may get new work.
+//
+// Servers announce themselves at the platform; whoever follows the platform
+// calls Put and Drop. A server whose entry says that it is leaving, or whose
+// entry is gone, gets no new work from then on. There is one exception:
+// entries lapse while the platform's store is away, because nobody can renew
+// them, and come back within [returnTime] if their server lives. What is
+// dropped just after the store has come back is therefore kept that long.
+//
+// # Usage
+//
+//	r := registry.New(timers)
+//	r.Put(server)
+//	for _, s := range r.Servers("summaries") { … }
+package registry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/timer"
+)
+
+// returnTime is how long an entry that lapsed while the store was away may
+// take to come back. The platform's word is "about two seconds".
+const returnTime = 2 * time.Second
+
+// Server is one backend server as it announced itself. Each start of a server
+// has an ID of its own. The fields are exported for the adapters.
+type Server struct {
+	ID       string
+	Service  string
+	Address  string
+	DataHall string
+	// Version is that of the server's software, which roll-outs replace.
+	Version string
+	// Slots is the number of requests that it runs at once.
+	Slots   int
+	Leaving bool
+}
+
+// Registry is one node's knowledge of the servers. It is safe for concurrent
+// use.
+type Registry struct {
+	timers *timer.Service
+
+	mu       sync.Mutex
+	servers  map[string]Server
+	lapsed   map[string]time.Time
+	returned time.Time
+	// byService is rebuilt after a change; the lists are never written to.
+	byService map[string][]Server
+}
+
+// New returns an empty registry.
+func New(timers *timer.Service) *Registry {
+	return &Registry{timers: timers, servers: make(map[string]Server), lapsed: make(map[string]time.Time)}
+}
+
+// Put takes a server's entry.
+func (r *Registry) Put(s Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.servers[s.ID] = s
+	delete(r.lapsed, s.ID)
+	r.byService = nil
+}
+
+// Drop takes the news that a server's entry is gone. It returns how long the
+// server may still get work.
+func (r *Registry) Drop(id string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.servers[id]; !known {
+		return 0
+	}
+	r.byService = nil
+	if left := returnTime - r.timers.Now().Sub(r.returned); left > 0 {
+		r.lapsed[id] = r.timers.Now().Add(left)
+		return left
+	}
+	delete(r.servers, id)
+	return 0
+}
+
+// StoreReturned marks the moment at which the platform's store came back.
+func (r *Registry) StoreReturned() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returned = r.timers.Now()
+}
+
+// Servers returns the servers of a service that may get new work, by ID. The
+// list must not be changed.
+func (r *Registry) Servers(service string) []Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire()
+	if r.byService == nil {
+		r.index()
+	}
+	return r.byService[service]
+}
+
+// expire removes entries that did not come back.
+func (r *Registry) expire() {
+	now := r.timers.Now()
+	for id, until := range r.lapsed {
+		if now.After(until) {
+			delete(r.lapsed, id)
+			delete(r.servers, id)
+			r.byService = nil
+		}
+	}
+}
+
+func (r *Registry) index() {
+	r.byService = make(map[string][]Server)
+	for _, s := range slices.SortedFunc(maps.Values(r.servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) }) {
+		if !s.Leaving {
+			r.byService[s.Service] = append(r.byService[s.Service], s)
+		}
+	}
+}
--- /dev/null
+++ b/relay/body.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+)
+
+// bodyKept is how much of a request's body is read before it is passed on, so
+// that it can be sent again. Longer bodies pass as they come, once.
+const bodyKept = 256 << 10
+
+// Body is a request's body. It is used by one task at a time.
+type Body struct {
+	head []byte
+	rest io.Reader
+	// length of the whole; -1 if it came without.
+	length int64
+	used   bool
+}
+
+// NewBody reads the beginning of a body of the given length, -1 if unknown.
+func NewBody(r io.Reader, length int64) (*Body, error) {
+	head, err := io.ReadAll(io.LimitReader(r, bodyKept))
+	if err != nil {
+		return nil, err
+	}
+	b := &Body{head: head, length: length}
+	if len(head) < bodyKept {
+		b.length = int64(len(head))
+	} else {
+		b.rest = r
+	}
+	return b, nil
+}
+
+// Length returns the body's length, -1 if it is not known.
+func (b *Body) Length() int64 { return b.length }
+
+// Replayable reports whether the body can be sent now: always if it was read
+// whole, otherwise once.
+func (b *Body) Replayable() bool { return b.rest == nil || !b.used }
+
+// Reader returns the whole body for one attempt.
+func (b *Body) Reader() io.Reader {
+	if b.rest == nil {
+		return bytes.NewReader(b.head)
+	}
+	b.used = true
+	return io.MultiReader(bytes.NewReader(b.head), b.rest)
+}
--- /dev/null
+++ b/relay/exchange.go
@@ -0,0 +1,319 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
+	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/internal/rendezvous"
+	"github.com/violettally/violettally/route"
+)
+
+const (
+	// maxSends bounds how often one request is offered to servers, those that
+	// decline it included.
+	maxSends = 6
+	// leastTime is the time that a further attempt must have left to be worth
+	// making; the quickest answers take about that long.
+	leastTime = 50 * time.Millisecond
+	// sharedParts is how many parts of a prompt decide on its home: the first
+	// two are shared widely, the last is the request's own.
+	sharedParts = 2
+)
+
+// exchange is one request on its way. One task runs it.
+type exchange struct {
+	relay    *Relay
+	request  *Request
+	reply    Reply
+	record   *decision.Record
+	route    *catalog.Route
+	account  string
+	service  string
+	deadline time.Time
+
+	// step is the index of the model among the route's.
+	step int
+	// tried are the servers that got the request, sends how often it was
+	// offered, runs how many servers may have run it.
+	tried map[string]bool
+	sends int
+	runs  int
+	// begun says that the client has the head of an answer, after which event
+	// of it.
+	begun bool
+	after string
+	first time.Duration
+}
+
+// failure is an attempt that gave the client nothing, or not all.
+type failure struct {
+	reason Reason
+	// ran says that the server may have run the request.
+	ran bool
+	// escalates says that another model is to answer.
+	escalates bool
+	// paid says that the retry budget has been asked already.
+	paid       bool
+	retryAfter time.Duration
+	cause      string
+}
+
+// pickService splits a route's requests over its services by their weights.
+// Requests of one session fall on the same side.
+func pickService(r *catalog.Route, q *Request) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := float64(xxhash.Sum64String(r.Name+"/"+q.key())>>11) / (1 << 53) * total
+	for _, t := range r.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// key is what decides by hash: the session, or else the request itself.
+func (q *Request) key() string {
+	if q.Session != "" {
+		return q.Session
+	}
+	return q.ID
+}
+
+// run makes attempts until the client has its answer. A refusal that it
+// returns is still to be told.
+func (x *exchange) run(ctx context.Context) *Refusal {
+	x.relay.Budgets.Paid(x.service, x.relay.RetryShare)
+	if x.chooses() {
+		x.step = x.relay.Ladder.First(len(x.route.Models))
+	}
+	for {
+		use, version, refusal := x.choose()
+		if refusal != nil {
+			return x.give(refusal)
+		}
+		f := x.attempt(ctx, use, version)
+		if f == nil {
+			x.finish("answered")
+			return nil
+		}
+		if !f.escalates {
+			x.record.Note("failed", "%s at %s: %s", f.reason, use.Server().ID, f.cause)
+		}
+		if refusal := x.next(ctx, f); refusal != nil {
+			return x.give(refusal)
+		}
+	}
+}
+
+// chooses reports whether the system chooses the model.
+func (x *exchange) chooses() bool { return x.request.AnyModel && len(x.route.Models) > 0 }
+
+func (x *exchange) model() string {
+	if !x.chooses() {
+		return ""
+	}
+	return x.route.Models[x.step]
+}
+
+// choose picks the server of the next attempt.
+func (x *exchange) choose() (*route.Use, string, *Refusal) {
+	all := x.relay.Servers.Servers(x.service)
+	servers, version := x.relay.Versions.Choose(x.service, x.request.key(), all)
+	use, err := x.relay.Balancer.Choose(route.Task{Servers: servers, Home: x.home(), Exclude: x.tried})
+	if err != nil {
+		return nil, "", refuse(ReasonNoServer, comeBackSoon, "service %s: %v", x.service, err)
+	}
+	x.tried[use.Server().ID] = true
+	x.record.Choose(x.model(), version, use.Server().ID)
+	return use, version, nil
+}
+
+// home hashes the shared parts of a prompt with the model that reads them.
+func (x *exchange) home() uint64 {
+	parts := x.request.Prompt.Parts
+	if len(parts) < sharedParts {
+		return 0
+	}
+	return rendezvous.Hash(x.model() + "/" + parts[sharedParts-1].ID)
+}
+
+// attempt sends the request to one server and passes its answer on. It
+// returns nil once nothing more is to be done for the client.
+func (x *exchange) attempt(ctx context.Context, use *route.Use, version string) *failure {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	server := use.Server()
+	if version != "" {
+		x.relay.Versions.Begin(x.service, version)
+		defer x.relay.Versions.End(x.service, version)
+	}
+	x.sends++
+	x.record.Note("send", "to %s in %s, model %s, after event %q, %d ms left",
+		server.ID, server.DataHall, x.model(), x.after, time.Until(x.deadline).Milliseconds())
+	answer, err := x.relay.Backends.Send(ctx, server, Call{
+		Request:  x.request,
+		Account:  x.account,
+		TimeLeft: time.Until(x.deadline),
+		Model:    x.model(),
+		After:    x.after,
+	})
+	f := x.judge(ctx, use, answer, err)
+	if answer != nil {
+		defer answer.Close()
+	}
+	if f == nil {
+		f = x.pass(ctx, use, answer)
+	}
+	if version != "" && (f == nil || f.ran) && ctx.Err() == nil {
+		bad := (f != nil && !f.escalates) || (answer != nil && answer.Status() >= http.StatusInternalServerError)
+		x.relay.Versions.Count(x.service, version, bad)
+	}
+	return f
+}
+
+// judge decides on the head of an answer. Nil lets the answer go out.
+func (x *exchange) judge(ctx context.Context, use *route.Use, answer Answer, err error) *failure {
+	if err != nil {
+		return x.judgeError(ctx, use, err)
+	}
+	if load, ok := answer.Load(); ok {
+		use.Tell(load)
+	}
+	if answer.Declined() {
+		use.End(route.OutcomeDeclined)
+		return &failure{reason: ReasonDeclined, retryAfter: answer.RetryAfter(), cause: http.StatusText(answer.Status())}
+	}
+	x.runs++
+	if answer.Status() >= http.StatusInternalServerError && x.mayRunAgain() && x.relay.Budgets.Take(x.service) {
+		use.End(route.OutcomeNeutral)
+		return &failure{reason: ReasonServerFailed, ran: true, paid: true, cause: http.StatusText(answer.Status())}
+	}
+	if next, ok := x.escalation(answer); ok {
+		use.End(route.OutcomeOK)
+		x.step = next
+		return &failure{escalates: true, ran: true}
+	}
+	return nil
+}
+
+func (x *exchange) judgeError(ctx context.Context, use *route.Use, err error) *failure {
+	outcome := route.OutcomeFailed
+	if errors.Is(ctx.Err(), context.Canceled) {
+		outcome = route.OutcomeNeutral
+	}
+	use.End(outcome)
+	if errorx.IsOfType(err, NotRun) {
+		return &failure{reason: ReasonUnreachable, cause: err.Error()}
+	}
+	x.runs++
+	return &failure{reason: ReasonServerFailed, ran: true, cause: err.Error()}
+}
+
+// escalation returns the model to ask in place of an answer that a model has
+// too little confidence in.
+func (x *exchange) escalation(answer Answer) (step int, ok bool) {
+	confidence, told := answer.Confidence()
+	if !x.chooses() || !told || answer.Status() != http.StatusOK || x.begun || !x.mayRunAgain() {
+		return 0, false
+	}
+	next, ok := x.relay.Ladder.Next(len(x.route.Models), x.step, confidence)
+	if !ok || !x.relay.Budgets.Take(x.service) {
+		return 0, false
+	}
+	x.record.Note("escalate", "confidence %.0f of %s", confidence, x.model())
+	x.relay.Counters.Escalated(x.route.Models[next])
+	return next, true
+}
+
+// mayRunAgain reports whether another server may run the request, beside the
+// ones that have.
+func (x *exchange) mayRunAgain() bool {
+	return x.route.Repeatable() && x.runs < x.route.Attempts && time.Until(x.deadline) > leastTime && x.request.Body.Replayable()
+}
+
+// next decides whether another attempt follows a failed one. The escalation
+// of an answer has been paid for already.
+func (x *exchange) next(ctx context.Context, f *failure) *Refusal {
+	retryAfter := min(maxComeBack, max(comeBackSoon, f.retryAfter))
+	switch {
+	case ctx.Err() != nil:
+		return x.ended(f)
+	case f.escalates:
+		// The server that answered may hold the other model as well.
+		clear(x.tried)
+		return nil
+	case f.ran && !x.mayRunAgain():
+		return refuse(ReasonServerFailed, 0, "the server gave no answer: %s", f.cause)
+	case x.sends >= maxSends, !x.request.Body.Replayable():
+		return x.final(f, retryAfter)
+	case !f.paid && !x.relay.Budgets.Take(x.service):
+		return x.final(f, retryAfter)
+	}
+	x.relay.Counters.Retried(f.reason)
+	if x.begun {
+		x.relay.Counters.Resumed()
+	}
+	return nil
+}
+
+// final tells the client what is known after the last attempt.
+func (x *exchange) final(f *failure, retryAfter time.Duration) *Refusal {
+	if f.ran || x.runs > 0 {
+		return refuse(ReasonServerFailed, 0, "no answer: %s", f.cause)
+	}
+	return refuse(f.reason, retryAfter, "no server took the request: %s", f.cause)
+}
+
+// ended tells what is known of a request whose time is over, or whose client
+// has left.
+func (x *exchange) ended(f *failure) *Refusal {
+	if !f.ran && x.runs == 0 {
+		return refuse(ReasonDeclined, comeBackSoon, "the time was over before a server took the request")
+	}
+	return refuse(ReasonDeadline, 0, "the time was over before the answer: %s", f.cause)
+}
+
+// give hands a refusal out, or breaks off the answer that has begun.
+func (x *exchange) give(refusal *Refusal) *Refusal {
+	if !x.begun {
+		if x.runs > 0 && refusal.status == http.StatusServiceUnavailable {
+			// A server has run it, so "not run" must not be said.
+			return refuse(ReasonServerFailed, 0, "%s", refusal.message)
+		}
+		return refusal
+	}
+	x.record.Note("broken off", "%s", refusal.Error())
+	x.finish("broken off: " + refusal.reason.String())
+	x.relay.Counters.Refused(refusal.reason, x.account)
+	x.reply.BreakOff()
+	return nil
+}
+
+func (x *exchange) finish(outcome string) {
+	if x.first > 0 {
+		x.record.Note("first byte", "after %d ms", x.first.Milliseconds())
+	}
+	x.record.End(outcome)
+}
+
+// elapsed is the time since the request arrived.
+func (x *exchange) elapsed() time.Duration { return time.Since(x.request.Arrived) }
+
+// markFirst notes when the first piece of the answer went out.
+func (x *exchange) markFirst() {
+	if x.first == 0 {
+		x.first = time.Duration(math.Max(1, float64(x.elapsed())))
+	}
+}
+
--- /dev/null
+++ b/relay/refusal.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+//go:generate go tool enumer -type=Reason -trimprefix=Reason -transform=snake -output=relay_enumer.go
+
+// Reason is the stable code of a refusal or retry. Each is counted.
+type Reason int
+
+// The reasons.
+const (
+	ReasonNoConfiguration Reason = iota
+	ReasonNoRoute
+	ReasonKeyUnknown
+	ReasonBodyTooLarge
+	ReasonMalformed
+	// ReasonNoServer: the service has no server that can be asked now.
+	ReasonNoServer
+	// ReasonDeclined: the servers say that they are full or leaving.
+	ReasonDeclined
+	// ReasonUnreachable: nothing of the request reached a server.
+	ReasonUnreachable
+	// ReasonServerFailed: a server may have run the request and gave no
+	// answer, or one that cannot be passed on.
+	ReasonServerFailed
+	// ReasonDeadline: the time of the client or of the route is over.
+	ReasonDeadline
+)
+
+const (
+	// comeBackSoon is told where a fault passes within a second. Clients wait
+	// a third of the time that they have left at most.
+	comeBackSoon = 300 * time.Millisecond
+	// maxComeBack bounds a server's own word on when to come back.
+	maxComeBack = 2 * time.Second
+)
+
+// statuses maps reasons to HTTP statuses. 503 promises that the request has
+// not run and will not, 502 and 504 promise nothing.
+var statuses = map[Reason]int{
+	ReasonNoConfiguration: http.StatusServiceUnavailable,
+	ReasonNoRoute:         http.StatusNotFound,
+	ReasonKeyUnknown:      http.StatusUnauthorized,
+	ReasonBodyTooLarge:    http.StatusRequestEntityTooLarge,
+	ReasonMalformed:       http.StatusBadRequest,
+	ReasonNoServer:        http.StatusServiceUnavailable,
+	ReasonDeclined:        http.StatusServiceUnavailable,
+	ReasonUnreachable:     http.StatusServiceUnavailable,
+	ReasonServerFailed:    http.StatusBadGateway,
+	ReasonDeadline:        http.StatusGatewayTimeout,
+}
+
+// Refusal is an answer of the system's own.
+type Refusal struct {
+	reason     Reason
+	status     int
+	retryAfter time.Duration
+	message    string
+}
+
+func refuse(reason Reason, retryAfter time.Duration, format string, args ...any) *Refusal {
+	return &Refusal{reason: reason, status: statuses[reason], retryAfter: retryAfter, message: fmt.Sprintf(format, args...)}
+}
+
+// Refuse returns a refusal for a request that an adapter cannot read.
+func Refuse(reason Reason, message string) *Refusal { return refuse(reason, 0, "%s", message) }
+
+// Status is the HTTP status.
+func (r *Refusal) Status() int { return r.status }
+
+// Reason is the refusal's stable code.
+func (r *Refusal) Reason() Reason { return r.reason }
+
+// RetryAfter is when to come back; zero if that is of no use.
+func (r *Refusal) RetryAfter() time.Duration { return r.retryAfter }
+
+// Error describes the refusal to a person.
+func (r *Refusal) Error() string { return r.message }
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,243 @@
+// Package relay is the path of a request that is passed through as it comes:
+// route, account, model, server, attempt, and then the answer, another model,
+// another server, or a refusal.
+//
+// A request arrives at one node on one connection, and whoever sends it again
+// gives it another ID. So unlike package dispatch this one needs no claims at
+// other nodes: what it must know of a request it knows by itself. It sees to
+// it that a request which may not be repeated is handed to one server at most
+// that may have run it, that a refusal which says "not run" is true, and that
+// an answer which broke off never looks whole.
+//
+// # Usage
+//
+//	r := relay.New(parts)
+//	r.Serve(ctx, request, reply)
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/timer"
+)
+
+var (
+	namespace = errs.Namespace("relay")
+
+	// NotRun says that a server surely has not run and will not run a
+	// request: it said so, or not a byte of the request reached it.
+	NotRun = namespace.NewType("not_run")
+	// Failed says that a server may have run a request and gave no answer
+	// that can be used.
+	Failed = namespace.NewType("failed")
+)
+
+// Request is one attempt of a client. The fields are exported for the adapter
+// that fills them.
+type Request struct {
+	ID string
+	// Key is the client account's; "" for none.
+	Key  string
+	Host string
+	Path string
+	// Arrived is when the request's header had been read.
+	Arrived time.Time
+	// TimeLeft is how long the client waits from then on; zero if it does not
+	// say.
+	TimeLeft time.Duration
+	// AnyModel leaves the choice among the route's models to the system.
+	AnyModel bool
+	Prompt   Prompt
+	// Session ties requests that should stay on one version; "" for none.
+	Session string
+	// After is the last event that the client has of a stream; "" for none.
+	After string
+	// Message is the request as it came, for the adapter that passes it on.
+	Message *http.Request
+	Body    *Body
+}
+
+// Prompt is what a request to a model tells of its size.
+type Prompt struct {
+	Tokens    int
+	MaxOutput int
+	// Parts are shared between prompts, except for the last one.
+	Parts []Part
+}
+
+// Part is one piece of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Call is a request as one server gets it.
+type Call struct {
+	Request *Request
+	// Account is the name of the client account; "" for none.
+	Account string
+	// TimeLeft for the server.
+	TimeLeft time.Duration
+	// Model is the one that the system chose; "" keeps the client's.
+	Model string
+	// After is the last event that the client has.
+	After string
+}
+
+// Answer is the head of a server's answer, and its body as it comes.
+type Answer interface {
+	Status() int
+	Header() http.Header
+	// Declined reports whether the server says that it did not run the
+	// request, and will not.
+	Declined() bool
+	// Confidence is a model's own opinion of its answer, 0 to 100.
+	Confidence() (float64, bool)
+	Load() (route.Load, bool)
+	RetryAfter() time.Duration
+	Body() io.Reader
+	// Close ends the request at the server, if it still runs there.
+	Close()
+}
+
+// Backends passes requests on. Errors are NotRun or Failed.
+type Backends interface {
+	Send(ctx context.Context, server registry.Server, call Call) (Answer, error)
+}
+
+// Reply is where the answer to the client goes.
+type Reply interface {
+	// Begin sends the head of a server's answer.
+	Begin(a Answer)
+	// Write sends a piece of the body at once.
+	Write(p []byte) error
+	// Refuse sends an answer of the system's own, in place of Begin.
+	Refuse(r *Refusal)
+	// BreakOff ends an answer so that it cannot look whole.
+	BreakOff()
+}
+
+// Servers knows the backend servers.
+type Servers interface {
+	Servers(service string) []registry.Server
+}
+
+// Versions narrows servers down by the roll-outs under way, and takes the
+// evidence on versions.
+type Versions interface {
+	// Choose returns the servers that may get a request and the version under
+	// which it is counted, "" if it is not.
+	Choose(service, key string, servers []registry.Server) ([]registry.Server, string)
+	Begin(service, version string)
+	End(service, version string)
+	Count(service, version string, bad bool)
+}
+
+// Ladder decides between the models of a route.
+type Ladder interface {
+	// First returns the index of the model that answers first, of n.
+	First(n int) int
+	// Next returns the index of the model to ask in place of the one at
+	// step, whose answer has the given confidence; false to keep the answer.
+	Next(n, step int, confidence float64) (int, bool)
+}
+
+// Budgets bound retries by service.
+type Budgets interface {
+	Paid(service string, share float64)
+	Take(service string) bool
+}
+
+// Counters counts what operators want to see.
+type Counters interface {
+	Refused(reason Reason, account string)
+	Retried(reason Reason)
+	Escalated(model string)
+	Resumed()
+	Answered(route string, status int, first, total time.Duration)
+}
+
+// Parts is what a Relay is made of.
+type Parts struct {
+	Catalog  func() *catalog.Catalog
+	Servers  Servers
+	Versions Versions
+	Balancer *route.Balancer
+	Ladder   Ladder
+	Budgets  Budgets
+	// RetryShare is the part of a service's requests that may be sent again.
+	RetryShare float64
+	Backends   Backends
+	Records    *decision.Log
+	Counters   Counters
+	Timers     *timer.Service
+}
+
+// Relay passes requests on. It is safe for concurrent use.
+type Relay struct{ Parts }
+
+// New returns a relay.
+func New(parts Parts) *Relay { return &Relay{parts} }
+
+// Serve answers one request.
+func (r *Relay) Serve(ctx context.Context, q *Request, reply Reply) {
+	record := r.Records.Start(q.ID, "")
+	x, refusal := r.accept(q, reply, record)
+	if refusal == nil {
+		ctx, cancel := context.WithDeadline(ctx, x.deadline)
+		defer cancel()
+		refusal = x.run(ctx)
+	}
+	if refusal != nil {
+		r.Counters.Refused(refusal.reason, record.Account())
+		record.Note("refused", "%s", refusal.Error())
+		record.End("refused: " + refusal.reason.String())
+		reply.Refuse(refusal)
+	}
+}
+
+// accept finds the route and the account of a request.
+func (r *Relay) accept(q *Request, reply Reply, record *decision.Record) (*exchange, *Refusal) {
+	c := r.Catalog()
+	if c.Version() == 0 {
+		return nil, refuse(ReasonNoConfiguration, comeBackSoon, "no declaration is known yet")
+	}
+	target, ok := c.Match(q.Host, q.Path)
+	if !ok {
+		return nil, refuse(ReasonNoRoute, 0, "no route for %s%s in version %d", q.Host, q.Path, c.Version())
+	}
+	account := ""
+	if c.HasAccounts() && !target.Anonymous {
+		holder, ok := c.Account(q.Key)
+		if !ok {
+			return nil, refuse(ReasonKeyUnknown, 0, "the key is not known in version %d", c.Version())
+		}
+		account = holder.Name
+	}
+	record.Name(account)
+	record.Note("route", "%s of version %d", target.Name, c.Version())
+	held := target.Timeout
+	if q.TimeLeft > 0 {
+		held = min(held, q.TimeLeft)
+	}
+	return &exchange{
+		relay:    r,
+		request:  q,
+		reply:    reply,
+		record:   record,
+		route:    target,
+		account:  account,
+		service:  pickService(target, q),
+		deadline: q.Arrived.Add(held),
+		tried:    make(map[string]bool),
+		after:    q.After,
+	}, nil
+}
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -42,21 +42,23 @@
 	collector Collector
 	lease     Lease
 	timers    *timer.Service
-	snapshot  func() *config.Snapshot
+	models    func() []config.Model
 
 	tests map[string]*Test
 	nodes map[string]Counts
+	// latest are the counts of the nodes that answered last time.
+	latest map[string]Counts
 }
 
 // NewDriver returns a driver that writes the shared document of that name.
-func NewDriver(name string, shared Shared, collector Collector, lease Lease, snapshot func() *config.Snapshot, timers *timer.Service) *Driver {
+func NewDriver(name string, shared Shared, collector Collector, lease Lease, models func() []config.Model, timers *timer.Service) *Driver {
 	return &Driver{
 		name:      name,
 		shared:    shared,
 		collector: collector,
 		lease:     lease,
 		timers:    timers,
-		snapshot:  snapshot,
+		models:    models,
 		tests:     make(map[string]*Test),
 		nodes:     make(map[string]Counts),
 	}
@@ -74,13 +76,14 @@
 // Step collects the counts once and writes what follows from them.
 func (d *Driver) Step(ctx context.Context, token int64) {
 	active := false
-	for _, m := range d.snapshot().Models() {
+	for _, m := range d.models() {
 		active = active || m.Rollout != nil
 	}
 	if !active {
 		return
 	}
-	for node, counts := range d.collector.Collect(ctx) {
+	d.latest = d.collector.Collect(ctx)
+	for node, counts := range d.latest {
 		d.nodes[node] = counts
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTime)
@@ -101,7 +104,7 @@
 		return nil, errs.New(Fenced, "change", "token %d is behind %d", token, stages.Token)
 	}
 	changed := false
-	for _, m := range d.snapshot().Models() {
+	for _, m := range d.models() {
 		if m.Rollout == nil {
 			continue
 		}
@@ -143,8 +146,12 @@
 	if !enough || !longEnough {
 		return p
 	}
+	last := p.Stage+1 >= len(m.Rollout.Stages)
+	if last && m.Rollout.Replace && d.runningInService(m) > 0 {
+		return p
+	}
 	p.Since, p.Evidence, p.Samples = now, test.Score(), candidate.Answers
-	if p.Stage+1 < len(m.Rollout.Stages) {
+	if !last {
 		p.Stage++
 		p.Reason = "stage passed"
 	} else {
@@ -174,6 +181,20 @@
 	return candidate, baseline
 }
 
+// runningInService returns how many requests run on the version in service, as
+// far as the nodes that answered last time know.
+func (d *Driver) runningInService(m *config.Model) int64 {
+	inService := m.InService()
+	if inService == nil {
+		return 0
+	}
+	running := int64(0)
+	for _, counts := range d.latest {
+		running += counts[m.Name+"@"+inService.Name].Running
+	}
+	return running
+}
+
 func (c Count) add(other Count) Count {
 	return Count{Answers: c.Answers + other.Answers, Bad: c.Bad + other.Bad}
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -89,6 +89,8 @@
 type Count struct {
 	Answers int64 `cbor:"1,keyasint" json:"answers"`
 	Bad     int64 `cbor:"2,keyasint" json:"bad"`
+	// Running is how many requests the node has there now; it also falls.
+	Running int64 `cbor:"3,keyasint" json:"running"`
 }
 
 // Counts are a node's counts by "model@version".
@@ -196,6 +198,21 @@
 	p.counts[name] = c
 }
 
+// Begin counts a request that starts to run on a version; End counts its end.
+func (p *Picker) Begin(model, version string) { p.run(model, version, 1) }
+
+// End is the counterpart of Begin.
+func (p *Picker) End(model, version string) { p.run(model, version, -1) }
+
+func (p *Picker) run(model, version string, change int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := model + "@" + version
+	c := p.counts[name]
+	c.Running += change
+	p.counts[name] = c
+}
+
 // Counts returns all counts of this node.
 func (p *Picker) Counts() Counts {
 	p.mu.Lock()
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -131,7 +131,7 @@
 	w := &driverWorld{token: 5, counts: map[string]rollout.Counts{}}
 	s := snapshot(t)
 	newDriver := func() *rollout.Driver {
-		return rollout.NewDriver("rollouts", w, w, w, func() *config.Snapshot { return s }, timer.New())
+		return rollout.NewDriver("rollouts", w, w, w, s.Models, timer.New())
 	}
 	progress := func() rollout.Progress {
 		stages, err := rollout.DecodeStages(w.stored)
--- /dev/null
+++ b/rollout/service.go
@@ -0,0 +1,137 @@
+package rollout
+
+import (
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/registry"
+)
+
+// Order is an operator's order to replace the version of all servers of a
+// service. Servers of the target version run beside the old ones meanwhile.
+// When the roll-out is complete, the old ones are stopped at once.
+type Order struct {
+	Service string
+	Target  string
+	// Period is the time within which the roll-out should be complete.
+	Period time.Duration
+}
+
+const (
+	// firstShare of the period belongs to the first stage. The platform wants
+	// sessions to stay on the old version in the first half; the rest is
+	// margin for a driver that saw the order late.
+	firstShare = 0.52
+	// firstStageSamples are answers of the target that the first stage needs;
+	// services with few requests give no more in half a period.
+	firstStageSamples = 5
+	// lastStageSeconds is how long all requests go to the target before the
+	// old servers may be stopped: every node has then heard of the stage.
+	lastStageSeconds = 1.5
+	// oldVersion stands for whatever the servers ran before the order.
+	oldVersion = "in-service"
+)
+
+// serviceGuards: a version whose failures rise by a tenth is bad; one good
+// version in a hundred may be stopped by mistake.
+var serviceGuards = config.Guards{MaxBadIncrease: 0.1, FalseAlarm: 0.01}
+
+// Services picks the servers of a service by the orders in force. It is safe
+// for concurrent use.
+type Services struct {
+	picker *Picker
+	share  float64
+
+	mu     sync.Mutex
+	models map[string]config.Model
+}
+
+// NewServices returns a picker of servers without orders. The first stage of
+// a roll-out gives the target the given share of the requests.
+func NewServices(picker *Picker, share float64) *Services {
+	return &Services{picker: picker, share: share, models: make(map[string]config.Model)}
+}
+
+// Take puts an order in force in place of the service's last one.
+func (s *Services) Take(o Order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.models[o.Service] = config.Model{
+		Name: o.Service,
+		Versions: []config.Version{
+			{Name: oldVersion, State: config.VersionInService},
+			{Name: o.Target, State: config.VersionRollingOut},
+		},
+		Rollout: &config.Rollout{
+			Version: o.Target,
+			Stages: []config.Stage{
+				{Share: s.share, MinSamples: firstStageSamples, MinSeconds: firstShare * o.Period.Seconds()},
+				{Share: 1, MinSeconds: lastStageSeconds},
+			},
+			Guards:  serviceGuards,
+			Replace: true,
+		},
+	}
+	slog.Info("roll-out ordered", "service", o.Service, "target", o.Target, "period_ms", o.Period.Milliseconds())
+}
+
+// Drop takes back the order for a service.
+func (s *Services) Drop(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.models, service)
+}
+
+// Models returns the services that have an order, as the driver sees them.
+func (s *Services) Models() []config.Model {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	models := make([]config.Model, 0, len(s.models))
+	for _, m := range s.models {
+		models = append(models, m)
+	}
+	return models
+}
+
+// Choose returns the servers that may get a request, and the name under which
+// their answers are counted; "" if the service has no order. The key decides
+// on which side of the share the request falls: its session, or else its ID.
+func (s *Services) Choose(service, key string, servers []registry.Server) ([]registry.Server, string) {
+	s.mu.Lock()
+	m, ordered := s.models[service]
+	s.mu.Unlock()
+	if !ordered {
+		return servers, ""
+	}
+	target := m.Rollout.Version
+	picked, err := s.picker.Pick(&m, key, func(string) bool { return true })
+	if err != nil {
+		return servers, ""
+	}
+	newer, older := split(servers, target)
+	switch {
+	case picked.Name == target && len(newer) > 0:
+		return newer, target
+	case len(older) > 0 || s.stopped(service, target):
+		return older, oldVersion
+	default:
+		return newer, target
+	}
+}
+
+func (s *Services) stopped(service, target string) bool {
+	progress, ok := s.picker.Progress(service)
+	return ok && progress.Version == target && progress.Verdict == VerdictStopped
+}
+
+// split parts servers of a version from all others.
+func split(servers []registry.Server, version string) (of, others []registry.Server) {
+	of = slices.Clone(servers)
+	of = slices.DeleteFunc(of, func(s registry.Server) bool { return s.Version != version })
+	others = slices.Clone(servers)
+	others = slices.DeleteFunc(others, func(s registry.Server) bool { return s.Version == version })
+	return of, others
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,7 +15,6 @@
 package settings
 
 import (
-	"errors"
 	"net"
 	"net/url"
 	"os"
@@ -200,11 +199,7 @@
 		return nil, errs.Wrap(Invalid, "load", overrideErr, "environment")
 	}
 	if len(faults) > 0 {
-		lines := make([]error, len(faults))
-		for i, f := range faults {
-			lines[i] = errors.New(f.String())
-		}
-		return nil, errs.Wrap(Invalid, "load", errors.Join(lines...), "settings file %s has %d faults", file, len(faults))
+		return nil, invalid(file, faults)
 	}
 	return s, nil
 }
@@ -233,10 +228,14 @@
 	if s.BootstrapKey != "" && !config.ValidDigest(s.BootstrapKey) {
 		fault("/bootstrap_key", "want a digest as printed by `violettally digest`")
 	}
-	switch s.LogLevel {
+	checkLevel(fault, s.LogLevel)
+}
+
+func checkLevel(fault strictjson.Report, level string) {
+	switch level {
 	case "debug", "info", "warn", "error":
 	default:
-		fault("/log_level", "want debug, info, warn or error, found %q", s.LogLevel)
+		fault("/log_level", "want debug, info, warn or error, found %q", level)
 	}
 }
 
