drain: close idle connections without cutting a request

Change: a connection is busy from the first byte; connections are closed after their next answer, idle ones only when the notice is over.

--- /dev/null
+++ b/drain/drain.go
@@ -0,0 +1,177 @@
+// Package drain closes a server's connections without cutting a request.
+//
+// The standard library's server closes connections that it believes to be
+// idle. It believes so until it has parsed a request's header, so a request
+// whose bytes have been read in the same moment is passed on and then cut. A
+// Listener here counts a connection as busy from the first byte on.
+//
+// # Usage
+//
+//	l := drain.NewListener(listener)
+//	server := &http.Server{Handler: h, ConnState: l.ConnState}
+//	go server.Serve(l)
+//	…
+//	listener.Close()
+//	l.CloseIdle()
+//	l.Wait(ctx)
+package drain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Listener follows the connections that it accepts. It is safe for concurrent
+// use.
+type Listener struct {
+	net.Listener
+
+	mu      sync.Mutex
+	open    map[*conn]struct{}
+	closing bool
+	// changed is closed, and made anew, when a connection has closed.
+	changed chan struct{}
+}
+
+// NewListener returns a listener that follows the connections of inner.
+func NewListener(inner net.Listener) *Listener {
+	return &Listener{Listener: inner, open: make(map[*conn]struct{}), changed: make(chan struct{})}
+}
+
+// Accept accepts a connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: inner, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+	return c, nil
+}
+
+// ConnState is the server's hook by which a connection becomes idle again.
+func (l *Listener) ConnState(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok || state != http.StateIdle {
+		return
+	}
+	c.rest()
+	l.mu.Lock()
+	closing := l.closing
+	l.mu.Unlock()
+	if closing {
+		c.closeIfIdle()
+	}
+}
+
+// CloseIdle closes the connections on which no byte of a next request has
+// arrived, now and whenever one becomes idle.
+func (l *Listener) CloseIdle() {
+	l.mu.Lock()
+	l.closing = true
+	open := make([]*conn, 0, len(l.open))
+	for c := range l.open {
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		c.closeIfIdle()
+	}
+}
+
+// Wait returns once no connection is open, or with the context's error.
+func (l *Listener) Wait(ctx context.Context) error {
+	for {
+		l.mu.Lock()
+		open, changed := len(l.open), l.changed
+		l.mu.Unlock()
+		if open == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.open[c]; known {
+		delete(l.open, c)
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
+}
+
+// conn is a connection that knows whether a request has begun on it.
+type conn struct {
+	net.Conn
+	listener *Listener
+
+	mu   sync.Mutex
+	busy bool
+	// readSince says that bytes were read after the last were written: the
+	// client was quicker with its next request than the server with its rest.
+	readSince bool
+	closed    bool
+}
+
+// Read marks the connection as busy. What arrives after closeIfIdle is not
+// handed on: the client is told, by the close, that it was not read.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	if n > 0 {
+		c.busy, c.readSince = true, true
+	}
+	return n, err
+}
+
+// Write notes that the client has an answer to what was read before.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.readSince = false
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.listener.remove(c)
+	return c.Conn.Close()
+}
+
+func (c *conn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = c.readSince
+}
+
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy || c.closed {
+		return
+	}
+	c.closed = true
+	c.listener.remove(c)
+	// The server's own task closes it again, and learns nothing from it.
+	_ = c.Conn.Close()
+}
--- /dev/null
+++ b/drain/drain_test.go
@@ -0,0 +1,150 @@
+package drain_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/drain"
+)
+
+// slowConn delivers its bytes and then holds the server up, so that a test
+// can act between the arrival of a request and its parsing.
+type slowConn struct {
+	net.Conn
+	once    *sync.Once
+	arrived chan struct{}
+	proceed chan struct{}
+}
+
+func (c *slowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.once.Do(func() {
+			close(c.arrived)
+			<-c.proceed
+		})
+	}
+	return n, err
+}
+
+type slowListener struct {
+	net.Listener
+	once             sync.Once
+	arrived, proceed chan struct{}
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{Conn: c, once: &l.once, arrived: l.arrived, proceed: l.proceed}, nil
+}
+
+func serve(t *testing.T, inner net.Listener, handler http.Handler) *drain.Listener {
+	l := drain.NewListener(inner)
+	server := &http.Server{Handler: handler, ConnState: l.ConnState}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	return l
+}
+
+func ask(t *testing.T, c net.Conn, r *bufio.Reader) (*http.Response, error) {
+	_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	must.NoError(t, err)
+	return http.ReadResponse(r, nil)
+}
+
+// TestRequestInTheMomentOfClose: a request whose bytes have been read when the
+// idle connections are closed gets its answer. With the standard library's own
+// close it reaches the handler and loses its connection.
+func TestRequestInTheMomentOfClose(t *testing.T) {
+	inner := &slowListener{Listener: listen(t), arrived: make(chan struct{}), proceed: make(chan struct{})}
+	handled := make(chan struct{}, 1)
+	l := serve(t, inner, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		handled <- struct{}{}
+		_, _ = io.WriteString(w, "whole")
+	}))
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer c.Close()
+	_, err = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	must.NoError(t, err)
+	<-inner.arrived
+	closing := make(chan struct{})
+	go func() {
+		l.CloseIdle()
+		close(closing)
+	}()
+	close(inner.proceed)
+	<-closing
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	// Either the connection was closed before its request was taken, or the
+	// request is answered whole. It never reaches the handler and is cut.
+	if err != nil {
+		must.Eq(t, 0, len(handled))
+		return
+	}
+	body, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	must.Eq(t, "whole", string(body))
+}
+
+// TestCloseIdle closes what rests, leaves what works, and closes that too once
+// it rests.
+func TestCloseIdle(t *testing.T) {
+	entered, finish := make(chan struct{}), make(chan struct{})
+	l := serve(t, listen(t), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Slow") != "" {
+			close(entered)
+			<-finish
+		}
+		_, _ = io.WriteString(w, "ok")
+	}))
+	idle, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	idleReader := bufio.NewReader(idle)
+	response, err := ask(t, idle, idleReader)
+	must.NoError(t, err)
+	_, _ = io.ReadAll(response.Body)
+	busy, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	_, err = fmt.Fprint(busy, "GET / HTTP/1.1\r\nHost: a\r\nSlow: 1\r\n\r\n")
+	must.NoError(t, err)
+	<-entered
+	must.Eq(t, 2, l.Open())
+
+	l.CloseIdle()
+	_, err = idleReader.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+	must.Eq(t, 1, l.Open())
+
+	waited := make(chan error)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		waited <- l.Wait(ctx)
+	}()
+	close(finish)
+	response, err = http.ReadResponse(bufio.NewReader(busy), nil)
+	must.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	must.Eq(t, "ok", string(body))
+	must.NoError(t, <-waited)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/drain"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/lease"
 	"github.com/violettally/violettally/metrics"
@@ -245,7 +246,7 @@
 		address string
 		serve   func(context.Context, net.Listener) error
 	}{
-		{s.Caller.Listen, func(_ context.Context, l net.Listener) error { return g.callers.Serve(l) }},
+		{s.Caller.Listen, func(_ context.Context, l net.Listener) error { return g.callers.Serve(drain.NewListener(l)) }},
 		{s.Ready.Listen, serveHTTP(platform.Ready(g.ready))},
 		{s.Directory.Listen, serveHTTP(platform.Directory(g.nodes.addresses, addressTTL))},
 		{s.Metrics.Listen, serveHTTP(g.metrics.Handler())},
@@ -291,8 +292,8 @@
 	grace := g.settings.Grace()
 	g.leaving.Store(true)
 	slog.Info("gateway is leaving", "grace_ms", grace.Milliseconds())
+	g.callers.Leave()
 	g.nodes.leave()
-	g.callers.CloseIdle()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(endShare*float64(grace))))
 	defer cancel()
 	pause, endPause := context.WithTimeout(ctx, time.Duration(noticeShare*float64(grace)))
