route: balance by the work that waits at a server, in milliseconds

Change: each node counts the reading that its own requests still wait for, adds what servers tell of others', and weighs data hall and prompt home in the same unit.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -12,7 +12,6 @@
 
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
-	"github.com/violettally/violettally/internal/rendezvous"
 	"github.com/violettally/violettally/route"
 )
 
@@ -23,9 +22,6 @@
 	// leastTime is the time that a further attempt must have left to be worth
 	// making; the quickest answers take about that long.
 	leastTime = 50 * time.Millisecond
-	// sharedParts is how many parts of a prompt decide on its home: the first
-	// two are shared widely, the last is the request's own.
-	sharedParts = 2
 )
 
 // exchange is one request on its way. One task runs it.
@@ -130,7 +126,7 @@
 func (x *exchange) choose() (*route.Use, string, *Refusal) {
 	all := x.relay.Servers.Servers(x.service)
 	servers, version := x.relay.Versions.Choose(x.service, x.request.key(), all)
-	use, err := x.relay.Balancer.Choose(route.Task{Servers: servers, Home: x.home(), Exclude: x.tried})
+	use, err := x.relay.Balancer.Choose(x.task(servers))
 	if err != nil {
 		return nil, "", refuse(ReasonNoServer, comeBackSoon, "service %s: %v", x.service, err)
 	}
@@ -139,15 +135,6 @@
 	return use, version, nil
 }
 
-// home hashes the shared parts of a prompt with the model that reads them.
-func (x *exchange) home() uint64 {
-	parts := x.request.Prompt.Parts
-	if len(parts) < sharedParts {
-		return 0
-	}
-	return rendezvous.Hash(x.model() + "/" + parts[sharedParts-1].ID)
-}
-
 // attempt sends the request to one server and passes its answer on. It
 // returns nil once nothing more is to be done for the client.
 func (x *exchange) attempt(ctx context.Context, use *route.Use, version string) *failure {
@@ -194,6 +181,7 @@
 		use.End(route.OutcomeDeclined)
 		return &failure{reason: ReasonDeclined, retryAfter: answer.RetryAfter(), cause: http.StatusText(answer.Status())}
 	}
+	use.Begin()
 	x.runs++
 	if answer.Status() >= http.StatusInternalServerError && x.mayRunAgain() && x.relay.Budgets.Take(x.service) {
 		use.End(route.OutcomeNeutral)
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -11,19 +11,27 @@
 	"github.com/violettally/violettally/registry"
 )
 
+// The balancer weighs servers in milliseconds of their time. The figures were
+// tried on calm days and days of high load of both deployments; between half
+// and twice of each the worth stayed the same (docs/MEASUREMENTS.md).
 const (
-	// hallPenalty is how many requests more a server of this node's data hall
-	// may have than one elsewhere: bytes between data halls are paid for.
-	hallPenalty = 4.0
-	// homeBonus is how many requests more the server may have that most
-	// likely holds the shared parts of a prompt already.
-	homeBonus = 4.0
-	// othersHalfLife is how soon a load that a server told on an answer is
-	// forgotten; requests take about that long.
-	othersHalfLife = time.Second
-	// waitingWeight is what a waiting request counts beside a running one: it
-	// says that the server is full.
-	waitingWeight = 2.0
+	// hallPenalty is the wait that a server of this node's data hall may be
+	// behind one elsewhere: bytes between data halls are paid for.
+	hallPenalty = 40.0
+	// homePerToken is the wait that the server which most likely has the
+	// shared parts of a prompt already may be behind, beside the time that it
+	// saves: reading parts again is paid for.
+	homePerToken = 0.015
+	// waitingWork is assumed of a request by another node that waits.
+	waitingWork = 60.0
+	// runningWork is what each request under way adds to a step of an engine
+	// while a prompt is read.
+	runningWork = 2.0
+	// jitter parts servers that are equal otherwise.
+	jitter = 5.0
+	// toldHalfLife is how soon a load that a server told is forgotten; a
+	// waiting request has begun about then.
+	toldHalfLife = 500 * time.Millisecond
 )
 
 // Load is what a server told of itself on an answer.
@@ -37,8 +45,14 @@
 type Task struct {
 	// Servers may get the request.
 	Servers []registry.Server
-	// Home hashes the shared parts of the prompt; zero for none.
-	Home uint64
+	// Work is how long the request keeps a server busy before its answer
+	// begins, in milliseconds.
+	Work float64
+	// Home hashes the shared parts of the prompt; zero for none. The server
+	// that has read them saves SavedWork, of SharedTokens.
+	Home         uint64
+	SavedWork    float64
+	SharedTokens int
 	// Exclude lists servers by ID that have been tried.
 	Exclude map[string]bool
 }
@@ -56,11 +70,17 @@
 
 // balanced is what this node knows of one server.
 type balanced struct {
+	// inflight are this node's own requests, waiting those of them whose
+	// answer has not begun, pending the work of these in milliseconds.
 	inflight int
-	// others is the load by other nodes when the server last told it.
-	others  float64
-	toldAt  time.Time
-	usedAt  time.Time
+	waiting  int
+	pending  float64
+	// othersWaiting and othersRunning are the requests of other nodes when
+	// the server last told its load.
+	othersWaiting float64
+	othersRunning float64
+	toldAt        time.Time
+
 	breaker breaker
 }
 
@@ -74,7 +94,9 @@
 type Use struct {
 	balancer *Balancer
 	server   registry.Server
-	once     sync.Once
+	work     float64
+	begin    sync.Once
+	end      sync.Once
 }
 
 // Server returns the chosen server.
@@ -83,9 +105,15 @@
 // Tell takes the load that the server told on its answer.
 func (u *Use) Tell(l Load) { u.balancer.tell(u.server.ID, l) }
 
+// Begin tells that the server's answer has begun.
+func (u *Use) Begin() {
+	u.begin.Do(func() { u.balancer.begin(u.server.ID, u.work) })
+}
+
 // End tells how the request ended, as far as the server is concerned.
 func (u *Use) End(outcome Outcome) {
-	u.once.Do(func() { u.balancer.end(u.server.ID, outcome) })
+	u.Begin()
+	u.end.Do(func() { u.balancer.end(u.server.ID, outcome) })
 }
 
 // Choose returns the server for one request.
@@ -100,13 +128,12 @@
 		if t.Exclude[s.ID] || !state.breaker.allows(now) {
 			continue
 		}
-		// A part of a request at random parts servers of equal load.
-		cost := state.load(now) + rand.Float64()/2
+		cost := state.wait(now) + jitter*rand.Float64()
 		if s.DataHall != b.dataHall {
 			cost += hallPenalty
 		}
 		if s.ID == home {
-			cost -= homeBonus
+			cost -= t.SavedWork + homePerToken*float64(t.SharedTokens)
 		}
 		if cost < bestCost {
 			best, bestCost = i, cost
@@ -117,10 +144,15 @@
 	}
 	server := t.Servers[best]
 	state := b.state(server.ID)
+	work := t.Work
+	if server.ID == home {
+		work -= t.SavedWork
+	}
 	state.inflight++
-	state.usedAt = now
+	state.waiting++
+	state.pending += work
 	state.breaker.begin(now)
-	return &Use{balancer: b, server: server}, nil
+	return &Use{balancer: b, server: server, work: work}, nil
 }
 
 // home returns the server that all nodes of this data hall prefer for a
@@ -150,20 +182,32 @@
 	return s
 }
 
-// load is the number of requests at the server: this node's own, which it
-// knows, and those of others, as far as the server's word is fresh.
-func (s *balanced) load(now time.Time) float64 {
-	return float64(s.inflight) + s.others*fresh(now.Sub(s.toldAt), othersHalfLife)
+// wait estimates how long a request waits at the server until it is read, in
+// milliseconds: behind this node's own work, which it knows, and that of
+// others, as far as the server's word is fresh.
+func (s *balanced) wait(now time.Time) float64 {
+	weight := fresh(now.Sub(s.toldAt), toldHalfLife)
+	running := float64(s.inflight) + weight*s.othersRunning
+	return s.pending + weight*s.othersWaiting*waitingWork + running*runningWork
 }
 
 func (b *Balancer) tell(id string, l Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(id)
-	s.others = math.Max(0, float64(l.Running)+waitingWeight*float64(l.Waiting)-float64(s.inflight))
+	s.othersWaiting = math.Max(0, float64(l.Waiting-s.waiting))
+	s.othersRunning = math.Max(0, float64(l.Running-(s.inflight-s.waiting)))
 	s.toldAt = time.Now()
 }
 
+func (b *Balancer) begin(id string, work float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id)
+	s.waiting--
+	s.pending -= work
+}
+
 func (b *Balancer) end(id string, outcome Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
