--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -28,7 +29,6 @@
 	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
-	"github.com/violettally/violettally/drain"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/lease"
 	"github.com/violettally/violettally/metrics"
@@ -90,6 +90,7 @@
 	client   *peer.Client
 	nodes    *nodes
 
+	relay   *relay.Relay
 	callers *platform.Callers
 	catalog atomic.Pointer[catalog.Catalog]
 	leaving atomic.Bool
@@ -124,10 +125,24 @@
 	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers)
 	g.makeRollouts()
 	g.subscribe()
-	g.makeCallers()
+	g.makeRelay()
+	if err := g.makeGauges(); err != nil {
+		return nil, errs.Wrap(Start, "new", err, "metrics")
+	}
 	return g, nil
 }
 
+func (g *Gateway) makeGauges() error {
+	return errors.Join(
+		g.metrics.Gauge("violettally_declaration_version", "Version of the declaration in force.",
+			func() float64 { return float64(g.Catalog().Version()) }),
+		g.metrics.Gauge("violettally_store_revision", "Revision of the store up to which this node knows everything.",
+			func() float64 { return float64(g.mirror.Revision()) }),
+		g.metrics.Gauge("violettally_store_age_seconds", "Time since the store, or a peer that had heard from it, confirmed that.",
+			func() float64 { return g.mirror.Age().Seconds() }),
+	)
+}
+
 func (g *Gateway) makeRollouts() {
 	g.picker = rollout.NewPicker()
 	g.services = rollout.NewServices(g.picker, canaryMargin*g.settings.Bounds.CanaryShare)
@@ -135,8 +150,8 @@
 	g.driver = rollout.NewDriver(stagesKey, stages{g}, collector{g}, g.leases, g.services.Models, g.timers)
 }
 
-func (g *Gateway) makeCallers() {
-	r := relay.New(relay.Parts{
+func (g *Gateway) makeRelay() {
+	g.relay = relay.New(relay.Parts{
 		Catalog:    g.Catalog,
 		Servers:    g.registry,
 		Versions:   versions{g.services, g.picker},
@@ -149,9 +164,6 @@
 		Counters:   g.metrics.Relay(),
 		Timers:     g.timers,
 	})
-	limits := func() catalog.Limits { return g.Catalog().Limits() }
-	refused := func(reason relay.Reason) { g.metrics.Relay().Refused(reason, "") }
-	g.callers = platform.NewCallers(r, limits, refused)
 }
 
 // expectedNodes share the slack for retries. The deployments of today have 6
@@ -246,23 +258,37 @@
 		address string
 		serve   func(context.Context, net.Listener) error
 	}{
-		{s.Caller.Listen, func(_ context.Context, l net.Listener) error { return g.callers.Serve(drain.NewListener(l)) }},
 		{s.Ready.Listen, serveHTTP(platform.Ready(g.ready))},
 		{s.Directory.Listen, serveHTTP(platform.Directory(g.nodes.addresses, addressTTL))},
 		{s.Metrics.Listen, serveHTTP(g.metrics.Handler())},
 		{s.Peer.Listen, func(ctx context.Context, l net.Listener) error { return peers.Serve(ctx, l, nil) }},
 	}
-	var open []door
+	callers, err := listen(s.Caller.Listen)
+	if err != nil {
+		return nil, err
+	}
+	limits := func() catalog.Limits { return g.Catalog().Limits() }
+	refused := func(reason relay.Reason) { g.metrics.Relay().Refused(reason, "") }
+	g.callers = platform.NewCallers(callers, g.relay, limits, refused)
+	open := []door{{callers, func(context.Context, net.Listener) error { return g.callers.Serve() }}}
 	for _, d := range doors {
-		listener, err := net.Listen("tcp", d.address)
+		listener, err := listen(d.address)
 		if err != nil {
-			return nil, errs.Wrap(Start, "listen", err, "address %s", d.address)
+			return nil, err
 		}
 		open = append(open, door{listener, d.serve})
 	}
 	return open, nil
 }
 
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errs.Wrap(Start, "listen", err, "address %s", address)
+	}
+	return l, nil
+}
+
 func serveHTTP(handler http.Handler) func(context.Context, net.Listener) error {
 	return func(_ context.Context, l net.Listener) error {
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: readTime}
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,259 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/violettally/violettally/gateway"
+	"github.com/violettally/violettally/internal/standin"
+	"github.com/violettally/violettally/settings"
+)
+
+// Ports of each gateway under test; each has a loopback address of its own, so
+// that no other process can have taken them.
+const (
+	callerPort = 8101 + iota
+	readyPort
+	directoryPort
+	peerPort
+	metricsPort
+	storePort
+	runnerPort
+)
+
+// nextAddress is shared by all tests of this process.
+var nextAddress atomic.Int32
+
+// loopback returns an address of 127.0.0.0/8 that no other test uses. The
+// process ID keeps two runs at once apart.
+func loopback() string {
+	n := int(nextAddress.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, n/200+1, n%200+1)
+}
+
+// TestMain keeps the gateways' log lines out of a test's output; with
+// VIOLETTALLY_TEST_LOGS set they are shown.
+func TestMain(m *testing.M) {
+	if os.Getenv("VIOLETTALLY_TEST_LOGS") == "" {
+		slog.SetDefault(slog.New(slog.DiscardHandler))
+	}
+	os.Exit(m.Run())
+}
+
+// world is a store, runners and gateways.
+type world struct {
+	t     *testing.T
+	store *standin.Store
+	// declaration is what the operators last wrote.
+	declaration map[string]any
+	version     int
+}
+
+const (
+	testKey     = "key-of-desk"
+	testHost    = "desk.example"
+	engineName  = "engines"
+	recordsName = "records"
+	smallModel  = "small"
+	largeModel  = "large"
+)
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: standin.NewStore()}
+	t.Cleanup(w.store.Close)
+	w.declare(nil)
+	return w
+}
+
+// declare writes a declaration with the usual routes and the given ones.
+func (w *world) declare(more []map[string]any) {
+	w.version++
+	routes := []map[string]any{
+		{"name": "brief", "host": testHost, "path_prefix": "/brief/", "kind": "stream", "timeout_ms": 10000, "goal_ms": 2000,
+			"priority": 1, "sizes": []string{smallModel, largeModel}, "service": engineName, "attempts": 3, "affinity": true, "resumable": true},
+		{"name": "once", "host": testHost, "path_prefix": "/once/", "kind": "non_idempotent", "timeout_ms": 2000, "service": recordsName, "attempts": 1},
+		{"name": "look", "host": testHost, "path_prefix": "/look/", "kind": "idempotent", "timeout_ms": 2000, "service": recordsName, "attempts": 2},
+	}
+	w.declaration = map[string]any{
+		"version": w.version,
+		"routes":  append(routes, more...),
+		"services": []map[string]any{
+			{"name": engineName, "max_conns": 100, "engine": map[string]any{"slots": 8, "models": []map[string]any{
+				{"name": smallModel, "cost": 0.01}, {"name": largeModel, "cost": 0.2}}}},
+			{"name": recordsName, "max_conns": 100},
+		},
+		"tenants": []map[string]any{{"name": "desk", "api_keys": []string{testKey}}},
+		"limits":  map[string]any{"max_body_bytes": 1 << 20},
+	}
+	w.store.Put("op/config", w.declaration)
+}
+
+// runner starts a backend server and announces it.
+func (w *world) runner(id, service, version string, usual standin.RunnerAnswer) *standin.Runner {
+	r := standin.NewRunner(id, usual)
+	address := w.serve(runnerPort, r)
+	w.announce(id, service, version, address, "ready")
+	return r
+}
+
+func (w *world) announce(id, service, version, address, state string) {
+	w.store.Put("servers/"+id, map[string]any{
+		"service": service, "address": address, "zone": "hall-1", "version": version, "slots": 8, "state": state,
+	})
+}
+
+// serve runs a handler on an address of its own until the test ends.
+func (w *world) serve(port int, handler http.Handler) string {
+	address := fmt.Sprintf("%s:%d", loopback(), port)
+	listener, err := net.Listen("tcp", address)
+	must.NoError(w.t, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	w.t.Cleanup(func() { _ = server.Close() })
+	return address
+}
+
+// node is a gateway under test.
+type node struct {
+	ip   string
+	door *standin.StoreDoor
+	stop context.CancelFunc
+	done chan error
+}
+
+// gateway starts a gateway and waits until it is ready.
+func (w *world) gateway(name string, seeds ...string) *node {
+	n := &node{ip: loopback(), door: w.store.Door(), done: make(chan error, 1)}
+	storeAddress := w.serve(storePort, n.door.Handler())
+	door := func(port int) settings.Door { return settings.Door{Listen: fmt.Sprintf("%s:%d", n.ip, port)} }
+	g, err := gateway.New(&settings.Gateway{
+		Name: name, Region: "home", DataHall: "hall-1",
+		Caller: door(callerPort), Ready: door(readyPort), Directory: door(directoryPort), Peer: door(peerPort), Metrics: door(metricsPort),
+		Seeds: seeds,
+		Store: settings.GatewayStore{Address: storeAddress},
+		Bounds: settings.GatewayBounds{
+			GraceSeconds: 4, RetryRatio: 0.9, RetrySlack: 500, CanaryShare: 0.15,
+		},
+	})
+	must.NoError(w.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go func() { n.done <- g.Run(ctx) }()
+	w.t.Cleanup(func() {
+		stop()
+		<-n.done
+	})
+	w.eventually(func() bool { return n.ready() })
+	return n
+}
+
+// eventually waits for a condition that other tasks bring about.
+func (w *world) eventually(condition func() bool) {
+	w.t.Helper()
+	must.Wait(w.t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(20*time.Second), wait.Gap(20*time.Millisecond)))
+}
+
+func (n *node) url(port int, path string) string {
+	return fmt.Sprintf("http://%s:%d%s", n.ip, port, path)
+}
+
+func (n *node) ready() bool {
+	response, err := http.Get(n.url(readyPort, "/api/readyz"))
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// lookup asks the directory.
+func (n *node) lookup() []string {
+	response, err := http.Get(n.url(directoryPort, "/api/lookup?name="+testHost+"&region=home&zone=hall-1"))
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var out struct {
+		Addresses []string `json:"addrs"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&out)
+	return out.Addresses
+}
+
+// requestID numbers the requests of this process.
+var requestID atomic.Int64
+
+// request makes a request with an ID and a key; edit may change it.
+func (n *node) request(t *testing.T, method, path string, edit func(*http.Request)) *http.Request {
+	r, err := http.NewRequest(method, n.url(callerPort, path), nil)
+	must.NoError(t, err)
+	r.Host = testHost
+	r.Header.Set("X-Attempt-Id", fmt.Sprintf("r-%d", requestID.Add(1)))
+	r.Header.Set("X-Time-Left-Ms", "5000")
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	if edit != nil {
+		edit(r)
+	}
+	return r
+}
+
+// reply is a whole answer, or how it broke off.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func send(r *http.Request) reply {
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// get sends a request to a path.
+func (n *node) get(t *testing.T, path string) reply {
+	return send(n.request(t, http.MethodGet, path, nil))
+}
+
+// anyModel lets the system choose the model.
+func anyModel(r *http.Request) {
+	r.Header.Set("X-Model", "*")
+	r.Header.Set("X-Token-Count", "100,20")
+	r.Header.Set("X-Prompt-Prefix", "aa:20,bb:50,cc:30")
+}
+
+// events is the whole stream of a model.
+func events(model string, n int) string {
+	var all string
+	for i := 1; i <= n; i++ {
+		all += fmt.Sprintf("id: %d\ndata: %s/%d\n\n", i, model, i)
+	}
+	return all
+}
+
+// dial opens a connection to the callers' door.
+func (n *node) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", net.JoinHostPort(n.ip, strconv.Itoa(callerPort)))
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c, bufio.NewReader(c)
+}
--- a/relay/body.go
+++ b/relay/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 )
 
@@ -16,6 +17,8 @@
 	// length of the whole; -1 if it came without.
 	length int64
 	used   bool
+	// err is how reading from the client failed.
+	err error
 }
 
 // NewBody reads the beginning of a body of the given length, -1 if unknown.
@@ -46,5 +49,20 @@
 		return bytes.NewReader(b.head)
 	}
 	b.used = true
-	return io.MultiReader(bytes.NewReader(b.head), b.rest)
+	return io.MultiReader(bytes.NewReader(b.head), restReader{b})
+}
+
+// Err returns how reading the body from the client failed, nil if it did not.
+// It must be called after the attempt that read it.
+func (b *Body) Err() error { return b.err }
+
+// restReader reads what was not kept, and remembers a failure.
+type restReader struct{ b *Body }
+
+func (r restReader) Read(p []byte) (int, error) {
+	n, err := r.b.rest.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.b.err = err
+	}
+	return n, err
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -205,7 +205,11 @@
 		return &failure{reason: ReasonUnreachable, cause: err.Error()}
 	}
 	x.runs++
-	return &failure{reason: ReasonServerFailed, ran: true, cause: err.Error()}
+	reason := ReasonServerFailed
+	if x.request.Body.Err() != nil {
+		reason = ReasonBodyBroken
+	}
+	return &failure{reason: reason, ran: true, cause: err.Error()}
 }
 
 // escalation returns the model to ask in place of an answer that a model has
@@ -242,7 +246,7 @@
 		clear(x.tried)
 		return nil
 	case f.ran && !x.mayRunAgain():
-		return refuse(ReasonServerFailed, 0, "the server gave no answer: %s", f.cause)
+		return refuse(f.reason, 0, "the server gave no answer: %s", f.cause)
 	case x.sends >= maxSends, !x.request.Body.Replayable():
 		return x.final(f, retryAfter)
 	case !f.paid && !x.relay.Budgets.Take(x.service):
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -17,6 +17,9 @@
 	ReasonNoRoute
 	ReasonKeyUnknown
 	ReasonBodyTooLarge
+	// ReasonBodyBroken: the client's body broke off or grew too large after a
+	// part of it had been passed on.
+	ReasonBodyBroken
 	ReasonMalformed
 	// ReasonNoServer: the service has no server that can be asked now.
 	ReasonNoServer
@@ -46,6 +49,7 @@
 	ReasonNoRoute:         http.StatusNotFound,
 	ReasonKeyUnknown:      http.StatusUnauthorized,
 	ReasonBodyTooLarge:    http.StatusRequestEntityTooLarge,
+	ReasonBodyBroken:      http.StatusRequestEntityTooLarge,
 	ReasonMalformed:       http.StatusBadRequest,
 	ReasonNoServer:        http.StatusServiceUnavailable,
 	ReasonDeclined:        http.StatusServiceUnavailable,
--- a/relay/relay_enumer.go
+++ b/relay/relay_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_configurationno_routekey_unknownbody_too_largemalformedno_serverdeclinedunreachableserver_faileddeadline"
+const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_faileddeadline"
 
-var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 58, 67, 75, 86, 99, 107}
+var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 86, 97, 110, 118}
 
-const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largemalformedno_serverdeclinedunreachableserver_faileddeadline"
+const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_faileddeadline"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -28,40 +28,43 @@
 	_ = x[ReasonNoRoute-(1)]
 	_ = x[ReasonKeyUnknown-(2)]
 	_ = x[ReasonBodyTooLarge-(3)]
-	_ = x[ReasonMalformed-(4)]
-	_ = x[ReasonNoServer-(5)]
-	_ = x[ReasonDeclined-(6)]
-	_ = x[ReasonUnreachable-(7)]
-	_ = x[ReasonServerFailed-(8)]
-	_ = x[ReasonDeadline-(9)]
+	_ = x[ReasonBodyBroken-(4)]
+	_ = x[ReasonMalformed-(5)]
+	_ = x[ReasonNoServer-(6)]
+	_ = x[ReasonDeclined-(7)]
+	_ = x[ReasonUnreachable-(8)]
+	_ = x[ReasonServerFailed-(9)]
+	_ = x[ReasonDeadline-(10)]
 }
 
-var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonMalformed, ReasonNoServer, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonDeadline}
+var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonDeadline}
 
 var _ReasonNameToValueMap = map[string]Reason{
-	_ReasonName[0:16]:   ReasonNoConfiguration,
-	_ReasonName[16:24]:  ReasonNoRoute,
-	_ReasonName[24:35]:  ReasonKeyUnknown,
-	_ReasonName[35:49]:  ReasonBodyTooLarge,
-	_ReasonName[49:58]:  ReasonMalformed,
-	_ReasonName[58:67]:  ReasonNoServer,
-	_ReasonName[67:75]:  ReasonDeclined,
-	_ReasonName[75:86]:  ReasonUnreachable,
-	_ReasonName[86:99]:  ReasonServerFailed,
-	_ReasonName[99:107]: ReasonDeadline,
+	_ReasonName[0:16]:    ReasonNoConfiguration,
+	_ReasonName[16:24]:   ReasonNoRoute,
+	_ReasonName[24:35]:   ReasonKeyUnknown,
+	_ReasonName[35:49]:   ReasonBodyTooLarge,
+	_ReasonName[49:60]:   ReasonBodyBroken,
+	_ReasonName[60:69]:   ReasonMalformed,
+	_ReasonName[69:78]:   ReasonNoServer,
+	_ReasonName[78:86]:   ReasonDeclined,
+	_ReasonName[86:97]:   ReasonUnreachable,
+	_ReasonName[97:110]:  ReasonServerFailed,
+	_ReasonName[110:118]: ReasonDeadline,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
-	_ReasonLowerName[0:16]:   ReasonNoConfiguration,
-	_ReasonLowerName[16:24]:  ReasonNoRoute,
-	_ReasonLowerName[24:35]:  ReasonKeyUnknown,
-	_ReasonLowerName[35:49]:  ReasonBodyTooLarge,
-	_ReasonLowerName[49:58]:  ReasonMalformed,
-	_ReasonLowerName[58:67]:  ReasonNoServer,
-	_ReasonLowerName[67:75]:  ReasonDeclined,
-	_ReasonLowerName[75:86]:  ReasonUnreachable,
-	_ReasonLowerName[86:99]:  ReasonServerFailed,
-	_ReasonLowerName[99:107]: ReasonDeadline,
+	_ReasonLowerName[0:16]:    ReasonNoConfiguration,
+	_ReasonLowerName[16:24]:   ReasonNoRoute,
+	_ReasonLowerName[24:35]:   ReasonKeyUnknown,
+	_ReasonLowerName[35:49]:   ReasonBodyTooLarge,
+	_ReasonLowerName[49:60]:   ReasonBodyBroken,
+	_ReasonLowerName[60:69]:   ReasonMalformed,
+	_ReasonLowerName[69:78]:   ReasonNoServer,
+	_ReasonLowerName[78:86]:   ReasonDeclined,
+	_ReasonLowerName[86:97]:   ReasonUnreachable,
+	_ReasonLowerName[97:110]:  ReasonServerFailed,
+	_ReasonLowerName[110:118]: ReasonDeadline,
 }
 
 var _ReasonNames = []string{
@@ -69,12 +72,13 @@
 	_ReasonName[16:24],
 	_ReasonName[24:35],
 	_ReasonName[35:49],
-	_ReasonName[49:58],
-	_ReasonName[58:67],
-	_ReasonName[67:75],
-	_ReasonName[75:86],
-	_ReasonName[86:99],
-	_ReasonName[99:107],
+	_ReasonName[49:60],
+	_ReasonName[60:69],
+	_ReasonName[69:78],
+	_ReasonName[78:86],
+	_ReasonName[86:97],
+	_ReasonName[97:110],
+	_ReasonName[110:118],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
