--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,248 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/timer"
+)
+
+// fakeStore is a store in memory whose calls can be made to fail.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]mirror.Item
+	history  []mirror.Item
+	gone     bool
+	err      error
+	hang     bool
+	reads    int
+}
+
+func newStore() *fakeStore { return &fakeStore{items: make(map[string]mirror.Item)} }
+
+func (s *fakeStore) put(key string, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	item := mirror.Item{Key: key, Revision: s.revision, Deleted: deleted, Value: []byte(fmt.Sprint(s.revision))}
+	s.history = append(s.history, item)
+	if deleted {
+		delete(s.items, key)
+	} else {
+		s.items[key] = item
+	}
+}
+
+func (s *fakeStore) set(err error, hang, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err, s.hang, s.gone = err, hang, gone
+}
+
+func (s *fakeStore) ReadAll(context.Context) (mirror.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	b := mirror.Batch{Revision: s.revision, Whole: true}
+	for _, item := range s.items {
+		b.Items = append(b.Items, item)
+	}
+	return b, s.err
+}
+
+func (s *fakeStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.hang:
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return mirror.Batch{}, ctx.Err()
+	case s.err != nil:
+		return mirror.Batch{}, s.err
+	case s.gone:
+		s.gone = false
+		return mirror.Batch{}, errs.New(mirror.HistoryGone, "follow", "gone")
+	}
+	b := mirror.Batch{Revision: s.revision}
+	for _, item := range s.history {
+		if item.Revision > after {
+			b.Items = append(b.Items, item)
+		}
+	}
+	if len(b.Items) == 0 {
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(min(wait, 100*time.Millisecond)):
+		}
+		s.mu.Lock()
+	}
+	return b, nil
+}
+
+// peers are mirrors that answer by their place.
+type peers struct{ mirrors []*mirror.Mirror }
+
+func (p *peers) Addresses() []string {
+	var addresses []string
+	for i := range p.mirrors {
+		addresses = append(addresses, fmt.Sprint(i))
+	}
+	return addresses
+}
+
+func (p *peers) Follow(_ context.Context, address string, after int64) (mirror.Batch, error) {
+	var i int
+	if _, err := fmt.Sscan(address, &i); err != nil {
+		return mirror.Batch{}, err
+	}
+	return p.mirrors[i].After(after), nil
+}
+
+// run returns what mirrors run by until the test ends.
+func run(t *testing.T) (context.Context, *timer.Service) {
+	ctx, cancel := context.WithCancel(t.Context())
+	timers := timer.New()
+	t.Cleanup(func() {
+		cancel()
+		timers.Close()
+	})
+	return ctx, timers
+}
+
+var errStore = errors.New("store fails")
+
+// TestMirror lists what happens to the store between two changes, and looks
+// at what a mirror beside a healthy peer then knows.
+func TestMirror(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(*fakeStore)
+		// wholes is how often the whole is read.
+		wholes int
+		// late is how much later than usual the change is known.
+		late time.Duration
+	}{
+		{"nothing", func(*fakeStore) {}, 1, 0},
+		{"history gone", func(s *fakeStore) { s.set(nil, false, true) }, 2, 0},
+		{"store fails", func(s *fakeStore) { s.set(errStore, false, false) }, 0, 0},
+		{"store is silent", func(s *fakeStore) { s.set(nil, true, false) }, 1, 2 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, timers := run(t)
+				good, own := newStore(), newStore()
+				peer := mirror.New(good, &peers{}, timers)
+				m := mirror.New(own, &peers{[]*mirror.Mirror{peer}}, timers)
+				var seen []mirror.Change
+				m.Subscribe("a/", func(c mirror.Change) { seen = append(seen, c) })
+				for _, s := range []*fakeStore{good, own} {
+					s.put("a/1", false)
+					s.put("a/2", false)
+					s.put("b/1", false)
+				}
+				go peer.Run(ctx)
+				go m.Run(ctx)
+				time.Sleep(time.Second)
+				must.Len(t, 2, seen)
+				reads := own.reads
+				tt.before(own)
+				for _, s := range []*fakeStore{good, own} {
+					s.put("a/1", true)
+					s.put("a/3", false)
+				}
+				time.Sleep(1500*time.Millisecond + tt.late)
+				must.Len(t, 4, seen, must.Sprint(seen))
+				// Out of a whole, deletions come last.
+				must.SliceContainsAll(t, []string{"a/1 true", "a/3 false"}, []string{
+					fmt.Sprint(seen[2].Key, " ", seen[2].Deleted), fmt.Sprint(seen[3].Key, " ", seen[3].Deleted),
+				})
+				must.Len(t, 2, m.Under("a/"))
+				must.Eq(t, 5, m.Revision())
+				if tt.wholes > 0 && tt.late == 0 {
+					must.Eq(t, tt.wholes-1, own.reads-reads)
+				}
+				must.Less(t, 4*time.Second, m.Age())
+			})
+		})
+	}
+}
+
+// TestOlderWholeChangesNothing: a peer that lags behind must not take away
+// what is known already.
+func TestOlderWholeChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, timers := run(t)
+		lagging, own := newStore(), newStore()
+		peer := mirror.New(lagging, &peers{}, timers)
+		m := mirror.New(own, &peers{[]*mirror.Mirror{peer}}, timers)
+		lagging.put("a", false)
+		own.put("a", false)
+		own.put("b", false)
+		go peer.Run(ctx)
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		own.set(errStore, false, false)
+		time.Sleep(5 * time.Second)
+		_, ok := m.Get("b")
+		must.True(t, ok)
+		must.Eq(t, 2, m.Revision())
+	})
+}
+
+// TestRegained: subscribers of the store's return are told before what the
+// store then says.
+func TestRegained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, timers := run(t)
+		own := newStore()
+		own.put("a", false)
+		m := mirror.New(own, &peers{}, timers)
+		var order []string
+		m.OnRegained(func() { order = append(order, "regained") })
+		m.Subscribe("", func(c mirror.Change) { order = append(order, fmt.Sprint(c.Key, c.Deleted)) })
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		own.set(errStore, false, false)
+		own.put("a", true)
+		time.Sleep(time.Second)
+		own.set(nil, false, false)
+		time.Sleep(time.Second)
+		must.Eq(t, []string{"afalse", "regained", "atrue"}, order)
+	})
+}
+
+// TestAfter: a peer that is a little behind gets changes, one that is far
+// behind the whole.
+func TestAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, timers := run(t)
+		own := newStore()
+		own.put("a", false)
+		m := mirror.New(own, &peers{}, timers)
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		for i := range 3000 {
+			own.put(fmt.Sprint("k", i%10), false)
+		}
+		time.Sleep(time.Second)
+		must.False(t, m.After(3000).Whole)
+		must.Len(t, 1, m.After(3000).Items)
+		must.True(t, m.After(1).Whole)
+		must.Len(t, 11, m.After(1).Items)
+		must.SliceEmpty(t, m.After(3001).Items)
+	})
+}
--- /dev/null
+++ b/rollout/service_test.go
@@ -0,0 +1,150 @@
+package rollout_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/timer"
+)
+
+var runners = []registry.Server{{ID: "old-1", Version: "v1"}, {ID: "old-2", Version: "v1"}, {ID: "new-1", Version: "v2"}}
+
+func services(t *testing.T, stages string) *rollout.Services {
+	picker := rollout.NewPicker()
+	must.NoError(t, picker.Take(document.Item{Data: []byte(stages), Revision: 1}))
+	s := rollout.NewServices(picker, 0.1)
+	s.Take(rollout.Order{Service: "s", Target: "v2", Period: 20 * time.Second})
+	return s
+}
+
+// TestServicesChoose lists which servers get a request at each stage.
+func TestServicesChoose(t *testing.T) {
+	stage := func(fields string) string { return `{"models": {"s": {"version": "v2", ` + fields + `}}}` }
+	tests := []struct {
+		name    string
+		stages  string
+		servers []registry.Server
+		// share of the requests that go to the target.
+		share float64
+	}{
+		{"not begun", `{}`, runners, 0},
+		{"share not known yet", stage(`"stage": 0`), runners, 0},
+		{"first stage", stage(`"stage": 0, "share": 0.05`), runners, 0.05},
+		{"second stage", stage(`"stage": 1`), runners, 0.3},
+		{"last stage", stage(`"stage": 2`), runners, 1},
+		{"complete", stage(`"stage": 2, "verdict": "complete"`), runners, 1},
+		{"stopped", stage(`"stage": 1, "verdict": "stopped"`), runners, 0},
+		{"target not there yet", stage(`"stage": 2`), runners[:2], 0},
+		{"old ones gone", stage(`"stage": 0, "share": 0.05`), runners[2:], 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := services(t, tt.stages)
+			const keys = 2000
+			target := 0
+			for i := range keys {
+				servers, version := s.Choose("s", fmt.Sprint(i), tt.servers)
+				must.SliceNotEmpty(t, servers)
+				if version == "v2" {
+					target++
+				}
+				for _, chosen := range servers {
+					must.Eq(t, version == "v2", chosen.Version == "v2")
+				}
+			}
+			must.Between(t, tt.share-0.03, float64(target)/keys, tt.share+0.03)
+		})
+	}
+}
+
+// TestStoppedGetsNothing: with no other server left, a stopped version still
+// gets nothing.
+func TestStoppedGetsNothing(t *testing.T) {
+	s := services(t, `{"models": {"s": {"version": "v2", "verdict": "stopped"}}}`)
+	servers, _ := s.Choose("s", "k", runners[2:])
+	must.SliceEmpty(t, servers)
+}
+
+// TestShareStaysStill: within a stage a session stays on its side, and from
+// stage to stage it only moves to the target.
+func TestShareStaysStill(t *testing.T) {
+	stages := []string{`"stage": 0, "share": 0.05`, `"stage": 1`, `"stage": 2`}
+	for i := range 500 {
+		reached := false
+		for _, fields := range stages {
+			s := services(t, `{"models": {"s": {"version": "v2", `+fields+`}}}`)
+			_, version := s.Choose("s", fmt.Sprint(i), runners)
+			must.True(t, !reached || version == "v2")
+			reached = version == "v2"
+		}
+		must.True(t, reached)
+	}
+}
+
+// TestNoOrder: without an order all servers are one.
+func TestNoOrder(t *testing.T) {
+	s := services(t, `{}`)
+	servers, version := s.Choose("other", "k", runners)
+	must.Eq(t, runners, servers)
+	must.Eq(t, "", version)
+	s.Drop("s")
+	servers, _ = s.Choose("s", "k", runners)
+	must.Eq(t, runners, servers)
+}
+
+// TestServiceDriver follows an order through its stages: the share follows
+// from the number of requests, and it is complete only when nothing runs on
+// the old servers.
+func TestServiceDriver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &driverWorld{token: 1, counts: map[string]rollout.Counts{}}
+		s := services(t, `{}`)
+		d := rollout.NewDriver("rollouts", w, w, w, s.Models, timer.New())
+		progress := func() rollout.Progress {
+			var stages rollout.Stages
+			must.NoError(t, json.Unmarshal(w.stored, &stages))
+			return stages.Models["s"]
+		}
+		step := func(wait time.Duration, old, target rollout.Count) rollout.Progress {
+			time.Sleep(wait)
+			w.counts["n"] = rollout.Counts{"s@in-service": old, "s@v2": target}
+			d.Step(context.Background(), 1)
+			return progress()
+		}
+		must.Eq(t, 0, step(0, rollout.Count{}, rollout.Count{}).Share)
+		must.Eq(t, 0, step(time.Second, rollout.Count{Answers: 50}, rollout.Count{}).Share)
+		// 100 requests a second in the 8.4 s that are left of the stage.
+		p := step(time.Second, rollout.Count{Answers: 180, Running: 20}, rollout.Count{})
+		must.Between(t, 0.046, p.Share, 0.049)
+		must.Eq(t, 0, step(4*time.Second, rollout.Count{Answers: 600}, rollout.Count{Answers: 20}).Stage)
+		must.Eq(t, 1, step(5*time.Second, rollout.Count{Answers: 1000}, rollout.Count{Answers: 40}).Stage)
+		must.Eq(t, 2, step(2*time.Second, rollout.Count{Answers: 1200}, rollout.Count{Answers: 100}).Stage)
+		must.Eq(t, rollout.VerdictRunning, step(2*time.Second, rollout.Count{Answers: 1200, Running: 1}, rollout.Count{Answers: 300}).Verdict)
+		writes := w.writes
+		step(time.Second, rollout.Count{Answers: 1200, Running: 1}, rollout.Count{Answers: 400})
+		must.Eq(t, writes, w.writes, must.Sprint("waiting for the old servers writes nothing"))
+		must.Eq(t, rollout.VerdictComplete, step(time.Second, rollout.Count{Answers: 1201}, rollout.Count{Answers: 500}).Verdict)
+	})
+}
+
+// TestServiceDriverStops: failures of the target stop it in each stage.
+func TestServiceDriverStops(t *testing.T) {
+	for stage, fields := range []string{`"stage": 0, "share": 0.05`, `"stage": 1`, `"stage": 2`} {
+		w := &driverWorld{token: 1, counts: map[string]rollout.Counts{}, stored: []byte(`{"models": {"s": {"version": "v2", ` + fields + `}}}`)}
+		d := rollout.NewDriver("rollouts", w, w, w, services(t, `{}`).Models, timer.New())
+		w.counts["n"] = rollout.Counts{"s@in-service": {Answers: 500, Bad: 5}, "s@v2": {Answers: 30, Bad: 10}}
+		d.Step(context.Background(), 1)
+		var stages rollout.Stages
+		must.NoError(t, json.Unmarshal(w.stored, &stages))
+		must.Eq(t, rollout.VerdictStopped, stages.Models["s"].Verdict, must.Sprintf("stage %d", stage))
+	}
+}
--- /dev/null
+++ b/route/balancer_test.go
@@ -0,0 +1,110 @@
+package route_test
+
+import (
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/route"
+)
+
+var halls = []registry.Server{
+	{ID: "near-1", DataHall: "near"}, {ID: "near-2", DataHall: "near"}, {ID: "far-1", DataHall: "far"}, {ID: "far-2", DataHall: "far"},
+}
+
+func balancer() *route.Balancer { return route.NewBalancer("near", func(string) {}) }
+
+func choose(t *testing.T, b *route.Balancer, task route.Task) *route.Use {
+	use, err := b.Choose(task)
+	must.NoError(t, err)
+	return use
+}
+
+// TestBalancerHall: the own data hall comes first, until the work that waits
+// there outweighs the bytes between data halls.
+func TestBalancerHall(t *testing.T) {
+	b := balancer()
+	counts := make(map[string]int)
+	for range 20 {
+		counts[choose(t, b, route.Task{Servers: halls, Work: 1}).Server().DataHall]++
+	}
+	must.Eq(t, 20, counts["near"])
+	for range 20 {
+		counts[choose(t, b, route.Task{Servers: halls, Work: 100}).Server().DataHall]++
+	}
+	must.Between(t, 7, counts["far"], 12)
+}
+
+// TestBalancerPending: a long prompt that is not read yet keeps others away;
+// once its answer has begun it hardly counts.
+func TestBalancerPending(t *testing.T) {
+	b := balancer()
+	long := choose(t, b, route.Task{Servers: halls[:2], Work: 1000})
+	for range 10 {
+		must.NotEq(t, long.Server().ID, choose(t, b, route.Task{Servers: halls[:2], Work: 10}).Server().ID)
+	}
+	long.Begin()
+	long.Begin()
+	for range 5 {
+		must.Eq(t, long.Server().ID, choose(t, b, route.Task{Servers: halls[:2], Work: 10}).Server().ID)
+	}
+}
+
+// TestBalancerHome: prompts with the same shared parts go to one server of
+// the data hall, whichever node asks, unless it has much to read.
+func TestBalancerHome(t *testing.T) {
+	task := route.Task{Servers: halls, Work: 130, Home: 42, SavedWork: 100, SharedTokens: 5000}
+	first := choose(t, balancer(), task).Server().ID
+	for range 20 {
+		must.Eq(t, first, choose(t, balancer(), task).Server().ID)
+	}
+	b := balancer()
+	others := 0
+	for range 20 {
+		if choose(t, b, task).Server().ID != first {
+			others++
+		}
+	}
+	must.Between(t, 5, others, 15)
+}
+
+// TestBalancerTold: what a server tells of others' requests counts.
+func TestBalancerTold(t *testing.T) {
+	b := balancer()
+	use := choose(t, b, route.Task{Servers: halls[:2], Work: 1})
+	use.Tell(route.Load{Running: 5, Waiting: 4, Slots: 8})
+	use.End(route.OutcomeOK)
+	for range 10 {
+		next := choose(t, b, route.Task{Servers: halls[:2], Work: 1})
+		must.NotEq(t, use.Server().ID, next.Server().ID)
+		next.End(route.OutcomeOK)
+	}
+}
+
+// TestBalancerBreaker: a server that fails three times in a row is left out,
+// and one that was excluded never comes.
+func TestBalancerBreaker(t *testing.T) {
+	var opened []string
+	b := route.NewBalancer("near", func(server string) { opened = append(opened, server) })
+	only := halls[:1]
+	for range 3 {
+		choose(t, b, route.Task{Servers: only}).End(route.OutcomeFailed)
+	}
+	_, err := b.Choose(route.Task{Servers: only})
+	must.True(t, errorx.IsOfType(err, route.NoServer))
+	must.Eq(t, []string{"near-1"}, opened)
+	must.Eq(t, "near-2", choose(t, b, route.Task{Servers: halls[:2]}).Server().ID)
+	_, err = b.Choose(route.Task{Servers: halls[1:2], Exclude: map[string]bool{"near-2": true}})
+	must.True(t, errorx.IsOfType(err, route.NoServer))
+}
+
+// TestBalancerKeep forgets servers that are gone, but none in use.
+func TestBalancerKeep(t *testing.T) {
+	b := balancer()
+	use := choose(t, b, route.Task{Servers: halls[:1], Work: 100})
+	b.Keep(map[string]bool{})
+	must.Eq(t, "near-2", choose(t, b, route.Task{Servers: halls[:2], Work: 1}).Server().ID)
+	use.End(route.OutcomeOK)
+}
--- /dev/null
+++ b/settings/gateway_test.go
@@ -0,0 +1,79 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/settings"
+)
+
+// values are what the platform fills into the gaps of the template.
+var values = map[string]string{
+	"node_name": `"front-1"`, "region": `"r"`, "zone": `"z"`, "zones": `{"z": "r"}`, "seeds": `["10.0.0.1:4"]`,
+	"listen.front": `"10.0.0.1:1"`, "listen.ready": `"10.0.0.1:2"`, "listen.directory": `"10.0.0.1:3"`, "listen.control": `"10.0.0.1:4"`,
+	"ip": "10.0.0.1", "port_range.0": "7340", "provider.address": `"10.0.0.9:5"`, "provider.ttl_min_ms": "1000",
+	"limits.ram_mb": "134", "limits.max_fds": "4100", "bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.ttl_max_s": "5",
+	"bounds.session_s": "5", "bounds.again_s": "7.9", "bounds.retry_ratio": "0.9", "bounds.retry_window_s": "10",
+	"bounds.retry_slack": "54", "bounds.canary_share": "0.15", "bounds.canary_slack": "30",
+}
+
+var gap = regexp.MustCompile(`\{\{([^|}]+)(\|json)?\}\}`)
+
+// filled returns the template as the platform lays it out.
+func filled(t *testing.T) string {
+	template, err := os.ReadFile("../deploy/settings.json.tmpl")
+	must.NoError(t, err)
+	return gap.ReplaceAllStringFunc(string(template), func(g string) string {
+		name := gap.FindStringSubmatch(g)[1]
+		value, known := values[name]
+		must.True(t, known, must.Sprint(name))
+		return value
+	})
+}
+
+func load(t *testing.T, text string) (*settings.Gateway, error) {
+	file := filepath.Join(t.TempDir(), "settings.json")
+	must.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return settings.LoadGateway(file)
+}
+
+// TestTemplate: what the platform lays out of the template is read whole.
+func TestTemplate(t *testing.T) {
+	g, err := load(t, filled(t))
+	must.NoError(t, err)
+	must.Eq(t, "front-1", g.Name)
+	must.Eq(t, "10.0.0.1:7340", g.Metrics.Address())
+	must.Eq(t, 8*time.Second, g.Grace())
+	must.Eq(t, 0.9, g.Bounds.RetryRatio)
+	must.Eq(t, "info", g.LogLevel)
+}
+
+// TestGatewayFaults: each fault is named with its line and path.
+func TestGatewayFaults(t *testing.T) {
+	tests := []struct{ name, from, to, want string }{
+		{"no name", `"front-1"`, `""`, "/name: want the VM's name"},
+		{"address", `"10.0.0.1:1"`, `"host:1"`, "/caller/listen: want IP:PORT"},
+		{"store", `"10.0.0.9:5"`, `"nowhere"`, "/store/address: want IP:PORT"},
+		{"share", `"canary_share": 0.15`, `"canary_share": 1.5`, "/bounds/canary_share: want a share"},
+		{"unknown field", `"seeds"`, `"seedz"`, "seedz"},
+		{"wrong type", `"retry_ratio": 0.9`, `"retry_ratio": "much"`, "/bounds/retry_ratio"},
+		{"cut", `"bounds"`, ``, ":"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := load(t, strings.Replace(filled(t), tt.from, tt.to, 1))
+			must.True(t, errorx.IsOfType(err, settings.Invalid))
+			must.StrContains(t, err.Error(), tt.want)
+			must.StrContains(t, err.Error(), "settings.json:")
+		})
+	}
+	_, err := settings.LoadGateway(filepath.Join(t.TempDir(), "none.json"))
+	must.True(t, errorx.IsOfType(err, settings.Unreadable))
+}
