rollout: sessions under way stay on their version in the first stage

Change: nodes remember the slots of sessions of the last 5 s that the stage could move, the driver collects them with the counts and writes them beside the share; a request that is sent once more stays on its version. Ruled out: memory at each node alone (80 in 100 follow-ups meet another node).

--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -72,8 +72,8 @@
 	*rollout.Picker
 }
 
-func (v versions) Choose(service, key string, servers []registry.Server) ([]registry.Server, string) {
-	return v.services.Choose(service, key, servers)
+func (v versions) Choose(service, key, before string, servers []registry.Server) ([]registry.Server, string) {
+	return v.services.Choose(service, key, before, servers)
 }
 
 // stages writes the drivers' document.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -35,6 +35,8 @@
 	service  string
 	deadline time.Time
 
+	// version is the side of a roll-out that the request fell on first.
+	version string
 	// step is the index of the model among the route's.
 	step int
 	// tried are the servers that got the request, sends how often it was
@@ -125,7 +127,8 @@
 // choose picks the server of the next attempt.
 func (x *exchange) choose() (*route.Use, string, *Refusal) {
 	all := x.relay.Servers.Servers(x.service)
-	servers, version := x.relay.Versions.Choose(x.service, x.request.key(), all)
+	servers, version := x.relay.Versions.Choose(x.service, x.request.key(), x.version, all)
+	x.version = version
 	use, err := x.relay.Balancer.Choose(x.task(servers))
 	if err != nil {
 		return nil, "", refuse(ReasonNoServer, comeBackSoon, "service %s: %v", x.service, err)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -134,8 +134,9 @@
 // evidence on versions.
 type Versions interface {
 	// Choose returns the servers that may get a request and the version under
-	// which it is counted, "" if it is not.
-	Choose(service, key string, servers []registry.Server) ([]registry.Server, string)
+	// which it is counted, "" if it is not. A request that was counted under
+	// a version before stays there while it can.
+	Choose(service, key, before string, servers []registry.Server) ([]registry.Server, string)
 	Begin(service, version string)
 	End(service, version string)
 	Count(service, version string, bad bool)
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -142,7 +142,7 @@
 	}
 	stage := m.Rollout.Stages[min(p.Stage, len(m.Rollout.Stages)-1)]
 	if stage.WantSamples > 0 && p.Share == 0 {
-		return size(p, stage, baseline, now)
+		return d.size(m, p, stage, baseline, now)
 	}
 	enough := candidate.Answers-p.Samples >= int64(stage.MinSamples)
 	longEnough := now.Sub(p.Since).Seconds() >= stage.MinSeconds
@@ -154,6 +154,7 @@
 		return p
 	}
 	p.Since, p.Evidence, p.Samples, p.Share = now, test.Score(), candidate.Answers, 0
+	p.Held = ""
 	if !last {
 		p.Stage++
 		p.Reason = "stage passed"
@@ -167,8 +168,9 @@
 // lowered by their number.
 const measureTime = 1500 * time.Millisecond
 
-// size sets the share by which a stage gives about as many answers as wanted.
-func size(p Progress, stage config.Stage, baseline Count, now time.Time) Progress {
+// size sets the share by which a stage gives about as many answers as wanted,
+// and holds the sessions that are under way.
+func (d *Driver) size(m *config.Model, p Progress, stage config.Stage, baseline Count, now time.Time) Progress {
 	elapsed := now.Sub(p.Since).Seconds()
 	left := stage.MinSeconds - elapsed
 	if elapsed < measureTime.Seconds() || left <= 0 {
@@ -176,6 +178,13 @@
 	}
 	expected := float64(baseline.Answers+baseline.Running) / elapsed * left
 	p.Share = min(stage.Share, float64(stage.WantSamples)/max(1, expected))
+	held := make(map[uint32]bool)
+	for _, counts := range d.latest {
+		for _, slot := range counts[m.Name+"@"+m.InService().Name].Recent {
+			held[slot] = true
+		}
+	}
+	p.Held = encodeSlots(held)
 	p.Reason = fmt.Sprintf("share for %d answers of about %.0f requests", stage.WantSamples, expected)
 	return p
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -16,7 +16,11 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -64,6 +68,9 @@
 	// Share is the stage's where it has to be lowered by the number of
 	// requests; zero until that is known.
 	Share float64 `json:"share,omitempty"`
+	// Held lists the sessions, by their slots, that were under way when the
+	// share was set; they stay on the version in service during that stage.
+	Held string `json:"held,omitempty"`
 }
 
 // Stages is the shared document: the roll-outs by model, and the fencing
@@ -94,6 +101,9 @@
 	Bad     int64 `cbor:"2,keyasint" json:"bad"`
 	// Running is how many requests the node has there now; it also falls.
 	Running int64 `cbor:"3,keyasint" json:"running"`
+	// Recent are the slots of the sessions that lately had a request there,
+	// as far as a first stage could move them.
+	Recent []uint32 `cbor:"4,keyasint,omitempty" json:"recent,omitempty"`
 }
 
 // Counts are a node's counts by "model@version".
@@ -105,10 +115,14 @@
 	mu     sync.Mutex
 	stages Stages
 	counts Counts
+	held   map[string]map[uint32]bool
+	recent map[string]map[uint32]time.Time
 }
 
 // NewPicker returns a picker that knows no stage.
-func NewPicker() *Picker { return &Picker{counts: make(Counts)} }
+func NewPicker() *Picker {
+	return &Picker{counts: make(Counts), recent: make(map[string]map[uint32]time.Time)}
+}
 
 // Take puts stored stages in force.
 func (p *Picker) Take(item document.Item) error {
@@ -119,6 +133,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stages = stages
+	p.held = make(map[string]map[uint32]bool)
+	for model, progress := range stages.Models {
+		p.held[model] = decodeSlots(progress.Held)
+	}
 	return nil
 }
 
@@ -145,7 +163,7 @@
 		return nil, errs.New(NoVersion, "pick", "no version of %s takes new sessions", m.Name)
 	case candidate == nil:
 		return inService, nil
-	case inService == nil, position(m.Name, key) < p.share(m):
+	case inService == nil, position(m.Name, key) < p.share(m) && !p.holds(m.Name, key):
 		return candidate, nil
 	default:
 		return inService, nil
@@ -191,6 +209,70 @@
 	return float64(xxhash.Sum64String(model+"/"+key)>>11) / (1 << 53)
 }
 
+// slot names a session in few bytes: the upper half of the hash that decides
+// its position. Two sessions of one slot are held together, which harms
+// neither.
+func slot(model, key string) uint32 { return uint32(xxhash.Sum64String(model+"/"+key) >> 32) }
+
+// holds reports whether a session stays on the version in service.
+func (p *Picker) holds(model, key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held[model][slot(model, key)]
+}
+
+// Remember notes a request of a session to a version, if a first stage of the
+// given share could move the session.
+func (p *Picker) Remember(model, version, key string, share float64) {
+	if position(model, key) >= share {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := model + "@" + version
+	if p.recent[name] == nil {
+		p.recent[name] = make(map[uint32]time.Time)
+	}
+	p.recent[name][slot(model, key)] = time.Now()
+}
+
+// sessionLife is how long after its last request a session is under way; the
+// deployments agree on 5 s.
+const sessionLife = 5 * time.Second
+
+// recentSlots returns the slots of sessions that are under way.
+func (p *Picker) recentSlots(name string) []uint32 {
+	var slots []uint32
+	for slot, at := range p.recent[name] {
+		if time.Since(at) > sessionLife {
+			delete(p.recent[name], slot)
+			continue
+		}
+		slots = append(slots, slot)
+	}
+	return slots
+}
+
+// encodeSlots writes slots in a form that can be compared.
+func encodeSlots(slots map[uint32]bool) string {
+	texts := make([]string, 0, len(slots))
+	for _, slot := range slices.Sorted(maps.Keys(slots)) {
+		texts = append(texts, strconv.FormatUint(uint64(slot), 16))
+	}
+	return strings.Join(texts, ",")
+}
+
+// decodeSlots passes over what is no slot: the worst is a session that moves.
+func decodeSlots(text string) map[uint32]bool {
+	slots := make(map[uint32]bool)
+	for _, field := range strings.Split(text, ",") {
+		if slot, err := strconv.ParseUint(field, 16, 32); err == nil {
+			slots[uint32(slot)] = true
+		}
+	}
+	return slots
+}
+
 // Count counts one answer of a version.
 func (p *Picker) Count(model, version string, bad bool) {
 	p.mu.Lock()
@@ -224,7 +306,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	counts := make(Counts, len(p.counts))
-	for name, c := range p.counts {
+	maps.Copy(counts, p.counts)
+	for name := range p.recent {
+		c := counts[name]
+		c.Recent = p.recentSlots(name)
 		counts[name] = c
 	}
 	return counts
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -109,7 +109,8 @@
 // Choose returns the servers that may get a request, and the name under which
 // their answers are counted; "" if the service has no order. The key decides
 // on which side of the share the request falls: its session, or else its ID.
-func (s *Services) Choose(service, key string, servers []registry.Server) ([]registry.Server, string) {
+// A request that was counted under a name before stays there while it can.
+func (s *Services) Choose(service, key, before string, servers []registry.Server) ([]registry.Server, string) {
 	s.mu.Lock()
 	m, ordered := s.models[service]
 	s.mu.Unlock()
@@ -121,15 +122,17 @@
 	if err != nil {
 		return servers, ""
 	}
+	stopped := s.stopped(service, target)
+	toTarget := picked.Name == target
+	if before != "" && !stopped {
+		toTarget = before == target
+	}
 	newer, older := split(servers, target)
-	switch {
-	case picked.Name == target && len(newer) > 0:
-		return newer, target
-	case len(older) > 0 || s.stopped(service, target):
-		return older, oldVersion
-	default:
+	if len(newer) > 0 && !stopped && (toTarget || len(older) == 0) {
 		return newer, target
 	}
+	s.picker.Remember(service, oldVersion, key, s.share)
+	return older, oldVersion
 }
 
 func (s *Services) stopped(service, target string) bool {
--- a/rollout/service_test.go
+++ b/rollout/service_test.go
@@ -52,7 +52,7 @@
 			const keys = 2000
 			target := 0
 			for i := range keys {
-				servers, version := s.Choose("s", fmt.Sprint(i), tt.servers)
+				servers, version := s.Choose("s", fmt.Sprint(i), "", tt.servers)
 				must.SliceNotEmpty(t, servers)
 				if version == "v2" {
 					target++
@@ -70,7 +70,7 @@
 // gets nothing.
 func TestStoppedGetsNothing(t *testing.T) {
 	s := services(t, `{"models": {"s": {"version": "v2", "verdict": "stopped"}}}`)
-	servers, _ := s.Choose("s", "k", runners[2:])
+	servers, _ := s.Choose("s", "k", "", runners[2:])
 	must.SliceEmpty(t, servers)
 }
 
@@ -82,7 +82,7 @@
 		reached := false
 		for _, fields := range stages {
 			s := services(t, `{"models": {"s": {"version": "v2", `+fields+`}}}`)
-			_, version := s.Choose("s", fmt.Sprint(i), runners)
+			_, version := s.Choose("s", fmt.Sprint(i), "", runners)
 			must.True(t, !reached || version == "v2")
 			reached = version == "v2"
 		}
@@ -90,14 +90,79 @@
 	}
 }
 
+// TestRequestStays: a request that is sent once more stays on its version,
+// except when that is stopped or has no servers.
+func TestRequestStays(t *testing.T) {
+	running := `{"models": {"s": {"version": "v2", "stage": 2}}}`
+	stopped := `{"models": {"s": {"version": "v2", "verdict": "stopped"}}}`
+	tests := []struct {
+		stages, before string
+		servers        []registry.Server
+		want           string
+	}{
+		{running, "in-service", runners, "in-service"},
+		{running, "v2", runners, "v2"},
+		{running, "in-service", runners[2:], "v2"},
+		{running, "v2", runners[:2], "in-service"},
+		{stopped, "v2", runners, "in-service"},
+	}
+	for _, tt := range tests {
+		_, version := services(t, tt.stages).Choose("s", "k", tt.before, tt.servers)
+		must.Eq(t, tt.want, version, must.Sprintf("%+v", tt))
+	}
+}
+
+// TestSessionsUnderWay: sessions that had a request just before the first
+// stage's share is set stay on the old version during that stage, also at
+// nodes that have not seen them.
+func TestSessionsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		seenAt, elsewhere := rollout.NewPicker(), rollout.NewPicker()
+		a, b := rollout.NewServices(seenAt, 0.1), rollout.NewServices(elsewhere, 0.1)
+		for _, s := range []*rollout.Services{a, b} {
+			s.Take(rollout.Order{Service: "s", Target: "v2", Period: 20 * time.Second})
+		}
+		w := &driverWorld{token: 1}
+		d := rollout.NewDriver("rollouts", w, w, w, a.Models, timer.New())
+		step := func() {
+			w.counts = map[string]rollout.Counts{"a": seenAt.Counts(), "b": elsewhere.Counts()}
+			d.Step(context.Background(), 1)
+			for _, p := range []*rollout.Picker{seenAt, elsewhere} {
+				must.NoError(t, p.Take(document.Item{Data: w.stored, Revision: int64(w.writes)}))
+			}
+		}
+		step()
+		const sessions = 400
+		for i := range sessions / 2 {
+			a.Choose("s", fmt.Sprint("gone", i), "", runners)
+		}
+		time.Sleep(6 * time.Second)
+		for i := range sessions {
+			a.Choose("s", fmt.Sprint(i), "", runners)
+		}
+		step()
+		moved := func(name string) (moved int) {
+			for i := range sessions {
+				if _, version := b.Choose("s", fmt.Sprint(name, i), "", runners); version == "v2" {
+					moved++
+				}
+			}
+			return moved
+		}
+		must.Eq(t, 0, moved(""), must.Sprint("under way"))
+		must.Positive(t, moved("other"))
+		must.Positive(t, moved("gone"))
+	})
+}
+
 // TestNoOrder: without an order all servers are one.
 func TestNoOrder(t *testing.T) {
 	s := services(t, `{}`)
-	servers, version := s.Choose("other", "k", runners)
+	servers, version := s.Choose("other", "k", "", runners)
 	must.Eq(t, runners, servers)
 	must.Eq(t, "", version)
 	s.Drop("s")
-	servers, _ = s.Choose("s", "k", runners)
+	servers, _ = s.Choose("s", "k", "", runners)
 	must.Eq(t, runners, servers)
 }
 
