mirror: one node of a data hall follows the store, the others follow that node

Change: the first node of a data hall by name watches with short waits; the others make calls that wait at it, whose answers tell how old its news is; without good news in 1.3 s a node follows the store itself for 3 s.

--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"storj.io/drpc"
 
@@ -13,19 +14,22 @@
 const callFollow = "follow"
 
 type followRequest struct {
-	After int64 `cbor:"1,keyasint"`
+	After int64         `cbor:"1,keyasint"`
+	Wait  time.Duration `cbor:"2,keyasint"`
 }
 
 // Gateway is what a gateway answers its peers with.
 type Gateway interface {
-	After(revision int64) mirror.Batch
+	Await(ctx context.Context, revision int64, wait time.Duration) mirror.Batch
 	Counts() (node string, counts rollout.Counts)
 }
 
 // NewGatewayServer returns a server of a gateway.
 func NewGatewayServer(g Gateway) *Server {
 	return &Server{calls: map[string]func(drpc.Stream) error{
-		callFollow: handle(func(_ context.Context, r followRequest) (mirror.Batch, error) { return g.After(r.After), nil }),
+		callFollow: handle(func(ctx context.Context, r followRequest) (mirror.Batch, error) {
+			return g.Await(ctx, r.After, r.Wait), nil
+		}),
 		callCounts: handle(func(context.Context, empty) (countsReply, error) {
 			name, counts := g.Counts()
 			return countsReply{Node: name, Counts: counts}, nil
@@ -33,7 +37,8 @@
 	}}
 }
 
-// Follow asks a gateway for what its copy has beyond a revision.
-func (c *Client) Follow(ctx context.Context, address string, after int64) (mirror.Batch, error) {
-	return invoke[followRequest, mirror.Batch](ctx, c, address, callFollow, followRequest{After: after})
+// Follow asks a gateway for what its copy has beyond a revision, and lets it
+// wait for something to tell.
+func (c *Client) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
+	return invoke[followRequest, mirror.Batch](ctx, c, address, callFollow, followRequest{After: after, Wait: wait})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -331,8 +331,10 @@
 	slog.Info("gateway has left", "after_ms", g.timers.Now().Sub(start).Milliseconds())
 }
 
-// After answers a peer that follows this gateway's copy of the store.
-func (g *Gateway) After(revision int64) mirror.Batch { return g.mirror.After(revision) }
+// Await answers a peer that follows this gateway's copy of the store.
+func (g *Gateway) Await(ctx context.Context, revision int64, wait time.Duration) mirror.Batch {
+	return g.mirror.Await(ctx, revision, wait)
+}
 
 // Counts answers the driver of roll-outs.
 func (g *Gateway) Counts() (string, rollout.Counts) { return g.self.ID, g.picker.Counts() }
--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -175,7 +176,30 @@
 	return slices.DeleteFunc(slices.Clone(p.g.settings.Seeds), func(a string) bool { return a == p.g.self.Peer })
 }
 
+// upstreamTried is how many gateways a node asks before it goes to the store.
+const upstreamTried = 3
+
+// Upstream returns the first gateways of the own data hall, by the VM's name,
+// unless this one is the first.
+func (p mirrorPeers) Upstream() []string {
+	var inHall []view.Member
+	for _, m := range p.g.nodes.others() {
+		if m.DataHall == p.g.self.DataHall {
+			inHall = append(inHall, m)
+		}
+	}
+	slices.SortFunc(inHall, func(a, b view.Member) int { return cmp.Compare(a.VM, b.VM) })
+	if len(inHall) == 0 || p.g.self.VM < inHall[0].VM {
+		return nil
+	}
+	var addresses []string
+	for _, m := range inHall[:min(upstreamTried, len(inHall))] {
+		addresses = append(addresses, m.Peer)
+	}
+	return addresses
+}
+
 // Follow asks one of them.
-func (p mirrorPeers) Follow(ctx context.Context, address string, after int64) (mirror.Batch, error) {
-	return p.g.client.Follow(ctx, address, after)
+func (p mirrorPeers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
+	return p.g.client.Follow(ctx, address, after, wait)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -2,10 +2,14 @@
 // that no request has to ask the store.
 //
 // The store counts its revisions in one row, so what a node knows is named by
-// one number: all changes up to that revision. A node that reaches the store
-// follows it by waiting watches. One that does not, follows its peers, which
-// answer from their own copy; a copy with a higher revision always replaces
-// one with a lower, never the other way round.
+// one number: all changes up to that revision. A copy with a higher revision
+// always replaces one with a lower, never the other way round.
+//
+// Every call to the store is paid for, so one node of each data hall follows
+// it by waiting watches, and the others follow that node, by calls that wait
+// in the same way. Each answer tells how long ago the store was last heard of.
+// A node that gets none in time, or only old news, follows the store itself
+// for a while; one that does not reach that either takes what any peer knows.
 //
 // # Usage
 //
@@ -77,17 +81,34 @@
 type Peers interface {
 	// Addresses returns the peers to ask, in no order.
 	Addresses() []string
-	// Follow asks a peer for what it knows beyond a revision.
-	Follow(ctx context.Context, address string, after int64) (Batch, error)
+	// Upstream returns the peers of this node's data hall that it follows, the
+	// first one first; none if this node is to follow the store.
+	Upstream() []string
+	// Follow asks a peer for what it knows beyond a revision. The peer waits
+	// that long for something to tell.
+	Follow(ctx context.Context, address string, after int64, wait time.Duration) (Batch, error)
 }
 
 const (
 	// followWait is how long a watch waits at the store. A path that is cut
-	// in silence is noticed after it, so it stays well below the time within
-	// which a change must be in force (2 s, the bounds of both deployments).
-	followWait = 1500 * time.Millisecond
-	// followSlack is how late the store may answer a watch that ran out.
-	followSlack = 500 * time.Millisecond
+	// in silence is noticed after it. Since few nodes watch, short waits cost
+	// little.
+	followWait = 600 * time.Millisecond
+	// followSlack is how late the store may answer a watch that ran out; it
+	// answers in 4 ms.
+	followSlack = 300 * time.Millisecond
+	// staleAge is how old the news of a peer may be for it to be followed: a
+	// watch, the gathering after it, and some delay. A change must be in force
+	// 2 s after it (the bound of the deployments of today), at a node whose
+	// upstream is cut off in the moment of the change too.
+	staleAge = 1300 * time.Millisecond
+	// peerWait is how long a call to the upstream waits.
+	peerWait = 500 * time.Millisecond
+	// ownTime is how long a node without good upstream follows the store.
+	ownTime = 3 * time.Second
+	// retryPause lies between two tries at the store of a node that followed
+	// a peer before: in an outage not all nodes should call at once.
+	retryPause = time.Second
 	// gatherTime lies between two watches. Changes that come close together
 	// are then fetched by one call; 300 ms halved the calls in a trial.
 	gatherTime = 250 * time.Millisecond
@@ -96,7 +117,7 @@
 	// peerInterval lies between two questions to peers while the store is
 	// out of reach.
 	peerInterval = 300 * time.Millisecond
-	peerTimeout  = 500 * time.Millisecond
+	peerTimeout  = 300 * time.Millisecond
 	// peersAsked at once, so that one silent peer costs no time.
 	peersAsked = 2
 	// kept is the number of changes that are kept for peers; it covers the
@@ -115,6 +136,7 @@
 	revision    int64
 	recent      []Item
 	recentFrom  int64
+	changed     chan struct{}
 	contact     time.Time
 	away        bool
 	subscribers []subscriber
@@ -130,7 +152,7 @@
 
 // New returns an empty mirror.
 func New(store Store, peers Peers, timers *timer.Service) *Mirror {
-	return &Mirror{store: store, peers: peers, timers: timers, items: make(map[string]Item)}
+	return &Mirror{store: store, peers: peers, timers: timers, items: make(map[string]Item), changed: make(chan struct{})}
 }
 
 // Subscribe calls changed with each change of a key under the prefix, one at
@@ -199,18 +221,73 @@
 	return b
 }
 
-// Run follows the store, or peers while it is out of reach, until the context
-// ends.
+// Await is After, but waits until there is something beyond the revision, or
+// the time is over.
+func (m *Mirror) Await(ctx context.Context, after int64, wait time.Duration) Batch {
+	m.mu.Lock()
+	known, changed := m.revision, m.changed
+	m.mu.Unlock()
+	if known <= after {
+		timer := time.NewTimer(min(wait, peerWait))
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	return m.After(after)
+}
+
+// Run follows the upstream, the store, or any peer, until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
+	var own time.Time
 	for ctx.Err() == nil {
-		if err := m.step(ctx); err != nil && ctx.Err() == nil {
-			m.lost(err)
-			m.askPeers(ctx)
-			m.pause(ctx, peerInterval)
+		upstream := m.peers.Upstream()
+		if m.Revision() > 0 && len(upstream) > 0 && m.timers.Now().After(own) {
+			if m.followPeer(ctx, upstream) {
+				continue
+			}
+			own = m.timers.Now().Add(ownTime)
+		}
+		err := m.step(ctx)
+		if err == nil {
+			m.pause(ctx, gatherTime)
 			continue
 		}
-		m.pause(ctx, gatherTime)
+		if ctx.Err() != nil {
+			return
+		}
+		m.lost(err)
+		m.askPeers(ctx)
+		if len(upstream) > 0 {
+			m.pause(ctx, retryPause)
+		} else {
+			m.pause(ctx, peerInterval)
+		}
+	}
+}
+
+// followPeer takes one answer of the first upstream that has good news. Only
+// the first is waited for, so that the next one costs no time.
+func (m *Mirror) followPeer(ctx context.Context, upstream []string) bool {
+	wait := peerWait
+	for _, address := range upstream {
+		callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+		batch, err := m.peers.Follow(callCtx, address, m.Revision(), wait)
+		cancel()
+		if err != nil {
+			slog.Info("upstream did not answer", "peer", address, "error", err)
+		} else if m.take(batch); batch.Age < staleAge && batch.Revision >= m.Revision() {
+			m.gained()
+			m.confirm(batch.Age)
+			return true
+		} else {
+			slog.Info("upstream has old news", "peer", address, "age_ms", batch.Age.Milliseconds(), "its_revision", batch.Revision, "revision", m.Revision())
+		}
+		wait = 0
 	}
+	return false
 }
 
 // step does one round with the store.
@@ -256,7 +333,7 @@
 	var calls sync.WaitGroup
 	for _, address := range addresses[:min(peersAsked, len(addresses))] {
 		calls.Go(func() {
-			batch, err := m.peers.Follow(ctx, address, m.Revision())
+			batch, err := m.peers.Follow(ctx, address, m.Revision(), 0)
 			if err != nil {
 				slog.Debug("peer did not answer", "peer", address, "error", err)
 				return
@@ -347,6 +424,8 @@
 		changes = append(changes, Change{item})
 	}
 	m.revision = b.Revision
+	close(m.changed)
+	m.changed = make(chan struct{})
 	m.trim(b.Whole)
 	return changes
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -93,7 +93,12 @@
 }
 
 // peers are mirrors that answer by their place.
-type peers struct{ mirrors []*mirror.Mirror }
+type peers struct {
+	mirrors  []*mirror.Mirror
+	upstream []string
+	// err fails all calls.
+	err error
+}
 
 func (p *peers) Addresses() []string {
 	var addresses []string
@@ -103,12 +108,17 @@
 	return addresses
 }
 
-func (p *peers) Follow(_ context.Context, address string, after int64) (mirror.Batch, error) {
+func (p *peers) Upstream() []string { return p.upstream }
+
+func (p *peers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
+	if p.err != nil {
+		return mirror.Batch{}, p.err
+	}
 	var i int
 	if _, err := fmt.Sscan(address, &i); err != nil {
 		return mirror.Batch{}, err
 	}
-	return p.mirrors[i].After(after), nil
+	return p.mirrors[i].Await(ctx, after, wait), nil
 }
 
 // run returns what mirrors run by until the test ends.
@@ -146,7 +156,7 @@
 				ctx, timers := run(t)
 				good, own := newStore(), newStore()
 				peer := mirror.New(good, &peers{}, timers)
-				m := mirror.New(own, &peers{[]*mirror.Mirror{peer}}, timers)
+				m := mirror.New(own, &peers{mirrors: []*mirror.Mirror{peer}}, timers)
 				var seen []mirror.Change
 				m.Subscribe("a/", func(c mirror.Change) { seen = append(seen, c) })
 				for _, s := range []*fakeStore{good, own} {
@@ -188,7 +198,7 @@
 		ctx, timers := run(t)
 		lagging, own := newStore(), newStore()
 		peer := mirror.New(lagging, &peers{}, timers)
-		m := mirror.New(own, &peers{[]*mirror.Mirror{peer}}, timers)
+		m := mirror.New(own, &peers{mirrors: []*mirror.Mirror{peer}}, timers)
 		lagging.put("a", false)
 		own.put("a", false)
 		own.put("b", false)
