--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -26,6 +26,7 @@
 	err      error
 	hang     bool
 	reads    int
+	follows  int
 }
 
 func newStore() *fakeStore { return &fakeStore{items: make(map[string]mirror.Item)} }
@@ -63,6 +64,7 @@
 func (s *fakeStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.follows++
 	switch {
 	case s.hang:
 		s.mu.Unlock()
@@ -213,6 +215,61 @@
 	})
 }
 
+// TestUpstream lists how a node's upstream may fail while the store serves the
+// node, and what the node then calls.
+func TestUpstream(t *testing.T) {
+	tests := []struct {
+		name string
+		// fail makes the upstream useless after a second.
+		fail func(upstreamStore *fakeStore, p *peers)
+		// follows says that the node goes on without the store.
+		follows bool
+	}{
+		{"nothing", func(*fakeStore, *peers) {}, true},
+		{"does not answer", func(_ *fakeStore, p *peers) { p.err = errStore }, false},
+		{"is cut from the store", func(s *fakeStore, _ *peers) { s.set(errStore, false, false) }, false},
+		{"is cut in silence", func(s *fakeStore, _ *peers) { s.set(nil, true, false) }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, timers := run(t)
+				stored, own := newStore(), newStore()
+				upstream := mirror.New(stored, &peers{}, timers)
+				p := &peers{mirrors: []*mirror.Mirror{upstream}, upstream: []string{"0"}}
+				m := mirror.New(own, p, timers)
+				for _, s := range []*fakeStore{stored, own} {
+					s.put("a", false)
+				}
+				go upstream.Run(ctx)
+				time.Sleep(100 * time.Millisecond)
+				go m.Run(ctx)
+				time.Sleep(time.Second)
+				must.Eq(t, 1, own.reads)
+				must.Eq(t, 0, own.follows)
+				tt.fail(stored, p)
+				for _, s := range []*fakeStore{stored, own} {
+					s.put("b", false)
+				}
+				// The change must be known 2 s later.
+				time.Sleep(2 * time.Second)
+				_, ok := m.Get("b")
+				must.True(t, ok)
+				time.Sleep(time.Second)
+				must.Eq(t, tt.follows, own.follows == 0)
+				must.Less(t, 3*time.Second, m.Age())
+				// With the upstream back, the node follows it again.
+				p.err = nil
+				stored.set(nil, false, false)
+				time.Sleep(10 * time.Second)
+				follows := own.follows
+				time.Sleep(time.Minute)
+				must.Eq(t, follows, own.follows)
+			})
+		})
+	}
+}
+
 // TestRegained: subscribers of the store's return are told before what the
 // store then says.
 func TestRegained(t *testing.T) {
