--- a/command/gateway.go
+++ b/command/gateway.go
@@ -16,6 +16,12 @@
 // gateway runs a gateway until SIGTERM or SIGINT, then drains it. SIGHUP
 // reads the settings again.
 func (r *runner) gateway(args *gatewayArgs) int {
+	// Without a channel for it, the signal to reload would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
 	s, err := settings.LoadGateway(args.Settings)
 	if err != nil {
 		fmt.Fprintln(r.stderr, err)
@@ -32,9 +38,7 @@
 		slog.Error("gateway cannot start", "error", err)
 		return ExitFailure
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	context.AfterFunc(ctx, stop)
-	go reload(ctx, args.Settings, func(s *settings.Gateway) { setLevel(&level, s.LogLevel) })
+	go reload(ctx, hangups, args.Settings, func(s *settings.Gateway) { setLevel(&level, s.LogLevel) })
 	if err := g.Run(ctx); err != nil {
 		slog.Error("gateway failed", "error", err)
 		return ExitFailure
@@ -51,10 +55,7 @@
 
 // reload reads the settings at each SIGHUP. Settings with faults change
 // nothing.
-func reload(ctx context.Context, file string, apply func(*settings.Gateway)) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func reload(ctx context.Context, hangups <-chan os.Signal, file string, apply func(*settings.Gateway)) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -243,6 +243,11 @@
 func (m *Mirror) Run(ctx context.Context) {
 	var own time.Time
 	for ctx.Err() == nil {
+		if m.Revision() == 0 {
+			// A node that starts during an outage need not wait for the store
+			// to time out.
+			go m.askPeers(ctx)
+		}
 		upstream := m.peers.Upstream()
 		if m.Revision() > 0 && len(upstream) > 0 && m.timers.Now().After(own) {
 			if m.followPeer(ctx, upstream) {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -50,10 +50,16 @@
 	s.err, s.hang, s.gone = err, hang, gone
 }
 
-func (s *fakeStore) ReadAll(context.Context) (mirror.Batch, error) {
+func (s *fakeStore) ReadAll(ctx context.Context) (mirror.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	if s.hang {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return mirror.Batch{}, ctx.Err()
+	}
 	b := mirror.Batch{Revision: s.revision, Whole: true}
 	for _, item := range s.items {
 		b.Items = append(b.Items, item)
@@ -270,6 +276,25 @@
 	}
 }
 
+// TestStart: a node that starts while the store is silent has what its peers
+// know at once.
+func TestStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, timers := run(t)
+		stored, own := newStore(), newStore()
+		stored.put("a", false)
+		peer := mirror.New(stored, &peers{}, timers)
+		go peer.Run(ctx)
+		time.Sleep(time.Second)
+		own.set(nil, true, false)
+		m := mirror.New(own, &peers{mirrors: []*mirror.Mirror{peer}}, timers)
+		go m.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		_, ok := m.Get("a")
+		must.True(t, ok)
+	})
+}
+
 // TestRegained: subscribers of the store's return are told before what the
 // store then says.
 func TestRegained(t *testing.T) {
