retry: bound repeats by a sliding window at each node

Change: each node counts requests and repeats in the window that the platform judges by, and keeps to its part; cascades leave a quarter to requests that have no answer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,12 +61,9 @@
 	// addressTTL is how long clients keep the addresses that they are told.
 	// A node that leaves serves on for longer than that.
 	addressTTL = 2 * time.Second
-	// retryShare is the part of the platform's retry ratio that is used; the
-	// rest is margin for requests that arrive unevenly at the nodes.
-	retryShare = 0.9
-	// retryBurst is the part of the platform's slack that all nodes together
-	// hold back for bursts.
-	retryBurst = 0.5
+	// retryMargin is the part of the platform's bound on repeats that is used:
+	// windows at the nodes begin at other moments than those that are judged.
+	retryMargin = 0.85
 	// canaryMargin keeps the first stage of a roll-out below the agreed share,
 	// since requests fall on either side by chance.
 	canaryMargin = 0.7
@@ -152,23 +149,27 @@
 
 func (g *Gateway) makeRelay() {
 	g.relay = relay.New(relay.Parts{
-		Catalog:    g.Catalog,
-		Servers:    g.registry,
-		Versions:   versions{g.services, g.picker},
-		Balancer:   g.balancer,
-		Ladder:     cascade.NewLadder(),
-		Budgets:    retry.New(retry.WithBurst(retryBurst * g.settings.Bounds.RetrySlack / expectedNodes)),
-		RetryShare: retryShare * g.settings.Bounds.RetryRatio,
-		Backends:   platform.NewRunners(),
-		Records:    decision.New(g.self.ID),
-		Counters:   g.metrics.Relay(),
-		Timers:     g.timers,
+		Catalog:  g.Catalog,
+		Servers:  g.registry,
+		Versions: versions{g.services, g.picker},
+		Balancer: g.balancer,
+		Ladder:   cascade.NewLadder(),
+		Budgets:  g.makeBudgets(),
+		Backends: platform.NewRunners(),
+		Records:  decision.New(g.self.ID),
+		Counters: g.metrics.Relay(),
+		Timers:   g.timers,
 	})
 }
 
-// expectedNodes share the slack for retries. The deployments of today have 6
-// and 7 nodes.
-const expectedNodes = 7
+// makeBudgets gives this node its part of what the platform lets all nodes
+// send once more.
+func (g *Gateway) makeBudgets() *retry.Windows {
+	bounds := g.settings.Bounds
+	slack := func() float64 { return retryMargin * bounds.RetrySlack / float64(len(g.nodes.others())+1) }
+	length := time.Duration(bounds.RetryWindowSeconds * float64(time.Second))
+	return retry.NewWindows(retryMargin*bounds.RetryRatio, slack, length)
+}
 
 // Catalog returns the declaration in force.
 func (g *Gateway) Catalog() *catalog.Catalog { return g.catalog.Load() }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -146,7 +146,7 @@
 		Seeds: seeds,
 		Store: settings.GatewayStore{Address: storeAddress},
 		Bounds: settings.GatewayBounds{
-			GraceSeconds: 4, RetryRatio: 0.9, RetrySlack: 500, CanaryShare: 0.15,
+			GraceSeconds: 4, RetryRatio: 0.9, RetrySlack: 500, RetryWindowSeconds: 10, CanaryShare: 0.15,
 		},
 	})
 	must.NoError(w.t, err)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -19,6 +19,9 @@
 	// maxSends bounds how often one request is offered to servers, those that
 	// decline it included.
 	maxSends = 6
+	// spareForRetries is the share of the budget for repeats that cascades
+	// leave to requests which got no answer at all.
+	spareForRetries = 0.25
 	// leastTime is the time that a further attempt must have left to be worth
 	// making; the quickest answers take about that long.
 	leastTime = 50 * time.Millisecond
@@ -91,7 +94,7 @@
 // run makes attempts until the client has its answer. A refusal that it
 // returns is still to be told.
 func (x *exchange) run(ctx context.Context) *Refusal {
-	x.relay.Budgets.Paid(x.service, x.relay.RetryShare)
+	x.relay.Budgets.Paid(x.service)
 	if x.chooses() {
 		x.step = x.relay.Ladder.First(len(x.route.Models))
 	}
@@ -186,7 +189,7 @@
 	}
 	use.Begin()
 	x.runs++
-	if answer.Status() >= http.StatusInternalServerError && x.mayRunAgain() && x.relay.Budgets.Take(x.service) {
+	if answer.Status() >= http.StatusInternalServerError && x.mayRunAgain() && x.relay.Budgets.Take(x.service, 0) {
 		use.End(route.OutcomeNeutral)
 		return &failure{reason: ReasonServerFailed, ran: true, paid: true, cause: http.StatusText(answer.Status())}
 	}
@@ -223,7 +226,7 @@
 		return 0, false
 	}
 	next, ok := x.relay.Ladder.Next(len(x.route.Models), x.step, confidence)
-	if !ok || !x.relay.Budgets.Take(x.service) {
+	if !ok || !x.relay.Budgets.Take(x.service, spareForRetries) {
 		return 0, false
 	}
 	x.record.Note("escalate", "confidence %.0f of %s", confidence, x.model())
@@ -252,7 +255,7 @@
 		return refuse(f.reason, 0, "the server gave no answer: %s", f.cause)
 	case x.sends >= maxSends, !x.request.Body.Replayable():
 		return x.final(f, retryAfter)
-	case !f.paid && !x.relay.Budgets.Take(x.service):
+	case !f.paid && !x.relay.Budgets.Take(x.service, 0):
 		return x.final(f, retryAfter)
 	}
 	x.relay.Counters.Retried(f.reason)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -151,10 +151,12 @@
 	Next(n, step int, confidence float64) (int, bool)
 }
 
-// Budgets bound retries by service.
+// Budgets bound by service how many requests are sent once more.
 type Budgets interface {
-	Paid(service string, share float64)
-	Take(service string) bool
+	Paid(service string)
+	// Take takes one repeat out of the budget if a share of it, spare, is
+	// then left.
+	Take(service string, spare float64) bool
 }
 
 // Counters counts what operators want to see.
@@ -174,12 +176,10 @@
 	Balancer *route.Balancer
 	Ladder   Ladder
 	Budgets  Budgets
-	// RetryShare is the part of a service's requests that may be sent again.
-	RetryShare float64
-	Backends   Backends
-	Records    *decision.Log
-	Counters   Counters
-	Timers     *timer.Service
+	Backends Backends
+	Records  *decision.Log
+	Counters Counters
+	Timers   *timer.Service
 }
 
 // Relay passes requests on. It is safe for concurrent use.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -21,37 +21,20 @@
 	maxTokens   = 20
 )
 
-// Option changes Budgets as New makes them.
-type Option func(*Budgets)
-
-// WithBurst sets how many retries a full budget holds.
-func WithBurst(tokens float64) Option {
-	return func(b *Budgets) { b.start, b.max = tokens, tokens }
-}
-
 // Budgets holds the budget of each pool. It is safe for concurrent use.
 type Budgets struct {
-	start float64
-	max   float64
-
 	mu     sync.Mutex
 	tokens map[string]float64
 }
 
-// New returns budgets at their start.
-func New(options ...Option) *Budgets {
-	b := &Budgets{start: startTokens, max: maxTokens, tokens: make(map[string]float64)}
-	for _, option := range options {
-		option(b)
-	}
-	return b
-}
+// New returns full budgets.
+func New() *Budgets { return &Budgets{tokens: make(map[string]float64)} }
 
 // Paid counts one request to a pool whose share of retries is given.
 func (b *Budgets) Paid(pool string, share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[pool] = min(b.max, b.balance(pool)+share)
+	b.tokens[pool] = min(maxTokens, b.balance(pool)+share)
 }
 
 // Take takes one retry out of the pool's budget, if there is one.
@@ -70,5 +53,5 @@
 	if balance, ok := b.tokens[pool]; ok {
 		return balance
 	}
-	return b.start
+	return startTokens
 }
--- /dev/null
+++ b/retry/window.go
@@ -0,0 +1,99 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// slices is the number of parts of a window; what is older than the window
+// goes slice by slice.
+const slices = 20
+
+// Windows bound by service how many requests one node sends once more: within
+// any window, to a share of the requests of that window or of the one before,
+// and a few more. They are for platforms that hold the system to such a bound
+// over all nodes: if each node keeps to its part, the sum keeps to the whole.
+// They are safe for concurrent use.
+type Windows struct {
+	ratio float64
+	slack func() float64
+	slice time.Duration
+
+	mu       sync.Mutex
+	services map[string]*window
+}
+
+// window counts requests and repeats in slices of time. The requests of the
+// window before stand in the first half of their row.
+type window struct {
+	requests [2 * slices]int
+	repeats  [slices]int
+	// at is the number of the newest slice since the start of time.
+	at int64
+}
+
+// NewWindows returns windows without requests. Slack is asked for anew each
+// time: it is this node's part of what the ratio does not cover.
+func NewWindows(ratio float64, slack func() float64, length time.Duration) *Windows {
+	return &Windows{ratio: ratio, slack: slack, slice: length / slices, services: make(map[string]*window)}
+}
+
+// Paid counts one request to a service.
+func (w *Windows) Paid(service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.current(service)
+	s.requests[s.at%int64(len(s.requests))]++
+}
+
+// Take counts one repeat if the bound allows it and leaves a share of it,
+// spare, for others.
+func (w *Windows) Take(service string, spare float64) bool {
+	slack := w.slack()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.current(service)
+	bound := w.ratio*float64(s.most()) + slack
+	if float64(s.repeated()+1) > bound*(1-spare) {
+		return false
+	}
+	s.repeats[s.at%slices]++
+	return true
+}
+
+// current returns the service's window, moved on to the present slice.
+func (w *Windows) current(service string) *window {
+	now := time.Now().UnixNano() / int64(w.slice)
+	s := w.services[service]
+	if s == nil {
+		s = &window{at: now}
+		w.services[service] = s
+	}
+	if now-s.at > int64(len(s.requests)) {
+		*s = window{at: now}
+	}
+	for s.at < now {
+		s.at++
+		s.requests[s.at%int64(len(s.requests))] = 0
+		s.repeats[s.at%slices] = 0
+	}
+	return s
+}
+
+func (s *window) repeated() (sum int) {
+	for _, n := range s.repeats {
+		sum += n
+	}
+	return sum
+}
+
+// most returns the requests of this window or of the one before, whichever
+// had more.
+func (s *window) most() int {
+	this, before := 0, 0
+	for i := range int64(slices) {
+		this += s.requests[(s.at-i+2*slices)%int64(len(s.requests))]
+		before += s.requests[(s.at-i+slices)%int64(len(s.requests))]
+	}
+	return max(this, before)
+}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,63 @@
+package retry_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/retry"
+)
+
+// TestWindows keeps to a share of the requests of ten seconds, and three more.
+func TestWindows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := retry.NewWindows(0.5, func() float64 { return 3 }, 10*time.Second)
+		take := func(spare float64) (n int) {
+			for w.Take("s", spare) {
+				n++
+			}
+			return n
+		}
+		must.Eq(t, 3, take(0), must.Sprint("the slack"))
+		for range 100 {
+			w.Paid("s")
+			w.Paid("other")
+		}
+		must.Eq(t, 36, take(0.25), must.Sprint("a part is left for others"))
+		must.Eq(t, 14, take(0))
+		time.Sleep(5 * time.Second)
+		must.Eq(t, 0, take(0))
+		time.Sleep(6 * time.Second)
+		must.Eq(t, 53, take(0), must.Sprint("by the requests of the window before"))
+		time.Sleep(11 * time.Second)
+		must.Eq(t, 3, take(0), must.Sprint("all is forgotten"))
+		time.Sleep(time.Hour)
+		must.Eq(t, 3, take(0))
+	})
+}
+
+// TestWindowsSlide: no span of ten seconds has more repeats than the bound.
+func TestWindowsSlide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := retry.NewWindows(0.5, func() float64 { return 2 }, 10*time.Second)
+		var at []time.Time
+		for range 400 {
+			w.Paid("s")
+			if w.Take("s", 0) {
+				at = append(at, time.Now())
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i, from := range at {
+			n := 0
+			for _, later := range at[i:] {
+				if later.Sub(from) < 9500*time.Millisecond {
+					n++
+				}
+			}
+			must.LessEq(t, 52, n)
+		}
+	})
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -76,6 +76,8 @@
 	defaultMinLease = 1000
 	// defaultRetryRatio is careful: a tenth more load in a failure.
 	defaultRetryRatio = 0.1
+	// defaultRetryWindow is the time in seconds over which repeats are counted.
+	defaultRetryWindow = 10.0
 	// defaultCanaryShare is the share of a first stage.
 	defaultCanaryShare = 0.1
 )
@@ -89,6 +91,7 @@
 	setDefault(&g.LogLevel, "info")
 	setDefault(&g.Bounds.GraceSeconds, defaultGrace)
 	setDefault(&g.Bounds.RetryRatio, defaultRetryRatio)
+	setDefault(&g.Bounds.RetryWindowSeconds, defaultRetryWindow)
 	setDefault(&g.Bounds.CanaryShare, defaultCanaryShare)
 	setDefault(&g.Store.MinLeaseMillis, defaultMinLease)
 }
