--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -84,7 +84,7 @@
 	if !s.g.rolling() {
 		return document.Item{}, document.ErrUnchanged
 	}
-	return document.Update(ctx, stagesStore{s.g}, key, change)
+	return document.Update(ctx, stagesStore(s), key, change)
 }
 
 // stagesStore reads the stages from the mirror, which costs no call, and
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -104,10 +104,24 @@
 type peers struct {
 	mirrors  []*mirror.Mirror
 	upstream []string
+
+	mu sync.Mutex
 	// err fails all calls.
 	err error
 }
 
+func (p *peers) set(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.err = err
+}
+
+func (p *peers) failure() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
 func (p *peers) Addresses() []string {
 	var addresses []string
 	for i := range p.mirrors {
@@ -119,8 +133,8 @@
 func (p *peers) Upstream() []string { return p.upstream }
 
 func (p *peers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
-	if p.err != nil {
-		return mirror.Batch{}, p.err
+	if err := p.failure(); err != nil {
+		return mirror.Batch{}, err
 	}
 	var i int
 	if _, err := fmt.Sscan(address, &i); err != nil {
@@ -140,6 +154,13 @@
 	return ctx, timers
 }
 
+// settle lets time pass and every task rest, so that a test may look at what
+// they wrote.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 var errStore = errors.New("store fails")
 
 // TestMirror lists what happens to the store between two changes, and looks
@@ -174,7 +195,7 @@
 				}
 				go peer.Run(ctx)
 				go m.Run(ctx)
-				time.Sleep(time.Second)
+				settle(time.Second)
 				must.Len(t, 2, seen)
 				reads := own.reads
 				tt.before(own)
@@ -182,7 +203,7 @@
 					s.put("a/1", true)
 					s.put("a/3", false)
 				}
-				time.Sleep(1500*time.Millisecond + tt.late)
+				settle(1500*time.Millisecond + tt.late)
 				must.Len(t, 4, seen, must.Sprint(seen))
 				// Out of a whole, deletions come last.
 				must.SliceContainsAll(t, []string{"a/1 true", "a/3 false"}, []string{
@@ -212,9 +233,9 @@
 		own.put("b", false)
 		go peer.Run(ctx)
 		go m.Run(ctx)
-		time.Sleep(time.Second)
+		settle(time.Second)
 		own.set(errStore, false, false)
-		time.Sleep(5 * time.Second)
+		settle(5 * time.Second)
 		_, ok := m.Get("b")
 		must.True(t, ok)
 		must.Eq(t, 2, m.Revision())
@@ -232,7 +253,7 @@
 		follows bool
 	}{
 		{"nothing", func(*fakeStore, *peers) {}, true},
-		{"does not answer", func(_ *fakeStore, p *peers) { p.err = errStore }, false},
+		{"does not answer", func(_ *fakeStore, p *peers) { p.set(errStore) }, false},
 		{"is cut from the store", func(s *fakeStore, _ *peers) { s.set(errStore, false, false) }, false},
 		{"is cut in silence", func(s *fakeStore, _ *peers) { s.set(nil, true, false) }, false},
 	}
@@ -248,9 +269,9 @@
 					s.put("a", false)
 				}
 				go upstream.Run(ctx)
-				time.Sleep(100 * time.Millisecond)
+				settle(100 * time.Millisecond)
 				go m.Run(ctx)
-				time.Sleep(time.Second)
+				settle(time.Second)
 				must.Eq(t, 1, own.reads)
 				must.Eq(t, 0, own.follows)
 				tt.fail(stored, p)
@@ -258,18 +279,18 @@
 					s.put("b", false)
 				}
 				// The change must be known 2 s later.
-				time.Sleep(2 * time.Second)
+				settle(2 * time.Second)
 				_, ok := m.Get("b")
 				must.True(t, ok)
-				time.Sleep(time.Second)
+				settle(time.Second)
 				must.Eq(t, tt.follows, own.follows == 0)
 				must.Less(t, 3*time.Second, m.Age())
 				// With the upstream back, the node follows it again.
-				p.err = nil
+				p.set(nil)
 				stored.set(nil, false, false)
-				time.Sleep(10 * time.Second)
+				settle(10 * time.Second)
 				follows := own.follows
-				time.Sleep(time.Minute)
+				settle(time.Minute)
 				must.Eq(t, follows, own.follows)
 			})
 		})
@@ -285,11 +306,11 @@
 		stored.put("a", false)
 		peer := mirror.New(stored, &peers{}, timers)
 		go peer.Run(ctx)
-		time.Sleep(time.Second)
+		settle(time.Second)
 		own.set(nil, true, false)
 		m := mirror.New(own, &peers{mirrors: []*mirror.Mirror{peer}}, timers)
 		go m.Run(ctx)
-		time.Sleep(100 * time.Millisecond)
+		settle(100 * time.Millisecond)
 		_, ok := m.Get("a")
 		must.True(t, ok)
 	})
@@ -307,12 +328,12 @@
 		m.OnRegained(func() { order = append(order, "regained") })
 		m.Subscribe("", func(c mirror.Change) { order = append(order, fmt.Sprint(c.Key, c.Deleted)) })
 		go m.Run(ctx)
-		time.Sleep(time.Second)
+		settle(time.Second)
 		own.set(errStore, false, false)
 		own.put("a", true)
-		time.Sleep(time.Second)
+		settle(time.Second)
 		own.set(nil, false, false)
-		time.Sleep(time.Second)
+		settle(time.Second)
 		must.Eq(t, []string{"afalse", "regained", "atrue"}, order)
 	})
 }
@@ -326,11 +347,11 @@
 		own.put("a", false)
 		m := mirror.New(own, &peers{}, timers)
 		go m.Run(ctx)
-		time.Sleep(time.Second)
+		settle(time.Second)
 		for i := range 3000 {
 			own.put(fmt.Sprint("k", i%10), false)
 		}
-		time.Sleep(time.Second)
+		settle(time.Second)
 		must.False(t, m.After(3000).Whole)
 		must.Len(t, 1, m.After(3000).Items)
 		must.True(t, m.After(1).Whole)
