--- a/config/config.go
+++ b/config/config.go
@@ -192,6 +192,9 @@
 	// MaxSlowIncrease is the tolerated increase of the share of slow answers,
 	// where these are counted. It is set by code alone.
 	MaxSlowIncrease float64 `json:"-"`
+	// UsualSlow is the least share of slow answers that counts as usual. It
+	// is set by code alone.
+	UsualSlow float64 `json:"-"`
 	// FalseAlarm is the accepted probability of stopping a good version.
 	FalseAlarm float64 `json:"false_alarm"`
 	// MaxFirstTokenMillis counts a slower first token as a bad answer; zero
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -201,7 +201,8 @@
 		return false
 	}
 	guards.MaxBadIncrease = guards.MaxSlowIncrease
-	candidate.Bad, baseline.Bad = candidate.Slow, baseline.Slow
+	candidate.Bad = candidate.Slow
+	baseline.Bad = max(baseline.Slow, int64(guards.UsualSlow*float64(baseline.Answers)))
 	return d.test(m, "slow").Update(guards, m.Rollout.Samples(), candidate, baseline)
 }
 
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -43,15 +43,21 @@
 	// lastStageSeconds is how long all requests go to the target before the
 	// old servers may be stopped: every node has then heard of the stage.
 	lastStageSeconds = 1.5
+	// leastLoaded servers get a stage's share, so that one slow server does
+	// not speak for its version.
+	leastLoaded = 2
 	// oldVersion stands for whatever the servers ran before the order.
 	oldVersion = "in-service"
 )
 
 // serviceGuards: a version is bad if two in a hundred answers more are failures
-// of its servers, or one in eight more is slow; one good version in a hundred
-// may be stopped by mistake. A version that fails only under load did so in 23
-// of 1,860 answers at the usual load (platform/days/bad-under-load.toml).
-var serviceGuards = config.Guards{MaxBadIncrease: 0.02, MaxSlowIncrease: 0.125, FalseAlarm: 0.01}
+// of its servers, or three in ten more are slow than an eighth; one good
+// version in a hundred may be stopped by mistake. A version that fails only
+// under load did so in 23 of 1,860 answers at the usual load
+// (platform/days/bad-under-load.toml). Up to 15 in 100 answers of good
+// versions were slow, since their servers have read no prompts yet; of a slow
+// version half were.
+var serviceGuards = config.Guards{MaxBadIncrease: 0.02, MaxSlowIncrease: 0.3, UsualSlow: 0.125, FalseAlarm: 0.01}
 
 // Services picks the servers of a service by the orders in force. It is safe
 // for concurrent use.
@@ -166,7 +172,7 @@
 	if share <= 0 || share >= 1 || older == 0 {
 		return servers
 	}
-	n := max(1, int(math.Round(share*float64(len(servers)))))
+	n := max(leastLoaded, int(math.Round(share*float64(len(servers)))))
 	key := rendezvous.Hash(m.Name + "@" + m.Rollout.Version)
 	byScore := slices.Clone(servers)
 	slices.SortFunc(byScore, func(a, b registry.Server) int {
