--- a/config/config.go
+++ b/config/config.go
@@ -189,6 +189,9 @@
 	BadRating float64 `json:"bad_rating"`
 	// MaxBadIncrease is the tolerated increase of the share of bad answers.
 	MaxBadIncrease float64 `json:"max_bad_increase"`
+	// FineBadIncrease is a smaller increase that is not tolerated either, but
+	// takes more answers to be seen; zero for none. It is set by code alone.
+	FineBadIncrease float64 `json:"-"`
 	// MaxSlowIncrease is the tolerated increase of the share of slow answers,
 	// where these are counted. It is set by code alone.
 	MaxSlowIncrease float64 `json:"-"`
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -135,7 +135,8 @@
 	}
 	candidate, baseline := d.totals(m)
 	test := d.test(m, "bad")
-	if test.Update(m.Rollout.Guards, m.Rollout.Samples(), candidate, baseline) {
+	bad := test.Update(m.Rollout.Guards, m.Rollout.Samples(), candidate, baseline)
+	if bad || d.oftenBad(m, candidate, baseline) {
 		p.Verdict, p.Evidence, p.Samples = VerdictStopped, test.Score(), candidate.Answers
 		p.Reason = fmt.Sprintf("%d of %d answers bad, against %d of %d in service", candidate.Bad, candidate.Answers, baseline.Bad, baseline.Answers)
 		return p
@@ -194,6 +195,17 @@
 	return p
 }
 
+// oftenBad makes the same test against a smaller increase, where there is one:
+// against a large one a few failures in many answers weigh nothing.
+func (d *Driver) oftenBad(m *config.Model, candidate, baseline Count) bool {
+	guards := m.Rollout.Guards
+	if guards.FineBadIncrease == 0 {
+		return false
+	}
+	guards.MaxBadIncrease = guards.FineBadIncrease
+	return d.test(m, "often bad").Update(guards, m.Rollout.Samples(), candidate, baseline)
+}
+
 // tooSlow makes the same test of slow answers, where these are counted.
 func (d *Driver) tooSlow(m *config.Model, candidate, baseline Count) bool {
 	guards := m.Rollout.Guards
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -38,8 +38,9 @@
 	firstStageSamples = 5
 	// secondShare is between the first stage and all, so that a version that
 	// turns bad under load does not meet all requests at once.
-	secondShare   = 0.3
-	secondSeconds = 1.5
+	secondShare = 0.3
+	// secondPart of the period belongs to the second stage.
+	secondPart = 0.08
 	// lastStageSeconds is how long all requests go to the target before the
 	// old servers may be stopped: every node has then heard of the stage.
 	lastStageSeconds = 1.5
@@ -50,14 +51,16 @@
 	oldVersion = "in-service"
 )
 
-// serviceGuards: a version is bad if two in a hundred answers more are failures
-// of its servers, or three in ten more are slow than an eighth; one good
-// version in a hundred may be stopped by mistake. A version that fails only
-// under load did so in 23 of 1,860 answers at the usual load
-// (platform/days/bad-under-load.toml). Up to 15 in 100 answers of good
-// versions were slow, since their servers have read no prompts yet; of a slow
-// version half were.
-var serviceGuards = config.Guards{MaxBadIncrease: 0.02, MaxSlowIncrease: 0.3, UsualSlow: 0.125, FalseAlarm: 0.01}
+// serviceGuards: a version is bad if its servers fail one answer in ten more,
+// seen soon, or one in two hundred more, seen over many answers, or if three in
+// ten more are slow than an eighth. One good version in a hundred may be
+// stopped by each mistake. A version that failed only under load did so in 23
+// of 1,860 answers (platform/days/bad-under-load.toml). Up to 15 in 100 answers
+// of good versions were slow, since their servers had read no prompts; of a
+// slow version half were.
+var serviceGuards = config.Guards{
+	MaxBadIncrease: 0.1, FineBadIncrease: 0.005, MaxSlowIncrease: 0.3, UsualSlow: 0.125, FalseAlarm: 0.01,
+}
 
 // Services picks the servers of a service by the orders in force. It is safe
 // for concurrent use.
@@ -106,7 +109,7 @@
 			Version: o.Target,
 			Stages: []config.Stage{
 				{Share: s.share, MinSamples: firstStageSamples, WantSamples: firstStageWants, MinSeconds: firstShare * o.Period.Seconds()},
-				{Share: secondShare, MinSeconds: secondSeconds},
+				{Share: secondShare, MinSeconds: secondPart * o.Period.Seconds()},
 				{Share: 1, MinSeconds: lastStageSeconds},
 			},
 			Guards:  serviceGuards,
--- a/rollout/service_test.go
+++ b/rollout/service_test.go
@@ -269,6 +269,23 @@
 	}
 }
 
+// TestOftenBad: few failures in many answers stop a version that never fails
+// in service, and do not stop one that fails as often in service.
+func TestOftenBad(t *testing.T) {
+	for _, tt := range []struct {
+		usual int64
+		want  rollout.Verdict
+	}{{0, rollout.VerdictStopped}, {30, rollout.VerdictRunning}} {
+		w := &driverWorld{token: 1, stored: []byte(`{"models": {"s": {"version": "v2", "stage": 1}}}`)}
+		d := rollout.NewDriver("rollouts", w, w, w, services(t, `{}`).Models, timer.New())
+		w.counts = map[string]rollout.Counts{"n": {"s@in-service": {Answers: 3000, Bad: tt.usual}, "s@v2": {Answers: 500, Bad: 5}}}
+		d.Step(context.Background(), 1)
+		stages, err := rollout.DecodeStages(w.stored)
+		must.NoError(t, err)
+		must.Eq(t, tt.want, stages.Models["s"].Verdict)
+	}
+}
+
 // TestServiceDriverStops: failures of the target stop it in each stage.
 func TestServiceDriverStops(t *testing.T) {
 	for stage, fields := range []string{`"stage": 0, "share": 0.05`, `"stage": 1`, `"stage": 2`} {
