--- /dev/null
+++ b/mirror/follow.go
@@ -0,0 +1,210 @@
+package mirror
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	// followWait is how long a watch waits at the store. A path that is cut
+	// in silence is noticed after it. Since few nodes watch, short waits cost
+	// little.
+	followWait = 600 * time.Millisecond
+	// followSlack is how late the store may answer a watch that ran out; it
+	// answers in 4 ms.
+	followSlack = 300 * time.Millisecond
+	// staleAge is how old the news of a peer may be for it to be followed: a
+	// watch, the gathering after it, and some delay. A change must be in force
+	// 2 s after it (the bound of the deployments of today), at a node whose
+	// upstream is cut off in the moment of the change too.
+	staleAge = 1300 * time.Millisecond
+	// peerWait is how long a call to the upstream waits.
+	peerWait = 500 * time.Millisecond
+	// ownTime is how long a node without good upstream follows the store.
+	ownTime = 3 * time.Second
+	// retryPause lies between two tries at the store of a node that followed
+	// a peer before: in an outage not all nodes should call at once.
+	retryPause = time.Second
+	// gatherTime lies between two watches. Changes that come close together
+	// are then fetched by one call; 300 ms halved the calls in a trial.
+	gatherTime = 250 * time.Millisecond
+	// readTimeout bounds reading the whole.
+	readTimeout = 2 * time.Second
+	// peerInterval lies between two questions to peers while the store is
+	// out of reach.
+	peerInterval = 300 * time.Millisecond
+	// peerTimeout is how late a peer may answer, beyond the time that it was
+	// told to wait.
+	peerTimeout = 300 * time.Millisecond
+	// peersAsked at once, so that one silent peer costs no time.
+	peersAsked = 2
+)
+
+// Run follows the upstream, the store, or any peer, until the context ends.
+func (m *Mirror) Run(ctx context.Context) {
+	var own time.Time
+	for ctx.Err() == nil {
+		if m.Revision() == 0 {
+			// A node that starts during an outage need not wait for the store
+			// to time out.
+			go m.askPeers(ctx)
+		}
+		upstream := m.peers.Upstream()
+		if m.Revision() > 0 && len(upstream) > 0 && m.timers.Now().After(own) {
+			if m.followPeer(ctx, upstream) {
+				continue
+			}
+			own = m.timers.Now().Add(ownTime)
+		}
+		err := m.step(ctx)
+		if err == nil {
+			m.pause(ctx, gatherTime)
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		m.lost(err)
+		m.askPeers(ctx)
+		if len(upstream) > 0 {
+			m.pause(ctx, retryPause)
+		} else {
+			m.pause(ctx, peerInterval)
+		}
+	}
+}
+
+// followPeer takes one answer of the first upstream that has good news. Only
+// the first is waited for, so that the next one costs no time.
+func (m *Mirror) followPeer(ctx context.Context, upstream []string) bool {
+	wait := peerWait
+	for _, address := range upstream {
+		callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+		batch, err := m.peers.Follow(callCtx, address, m.Revision(), wait)
+		cancel()
+		if err != nil {
+			slog.Info("upstream did not answer", "peer", address, "error", err)
+		} else if m.take(batch); batch.Age < staleAge && batch.Revision >= m.Revision() {
+			m.gained()
+			m.confirm(batch.Age)
+			return true
+		} else {
+			slog.Info("upstream has old news", "peer", address, "age_ms", batch.Age.Milliseconds(), "its_revision", batch.Revision, "revision", m.Revision())
+		}
+		wait = 0
+	}
+	return false
+}
+
+// step does one round with the store.
+func (m *Mirror) step(ctx context.Context) error {
+	after := m.Revision()
+	if after == 0 || m.isAway() {
+		return m.readAll(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	defer cancel()
+	batch, err := m.store.Follow(ctx, after, followWait)
+	if errorx.IsOfType(err, HistoryGone) {
+		slog.Info("history of the store is gone; reading the whole", "after", after)
+		return m.readAll(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	m.take(batch)
+	m.confirm(0)
+	return nil
+}
+
+// readAll reads the whole, which also tells what was removed meanwhile.
+func (m *Mirror) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	batch, err := m.store.ReadAll(ctx)
+	if err != nil {
+		return err
+	}
+	m.gained()
+	m.take(batch)
+	m.confirm(0)
+	return nil
+}
+
+// askPeers takes what a few random peers know.
+func (m *Mirror) askPeers(ctx context.Context) {
+	addresses := m.peers.Addresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, address := range addresses[:min(peersAsked, len(addresses))] {
+		calls.Go(func() {
+			batch, err := m.peers.Follow(ctx, address, m.Revision(), 0)
+			if err != nil {
+				slog.Debug("peer did not answer", "peer", address, "error", err)
+				return
+			}
+			m.take(batch)
+			m.confirm(batch.Age)
+		})
+	}
+	calls.Wait()
+}
+
+// confirm notes that what this node knows was in force age ago.
+func (m *Mirror) confirm(age time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at := m.timers.Now().Add(-age); at.After(m.contact) {
+		m.contact = at
+	}
+}
+
+// isAway reports whether the store is out of reach as far as is known.
+func (m *Mirror) isAway() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.away
+}
+
+// lost notes that the store did not answer.
+func (m *Mirror) lost(err error) {
+	m.mu.Lock()
+	before := m.away
+	m.away = true
+	revision := m.revision
+	m.mu.Unlock()
+	if !before {
+		slog.Warn("store is out of reach; following peers", "revision", revision, "error", err)
+	}
+}
+
+// gained notes that the store, or an upstream that reaches it, has answered.
+func (m *Mirror) gained() {
+	m.mu.Lock()
+	before := m.away
+	m.away = false
+	m.mu.Unlock()
+	if before {
+		slog.Info("store is reached again", "away_ms", m.Age().Milliseconds())
+		for _, do := range m.regained {
+			do()
+		}
+	}
+}
+
+// pause returns after d, or when the context ends.
+func (m *Mirror) pause(ctx context.Context, d time.Duration) {
+	ticks := m.timers.Subscribe(d)
+	defer ticks.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ticks.C():
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,23 +14,23 @@
 // # Usage
 //
 //	m := mirror.New(store, peers, timers)
+//	m.OnRegained(func() { … })
 //	m.Subscribe("servers/", func(c mirror.Change) { … })
 //	go m.Run(ctx)
+//	…
+//	item, ok := m.Get("rollouts")            // what this node knows
+//	batch := m.Await(ctx, revision, wait)    // what it tells a peer
 package mirror
 
 import (
 	"cmp"
 	"context"
-	"log/slog"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/timer"
 )
@@ -43,7 +43,8 @@
 	HistoryGone = namespace.NewType("history_gone")
 )
 
-// Item is one key as it was last written.
+// Item is one key as it was last written. The fields are exported for the
+// codec by which peers exchange it.
 type Item struct {
 	Key      string `cbor:"1,keyasint"`
 	Value    []byte `cbor:"2,keyasint,omitempty"`
@@ -52,7 +53,8 @@
 	Deleted bool `cbor:"4,keyasint,omitempty"`
 }
 
-// Batch is a run of changes up to a revision, or the whole.
+// Batch is a run of changes up to a revision, or the whole. The fields are
+// exported for the codec by which peers exchange it.
 type Batch struct {
 	Items []Item `cbor:"1,keyasint"`
 	// Revision up to which nothing is missing.
@@ -63,7 +65,8 @@
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
-// Change is one key's change as subscribers see it.
+// Change is one key's change as subscribers see it: the item as it now is, or
+// marked as deleted.
 type Change struct {
 	Item
 }
@@ -89,41 +92,9 @@
 	Follow(ctx context.Context, address string, after int64, wait time.Duration) (Batch, error)
 }
 
-const (
-	// followWait is how long a watch waits at the store. A path that is cut
-	// in silence is noticed after it. Since few nodes watch, short waits cost
-	// little.
-	followWait = 600 * time.Millisecond
-	// followSlack is how late the store may answer a watch that ran out; it
-	// answers in 4 ms.
-	followSlack = 300 * time.Millisecond
-	// staleAge is how old the news of a peer may be for it to be followed: a
-	// watch, the gathering after it, and some delay. A change must be in force
-	// 2 s after it (the bound of the deployments of today), at a node whose
-	// upstream is cut off in the moment of the change too.
-	staleAge = 1300 * time.Millisecond
-	// peerWait is how long a call to the upstream waits.
-	peerWait = 500 * time.Millisecond
-	// ownTime is how long a node without good upstream follows the store.
-	ownTime = 3 * time.Second
-	// retryPause lies between two tries at the store of a node that followed
-	// a peer before: in an outage not all nodes should call at once.
-	retryPause = time.Second
-	// gatherTime lies between two watches. Changes that come close together
-	// are then fetched by one call; 300 ms halved the calls in a trial.
-	gatherTime = 250 * time.Millisecond
-	// readTimeout bounds reading the whole.
-	readTimeout = 2 * time.Second
-	// peerInterval lies between two questions to peers while the store is
-	// out of reach.
-	peerInterval = 300 * time.Millisecond
-	peerTimeout  = 300 * time.Millisecond
-	// peersAsked at once, so that one silent peer costs no time.
-	peersAsked = 2
-	// kept is the number of changes that are kept for peers; it covers the
-	// few seconds by which peers lie apart.
-	kept = 2048
-)
+// kept is the number of changes that are kept for peers; it covers the few
+// seconds by which peers lie apart.
+const kept = 2048
 
 // Mirror is the copy. It is safe for concurrent use.
 type Mirror struct {
@@ -131,20 +102,30 @@
 	peers  Peers
 	timers *timer.Service
 
-	mu          sync.Mutex
-	items       map[string]Item
-	revision    int64
-	recent      []Item
-	recentFrom  int64
-	changed     chan struct{}
-	contact     time.Time
-	away        bool
+	// subscribers and regained do not change any more once Run has begun.
 	subscribers []subscriber
 	regained    []func()
-	// delivery keeps changes in order for subscribers.
+
+	// delivery keeps changes in order for subscribers. It is taken before mu.
 	delivery sync.Mutex
+
+	mu       sync.Mutex
+	items    map[string]Item
+	revision int64
+	// recent are the last changes, all of those after revision recentFrom.
+	recent     []Item
+	recentFrom int64
+	// changed is closed, and made anew, when the revision rises.
+	changed chan struct{}
+	// contact is when the store confirmed what this node knows, by its own
+	// word or a peer's.
+	contact time.Time
+	// away says that the store did not answer, and that neither it nor an
+	// upstream that reaches it has since.
+	away bool
 }
 
+// subscriber is told of the changes under a prefix.
 type subscriber struct {
 	prefix  string
 	changed func(Change)
@@ -222,173 +203,24 @@
 }
 
 // Await is After, but waits until there is something beyond the revision, or
-// the time is over.
+// the time is over. It waits no longer than this package's own callers ask, so
+// that no peer can hold a call for as long as it likes.
 func (m *Mirror) Await(ctx context.Context, after int64, wait time.Duration) Batch {
 	m.mu.Lock()
 	known, changed := m.revision, m.changed
 	m.mu.Unlock()
 	if known <= after {
-		timer := time.NewTimer(min(wait, peerWait))
-		defer timer.Stop()
+		expiry := time.NewTimer(min(wait, peerWait))
+		defer expiry.Stop()
 		select {
 		case <-changed:
-		case <-timer.C:
+		case <-expiry.C:
 		case <-ctx.Done():
 		}
 	}
 	return m.After(after)
 }
 
-// Run follows the upstream, the store, or any peer, until the context ends.
-func (m *Mirror) Run(ctx context.Context) {
-	var own time.Time
-	for ctx.Err() == nil {
-		if m.Revision() == 0 {
-			// A node that starts during an outage need not wait for the store
-			// to time out.
-			go m.askPeers(ctx)
-		}
-		upstream := m.peers.Upstream()
-		if m.Revision() > 0 && len(upstream) > 0 && m.timers.Now().After(own) {
-			if m.followPeer(ctx, upstream) {
-				continue
-			}
-			own = m.timers.Now().Add(ownTime)
-		}
-		err := m.step(ctx)
-		if err == nil {
-			m.pause(ctx, gatherTime)
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		m.lost(err)
-		m.askPeers(ctx)
-		if len(upstream) > 0 {
-			m.pause(ctx, retryPause)
-		} else {
-			m.pause(ctx, peerInterval)
-		}
-	}
-}
-
-// followPeer takes one answer of the first upstream that has good news. Only
-// the first is waited for, so that the next one costs no time.
-func (m *Mirror) followPeer(ctx context.Context, upstream []string) bool {
-	wait := peerWait
-	for _, address := range upstream {
-		callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
-		batch, err := m.peers.Follow(callCtx, address, m.Revision(), wait)
-		cancel()
-		if err != nil {
-			slog.Info("upstream did not answer", "peer", address, "error", err)
-		} else if m.take(batch); batch.Age < staleAge && batch.Revision >= m.Revision() {
-			m.gained()
-			m.confirm(batch.Age)
-			return true
-		} else {
-			slog.Info("upstream has old news", "peer", address, "age_ms", batch.Age.Milliseconds(), "its_revision", batch.Revision, "revision", m.Revision())
-		}
-		wait = 0
-	}
-	return false
-}
-
-// step does one round with the store.
-func (m *Mirror) step(ctx context.Context) error {
-	after := m.Revision()
-	if after == 0 || m.isAway() {
-		return m.readAll(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
-	defer cancel()
-	batch, err := m.store.Follow(ctx, after, followWait)
-	if errorx.IsOfType(err, HistoryGone) {
-		slog.Info("history of the store is gone; reading the whole", "after", after)
-		return m.readAll(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	m.take(batch)
-	m.confirm(0)
-	return nil
-}
-
-func (m *Mirror) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	batch, err := m.store.ReadAll(ctx)
-	if err != nil {
-		return err
-	}
-	m.gained()
-	m.take(batch)
-	m.confirm(0)
-	return nil
-}
-
-// askPeers takes what a few random peers know.
-func (m *Mirror) askPeers(ctx context.Context) {
-	addresses := m.peers.Addresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	var calls sync.WaitGroup
-	for _, address := range addresses[:min(peersAsked, len(addresses))] {
-		calls.Go(func() {
-			batch, err := m.peers.Follow(ctx, address, m.Revision(), 0)
-			if err != nil {
-				slog.Debug("peer did not answer", "peer", address, "error", err)
-				return
-			}
-			m.take(batch)
-			m.confirm(batch.Age)
-		})
-	}
-	calls.Wait()
-}
-
-// confirm notes that what this node knows was in force age ago.
-func (m *Mirror) confirm(age time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if at := m.timers.Now().Add(-age); at.After(m.contact) {
-		m.contact = at
-	}
-}
-
-func (m *Mirror) isAway() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.away
-}
-
-func (m *Mirror) lost(err error) {
-	m.mu.Lock()
-	before := m.away
-	m.away = true
-	revision := m.revision
-	m.mu.Unlock()
-	if !before {
-		slog.Warn("store is out of reach; following peers", "revision", revision, "error", err)
-	}
-}
-
-func (m *Mirror) gained() {
-	m.mu.Lock()
-	before := m.away
-	m.away = false
-	m.mu.Unlock()
-	if before {
-		slog.Info("store is reached again", "away_ms", m.Age().Milliseconds())
-		for _, do := range m.regained {
-			do()
-		}
-	}
-}
-
 // take puts a batch in force if it brings anything new.
 func (m *Mirror) take(b Batch) {
 	m.delivery.Lock()
@@ -461,12 +293,3 @@
 		m.recent = slices.Clone(m.recent[surplus:])
 	}
 }
-
-func (m *Mirror) pause(ctx context.Context, d time.Duration) {
-	ticks := m.timers.Subscribe(d)
-	defer ticks.Stop()
-	select {
-	case <-ctx.Done():
-	case <-ticks.C():
-	}
-}
