--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -17,6 +17,12 @@
 // Hash returns the hash of a name.
 func Hash(name string) uint64 { return xxhash.Sum64String(name) }
 
+// Position places a hash in [0, 1), evenly, for choices by share or weight.
+func Position(hash uint64) float64 {
+	// A float64 holds 53 bits exactly.
+	return float64(hash>>11) / (1 << 53)
+}
+
 // odd is the fractional part of the golden ratio, as an odd number.
 const odd = 0x9e3779b97f4a7c15
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -24,11 +24,10 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/document"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/rendezvous"
 )
 
 //go:generate go tool enumer -type=Verdict -trimprefix=Verdict -transform=snake -text -output=rollout_enumer.go
@@ -206,13 +205,13 @@
 
 // position places a key in [0, 1).
 func position(model, key string) float64 {
-	return float64(xxhash.Sum64String(model+"/"+key)>>11) / (1 << 53)
+	return rendezvous.Position(rendezvous.Hash(model + "/" + key))
 }
 
 // slot names a session in few bytes: the upper half of the hash that decides
 // its position. Two sessions of one slot are held together, which harms
 // neither.
-func slot(model, key string) uint32 { return uint32(xxhash.Sum64String(model+"/"+key) >> 32) }
+func slot(model, key string) uint32 { return uint32(rendezvous.Hash(model+"/"+key) >> 32) }
 
 // holds reports whether a session stays on the version in service.
 func (p *Picker) holds(model, key string) bool {
