--- a/decision/decision.go
+++ b/decision/decision.go
@@ -57,14 +57,14 @@
 	})
 }
 
-// Name sets the account, where it is only known after the start.
-func (r *Record) Name(account string) {
+// SetAccount names the account where it is only known after the start.
+func (r *Record) SetAccount(account string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.summary.Account = account
 }
 
-// Account returns the account's name.
+// Account returns the account's name; "" if none is known.
 func (r *Record) Account() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -158,7 +158,6 @@
 		Backends: platform.NewRunners(),
 		Records:  decision.New(g.self.ID),
 		Counters: g.metrics.Relay(),
-		Timers:   g.timers,
 	})
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/internal/rendezvous"
 	"github.com/violettally/violettally/route"
 )
 
@@ -47,26 +46,14 @@
 	tried map[string]bool
 	sends int
 	runs  int
-	// begun says that the client has the head of an answer, after which event
-	// of it.
+	// begun says that the client has the head of an answer, after which is the
+	// last event that it has, "" for none.
 	begun bool
 	after string
+	// first is how long the first piece of the answer took; zero until then.
 	first time.Duration
 }
 
-// failure is an attempt that gave the client nothing, or not all.
-type failure struct {
-	reason Reason
-	// ran says that the server may have run the request.
-	ran bool
-	// escalates says that another model is to answer.
-	escalates bool
-	// paid says that the retry budget has been asked already.
-	paid       bool
-	retryAfter time.Duration
-	cause      string
-}
-
 // pickService splits a route's requests over its services by their weights.
 // Requests of one session fall on the same side.
 func pickService(r *catalog.Route, q *Request) string {
@@ -74,7 +61,7 @@
 	for _, t := range r.Targets {
 		total += t.Weight
 	}
-	at := float64(xxhash.Sum64String(r.Name+"/"+q.key())>>11) / (1 << 53) * total
+	at := rendezvous.Position(rendezvous.Hash(r.Name+"/"+q.key())) * total
 	for _, t := range r.Targets {
 		if at -= t.Weight; at < 0 {
 			return t.Service
@@ -120,6 +107,7 @@
 // chooses reports whether the system chooses the model.
 func (x *exchange) chooses() bool { return x.request.AnyModel && len(x.route.Models) > 0 }
 
+// model is the one that the system chose; "" leaves it to the client.
 func (x *exchange) model() string {
 	if !x.chooses() {
 		return ""
@@ -168,13 +156,23 @@
 	if f == nil {
 		f = x.pass(ctx, use, answer)
 	}
-	if version != "" && (f == nil || f.ran) && ctx.Err() == nil {
-		bad := (f != nil && !f.escalates) || (answer != nil && answer.Status() >= http.StatusInternalServerError)
-		x.relay.Versions.Count(x.service, version, bad)
+	if version != "" && ctx.Err() == nil {
+		x.countVersion(version, answer, f)
 	}
 	return f
 }
 
+// countVersion takes an attempt as evidence on a version, unless no server ran
+// the request. An answer in place of which another model is asked is a good
+// one as far as the version is concerned.
+func (x *exchange) countVersion(version string, answer Answer, f *failure) {
+	if f != nil && !f.ran {
+		return
+	}
+	bad := (f != nil && !f.escalates) || (answer != nil && answer.Status() >= http.StatusInternalServerError)
+	x.relay.Versions.Count(x.service, version, bad)
+}
+
 // judge decides on the head of an answer. Nil lets the answer go out.
 func (x *exchange) judge(ctx context.Context, use *route.Use, answer Answer, err error) *failure {
 	if err != nil {
@@ -201,6 +199,7 @@
 	return nil
 }
 
+// judgeError decides on an attempt without an answer.
 func (x *exchange) judgeError(ctx context.Context, use *route.Use, err error) *failure {
 	outcome := route.OutcomeFailed
 	if errors.Is(ctx.Err(), context.Canceled) {
@@ -240,64 +239,7 @@
 	return x.route.Repeatable() && x.runs < x.route.Attempts && time.Until(x.deadline) > leastTime && x.request.Body.Replayable()
 }
 
-// next decides whether another attempt follows a failed one. The escalation
-// of an answer has been paid for already.
-func (x *exchange) next(ctx context.Context, f *failure) *Refusal {
-	retryAfter := min(maxComeBack, max(comeBackSoon, f.retryAfter))
-	switch {
-	case ctx.Err() != nil:
-		return x.ended(f)
-	case f.escalates:
-		// The server that answered may hold the other model as well.
-		clear(x.tried)
-		return nil
-	case f.ran && !x.mayRunAgain():
-		return refuse(f.reason, 0, "the server gave no answer: %s", f.cause)
-	case x.sends >= maxSends, !x.request.Body.Replayable():
-		return x.final(f, retryAfter)
-	case !f.paid && !x.relay.Budgets.Take(x.service, 0):
-		return x.final(f, retryAfter)
-	}
-	x.relay.Counters.Retried(f.reason)
-	if x.begun {
-		x.relay.Counters.Resumed()
-	}
-	return nil
-}
-
-// final tells the client what is known after the last attempt.
-func (x *exchange) final(f *failure, retryAfter time.Duration) *Refusal {
-	if f.ran || x.runs > 0 {
-		return refuse(ReasonServerFailed, 0, "no answer: %s", f.cause)
-	}
-	return refuse(f.reason, retryAfter, "no server took the request: %s", f.cause)
-}
-
-// ended tells what is known of a request whose time is over, or whose client
-// has left.
-func (x *exchange) ended(f *failure) *Refusal {
-	if !f.ran && x.runs == 0 {
-		return refuse(ReasonDeclined, comeBackSoon, "the time was over before a server took the request")
-	}
-	return refuse(ReasonDeadline, 0, "the time was over before the answer: %s", f.cause)
-}
-
-// give hands a refusal out, or breaks off the answer that has begun.
-func (x *exchange) give(refusal *Refusal) *Refusal {
-	if !x.begun {
-		if x.runs > 0 && refusal.status == http.StatusServiceUnavailable {
-			// A server has run it, so "not run" must not be said.
-			return refuse(ReasonServerFailed, 0, "%s", refusal.message)
-		}
-		return refusal
-	}
-	x.record.Note("broken off", "%s", refusal.Error())
-	x.finish("broken off: " + refusal.reason.String())
-	x.relay.Counters.Refused(refusal.reason, x.account)
-	x.reply.BreakOff()
-	return nil
-}
-
+// finish ends the record of a request.
 func (x *exchange) finish(outcome string) {
 	if x.first > 0 {
 		x.record.Note("first byte", "after %d ms", x.first.Milliseconds())
@@ -311,6 +253,6 @@
 // markFirst notes when the first piece of the answer went out.
 func (x *exchange) markFirst() {
 	if x.first == 0 {
-		x.first = time.Duration(math.Max(1, float64(x.elapsed())))
+		x.first = max(1, x.elapsed())
 	}
 }
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -1,22 +1,20 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/route"
 )
 
 const (
-	// headroom of a plain answer is held back, so that an answer that breaks
-	// off within it can be asked for again elsewhere.
+	// headroom in bytes of a plain answer is held back, so that an answer that
+	// breaks off within it can be asked for again elsewhere.
 	headroom = 64 << 10
-	// chunk is the size of one read.
+	// chunk is the size of one read in bytes.
 	chunk = 16 << 10
 )
 
@@ -28,6 +26,8 @@
 	return x.passPlain(ctx, use, answer)
 }
 
+// passPlain hands on an answer as bytes. One that breaks off within the
+// headroom gave the client nothing yet.
 func (x *exchange) passPlain(ctx context.Context, use *route.Use, answer Answer) *failure {
 	held, err := io.ReadAll(io.LimitReader(answer.Body(), headroom))
 	if err != nil {
@@ -88,6 +88,7 @@
 	}
 }
 
+// answered ends an attempt whose answer the client has whole.
 func (x *exchange) answered(use *route.Use, answer Answer) {
 	use.End(route.OutcomeOK)
 	x.relay.Counters.Answered(x.route.Name, answer.Status(), x.first, x.elapsed())
@@ -109,71 +110,3 @@
 	}
 	return &failure{reason: ReasonServerFailed, ran: true, cause: "answer broke off: " + err.Error()}
 }
-
-// event is one event of a stream, with the empty line that ends it.
-type event struct {
-	raw []byte
-	id  string
-}
-
-// maxEvent bounds one event. Those of the deployments have some hundred bytes.
-const maxEvent = 1 << 20
-
-// events splits a stream (WHATWG HTML, "Server-sent events") into events.
-type events struct {
-	body   io.Reader
-	buffer []byte
-	chunk  []byte
-}
-
-func newEvents(body io.Reader) *events {
-	return &events{body: body, chunk: make([]byte, chunk)}
-}
-
-// errCutEvent says that a stream ended within an event.
-var errCutEvent = errors.New("stream ended within an event")
-
-// next returns the next whole event, io.EOF after the last.
-func (e *events) next() (event, error) {
-	for {
-		if end := eventEnd(e.buffer); end > 0 {
-			raw := bytes.Clone(e.buffer[:end])
-			e.buffer = e.buffer[end:]
-			return event{raw: raw, id: eventID(raw)}, nil
-		}
-		if len(e.buffer) > maxEvent {
-			return event{}, errors.New("event is too large")
-		}
-		n, err := e.body.Read(e.chunk)
-		e.buffer = append(e.buffer, e.chunk[:n]...)
-		switch {
-		case n > 0:
-		case errors.Is(err, io.EOF) && len(e.buffer) > 0:
-			return event{}, errCutEvent
-		case err != nil:
-			return event{}, err
-		}
-	}
-}
-
-// eventEnd returns the length of the first event with its empty line; zero if
-// it is not whole.
-func eventEnd(data []byte) int {
-	end := 0
-	for _, mark := range []string{"\n\n", "\r\n\r\n"} {
-		if at := bytes.Index(data, []byte(mark)); at >= 0 && (end == 0 || at+len(mark) < end) {
-			end = at + len(mark)
-		}
-	}
-	return end
-}
-
-// eventID returns the ID that an event sets, "" for none.
-func eventID(raw []byte) string {
-	for line := range strings.Lines(string(raw)) {
-		if id, ok := strings.CutPrefix(line, "id:"); ok {
-			return strings.TrimSpace(id)
-		}
-	}
-	return ""
-}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,8 +11,14 @@
 //
 // # Usage
 //
-//	r := relay.New(parts)
-//	r.Serve(ctx, request, reply)
+//	r := relay.New(relay.Parts{Catalog: …, Servers: …, Balancer: …, …})
+//	body, err := relay.NewBody(message.Body, message.ContentLength)
+//	if err != nil {
+//		reply.Refuse(relay.Refuse(relay.ReasonMalformed, err.Error()))
+//		return
+//	}
+//	request := &relay.Request{ID: …, Message: message, Body: body, …}
+//	r.Serve(ctx, request, reply) // returns once reply has the end
 package relay
 
 import (
@@ -26,7 +32,6 @@
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/route"
-	"github.com/violettally/violettally/timer"
 )
 
 var (
@@ -67,7 +72,9 @@
 
 // Prompt is what a request to a model tells of its size.
 type Prompt struct {
-	Tokens    int
+	// Tokens of the prompt; zero if it is not known.
+	Tokens int
+	// MaxOutput is the most tokens to make.
 	MaxOutput int
 	// Parts are shared between prompts, except for the last one.
 	Parts []Part
@@ -168,8 +175,9 @@
 	Answered(route string, status int, first, total time.Duration)
 }
 
-// Parts is what a Relay is made of.
+// Parts is what a Relay is made of. All are needed.
 type Parts struct {
+	// Catalog returns the declaration in force.
 	Catalog  func() *catalog.Catalog
 	Servers  Servers
 	Versions Versions
@@ -179,7 +187,6 @@
 	Backends Backends
 	Records  *decision.Log
 	Counters Counters
-	Timers   *timer.Service
 }
 
 // Relay passes requests on. It is safe for concurrent use.
@@ -223,7 +230,7 @@
 		}
 		account = holder.Name
 	}
-	record.Name(account)
+	record.SetAccount(account)
 	record.Note("route", "%s of version %d", target.Name, c.Version())
 	held := target.Timeout
 	if q.TimeLeft > 0 {
