--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -30,6 +30,7 @@
 }
 
 const (
+	// driveInterval lies between two steps of the driver.
 	driveInterval = time.Second
 	// writeTime is how long a write of the stages may take.
 	writeTime = time.Second
@@ -44,7 +45,9 @@
 	timers    *timer.Service
 	models    func() []config.Model
 
+	// tests are by "model@version" of the candidate.
 	tests map[string]*Test
+	// nodes are the last counts of each node that ever answered.
 	nodes map[string]Counts
 	// latest are the counts of the nodes that answered last time.
 	latest map[string]Counts
@@ -153,14 +156,20 @@
 	if last && m.Rollout.Replace && d.runningInService(m) > 0 {
 		return p
 	}
-	p.Since, p.Evidence, p.Samples, p.Share = now, test.Score(), candidate.Answers, 0
-	p.Held = ""
-	if !last {
-		p.Stage++
-		p.Reason = "stage passed"
-	} else {
+	p.Since, p.Evidence, p.Samples = now, test.Score(), candidate.Answers
+	return p.passed(last)
+}
+
+// passed moves on from a stage that has been passed. What was set for that
+// stage alone is dropped.
+func (p Progress) passed(last bool) Progress {
+	p.Share, p.Held = 0, ""
+	if last {
 		p.Verdict, p.Reason = VerdictComplete, "all stages passed"
+		return p
 	}
+	p.Stage++
+	p.Reason = "stage passed"
 	return p
 }
 
@@ -180,7 +189,7 @@
 	p.Share = min(stage.Share, float64(stage.WantSamples)/max(1, expected))
 	held := make(map[uint32]bool)
 	for _, counts := range d.latest {
-		for _, slot := range counts[m.Name+"@"+m.InService().Name].Recent {
+		for _, slot := range counts[countName(m.Name, m.InService().Name)].Recent {
 			held[slot] = true
 		}
 	}
@@ -189,8 +198,10 @@
 	return p
 }
 
+// test returns the test of a model's candidate, which lasts as long as this
+// node drives.
 func (d *Driver) test(m *config.Model) *Test {
-	name := m.Name + "@" + m.Rollout.Version
+	name := countName(m.Name, m.Rollout.Version)
 	if d.tests[name] == nil {
 		d.tests[name] = &Test{}
 	}
@@ -202,9 +213,9 @@
 func (d *Driver) totals(m *config.Model) (candidate, baseline Count) {
 	inService := m.InService()
 	for _, counts := range d.nodes {
-		candidate = candidate.add(counts[m.Name+"@"+m.Rollout.Version])
+		candidate = candidate.add(counts[countName(m.Name, m.Rollout.Version)])
 		if inService != nil {
-			baseline = baseline.add(counts[m.Name+"@"+inService.Name])
+			baseline = baseline.add(counts[countName(m.Name, inService.Name)])
 		}
 	}
 	return candidate, baseline
@@ -219,11 +230,12 @@
 	}
 	running := int64(0)
 	for _, counts := range d.latest {
-		running += counts[m.Name+"@"+inService.Name].Running
+		running += counts[countName(m.Name, inService.Name)].Running
 	}
 	return running
 }
 
+// add sums up two counts. Recent is left out: it is gathered by itself.
 func (c Count) add(other Count) Count {
 	return Count{Answers: c.Answers + other.Answers, Bad: c.Bad + other.Bad, Running: c.Running + other.Running}
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -18,9 +18,6 @@
 	"encoding/json"
 	"maps"
 	"math"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -108,13 +105,20 @@
 // Counts are a node's counts by "model@version".
 type Counts map[string]Count
 
+// countName is the name under which a version's answers are counted.
+func countName(model, version string) string { return model + "@" + version }
+
 // Picker picks versions on one node and counts their answers. It is safe for
 // concurrent use.
 type Picker struct {
 	mu     sync.Mutex
 	stages Stages
 	counts Counts
-	held   map[string]map[uint32]bool
+	// held are by model the slots of the sessions that stay on the version in
+	// service.
+	held map[string]map[uint32]bool
+	// recent are by "model@version" the slots of the sessions that a first
+	// stage could move, with the time of their last request.
 	recent map[string]map[uint32]time.Time
 }
 
@@ -208,75 +212,11 @@
 	return rendezvous.Position(rendezvous.Hash(model + "/" + key))
 }
 
-// slot names a session in few bytes: the upper half of the hash that decides
-// its position. Two sessions of one slot are held together, which harms
-// neither.
-func slot(model, key string) uint32 { return uint32(rendezvous.Hash(model+"/"+key) >> 32) }
-
-// holds reports whether a session stays on the version in service.
-func (p *Picker) holds(model, key string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.held[model][slot(model, key)]
-}
-
-// Remember notes a request of a session to a version, if a first stage of the
-// given share could move the session.
-func (p *Picker) Remember(model, version, key string, share float64) {
-	if position(model, key) >= share {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	name := model + "@" + version
-	if p.recent[name] == nil {
-		p.recent[name] = make(map[uint32]time.Time)
-	}
-	p.recent[name][slot(model, key)] = time.Now()
-}
-
-// sessionLife is how long after its last request a session is under way; the
-// deployments agree on 5 s.
-const sessionLife = 5 * time.Second
-
-// recentSlots returns the slots of sessions that are under way.
-func (p *Picker) recentSlots(name string) []uint32 {
-	var slots []uint32
-	for slot, at := range p.recent[name] {
-		if time.Since(at) > sessionLife {
-			delete(p.recent[name], slot)
-			continue
-		}
-		slots = append(slots, slot)
-	}
-	return slots
-}
-
-// encodeSlots writes slots in a form that can be compared.
-func encodeSlots(slots map[uint32]bool) string {
-	texts := make([]string, 0, len(slots))
-	for _, slot := range slices.Sorted(maps.Keys(slots)) {
-		texts = append(texts, strconv.FormatUint(uint64(slot), 16))
-	}
-	return strings.Join(texts, ",")
-}
-
-// decodeSlots passes over what is no slot: the worst is a session that moves.
-func decodeSlots(text string) map[uint32]bool {
-	slots := make(map[uint32]bool)
-	for _, field := range strings.Split(text, ",") {
-		if slot, err := strconv.ParseUint(field, 16, 32); err == nil {
-			slots[uint32(slot)] = true
-		}
-	}
-	return slots
-}
-
 // Count counts one answer of a version.
 func (p *Picker) Count(model, version string, bad bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	name := model + "@" + version
+	name := countName(model, version)
 	c := p.counts[name]
 	c.Answers++
 	if bad {
@@ -291,10 +231,11 @@
 // End is the counterpart of Begin.
 func (p *Picker) End(model, version string) { p.run(model, version, -1) }
 
+// run changes the number of requests that run on a version.
 func (p *Picker) run(model, version string, change int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	name := model + "@" + version
+	name := countName(model, version)
 	c := p.counts[name]
 	c.Running += change
 	p.counts[name] = c
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -35,7 +35,8 @@
 	firstStageSamples = 5
 	// secondShare is between the first stage and all, so that a version that
 	// turns bad under load does not meet all requests at once.
-	secondShare   = 0.3
+	secondShare = 0.3
+	// secondSeconds is how long that stage lasts.
 	secondSeconds = 1.5
 	// lastStageSeconds is how long all requests go to the target before the
 	// old servers may be stopped: every node has then heard of the stage.
@@ -52,9 +53,11 @@
 // for concurrent use.
 type Services struct {
 	picker *Picker
-	share  float64
+	// share of the requests that a first stage gives to the target.
+	share float64
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// models are the orders by service, as declarations of a roll-out.
 	models map[string]config.Model
 }
 
@@ -120,6 +123,7 @@
 	target := m.Rollout.Version
 	picked, err := s.picker.Pick(&m, key, func(string) bool { return true })
 	if err != nil {
+		slog.Error("roll-out gives no version; any server may be picked", "service", service, "error", err)
 		return servers, ""
 	}
 	stopped := s.stopped(service, target)
@@ -135,6 +139,7 @@
 	return older, oldVersion
 }
 
+// stopped reports whether the roll-out to a target was stopped as worse.
 func (s *Services) stopped(service, target string) bool {
 	progress, ok := s.picker.Progress(service)
 	return ok && progress.Version == target && progress.Verdict == VerdictStopped
