--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,9 +19,8 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
-	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -129,6 +128,7 @@
 	return g, nil
 }
 
+// makeGauges shows what this node knows of the store.
 func (g *Gateway) makeGauges() error {
 	return errors.Join(
 		g.metrics.Gauge("violettally_declaration_version", "Version of the declaration in force.",
@@ -140,6 +140,8 @@
 	)
 }
 
+// makeRollouts joins what picks versions, and what drives roll-outs while this
+// node holds the lease.
 func (g *Gateway) makeRollouts() {
 	g.picker = rollout.NewPicker()
 	g.services = rollout.NewServices(g.picker, canaryMargin*g.settings.Bounds.CanaryShare)
@@ -147,6 +149,7 @@
 	g.driver = rollout.NewDriver(stagesKey, stages{g}, collector{g}, g.leases, g.services.Models, g.timers)
 }
 
+// makeRelay joins the path of requests.
 func (g *Gateway) makeRelay() {
 	g.relay = relay.New(relay.Parts{
 		Catalog:  g.Catalog,
@@ -202,8 +205,9 @@
 	slog.Info("declaration in force", "version", next.Version(), "revision", c.Revision)
 }
 
+// takeServer follows a server's entry.
 func (g *Gateway) takeServer(c mirror.Change) {
-	id := c.Key[len(platform.ServerPrefix):]
+	id := strings.TrimPrefix(c.Key, platform.ServerPrefix)
 	if c.Deleted {
 		kept := g.registry.Drop(id)
 		slog.Info("server is gone", "server", id, "revision", c.Revision, "kept_ms", kept.Milliseconds())
@@ -245,60 +249,6 @@
 	}
 }
 
-// door is one address that the gateway listens on.
-type door struct {
-	listener net.Listener
-	serve    func(context.Context, net.Listener) error
-}
-
-func (g *Gateway) listen() ([]door, error) {
-	s := g.settings
-	peers := peer.NewGatewayServer(g)
-	doors := []struct {
-		address string
-		serve   func(context.Context, net.Listener) error
-	}{
-		{s.Ready.Listen, serveHTTP(platform.Ready(g.ready))},
-		{s.Directory.Listen, serveHTTP(platform.Directory(g.nodes.addresses, addressTTL))},
-		{s.Metrics.Listen, serveHTTP(g.metrics.Handler())},
-		{s.Peer.Listen, func(ctx context.Context, l net.Listener) error { return peers.Serve(ctx, l, nil) }},
-	}
-	callers, err := listen(s.Caller.Listen)
-	if err != nil {
-		return nil, err
-	}
-	limits := func() catalog.Limits { return g.Catalog().Limits() }
-	refused := func(reason relay.Reason) { g.metrics.Relay().Refused(reason, "") }
-	g.callers = platform.NewCallers(callers, g.relay, limits, refused)
-	open := []door{{callers, func(context.Context, net.Listener) error { return g.callers.Serve() }}}
-	for _, d := range doors {
-		listener, err := listen(d.address)
-		if err != nil {
-			return nil, err
-		}
-		open = append(open, door{listener, d.serve})
-	}
-	return open, nil
-}
-
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errs.Wrap(Start, "listen", err, "address %s", address)
-	}
-	return l, nil
-}
-
-func serveHTTP(handler http.Handler) func(context.Context, net.Listener) error {
-	return func(_ context.Context, l net.Listener) error {
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: readTime}
-		return server.Serve(l)
-	}
-}
-
-// readTime bounds a header at the doors other than the callers'.
-const readTime = 5 * time.Second
-
 // ready reports whether this gateway takes requests.
 func (g *Gateway) ready() bool { return !g.leaving.Load() && g.Catalog().Version() > 0 }
 
--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -16,13 +16,14 @@
 const (
 	// nodePrefix starts the keys of the gateways' own entries.
 	nodePrefix = "nodes/"
-	// renewals of a gateway's entry within the life of its lease.
+	// renewals is how often a gateway renews its entry within the life of its
+	// lease, so that one that is lost does no harm.
 	renewals = 3
-	// leastInHall is how many gateways of a client's data hall must be known
-	// for it to be told of these alone.
+	// leastInHall is how many gateways of a client's data hall, or else of its
+	// region, must be known for it to be told of these alone.
 	leastInHall = 2
-	// storeWords bounds the last call of a gateway that leaves.
-	storeWords = time.Second
+	// revokeTime bounds the last call of a gateway that leaves.
+	revokeTime = time.Second
 )
 
 // nodes is the list of gateways: each keeps an entry in the store that goes
@@ -30,8 +31,10 @@
 type nodes struct {
 	g *Gateway
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// known are the entries by their keys, this gateway's own included.
 	known map[string]view.Member
+	// lease is that of this gateway's entry; zero for none.
 	lease int64
 }
 
@@ -68,10 +71,12 @@
 	return others
 }
 
+// key is that of this gateway's entry. It is the VM's, so that a process
+// started anew takes the place of the one before.
 func (n *nodes) key() string { return nodePrefix + n.g.self.VM }
 
 // addresses returns where a client should go: the gateways of its data hall,
-// or all of its region if that has too few.
+// those of its region if the hall has too few, or all if the region has too.
 func (n *nodes) addresses(region, dataHall string) []string {
 	members := n.others()
 	if !n.g.leaving.Load() {
@@ -120,7 +125,11 @@
 	n.mu.Unlock()
 	if id != 0 {
 		alive, err := n.g.store.KeepAlive(ctx, id)
-		if err != nil || alive {
+		if err != nil {
+			slog.Debug("own entry not renewed", "error", err)
+			return
+		}
+		if alive {
 			return
 		}
 		slog.Warn("own entry has lapsed; writing it anew")
@@ -130,6 +139,7 @@
 	}
 }
 
+// announce takes out a lease and writes this gateway's entry with it.
 func (n *nodes) announce(ctx context.Context) error {
 	entry, err := json.Marshal(n.g.self)
 	if err != nil {
@@ -154,7 +164,7 @@
 	if id == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), storeWords)
+	ctx, cancel := context.WithTimeout(context.Background(), revokeTime)
 	defer cancel()
 	if err := n.g.store.Revoke(ctx, id); err != nil {
 		slog.Warn("own entry not taken back; it lapses with its lease", "error", err)
@@ -164,7 +174,7 @@
 // mirrorPeers lets the mirror follow other gateways.
 type mirrorPeers struct{ g *Gateway }
 
-// Addresses returns the known gateways', or the seeds' before any is known.
+// Addresses returns the other known gateways', or the seeds' before any is known.
 func (p mirrorPeers) Addresses() []string {
 	var addresses []string
 	for _, m := range p.g.nodes.others() {
@@ -199,7 +209,7 @@
 	return addresses
 }
 
-// Follow asks one of them.
+// Follow asks a gateway for what it knows beyond a revision.
 func (p mirrorPeers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
 	return p.g.client.Follow(ctx, address, after, wait)
 }
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -23,6 +23,7 @@
 	collectTime = 400 * time.Millisecond
 )
 
+// takeOrder puts an operator's order in force, or takes it back.
 func (g *Gateway) takeOrder(c mirror.Change) {
 	service := strings.TrimPrefix(c.Key, platform.OrderPrefix)
 	if c.Deleted {
@@ -37,6 +38,7 @@
 	g.services.Take(order)
 }
 
+// takeStages puts the driver's stages in force.
 func (g *Gateway) takeStages(c mirror.Change) {
 	if c.Deleted {
 		return
@@ -72,6 +74,7 @@
 	*rollout.Picker
 }
 
+// Choose narrows servers down by the orders in force.
 func (v versions) Choose(service, key, before string, servers []registry.Server) ([]registry.Server, string) {
 	return v.services.Choose(service, key, before, servers)
 }
@@ -92,11 +95,13 @@
 // and is made again.
 type stagesStore struct{ g *Gateway }
 
+// Get reads the stages from the mirror.
 func (s stagesStore) Get(_ context.Context, key string) ([]byte, int64, error) {
 	item, _ := s.g.mirror.Get(key)
 	return item.Value, item.Revision, nil
 }
 
+// Swap writes the stages and the status of each roll-out together.
 func (s stagesStore) Swap(ctx context.Context, key string, data []byte, expected int64) (int64, bool, error) {
 	decoded, err := rollout.DecodeStages(data)
 	if err != nil {
@@ -116,6 +121,8 @@
 // collector asks all gateways for their counts.
 type collector struct{ g *Gateway }
 
+// Collect returns the counts of this gateway and of those that answer in time,
+// by their IDs.
 func (c collector) Collect(ctx context.Context) map[string]rollout.Counts {
 	ctx, cancel := context.WithTimeout(ctx, collectTime)
 	defer cancel()
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -198,8 +198,8 @@
 	return p
 }
 
-// test returns the test of a model's candidate, which lasts as long as this
-// node drives.
+// test returns the test of a model's candidate, which lasts as long as the
+// process.
 func (d *Driver) test(m *config.Model) *Test {
 	name := countName(m.Name, m.Rollout.Version)
 	if d.tests[name] == nil {
