--- a/cascade/cascade.go
+++ b/cascade/cascade.go
@@ -15,6 +15,12 @@
 //		answer := run(model)
 //		if planner.Releases(c, rating) { … }
 //	}
+//
+// Where no rating service stands beside the models, a [Ladder] goes by the
+// models' own confidence:
+//
+//	step := ladder.First(len(models))
+//	step, escalate := ladder.Next(len(models), step, confidence)
 package cascade
 
 import (
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -1,4 +1,6 @@
-// Package retry bounds how much a pool's failures multiply its load.
+// Package retry bounds how much a pool's failures multiply its load, by
+// [Budgets] of tokens or, where the platform states its bound by the requests
+// of a time, by [Windows].
 //
 // Each request to a pool pays a share of a token into the pool's budget and
 // each retry takes one out, so that in a pool-wide failure the load grows by
@@ -11,6 +13,11 @@
 //	if !budgets.Take(pool) {
 //		return refuse("retry_budget")
 //	}
+//
+//	windows.Paid(service)
+//	if !windows.Take(service, 0) {
+//		return refuse("retry_budget")
+//	}
 package retry
 
 import "sync"
--- a/retry/window.go
+++ b/retry/window.go
@@ -6,7 +6,8 @@
 )
 
 // slices is the number of parts of a window; what is older than the window
-// goes slice by slice.
+// goes slice by slice. More of them would follow the window more closely, and
+// cost more at each request.
 const slices = 20
 
 // Windows bound by service how many requests one node sends once more: within
@@ -17,23 +18,27 @@
 type Windows struct {
 	ratio float64
 	slack func() float64
+	// slice is how long each part of a window lasts.
 	slice time.Duration
 
 	mu       sync.Mutex
 	services map[string]*window
 }
 
-// window counts requests and repeats in slices of time. The requests of the
-// window before stand in the first half of their row.
+// window counts requests and repeats of a service in slices of time, each at
+// the remainder of its number. There is room for the requests of two windows,
+// this one and the one before.
 type window struct {
 	requests [2 * slices]int
 	repeats  [slices]int
-	// at is the number of the newest slice since the start of time.
+	// at is the number of the newest slice, counted from the Unix epoch.
 	at int64
 }
 
-// NewWindows returns windows without requests. Slack is asked for anew each
-// time: it is this node's part of what the ratio does not cover.
+// NewWindows returns windows of that length, without requests. Repeats are
+// bound to the ratio of a window's requests and to slack more, which is this
+// node's part of what the platform allows beside the ratio. Slack is asked for
+// anew each time, since it depends on the number of nodes.
 func NewWindows(ratio float64, slack func() float64, length time.Duration) *Windows {
 	return &Windows{ratio: ratio, slack: slack, slice: length / slices, services: make(map[string]*window)}
 }
@@ -46,8 +51,8 @@
 	s.requests[s.at%int64(len(s.requests))]++
 }
 
-// Take counts one repeat if the bound allows it and leaves a share of it,
-// spare, for others.
+// Take counts one repeat if the bound allows it and still leaves a share of the
+// bound, spare, for others.
 func (w *Windows) Take(service string, spare float64) bool {
 	slack := w.slack()
 	w.mu.Lock()
@@ -80,6 +85,7 @@
 	return s
 }
 
+// repeated returns the repeats of this window.
 func (s *window) repeated() (sum int) {
 	for _, n := range s.repeats {
 		sum += n
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -34,11 +34,14 @@
 	toldHalfLife = 500 * time.Millisecond
 )
 
-// Load is what a server told of itself on an answer.
+// Load is what a server told of itself on an answer. The fields are exported
+// for the adapter that reads it.
 type Load struct {
+	// Running and Waiting are requests, of all nodes.
 	Running int
 	Waiting int
-	Slots   int
+	// Slots is the number of requests that the server runs at once.
+	Slots int
 }
 
 // Task is what the choice for one request depends on.
@@ -64,7 +67,8 @@
 	dataHall string
 	opened   func(server string)
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// servers are by ID.
 	servers map[string]*balanced
 }
 
@@ -94,9 +98,11 @@
 type Use struct {
 	balancer *Balancer
 	server   registry.Server
-	work     float64
-	begin    sync.Once
-	end      sync.Once
+	// work is what it keeps the server busy with before its answer begins, in
+	// milliseconds.
+	work  float64
+	begin sync.Once
+	end   sync.Once
 }
 
 // Server returns the chosen server.
@@ -128,31 +134,41 @@
 		if t.Exclude[s.ID] || !state.breaker.allows(now) {
 			continue
 		}
-		cost := state.wait(now) + jitter*rand.Float64()
-		if s.DataHall != b.dataHall {
-			cost += hallPenalty
-		}
-		if s.ID == home {
-			cost -= t.SavedWork + homePerToken*float64(t.SharedTokens)
-		}
-		if cost < bestCost {
+		if cost := b.cost(s, state, t, home, now); cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
 	if best < 0 {
 		return nil, errs.New(NoServer, "choose", "none of %d servers can take the request", len(t.Servers))
 	}
-	server := t.Servers[best]
-	state := b.state(server.ID)
 	work := t.Work
-	if server.ID == home {
+	if t.Servers[best].ID == home {
 		work -= t.SavedWork
 	}
+	return b.use(t.Servers[best], work, now), nil
+}
+
+// cost is what the choice of a server for a task costs, in milliseconds of
+// waiting.
+func (b *Balancer) cost(s registry.Server, state *balanced, t Task, home string, now time.Time) float64 {
+	cost := state.wait(now) + jitter*rand.Float64()
+	if s.DataHall != b.dataHall {
+		cost += hallPenalty
+	}
+	if s.ID == home {
+		cost -= t.SavedWork + homePerToken*float64(t.SharedTokens)
+	}
+	return cost
+}
+
+// use counts one request of that work, in milliseconds, at a server.
+func (b *Balancer) use(server registry.Server, work float64, now time.Time) *Use {
+	state := b.state(server.ID)
 	state.inflight++
 	state.waiting++
 	state.pending += work
 	state.breaker.begin(now)
-	return &Use{balancer: b, server: server, work: work}, nil
+	return &Use{balancer: b, server: server, work: work}
 }
 
 // home returns the server that all nodes of this data hall prefer for a
@@ -173,6 +189,7 @@
 	return best
 }
 
+// state returns what is known of a server, which may be nothing yet.
 func (b *Balancer) state(id string) *balanced {
 	s := b.servers[id]
 	if s == nil {
@@ -191,6 +208,7 @@
 	return s.pending + weight*s.othersWaiting*waitingWork + running*runningWork
 }
 
+// tell takes a server's word on its load, less this node's own part of it.
 func (b *Balancer) tell(id string, l Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -200,6 +218,7 @@
 	s.toldAt = time.Now()
 }
 
+// begin takes a request's work off what this node has waiting at a server.
 func (b *Balancer) begin(id string, work float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -208,6 +227,7 @@
 	s.pending -= work
 }
 
+// end takes a request off a server, and lets its breaker judge the outcome.
 func (b *Balancer) end(id string, outcome Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
