--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -133,8 +133,8 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	// HeaderTime bounds the sending of a header, IdleTime the rest of a
-	// connection between two requests.
+	// HeaderTime bounds the sending of a header, IdleTime how long a
+	// connection rests between two requests.
 	HeaderTime time.Duration
 	IdleTime   time.Duration
 }
@@ -142,6 +142,7 @@
 // Catalog is a declaration in force: immutable and indexed.
 type Catalog struct {
 	document Document
+	// byHost holds the routes of each host, those with longer prefixes first.
 	byHost   map[string][]*Route
 	services map[string]*Service
 	byKey    map[string]*Account
@@ -181,6 +182,7 @@
 	return c, nil
 }
 
+// addRoute checks a route and indexes it by its host.
 func (c *Catalog) addRoute(r *Route) error {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return errs.New(Invalid, "new", "route %s: prefix %q does not begin and end with a slash", r.Name, r.Prefix)
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -28,8 +28,9 @@
 type Listener struct {
 	net.Listener
 
-	mu      sync.Mutex
-	open    map[*conn]struct{}
+	mu   sync.Mutex
+	open map[*conn]struct{}
+	// closing says that connections are closed as soon as they are idle.
 	closing bool
 	// changed is closed, and made anew, when a connection has closed.
 	changed chan struct{}
@@ -107,6 +108,7 @@
 	return len(l.open)
 }
 
+// remove forgets a connection that closes; a second time does nothing.
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -127,7 +129,8 @@
 	// readSince says that bytes were read after the last were written: the
 	// client was quicker with its next request than the server with its rest.
 	readSince bool
-	closed    bool
+	// closed says that closeIfIdle has closed it.
+	closed bool
 }
 
 // Read marks the connection as busy. What arrives after closeIfIdle is not
@@ -153,17 +156,20 @@
 	return c.Conn.Write(p)
 }
 
+// Close closes the connection and lets Wait know.
 func (c *conn) Close() error {
 	c.listener.remove(c)
 	return c.Conn.Close()
 }
 
+// rest notes that the server takes the connection for idle.
 func (c *conn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = c.readSince
 }
 
+// closeIfIdle closes the connection unless a request has begun on it.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -35,10 +35,12 @@
 	out      io.Writer
 	capacity int
 	lines    chan []byte
-	dropped  atomic.Int64
-	done     chan struct{}
-	once     sync.Once
-	closed   chan struct{}
+	// dropped counts lines that no line has told of yet.
+	dropped atomic.Int64
+	once    sync.Once
+	// closed asks the task to end, done says that it has.
+	closed chan struct{}
+	done   chan struct{}
 }
 
 // New returns a running writer.
@@ -72,6 +74,7 @@
 	return nil
 }
 
+// run is the task that writes lines out until Close.
 func (w *Writer) run() {
 	defer close(w.done)
 	for {
@@ -85,6 +88,7 @@
 	}
 }
 
+// flush writes out what is queued.
 func (w *Writer) flush() {
 	for {
 		select {
@@ -96,7 +100,8 @@
 	}
 }
 
-// write has nowhere to report a failure of the output itself.
+// write writes one line out, after the number of those dropped before it. It
+// has nowhere to report a failure of the output itself.
 func (w *Writer) write(line []byte) {
 	if n := w.dropped.Swap(0); n > 0 {
 		_, _ = fmt.Fprintf(w.out, `{"level":"WARN","msg":"log lines dropped","lines":%d}`+"\n", n)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -48,9 +48,12 @@
 type Registry struct {
 	timers *timer.Service
 
-	mu       sync.Mutex
-	servers  map[string]Server
-	lapsed   map[string]time.Time
+	mu sync.Mutex
+	// servers are by ID.
+	servers map[string]Server
+	// lapsed holds by ID until when servers without an entry are kept.
+	lapsed map[string]time.Time
+	// returned is when the store last came back.
 	returned time.Time
 	// byService is rebuilt after a change; the lists are never written to.
 	byService map[string][]Server
@@ -118,6 +121,7 @@
 	}
 }
 
+// index makes the lists by service anew.
 func (r *Registry) index() {
 	r.byService = make(map[string][]Server)
 	for _, s := range slices.SortedFunc(maps.Values(r.servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) }) {
