--- a/route/route.go
+++ b/route/route.go
@@ -7,6 +7,9 @@
 // server's lately observed speed; and what its prefix cache is likely to hold.
 // A breaker takes out a server that fails and probes it again later.
 //
+// A [Chooser] does so for servers whose reports are asked for. A [Balancer] is
+// for servers that tell their load on each answer, and looks at all of them.
+//
 // # Usage
 //
 //	attempt, err := chooser.Choose(route.Request{Servers: servers, Prefix: hash})
@@ -15,6 +18,14 @@
 //	}
 //	… run on attempt.Server() …
 //	attempt.End(route.OutcomeOK, firstToken, total)
+//
+//	use, err := balancer.Choose(route.Task{Servers: servers, Work: work})
+//	if err != nil {
+//		return err
+//	}
+//	… send to use.Server() …
+//	use.Tell(load) // and Begin once its answer has begun
+//	use.End(route.OutcomeOK)
 package route
 
 import (
