--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -13,6 +13,8 @@
 // callFollow asks for what a node's copy of the store has beyond a revision.
 const callFollow = "follow"
 
+// followRequest asks for changes after a revision, and how long to wait for
+// some.
 type followRequest struct {
 	After int64         `cbor:"1,keyasint"`
 	Wait  time.Duration `cbor:"2,keyasint"`
@@ -24,7 +26,8 @@
 	Counts() (node string, counts rollout.Counts)
 }
 
-// NewGatewayServer returns a server of a gateway.
+// NewGatewayServer returns a server that answers the calls between gateways, and
+// none of those between the product's own nodes.
 func NewGatewayServer(g Gateway) *Server {
 	return &Server{calls: map[string]func(drpc.Stream) error{
 		callFollow: handle(func(ctx context.Context, r followRequest) (mirror.Batch, error) {
--- a/command/gateway.go
+++ b/command/gateway.go
@@ -47,6 +47,8 @@
 	return ExitOK
 }
 
+// setLevel changes the log level in force; the settings have been checked, so
+// an unknown one is a fault of this program.
 func setLevel(level *slog.LevelVar, name string) {
 	if err := level.UnmarshalText([]byte(name)); err != nil {
 		slog.Error("log level unknown; it stays as it is", "level", name)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -146,6 +146,7 @@
 	m.observe(firstToken, total, attributes...)
 }
 
+// observe records how long an answer took, until its first piece and in all.
 func (m *Metrics) observe(first, total time.Duration, attributes ...attribute.KeyValue) {
 	m.firstToken.Record(context.Background(), first.Seconds(), metric.WithAttributes(attributes...))
 	m.total.Record(context.Background(), total.Seconds(), metric.WithAttributes(attributes...))
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -29,9 +29,10 @@
 // Resumed counts a stream that goes on at another server.
 func (r Relay) Resumed() { add(r.m.resumes, 1) }
 
-// Answered counts an answer and its times.
+// Answered counts an answer and its times. The times are not told apart by
+// status, which would multiply the histograms.
 func (r Relay) Answered(route string, status int, first, total time.Duration) {
-	attributes := []attribute.KeyValue{attribute.String("route", route), attribute.String("status", strconv.Itoa(status))}
-	add(r.m.answers, 1, attributes...)
-	r.m.observe(first, total, attributes[:1]...)
+	name := attribute.String("route", route)
+	add(r.m.answers, 1, name, attribute.String("status", strconv.Itoa(status)))
+	r.m.observe(first, total, name)
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -36,13 +36,15 @@
 
 // GatewayStore says where the platform's store is.
 type GatewayStore struct {
-	Address        string `json:"address"`
-	MinLeaseMillis int    `json:"min_lease_ms"`
+	Address string `json:"address"`
+	// MinLeaseMillis is the shortest lease that the store grants.
+	MinLeaseMillis int `json:"min_lease_ms"`
 }
 
 // GatewayLimits are what the VM gives the process.
 type GatewayLimits struct {
-	MemoryMB    int `json:"memory_mb"`
+	MemoryMB int `json:"memory_mb"`
+	// Descriptors is the number of files and connections.
 	Descriptors int `json:"descriptors"`
 }
 
@@ -70,9 +72,9 @@
 }
 
 const (
-	// defaultGrace is used where the platform names none.
+	// defaultGrace in seconds is used where the platform names none.
 	defaultGrace = 8.0
-	// defaultMinLease is the shortest lease asked for.
+	// defaultMinLease in milliseconds is the shortest lease asked for.
 	defaultMinLease = 1000
 	// defaultRetryRatio is careful: a tenth more load in a failure.
 	defaultRetryRatio = 0.1
@@ -87,6 +89,7 @@
 	return time.Duration(g.Bounds.GraceSeconds * float64(time.Second))
 }
 
+// setDefaults fills in what the file leaves out.
 func (g *Gateway) setDefaults() {
 	setDefault(&g.LogLevel, "info")
 	setDefault(&g.Bounds.GraceSeconds, defaultGrace)
@@ -96,6 +99,7 @@
 	setDefault(&g.Store.MinLeaseMillis, defaultMinLease)
 }
 
+// check reports what a gateway cannot run with.
 func (g *Gateway) check(fault strictjson.Report) {
 	if g.Name == "" {
 		fault("/name", "want the VM's name")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 //	if err != nil {
 //		return err // every fault, each with file, line and column
 //	}
+//	g, err := settings.LoadGateway("gateway.json") // for package gateway
 //
 // What differs by VM can come from the environment, so that one file serves a
 // whole data hall; VIOLETTALLY_NAME, VIOLETTALLY_DATA_HALL,
@@ -231,6 +232,7 @@
 	checkLevel(fault, s.LogLevel)
 }
 
+// checkLevel reports a log level that there is not.
 func checkLevel(fault strictjson.Report, level string) {
 	switch level {
 	case "debug", "info", "warn", "error":
