--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -12,14 +12,15 @@
 // Runner stands in for a backend server of the users' platform: a plain
 // service, or an engine that answers with a stream of events.
 type Runner struct {
-	id string
+	id   string
+	gone chan struct{}
 
 	mu    sync.Mutex
 	usual RunnerAnswer
-	turns *Turns
+	// other is the answer as long as turns last.
 	other RunnerAnswer
+	turns *Turns
 	seen  []RunnerRequest
-	gone  chan struct{}
 }
 
 // RunnerRequest is a request as a runner got it.
@@ -67,6 +68,7 @@
 // NewTurns returns n turns.
 func NewTurns(n int) *Turns { return &Turns{left: n} }
 
+// take takes one turn, if one is left.
 func (t *Turns) take() bool {
 	if t == nil {
 		return false
@@ -108,6 +110,7 @@
 	s.answer(w, r, s.note(RunnerRequest{Method: r.Method, URI: r.RequestURI, Header: r.Header.Clone(), Body: string(body)}))
 }
 
+// note keeps a request as seen and returns how to answer it.
 func (s *Runner) note(seen RunnerRequest) RunnerAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,6 +121,7 @@
 	return s.usual
 }
 
+// answer gives one answer, or breaks off.
 func (s *Runner) answer(w http.ResponseWriter, r *http.Request, a RunnerAnswer) {
 	if a.Hold != nil {
 		select {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -25,6 +25,7 @@
 	calls     map[string]int
 }
 
+// storeItem is a key as the store keeps and sends it.
 type storeItem struct {
 	Key      string `json:"tls_key"`
 	Value    []byte `json:"value,omitempty"`
@@ -34,6 +35,7 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
+// storeLease is a lease that lapses unless it is renewed.
 type storeLease struct {
 	ttl   time.Duration
 	timer *time.Timer
@@ -147,12 +149,14 @@
 	return s.calls[name]
 }
 
+// count counts a call by its name.
 func (s *Store) count(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[strings.TrimSuffix(name, "/{id}")]++
 }
 
+// under returns the keys under a prefix, sorted. The caller holds mu.
 func (s *Store) under(prefix string) []string {
 	var keys []string
 	for key := range s.items {
@@ -164,7 +168,8 @@
 	return keys
 }
 
-// write changes the store; all changes of one call share a revision.
+// write changes the store; all changes of one call share a revision. The caller
+// holds mu.
 func (s *Store) write(puts []storeItem, remove []string) int64 {
 	s.revision++
 	for _, item := range puts {
@@ -248,6 +253,9 @@
 	}
 }
 
+// since returns the changes under a prefix after a revision, the revision up to
+// which they go, a channel that is closed at the next change, and whether some
+// of the changes are not kept any more.
 func (s *Store) since(prefix string, after int64) (events []storeItem, revision int64, changed chan struct{}, gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -303,12 +311,14 @@
 	writeJSON(w, map[string]int64{"lease": id, "ttl_ms": in.TTL})
 }
 
+// lapse ends a lease.
 func (s *Store) lapse(id int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drop(id)
 }
 
+// drop ends a lease and removes the keys that go with it. The caller holds mu.
 func (s *Store) drop(id int64) {
 	l := s.leases[id]
 	if l == nil {
