--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -33,13 +33,18 @@
 		callFollow: handle(func(ctx context.Context, r followRequest) (mirror.Batch, error) {
 			return g.Await(ctx, r.After, r.Wait), nil
 		}),
-		callCounts: handle(func(context.Context, empty) (countsReply, error) {
-			name, counts := g.Counts()
-			return countsReply{Node: name, Counts: counts}, nil
-		}),
+		callCounts: answerCounts(g.Counts),
 	}}
 }
 
+// answerCounts answers with what a node has counted of each version.
+func answerCounts(counted func() (node string, counts rollout.Counts)) func(drpc.Stream) error {
+	return handle(func(context.Context, empty) (countsReply, error) {
+		node, counts := counted()
+		return countsReply{Node: node, Counts: counts}, nil
+	})
+}
+
 // Follow asks a gateway for what its copy has beyond a revision, and lets it
 // wait for something to tell.
 func (c *Client) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -77,10 +77,7 @@
 			return replica.Transfer(r), nil
 		}),
 		callLimit: handle(func(_ context.Context, a limit.Ask) (limit.Grant, error) { return node.Grant(a), nil }),
-		callCounts: handle(func(context.Context, empty) (countsReply, error) {
-			name, counts := node.Counts()
-			return countsReply{Node: name, Counts: counts}, nil
-		}),
+		callCounts: answerCounts(node.Counts),
 		callRecall: handle(func(_ context.Context, r recallRequest) (RecallReply, error) { return node.Recall(r.Journal), nil }),
 		callCheckpoint: handle(func(_ context.Context, a ledger.Account) (empty, error) {
 			node.KeepCheckpoint(a)
