--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -76,7 +76,7 @@
 		callTransfer: handle(func(_ context.Context, r claim.TransferRequest) (claim.TransferReply, error) {
 			return replica.Transfer(r), nil
 		}),
-		callLimit: handle(func(_ context.Context, a limit.Ask) (limit.Grant, error) { return node.Grant(a), nil }),
+		callLimit:  handle(func(_ context.Context, a limit.Ask) (limit.Grant, error) { return node.Grant(a), nil }),
 		callCounts: answerCounts(node.Counts),
 		callRecall: handle(func(_ context.Context, r recallRequest) (RecallReply, error) { return node.Recall(r.Journal), nil }),
 		callCheckpoint: handle(func(_ context.Context, a ledger.Account) (empty, error) {
