--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -13,6 +13,8 @@
 // callFollow asks for what a node's copy of the store has beyond a revision.
 const callFollow = "follow"
 
+// followRequest asks for changes after a revision, and how long to wait for
+// some.
 type followRequest struct {
 	After int64         `cbor:"1,keyasint"`
 	Wait  time.Duration `cbor:"2,keyasint"`
@@ -24,19 +26,25 @@
 	Counts() (node string, counts rollout.Counts)
 }
 
-// NewGatewayServer returns a server of a gateway.
+// NewGatewayServer returns a server that answers the calls between gateways, and
+// none of those between the product's own nodes.
 func NewGatewayServer(g Gateway) *Server {
 	return &Server{calls: map[string]func(drpc.Stream) error{
 		callFollow: handle(func(ctx context.Context, r followRequest) (mirror.Batch, error) {
 			return g.Await(ctx, r.After, r.Wait), nil
 		}),
-		callCounts: handle(func(context.Context, empty) (countsReply, error) {
-			name, counts := g.Counts()
-			return countsReply{Node: name, Counts: counts}, nil
-		}),
+		callCounts: answerCounts(g.Counts),
 	}}
 }
 
+// answerCounts answers with what a node has counted of each version.
+func answerCounts(counted func() (node string, counts rollout.Counts)) func(drpc.Stream) error {
+	return handle(func(context.Context, empty) (countsReply, error) {
+		node, counts := counted()
+		return countsReply{Node: node, Counts: counts}, nil
+	})
+}
+
 // Follow asks a gateway for what its copy has beyond a revision, and lets it
 // wait for something to tell.
 func (c *Client) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -213,7 +213,9 @@
 			if tt.state == "complete" {
 				want = "new"
 			}
-			w.eventually(func() bool { return n.get(t, "/once/1").body == want })
+			// The node has heard of the end once it knows what came after it.
+			revision := w.store.Put("marker", 1)
+			w.eventually(func() bool { return n.knows(revision) })
 			for range 50 {
 				must.Eq(t, want, n.get(t, "/once/1").body)
 			}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -316,26 +316,52 @@
 	})
 }
 
-// TestRegained: subscribers of the store's return are told before what the
-// store then says.
+// TestRegained: subscribers of the store's return are told before what lapsed
+// in the outage, whether the store itself, the upstream, or any peer tells it;
+// a short outage, in which nothing lapses, is none.
 func TestRegained(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, timers := run(t)
-		own := newStore()
-		own.put("a", false)
-		m := mirror.New(own, &peers{}, timers)
-		var order []string
-		m.OnRegained(func() { order = append(order, "regained") })
-		m.Subscribe("", func(c mirror.Change) { order = append(order, fmt.Sprint(c.Key, c.Deleted)) })
-		go m.Run(ctx)
-		settle(time.Second)
-		own.set(errStore, false, false)
-		own.put("a", true)
-		settle(time.Second)
-		own.set(nil, false, false)
-		settle(time.Second)
-		must.Eq(t, []string{"afalse", "regained", "atrue"}, order)
-	})
+	tests := []struct {
+		name string
+		// back makes the news reach the node again.
+		back     func(own, stored *fakeStore, p *peers)
+		upstream []string
+		outage   time.Duration
+		want     []string
+	}{
+		{"by the store", func(own, _ *fakeStore, _ *peers) { own.set(nil, false, false) }, nil, 4 * time.Second, []string{"afalse", "regained", "atrue"}},
+		{"by the upstream", func(_, stored *fakeStore, p *peers) { stored.set(nil, false, false); p.set(nil) }, []string{"0"}, 4 * time.Second, []string{"afalse", "regained", "atrue"}},
+		{"by a peer", func(_, stored *fakeStore, p *peers) { stored.set(nil, false, false); p.set(nil) }, nil, 4 * time.Second, []string{"afalse", "regained", "atrue"}},
+		{"short", func(own, _ *fakeStore, _ *peers) { own.set(nil, false, false) }, nil, time.Second, []string{"afalse", "atrue"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, timers := run(t)
+				own, stored := newStore(), newStore()
+				peer := mirror.New(stored, &peers{}, timers)
+				p := &peers{mirrors: []*mirror.Mirror{peer}, upstream: tt.upstream}
+				p.set(errStore)
+				m := mirror.New(own, p, timers)
+				var order []string
+				m.OnRegained(func() { order = append(order, "regained") })
+				m.Subscribe("", func(c mirror.Change) { order = append(order, fmt.Sprint(c.Key, c.Deleted)) })
+				for _, s := range []*fakeStore{own, stored} {
+					s.put("a", false)
+				}
+				go peer.Run(ctx)
+				go m.Run(ctx)
+				settle(time.Second)
+				for _, s := range []*fakeStore{own, stored} {
+					s.set(errStore, false, false)
+					s.put("a", true)
+				}
+				settle(tt.outage)
+				tt.back(own, stored, p)
+				settle(3 * time.Second)
+				must.Eq(t, tt.want, order)
+			})
+		})
+	}
 }
 
 // TestAfter: a peer that is a little behind gets changes, one that is far
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -66,10 +66,12 @@
 // for concurrent use.
 type Services struct {
 	picker *Picker
-	share  float64
-	usual  usual
+	// share of the requests that a first stage gives to the target.
+	share float64
+	usual usual
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// models are the orders by service, as declarations of a roll-out.
 	models map[string]config.Model
 }
 
@@ -151,6 +153,7 @@
 	target := m.Rollout.Version
 	picked, err := s.picker.Pick(&m, key, func(string) bool { return true })
 	if err != nil {
+		slog.Error("roll-out gives no version; any server may be picked", "service", service, "error", err)
 		return servers, ""
 	}
 	stopped := s.stopped(service, target)
@@ -193,6 +196,7 @@
 	s.picker.count(service, version, a.Failed, slow)
 }
 
+// stopped reports whether the roll-out to a target was stopped as worse.
 func (s *Services) stopped(service, target string) bool {
 	progress, ok := s.picker.Progress(service)
 	return ok && progress.Version == target && progress.Verdict == VerdictStopped
