--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,6 +188,9 @@
 
 // takeCatalog puts a declaration in force. Versions only rise.
 func (g *Gateway) takeCatalog(c mirror.Change) {
+	if c.Key != platform.CatalogKey {
+		return
+	}
 	if c.Deleted {
 		slog.Warn("declaration is gone from the store; the last one stays in force", "version", g.Catalog().Version())
 		return
@@ -210,6 +213,7 @@
 	id := strings.TrimPrefix(c.Key, platform.ServerPrefix)
 	if c.Deleted {
 		kept := g.registry.Drop(id)
+		g.balancer.Keep(g.registry.IDs())
 		slog.Info("server is gone", "server", id, "revision", c.Revision, "kept_ms", kept.Milliseconds())
 		return
 	}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -35,12 +35,13 @@
 		slog.Error("roll-out order cannot be read", "service", service, "error", err)
 		return
 	}
+	order.Service = service
 	g.services.Take(order)
 }
 
 // takeStages puts the driver's stages in force.
 func (g *Gateway) takeStages(c mirror.Change) {
-	if c.Deleted {
+	if c.Key != stagesKey || c.Deleted {
 		return
 	}
 	if err := g.picker.Take(document.Item{Data: c.Value, Revision: c.Revision}); err != nil {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -97,6 +97,17 @@
 	r.returned = r.timers.Now()
 }
 
+// IDs returns the IDs of all servers that are known, leaving ones too.
+func (r *Registry) IDs() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := make(map[string]bool, len(r.servers))
+	for id := range r.servers {
+		ids[id] = true
+	}
+	return ids
+}
+
 // Servers returns the servers of a service that may get new work, by ID. The
 // list must not be changed.
 func (r *Registry) Servers(service string) []Server {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -30,6 +30,7 @@
 	must.Eq(t, 0, r.Drop("b"))
 	must.SliceEmpty(t, ids(r))
 	must.Eq(t, 0, r.Drop("unknown"))
+	must.Eq(t, map[string]bool{"a": true, "c": true}, r.IDs())
 }
 
 // TestLapsedEntries: what is dropped just after the store has come back is
