dispatch: a refusal waits for claim replicas that are being replaced

Cause: a call of a forbidden model during a planned stop is refused before its claim, and 'not run' is said only if two replicas of its id say so. Change: the lookup is made again, with growing pauses, until enough answer or the claim's own bound of 3 s is over. Ruled out: saying 'not run' without an answer, which may be false.

--- a/dispatch/join.go
+++ b/dispatch/join.go
@@ -92,10 +92,22 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
-	found, complete := d.Claims.Lookup(ctx, d.key(r, 0))
+	found, complete := d.lookupWhileMoving(ctx, d.key(r, 0))
 	return refusal.after(found != nil || !complete)
 }
 
+// lookupWhileMoving looks a key up until enough replicas answer, or the context
+// ends: while one of them leaves, its successor takes its range over.
+func (d *Dispatcher) lookupWhileMoving(ctx context.Context, key claim.Key) (found *claim.Entry, complete bool) {
+	for pause := joinPause; ; pause += joinPause {
+		found, complete = d.Claims.Lookup(ctx, key)
+		if found != nil || complete || ctx.Err() != nil {
+			return found, complete
+		}
+		d.rest(ctx, pause)
+	}
+}
+
 // won starts the run of a claim that was won, unless the key may have been
 // used before.
 func (d *Dispatcher) won(ctx context.Context, r *Request, x *answer.Exchange, outcome claim.Outcome, e claim.Entry, record *decision.Record) (*answer.Exchange, bool, *Refusal) {
