relay, route: requests are taken away from servers that are late

Change: a request that may run again is asked for elsewhere once its answer is later than mean and four deviations of its kind (RFC 6298), between half and 0.6 of the objective; a stream that pauses for 1.25 of the longest pause goes on elsewhere. At most 15 in 100 requests. Servers are weighed by how slow they are against others, by their own failures, and by their silence.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,10 @@
 	// retryMargin is the part of the platform's bound on repeats that is used:
 	// windows at the nodes begin at other moments than those that are judged.
 	retryMargin = 0.85
+	// movesRatio is the share of the requests that may be taken away from late
+	// servers. Fewer servers than that are slow or dark at once on the days of
+	// the deployments; where more are late, it is for load.
+	movesRatio = 0.15
 	// canaryMargin keeps the first stage of a roll-out below the agreed share,
 	// since requests fall on either side by chance.
 	canaryMargin = 0.7
@@ -157,7 +161,8 @@
 		Versions: versions{g.services, g.picker},
 		Balancer: g.balancer,
 		Ladder:   cascade.NewLadder(),
-		Budgets:  g.makeBudgets(),
+		Budgets:  g.makeBudgets(g.settings.Bounds.RetryRatio),
+		Moves:    g.makeBudgets(min(movesRatio, g.settings.Bounds.RetryRatio)),
 		Backends: platform.NewRunners(),
 		Records:  decision.New(g.self.ID),
 		Counters: g.metrics.Relay(),
@@ -165,12 +170,12 @@
 }
 
 // makeBudgets gives this node its part of what the platform lets all nodes
-// send once more.
-func (g *Gateway) makeBudgets() *retry.Windows {
+// send once more, or of a smaller share of the requests.
+func (g *Gateway) makeBudgets(ratio float64) *retry.Windows {
 	bounds := g.settings.Bounds
 	slack := func() float64 { return retryMargin * bounds.RetrySlack / float64(len(g.nodes.others())+1) }
 	length := time.Duration(bounds.RetryWindowSeconds * float64(time.Second))
-	return retry.NewWindows(retryMargin*bounds.RetryRatio, slack, length)
+	return retry.NewWindows(retryMargin*ratio, slack, length)
 }
 
 // Catalog returns the declaration in force.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -83,6 +83,7 @@
 // returns is still to be told.
 func (x *exchange) run(ctx context.Context) *Refusal {
 	x.relay.Budgets.Paid(x.service)
+	x.relay.Moves.Paid(x.service)
 	if x.chooses() {
 		x.step = x.relay.Ladder.First(len(x.route.Models))
 	}
@@ -133,8 +134,8 @@
 // attempt sends the request to one server and passes its answer on. It
 // returns nil once nothing more is to be done for the client.
 func (x *exchange) attempt(ctx context.Context, use *route.Use, version string) *failure {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	server := use.Server()
 	if version != "" {
 		x.relay.Versions.Begin(x.service, version)
@@ -144,6 +145,8 @@
 	x.record.Note("send", "to %s in %s, model %s, after event %q, %d ms left",
 		server.ID, server.DataHall, x.model(), x.after, time.Until(x.deadline).Milliseconds())
 	sent := time.Now()
+	watch := x.watch(use, cancel)
+	defer watch.stop()
 	answer, err := x.relay.Backends.Send(ctx, server, Call{
 		Request:  x.request,
 		Account:  x.account,
@@ -151,9 +154,7 @@
 		Model:    x.model(),
 		After:    x.after,
 	})
-	if err == nil {
-		x.countVersion(version, answer, time.Since(sent))
-	}
+	x.countVersion(ctx, version, answer, time.Since(sent))
 	f := x.judge(ctx, use, answer, err)
 	if answer != nil {
 		defer answer.Close()
@@ -161,18 +162,20 @@
 	if f != nil {
 		return f
 	}
-	return x.pass(ctx, use, answer)
+	return x.pass(ctx, use, answer, watch)
 }
 
 // countVersion takes an answer as evidence on a version. Only what the server
-// itself answered counts, and how long it took to begin.
-func (x *exchange) countVersion(version string, answer Answer, wait time.Duration) {
-	if version == "" || answer.Declined() {
+// itself answered counts, and how long it took to begin, or had taken when it
+// was given up as late.
+func (x *exchange) countVersion(ctx context.Context, version string, answer Answer, wait time.Duration) {
+	late := answer == nil && stalled(ctx)
+	if version == "" || (answer == nil && !late) || (answer != nil && answer.Declined()) {
 		return
 	}
 	x.relay.Versions.Count(x.service, version, rollout.Answer{
 		Kind:   x.route.Name + "/" + x.model(),
-		Failed: answer.Status() >= http.StatusInternalServerError,
+		Failed: !late && answer.Status() >= http.StatusInternalServerError,
 		Wait:   wait,
 	})
 }
@@ -190,6 +193,7 @@
 		return &failure{reason: ReasonDeclined, retryAfter: answer.RetryAfter(), cause: http.StatusText(answer.Status())}
 	}
 	use.Begin()
+	use.Failed(answer.Status() >= http.StatusInternalServerError)
 	x.runs++
 	if x.begun && answer.Status() != http.StatusOK {
 		// The client is in the middle of a stream, which nothing but the rest
@@ -211,6 +215,16 @@
 
 // judgeError decides on an attempt without an answer.
 func (x *exchange) judgeError(ctx context.Context, use *route.Use, err error) *failure {
+	if stalled(ctx) {
+		use.Stall()
+		x.runs++
+		return stall()
+	}
+	if stalled(ctx) {
+		use.Stall()
+		x.runs++
+		return stall()
+	}
 	outcome := route.OutcomeFailed
 	if errors.Is(ctx.Err(), context.Canceled) {
 		outcome = route.OutcomeNeutral
--- a/relay/failure.go
+++ b/relay/failure.go
@@ -25,6 +25,12 @@
 	cause string
 }
 
+// stall is the failure of an attempt that was taken away from a late server.
+// Its next attempt has been paid for.
+func stall() *failure {
+	return &failure{reason: ReasonStalled, ran: true, paid: true, cause: errStalled.Error()}
+}
+
 // next decides on what follows a failed attempt: nil lets another one be made.
 func (x *exchange) next(ctx context.Context, f *failure) *Refusal {
 	if ctx.Err() != nil {
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/route"
@@ -19,20 +20,21 @@
 )
 
 // pass hands a server's answer to the client as it comes.
-func (x *exchange) pass(ctx context.Context, use *route.Use, answer Answer) *failure {
+func (x *exchange) pass(ctx context.Context, use *route.Use, answer Answer, watch *watch) *failure {
 	if x.route.Kind == catalog.KindStream && answer.Status() == http.StatusOK {
-		return x.passStream(ctx, use, answer)
+		return x.passStream(ctx, use, answer, watch)
 	}
-	return x.passPlain(ctx, use, answer)
+	return x.passPlain(ctx, use, answer, watch)
 }
 
 // passPlain hands on an answer as bytes. One that breaks off within the
 // headroom gave the client nothing yet.
-func (x *exchange) passPlain(ctx context.Context, use *route.Use, answer Answer) *failure {
+func (x *exchange) passPlain(ctx context.Context, use *route.Use, answer Answer, watch *watch) *failure {
 	held, err := io.ReadAll(io.LimitReader(answer.Body(), headroom))
 	if err != nil {
 		return x.broken(ctx, use, err)
 	}
+	watch.stop() // what the client has a part of cannot be moved
 	x.begin(answer)
 	if x.reply.Write(held) != nil {
 		return x.clientLeft(use)
@@ -58,9 +60,10 @@
 
 // passStream hands on whole events only, so that a stream which breaks off in
 // the middle of one can be taken up after the one before.
-func (x *exchange) passStream(ctx context.Context, use *route.Use, answer Answer) *failure {
+func (x *exchange) passStream(ctx context.Context, use *route.Use, answer Answer, watch *watch) *failure {
 	events := newEvents(answer.Body())
 	for {
+		watch.pause(time.Duration(pausePatience * float64(x.route.MaxPause)))
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			break
@@ -105,9 +108,13 @@
 
 // broken judges an answer that broke off.
 func (x *exchange) broken(ctx context.Context, use *route.Use, err error) *failure {
-	if ctx.Err() != nil {
+	switch {
+	case stalled(ctx):
+		use.Stall()
+		return stall()
+	case ctx.Err() != nil:
 		use.End(route.OutcomeNeutral)
-	} else {
+	default:
 		use.End(route.OutcomeFailed)
 	}
 	return &failure{reason: ReasonServerFailed, ran: true, cause: "answer broke off: " + err.Error()}
--- /dev/null
+++ b/relay/patience.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/violettally/violettally/route"
+)
+
+// A server that is dark, hangs, or has become slow gives no sign of it. A
+// request that may run again is therefore taken away from a server whose
+// answer is late against its kind, early enough for another server to answer
+// within the objective.
+const (
+	// leastPatience and mostPatience bound the wait for the first piece of an
+	// answer, as shares of the route's objective. The most leaves half of the
+	// objective to the next server; only what is expected to take longer may.
+	leastPatience = 0.5
+	mostPatience  = 0.6
+	// overExpected is how many times longer than expected any answer may take
+	// to begin.
+	overExpected = 2
+	// pausePatience is the multiple of the longest pause in time after which the
+	// rest of a stream is asked for elsewhere. On a calm day one stream in ten
+	// pauses for more than half of that time, one in a hundred for all of it,
+	// and goes on by itself.
+	pausePatience = 1.25
+	// noObjective stands in for routes that declare none.
+	noObjective = 2 * time.Second
+)
+
+// errStalled ends an attempt whose server was late.
+var errStalled = errors.New("the server is late")
+
+// watch takes one attempt away from a server that is late. The zero value
+// watches nothing.
+type watch struct {
+	timer *time.Timer
+}
+
+// watch begins to watch an attempt that has been sent just now.
+func (x *exchange) watch(use *route.Use, cancel context.CancelCauseFunc) *watch {
+	// This attempt will count as a run, so one more must be left.
+	if !x.mayMove(x.runs + 1) {
+		return &watch{}
+	}
+	return &watch{timer: time.AfterFunc(x.patience(use), func() {
+		if x.relay.Moves.Take(x.service, 0) && x.relay.Budgets.Take(x.service, spareForRetries) {
+			cancel(errStalled)
+		}
+	})}
+}
+
+// pause bounds the time until the next piece of the answer; zero bounds it no
+// more.
+func (w *watch) pause(d time.Duration) {
+	switch {
+	case w.timer == nil:
+	case d > 0:
+		w.timer.Reset(d)
+	default:
+		w.timer.Stop()
+	}
+}
+
+// stop ends the watch.
+func (w *watch) stop() { w.pause(0) }
+
+// patience is how long an attempt waits for the first piece of its answer.
+func (x *exchange) patience(use *route.Use) time.Duration {
+	objective := x.route.Objective
+	if objective <= 0 {
+		objective = noObjective
+	}
+	least := time.Duration(leastPatience * float64(objective))
+	most := max(time.Duration(mostPatience*float64(objective)), overExpected*use.Expected())
+	if use.Late() == 0 {
+		return most
+	}
+	return min(most, max(least, use.Late()))
+}
+
+// mayMove reports whether the request may be taken to another server once the
+// given number of servers has run it.
+func (x *exchange) mayMove(runs int) bool {
+	return x.route.Repeatable() && runs < x.route.Attempts && x.sends < maxSends && x.request.Body.Replayable()
+}
+
+// stalled reports whether an attempt was ended for its lateness.
+func stalled(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStalled) }
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -30,6 +30,9 @@
 	// ReasonServerFailed: a server may have run the request and gave no
 	// answer, or one that cannot be passed on.
 	ReasonServerFailed
+	// ReasonStalled: a server took so much longer than usual that another one
+	// was asked.
+	ReasonStalled
 	// ReasonDeadline: the time of the client or of the route is over.
 	ReasonDeadline
 )
@@ -55,6 +58,7 @@
 	ReasonDeclined:        http.StatusServiceUnavailable,
 	ReasonUnreachable:     http.StatusServiceUnavailable,
 	ReasonServerFailed:    http.StatusBadGateway,
+	ReasonStalled:         http.StatusGatewayTimeout,
 	ReasonDeadline:        http.StatusGatewayTimeout,
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -185,6 +185,9 @@
 	Balancer *route.Balancer
 	Ladder   Ladder
 	Budgets  Budgets
+	// Moves bounds, beside Budgets, how many requests are taken away from late
+	// servers: where all are late, moving on makes it worse.
+	Moves    Budgets
 	Backends Backends
 	Records  *decision.Log
 	Counters Counters
--- a/relay/relay_enumer.go
+++ b/relay/relay_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_faileddeadline"
+const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadline"
 
-var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 86, 97, 110, 118}
+var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 86, 97, 110, 117, 125}
 
-const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_faileddeadline"
+const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadline"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -34,10 +34,11 @@
 	_ = x[ReasonDeclined-(7)]
 	_ = x[ReasonUnreachable-(8)]
 	_ = x[ReasonServerFailed-(9)]
-	_ = x[ReasonDeadline-(10)]
+	_ = x[ReasonStalled-(10)]
+	_ = x[ReasonDeadline-(11)]
 }
 
-var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonDeadline}
+var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:16]:    ReasonNoConfiguration,
@@ -50,7 +51,8 @@
 	_ReasonName[78:86]:   ReasonDeclined,
 	_ReasonName[86:97]:   ReasonUnreachable,
 	_ReasonName[97:110]:  ReasonServerFailed,
-	_ReasonName[110:118]: ReasonDeadline,
+	_ReasonName[110:117]: ReasonStalled,
+	_ReasonName[117:125]: ReasonDeadline,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -64,7 +66,8 @@
 	_ReasonLowerName[78:86]:   ReasonDeclined,
 	_ReasonLowerName[86:97]:   ReasonUnreachable,
 	_ReasonLowerName[97:110]:  ReasonServerFailed,
-	_ReasonLowerName[110:118]: ReasonDeadline,
+	_ReasonLowerName[110:117]: ReasonStalled,
+	_ReasonLowerName[117:125]: ReasonDeadline,
 }
 
 var _ReasonNames = []string{
@@ -78,7 +81,8 @@
 	_ReasonName[78:86],
 	_ReasonName[86:97],
 	_ReasonName[97:110],
-	_ReasonName[110:118],
+	_ReasonName[110:117],
+	_ReasonName[117:125],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -133,7 +133,7 @@
 			must.NoError(t, err)
 			r := relay.New(relay.Parts{
 				Catalog: func() *catalog.Catalog { return c }, Servers: threeServers{}, Versions: noRollout{},
-				Balancer: route.NewBalancer("", func(string) {}), Ladder: cascade.NewLadder(), Budgets: noBound{},
+				Balancer: route.NewBalancer("", func(string) {}), Ladder: cascade.NewLadder(), Budgets: noBound{}, Moves: noBound{},
 				Backends: &inTurn{tt.answers}, Records: decision.New("n"), Counters: noCounters{},
 			})
 			body, err := relay.NewBody(strings.NewReader(""), 0)
--- a/relay/work.go
+++ b/relay/work.go
@@ -14,8 +14,13 @@
 	// startWork is the time in milliseconds that any request takes before its
 	// answer begins, on the costliest model.
 	startWork = 10.0
-	// plainWork is that of a request without a prompt.
-	plainWork = 1.0
+	// firstToken is the time in milliseconds that the answer of an idle engine
+	// takes to begin beside reading: steps of its batch, and the network.
+	firstToken = 50.0
+	// plainWork is that of a request without a prompt, plainUsual how long its
+	// answer usually takes; the sheets say 60 ms.
+	plainWork  = 1.0
+	plainUsual = 60.0
 	// sharedParts is how many parts of a prompt decide on its home: the first
 	// two are shared widely, the last is the request's own.
 	sharedParts = 2
@@ -23,13 +28,20 @@
 
 // task describes the next attempt to the balancer.
 func (x *exchange) task(servers []registry.Server) route.Task {
-	t := route.Task{Servers: servers, Exclude: x.tried, Work: plainWork}
+	t := route.Task{
+		Servers: servers,
+		Exclude: x.tried,
+		Work:    plainWork,
+		Kind:    x.route.Name + "/" + x.model(),
+		Usual:   plainUsual,
+	}
 	prompt := x.request.Prompt
 	if prompt.Tokens == 0 {
 		return t
 	}
 	pace := x.pace()
 	t.Work = pace * (float64(prompt.Tokens)*readPerToken + startWork)
+	t.Usual = t.Work + firstToken
 	if len(prompt.Parts) <= sharedParts {
 		return t
 	}
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -51,6 +51,11 @@
 	// Work is how long the request keeps a server busy before its answer
 	// begins, in milliseconds.
 	Work float64
+	// Kind groups requests that usually take as many times longer than Usual,
+	// which is how long the answer of an idle server takes to begin, in
+	// milliseconds.
+	Kind  string
+	Usual float64
 	// Home hashes the shared parts of the prompt; zero for none. The server
 	// that has read them saves SavedWork, of SharedTokens.
 	Home         uint64
@@ -70,6 +75,7 @@
 	mu sync.Mutex
 	// servers are by ID.
 	servers map[string]*balanced
+	paces   paces
 }
 
 // balanced is what this node knows of one server.
@@ -84,14 +90,21 @@
 	othersWaiting float64
 	othersRunning float64
 	toldAt        time.Time
+	// progress is when an answer last began, or a request was sent to a server
+	// that had none of this node waiting.
+	progress time.Time
+	// expected is how long the answer to the last request sent there usually
+	// takes to begin.
+	expected time.Duration
 
+	record  record
 	breaker breaker
 }
 
 // NewBalancer returns a balancer of a node in the given data hall. Opened is
 // called for each server that a breaker takes out.
 func NewBalancer(dataHall string, opened func(server string)) *Balancer {
-	return &Balancer{dataHall: dataHall, opened: opened, servers: make(map[string]*balanced)}
+	return &Balancer{dataHall: dataHall, opened: opened, servers: make(map[string]*balanced), paces: make(paces)}
 }
 
 // Use is one request at a server.
@@ -100,9 +113,19 @@
 	server   registry.Server
 	// work is what it keeps the server busy with before its answer begins, in
 	// milliseconds.
-	work  float64
-	begin sync.Once
-	end   sync.Once
+	work float64
+	kind string
+	// idle is how long the answer would take to begin if all requests of its
+	// kind took as long as the task says, in milliseconds; expected is how long
+	// it takes at a server of the usual speed.
+	idle     float64
+	expected time.Duration
+	// late is when the answer is later than almost all of its kind; zero while
+	// too little is known.
+	late    time.Duration
+	started time.Time
+	begin   sync.Once
+	end     sync.Once
 }
 
 // Server returns the chosen server.
@@ -111,17 +134,40 @@
 // Tell takes the load that the server told on its answer.
 func (u *Use) Tell(l Load) { u.balancer.tell(u.server.ID, l) }
 
+// Late returns how long after it was sent a request's answer is later than
+// almost all of its kind; zero while too little is known.
+func (u *Use) Late() time.Duration { return u.late }
+
+// Expected returns how long the answer usually takes to begin.
+func (u *Use) Expected() time.Duration { return u.expected }
+
 // Begin tells that the server's answer has begun.
 func (u *Use) Begin() {
-	u.begin.Do(func() { u.balancer.begin(u.server.ID, u.work) })
+	u.begin.Do(func() { u.balancer.begin(u, true) })
+}
+
+// Failed tells whether the server answered with a failure of its own.
+func (u *Use) Failed(failed bool) { u.balancer.failed(u.server.ID, failed) }
+
+// Stall tells that the request was taken away since its answer, or the rest of
+// it, was late. A server that has begun no other answer meanwhile has failed.
+func (u *Use) Stall() {
+	if u.balancer.stalled(u) {
+		u.End(OutcomeFailed)
+		return
+	}
+	u.End(OutcomeNeutral)
 }
 
 // End tells how the request ended, as far as the server is concerned.
 func (u *Use) End(outcome Outcome) {
-	u.Begin()
+	u.begin.Do(func() { u.balancer.begin(u, false) })
 	u.end.Do(func() { u.balancer.end(u.server.ID, outcome) })
 }
 
+// milliseconds makes a duration of a number of them.
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
 // Choose returns the server for one request.
 func (b *Balancer) Choose(t Task) (*Use, error) {
 	b.mu.Lock()
@@ -141,17 +187,19 @@
 	if best < 0 {
 		return nil, errs.New(NoServer, "choose", "none of %d servers can take the request", len(t.Servers))
 	}
-	work := t.Work
+	saved := 0.0
 	if t.Servers[best].ID == home {
-		work -= t.SavedWork
+		saved = t.SavedWork
 	}
-	return b.use(t.Servers[best], work, now), nil
+	return b.use(t.Servers[best], t, saved, now), nil
 }
 
 // cost is what the choice of a server for a task costs, in milliseconds of
 // waiting.
 func (b *Balancer) cost(s registry.Server, state *balanced, t Task, home string, now time.Time) float64 {
-	cost := state.wait(now) + jitter*rand.Float64()
+	wait := state.wait(now)
+	cost := wait + jitter*rand.Float64() + state.silence(now)
+	cost += state.record.cost(now, wait+b.paces.mean(t.Kind)*t.Usual)
 	if s.DataHall != b.dataHall {
 		cost += hallPenalty
 	}
@@ -161,14 +209,29 @@
 	return cost
 }
 
-// use counts one request of that work, in milliseconds, at a server.
-func (b *Balancer) use(server registry.Server, work float64, now time.Time) *Use {
+// use counts one request at a server that saves some of its work, in
+// milliseconds.
+func (b *Balancer) use(server registry.Server, t Task, saved float64, now time.Time) *Use {
 	state := b.state(server.ID)
+	idle := state.wait(now) + t.Usual - saved
+	if state.waiting == 0 {
+		state.progress = now
+	}
 	state.inflight++
 	state.waiting++
-	state.pending += work
+	state.pending += t.Work - saved
+	state.expected = milliseconds(b.paces.mean(t.Kind) * idle)
 	state.breaker.begin(now)
-	return &Use{balancer: b, server: server, work: work}
+	return &Use{
+		balancer: b,
+		server:   server,
+		work:     t.Work - saved,
+		kind:     t.Kind,
+		idle:     idle,
+		expected: state.expected,
+		late:     milliseconds(b.paces.late(t.Kind) * idle),
+		started:  now,
+	}
 }
 
 // home returns the server that all nodes of this data hall prefer for a
@@ -208,6 +271,16 @@
 	return s.pending + weight*s.othersWaiting*waitingWork + running*runningWork
 }
 
+// silence is how long requests of this node have been waiting at the server
+// without an answer to any of them, beyond what may be by chance, in
+// milliseconds.
+func (s *balanced) silence(now time.Time) float64 {
+	if s.waiting == 0 {
+		return 0
+	}
+	return math.Max(0, float64(now.Sub(s.progress)-usualSilence*s.expected)/float64(time.Millisecond))
+}
+
 // tell takes a server's word on its load, less this node's own part of it.
 func (b *Balancer) tell(id string, l Load) {
 	b.mu.Lock()
@@ -218,13 +291,45 @@
 	s.toldAt = time.Now()
 }
 
-// begin takes a request's work off what this node has waiting at a server.
-func (b *Balancer) begin(id string, work float64) {
+// begin takes a request's work off what this node has waiting at a server, and
+// learns from an answer that has begun.
+func (b *Balancer) begin(u *Use, answered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(id)
+	s := b.state(u.server.ID)
 	s.waiting--
-	s.pending -= work
+	s.pending -= u.work
+	if answered {
+		now := time.Now()
+		s.progress = now
+		s.record.learnPace(now, b.learnPace(u, now))
+	}
+}
+
+// learnPace takes how long a request has waited for its answer. It returns how
+// many times longer than usual that is.
+func (b *Balancer) learnPace(u *Use, now time.Time) float64 {
+	if u.idle <= 0 {
+		return 1
+	}
+	return b.paces.learn(u.kind, float64(now.Sub(u.started))/float64(time.Millisecond)/u.idle)
+}
+
+// failed takes whether an answer was a failure of the server's own.
+func (b *Balancer) failed(id string, failed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(id).record.learnFailure(time.Now(), failed)
+}
+
+// stalled counts a request whose answer was late against its server. It
+// reports whether the server has begun no other answer since that was sent.
+func (b *Balancer) stalled(u *Use) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(u.server.ID)
+	s.record.learnPace(time.Now(), slowest)
+	return !s.progress.After(u.started)
 }
 
 // end takes a request off a server, and lets its breaker judge the outcome.
