cascade, relay: the middle model for nearly enough confidence, the costliest where nothing may follow

Cause: 1. every answer under the bound went to the costliest model, which costs twice the middle one's price and four times its time. 2.

--- a/cascade/cascade.go
+++ b/cascade/cascade.go
@@ -19,8 +19,8 @@
 // Where no rating service stands beside the models, a [Ladder] goes by the
 // models' own confidence:
 //
-//	step := ladder.First(len(models))
-//	step, escalate := ladder.Next(len(models), step, confidence)
+//	step := ladder.First(len(models), mayEscalate)
+//	step, escalate := ladder.Next(len(models), step, confidence, last)
 package cascade
 
 import (
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -84,9 +84,7 @@
 func (x *exchange) run(ctx context.Context) *Refusal {
 	x.relay.Budgets.Paid(x.service)
 	x.relay.Moves.Paid(x.service)
-	if x.chooses() {
-		x.step = x.relay.Ladder.First(len(x.route.Models))
-	}
+	x.chooseModel()
 	for {
 		use, version, refusal := x.choose()
 		if refusal != nil {
@@ -109,6 +107,16 @@
 // chooses reports whether the system chooses the model.
 func (x *exchange) chooses() bool { return x.request.AnyModel && len(x.route.Models) > 0 }
 
+// chooseModel picks the model that answers next, where the client has nothing
+// yet. One whose answer could not be dropped for a better one is not asked.
+func (x *exchange) chooseModel() {
+	if !x.chooses() || x.begun {
+		return
+	}
+	mayEscalate := x.mayDrop(x.runs+1) && x.relay.Budgets.Allows(x.service, spareForRetries)
+	x.step = max(x.step, x.relay.Ladder.First(len(x.route.Models), mayEscalate))
+}
+
 // model is the one that the system chose; "" leaves it to the client.
 func (x *exchange) model() string {
 	if !x.chooses() {
@@ -248,7 +256,8 @@
 	if !x.chooses() || !told || answer.Status() != http.StatusOK || x.begun || !x.mayRunAgain() {
 		return 0, false
 	}
-	next, ok := x.relay.Ladder.Next(len(x.route.Models), x.step, confidence)
+	last := !x.mayDrop(x.runs + 1)
+	next, ok := x.relay.Ladder.Next(len(x.route.Models), x.step, confidence, last)
 	if !ok || !x.relay.Budgets.Take(x.service, spareForRetries) {
 		return 0, false
 	}
@@ -263,6 +272,10 @@
 	return x.route.Repeatable() && x.runs < x.route.Attempts && time.Until(x.deadline) > leastTime && x.request.Body.Replayable()
 }
 
+// mayDrop reports whether another run may follow once the given number of
+// servers has run the request.
+func (x *exchange) mayDrop(runs int) bool { return x.route.Repeatable() && runs < x.route.Attempts }
+
 // finish ends the record of a request.
 func (x *exchange) finish(outcome string) {
 	if x.first > 0 {
--- a/relay/failure.go
+++ b/relay/failure.go
@@ -49,6 +49,7 @@
 	if x.begun {
 		x.relay.Counters.Resumed()
 	}
+	x.chooseModel()
 	return nil
 }
 
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -41,6 +41,10 @@
 	// comeBackSoon is told where a fault passes within a second. Clients wait
 	// a third of the time that they have left at most.
 	comeBackSoon = 300 * time.Millisecond
+	// comeBackAfterOutage is told by a node that knows no declaration. It reads
+	// one within some 20 ms of its start, so only an outage of the store keeps
+	// it waiting; clients have few tries, and outages last for seconds.
+	comeBackAfterOutage = 2 * time.Second
 	// maxComeBack bounds a server's own word on when to come back.
 	maxComeBack = 2 * time.Second
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -152,11 +152,13 @@
 
 // Ladder decides between the models of a route.
 type Ladder interface {
-	// First returns the index of the model that answers first, of n.
-	First(n int) int
+	// First returns the index of the model that answers first, of n, if its
+	// answer may or may not be dropped for another one's.
+	First(n int, mayEscalate bool) int
 	// Next returns the index of the model to ask in place of the one at
 	// step, whose answer has the given confidence; false to keep the answer.
-	Next(n, step int, confidence float64) (int, bool)
+	// Last says that nothing can follow the next answer.
+	Next(n, step int, confidence float64, last bool) (int, bool)
 }
 
 // Budgets bound by service how many requests are sent once more.
@@ -165,6 +167,8 @@
 	// Take takes one repeat out of the budget if a share of it, spare, is
 	// then left.
 	Take(service string, spare float64) bool
+	// Allows reports whether Take would do so now.
+	Allows(service string, spare float64) bool
 }
 
 // Counters counts what operators want to see.
@@ -220,7 +224,7 @@
 func (r *Relay) accept(q *Request, reply Reply, record *decision.Record) (*exchange, *Refusal) {
 	c := r.Catalog()
 	if c.Version() == 0 {
-		return nil, refuse(ReasonNoConfiguration, comeBackSoon, "no declaration is known yet")
+		return nil, refuse(ReasonNoConfiguration, comeBackAfterOutage, "no declaration is known yet")
 	}
 	target, ok := c.Match(q.Host, q.Path)
 	if !ok {
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -41,8 +41,9 @@
 // noBound lets every request be sent again.
 type noBound struct{}
 
-func (noBound) Paid(string)               {}
-func (noBound) Take(string, float64) bool { return true }
+func (noBound) Paid(string)                 {}
+func (noBound) Take(string, float64) bool   { return true }
+func (noBound) Allows(string, float64) bool { return true }
 
 type noCounters struct{}
 
--- a/retry/window.go
+++ b/retry/window.go
@@ -58,14 +58,26 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.current(service)
-	bound := w.ratio*float64(s.most()) + slack
-	if float64(s.repeated()+1) > bound*(1-spare) {
+	if !w.allows(s, slack, spare) {
 		return false
 	}
 	s.repeats[s.at%slices]++
 	return true
 }
 
+// Allows reports whether Take would count a repeat now.
+func (w *Windows) Allows(service string, spare float64) bool {
+	slack := w.slack()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.allows(w.current(service), slack, spare)
+}
+
+func (w *Windows) allows(s *window, slack, spare float64) bool {
+	bound := w.ratio*float64(s.most()) + slack
+	return float64(s.repeated()+1) <= bound*(1-spare)
+}
+
 // current returns the service's window, moved on to the present slice.
 func (w *Windows) current(service string) *window {
 	now := time.Now().UnixNano() / int64(w.slice)
