soak: a randomized soak of real gateways under faults from outside

Real processes on loopback between stand-ins; proxies that delay, reset, silence and cut one way; signals; a store that is slow, down, refuses, loses answers and forgets. Checked from clients' and runners' side: whole and own answers, order, at most once, 'not run' is true, attempts, accounts, recovery, and planned stops in series that cut nothing.

--- /dev/null
+++ b/soak/clients_test.go
@@ -0,0 +1,232 @@
+package soak_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// account is a client account of the declaration.
+type account struct{ name, key string }
+
+var (
+	desk = account{"desk", "key-of-desk"}
+	// guest loses its key in the course of a run.
+	guest = account{"guest", "key-of-guest"}
+)
+
+// requestKind is what a client asks for.
+type requestKind int
+
+const (
+	kindStream requestKind = iota
+	kindLook
+	kindOnce
+	requestKinds
+)
+
+// kinds holds, by requestKind, the route's prefix, the method, and how many
+// servers may run a request.
+var kinds = [requestKinds]struct {
+	prefix, method string
+	attempts       int
+}{{"/brief/", http.MethodPost, 3}, {"/look/", http.MethodGet, 2}, {"/once/", http.MethodPost, 1}}
+
+// request is one request with all that its client saw.
+type request struct {
+	id, method, uri, body string
+	kind                  requestKind
+	account               account
+	address               string
+	sent, ended           time.Time
+	// leaves says that the client goes before the answer is whole.
+	leaves bool
+	// status of the answer, zero if there was none.
+	status int
+	err    error
+}
+
+// want is the whole answer.
+func (q *request) want() string {
+	if q.kind != kindStream {
+		return plainAnswer(q.id)
+	}
+	var all strings.Builder
+	for n := 1; n <= eventCount(q.id); n++ {
+		all.WriteString(event(q.id, n))
+	}
+	return all.String()
+}
+
+const (
+	clientCount = 12
+	thinkTime   = 10 * time.Millisecond
+	// waitTime is how long a client waits for an answer.
+	waitTime = 5 * time.Second
+	// keepAddresses is how long clients keep what the directory tells them.
+	keepAddresses = 2 * time.Second
+	testHost      = "desk.example"
+)
+
+// clients ask the fleet for work until they are stopped.
+type clients struct {
+	f    *fleet
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+func startClients(f *fleet, seed uint64) *clients {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	c := &clients{f: f, stop: cancel}
+	for i := range clientCount {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		c.done.Go(func() { c.run(ctx, i, random) })
+	}
+	return c
+}
+
+// end lets every client end the request that it is at.
+func (c *clients) end() {
+	c.stop()
+	c.done.Wait()
+}
+
+func (c *clients) run(ctx context.Context, client int, random *rand.Rand) {
+	// Half of the clients keep their connections, the others open new ones.
+	transport := &http.Transport{DisableKeepAlives: client%2 == 0, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	var addresses []string
+	var asked time.Time
+	for n := 0; ctx.Err() == nil; n++ {
+		if time.Since(asked) > keepAddresses {
+			if found := c.f.lookup(random); len(found) > 0 {
+				addresses, asked = found, time.Now()
+			}
+		}
+		if len(addresses) > 0 {
+			address := addresses[random.IntN(len(addresses))]
+			c.f.ask(transport, c.f.draw(fmt.Sprintf("c%d-%d", client, n), address, random))
+		}
+		time.Sleep(thinkTime)
+	}
+}
+
+// draw makes a request of a random kind.
+func (f *fleet) draw(id, address string, random *rand.Rand) *request {
+	kind := requestKind(random.IntN(int(requestKinds)))
+	q := &request{
+		id: id, kind: kind, method: kinds[kind].method, uri: kinds[kind].prefix + id + "?a=%2F&b", account: desk,
+		address: address, leaves: random.IntN(20) == 0,
+	}
+	if q.method == http.MethodPost {
+		q.body = "what " + id + " asks"
+	}
+	if random.IntN(6) == 0 {
+		q.account = guest
+	}
+	return q
+}
+
+// lookup asks any node for addresses.
+func (f *fleet) lookup(random *rand.Rand) []string {
+	client := &http.Client{Timeout: time.Second}
+	for _, i := range random.Perm(len(f.nodes)) {
+		n := f.nodes[i]
+		response, err := client.Get(fmt.Sprintf("http://%s:%d/api/lookup?name=%s&region=%s&zone=%s", n.ip, directoryPort, testHost, region, n.hall))
+		if err != nil {
+			continue
+		}
+		var told struct {
+			Addresses []string `json:"addrs"`
+		}
+		err = json.NewDecoder(response.Body).Decode(&told)
+		response.Body.Close()
+		if err == nil && len(told.Addresses) > 0 {
+			return told.Addresses
+		}
+	}
+	return nil
+}
+
+// ask sends a request, waits for its answer and checks it.
+func (f *fleet) ask(transport http.RoundTripper, q *request) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitTime)
+	defer cancel()
+	message, err := http.NewRequestWithContext(ctx, q.method, "http://"+q.address+q.uri, strings.NewReader(q.body))
+	if err != nil {
+		f.fault("a request of the soak's own: %v", err)
+		return
+	}
+	if q.body == "" {
+		message.Body = io.NopCloser(strings.NewReader("")) // the transport must not send it again
+	}
+	message.Host = testHost
+	message.Header.Set("X-Attempt-Id", q.id)
+	message.Header.Set("X-Time-Left-Ms", fmt.Sprint(waitTime.Milliseconds()))
+	message.Header.Set("Authorization", "Bearer "+q.account.key)
+	if q.kind == kindStream {
+		message.Header.Set("X-Model", "*")
+		message.Header.Set("X-Token-Count", "100,20")
+		message.Header.Set("X-Prompt-Prefix", "aa:20,bb:50,cc:30")
+	}
+	q.sent = time.Now()
+	f.mu.Lock()
+	f.asked[q.id] = q
+	f.mu.Unlock()
+	text := f.receive(transport, message, q, cancel)
+	q.ended = time.Now()
+	f.check(q, text)
+}
+
+// receive returns the answer's body as far as it came.
+func (f *fleet) receive(transport http.RoundTripper, message *http.Request, q *request, leave context.CancelFunc) string {
+	response, err := transport.RoundTrip(message)
+	if err != nil {
+		q.err = err
+		return ""
+	}
+	defer response.Body.Close()
+	q.status = response.StatusCode
+	if q.leaves {
+		leave()
+	}
+	data, err := io.ReadAll(response.Body)
+	q.err = err
+	if stamped := response.Header.Get("X-Stamp") != ""; q.status == http.StatusOK && !stamped {
+		f.fault("mixed: %s was answered with success that no runner gave", q.id)
+	}
+	return string(data)
+}
+
+// check judges one answer by itself.
+func (f *fleet) check(q *request, text string) {
+	switch {
+	case q.err != nil || q.leaves:
+	case q.status == http.StatusOK && text != q.want():
+		f.fault("mixed: %s got %q whole, want %q", q.id, text, q.want())
+	case q.status == http.StatusNotFound, q.status == http.StatusUnauthorized && q.account == desk:
+		f.fault("denied: %s got %d from %s: %s", q.id, q.status, q.address, text)
+	}
+	if q.status == http.StatusOK && !strings.HasPrefix(q.want(), text) {
+		f.fault("order: %s got %q, want %q", q.id, text, q.want())
+	}
+}
+
+// promises are judged once nothing runs any more.
+func (f *fleet) promises() {
+	for _, q := range f.asked {
+		runs := f.runs[q.id]
+		if attempts := kinds[q.kind].attempts; len(runs) > attempts {
+			f.fault("twice: %s ran %d times, %d are allowed", q.id, len(runs), attempts)
+		}
+		if q.status == http.StatusServiceUnavailable && q.kind == kindOnce && len(runs) > 0 {
+			f.fault("refused: %s was told 'not run', and ran at %s", q.id, runs[0].runner.id)
+		}
+	}
+}
--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,231 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/violettally/violettally/internal/faultproxy"
+	"github.com/violettally/violettally/internal/standin"
+)
+
+// declared is what the operators have declared.
+type declared struct {
+	version int
+	// guestGone says that the guest has no key any more, more are routes that
+	// came later.
+	guestGone bool
+	more      []string
+}
+
+// declare writes a declaration with the usual routes, changed as told.
+func (f *fleet) declare(change func(*declared)) {
+	if change != nil {
+		change(&f.declared)
+	}
+	f.version++
+	route := func(name, prefix, kind, service string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": testHost, "path_prefix": prefix, "kind": kind, "service": service, "attempts": attempts,
+			"timeout_ms": waitTime.Milliseconds(), "goal_ms": 1000, "gap_aim_ms": 600,
+		}
+	}
+	stream := route("brief", kinds[kindStream].prefix, "stream", engines, kinds[kindStream].attempts)
+	stream["sizes"], stream["resumable"], stream["affinity"] = []string{"small", "middle", "large"}, true, true
+	routes := []map[string]any{
+		stream,
+		route("look", kinds[kindLook].prefix, "idempotent", records, kinds[kindLook].attempts),
+		route("once", kinds[kindOnce].prefix, "non_idempotent", records, kinds[kindOnce].attempts),
+	}
+	for _, prefix := range f.more {
+		routes = append(routes, route(prefix, prefix, "idempotent", records, 2))
+	}
+	accounts := []map[string]any{{"name": desk.name, "api_keys": []string{desk.key}}}
+	if !f.guestGone {
+		accounts = append(accounts, map[string]any{"name": guest.name, "api_keys": []string{guest.key}})
+	}
+	models := []map[string]any{{"name": "small", "cost": 0.01}, {"name": "middle", "cost": 0.1}, {"name": "large", "cost": 0.2}}
+	f.store.Put("op/config", map[string]any{
+		"version": f.version, "routes": routes, "tenants": accounts, "limits": map[string]any{"max_body_bytes": 1 << 20},
+		"services": []map[string]any{
+			{"name": engines, "max_conns": 100, "engine": map[string]any{"slots": 8, "models": models}},
+			{"name": records, "max_conns": 100},
+		},
+	})
+}
+
+const (
+	// steps lie up to stepGap apart, and each fault lasts up to faultTime, so
+	// that several overlap.
+	stepGap   = 400 * time.Millisecond
+	faultTime = 2500 * time.Millisecond
+)
+
+// schedule plays random faults, one after the other and over one another.
+type schedule struct {
+	f      *fleet
+	random *rand.Rand
+	heal   sync.WaitGroup
+	next   int
+}
+
+// step is one kind of fault or planned work. It returns what it does, and how
+// to end it.
+type step struct {
+	name string
+	play func(s *schedule) (what string, end func())
+}
+
+var steps = []step{
+	{"kill", func(s *schedule) (string, func()) { return s.restart(syscall.SIGKILL, s.node()) }},
+	{"stop", func(s *schedule) (string, func()) { return s.restart(syscall.SIGTERM, s.node()) }},
+	{"kill after stop", func(s *schedule) (string, func()) {
+		n := s.node()
+		n.signal(syscall.SIGTERM)
+		time.Sleep(time.Duration(s.random.Float64() * float64(stepGap)))
+		return s.restart(syscall.SIGKILL, n)
+	}},
+	{"kill all", func(s *schedule) (string, func()) { return s.restart(syscall.SIGKILL, s.f.nodes...) }},
+	{"stop half", func(s *schedule) (string, func()) { return s.restart(syscall.SIGTERM, s.f.nodes[:len(s.f.nodes)/2]...) }},
+	{"pause", func(s *schedule) (string, func()) {
+		n := s.node()
+		n.signal(syscall.SIGSTOP)
+		return n.name, func() { n.signal(syscall.SIGCONT) }
+	}},
+	{"reload", func(s *schedule) (string, func()) {
+		n := s.node()
+		n.signal(syscall.SIGHUP)
+		return n.name, func() {}
+	}},
+	{"link of callers", func(s *schedule) (string, func()) { return s.harm(s.node().callers) }},
+	{"link of peers", func(s *schedule) (string, func()) { return s.harm(s.node().peers) }},
+	{"link to the store", func(s *schedule) (string, func()) { return s.harm(s.node().store) }},
+	{"link to a runner", func(s *schedule) (string, func()) { return s.harm(s.runner().proxy) }},
+	{"store for one node", func(s *schedule) (string, func()) { return s.harmDoors(s.node()) }},
+	{"store", func(s *schedule) (string, func()) { return s.harmDoors(s.f.nodes...) }},
+	{"history gone", func(s *schedule) (string, func()) { s.f.store.Forget(); return "", func() {} }},
+	{"runner", func(s *schedule) (string, func()) {
+		r := s.runner()
+		b := behaviour(1 + s.random.IntN(int(behaviours)-1))
+		r.behaviour.Store(int32(b))
+		return fmt.Sprint(r.id, " ", b), func() { r.behaviour.Store(int32(behaves)) }
+	}},
+	{"runner replaced", func(s *schedule) (string, func()) {
+		r := s.runner()
+		s.next++
+		s.f.addRunner(fmt.Sprintf("%s-%d", strings.TrimSuffix(r.service, "s"), 100+s.next), r.service, r.version)
+		r.leave()
+		return r.id, func() { s.f.store.Delete("servers/" + r.id) }
+	}},
+	{"route added", func(s *schedule) (string, func()) {
+		s.f.declare(func(d *declared) { d.more = append(d.more, fmt.Sprintf("/more-%d/", len(d.more))) })
+		return "", func() {}
+	}},
+	{"key taken away", func(s *schedule) (string, func()) {
+		s.f.declare(func(d *declared) { d.guestGone = !d.guestGone })
+		return "", func() {}
+	}},
+	{"roll-out", func(s *schedule) (string, func()) {
+		s.next++
+		version := fmt.Sprint("v", 1+s.next)
+		r := s.f.addRunner(fmt.Sprintf("engine-%d", 100+s.next), engines, version)
+		if s.random.IntN(2) == 0 {
+			r.behaviour.Store(int32(failsSome))
+		}
+		s.f.store.Put("op/rollout/"+engines, map[string]any{"service": engines, "target_ver": version, "period_s": 6})
+		return version, func() {}
+	}},
+}
+
+func (s *schedule) node() *node { return s.f.nodes[s.random.IntN(len(s.f.nodes))] }
+
+// runner picks one that has not left.
+func (s *schedule) runner() *runner {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	var here []*runner
+	for _, r := range s.f.runners {
+		if r.left.Load() == 0 {
+			here = append(here, r)
+		}
+	}
+	return here[s.random.IntN(len(here))]
+}
+
+// harm harms the connections through a proxy.
+func (s *schedule) harm(p *faultproxy.Proxy) (string, func()) {
+	mode := faultproxy.Mode(1 + s.random.IntN(int(faultproxy.NoAnswers)))
+	p.Set(mode)
+	return fmt.Sprint(p.Address(), " mode ", int(mode)), func() { p.Set(faultproxy.Pass) }
+}
+
+// harmDoors lets the store misbehave towards some nodes.
+func (s *schedule) harmDoors(nodes ...*node) (string, func()) {
+	harms := []func(d *standin.StoreDoor){
+		func(d *standin.StoreDoor) { d.SetFault(standin.Fault{Down: true}) },
+		func(d *standin.StoreDoor) { d.SetFault(standin.Fault{SlowMillis: 300}) },
+		func(d *standin.StoreDoor) { d.SetFault(standin.Fault{LoseAnswers: true}) },
+		func(d *standin.StoreDoor) { d.SetBusy(http.StatusTooManyRequests) },
+		func(d *standin.StoreDoor) { d.SetBusy(http.StatusServiceUnavailable) },
+	}
+	which := s.random.IntN(len(harms))
+	for _, n := range nodes {
+		harms[which](n.door)
+	}
+	return fmt.Sprint(len(nodes), " nodes, harm ", which), func() {
+		for _, n := range nodes {
+			n.door.SetFault(standin.Fault{})
+			n.door.SetBusy(0)
+		}
+	}
+}
+
+// play plays a number of steps, and returns once all harm is over.
+func (s *schedule) play(ctx context.Context, count int) {
+	for range count {
+		st := steps[s.random.IntN(len(steps))]
+		lasts := time.Duration(s.random.Float64() * float64(faultTime))
+		pause := time.Duration(s.random.Float64() * float64(stepGap))
+		what, end := st.play(s)
+		s.f.t.Logf("%s %s for %d ms", st.name, what, lasts.Milliseconds())
+		s.heal.Go(func() {
+			time.Sleep(lasts)
+			end()
+		})
+		time.Sleep(pause)
+	}
+	s.heal.Wait()
+}
+
+// restart ends the processes of nodes by a signal and starts them again when
+// the step ends. A node that another step is about to start is left to that.
+func (s *schedule) restart(signal syscall.Signal, nodes ...*node) (string, func()) {
+	var taken []*node
+	for _, n := range nodes {
+		if n.restarting.CompareAndSwap(false, true) {
+			taken = append(taken, n)
+			n.signal(syscall.SIGCONT)
+			n.signal(signal)
+		}
+	}
+	return names(taken), func() {
+		for _, n := range taken {
+			n.wait()
+			s.f.start(n)
+			n.restarting.Store(false)
+		}
+	}
+}
+
+func names(nodes []*node) string {
+	var all []string
+	for _, n := range nodes {
+		all = append(all, n.name)
+	}
+	return strings.Join(all, " ")
+}
--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,249 @@
+package soak_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/violettally/violettally/internal/faultproxy"
+	"github.com/violettally/violettally/internal/standin"
+)
+
+// binary is the shipped program under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	code := func() int {
+		dir, err := os.MkdirTemp("", "violettally-soak")
+		if err != nil {
+			panic(err)
+		}
+		defer os.RemoveAll(dir)
+		binary = filepath.Join(dir, "violettally")
+		build := exec.Command("go", append(buildFlags, "-o", binary, "../cmd/violettally")...)
+		build.Stderr = os.Stderr
+		if err := build.Run(); err != nil {
+			panic(err)
+		}
+		return m.Run()
+	}()
+	os.Exit(code)
+}
+
+// Ports of each node; each node has a loopback address of its own.
+const (
+	callerPort = 8101 + iota
+	readyPort
+	directoryPort
+	peerPort
+	metricsPort
+	proxyPort
+)
+
+var nextAddress atomic.Int32
+
+// loopback returns an address of 127.0.0.0/8 that nothing else here uses. The
+// process ID keeps two runs at once apart.
+func loopback() string {
+	n := int(nextAddress.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%70, n/200+1, n%200+1)
+}
+
+// node is one gateway process with the proxies around it. Clients, peers and
+// the node itself know only the proxies' addresses.
+type node struct {
+	name, hall, ip string
+	settings       string
+	logFile        string
+	// callers, peers and store are what the node's connections pass.
+	callers, peers, store *faultproxy.Proxy
+	// door is the node's way into the store.
+	door *standin.StoreDoor
+
+	// restarting says that a step is about to start the process anew.
+	restarting atomic.Bool
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	done    chan struct{}
+}
+
+// fleet is a store, runners and gateways.
+type fleet struct {
+	t     *testing.T
+	dir   string
+	store *standin.Store
+	nodes []*node
+	ledger
+	declared
+}
+
+const (
+	halls  = 3
+	region = "home"
+	// graceSeconds is short, so that a run has several planned stops.
+	graceSeconds = 4
+	// startTime bounds the start of a process.
+	startTime = 30 * time.Second
+)
+
+func newFleet(t *testing.T, nodes, runners int) *fleet {
+	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore()}
+	t.Cleanup(f.store.Close)
+	f.ledger.init()
+	f.declare(nil)
+	for i := range runners {
+		f.addRunner(fmt.Sprintf("engine-%d", i), engines, firstVersion)
+	}
+	for i := range 3 {
+		f.addRunner(fmt.Sprintf("record-%d", i), records, firstVersion)
+	}
+	for i := range nodes {
+		f.addNode(fmt.Sprintf("node-%02d", i), fmt.Sprintf("hall-%d", i%halls))
+	}
+	for _, n := range f.nodes {
+		f.eventually(n.ready)
+	}
+	return f
+}
+
+// eventually waits for what other processes bring about.
+func (f *fleet) eventually(condition func() bool) {
+	f.t.Helper()
+	must.Wait(f.t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(startTime), wait.Gap(20*time.Millisecond)))
+}
+
+func (f *fleet) proxy(port int, target string) *faultproxy.Proxy {
+	p, err := faultproxy.Listen(fmt.Sprintf("%s:%d", loopback(), port), target)
+	must.NoError(f.t, err)
+	f.t.Cleanup(p.Close)
+	return p
+}
+
+// serve runs a handler on an address of its own until the test ends.
+func (f *fleet) serve(handler http.Handler) string {
+	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback(), proxyPort))
+	must.NoError(f.t, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	f.t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+func (f *fleet) addNode(name, hall string) {
+	n := &node{name: name, hall: hall, ip: loopback(), door: f.store.Door(), logFile: filepath.Join(f.dir, name+".log")}
+	at := func(port int) string { return fmt.Sprintf("%s:%d", n.ip, port) }
+	n.callers = f.proxy(callerPort, at(callerPort))
+	n.peers = f.proxy(peerPort, at(peerPort))
+	n.store = f.proxy(proxyPort, f.serve(n.door.Handler()))
+	seeds := []string{}
+	for _, other := range f.nodes {
+		seeds = append(seeds, other.peers.Address())
+	}
+	door := func(port int) map[string]string { return map[string]string{"listen": at(port)} }
+	values, err := json.Marshal(map[string]any{
+		"name": name, "region": region, "data_hall": hall,
+		"caller":    map[string]string{"listen": at(callerPort), "advertise": n.callers.Address()},
+		"peer":      map[string]string{"listen": at(peerPort), "advertise": n.peers.Address()},
+		"ready":     door(readyPort),
+		"directory": door(directoryPort),
+		"metrics":   door(metricsPort),
+		"seeds":     seeds[:min(3, len(seeds))],
+		"store":     map[string]string{"address": n.store.Address()},
+		"bounds":    map[string]float64{"grace_s": graceSeconds, "retry_ratio": 0.9, "retry_slack": 100, "retry_window_s": 10, "canary_share": 0.15},
+	})
+	must.NoError(f.t, err)
+	n.settings = filepath.Join(f.dir, name+".json")
+	must.NoError(f.t, os.WriteFile(n.settings, values, 0o600))
+	f.nodes = append(f.nodes, n)
+	f.start(n)
+	f.t.Cleanup(func() { f.end(n) })
+}
+
+// start starts the node's process; its log goes on where it was.
+func (f *fleet) start(n *node) {
+	out, err := os.OpenFile(n.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must.NoError(f.t, err)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.process = exec.Command(binary, "gateway", "--settings", n.settings)
+	n.process.Stdout, n.process.Stderr = out, out
+	must.NoError(f.t, n.process.Start())
+	n.done = make(chan struct{})
+	go func(process *exec.Cmd, done chan struct{}) {
+		_ = process.Wait()
+		out.Close()
+		close(done)
+	}(n.process, n.done)
+}
+
+// signal sends a signal to the node's process, unless it has ended.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.done:
+	default:
+		_ = n.process.Process.Signal(s)
+	}
+}
+
+// wait returns once the node's process has ended.
+func (n *node) wait() {
+	n.mu.Lock()
+	done := n.done
+	n.mu.Unlock()
+	<-done
+}
+
+// end ends the node's process at the end of a test, and keeps the log of a
+// failed one.
+func (f *fleet) end(n *node) {
+	n.signal(syscall.SIGCONT)
+	n.signal(syscall.SIGKILL)
+	n.wait()
+	data, err := os.ReadFile(n.logFile)
+	if err != nil {
+		f.t.Errorf("log of %s: %v", n.name, err)
+	}
+	if bytes.Contains(data, []byte("DATA RACE")) || bytes.Contains(data, []byte("panic: ")) {
+		f.t.Errorf("%s has a data race or a panic: see %s", n.name, keepLog(n.name, data))
+	} else if f.t.Failed() {
+		f.t.Logf("log of %s: %s", n.name, keepLog(n.name, data))
+	}
+}
+
+// keepLog writes a log where it outlives the test and returns the place.
+func keepLog(name string, data []byte) string {
+	file, err := os.CreateTemp("", "soak-"+name+"-*.log")
+	if err != nil {
+		return err.Error()
+	}
+	defer file.Close()
+	if _, err := file.Write(data); err != nil {
+		return err.Error()
+	}
+	return file.Name()
+}
+
+func (n *node) ready() bool {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/api/readyz", n.ip, readyPort))
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/soak/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package soak_test
+
+var buildFlags = []string{"build"}
--- /dev/null
+++ b/soak/runner_test.go
@@ -0,0 +1,212 @@
+package soak_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/violettally/violettally/internal/faultproxy"
+)
+
+const (
+	engines      = "engines"
+	records      = "records"
+	firstVersion = "v1"
+	// mostEvents bounds the events of a stream.
+	mostEvents = 12
+	// eventPause lies between two events.
+	eventPause = 15 * time.Millisecond
+)
+
+// behaviour is how a runner treats requests.
+type behaviour int32
+
+const (
+	behaves behaviour = iota
+	failsSome
+	declinesSome
+	losesAnswers
+	cutsAnswers
+	hangs
+	behaviours
+)
+
+func (b behaviour) String() string {
+	return [...]string{"behaves", "fails some", "declines some", "loses answers", "cuts answers", "hangs"}[b]
+}
+
+// runner is one backend server: an engine or a plain service.
+type runner struct {
+	f                    *fleet
+	id, service, version string
+	proxy                *faultproxy.Proxy
+	behaviour            atomic.Int32
+	// turn counts requests, so that some of them can be harmed.
+	turn atomic.Int64
+	// left is when the runner said that it leaves, in nanoseconds.
+	left atomic.Int64
+}
+
+// run is one run of a request at a runner.
+type run struct {
+	runner  *runner
+	at      time.Time
+	account string
+}
+
+// ledger holds all that runners and clients saw.
+type ledger struct {
+	mu      sync.Mutex
+	runs    map[string][]run
+	asked   map[string]*request
+	runners []*runner
+	faults  []string
+}
+
+func (l *ledger) init() {
+	l.runs, l.asked = make(map[string][]run), make(map[string]*request)
+}
+
+// fault notes something found wrong.
+func (l *ledger) fault(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = append(l.faults, fmt.Sprintf(format, args...))
+}
+
+func (f *fleet) addRunner(id, service, version string) *runner {
+	r := &runner{f: f, id: id, service: service, version: version}
+	r.proxy = f.proxy(proxyPort, f.serve(r))
+	f.mu.Lock()
+	f.runners = append(f.runners, r)
+	f.mu.Unlock()
+	r.announce("ready")
+	return r
+}
+
+func (r *runner) announce(state string) {
+	r.f.store.Put("servers/"+r.id, map[string]any{
+		"service": r.service, "address": r.proxy.Address(), "zone": fmt.Sprintf("hall-%d", size(r.id)%halls),
+		"version": r.version, "slots": 8, "state": state,
+	})
+}
+
+// leave says that the runner is about to end.
+func (r *runner) leave() {
+	r.announce("draining")
+	r.left.Store(time.Now().UnixNano())
+}
+
+// size draws a number from an id.
+func size(id string) int {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, id)
+	return int(h.Sum32() >> 1)
+}
+
+// ServeHTTP answers one request.
+func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	if expected := q.Header.Get("X-Expect-Runner"); expected != r.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	harmed := r.turn.Add(1)%2 == 0
+	does := behaviour(r.behaviour.Load())
+	if does == declinesSome && harmed {
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.note(id, q, string(body))
+	switch {
+	case does == hangs:
+		<-q.Context().Done()
+		return
+	case does == losesAnswers && harmed:
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Stamp", "stamp-"+r.id)
+	w.Header().Set("X-Runner-Load", "1,0,8")
+	if does == failsSome && harmed {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	cut := does == cutsAnswers && harmed
+	if r.service == records {
+		r.plain(w, id, cut)
+		return
+	}
+	r.stream(w, q, id, cut)
+}
+
+// note keeps a run, and checks the request against the client's.
+func (r *runner) note(id string, q *http.Request, body string) {
+	l := &r.f.ledger
+	l.mu.Lock()
+	asked := l.asked[id]
+	l.runs[id] = append(l.runs[id], run{runner: r, at: time.Now(), account: q.Header.Get("X-Tenant")})
+	l.mu.Unlock()
+	switch {
+	case asked == nil:
+		l.fault("unasked: %s ran %q, which nobody sent", r.id, id)
+	case q.Method != asked.method || q.RequestURI != asked.uri || body != asked.body:
+		l.fault("unasked: %s ran %s %s with %q for %s %s with %q", r.id, q.Method, q.RequestURI, body, asked.method, asked.uri, asked.body)
+	case q.Header.Get("X-Tenant") != asked.account.name:
+		l.fault("unasked: %s ran %s for %q, which is %q's", r.id, id, q.Header.Get("X-Tenant"), asked.account.name)
+	case q.Header.Get("Authorization") != "":
+		l.fault("unasked: the key of %s reached %s", id, r.id)
+	}
+}
+
+// plainAnswer is the whole answer to a plain request.
+func plainAnswer(id string) string { return "the record for " + id }
+
+func (r *runner) plain(w http.ResponseWriter, id string, cut bool) {
+	time.Sleep(time.Duration(5+size(id)%20) * time.Millisecond)
+	text := plainAnswer(id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if cut {
+		_, _ = io.WriteString(w, text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+// event is one event of the answer to a streamed request; it is the same at
+// every runner.
+func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n) }
+
+// eventCount is the number of events of a whole answer.
+func eventCount(id string) int { return 1 + size(id)%mostEvents }
+
+func (r *runner) stream(w http.ResponseWriter, q *http.Request, id string, cut bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Confidence", strconv.Itoa(size(id+q.Header.Get("X-Model"))%100))
+	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	flush := http.NewResponseController(w).Flush
+	for n := after + 1; n <= eventCount(id); n++ {
+		time.Sleep(eventPause)
+		text := event(id, n)
+		if cut && n > eventCount(id)/2 {
+			_, _ = io.WriteString(w, text[:len(text)/2])
+			_ = flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, text)
+		_ = flush()
+		if q.Context().Err() != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,143 @@
+// Package soak_test is a randomized soak of the gateway: the shipped program as
+// separate processes on loopback, between stand-ins of the platform's store and
+// runners, under faults that come from outside of it and overlap. Connections
+// pass proxies that delay, reset, silence and cut them one way; processes are
+// stopped, paused, killed, restarted and told to reload; the store is slow,
+// down, refuses, loses answers and forgets its history. What must always hold
+// is checked from what clients and runners see.
+//
+// A seed draws the faults and what clients ask for; the machine decides how
+// they meet, so a seed repeats the series and not the run. Clocks cannot be
+// stepped for one process without privileges and stay as they are.
+//
+// # Usage
+//
+//	go test ./soak -v                                   # a short run, as in CI
+//	go test ./soak -v -seeds 50 -first 1 -timeout 60m   # fifty seeds
+//	go test ./soak -v -seeds 1 -nodes 24 -steps 60      # a larger fleet
+package soak_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var (
+	seedCount   = flag.Int("seeds", 1, "how many seeds to run, one after the other")
+	firstSeed   = flag.Uint64("first", 1, "the first seed")
+	nodeCount   = flag.Int("nodes", 6, "gateway processes")
+	runnerCount = flag.Int("runners", 6, "model engines")
+	stepCount   = flag.Int("steps", 14, "faults and planned work in a run")
+)
+
+// regressions are seeds that failed once, each with its cause. They are run
+// with the size that they failed with.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// TestSoak runs the seeds of the command line.
+func TestSoak(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+// TestRegressions runs the seeds that failed once.
+func TestRegressions(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(fmt.Sprint("seed ", r.seed), func(t *testing.T) { soak(t, r.seed) })
+	}
+}
+
+// soak plays one seed: faults under load, recovery, and planned stops in
+// series.
+func soak(t *testing.T, seed uint64) {
+	f := newFleet(t, *nodeCount, *runnerCount)
+	s := &schedule{f: f, random: rand.New(rand.NewPCG(seed, 0))}
+	c := startClients(f, seed)
+	s.play(t.Context(), *stepCount)
+	f.recovered(seed)
+	f.stopInSeries()
+	c.end()
+	f.promises()
+	served := 0
+	for _, q := range f.asked {
+		if q.err == nil && q.status == http.StatusOK {
+			served++
+		}
+	}
+	t.Logf("seed %d: %d requests, %d served whole, %d faults found", seed, len(f.asked), served, len(f.faults))
+	for _, found := range f.faults {
+		t.Errorf("seed %d: %s", seed, found)
+	}
+}
+
+// recovered waits until every node is ready and serves what was declared last.
+func (f *fleet) recovered(seed uint64) {
+	f.declare(func(d *declared) { d.guestGone, d.more = false, append(d.more, "/last/") })
+	for i, n := range f.nodes {
+		f.eventually(n.ready)
+		tries := 0
+		f.eventually(func() bool {
+			tries++
+			q := &request{
+				id: fmt.Sprintf("recovery-%d-%d-%d", seed, i, tries), kind: kindLook, method: http.MethodGet, account: desk,
+				address: n.callers.Address(),
+			}
+			q.uri = "/last/" + q.id
+			f.askQuietly(q)
+			return q.err == nil && q.status == http.StatusOK
+		})
+	}
+}
+
+// askQuietly asks for a route that a node may not know yet.
+func (f *fleet) askQuietly(q *request) {
+	f.mu.Lock()
+	before := len(f.faults)
+	f.mu.Unlock()
+	transport := &http.Transport{DisableKeepAlives: true}
+	f.ask(transport, q)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if q.status == http.StatusNotFound {
+		f.faults = f.faults[:before]
+	}
+}
+
+// calmTime must have passed since the last harm for a planned stop to be judged.
+const calmTime = 3 * time.Second
+
+// stopInSeries stops every node as planned, one after the other, with nothing
+// else amiss: no request that has been passed on may be cut.
+func (f *fleet) stopInSeries() {
+	time.Sleep(calmTime)
+	begun := time.Now()
+	for _, n := range f.nodes {
+		n.signal(syscall.SIGTERM)
+		n.wait()
+		f.start(n)
+		f.eventually(n.ready)
+	}
+	ended := time.Now()
+	f.mu.Lock()
+	cut := []*request{}
+	for id, q := range f.asked {
+		calm := q.sent.After(begun) && !q.ended.IsZero() && q.ended.Before(ended)
+		if calm && q.err != nil && !q.leaves && len(f.runs[id]) > 0 {
+			cut = append(cut, q)
+		}
+	}
+	f.mu.Unlock()
+	for _, q := range cut {
+		f.fault("lost: %s, passed on to %s, was cut after %d ms in a planned stop: %v", q.id, f.runs[q.id][0].runner.id, q.ended.Sub(q.sent).Milliseconds(), q.err)
+	}
+}
