retry: windows go by the steady clock

Found on reading: slices were numbered by the time of day, so that a step back kept repeats of the past in the window, and a step ahead forgot all of them.

--- a/retry/window.go
+++ b/retry/window.go
@@ -18,8 +18,10 @@
 type Windows struct {
 	ratio float64
 	slack func() float64
-	// slice is how long each part of a window lasts.
+	// slice is how long each part of a window lasts. Slices are counted from
+	// made on, by the steady clock: the time of day may be stepped.
 	slice time.Duration
+	made  time.Time
 
 	mu       sync.Mutex
 	services map[string]*window
@@ -31,7 +33,7 @@
 type window struct {
 	requests [2 * slices]int
 	repeats  [slices]int
-	// at is the number of the newest slice, counted from the Unix epoch.
+	// at is the number of the newest slice.
 	at int64
 }
 
@@ -40,7 +42,7 @@
 // node's part of what the platform allows beside the ratio. Slack is asked for
 // anew each time, since it depends on the number of nodes.
 func NewWindows(ratio float64, slack func() float64, length time.Duration) *Windows {
-	return &Windows{ratio: ratio, slack: slack, slice: length / slices, services: make(map[string]*window)}
+	return &Windows{ratio: ratio, slack: slack, slice: length / slices, made: time.Now(), services: make(map[string]*window)}
 }
 
 // Paid counts one request to a service.
@@ -80,7 +82,7 @@
 
 // current returns the service's window, moved on to the present slice.
 func (w *Windows) current(service string) *window {
-	now := time.Now().UnixNano() / int64(w.slice)
+	now := int64(time.Since(w.made) / w.slice)
 	s := w.services[service]
 	if s == nil {
 		s = &window{at: now}
