mirror: a start asks the store first; enough changes are kept for large deployments

Change: peers are asked if the store has not told all after 60 ms; two changes a key are kept. Tests: mirror TestManyKeys, TestStartAsksTheStore, which failed before.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -35,6 +35,10 @@
 	gatherTime = 250 * time.Millisecond
 	// readTimeout bounds reading the whole.
 	readTimeout = 2 * time.Second
+	// firstPatience is how long a node that starts waits for the store before
+	// it asks peers too. The store answers a page in 4 ms; the whole from peers
+	// is paid for where it passes between data halls.
+	firstPatience = 60 * time.Millisecond
 	// peerInterval lies between two questions to peers while the store is
 	// out of reach.
 	peerInterval = 300 * time.Millisecond
@@ -52,7 +56,7 @@
 		if m.Revision() == 0 {
 			// A node that starts during an outage need not wait for the store
 			// to time out.
-			go m.askPeers(ctx)
+			go m.askPeersLater(ctx)
 		}
 		upstream := m.peers.Upstream()
 		if m.Revision() > 0 && len(upstream) > 0 && m.timers.Now().After(own) {
@@ -138,6 +142,14 @@
 	return nil
 }
 
+// askPeersLater asks peers unless the store has told all by then.
+func (m *Mirror) askPeersLater(ctx context.Context) {
+	m.pause(ctx, firstPatience)
+	if m.Revision() == 0 {
+		m.askPeers(ctx)
+	}
+}
+
 // askPeers takes what a few random peers know.
 func (m *Mirror) askPeers(ctx context.Context) {
 	addresses := m.peers.Addresses()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -95,7 +95,7 @@
 	Follow(ctx context.Context, address string, after int64, wait time.Duration) (Batch, error)
 }
 
-// kept is the number of changes that are kept for peers; it covers the few
+// kept is the least number of changes that are kept for peers; it covers the few
 // seconds by which peers lie apart.
 const kept = 2048
 
@@ -292,7 +292,9 @@
 	if whole {
 		m.recent, m.recentFrom = nil, m.revision
 	}
-	if surplus := len(m.recent) - kept; surplus > 0 {
+	// Two for each key: when all servers of a large deployment announce
+	// themselves, peers must not need the whole for every few of them.
+	if surplus := len(m.recent) - max(kept, 2*len(m.items)); surplus > 0 {
 		m.recentFrom = m.recent[surplus-1].Revision
 		m.recent = slices.Clone(m.recent[surplus:])
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -111,6 +111,14 @@
 	mu sync.Mutex
 	// err fails all calls.
 	err error
+	// calls is how often a peer was asked.
+	calls int
+}
+
+func (p *peers) asked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
 }
 
 func (p *peers) set(err error) {
@@ -138,6 +146,9 @@
 func (p *peers) OwnShare() float64 { return 1 - p.otherShare }
 
 func (p *peers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
+	p.mu.Lock()
+	p.calls++
+	p.mu.Unlock()
 	if err := p.failure(); err != nil {
 		return mirror.Batch{}, err
 	}
@@ -395,6 +406,45 @@
 	}
 }
 
+// TestManyKeys: when thousands of servers announce themselves, a peer that is a
+// little behind still gets changes, and not the whole.
+func TestManyKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, timers := run(t)
+		own := newStore()
+		m := mirror.New(own, &peers{}, timers)
+		own.put("first", false)
+		go m.Run(ctx)
+		settle(time.Second)
+		for i := range 5000 {
+			own.put(fmt.Sprint("k", i), false)
+		}
+		settle(time.Second)
+		must.False(t, m.After(1).Whole)
+		must.Len(t, 5000, m.After(1).Items)
+	})
+}
+
+// TestStartAsksTheStore: a node that starts while the store answers asks no
+// peer for what the store tells.
+func TestStartAsksTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, timers := run(t)
+		stored, own := newStore(), newStore()
+		stored.put("a", false)
+		own.put("a", false)
+		peer := mirror.New(stored, &peers{}, timers)
+		go peer.Run(ctx)
+		settle(time.Second)
+		p := &peers{mirrors: []*mirror.Mirror{peer}}
+		m := mirror.New(own, p, timers)
+		go m.Run(ctx)
+		settle(time.Second)
+		must.Eq(t, 1, m.Revision())
+		must.Eq(t, 0, p.asked())
+	})
+}
+
 // TestAfter: a peer that is a little behind gets changes, one that is far
 // behind the whole.
 func TestAfter(t *testing.T) {
