relay: a slow client does not make its server late

Found on reading: the watch for late servers went on while an event was written to the client, so a client that read slowly had its stream taken to another server; and while a long body came in, which cannot be sent again, so the request was refused. Test: relay TestSlowClient, which failed before.

--- a/relay/body.go
+++ b/relay/body.go
@@ -41,7 +41,11 @@
 
 // Replayable reports whether the body can be sent now: always if it was read
 // whole, otherwise once.
-func (b *Body) Replayable() bool { return b.rest == nil || !b.used }
+func (b *Body) Replayable() bool { return b.Kept() || !b.used }
+
+// Kept reports whether the whole body is held, so that it can be sent again at
+// any time.
+func (b *Body) Kept() bool { return b.rest == nil }
 
 // Reader returns the whole body for one attempt.
 func (b *Body) Reader() io.Reader {
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -65,6 +65,7 @@
 	for {
 		watch.pause(time.Duration(pausePatience * float64(x.route.MaxPause)))
 		event, err := events.next()
+		watch.stop() // a client that reads slowly says nothing of the server
 		if errors.Is(err, io.EOF) {
 			break
 		}
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -84,7 +84,7 @@
 // mayMove reports whether the request may be taken to another server once the
 // given number of servers has run it.
 func (x *exchange) mayMove(runs int) bool {
-	return x.mayDrop(runs) && x.sends < maxSends && x.request.Body.Replayable()
+	return x.mayDrop(runs) && x.sends < maxSends && x.request.Body.Kept()
 }
 
 // stalled reports whether an attempt was ended for its lateness.
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -52,6 +52,89 @@
 
 func (noMoves) Take(string, float64) bool { return false }
 
+// slowClient reads slowly.
+type slowClient struct{ received }
+
+func (c *slowClient) Write(p []byte) error {
+	time.Sleep(time.Minute)
+	return c.received.Write(p)
+}
+
+// TestSlowClient: neither a client that reads slowly nor one that sends a long
+// body slowly makes its server late.
+func TestSlowClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reads := &readsFirst{}
+		slow := &slowClient{}
+		serveStream(t, reads, strings.NewReader(""), slow)
+		must.Eq(t, "id: 1\n\nid: 2\n\n", slow.String())
+		must.Eq(t, 1, reads.sends)
+		sends := &received{}
+		serveStream(t, reads, io.MultiReader(strings.NewReader(strings.Repeat("x", 300<<10)), slowBody{}), sends)
+		must.Nil(t, sends.refusal)
+		must.Eq(t, 2, reads.sends)
+	})
+}
+
+// slowBody takes a few seconds to end.
+type slowBody struct{}
+
+func (slowBody) Read([]byte) (int, error) {
+	time.Sleep(5 * time.Second)
+	return 0, io.EOF
+}
+
+// eventwise is a stream that comes an event at a time, until its request is
+// given up.
+type eventwise struct {
+	ctx    context.Context
+	events []string
+}
+
+func (e *eventwise) Read(p []byte) (int, error) {
+	if e.ctx.Err() != nil {
+		return 0, e.ctx.Err()
+	}
+	if len(e.events) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, e.events[0])
+	e.events = e.events[1:]
+	return n, nil
+}
+
+// readsFirst answers once it has the whole request.
+type readsFirst struct{ sends int }
+
+func (b *readsFirst) Send(ctx context.Context, _ registry.Server, call relay.Call) (relay.Answer, error) {
+	b.sends++
+	if _, err := io.Copy(io.Discard, call.Request.Body.Reader()); err != nil || ctx.Err() != nil {
+		return nil, relay.Failed.New("body: %v, %v", err, ctx.Err())
+	}
+	return given{200, &eventwise{ctx, []string{"id: 1\n\n", "id: 2\n\n"}}}, nil
+}
+
+// serveStream passes one request on a resumable route through a relay.
+func serveStream(t *testing.T, backends relay.Backends, sent io.Reader, reply relay.Reply) {
+	c, err := catalog.New(catalog.Document{
+		Version:  1,
+		Services: []catalog.Service{{Name: "s"}},
+		Routes: []catalog.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: catalog.KindStream, Resumable: true, Timeout: time.Hour, Attempts: 3,
+			Objective: 2 * time.Second, MaxPause: time.Second, Targets: []catalog.Target{{Service: "s", Weight: 1}},
+		}},
+	})
+	must.NoError(t, err)
+	r := relay.New(relay.Parts{
+		Catalog: func() *catalog.Catalog { return c }, Servers: threeServers{}, Versions: noRollout{},
+		Balancer: route.NewBalancer("", func(string) {}), Ladder: cascade.NewLadder(), Budgets: noBound{}, Moves: noBound{},
+		Backends: backends, Records: decision.New("n"), Counters: noCounters{},
+	})
+	body, err := relay.NewBody(sent, -1)
+	must.NoError(t, err)
+	r.Serve(t.Context(), &relay.Request{ID: "1", Host: "h", Path: "/", Arrived: time.Now(), Body: body}, reply)
+}
+
 // TestLateServers: a request that may run again is taken away from a server
 // that is late, in time for another one; others are not.
 func TestLateServers(t *testing.T) {
