relay, rollout: a version's slowness is seen where requests are moved, and at nodes that started late

Causes: 1. requests taken to another server counted with the short time that they had been given, which hid slow versions. 2. A node that started in the course of a roll-out never learned what was usual, so nothing was slow there. 3. A stream was taken away though every server that it might go to had been tried, since a version is held by two servers at first, and was then broken off. Change: moved requests count as slow; without knowledge the objective decides; servers that have been tried are left out before versions are chosen, and a request is moved only if there is another server.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -11,6 +12,7 @@
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/internal/rendezvous"
+	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
 )
@@ -45,8 +47,10 @@
 	// tried are the servers that got the request, sends how often it was
 	// offered, runs how many servers may have run it.
 	tried map[string]bool
-	sends int
-	runs  int
+	// others is how many servers could have the request after this attempt.
+	others int
+	sends  int
+	runs   int
 	// begun says that the client has the head of an answer, after which is the
 	// last event that it has, "" for none.
 	begun bool
@@ -127,9 +131,10 @@
 
 // choose picks the server of the next attempt.
 func (x *exchange) choose() (*route.Use, string, *Refusal) {
-	all := x.relay.Servers.Servers(x.service)
-	servers, version := x.relay.Versions.Choose(x.service, x.request.key(), x.version, all)
+	left := x.untried(x.relay.Servers.Servers(x.service))
+	servers, version := x.relay.Versions.Choose(x.service, x.request.key(), x.version, left)
 	x.version = version
+	x.others = len(left) - 1
 	use, err := x.relay.Balancer.Choose(x.task(servers))
 	if err != nil {
 		return nil, "", refuse(ReasonNoServer, comeBackSoon, "service %s: %v", x.service, err)
@@ -139,6 +144,16 @@
 	return use, version, nil
 }
 
+// untried returns the servers that have not had the request. Versions are
+// chosen among these, since few servers hold a version at first, and a request
+// is better served by another version than not at all.
+func (x *exchange) untried(servers []registry.Server) []registry.Server {
+	if len(x.tried) == 0 {
+		return servers
+	}
+	return slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool { return x.tried[s.ID] })
+}
+
 // attempt sends the request to one server and passes its answer on. It
 // returns nil once nothing more is to be done for the client.
 func (x *exchange) attempt(ctx context.Context, use *route.Use, version string) *failure {
@@ -185,6 +200,9 @@
 		Kind:   x.route.Name + "/" + x.model(),
 		Failed: !late && answer.Status() >= http.StatusInternalServerError,
 		Wait:   wait,
+		Late:   late,
+
+		Objective: x.route.Objective,
 	})
 }
 
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -81,10 +81,10 @@
 	return min(most, max(least, use.Late()))
 }
 
-// mayMove reports whether the request may be taken to another server once the
-// given number of servers has run it.
+// mayMove reports whether there is another server that the request may be taken
+// to once the given number of servers has run it.
 func (x *exchange) mayMove(runs int) bool {
-	return x.mayDrop(runs) && x.sends < maxSends && x.request.Body.Kept()
+	return x.others > 0 && x.mayDrop(runs) && x.sends < maxSends && x.request.Body.Kept()
 }
 
 // stalled reports whether an attempt was ended for its lateness.
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -114,8 +114,42 @@
 	return given{200, &eventwise{ctx, []string{"id: 1\n\n", "id: 2\n\n"}}}, nil
 }
 
-// serveStream passes one request on a resumable route through a relay.
+// oneServer is all there is.
+type oneServer struct{}
+
+func (oneServer) Servers(string) []registry.Server { return []registry.Server{{ID: "a"}} }
+
+// slowAnswer answers after a few seconds.
+type slowAnswer struct{ sends int }
+
+func (b *slowAnswer) Send(ctx context.Context, _ registry.Server, _ relay.Call) (relay.Answer, error) {
+	b.sends++
+	time.Sleep(5 * time.Second)
+	if ctx.Err() != nil {
+		return nil, relay.Failed.Wrap(ctx.Err(), "no answer")
+	}
+	return given{200, strings.NewReader("id: 1\n\n")}, nil
+}
+
+// TestOnlyServer: no request is taken away from the only server that could
+// answer it.
+func TestOnlyServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow, got := &slowAnswer{}, &received{}
+		serveStreamAt(t, oneServer{}, slow, strings.NewReader(""), got)
+		must.Eq(t, "id: 1\n\n", got.String())
+		must.Eq(t, 1, slow.sends)
+	})
+}
+
+// serveStream passes one request on a resumable route through a relay before
+// three servers.
 func serveStream(t *testing.T, backends relay.Backends, sent io.Reader, reply relay.Reply) {
+	serveStreamAt(t, threeServers{}, backends, sent, reply)
+}
+
+// serveStreamAt passes one request on a resumable route through a relay.
+func serveStreamAt(t *testing.T, servers relay.Servers, backends relay.Backends, sent io.Reader, reply relay.Reply) {
 	c, err := catalog.New(catalog.Document{
 		Version:  1,
 		Services: []catalog.Service{{Name: "s"}},
@@ -126,7 +160,7 @@
 	})
 	must.NoError(t, err)
 	r := relay.New(relay.Parts{
-		Catalog: func() *catalog.Catalog { return c }, Servers: threeServers{}, Versions: noRollout{},
+		Catalog: func() *catalog.Catalog { return c }, Servers: servers, Versions: noRollout{},
 		Balancer: route.NewBalancer("", func(string) {}), Ladder: cascade.NewLadder(), Budgets: noBound{}, Moves: noBound{},
 		Backends: backends, Records: decision.New("n"), Counters: noCounters{},
 	})
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -90,6 +90,12 @@
 	Failed bool
 	// Wait is how long the answer took to begin.
 	Wait time.Duration
+	// Late says that there was none when the request was taken to another
+	// server.
+	Late bool
+	// Objective is what the route promises, zero for nothing. A node that does
+	// not know yet what is usual goes by that.
+	Objective time.Duration
 }
 
 // NewServices returns a picker of servers without orders. The first stage of
@@ -196,8 +202,8 @@
 
 // Count takes one answer as evidence on a version that Choose named.
 func (s *Services) Count(service, version string, a Answer) {
-	slow := s.usual.slow(a.Kind, a.Wait)
-	if version == oldVersion && !a.Failed {
+	slow := a.Late || s.usual.slow(a)
+	if version == oldVersion && !a.Failed && !a.Late {
 		s.usual.learn(a.Kind, a.Wait)
 	}
 	s.picker.count(service, version, a.Failed, slow)
--- a/rollout/service_test.go
+++ b/rollout/service_test.go
@@ -223,6 +223,37 @@
 	}
 }
 
+// TestSlowWithoutUsual: a node that never saw the version in service goes by
+// the objective.
+func TestSlowWithoutUsual(t *testing.T) {
+	picker := rollout.NewPicker()
+	s := rollout.NewServices(picker, 0.1)
+	for _, wait := range []time.Duration{60, 290, 310, 480} {
+		s.Count("s", "v2", rollout.Answer{Kind: "look", Wait: wait * time.Millisecond, Objective: 300 * time.Millisecond})
+	}
+	s.Count("s", "v2", rollout.Answer{Kind: "look", Wait: time.Minute})
+	must.Eq(t, 2, picker.Counts()["s@v2"].Slow)
+}
+
+// TestLateVersion: a version whose requests are taken to other servers before
+// they could be slow is stopped all the same.
+func TestLateVersion(t *testing.T) {
+	picker := rollout.NewPicker()
+	s := rollout.NewServices(picker, 0.1)
+	s.Take(rollout.Order{Service: "s", Target: "v2", Period: time.Minute})
+	w := &driverWorld{token: 1, stored: []byte(`{"models": {"s": {"version": "v2", "stage": 1}}}`)}
+	d := rollout.NewDriver("rollouts", w, w, w, s.Models, timer.New())
+	for i := range 300 {
+		s.Count("s", "in-service", rollout.Answer{Kind: "look", Wait: 60 * time.Millisecond})
+		s.Count("s", "v2", rollout.Answer{Kind: "look", Wait: 160 * time.Millisecond, Late: i%2 == 0})
+	}
+	w.counts = map[string]rollout.Counts{"n": picker.Counts()}
+	d.Step(context.Background(), 1)
+	var stages rollout.Stages
+	must.NoError(t, json.Unmarshal(w.stored, &stages))
+	must.Eq(t, rollout.VerdictStopped, stages.Models["s"].Verdict)
+}
+
 // TestSlowVersion: answers that take several times as long as in service stop
 // the target; answers that are long in both versions do not.
 func TestSlowVersion(t *testing.T) {
--- a/rollout/usual.go
+++ b/rollout/usual.go
@@ -29,12 +29,17 @@
 	samples int
 }
 
-// slow reports whether an answer took several times as long as is usual.
-func (u *usual) slow(kind string, took time.Duration) bool {
+// slow reports whether an answer took several times as long as is usual. A node
+// that started late in a roll-out may never learn what was usual before it; an
+// answer beyond its objective is slow there.
+func (u *usual) slow(a Answer) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	w := u.waits[kind]
-	return w != nil && w.samples >= usualSamples && took > slowFactor*w.mean+slowMargin
+	w := u.waits[a.Kind]
+	if w == nil || w.samples < usualSamples {
+		return a.Objective > 0 && a.Wait > a.Objective
+	}
+	return a.Wait > slowFactor*w.mean+slowMargin
 }
 
 func (u *usual) learn(kind string, took time.Duration) {
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -180,7 +180,10 @@
 	f.asked[q.id] = q
 	f.mu.Unlock()
 	text := f.receive(transport, message, q, cancel)
+	// Whoever sees that the request has ended may read the rest of it.
+	f.mu.Lock()
 	q.ended = time.Now()
+	f.mu.Unlock()
 	f.check(q, text)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -131,7 +131,7 @@
 	f.mu.Lock()
 	cut := []*request{}
 	for id, q := range f.asked {
-		calm := q.sent.After(begun) && !q.ended.IsZero() && q.ended.Before(ended)
+		calm := !q.ended.IsZero() && q.sent.After(begun) && q.ended.Before(ended)
 		if calm && q.err != nil && !q.leaves && len(f.runs[id]) > 0 {
 			cut = append(cut, q)
 		}
