rollout: what gone nodes counted outlives the driver; small services see load in the second stage

Change: counts of nodes that have not answered for three steps move into the stored progress; a stage beyond the first may fall on one server.

--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -47,8 +47,13 @@
 
 	// tests are by "model@version" of the candidate.
 	tests map[string]*Test
-	// nodes are the last counts of each node that ever answered.
-	nodes map[string]Counts
+	// nodes are the last counts of each node that has answered and is not gone,
+	// missed in how many steps in a row it has not answered since.
+	nodes  map[string]Counts
+	missed map[string]int
+	// folded are the counts of nodes that were taken for gone; one that answers
+	// again counts from there on.
+	folded map[string]Counts
 	// latest are the counts of the nodes that answered last time.
 	latest map[string]Counts
 }
@@ -64,6 +69,8 @@
 		models:    models,
 		tests:     make(map[string]*Test),
 		nodes:     make(map[string]Counts),
+		missed:    make(map[string]int),
+		folded:    make(map[string]Counts),
 	}
 }
 
@@ -85,18 +92,63 @@
 	if !active {
 		return
 	}
-	d.latest = d.collector.Collect(ctx)
-	for node, counts := range d.latest {
-		d.nodes[node] = counts
-	}
+	d.collect(ctx)
 	ctx, cancel := context.WithTimeout(ctx, writeTime)
 	defer cancel()
 	_, err := d.shared.Update(ctx, d.name, func(old []byte) ([]byte, error) { return d.change(old, token) })
 	if err != nil && !errors.Is(err, document.ErrUnchanged) {
 		slog.Warn("roll-outs not moved on", "error", err)
+		return
+	}
+	d.forgetGone()
+}
+
+// goneSteps is in how many steps in a row a node has not answered when it is
+// taken for gone.
+const goneSteps = 3
+
+// collect asks all nodes for their counts.
+func (d *Driver) collect(ctx context.Context) {
+	d.latest = d.collector.Collect(ctx)
+	for node := range d.nodes {
+		d.missed[node]++
+	}
+	for node, counts := range d.latest {
+		d.nodes[node] = counts.since(d.folded[node])
+		delete(d.missed, node)
 	}
 }
 
+// gone reports whether a node is taken for gone.
+func (d *Driver) gone(node string) bool { return d.missed[node] >= goneSteps }
+
+// forgetGone drops the nodes that are gone, once what they counted is stored.
+func (d *Driver) forgetGone() {
+	for node, counts := range d.nodes {
+		if d.gone(node) {
+			d.folded[node] = counts
+			delete(d.nodes, node)
+			delete(d.missed, node)
+		}
+	}
+}
+
+// since returns what was counted after an earlier count of the same node.
+func (c Counts) since(earlier Counts) Counts {
+	if len(earlier) == 0 {
+		return c
+	}
+	since := make(Counts, len(c))
+	for name, count := range c {
+		before := earlier[name]
+		count.Answers -= before.Answers
+		count.Bad -= before.Bad
+		count.Slow -= before.Slow
+		since[name] = count
+	}
+	return since
+}
+
 // change moves every roll-out on in the stored stages.
 func (d *Driver) change(old []byte, token int64) ([]byte, error) {
 	stages, err := DecodeStages(old)
@@ -136,7 +188,7 @@
 	if p.Verdict != VerdictRunning {
 		return p
 	}
-	candidate, baseline := d.totals(m)
+	candidate, baseline := d.totals(m, &p)
 	test := d.test(m, "bad")
 	bad := test.Update(m.Rollout.Guards, m.Rollout.Samples(), candidate, baseline)
 	if bad || d.oftenBad(m, candidate, baseline) {
@@ -242,16 +294,22 @@
 }
 
 // totals sums up the counts of all nodes, of the candidate and of the version
-// in service. Counts of nodes that have gone stay in, at their last value.
-func (d *Driver) totals(m *config.Model) (candidate, baseline Count) {
-	inService := m.InService()
-	for _, counts := range d.nodes {
-		candidate = candidate.add(counts[countName(m.Name, m.Rollout.Version)])
-		if inService != nil {
-			baseline = baseline.add(counts[countName(m.Name, inService.Name)])
+// in service. What nodes that are gone had counted moves to the stored progress.
+func (d *Driver) totals(m *config.Model, p *Progress) (candidate, baseline Count) {
+	inService := ""
+	if v := m.InService(); v != nil {
+		inService = countName(m.Name, v.Name)
+	}
+	target := countName(m.Name, m.Rollout.Version)
+	for node, counts := range d.nodes {
+		if d.gone(node) {
+			p.Gone, p.GoneInService = p.Gone.add(counts[target]), p.GoneInService.add(counts[inService])
+			continue
 		}
+		candidate = candidate.add(counts[target])
+		baseline = baseline.add(counts[inService])
 	}
-	return candidate, baseline
+	return candidate.add(p.Gone.count()), baseline.add(p.GoneInService.count())
 }
 
 // runningInService returns how many requests run on the version in service, as
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -67,8 +67,25 @@
 	// Held lists the sessions, by their slots, that were under way when the
 	// share was set; they stay on the version in service during that stage.
 	Held string `json:"held,omitempty"`
+	// Gone holds what nodes that have gone counted of the candidate, and
+	// GoneInService of the version in service: the next driver cannot ask them.
+	Gone          Tally `json:"gone,omitzero"`
+	GoneInService Tally `json:"gone_in_service,omitzero"`
 }
 
+// Tally is the part of a count that outlives its node.
+type Tally struct {
+	Answers int64 `json:"answers"`
+	Bad     int64 `json:"bad"`
+	Slow    int64 `json:"slow"`
+}
+
+func (t Tally) add(c Count) Tally {
+	return Tally{Answers: t.Answers + c.Answers, Bad: t.Bad + c.Bad, Slow: t.Slow + c.Slow}
+}
+
+func (t Tally) count() Count { return Count{Answers: t.Answers, Bad: t.Bad, Slow: t.Slow} }
+
 // Stages is the shared document: the roll-outs by model, and the fencing
 // token of the driver that wrote them.
 type Stages struct {
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -50,7 +50,7 @@
 	// failed none of 320 answers at the load of a trough, and one in twenty at
 	// that of a crest (platform/days/bad-under-load.toml).
 	overLoad = 1.6
-	// leastLoaded servers get a stage's share, so that one slow server does
+	// leastLoaded servers get the first stage's share, so that one slow server does
 	// not speak for its version.
 	leastLoaded = 2
 	// oldVersion stands for whatever the servers ran before the order.
@@ -183,7 +183,7 @@
 
 // loaded returns so few of the target's servers that each carries, with the
 // stage's share, overLoad times what it will carry in the end, but leastLoaded
-// at least. A version may be bad only under load, and spread over all servers
+// at least in the first stage. A version may be bad only under load, and spread over all servers
 // the first requests are none.
 // All nodes take the same servers, and more of them as the share rises.
 func (s *Services) loaded(m *config.Model, servers []registry.Server, older int) []registry.Server {
@@ -191,7 +191,11 @@
 	if share <= 0 || share >= 1 || older == 0 {
 		return servers
 	}
-	n := max(leastLoaded, int(math.Floor(share*float64(len(servers))/overLoad)))
+	least := leastLoaded
+	if share >= secondShare {
+		least = 1 // a service of few servers would see no load otherwise
+	}
+	n := max(least, int(math.Floor(share*float64(len(servers))/overLoad)))
 	key := rendezvous.Hash(m.Name + "@" + m.Rollout.Version)
 	byScore := slices.Clone(servers)
 	slices.SortFunc(byScore, func(a, b registry.Server) int {
