relay, route: no costlier model where its answer would be late

Change: a costlier model is asked only if its answer is expected within the objective, by the work that waits at the least loaded server and what answers of that kind have lately taken. Test: relay TestOverload, which failed before.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -118,7 +118,25 @@
 		return
 	}
 	mayEscalate := x.mayDrop(x.runs+1) && x.relay.Budgets.Allows(x.service, spareForRetries)
-	x.step = max(x.step, x.relay.Ladder.First(len(x.route.Models), mayEscalate))
+	first := x.relay.Ladder.First(len(x.route.Models), mayEscalate)
+	if first > 0 && !x.inTime(first) {
+		return
+	}
+	x.step = max(x.step, first)
+}
+
+// inTime reports whether an answer of the model at a step would begin within
+// the objective, by the load that there is. Where it would not, asking that
+// model holds up all others too: it takes ten times as long as the cheapest.
+func (x *exchange) inTime(step int) bool {
+	if x.route.Objective <= 0 {
+		return true
+	}
+	before := x.step
+	defer func() { x.step = before }()
+	x.step = step
+	expected := x.relay.Balancer.Expected(x.task(x.relay.Servers.Servers(x.service)))
+	return x.elapsed()+expected <= x.route.Objective
 }
 
 // model is the one that the system chose; "" leaves it to the client.
@@ -276,7 +294,7 @@
 	}
 	last := !x.mayDrop(x.runs + 1)
 	next, ok := x.relay.Ladder.Next(len(x.route.Models), x.step, confidence, last)
-	if !ok || !x.relay.Budgets.Take(x.service, spareForRetries) {
+	if !ok || !x.inTime(next) || !x.relay.Budgets.Take(x.service, spareForRetries) {
 		return 0, false
 	}
 	x.record.Note("escalate", "confidence %.0f of %s", confidence, x.model())
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -168,6 +168,25 @@
 // milliseconds makes a duration of a number of them.
 func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
 
+// Expected returns how long the answer to a task would take to begin at the
+// server that has least to do, by what its kind has lately taken.
+func (b *Balancer) Expected(t Task) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	least := math.Inf(1)
+	for _, s := range t.Servers {
+		state := b.state(s.ID)
+		if !t.Exclude[s.ID] && state.breaker.allows(now) {
+			least = math.Min(least, state.wait(now))
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return milliseconds(b.paces.now(t.Kind, now) * (least + t.Usual))
+}
+
 // Choose returns the server for one request.
 func (b *Balancer) Choose(t Task) (*Use, error) {
 	b.mu.Lock()
@@ -312,7 +331,7 @@
 	if u.idle <= 0 {
 		return 1
 	}
-	return b.paces.learn(u.kind, float64(now.Sub(u.started))/float64(time.Millisecond)/u.idle)
+	return b.paces.learn(u.kind, float64(now.Sub(u.started))/float64(time.Millisecond)/u.idle, now)
 }
 
 // failed takes whether an answer was a failure of the server's own.
--- a/route/pace.go
+++ b/route/pace.go
@@ -49,15 +49,17 @@
 	mean      float64
 	deviation float64
 	samples   int
+	at        time.Time
 }
 
 // learn takes one answer's multiple and returns it against the mean before.
-func (p paces) learn(kind string, multiple float64) float64 {
+func (p paces) learn(kind string, multiple float64, now time.Time) float64 {
 	k := p[kind]
 	if k == nil {
-		p[kind] = &pace{mean: multiple, deviation: multiple / 2, samples: 1}
+		p[kind] = &pace{mean: multiple, deviation: multiple / 2, samples: 1, at: now}
 		return 1
 	}
+	k.at = now
 	relative := multiple / math.Max(k.mean, math.SmallestNonzeroFloat64)
 	// One answer of a dead server must not make all others look quick.
 	multiple = math.Min(multiple, slowest*k.mean)
@@ -85,6 +87,17 @@
 	return 1
 }
 
+// now returns the usual multiple of a kind as far as it may still hold: what is
+// not asked for any more is taken for quick again after a while, so that it is
+// tried.
+func (p paces) now(kind string, now time.Time) float64 {
+	k := p[kind]
+	if k == nil {
+		return 1
+	}
+	return 1 + fresh(now.Sub(k.at), paceHalfLife)*math.Max(0, k.mean-1)
+}
+
 // record is how a server has done lately against all servers.
 type record struct {
 	// slowness is how many times as long as usual its answers take to begin,
