--- a/route/pace_test.go
+++ b/route/health_test.go
@@ -13,15 +13,15 @@
 
 var twoServers = []registry.Server{{ID: "good", DataHall: "near"}, {ID: "bad", DataHall: "near"}}
 
-// task is one whose answer takes 50 ms at an idle server.
-var paceTask = route.Task{Servers: twoServers, Work: 10, Kind: "brief/small", Usual: 50}
+// briefTask is one whose answer takes 50 ms at an idle server.
+var briefTask = route.Task{Servers: twoServers, Work: 10, Kind: "brief/small", Usual: 50}
 
 // serve lets each server answer after its own time, and returns how many of the
 // last requests went to each.
 func serve(t *testing.T, b *route.Balancer, takes map[string]time.Duration, n int) map[string]int {
 	counts := make(map[string]int)
 	for range n {
-		use := choose(t, b, paceTask)
+		use := choose(t, b, briefTask)
 		counts[use.Server().ID]++
 		time.Sleep(takes[use.Server().ID])
 		use.Begin()
@@ -55,7 +55,7 @@
 		ask := func(n int) int {
 			bad := 0
 			for range n {
-				use := choose(t, b, paceTask)
+				use := choose(t, b, briefTask)
 				failed := use.Server().ID == "bad"
 				if failed {
 					bad++
@@ -78,10 +78,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := balancer()
 		serve(t, b, map[string]time.Duration{}, 20)
-		stuck := choose(t, b, paceTask)
+		stuck := choose(t, b, briefTask)
 		time.Sleep(2 * time.Second)
 		for range 20 {
-			use := choose(t, b, paceTask)
+			use := choose(t, b, briefTask)
 			must.NotEq(t, stuck.Server().ID, use.Server().ID)
 			use.Begin()
 			use.End(route.OutcomeOK)
@@ -119,10 +119,10 @@
 func TestLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := balancer()
-		must.Eq(t, 0, choose(t, b, paceTask).Late(), must.Sprint("nothing is known yet"))
+		must.Eq(t, 0, choose(t, b, briefTask).Late(), must.Sprint("nothing is known yet"))
 		b = balancer()
 		serve(t, b, map[string]time.Duration{"good": 100 * time.Millisecond, "bad": 100 * time.Millisecond}, 50)
-		use := choose(t, b, paceTask)
+		use := choose(t, b, briefTask)
 		must.Between(t, 90*time.Millisecond, use.Expected(), 110*time.Millisecond)
 		must.Between(t, 100*time.Millisecond, use.Late(), 200*time.Millisecond)
 	})
--- a/route/route.go
+++ b/route/route.go
@@ -8,7 +8,10 @@
 // A breaker takes out a server that fails and probes it again later.
 //
 // A [Chooser] does so for servers whose reports are asked for. A [Balancer] is
-// for servers that tell their load on each answer, and looks at all of them.
+// for servers that tell their load on each answer, and looks at all of them. It
+// learns how long requests of each kind usually wait for their answer: one that
+// waits longer than almost all is late, and a server whose answers are late, or
+// often failures, gets fewer requests.
 //
 // # Usage
 //
@@ -25,7 +28,8 @@
 //	}
 //	… send to use.Server() …
 //	use.Tell(load) // and Begin once its answer has begun
-//	use.End(route.OutcomeOK)
+//	use.Failed(failed)
+//	use.End(route.OutcomeOK) // or Stall, if the request was taken away as late
 package route
 
 import (
