relay: choosing and judging in files of their own; one relay for all tests

exchange.go keeps the loop of attempts; what picks models and servers is in choose.go, what decides on answers in judge.go. judgeError asked twice in a row whether the attempt was late; markFirst repeated the check of begin; the kind of a request was put together in two places. No behaviour changes.

The tests that each built a catalog and a relay by hand share serve in harness_test.go. What each of them sets and asserts is as before.

--- /dev/null
+++ b/relay/choose.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"slices"
+
+	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/internal/rendezvous"
+	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/route"
+)
+
+// pickService splits a route's requests over its services by their weights.
+// Requests of one session fall on the same side.
+func pickService(r *catalog.Route, q *Request) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := rendezvous.Position(rendezvous.Hash(r.Name+"/"+q.key())) * total
+	for _, t := range r.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// key is what decides by hash: the session, or else the request itself.
+func (q *Request) key() string {
+	if q.Session != "" {
+		return q.Session
+	}
+	return q.ID
+}
+
+// chooses reports whether the system chooses the model.
+func (x *exchange) chooses() bool { return x.request.AnyModel && len(x.route.Models) > 0 }
+
+// chooseModel picks the model that answers next, where the client has nothing
+// yet. One whose answer could not be dropped for a better one is not asked.
+func (x *exchange) chooseModel() {
+	if !x.chooses() || x.begun {
+		return
+	}
+	mayEscalate := x.mayDrop(x.runs+1) && x.relay.Budgets.Allows(x.service, spareForRetries)
+	x.step = max(x.step, x.relay.Ladder.First(len(x.route.Models), mayEscalate))
+}
+
+// model is the one that the system chose; "" leaves it to the client.
+func (x *exchange) model() string {
+	if !x.chooses() {
+		return ""
+	}
+	return x.route.Models[x.step]
+}
+
+// choose picks the server of the next attempt.
+func (x *exchange) choose() (*route.Use, string, *Refusal) {
+	left := x.untried(x.relay.Servers.Servers(x.service))
+	servers, version := x.relay.Versions.Choose(x.service, x.request.key(), x.version, left)
+	x.version = version
+	x.others = len(left) - 1
+	use, err := x.relay.Balancer.Choose(x.task(servers))
+	if err != nil {
+		return nil, "", refuse(ReasonNoServer, comeBackSoon, "service %s: %v", x.service, err)
+	}
+	x.tried[use.Server().ID] = true
+	x.record.Choose(x.model(), version, use.Server().ID)
+	return use, version, nil
+}
+
+// untried returns the servers that have not had the request. Versions are
+// chosen among these, since few servers hold a version at first, and a request
+// is better served by another version than not at all.
+func (x *exchange) untried(servers []registry.Server) []registry.Server {
+	if len(x.tried) == 0 {
+		return servers
+	}
+	return slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool { return x.tried[s.ID] })
+}
--- /dev/null
+++ b/relay/harness_test.go
@@ -0,0 +1,114 @@
+package relay_test
+
+import (
+	"bytes"
+	"cmp"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/cascade"
+	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/relay"
+	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/route"
+)
+
+// serve passes one request on a resumable route through a relay. Parts that
+// are not given are the usual ones: three servers, no roll-out, no bounds.
+func serve(t *testing.T, target catalog.Route, parts relay.Parts, request relay.Request, reply relay.Reply) {
+	target.Name, target.Host, target.Prefix, target.Resumable = "r", "h", "/", true
+	target.Targets = []catalog.Target{{Service: "s", Weight: 1}}
+	c, err := catalog.New(catalog.Document{
+		Version:  1,
+		Services: []catalog.Service{{Name: "s"}},
+		Routes:   []catalog.Route{target},
+	})
+	must.NoError(t, err)
+	parts.Catalog = func() *catalog.Catalog { return c }
+	parts.Servers = cmp.Or[relay.Servers](parts.Servers, threeServers{})
+	parts.Budgets = cmp.Or[relay.Budgets](parts.Budgets, noBound{})
+	parts.Moves = cmp.Or[relay.Budgets](parts.Moves, noBound{})
+	parts.Versions, parts.Counters = noRollout{}, noCounters{}
+	parts.Balancer = route.NewBalancer("", func(string) {})
+	parts.Ladder = cascade.NewLadder()
+	parts.Records = decision.New("n")
+	request.ID, request.Host, request.Path, request.Arrived = "1", "h", "/", time.Now()
+	relay.New(parts).Serve(t.Context(), &request, reply)
+}
+
+// noBody is that of a request without one.
+func noBody(t *testing.T) *relay.Body {
+	body, err := relay.NewBody(strings.NewReader(""), 0)
+	must.NoError(t, err)
+	return body
+}
+
+// threeServers are all there are.
+type threeServers struct{}
+
+func (threeServers) Servers(string) []registry.Server {
+	return []registry.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+}
+
+// noRollout lets every server get every request.
+type noRollout struct{}
+
+func (noRollout) Choose(_, _, _ string, s []registry.Server) ([]registry.Server, string) {
+	return s, ""
+}
+func (noRollout) Begin(_, _ string)                   {}
+func (noRollout) End(_, _ string)                     {}
+func (noRollout) Count(_, _ string, _ rollout.Answer) {}
+
+// noBound lets every request be sent again.
+type noBound struct{}
+
+func (noBound) Paid(string)                 {}
+func (noBound) Take(string, float64) bool   { return true }
+func (noBound) Allows(string, float64) bool { return true }
+
+type noCounters struct{}
+
+func (noCounters) Refused(relay.Reason, string)                       {}
+func (noCounters) Retried(relay.Reason)                               {}
+func (noCounters) Escalated(string)                                   {}
+func (noCounters) Resumed()                                           {}
+func (noCounters) Answered(string, int, time.Duration, time.Duration) {}
+
+// given is a server's answer.
+type given struct {
+	status int
+	body   io.Reader
+}
+
+func (a given) Status() int                 { return a.status }
+func (a given) Header() http.Header         { return http.Header{} }
+func (a given) Declined() bool              { return false }
+func (a given) Confidence() (float64, bool) { return 0, false }
+func (a given) Load() (route.Load, bool)    { return route.Load{}, false }
+func (a given) RetryAfter() time.Duration   { return 0 }
+func (a given) Body() io.Reader             { return a.body }
+func (a given) Close()                      {}
+
+// received is what a client gets.
+type received struct {
+	bytes.Buffer
+	status  int
+	broken  bool
+	refusal *relay.Refusal
+}
+
+func (r *received) Begin(a relay.Answer) { r.status = a.Status() }
+func (r *received) Write(p []byte) error {
+	r.Buffer.Write(p)
+	return nil
+}
+func (r *received) Refuse(refusal *relay.Refusal) { r.refusal = refusal }
+func (r *received) BreakOff()                     { r.broken = true }
--- /dev/null
+++ b/relay/judge.go
@@ -0,0 +1,122 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/route"
+)
+
+const (
+	// spareForRetries is the share of the budget for repeats that cascades
+	// leave to requests which got no answer at all.
+	spareForRetries = 0.25
+	// leastTime is the time that a further attempt must have left to be worth
+	// making; the quickest answers take about that long.
+	leastTime = 50 * time.Millisecond
+)
+
+// countVersion takes an answer as evidence on a version. Only what the server
+// itself answered counts, and how long it took to begin, or had taken when it
+// was given up as late.
+func (x *exchange) countVersion(ctx context.Context, version string, answer Answer, wait time.Duration) {
+	late := answer == nil && stalled(ctx)
+	if version == "" || (answer == nil && !late) || (answer != nil && answer.Declined()) {
+		return
+	}
+	x.relay.Versions.Count(x.service, version, rollout.Answer{
+		Kind:      x.kind(),
+		Failed:    !late && answer.Status() >= http.StatusInternalServerError,
+		Wait:      wait,
+		Late:      late,
+		Objective: x.route.Objective,
+	})
+}
+
+// judge decides on the head of an answer. Nil lets the answer go out.
+func (x *exchange) judge(ctx context.Context, use *route.Use, answer Answer, err error) *failure {
+	if err != nil {
+		return x.judgeError(ctx, use, err)
+	}
+	if load, ok := answer.Load(); ok {
+		use.Tell(load)
+	}
+	if answer.Declined() {
+		use.End(route.OutcomeDeclined)
+		return &failure{reason: ReasonDeclined, retryAfter: answer.RetryAfter(), cause: http.StatusText(answer.Status())}
+	}
+	use.Begin()
+	use.Failed(answer.Status() >= http.StatusInternalServerError)
+	x.runs++
+	if x.begun && answer.Status() != http.StatusOK {
+		// The client is in the middle of a stream, which nothing but the rest
+		// of it may follow.
+		use.End(route.OutcomeNeutral)
+		return &failure{reason: ReasonServerFailed, ran: true, cause: "resumed stream: " + http.StatusText(answer.Status())}
+	}
+	if answer.Status() >= http.StatusInternalServerError && x.mayRunAgain() && x.relay.Budgets.Take(x.service, 0) {
+		use.End(route.OutcomeNeutral)
+		return &failure{reason: ReasonServerFailed, ran: true, paid: true, cause: http.StatusText(answer.Status())}
+	}
+	if next, ok := x.escalation(answer); ok {
+		use.End(route.OutcomeOK)
+		x.step = next
+		return &failure{escalates: true, ran: true}
+	}
+	return nil
+}
+
+// judgeError decides on an attempt without an answer.
+func (x *exchange) judgeError(ctx context.Context, use *route.Use, err error) *failure {
+	if stalled(ctx) {
+		use.Stall()
+		x.runs++
+		return stall()
+	}
+	outcome := route.OutcomeFailed
+	if errors.Is(ctx.Err(), context.Canceled) {
+		outcome = route.OutcomeNeutral
+	}
+	use.End(outcome)
+	if errorx.IsOfType(err, NotRun) {
+		return &failure{reason: ReasonUnreachable, cause: err.Error()}
+	}
+	x.runs++
+	reason := ReasonServerFailed
+	if x.request.Body.Err() != nil {
+		reason = ReasonBodyBroken
+	}
+	return &failure{reason: reason, ran: true, cause: err.Error()}
+}
+
+// escalation returns the model to ask in place of an answer that a model has
+// too little confidence in.
+func (x *exchange) escalation(answer Answer) (step int, ok bool) {
+	confidence, told := answer.Confidence()
+	if !x.chooses() || !told || answer.Status() != http.StatusOK || x.begun || !x.mayRunAgain() {
+		return 0, false
+	}
+	last := !x.mayDrop(x.runs + 1)
+	next, ok := x.relay.Ladder.Next(len(x.route.Models), x.step, confidence, last)
+	if !ok || !x.relay.Budgets.Take(x.service, spareForRetries) {
+		return 0, false
+	}
+	x.record.Note("escalate", "confidence %.0f of %s", confidence, x.model())
+	x.relay.Counters.Escalated(x.route.Models[next])
+	return next, true
+}
+
+// mayRunAgain reports whether another server may run the request, beside the
+// ones that have.
+func (x *exchange) mayRunAgain() bool {
+	return x.route.Repeatable() && x.runs < x.route.Attempts && time.Until(x.deadline) > leastTime && x.request.Body.Replayable()
+}
+
+// mayDrop reports whether another run may follow once the given number of
+// servers has run the request.
+func (x *exchange) mayDrop(runs int) bool { return x.route.Repeatable() && runs < x.route.Attempts }
--- a/relay/models_test.go
+++ b/relay/models_test.go
@@ -8,12 +8,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
-	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/relay"
-	"github.com/violettally/violettally/route"
 )
 
 // threeModels are those of a route on which the system chooses.
@@ -62,24 +59,10 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			c, err := catalog.New(catalog.Document{
-				Version:  1,
-				Services: []catalog.Service{{Name: "s"}},
-				Routes: []catalog.Route{{
-					Name: "r", Host: "h", Prefix: "/", Kind: catalog.KindStream, Resumable: true, Timeout: 10 * time.Second,
-					Attempts: tt.attempts, Models: threeModels, Targets: []catalog.Target{{Service: "s", Weight: 1}},
-				}},
-			})
-			must.NoError(t, err)
+			target := catalog.Route{Kind: catalog.KindStream, Timeout: 10 * time.Second, Attempts: tt.attempts, Models: threeModels}
 			backends := &modelsAsked{fail: tt.fail}
-			r := relay.New(relay.Parts{
-				Catalog: func() *catalog.Catalog { return c }, Servers: threeServers{}, Versions: noRollout{},
-				Balancer: route.NewBalancer("", func(string) {}), Ladder: cascade.NewLadder(), Budgets: tt.budgets, Moves: noMoves{},
-				Backends: backends, Records: decision.New("n"), Counters: noCounters{},
-			})
-			body, err := relay.NewBody(strings.NewReader(""), 0)
-			must.NoError(t, err)
-			r.Serve(t.Context(), &relay.Request{ID: "1", Host: "h", Path: "/", Arrived: time.Now(), AnyModel: true, Body: body}, &received{})
+			parts := relay.Parts{Backends: backends, Budgets: tt.budgets, Moves: noMoves{}}
+			serve(t, target, parts, relay.Request{AnyModel: true, Body: noBody(t)}, &received{})
 			must.Eq(t, tt.want, backends.sent)
 		})
 	}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -89,7 +89,7 @@
 func (x *exchange) begin(answer Answer) {
 	if !x.begun {
 		x.begun = true
-		x.markFirst()
+		x.first = max(1, x.elapsed())
 		x.reply.Begin(answer)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,7 +7,8 @@
 // other nodes: what it must know of a request it knows by itself. It sees to
 // it that a request which may not be repeated is handed to one server at most
 // that may have run it, that a refusal which says "not run" is true, and that
-// an answer which broke off never looks whole.
+// an answer which broke off never looks whole. A request that may run again is
+// taken away from a server that is late, in time for another one to answer it.
 //
 // # Usage
 //
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -1,73 +1,20 @@
 package relay_test
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
-	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
-	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/relay"
-	"github.com/violettally/violettally/rollout"
-	"github.com/violettally/violettally/route"
 )
 
-// threeServers are all there are.
-type threeServers struct{}
-
-func (threeServers) Servers(string) []registry.Server {
-	return []registry.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
-}
-
-// noRollout lets every server get every request.
-type noRollout struct{}
-
-func (noRollout) Choose(_, _, _ string, s []registry.Server) ([]registry.Server, string) {
-	return s, ""
-}
-func (noRollout) Begin(_, _ string)                   {}
-func (noRollout) End(_, _ string)                     {}
-func (noRollout) Count(_, _ string, _ rollout.Answer) {}
-
-// noBound lets every request be sent again.
-type noBound struct{}
-
-func (noBound) Paid(string)                 {}
-func (noBound) Take(string, float64) bool   { return true }
-func (noBound) Allows(string, float64) bool { return true }
-
-type noCounters struct{}
-
-func (noCounters) Refused(relay.Reason, string)                       {}
-func (noCounters) Retried(relay.Reason)                               {}
-func (noCounters) Escalated(string)                                   {}
-func (noCounters) Resumed()                                           {}
-func (noCounters) Answered(string, int, time.Duration, time.Duration) {}
-
-// given is a server's answer.
-type given struct {
-	status int
-	body   io.Reader
-}
-
-func (a given) Status() int                 { return a.status }
-func (a given) Header() http.Header         { return http.Header{} }
-func (a given) Declined() bool              { return false }
-func (a given) Confidence() (float64, bool) { return 0, false }
-func (a given) Load() (route.Load, bool)    { return route.Load{}, false }
-func (a given) RetryAfter() time.Duration   { return 0 }
-func (a given) Body() io.Reader             { return a.body }
-func (a given) Close()                      {}
-
 // inTurn gives one answer after the other.
 type inTurn struct{ answers []given }
 
@@ -77,22 +24,6 @@
 	return a, nil
 }
 
-// received is what a client gets.
-type received struct {
-	bytes.Buffer
-	status  int
-	broken  bool
-	refusal *relay.Refusal
-}
-
-func (r *received) Begin(a relay.Answer) { r.status = a.Status() }
-func (r *received) Write(p []byte) error {
-	r.Buffer.Write(p)
-	return nil
-}
-func (r *received) Refuse(refusal *relay.Refusal) { r.refusal = refusal }
-func (r *received) BreakOff()                     { r.broken = true }
-
 // cut is a body that breaks off after its text.
 func cut(text string) io.Reader {
 	return io.MultiReader(strings.NewReader(text), errorReader{errors.New("cut")})
@@ -123,24 +54,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			c, err := catalog.New(catalog.Document{
-				Version:  1,
-				Services: []catalog.Service{{Name: "s"}},
-				Routes: []catalog.Route{{
-					Name: "r", Host: "h", Prefix: "/", Kind: tt.kind, Resumable: true, Timeout: 10 * time.Second, Attempts: 2,
-					Targets: []catalog.Target{{Service: "s", Weight: 1}},
-				}},
-			})
-			must.NoError(t, err)
-			r := relay.New(relay.Parts{
-				Catalog: func() *catalog.Catalog { return c }, Servers: threeServers{}, Versions: noRollout{},
-				Balancer: route.NewBalancer("", func(string) {}), Ladder: cascade.NewLadder(), Budgets: noBound{}, Moves: noBound{},
-				Backends: &inTurn{tt.answers}, Records: decision.New("n"), Counters: noCounters{},
-			})
-			body, err := relay.NewBody(strings.NewReader(""), 0)
-			must.NoError(t, err)
+			target := catalog.Route{Kind: tt.kind, Timeout: 10 * time.Second, Attempts: 2}
 			got := &received{}
-			r.Serve(t.Context(), &relay.Request{ID: "1", Host: "h", Path: "/", Arrived: time.Now(), Body: body}, got)
+			serve(t, target, relay.Parts{Backends: &inTurn{tt.answers}}, relay.Request{Body: noBody(t)}, got)
 			must.Eq(t, tt.want, got.String())
 			must.Eq(t, tt.broken, got.broken)
 			must.Eq(t, 200, got.status)
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -10,12 +10,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
-	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/relay"
-	"github.com/violettally/violettally/route"
 )
 
 // silence is a server that answers nothing, or a body that does not go on,
@@ -150,23 +147,10 @@
 
 // serveStreamAt passes one request on a resumable route through a relay.
 func serveStreamAt(t *testing.T, servers relay.Servers, backends relay.Backends, sent io.Reader, reply relay.Reply) {
-	c, err := catalog.New(catalog.Document{
-		Version:  1,
-		Services: []catalog.Service{{Name: "s"}},
-		Routes: []catalog.Route{{
-			Name: "r", Host: "h", Prefix: "/", Kind: catalog.KindStream, Resumable: true, Timeout: time.Hour, Attempts: 3,
-			Objective: 2 * time.Second, MaxPause: time.Second, Targets: []catalog.Target{{Service: "s", Weight: 1}},
-		}},
-	})
-	must.NoError(t, err)
-	r := relay.New(relay.Parts{
-		Catalog: func() *catalog.Catalog { return c }, Servers: servers, Versions: noRollout{},
-		Balancer: route.NewBalancer("", func(string) {}), Ladder: cascade.NewLadder(), Budgets: noBound{}, Moves: noBound{},
-		Backends: backends, Records: decision.New("n"), Counters: noCounters{},
-	})
+	target := catalog.Route{Kind: catalog.KindStream, Timeout: time.Hour, Attempts: 3, Objective: 2 * time.Second, MaxPause: time.Second}
 	body, err := relay.NewBody(sent, -1)
 	must.NoError(t, err)
-	r.Serve(t.Context(), &relay.Request{ID: "1", Host: "h", Path: "/", Arrived: time.Now(), Body: body}, reply)
+	serve(t, target, relay.Parts{Servers: servers, Backends: backends}, relay.Request{Body: body}, reply)
 }
 
 // TestLateServers: a request that may run again is taken away from a server
@@ -193,25 +177,10 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c, err := catalog.New(catalog.Document{
-					Version:  1,
-					Services: []catalog.Service{{Name: "s"}},
-					Routes: []catalog.Route{{
-						Name: "r", Host: "h", Prefix: "/", Kind: tt.kind, Resumable: true, Timeout: timeout, Attempts: 3,
-						Objective: objective, MaxPause: time.Second, Targets: []catalog.Target{{Service: "s", Weight: 1}},
-					}},
-				})
-				must.NoError(t, err)
-				r := relay.New(relay.Parts{
-					Catalog: func() *catalog.Catalog { return c }, Servers: threeServers{}, Versions: noRollout{},
-					Balancer: route.NewBalancer("", func(string) {}), Ladder: cascade.NewLadder(), Budgets: noBound{}, Moves: tt.moves,
-					Backends: &tt.backends, Records: decision.New("n"), Counters: noCounters{},
-				})
-				body, err := relay.NewBody(strings.NewReader(""), 0)
-				must.NoError(t, err)
+				target := catalog.Route{Kind: tt.kind, Timeout: timeout, Attempts: 3, Objective: objective, MaxPause: time.Second}
 				got := &received{}
 				start := time.Now()
-				r.Serve(t.Context(), &relay.Request{ID: "1", Host: "h", Path: "/", Arrived: start, Body: body}, got)
+				serve(t, target, relay.Parts{Backends: &tt.backends, Moves: tt.moves}, relay.Request{Body: noBody(t)}, got)
 				must.Eq(t, tt.want, got.String())
 				must.Eq(t, tt.sends, len(tt.backends.sent))
 				must.Less(t, tt.within, time.Since(start))
--- a/relay/work.go
+++ b/relay/work.go
@@ -32,7 +32,7 @@
 		Servers: servers,
 		Exclude: x.tried,
 		Work:    plainWork,
-		Kind:    x.route.Name + "/" + x.model(),
+		Kind:    x.kind(),
 		Usual:   plainUsual,
 	}
 	prompt := x.request.Prompt
@@ -54,6 +54,9 @@
 	return t
 }
 
+// kind groups requests that usually take equally long.
+func (x *exchange) kind() string { return x.route.Name + "/" + x.model() }
+
 // pace is how long the chosen model takes, as a share of the costliest one's
 // time. The declared costs stand in for it: they rise with a model's size.
 func (x *exchange) pace() float64 {
