rollout: the nodes' counts, the picker and the test in files of their own

What the driver knows of the nodes' counts is a small type, nodes; the picker and the sequential test leave rollout.go, which had grown to 347 lines; the package comment tells of services. A request's servers are parted in one pass in place of two clones and two filters, and each server is hashed once per choice. Driver.tests says that there are three a candidate. No behaviour changes.

TestSlowVersion and TestLateVersion share the making of a driver (judged); what they count and assert is as before.

--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -45,17 +45,10 @@
 	timers    *timer.Service
 	models    func() []config.Model
 
-	// tests are by "model@version" of the candidate.
+	// tests are by "model@version" of the candidate and what they look for:
+	// three for each candidate, of which the guards may leave out two.
 	tests map[string]*Test
-	// nodes are the last counts of each node that has answered and is not gone,
-	// missed in how many steps in a row it has not answered since.
-	nodes  map[string]Counts
-	missed map[string]int
-	// folded are the counts of nodes that were taken for gone; one that answers
-	// again counts from there on.
-	folded map[string]Counts
-	// latest are the counts of the nodes that answered last time.
-	latest map[string]Counts
+	nodes *nodes
 }
 
 // NewDriver returns a driver that writes the shared document of that name.
@@ -68,9 +61,7 @@
 		timers:    timers,
 		models:    models,
 		tests:     make(map[string]*Test),
-		nodes:     make(map[string]Counts),
-		missed:    make(map[string]int),
-		folded:    make(map[string]Counts),
+		nodes:     newNodes(),
 	}
 }
 
@@ -92,7 +83,7 @@
 	if !active {
 		return
 	}
-	d.collect(ctx)
+	d.nodes.take(d.collector.Collect(ctx))
 	ctx, cancel := context.WithTimeout(ctx, writeTime)
 	defer cancel()
 	_, err := d.shared.Update(ctx, d.name, func(old []byte) ([]byte, error) { return d.change(old, token) })
@@ -100,53 +91,7 @@
 		slog.Warn("roll-outs not moved on", "error", err)
 		return
 	}
-	d.forgetGone()
-}
-
-// goneSteps is in how many steps in a row a node has not answered when it is
-// taken for gone.
-const goneSteps = 3
-
-// collect asks all nodes for their counts.
-func (d *Driver) collect(ctx context.Context) {
-	d.latest = d.collector.Collect(ctx)
-	for node := range d.nodes {
-		d.missed[node]++
-	}
-	for node, counts := range d.latest {
-		d.nodes[node] = counts.since(d.folded[node])
-		delete(d.missed, node)
-	}
-}
-
-// gone reports whether a node is taken for gone.
-func (d *Driver) gone(node string) bool { return d.missed[node] >= goneSteps }
-
-// forgetGone drops the nodes that are gone, once what they counted is stored.
-func (d *Driver) forgetGone() {
-	for node, counts := range d.nodes {
-		if d.gone(node) {
-			d.folded[node] = counts
-			delete(d.nodes, node)
-			delete(d.missed, node)
-		}
-	}
-}
-
-// since returns what was counted after an earlier count of the same node.
-func (c Counts) since(earlier Counts) Counts {
-	if len(earlier) == 0 {
-		return c
-	}
-	since := make(Counts, len(c))
-	for name, count := range c {
-		before := earlier[name]
-		count.Answers -= before.Answers
-		count.Bad -= before.Bad
-		count.Slow -= before.Slow
-		since[name] = count
-	}
-	return since
+	d.nodes.forgetGone()
 }
 
 // change moves every roll-out on in the stored stages.
@@ -188,7 +133,7 @@
 	if p.Verdict != VerdictRunning {
 		return p
 	}
-	candidate, baseline := d.totals(m, &p)
+	candidate, baseline := d.nodes.totals(countName(m.Name, m.Rollout.Version), inServiceName(m), &p)
 	test := d.test(m, "bad")
 	bad := test.Update(m.Rollout.Guards, m.Rollout.Samples(), candidate, baseline)
 	if bad || d.oftenBad(m, candidate, baseline) {
@@ -211,13 +156,22 @@
 		return p
 	}
 	last := p.Stage+1 >= len(m.Rollout.Stages)
-	if last && m.Rollout.Replace && d.runningInService(m) > 0 {
+	if last && m.Rollout.Replace && d.nodes.running(inServiceName(m)) > 0 {
 		return p
 	}
 	p.Since, p.Evidence, p.Samples = now, test.Score(), candidate.Answers
 	return p.passed(last)
 }
 
+// inServiceName is the name under which answers of the version in service are
+// counted; "" if there is none.
+func inServiceName(m *config.Model) string {
+	if v := m.InService(); v != nil {
+		return countName(m.Name, v.Name)
+	}
+	return ""
+}
+
 // passed moves on from a stage that has been passed. What was set for that
 // stage alone is dropped.
 func (p Progress) passed(last bool) Progress {
@@ -245,17 +199,11 @@
 	}
 	expected := float64(baseline.Answers+baseline.Running) / elapsed * left
 	p.Share = min(stage.Share, float64(stage.WantSamples)/max(1, expected))
-	held := make(map[uint32]bool)
-	inService := m.InService()
-	if inService == nil {
+	inService := inServiceName(m)
+	if inService == "" {
 		return p
 	}
-	for _, counts := range d.latest {
-		for _, slot := range counts[countName(m.Name, inService.Name)].Recent {
-			held[slot] = true
-		}
-	}
-	p.Held = encodeSlots(held)
+	p.Held = encodeSlots(d.nodes.recent(inService))
 	p.Reason = fmt.Sprintf("share for %d answers of about %.0f requests", stage.WantSamples, expected)
 	return p
 }
@@ -292,41 +240,3 @@
 	}
 	return d.tests[name]
 }
-
-// totals sums up the counts of all nodes, of the candidate and of the version
-// in service. What nodes that are gone had counted moves to the stored progress.
-func (d *Driver) totals(m *config.Model, p *Progress) (candidate, baseline Count) {
-	inService := ""
-	if v := m.InService(); v != nil {
-		inService = countName(m.Name, v.Name)
-	}
-	target := countName(m.Name, m.Rollout.Version)
-	for node, counts := range d.nodes {
-		if d.gone(node) {
-			p.Gone, p.GoneInService = p.Gone.add(counts[target]), p.GoneInService.add(counts[inService])
-			continue
-		}
-		candidate = candidate.add(counts[target])
-		baseline = baseline.add(counts[inService])
-	}
-	return candidate.add(p.Gone.count()), baseline.add(p.GoneInService.count())
-}
-
-// runningInService returns how many requests run on the version in service, as
-// far as the nodes that answered last time know.
-func (d *Driver) runningInService(m *config.Model) int64 {
-	inService := m.InService()
-	if inService == nil {
-		return 0
-	}
-	running := int64(0)
-	for _, counts := range d.latest {
-		running += counts[countName(m.Name, inService.Name)].Running
-	}
-	return running
-}
-
-// add sums up two counts. Recent is left out: it is gathered by itself.
-func (c Count) add(other Count) Count {
-	return Count{Answers: c.Answers + other.Answers, Bad: c.Bad + other.Bad, Slow: c.Slow + other.Slow, Running: c.Running + other.Running}
-}
--- /dev/null
+++ b/rollout/nodes.go
@@ -0,0 +1,106 @@
+package rollout
+
+// goneSteps is in how many steps in a row a node has not answered when it is
+// taken for gone.
+const goneSteps = 3
+
+// nodes is what the driver knows of the nodes' counts.
+type nodes struct {
+	// counted are the last counts of each node that has answered and is not
+	// gone, missed in how many steps in a row it has not answered since.
+	counted map[string]Counts
+	missed  map[string]int
+	// folded are the counts of nodes that were taken for gone; one that answers
+	// again counts from there on.
+	folded map[string]Counts
+	// latest are the counts of the nodes that answered last time.
+	latest map[string]Counts
+}
+
+func newNodes() *nodes {
+	return &nodes{counted: make(map[string]Counts), missed: make(map[string]int), folded: make(map[string]Counts)}
+}
+
+// take takes the counts of the nodes that answered in a step.
+func (n *nodes) take(latest map[string]Counts) {
+	n.latest = latest
+	for node := range n.counted {
+		n.missed[node]++
+	}
+	for node, counts := range latest {
+		n.counted[node] = counts.since(n.folded[node])
+		delete(n.missed, node)
+	}
+}
+
+// totals sums up the counts of all nodes under the names of the candidate and
+// of the version in service. What nodes that are gone had counted moves to the
+// stored progress.
+func (n *nodes) totals(target, inService string, p *Progress) (candidate, baseline Count) {
+	for node, counts := range n.counted {
+		if n.gone(node) {
+			p.Gone, p.GoneInService = p.Gone.add(counts[target]), p.GoneInService.add(counts[inService])
+			continue
+		}
+		candidate = candidate.add(counts[target])
+		baseline = baseline.add(counts[inService])
+	}
+	return candidate.add(p.Gone.count()), baseline.add(p.GoneInService.count())
+}
+
+// running returns how many requests run under a name, as far as the nodes that
+// answered last time know.
+func (n *nodes) running(name string) int64 {
+	running := int64(0)
+	for _, counts := range n.latest {
+		running += counts[name].Running
+	}
+	return running
+}
+
+// recent returns the slots of the sessions that lately had a request under a
+// name at the nodes that answered last time.
+func (n *nodes) recent(name string) map[uint32]bool {
+	recent := make(map[uint32]bool)
+	for _, counts := range n.latest {
+		for _, slot := range counts[name].Recent {
+			recent[slot] = true
+		}
+	}
+	return recent
+}
+
+// gone reports whether a node is taken for gone.
+func (n *nodes) gone(node string) bool { return n.missed[node] >= goneSteps }
+
+// forgetGone drops the nodes that are gone, once what they counted is stored.
+func (n *nodes) forgetGone() {
+	for node, counts := range n.counted {
+		if n.gone(node) {
+			n.folded[node] = counts
+			delete(n.counted, node)
+			delete(n.missed, node)
+		}
+	}
+}
+
+// since returns what was counted after an earlier count of the same node.
+func (c Counts) since(earlier Counts) Counts {
+	if len(earlier) == 0 {
+		return c
+	}
+	since := make(Counts, len(c))
+	for name, count := range c {
+		before := earlier[name]
+		count.Answers -= before.Answers
+		count.Bad -= before.Bad
+		count.Slow -= before.Slow
+		since[name] = count
+	}
+	return since
+}
+
+// add sums up two counts. Recent is left out: it is gathered by itself.
+func (c Count) add(other Count) Count {
+	return Count{Answers: c.Answers + other.Answers, Bad: c.Bad + other.Bad, Slow: c.Slow + other.Slow, Running: c.Running + other.Running}
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -5,26 +5,28 @@
 // a roll-out that was interrupted goes on where it was, under another node.
 // Every node picks versions by the stage that it knows and counts the answers
 // of each version, good and bad; one node, which holds the driver's lease,
-// collects the counts, moves the stage on, or stops the roll-out.
+// collects the counts, moves the stage on, or stops the roll-out. What a node
+// that has gone had counted stays with the stages.
+//
+// A [Picker] picks versions of a model. [Services] picks servers of a service
+// whose version an [Order] replaces.
 //
 // # Usage
 //
-//	version, err := picker.Pick(snapshot, "brief", sessionKey)
+//	version, err := picker.Pick(model, sessionKey, allowed)
+//	…
+//	picker.Count(model.Name, version.Name, rollout.IsBad(guards, failed, rating, firstToken))
+//
+//	servers, version := services.Choose("look", sessionKey, "", known)
 //	…
-//	picker.Count("brief", version, rating, firstToken)
+//	services.Count("look", version, rollout.Answer{Kind: …, Wait: …})
 package rollout
 
 import (
 	"encoding/json"
-	"maps"
-	"math"
-	"sync"
 	"time"
 
-	"github.com/violettally/violettally/config"
-	"github.com/violettally/violettally/document"
 	"github.com/violettally/violettally/internal/errs"
-	"github.com/violettally/violettally/internal/rendezvous"
 )
 
 //go:generate go tool enumer -type=Verdict -trimprefix=Verdict -transform=snake -text -output=rollout_enumer.go
@@ -127,221 +129,3 @@
 
 // countName is the name under which a version's answers are counted.
 func countName(model, version string) string { return model + "@" + version }
-
-// Picker picks versions on one node and counts their answers. It is safe for
-// concurrent use.
-type Picker struct {
-	mu     sync.Mutex
-	stages Stages
-	counts Counts
-	// held are by model the slots of the sessions that stay on the version in
-	// service.
-	held map[string]map[uint32]bool
-	// recent are by "model@version" the slots of the sessions that a first
-	// stage could move, with the time of their last request.
-	recent map[string]map[uint32]time.Time
-}
-
-// NewPicker returns a picker that knows no stage.
-func NewPicker() *Picker {
-	return &Picker{counts: make(Counts), recent: make(map[string]map[uint32]time.Time)}
-}
-
-// Take puts stored stages in force.
-func (p *Picker) Take(item document.Item) error {
-	stages, err := DecodeStages(item.Data)
-	if err != nil {
-		return err
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.stages = stages
-	p.held = make(map[string]map[uint32]bool)
-	for model, progress := range stages.Models {
-		p.held[model] = decodeSlots(progress.Held)
-	}
-	return nil
-}
-
-// Progress returns the known state of a model's roll-out.
-func (p *Picker) Progress(model string) (Progress, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	progress, ok := p.stages.Models[model]
-	return progress, ok
-}
-
-// Pick returns the version for a new session, or for a request without one.
-// The key decides on which side of the stage's share it falls, so that the
-// same session falls on the same side on every node. A version that is not
-// allowed is passed over.
-func (p *Picker) Pick(m *config.Model, key string, allowed func(version string) bool) (*config.Version, error) {
-	inService := m.InService()
-	if inService != nil && !allowed(inService.Name) {
-		inService = nil
-	}
-	candidate := p.candidate(m, allowed)
-	switch {
-	case candidate == nil && inService == nil:
-		return nil, errs.New(NoVersion, "pick", "no version of %s takes new sessions", m.Name)
-	case candidate == nil:
-		return inService, nil
-	case inService == nil, position(m.Name, key) < p.share(m) && !p.holds(m.Name, key):
-		return candidate, nil
-	default:
-		return inService, nil
-	}
-}
-
-// candidate returns the version that is rolling out, unless it was stopped.
-func (p *Picker) candidate(m *config.Model, allowed func(string) bool) *config.Version {
-	if m.Rollout == nil || !allowed(m.Rollout.Version) {
-		return nil
-	}
-	if progress, ok := p.Progress(m.Name); ok && progress.Version == m.Rollout.Version && progress.Verdict == VerdictStopped {
-		return nil
-	}
-	for i := range m.Versions {
-		v := &m.Versions[i]
-		if v.Name == m.Rollout.Version && v.State == config.VersionRollingOut {
-			return v
-		}
-	}
-	return nil
-}
-
-// share returns the part of new sessions that goes to the candidate. Before
-// the driver has written the first stage, none does.
-func (p *Picker) share(m *config.Model) float64 {
-	progress, ok := p.Progress(m.Name)
-	switch {
-	case !ok || progress.Version != m.Rollout.Version:
-		return 0
-	case progress.Verdict == VerdictComplete:
-		return 1
-	}
-	stage := m.Rollout.Stages[min(progress.Stage, len(m.Rollout.Stages)-1)]
-	if stage.WantSamples > 0 {
-		return min(progress.Share, stage.Share)
-	}
-	return stage.Share
-}
-
-// position places a key in [0, 1).
-func position(model, key string) float64 {
-	return rendezvous.Position(rendezvous.Hash(model + "/" + key))
-}
-
-// Count counts one answer of a version.
-func (p *Picker) Count(model, version string, bad bool) { p.count(model, version, bad, false) }
-
-func (p *Picker) count(model, version string, bad, slow bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	name := countName(model, version)
-	c := p.counts[name]
-	c.Answers++
-	if bad {
-		c.Bad++
-	}
-	if slow {
-		c.Slow++
-	}
-	p.counts[name] = c
-}
-
-// Begin counts a request that starts to run on a version; End counts its end.
-func (p *Picker) Begin(model, version string) { p.run(model, version, 1) }
-
-// End is the counterpart of Begin.
-func (p *Picker) End(model, version string) { p.run(model, version, -1) }
-
-// run changes the number of requests that run on a version.
-func (p *Picker) run(model, version string, change int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	name := countName(model, version)
-	c := p.counts[name]
-	c.Running += change
-	p.counts[name] = c
-}
-
-// Counts returns all counts of this node.
-func (p *Picker) Counts() Counts {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	counts := make(Counts, len(p.counts))
-	maps.Copy(counts, p.counts)
-	for name := range p.recent {
-		c := counts[name]
-		c.Recent = p.recentSlots(name)
-		counts[name] = c
-	}
-	return counts
-}
-
-// IsBad judges one answer by the guards. A rating below zero stands for none;
-// failed answers are always bad.
-func IsBad(g config.Guards, failed bool, rating float64, firstToken time.Duration) bool {
-	slow := g.MaxFirstTokenMillis > 0 && firstToken.Seconds()*1000 > g.MaxFirstTokenMillis
-	return failed || slow || (rating >= 0 && rating < g.BadRating)
-}
-
-const (
-	// defaultIncrease and defaultAlarm stand in for guards left at zero.
-	defaultIncrease = 0.1
-	defaultAlarm    = 0.01
-)
-
-// Test is a sequential test of "the candidate gives more bad answers than the
-// version in service, by the tolerated increase or more" against "no more". It
-// follows two sums of log likelihood ratios. The first runs from the start; it
-// exceeds log(1/a) for a good version with probability a at most, however long
-// it runs (Wald, 1945). The second never falls below zero, so that a version
-// that turns bad late is found too (Page, 1954); it has a new chance of a false
-// alarm with each answer, so its bound grows with the number of answers that
-// the roll-out will see. Each has half of the accepted false alarms.
-type Test struct {
-	fromStart float64
-	recent    float64
-	seen      Count
-}
-
-// minPlanned is the least number of answers that the bound of the second sum
-// allows for.
-const minPlanned = 500
-
-// Update takes the counts so far and reports whether the candidate is to be
-// stopped. Planned is the number of answers that the whole roll-out needs.
-func (t *Test) Update(g config.Guards, planned int, candidate, baseline Count) (stop bool) {
-	answers, bad := candidate.Answers-t.seen.Answers, candidate.Bad-t.seen.Bad
-	t.seen = candidate
-	if answers < 0 || bad < 0 {
-		// A node that counted is gone; go on from what is left.
-		return false
-	}
-	increase, alarm := orDefault(g.MaxBadIncrease, defaultIncrease), orDefault(g.FalseAlarm, defaultAlarm)/2
-	// Laplace's estimate keeps the rate off zero while there are few answers.
-	usual := float64(baseline.Bad+1) / float64(baseline.Answers+2)
-	usual = min(usual, 1-increase-minRate)
-	worse := min(1-minRate, usual+increase)
-	good := answers - bad
-	step := float64(bad)*math.Log(worse/usual) + float64(good)*math.Log((1-worse)/(1-usual))
-	t.fromStart += step
-	t.recent = max(0, t.recent+step)
-	bound := math.Log(1 / alarm)
-	return t.fromStart >= bound || t.recent >= bound+math.Log(float64(max(planned, minPlanned)))
-}
-
-// minRate keeps the rates of the test within (0, 1).
-const minRate = 0.001
-
-// Score returns the present evidence against the candidate.
-func (t *Test) Score() float64 { return max(t.fromStart, t.recent) }
-
-func orDefault(value, fallback float64) float64 {
-	if value <= 0 {
-		return fallback
-	}
-	return value
-}
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -50,8 +50,8 @@
 	// failed none of 320 answers at the load of a trough, and one in twenty at
 	// that of a crest (platform/days/bad-under-load.toml).
 	overLoad = 1.6
-	// leastLoaded servers get the first stage's share, so that one slow server does
-	// not speak for its version.
+	// leastLoaded servers get the first stage's share, so that one slow server
+	// does not speak for its version.
 	leastLoaded = 2
 	// oldVersion stands for whatever the servers ran before the order.
 	oldVersion = "in-service"
@@ -183,9 +183,9 @@
 
 // loaded returns so few of the target's servers that each carries, with the
 // stage's share, overLoad times what it will carry in the end, but leastLoaded
-// at least in the first stage. A version may be bad only under load, and spread over all servers
-// the first requests are none.
-// All nodes take the same servers, and more of them as the share rises.
+// at least in the first stage. A version may be bad only under load, and the
+// first requests, spread over all servers, are no load. All nodes take the same
+// servers, and more of them as the share rises.
 func (s *Services) loaded(m *config.Model, servers []registry.Server, older int) []registry.Server {
 	share := s.picker.share(m)
 	if share <= 0 || share >= 1 || older == 0 {
@@ -196,12 +196,25 @@
 		least = 1 // a service of few servers would see no load otherwise
 	}
 	n := max(least, int(math.Floor(share*float64(len(servers))/overLoad)))
-	key := rendezvous.Hash(m.Name + "@" + m.Rollout.Version)
-	byScore := slices.Clone(servers)
-	slices.SortFunc(byScore, func(a, b registry.Server) int {
-		return cmp.Compare(rendezvous.Score(key, rendezvous.Hash(b.ID)), rendezvous.Score(key, rendezvous.Hash(a.ID)))
-	})
-	return byScore[:min(n, len(byScore))]
+	return highest(servers, rendezvous.Hash(countName(m.Name, m.Rollout.Version)), n)
+}
+
+// highest returns the n servers with the highest scores for a key.
+func highest(servers []registry.Server, key uint64, n int) []registry.Server {
+	type scored struct {
+		server registry.Server
+		score  uint64
+	}
+	byScore := make([]scored, len(servers))
+	for i, s := range servers {
+		byScore[i] = scored{s, rendezvous.Score(key, rendezvous.Hash(s.ID))}
+	}
+	slices.SortFunc(byScore, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	chosen := make([]registry.Server, min(n, len(byScore)))
+	for i := range chosen {
+		chosen[i] = byScore[i].server
+	}
+	return chosen
 }
 
 // Count takes one answer as evidence on a version that Choose named.
@@ -221,9 +234,12 @@
 
 // split parts servers of a version from all others.
 func split(servers []registry.Server, version string) (of, others []registry.Server) {
-	of = slices.Clone(servers)
-	of = slices.DeleteFunc(of, func(s registry.Server) bool { return s.Version != version })
-	others = slices.Clone(servers)
-	others = slices.DeleteFunc(others, func(s registry.Server) bool { return s.Version == version })
+	for _, s := range servers {
+		if s.Version == version {
+			of = append(of, s)
+		} else {
+			others = append(others, s)
+		}
+	}
 	return of, others
 }
--- a/rollout/service_test.go
+++ b/rollout/service_test.go
@@ -235,23 +235,32 @@
 	must.Eq(t, 2, picker.Counts()["s@v2"].Slow)
 }
 
-// TestLateVersion: a version whose requests are taken to other servers before
-// they could be slow is stopped all the same.
-func TestLateVersion(t *testing.T) {
+// judged drives a roll-out in its second stage one step on by what a node has
+// counted, and returns how it then stands.
+func judged(t *testing.T, count func(s *rollout.Services)) rollout.Progress {
 	picker := rollout.NewPicker()
 	s := rollout.NewServices(picker, 0.1)
 	s.Take(rollout.Order{Service: "s", Target: "v2", Period: time.Minute})
 	w := &driverWorld{token: 1, stored: []byte(`{"models": {"s": {"version": "v2", "stage": 1}}}`)}
 	d := rollout.NewDriver("rollouts", w, w, w, s.Models, timer.New())
-	for i := range 300 {
-		s.Count("s", "in-service", rollout.Answer{Kind: "look", Wait: 60 * time.Millisecond})
-		s.Count("s", "v2", rollout.Answer{Kind: "look", Wait: 160 * time.Millisecond, Late: i%2 == 0})
-	}
+	count(s)
 	w.counts = map[string]rollout.Counts{"n": picker.Counts()}
 	d.Step(context.Background(), 1)
-	var stages rollout.Stages
-	must.NoError(t, json.Unmarshal(w.stored, &stages))
-	must.Eq(t, rollout.VerdictStopped, stages.Models["s"].Verdict)
+	stages, err := rollout.DecodeStages(w.stored)
+	must.NoError(t, err)
+	return stages.Models["s"]
+}
+
+// TestLateVersion: a version whose requests are taken to other servers before
+// they could be slow is stopped all the same.
+func TestLateVersion(t *testing.T) {
+	p := judged(t, func(s *rollout.Services) {
+		for i := range 300 {
+			s.Count("s", "in-service", rollout.Answer{Kind: "look", Wait: 60 * time.Millisecond})
+			s.Count("s", "v2", rollout.Answer{Kind: "look", Wait: 160 * time.Millisecond, Late: i%2 == 0})
+		}
+	})
+	must.Eq(t, rollout.VerdictStopped, p.Verdict)
 }
 
 // TestSlowVersion: answers that take several times as long as in service stop
@@ -270,32 +279,25 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			picker := rollout.NewPicker()
-			s := rollout.NewServices(picker, 0.1)
-			s.Take(rollout.Order{Service: "s", Target: "v2", Period: time.Minute})
-			w := &driverWorld{token: 1, stored: []byte(`{"models": {"s": {"version": "v2", "stage": 1}}}`)}
-			d := rollout.NewDriver("rollouts", w, w, w, s.Models, timer.New())
-			for i := range 300 {
-				usual := 100 * time.Millisecond
-				if i%50 == 0 {
-					usual *= 20
-				}
-				s.Count("s", "in-service", rollout.Answer{Kind: "k", Wait: usual})
-				if i%2 == 0 {
-					usual *= tt.wait
+			p := judged(t, func(s *rollout.Services) {
+				for i := range 300 {
+					usual := 100 * time.Millisecond
+					if i%50 == 0 {
+						usual *= 20
+					}
+					s.Count("s", "in-service", rollout.Answer{Kind: "k", Wait: usual})
+					if i%2 == 0 {
+						usual *= tt.wait
+					}
+					if tt.wait == 1 && i%8 == 0 {
+						usual *= 8
+					}
+					if i%5 == 0 {
+						s.Count("s", "v2", rollout.Answer{Kind: "k", Wait: usual})
+					}
 				}
-				if tt.wait == 1 && i%8 == 0 {
-					usual *= 8
-				}
-				if i%5 == 0 {
-					s.Count("s", "v2", rollout.Answer{Kind: "k", Wait: usual})
-				}
-			}
-			w.counts = map[string]rollout.Counts{"n": picker.Counts()}
-			d.Step(context.Background(), 1)
-			stages, err := rollout.DecodeStages(w.stored)
-			must.NoError(t, err)
-			must.Eq(t, tt.want, stages.Models["s"].Verdict, must.Sprint(stages.Models["s"].Reason))
+			})
+			must.Eq(t, tt.want, p.Verdict, must.Sprint(p.Reason))
 		})
 	}
 }
