gateway, view: others are counted without a copy; files by what they hold

Each request asked for the number of other gateways by copying their list; nodes counts them. No behaviour changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,8 +19,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -102,19 +100,17 @@
 	if err != nil {
 		return nil, errs.Wrap(Start, "new", err, "metrics")
 	}
-	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	g := &Gateway{
 		settings: s,
 		timers:   timer.New(),
 		metrics:  instruments,
-		self: view.Member{
-			ID:       view.MemberID(s.Name, incarnation),
+		self: view.NewMember(view.Member{
 			VM:       s.Name,
 			Region:   s.Region,
 			DataHall: s.DataHall,
 			Caller:   s.Caller.Address(),
 			Peer:     s.Peer.Address(),
-		},
+		}),
 	}
 	g.catalog.Store(catalog.Empty())
 	g.store = platform.NewStore(s.Store.Address, instruments.PlatformCall)
@@ -173,7 +169,7 @@
 // send once more, or of a smaller share of the requests.
 func (g *Gateway) makeBudgets(ratio float64) *retry.Windows {
 	bounds := g.settings.Bounds
-	slack := func() float64 { return retryMargin * bounds.RetrySlack / float64(len(g.nodes.others())+1) }
+	slack := func() float64 { return retryMargin * bounds.RetrySlack / float64(g.nodes.countOthers()+1) }
 	length := time.Duration(bounds.RetryWindowSeconds * float64(time.Second))
 	return retry.NewWindows(retryMargin*ratio, slack, length)
 }
@@ -181,58 +177,6 @@
 // Catalog returns the declaration in force.
 func (g *Gateway) Catalog() *catalog.Catalog { return g.catalog.Load() }
 
-// subscribe joins what the store holds to the parts that go by it.
-func (g *Gateway) subscribe() {
-	g.mirror.OnRegained(g.registry.StoreReturned)
-	g.mirror.OnRegained(g.nodes.storeRegained)
-	g.mirror.Subscribe(platform.CatalogKey, g.takeCatalog)
-	g.mirror.Subscribe(platform.ServerPrefix, g.takeServer)
-	g.mirror.Subscribe(platform.OrderPrefix, g.takeOrder)
-	g.mirror.Subscribe(stagesKey, g.takeStages)
-	g.mirror.Subscribe(nodePrefix, g.nodes.take)
-}
-
-// takeCatalog puts a declaration in force. Versions only rise.
-func (g *Gateway) takeCatalog(c mirror.Change) {
-	if c.Key != platform.CatalogKey {
-		return
-	}
-	if c.Deleted {
-		slog.Warn("declaration is gone from the store; the last one stays in force", "version", g.Catalog().Version())
-		return
-	}
-	next, err := platform.DecodeCatalog(c.Value)
-	if err != nil {
-		slog.Error("stored declaration cannot be used; the last one stays in force",
-			"version", g.Catalog().Version(), "revision", c.Revision, "error", err)
-		return
-	}
-	if next.Version() <= g.Catalog().Version() {
-		return
-	}
-	g.catalog.Store(next)
-	slog.Info("declaration in force", "version", next.Version(), "revision", c.Revision)
-}
-
-// takeServer follows a server's entry.
-func (g *Gateway) takeServer(c mirror.Change) {
-	id := strings.TrimPrefix(c.Key, platform.ServerPrefix)
-	if c.Deleted {
-		kept := g.registry.Drop(id)
-		g.balancer.Keep(g.registry.IDs())
-		slog.Info("server is gone", "server", id, "revision", c.Revision, "kept_ms", kept.Milliseconds())
-		return
-	}
-	server, err := platform.DecodeServer(c.Key, c.Value)
-	if err != nil {
-		slog.Error("server entry cannot be read", "server", id, "revision", c.Revision, "error", err)
-		return
-	}
-	g.registry.Put(server)
-	slog.Info("server", "server", id, "service", server.Service, "address", server.Address,
-		"version", server.Version, "leaving", server.Leaving, "revision", c.Revision)
-}
-
 // Run opens the doors and runs the gateway until the context ends; then it
 // drains and leaves.
 func (g *Gateway) Run(ctx context.Context) error {
--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -110,14 +109,9 @@
 func (n *nodes) others() []view.Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.forgetLapsed()
 	var others []view.Member
-	now := n.g.timers.Now()
 	for key, m := range n.known {
-		if until, gone := n.lapsed[key]; gone && now.After(until) {
-			delete(n.known, key)
-			delete(n.lapsed, key)
-			continue
-		}
 		if key != n.key() {
 			others = append(others, m)
 		}
@@ -125,6 +119,30 @@
 	return others
 }
 
+// countOthers returns how many others returns.
+func (n *nodes) countOthers() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.forgetLapsed()
+	count := len(n.known)
+	if _, own := n.known[n.key()]; own {
+		count--
+	}
+	return count
+}
+
+// forgetLapsed drops the entries that were not written anew in time. The caller
+// holds mu.
+func (n *nodes) forgetLapsed() {
+	now := n.g.timers.Now()
+	for key, until := range n.lapsed {
+		if now.After(until) {
+			delete(n.known, key)
+			delete(n.lapsed, key)
+		}
+	}
+}
+
 // key is that of this gateway's entry. It is the VM's, so that a process
 // started anew takes the place of the one before.
 func (n *nodes) key() string { return nodePrefix + n.g.self.VM }
@@ -232,59 +250,3 @@
 		slog.Warn("own entry not taken back; it lapses with its lease", "error", err)
 	}
 }
-
-// mirrorPeers lets the mirror follow other gateways.
-type mirrorPeers struct{ g *Gateway }
-
-// Addresses returns the other known gateways', or the seeds' before any is known.
-func (p mirrorPeers) Addresses() []string {
-	var addresses []string
-	for _, m := range p.g.nodes.others() {
-		addresses = append(addresses, m.Peer)
-	}
-	if len(addresses) > 0 {
-		return addresses
-	}
-	return slices.DeleteFunc(slices.Clone(p.g.settings.Seeds), func(a string) bool { return a == p.g.self.Peer })
-}
-
-// upstreamTried is how many gateways a node asks before it goes to the store.
-const upstreamTried = 3
-
-// inHall returns the other gateways of the own data hall by the VM's name.
-func (p mirrorPeers) inHall() []view.Member {
-	others := p.g.nodes.others()
-	inHall := slices.DeleteFunc(others, func(m view.Member) bool { return m.DataHall != p.g.self.DataHall })
-	slices.SortFunc(inHall, func(a, b view.Member) int { return cmp.Compare(a.VM, b.VM) })
-	return inHall
-}
-
-// OwnShare lets the gateways that others of the data hall ask go to the store
-// whenever their upstream is lost, and of the rest so many that a few do in
-// each round: in an outage each call is paid for and tells nothing.
-func (p mirrorPeers) OwnShare() float64 {
-	inHall := p.inHall()
-	if len(inHall) < upstreamTried || p.g.self.VM < inHall[upstreamTried-1].VM {
-		return 1
-	}
-	return upstreamTried / float64(len(inHall)+1)
-}
-
-// Upstream returns the first gateways of the own data hall, by the VM's name,
-// unless this one is the first.
-func (p mirrorPeers) Upstream() []string {
-	inHall := p.inHall()
-	if len(inHall) == 0 || p.g.self.VM < inHall[0].VM {
-		return nil
-	}
-	var addresses []string
-	for _, m := range inHall[:min(upstreamTried, len(inHall))] {
-		addresses = append(addresses, m.Peer)
-	}
-	return addresses
-}
-
-// Follow asks a gateway for what it knows beyond a revision.
-func (p mirrorPeers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
-	return p.g.client.Follow(ctx, address, after, wait)
-}
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/view"
+)
+
+// upstreamTried is how many gateways a node asks before it goes to the store.
+const upstreamTried = 3
+
+// mirrorPeers lets the mirror follow other gateways.
+type mirrorPeers struct{ g *Gateway }
+
+// Addresses returns the other known gateways', or the seeds' before any is known.
+func (p mirrorPeers) Addresses() []string {
+	var addresses []string
+	for _, m := range p.g.nodes.others() {
+		addresses = append(addresses, m.Peer)
+	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	return slices.DeleteFunc(slices.Clone(p.g.settings.Seeds), func(a string) bool { return a == p.g.self.Peer })
+}
+
+// inHall returns the other gateways of the own data hall by the VM's name.
+func (p mirrorPeers) inHall() []view.Member {
+	others := p.g.nodes.others()
+	inHall := slices.DeleteFunc(others, func(m view.Member) bool { return m.DataHall != p.g.self.DataHall })
+	slices.SortFunc(inHall, func(a, b view.Member) int { return cmp.Compare(a.VM, b.VM) })
+	return inHall
+}
+
+// OwnShare lets the gateways that others of the data hall ask go to the store
+// whenever their upstream is lost, and of the rest so many that a few do in
+// each round: in an outage each call is paid for and tells nothing.
+func (p mirrorPeers) OwnShare() float64 {
+	inHall := p.inHall()
+	if len(inHall) < upstreamTried || p.g.self.VM < inHall[upstreamTried-1].VM {
+		return 1
+	}
+	return upstreamTried / float64(len(inHall)+1)
+}
+
+// Upstream returns the first gateways of the own data hall, by the VM's name,
+// unless this one is the first.
+func (p mirrorPeers) Upstream() []string {
+	inHall := p.inHall()
+	if len(inHall) == 0 || p.g.self.VM < inHall[0].VM {
+		return nil
+	}
+	var addresses []string
+	for _, m := range inHall[:min(upstreamTried, len(inHall))] {
+		addresses = append(addresses, m.Peer)
+	}
+	return addresses
+}
+
+// Follow asks a gateway for what it knows beyond a revision.
+func (p mirrorPeers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
+	return p.g.client.Follow(ctx, address, after, wait)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -15,7 +15,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -110,20 +109,18 @@
 	if err != nil {
 		return nil, errs.Wrap(Start, "new", err, "metrics")
 	}
-	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n := &Node{
 		settings: s,
 		timers:   timer.New(),
 		metrics:  instruments,
 		snapshot: config.Empty(),
-		self: view.Member{
-			ID:       view.MemberID(s.Name, incarnation),
+		self: view.NewMember(view.Member{
 			VM:       s.Name,
 			Region:   s.Region,
 			DataHall: s.DataHall,
 			Caller:   s.Caller.Address(),
 			Peer:     s.Peer.Address(),
-		},
+		}),
 	}
 	n.holder = claim.Holder{ID: n.self.ID, Peer: n.self.Peer}
 	n.makeMembership(peer.NewClient(tlsConfig, peer.WithCallCounter(instruments.PeerCall)))
--- a/view/view.go
+++ b/view/view.go
@@ -16,6 +16,8 @@
 	"encoding/json"
 	"slices"
 	"sort"
+	"strconv"
+	"time"
 
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/internal/rendezvous"
@@ -50,6 +52,13 @@
 // MemberID returns the ID of one incarnation of a VM's process.
 func MemberID(vm, incarnation string) string { return vm + "#" + incarnation }
 
+// NewMember completes the member that this process is with the ID of a new
+// incarnation.
+func NewMember(m Member) Member {
+	m.ID = MemberID(m.VM, strconv.FormatInt(time.Now().UnixNano(), 36))
+	return m
+}
+
 // stored is the stored form of a view.
 type stored struct {
 	Epoch   int64    `json:"epoch"`
