e2e: cuts use internal/faultproxy

The harness had a small TCP proxy of its own that could only be cut. faultproxy's Reset mode does the same: it breaks all connections, and each new one, until the mode is Pass again. The tests cut the same links at the same moments; a cut connection is now reset in place of closed, as by a link that is gone.

--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/internal/faultproxy"
 	"github.com/violettally/violettally/internal/standin"
 )
 
@@ -80,9 +81,9 @@
 	{"cut a node off inward", func(w *workload, random *rand.Rand) {
 		n := pick(w, random)
 		w.note("peers do not reach %s", n.vm)
-		n.peerProxy.setCut(true)
+		n.peerProxy.Set(faultproxy.Reset)
 		hold(2 * faultTime)
-		n.peerProxy.setCut(false)
+		n.peerProxy.Set(faultproxy.Pass)
 		w.note("peers reach %s", n.vm)
 	}},
 	{"cut a data hall off from the platform", func(w *workload, random *rand.Rand) {
@@ -90,12 +91,12 @@
 		w.note("%s does not reach the platform", hall)
 		for _, n := range w.f.nodes {
 			if n.hall == hall {
-				n.platformProxy.setCut(true)
+				n.platformProxy.Set(faultproxy.Reset)
 			}
 		}
 		hold(2 * faultTime)
 		for _, n := range w.f.nodes {
-			n.platformProxy.setCut(false)
+			n.platformProxy.Set(faultproxy.Pass)
 		}
 		w.note("%s reaches the platform", hall)
 	}},
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -1,7 +1,7 @@
 // Package e2e_test proves the promises from the outside, with real processes:
 // nodes of the shipped binary, and stand-ins for all that surrounds them.
-// Faults are signals to processes the test started (kill, freeze), cuts in a
-// small TCP proxy, and misbehaviour that the stand-ins are told.
+// Faults are signals to processes the test started (kill, freeze), cuts in TCP
+// proxies, and misbehaviour that the stand-ins are told.
 package e2e_test
 
 import (
@@ -25,6 +25,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/internal/faultproxy"
 	"github.com/violettally/violettally/internal/standin"
 )
 
@@ -175,7 +176,7 @@
 	*process
 	vm, hall                 string
 	caller, operator         string
-	peerProxy, platformProxy *proxy
+	peerProxy, platformProxy *faultproxy.Proxy
 	settingsFile             string
 	peerListen               string
 }
@@ -255,11 +256,11 @@
 		"name": vm, "data_hall": hall,
 		"caller":        map[string]any{"listen": n.caller},
 		"operator":      map[string]any{"listen": n.operator},
-		"platform":      map[string]any{"key_value": []string{"http://" + n.platformProxy.address()}, "vm_list": "http://" + f.vms, "rating": "http://" + f.rating},
+		"platform":      map[string]any{"key_value": []string{"http://" + n.platformProxy.Address()}, "vm_list": "http://" + f.vms, "rating": "http://" + f.rating},
 		"bootstrap_key": config.Digest(operatorKey),
 		"times":         map[string]any{"probe_ms": 200, "address_ttl_ms": 500, "fold_ms": 500, "vm_list_ms": 300, "lease_ms": 4000, "answer_life_ms": 60000, "request_ms": 30000},
 	}
-	door := map[string]any{"listen": n.peerListen, "advertise": n.peerProxy.address()}
+	door := map[string]any{"listen": n.peerListen, "advertise": n.peerProxy.Address()}
 	if s.certificates != nil {
 		door["certificate"], door["key"], door["authority"] = three(s.certificates(vm))
 	}
@@ -304,7 +305,7 @@
 		vm := standin.VM{Name: name, State: state}
 		for _, n := range f.nodes {
 			if n.vm == name {
-				vm.Peer = n.peerProxy.address()
+				vm.Peer = n.peerProxy.Address()
 			}
 		}
 		list = append(list, vm)
@@ -514,65 +515,11 @@
 	return in.Totals
 }
 
-// proxy passes TCP connections on until it is cut.
-type proxy struct {
-	listener net.Listener
-	target   string
-	mu       sync.Mutex
-	cut      bool
-	open     map[net.Conn]bool
-}
-
-func newProxy(t testing.TB, target string) *proxy {
+// newProxy opens a proxy before a target until the test ends.
+func newProxy(t testing.TB, target string) *faultproxy.Proxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	p, err := faultproxy.Listen("127.0.0.1:0", target)
 	must.NoError(t, err)
-	p := &proxy{listener: listener, target: target, open: make(map[net.Conn]bool)}
-	t.Cleanup(func() { listener.Close(); p.setCut(true) })
-	go p.accept()
+	t.Cleanup(p.Close)
 	return p
 }
-
-func (p *proxy) address() string { return p.listener.Addr().String() }
-
-// setCut breaks all connections and refuses new ones, or lets them through.
-func (p *proxy) setCut(cut bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cut = cut
-	if cut {
-		for conn := range p.open {
-			conn.Close()
-		}
-		clear(p.open)
-	}
-}
-
-func (p *proxy) accept() {
-	for {
-		conn, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		go p.pass(conn)
-	}
-}
-
-func (p *proxy) pass(conn net.Conn) {
-	defer conn.Close()
-	p.mu.Lock()
-	if p.cut {
-		p.mu.Unlock()
-		return
-	}
-	target, err := net.DialTimeout("tcp", p.target, time.Second)
-	if err != nil {
-		p.mu.Unlock()
-		return
-	}
-	p.open[conn], p.open[target] = true, true
-	p.mu.Unlock()
-	defer target.Close()
-	go func() { _, _ = io.Copy(target, conn); target.Close() }()
-	_, _ = io.Copy(conn, target)
-}
--- a/e2e/promises_test.go
+++ b/e2e/promises_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/internal/faultproxy"
 	"github.com/violettally/violettally/internal/standin"
 )
 
@@ -183,14 +184,14 @@
 	t.Parallel()
 	f := newFleet(t, usual)
 	n := f.nodes[0]
-	n.platformProxy.setCut(true)
+	n.platformProxy.Set(faultproxy.Reset)
 	for _, other := range f.nodes {
-		other.peerProxy.setCut(true)
+		other.peerProxy.Set(faultproxy.Reset)
 	}
 	f.waitFor("the refusal", func() bool { return f.chat(n, "brief", "x").code == "cut_off" })
-	n.platformProxy.setCut(false)
+	n.platformProxy.Set(faultproxy.Pass)
 	for _, other := range f.nodes {
-		other.peerProxy.setCut(false)
+		other.peerProxy.Set(faultproxy.Pass)
 	}
 	f.waitFor("an answer", func() bool { return f.chat(n, "brief", "x").whole() })
 }
