soak: names and comments say what they hold

What runners and clients saw is observed; ledger is the list of bills elsewhere. size drew a number from an id and is numberOf. A run's time and account were kept and never read. The comment on regressions promised a size that is not kept. Checks, fault strings and what is played are as before.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -229,7 +229,7 @@
 			f.fault("twice: %s ran %d times, %d are allowed", q.id, len(runs), attempts)
 		}
 		if q.status == http.StatusServiceUnavailable && q.kind == kindOnce && len(runs) > 0 {
-			f.fault("refused: %s was told 'not run', and ran at %s", q.id, runs[0].runner.id)
+			f.fault("refused: %s was told 'not run', and ran at %s", q.id, runs[0].id)
 		}
 	}
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -70,8 +70,10 @@
 type schedule struct {
 	f      *fleet
 	random *rand.Rand
-	heal   sync.WaitGroup
-	next   int
+	// heal waits for the ends of the steps that still last.
+	heal sync.WaitGroup
+	// next numbers the runners and versions that steps add.
+	next int
 }
 
 // step is one kind of fault or planned work. It returns what it does, and how
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -87,7 +87,7 @@
 	dir   string
 	store *standin.Store
 	nodes []*node
-	ledger
+	observed
 	declared
 }
 
@@ -103,7 +103,7 @@
 func newFleet(t *testing.T, nodes, runners int) *fleet {
 	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore()}
 	t.Cleanup(f.store.Close)
-	f.ledger.init()
+	f.observed.init()
 	f.declare(nil)
 	for i := range runners {
 		f.addRunner(fmt.Sprintf("engine-%d", i), engines, firstVersion)
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -52,31 +52,27 @@
 	left atomic.Int64
 }
 
-// run is one run of a request at a runner.
-type run struct {
-	runner  *runner
-	at      time.Time
-	account string
-}
-
-// ledger holds all that runners and clients saw.
-type ledger struct {
-	mu      sync.Mutex
-	runs    map[string][]run
+// observed is all that runners and clients saw.
+type observed struct {
+	mu sync.Mutex
+	// runs are the runners that ran a request, asked the requests that clients
+	// sent, both by the request's ID.
+	runs    map[string][]*runner
 	asked   map[string]*request
 	runners []*runner
-	faults  []string
+	// faults are the system's own, found by the checks.
+	faults []string
 }
 
-func (l *ledger) init() {
-	l.runs, l.asked = make(map[string][]run), make(map[string]*request)
+func (o *observed) init() {
+	o.runs, o.asked = make(map[string][]*runner), make(map[string]*request)
 }
 
 // fault notes something found wrong.
-func (l *ledger) fault(format string, args ...any) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.faults = append(l.faults, fmt.Sprintf(format, args...))
+func (o *observed) fault(format string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.faults = append(o.faults, fmt.Sprintf(format, args...))
 }
 
 func (f *fleet) addRunner(id, service, version string) *runner {
@@ -91,7 +87,7 @@
 
 func (r *runner) announce(state string) {
 	r.f.store.Put("servers/"+r.id, map[string]any{
-		"service": r.service, "address": r.proxy.Address(), "zone": fmt.Sprintf("hall-%d", size(r.id)%halls),
+		"service": r.service, "address": r.proxy.Address(), "zone": fmt.Sprintf("hall-%d", numberOf(r.id)%halls),
 		"version": r.version, "slots": 8, "state": state,
 	})
 }
@@ -102,8 +98,8 @@
 	r.left.Store(time.Now().UnixNano())
 }
 
-// size draws a number from an id.
-func size(id string) int {
+// numberOf draws a number from an id, the same each time.
+func numberOf(id string) int {
 	h := fnv.New32a()
 	_, _ = io.WriteString(h, id)
 	return int(h.Sum32() >> 1)
@@ -152,20 +148,20 @@
 
 // note keeps a run, and checks the request against the client's.
 func (r *runner) note(id string, q *http.Request, body string) {
-	l := &r.f.ledger
-	l.mu.Lock()
-	asked := l.asked[id]
-	l.runs[id] = append(l.runs[id], run{runner: r, at: time.Now(), account: q.Header.Get("X-Tenant")})
-	l.mu.Unlock()
+	o := &r.f.observed
+	o.mu.Lock()
+	asked := o.asked[id]
+	o.runs[id] = append(o.runs[id], r)
+	o.mu.Unlock()
 	switch {
 	case asked == nil:
-		l.fault("unasked: %s ran %q, which nobody sent", r.id, id)
+		o.fault("unasked: %s ran %q, which nobody sent", r.id, id)
 	case q.Method != asked.method || q.RequestURI != asked.uri || body != asked.body:
-		l.fault("unasked: %s ran %s %s with %q for %s %s with %q", r.id, q.Method, q.RequestURI, body, asked.method, asked.uri, asked.body)
+		o.fault("unasked: %s ran %s %s with %q for %s %s with %q", r.id, q.Method, q.RequestURI, body, asked.method, asked.uri, asked.body)
 	case q.Header.Get("X-Tenant") != asked.account.name:
-		l.fault("unasked: %s ran %s for %q, which is %q's", r.id, id, q.Header.Get("X-Tenant"), asked.account.name)
+		o.fault("unasked: %s ran %s for %q, which is %q's", r.id, id, q.Header.Get("X-Tenant"), asked.account.name)
 	case q.Header.Get("Authorization") != "":
-		l.fault("unasked: the key of %s reached %s", id, r.id)
+		o.fault("unasked: the key of %s reached %s", id, r.id)
 	}
 }
 
@@ -173,7 +169,7 @@
 func plainAnswer(id string) string { return "the record for " + id }
 
 func (r *runner) plain(w http.ResponseWriter, id string, cut bool) {
-	time.Sleep(time.Duration(5+size(id)%20) * time.Millisecond)
+	time.Sleep(time.Duration(5+numberOf(id)%20) * time.Millisecond)
 	text := plainAnswer(id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if cut {
@@ -188,11 +184,11 @@
 func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n) }
 
 // eventCount is the number of events of a whole answer.
-func eventCount(id string) int { return 1 + size(id)%mostEvents }
+func eventCount(id string) int { return 1 + numberOf(id)%mostEvents }
 
 func (r *runner) stream(w http.ResponseWriter, q *http.Request, id string, cut bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Confidence", strconv.Itoa(size(id+q.Header.Get("X-Model"))%100))
+	w.Header().Set("X-Confidence", strconv.Itoa(numberOf(id+q.Header.Get("X-Model"))%100))
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	flush := http.NewResponseController(w).Flush
 	for n := after + 1; n <= eventCount(id); n++ {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,8 +35,7 @@
 	stepCount   = flag.Int("steps", 14, "faults and planned work in a run")
 )
 
-// regressions are seeds that failed once, each with its cause. They are run
-// with the size that they failed with.
+// regressions are seeds that failed once, each with its cause.
 var regressions = []struct {
 	seed  uint64
 	cause string
@@ -138,6 +137,6 @@
 	}
 	f.mu.Unlock()
 	for _, q := range cut {
-		f.fault("lost: %s, passed on to %s, was cut after %d ms in a planned stop: %v", q.id, f.runs[q.id][0].runner.id, q.ended.Sub(q.sent).Milliseconds(), q.err)
+		f.fault("lost: %s, passed on to %s, was cut after %d ms in a planned stop: %v", q.id, f.runs[q.id][0].id, q.ended.Sub(q.sent).Milliseconds(), q.err)
 	}
 }
