--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -9,7 +9,9 @@
 // it by waiting watches, and the others follow that node, by calls that wait
 // in the same way. Each answer tells how long ago the store was last heard of.
 // A node that gets none in time, or only old news, follows the store itself
-// for a while; one that does not reach that either takes what any peer knows.
+// for a while, or in a large data hall leaves that to others for most rounds;
+// one that does not reach the store either takes what any peer knows. A node
+// that starts asks the store first, and peers soon after.
 //
 // # Usage
 //
