relay: one name for a server's own failure; fields and fakes in order

Whether an answer is a failure of the server's own was written out three times. The fakes that several tests use are all in harness_test.go.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -31,10 +31,10 @@
 	// tried are the servers that got the request, sends how often it was
 	// offered, runs how many servers may have run it.
 	tried map[string]bool
+	sends int
+	runs  int
 	// others is how many servers could have the request after this attempt.
 	others int
-	sends  int
-	runs   int
 	// begun says that the client has the head of an answer, after which is the
 	// last event that it has, "" for none.
 	begun bool
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -74,6 +74,11 @@
 func (noBound) Take(string, float64) bool   { return true }
 func (noBound) Allows(string, float64) bool { return true }
 
+// noMoves allows no request to be moved.
+type noMoves struct{ noBound }
+
+func (noMoves) Take(string, float64) bool { return false }
+
 type noCounters struct{}
 
 func (noCounters) Refused(relay.Reason, string)                       {}
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -31,7 +31,7 @@
 	}
 	x.relay.Versions.Count(x.service, version, rollout.Answer{
 		Kind:      x.kind(),
-		Failed:    !late && answer.Status() >= http.StatusInternalServerError,
+		Failed:    !late && failed(answer),
 		Wait:      wait,
 		Late:      late,
 		Objective: x.route.Objective,
@@ -51,7 +51,7 @@
 		return &failure{reason: ReasonDeclined, retryAfter: answer.RetryAfter(), cause: http.StatusText(answer.Status())}
 	}
 	use.Begin()
-	use.Failed(answer.Status() >= http.StatusInternalServerError)
+	use.Failed(failed(answer))
 	x.runs++
 	if x.begun && answer.Status() != http.StatusOK {
 		// The client is in the middle of a stream, which nothing but the rest
@@ -59,7 +59,7 @@
 		use.End(route.OutcomeNeutral)
 		return &failure{reason: ReasonServerFailed, ran: true, cause: "resumed stream: " + http.StatusText(answer.Status())}
 	}
-	if answer.Status() >= http.StatusInternalServerError && x.mayRunAgain() && x.relay.Budgets.Take(x.service, 0) {
+	if failed(answer) && x.mayRunAgain() && x.relay.Budgets.Take(x.service, 0) {
 		use.End(route.OutcomeNeutral)
 		return &failure{reason: ReasonServerFailed, ran: true, paid: true, cause: http.StatusText(answer.Status())}
 	}
@@ -71,6 +71,9 @@
 	return nil
 }
 
+// failed reports whether an answer is a failure of the server's own.
+func failed(a Answer) bool { return a.Status() >= http.StatusInternalServerError }
+
 // judgeError decides on an attempt without an answer.
 func (x *exchange) judgeError(ctx context.Context, use *route.Use, err error) *failure {
 	if stalled(ctx) {
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -44,11 +44,6 @@
 	return nil, relay.Failed.Wrap(ctx.Err(), "no answer")
 }
 
-// noMoves allows no request to be moved.
-type noMoves struct{ noBound }
-
-func (noMoves) Take(string, float64) bool { return false }
-
 // slowClient reads slowly.
 type slowClient struct{ received }
 
