--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -1,186 +1,16 @@
 package mirror_test
 
 import (
-	"context"
-	"errors"
 	"fmt"
-	"slices"
-	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
-	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/mirror"
-	"github.com/violettally/violettally/timer"
 )
 
-// fakeStore is a store in memory whose calls can be made to fail.
-type fakeStore struct {
-	mu       sync.Mutex
-	revision int64
-	items    map[string]mirror.Item
-	history  []mirror.Item
-	gone     bool
-	err      error
-	hang     bool
-	reads    int
-	follows  int
-}
-
-func newStore() *fakeStore { return &fakeStore{items: make(map[string]mirror.Item)} }
-
-func (s *fakeStore) put(key string, deleted bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	item := mirror.Item{Key: key, Revision: s.revision, Deleted: deleted, Value: []byte(fmt.Sprint(s.revision))}
-	s.history = append(s.history, item)
-	if deleted {
-		delete(s.items, key)
-	} else {
-		s.items[key] = item
-	}
-}
-
-func (s *fakeStore) set(err error, hang, gone bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.err, s.hang, s.gone = err, hang, gone
-}
-
-func (s *fakeStore) ReadAll(ctx context.Context) (mirror.Batch, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reads++
-	if s.hang {
-		s.mu.Unlock()
-		<-ctx.Done()
-		s.mu.Lock()
-		return mirror.Batch{}, ctx.Err()
-	}
-	b := mirror.Batch{Revision: s.revision, Whole: true}
-	for _, item := range s.items {
-		b.Items = append(b.Items, item)
-	}
-	return b, s.err
-}
-
-func (s *fakeStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.follows++
-	switch {
-	case s.hang:
-		s.mu.Unlock()
-		<-ctx.Done()
-		s.mu.Lock()
-		return mirror.Batch{}, ctx.Err()
-	case s.err != nil:
-		return mirror.Batch{}, s.err
-	case s.gone:
-		s.gone = false
-		return mirror.Batch{}, errs.New(mirror.HistoryGone, "follow", "gone")
-	}
-	b := mirror.Batch{Revision: s.revision}
-	for _, item := range s.history {
-		if item.Revision > after {
-			b.Items = append(b.Items, item)
-		}
-	}
-	if len(b.Items) == 0 {
-		s.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-time.After(min(wait, 100*time.Millisecond)):
-		}
-		s.mu.Lock()
-	}
-	return b, nil
-}
-
-// peers are mirrors that answer by their place.
-type peers struct {
-	mirrors  []*mirror.Mirror
-	upstream []string
-	// otherShare is one less the share of rounds in which the node asks the
-	// store itself.
-	otherShare float64
-
-	mu sync.Mutex
-	// err fails all calls.
-	err error
-	// calls is how often a peer was asked.
-	calls int
-}
-
-func (p *peers) asked() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.calls
-}
-
-func (p *peers) set(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.err = err
-}
-
-func (p *peers) failure() error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.err
-}
-
-func (p *peers) Addresses() []string {
-	var addresses []string
-	for i := range p.mirrors {
-		addresses = append(addresses, fmt.Sprint(i))
-	}
-	return addresses
-}
-
-func (p *peers) Upstream() []string { return p.upstream }
-
-func (p *peers) OwnShare() float64 { return 1 - p.otherShare }
-
-func (p *peers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
-	p.mu.Lock()
-	p.calls++
-	p.mu.Unlock()
-	if err := p.failure(); err != nil {
-		return mirror.Batch{}, err
-	}
-	var i int
-	if _, err := fmt.Sscan(address, &i); err != nil {
-		return mirror.Batch{}, err
-	}
-	return p.mirrors[i].Await(ctx, after, wait), nil
-}
-
-// run returns what mirrors run by until the test ends.
-func run(t *testing.T) (context.Context, *timer.Service) {
-	ctx, cancel := context.WithCancel(t.Context())
-	timers := timer.New()
-	t.Cleanup(func() {
-		cancel()
-		timers.Close()
-	})
-	return ctx, timers
-}
-
-// settle lets time pass and every task rest, so that a test may look at what
-// they wrote.
-func settle(d time.Duration) {
-	time.Sleep(d)
-	synctest.Wait()
-}
-
-var errStore = errors.New("store fails")
-
 // TestMirror lists what happens to the store between two changes, and looks
 // at what a mirror beside a healthy peer then knows.
 func TestMirror(t *testing.T) {
@@ -238,12 +68,6 @@
 	}
 }
 
-// under returns the items that a mirror has below a prefix.
-func under(m *mirror.Mirror, prefix string) []mirror.Item {
-	const nothing = -1 // a peer that knows nothing gets the whole
-	return slices.DeleteFunc(m.After(nothing).Items, func(item mirror.Item) bool { return !strings.HasPrefix(item.Key, prefix) })
-}
-
 // TestOlderWholeChangesNothing: a peer that lags behind must not take away
 // what is known already.
 func TestOlderWholeChangesNothing(t *testing.T) {
