--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,7 +67,7 @@
 	movesRatio = 0.15
 	// canaryMargin keeps the first stage of a roll-out below the agreed share,
 	// since requests fall on either side by chance.
-	canaryMargin = 0.6
+	canaryMargin = 0.7
 )
 
 // Gateway is one process of the system.
