relay: the record tells why a model answers or is not asked

An operator could not see from a request's line why an unsure answer went out: since the next model would have been late, or since the budget was used up.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -44,10 +44,14 @@
 	}
 	mayEscalate := x.mayDrop(x.runs+1) && x.relay.Budgets.Allows(x.service, spareForRetries)
 	first := x.relay.Ladder.First(len(x.route.Models), mayEscalate)
-	if first > 0 && !x.inTime(first) {
-		return
+	switch {
+	case first <= x.step:
+	case !x.inTime(first):
+		x.record.Note("model", "%s, though nothing may follow: %s would be late", x.model(), x.route.Models[first])
+	default:
+		x.step = first
+		x.record.Note("model", "%s at once, since nothing may follow", x.model())
 	}
-	x.step = max(x.step, first)
 }
 
 // inTime reports whether an answer of the model at a step would begin within
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -106,7 +106,14 @@
 	}
 	last := !x.mayDrop(x.runs + 1)
 	next, ok := x.relay.Ladder.Next(len(x.route.Models), x.step, confidence, last)
-	if !ok || !x.inTime(next) || !x.relay.Budgets.Take(x.service, spareForRetries) {
+	switch {
+	case !ok:
+		return 0, false
+	case !x.inTime(next):
+		x.record.Note("keep", "confidence %.0f of %s, but %s would be late", confidence, x.model(), x.route.Models[next])
+		return 0, false
+	case !x.relay.Budgets.Take(x.service, spareForRetries):
+		x.record.Note("keep", "confidence %.0f of %s, but the budget for repeats is used up", confidence, x.model())
 		return 0, false
 	}
 	x.record.Note("escalate", "confidence %.0f of %s", confidence, x.model())
