route, estimate, prefix: servers are chosen by learned times and by what their caches hold

Cause: the time to read a prompt, the models' paces, the work of waiting requests and the number of shared parts were constants of the first two deployments.

Change: package estimate fits base and rate by service and model to the answers' own times; package prefix follows each engine's cache by what this node sent there; a server's work is a queue that each answer corrects, since engines read one prompt at a time. Expected asks the same choice that Choose makes. Requests leave servers that are only busy later (0.9 of the objective, 3 times what is expected). Each send and each head of an answer is logged with what was expected.

--- /dev/null
+++ b/prefix/prefix.go
@@ -0,0 +1,143 @@
+// Package prefix believes which beginnings of prompts the engines' caches hold.
+//
+// A prompt comes in parts, most of them shared with other prompts. An engine
+// keeps what it has read by model: a part that it still has is not read again,
+// provided that it has every part before it as well. When its memory runs out,
+// the parts unused longest give way. A [Memory] follows one engine by the
+// prompts that were sent there, in the same order and with the same bound.
+//
+// # Usage
+//
+//	chain := prefix.NewChain("large", parts) // each part with its ID and size
+//	saved := memory.Held(chain)              // tokens that need not be read
+//	memory.Read(chain)                       // once it is sent there
+package prefix
+
+import (
+	"container/list"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Mark stands for a prompt's beginning up to the end of one of its parts. The
+// fields are exported for the codecs.
+type Mark struct {
+	// Hash is of the model and of all parts so far.
+	Hash uint64 `cbor:"1,keyasint"`
+	// Tokens are those of the last of these parts.
+	Tokens int `cbor:"2,keyasint"`
+}
+
+// Chain is a whole prompt as its beginnings, the shortest first.
+type Chain []Mark
+
+// NewChain returns the chain of a prompt for a model: engines keep what they
+// read by model.
+func NewChain(model string, parts []Part) Chain {
+	chain := make(Chain, 0, len(parts))
+	hash := xxhash.Sum64String(model)
+	var buffer [8]byte
+	for _, p := range parts {
+		binary.LittleEndian.PutUint64(buffer[:], hash)
+		digest := xxhash.New()
+		// Writing to a digest never fails.
+		_, _ = digest.Write(buffer[:])
+		_, _ = digest.WriteString(p.ID)
+		hash = digest.Sum64()
+		chain = append(chain, Mark{Hash: hash, Tokens: p.Tokens})
+	}
+	return chain
+}
+
+// Shared returns the chain without its last part, which is the request's own.
+func (c Chain) Shared() Chain {
+	if len(c) == 0 {
+		return nil
+	}
+	return c[:len(c)-1]
+}
+
+// Tokens returns the size of the whole chain.
+func (c Chain) Tokens() int {
+	sum := 0
+	for _, m := range c {
+		sum += m.Tokens
+	}
+	return sum
+}
+
+// Memory is what one engine is believed to hold. It is not safe for concurrent
+// use.
+type Memory struct {
+	// capacity in tokens; zero or less for no bound but entriesMax.
+	capacity int
+	tokens   int
+	// entries are by the marks' hashes, order has those used latest first.
+	entries map[uint64]*list.Element
+	order   *list.List
+}
+
+// entriesMax bounds the parts remembered of one engine: at some 150 bytes each,
+// those of 150 engines take 45 MB at most.
+const entriesMax = 2000
+
+// NewMemory returns the memory of an engine that has read nothing. Capacity is
+// in tokens, zero if it is not known.
+func NewMemory(capacity int) *Memory {
+	return &Memory{capacity: capacity, entries: make(map[uint64]*list.Element), order: list.New()}
+}
+
+// Held returns how many tokens of a prompt need not be read.
+func (m *Memory) Held(c Chain) int {
+	held := 0
+	for _, mark := range c {
+		if m.entries[mark.Hash] == nil {
+			break
+		}
+		held += mark.Tokens
+	}
+	return held
+}
+
+// Read takes that the engine reads a prompt, or uses what it has of it.
+func (m *Memory) Read(c Chain) {
+	// The later parts come first, so that a beginning outlives what follows it.
+	for i := len(c) - 1; i >= 0; i-- {
+		m.use(c[i])
+	}
+	for m.order.Len() > entriesMax || (m.capacity > 0 && m.tokens > m.capacity && m.order.Len() > len(c)) {
+		m.drop(m.order.Back())
+	}
+}
+
+// Forget takes that the engine does not hold a prompt's parts after all, from
+// the first one on.
+func (m *Memory) Forget(c Chain) {
+	for _, mark := range c {
+		if e := m.entries[mark.Hash]; e != nil {
+			m.drop(e)
+		}
+	}
+}
+
+func (m *Memory) use(mark Mark) {
+	if e := m.entries[mark.Hash]; e != nil {
+		m.order.MoveToFront(e)
+		return
+	}
+	m.entries[mark.Hash] = m.order.PushFront(mark)
+	m.tokens += mark.Tokens
+}
+
+func (m *Memory) drop(e *list.Element) {
+	mark := m.order.Remove(e).(Mark)
+	delete(m.entries, mark.Hash)
+	m.tokens -= mark.Tokens
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -64,7 +64,7 @@
 	before := x.step
 	defer func() { x.step = before }()
 	x.step = step
-	expected := x.relay.Balancer.Expected(x.task(x.relay.Servers.Servers(x.service)))
+	expected, _ := x.relay.Balancer.Expected(x.task(x.relay.Servers.Servers(x.service)))
 	return x.elapsed()+expected <= x.route.Objective
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -79,8 +79,8 @@
 		defer x.relay.Versions.End(x.service, version)
 	}
 	x.sends++
-	x.record.Note("send", "to %s in %s, model %s, after event %q, %d ms left",
-		server.ID, server.DataHall, x.model(), x.after, time.Until(x.deadline).Milliseconds())
+	x.record.Note("send", "to %s in %s, model %s, %d of %d tokens held, after event %q, %d ms left",
+		server.ID, server.DataHall, x.model(), use.Held(), x.request.Prompt.Tokens, x.after, time.Until(x.deadline).Milliseconds())
 	sent := time.Now()
 	watch := x.watch(use, cancel)
 	defer watch.stop()
@@ -92,7 +92,7 @@
 		After:    x.after,
 	})
 	x.countVersion(ctx, version, answer, time.Since(sent))
-	f := x.judge(ctx, use, answer, err)
+	f := x.judge(ctx, use, sent, answer, err)
 	if answer != nil {
 		defer answer.Close()
 	}
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -39,7 +40,7 @@
 }
 
 // judge decides on the head of an answer. Nil lets the answer go out.
-func (x *exchange) judge(ctx context.Context, use *route.Use, answer Answer, err error) *failure {
+func (x *exchange) judge(ctx context.Context, use *route.Use, sent time.Time, answer Answer, err error) *failure {
 	if err != nil {
 		return x.judgeError(ctx, use, err)
 	}
@@ -50,6 +51,8 @@
 		use.End(route.OutcomeDeclined)
 		return &failure{reason: ReasonDeclined, retryAfter: answer.RetryAfter(), cause: http.StatusText(answer.Status())}
 	}
+	x.record.Note("head", "after %d ms, expected %d, of it %d waiting; confidence %s of %s",
+		time.Since(sent).Milliseconds(), use.Expected().Milliseconds(), use.Waits().Milliseconds(), confidence(answer), x.model())
 	use.Begin()
 	use.Failed(failed(answer))
 	x.runs++
@@ -71,6 +74,14 @@
 	return nil
 }
 
+// confidence shows a model's opinion of its answer.
+func confidence(answer Answer) string {
+	if value, told := answer.Confidence(); told {
+		return strconv.FormatFloat(value, 'f', 0, 64)
+	}
+	return "none"
+}
+
 // failed reports whether an answer is a failure of the server's own.
 func failed(a Answer) bool { return a.Status() >= http.StatusInternalServerError }
 
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -72,6 +72,7 @@
 		if err != nil {
 			return x.broken(ctx, use, err)
 		}
+		use.Progress()
 		x.begin(answer)
 		if x.reply.Write(event.raw) != nil {
 			return x.clientLeft(use)
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -16,11 +16,11 @@
 	// leastPatience and mostPatience bound the wait for the first piece of an
 	// answer, as shares of the route's objective. The most leaves half of the
 	// objective to the next server; only what is expected to take longer may.
-	leastPatience = 0.5
-	mostPatience  = 0.6
+	leastPatience = 0.8
+	mostPatience  = 0.9
 	// overExpected is how many times longer than expected any answer may take
 	// to begin.
-	overExpected = 2
+	overExpected = 3
 	// pausePatience is the multiple of the longest pause in time after which the
 	// rest of a stream is asked for elsewhere. On a calm day one stream in ten
 	// pauses for more than half of that time, one in a hundred for all of it,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -31,6 +31,7 @@
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/prefix"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
@@ -79,13 +80,7 @@
 	// MaxOutput is the most tokens to make.
 	MaxOutput int
 	// Parts are shared between prompts, except for the last one.
-	Parts []Part
-}
-
-// Part is one piece of a prompt.
-type Part struct {
-	ID     string
-	Tokens int
+	Parts []prefix.Part
 }
 
 // Call is a request as one server gets it.
--- a/relay/work.go
+++ b/relay/work.go
@@ -1,29 +1,21 @@
 package relay
 
 import (
-	"github.com/violettally/violettally/internal/rendezvous"
+	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/prefix"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/route"
 )
 
+// What an answer is assumed to take before the first one has come. One answer
+// outweighs it.
 const (
-	// readPerToken is the time in milliseconds in which the costliest model
-	// reads a token of a prompt: the deployments' engines read 112 tokens a
-	// millisecond, and their largest model takes three times as long.
-	readPerToken = 0.027
-	// startWork is the time in milliseconds that any request takes before its
-	// answer begins, on the costliest model.
-	startWork = 10.0
-	// firstToken is the time in milliseconds that the answer of an idle engine
-	// takes to begin beside reading: steps of its batch, and the network.
-	firstToken = 50.0
-	// plainWork is that of a request without a prompt, plainUsual how long its
-	// answer usually takes; the sheets say 60 ms.
-	plainWork  = 1.0
-	plainUsual = 60.0
-	// sharedParts is how many parts of a prompt decide on its home: the first
-	// two are shared widely, the last is the request's own.
-	sharedParts = 2
+	// assumedBase is the time in milliseconds in which an idle server begins
+	// its answer, beside reading a prompt.
+	assumedBase = 30.0
+	// assumedRate is the time in milliseconds in which the costliest model
+	// reads a token; engines of large models read 10 to 50 in a millisecond.
+	assumedRate = 0.05
 )
 
 // task describes the next attempt to the balancer.
@@ -31,45 +23,53 @@
 	t := route.Task{
 		Servers: servers,
 		Exclude: x.tried,
-		Work:    plainWork,
-		Kind:    x.kind(),
-		Usual:   plainUsual,
+		Kind:    x.workKind(),
+		Assumed: route.Assumption{Base: assumedBase},
 	}
 	prompt := x.request.Prompt
 	if prompt.Tokens == 0 {
 		return t
 	}
-	pace := x.pace()
-	t.Work = pace * (float64(prompt.Tokens)*readPerToken + startWork)
-	t.Usual = t.Work + firstToken
-	if len(prompt.Parts) <= sharedParts {
-		return t
-	}
-	for _, part := range prompt.Parts[:sharedParts] {
-		t.SharedTokens += part.Tokens
+	t.Tokens = prompt.Tokens
+	t.Prompt = prefix.NewChain(x.model(), prompt.Parts)
+	t.Assumed.Rate = assumedRate
+	if engine := x.engine(); engine != nil {
+		t.Capacity = engine.CacheTokens
+		t.Assumed.Rate *= pace(engine, x.model())
 	}
-	t.SavedWork = pace * float64(t.SharedTokens) * readPerToken
-	// Engines keep the parts by model.
-	t.Home = rendezvous.Hash(x.model() + "/" + prompt.Parts[sharedParts-1].ID)
 	return t
 }
 
 // kind groups requests that usually take equally long.
 func (x *exchange) kind() string { return x.route.Name + "/" + x.model() }
 
-// pace is how long the chosen model takes, as a share of the costliest one's
-// time. The declared costs stand in for it: they rise with a model's size.
-func (x *exchange) pace() float64 {
+// workKind groups requests that take equally long for the same size: those for
+// a model, whichever route they come by, or else those of a route.
+func (x *exchange) workKind() string {
+	if x.request.Prompt.Tokens > 0 {
+		return x.service + "/" + x.model()
+	}
+	return x.service + "/" + x.route.Name
+}
+
+// engine describes the engines of the service; nil if it has none.
+func (x *exchange) engine() *catalog.Engine {
 	service := x.relay.Catalog().Service(x.service)
-	if service == nil || service.Engine == nil || x.model() == "" {
-		return 1
+	if service == nil {
+		return nil
 	}
+	return service.Engine
+}
+
+// pace is how long a model is assumed to take, as a share of the costliest
+// one's time. The declared costs stand in for it: they rise with a model's size.
+func pace(engine *catalog.Engine, model string) float64 {
 	highest := 0.0
-	for _, cost := range service.Engine.Costs {
+	for _, cost := range engine.Costs {
 		highest = max(highest, cost)
 	}
-	if highest == 0 {
+	if highest == 0 || model == "" {
 		return 1
 	}
-	return service.Engine.Costs[x.model()] / highest
+	return engine.Costs[model] / highest
 }
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -6,22 +6,25 @@
 	"sync"
 	"time"
 
+	"github.com/violettally/violettally/estimate"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/internal/rendezvous"
+	"github.com/violettally/violettally/prefix"
 	"github.com/violettally/violettally/registry"
 )
 
-// The balancer weighs servers in milliseconds of their time. The figures were
-// tried on calm days and days of high load of both deployments; between half
-// and twice of each the worth stayed the same (docs/MEASUREMENTS.md).
+// The balancer weighs servers in milliseconds of waiting.
 const (
 	// hallPenalty is the wait that a server of this node's data hall may be
 	// behind one elsewhere: bytes between data halls are paid for.
-	hallPenalty = 40.0
-	// homePerToken is the wait that the server which most likely has the
-	// shared parts of a prompt already may be behind, beside the time that it
-	// saves: reading parts again is paid for.
-	homePerToken = 0.015
+	hallPenalty = 120.0
+	// occupancy is the wait, for each millisecond that a server is kept busy,
+	// that a choice is worth to those who come after: reading what another
+	// server has already holds up all that wait behind it.
+	occupancy = 1.0
+	// homeShare is the chance that the server which all nodes prefer for a
+	// prompt's shared parts has those that this node has not sent there.
+	homeShare = 0.5
 	// jitter parts servers that are equal otherwise.
 	jitter = 5.0
 )
@@ -30,23 +33,28 @@
 type Task struct {
 	// Servers may get the request.
 	Servers []registry.Server
-	// Work is how long the request keeps a server busy before its answer
-	// begins, in milliseconds.
-	Work float64
-	// Kind groups requests that usually take as many times longer than Usual,
-	// which is how long the answer of an idle server takes to begin, in
-	// milliseconds.
-	Kind  string
-	Usual float64
-	// Home hashes the shared parts of the prompt; zero for none. The server
-	// that has read them saves SavedWork, of SharedTokens.
-	Home         uint64
-	SavedWork    float64
-	SharedTokens int
+	// Kind groups requests whose answers take equally long to begin for the
+	// same size.
+	Kind string
+	// Assumed is how long such an answer takes while none has come yet.
+	Assumed Assumption
+	// Prompt is what engines keep of it, in order; nil for none.
+	Prompt prefix.Chain
+	// Tokens of the prompt, zero for none. Engines read one prompt at a time;
+	// requests without one are served side by side.
+	Tokens int
+	// Capacity is what a server's cache holds, in tokens; zero if not known.
+	Capacity int
 	// Exclude lists servers by ID that have been tried.
 	Exclude map[string]bool
 }
 
+// Assumption is a first guess of how long an answer takes to begin.
+type Assumption struct {
+	// Base in milliseconds, and Rate in milliseconds for each token to be read.
+	Base, Rate float64
+}
+
 // Balancer chooses among servers that tell their load on each answer. Unlike
 // [Chooser] it looks at all servers of a service: what it knows of them costs
 // no calls. It is safe for concurrent use.
@@ -55,34 +63,49 @@
 	opened   func(server string)
 
 	mu sync.Mutex
-	// servers are by ID.
+	// servers are by ID, lines and waits by kind of request.
 	servers map[string]*known
+	lines   map[string]*estimate.Line
 	waits   waits
 }
 
 // NewBalancer returns a balancer of a node in the given data hall. Opened is
 // called for each server that a breaker takes out.
 func NewBalancer(dataHall string, opened func(server string)) *Balancer {
-	return &Balancer{dataHall: dataHall, opened: opened, servers: make(map[string]*known), waits: make(waits)}
+	return &Balancer{
+		dataHall: dataHall,
+		opened:   opened,
+		servers:  make(map[string]*known),
+		lines:    make(map[string]*estimate.Line),
+		waits:    make(waits),
+	}
 }
 
+// prospect is what a server would do with a task, in milliseconds.
+type prospect struct {
+	server registry.Server
+	state  *known
+	// wait is how long the request waits until the server turns to it, takes
+	// how long the answer takes to begin from then on.
+	wait, takes float64
+	// held is how many tokens of the prompt the server is believed to have.
+	held int
+}
+
+// expected is how long the answer takes to begin, in milliseconds.
+func (p prospect) expected() float64 { return p.wait + p.takes }
+
 // Expected returns how long the answer to a task would take to begin at the
-// server that has least to do, by what its kind has lately taken.
-func (b *Balancer) Expected(t Task) time.Duration {
+// server that Choose would choose, and by which share of it such answers are
+// off, on average; zero if there is no server.
+func (b *Balancer) Expected(t Task) (expected time.Duration, off float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	least := math.Inf(1)
-	for _, s := range t.Servers {
-		state := b.state(s.ID)
-		if !t.Exclude[s.ID] && state.breaker.allows(now) {
-			least = math.Min(least, state.wait(now))
-		}
+	best, ok := b.best(t, time.Now())
+	if !ok {
+		return 0, 0
 	}
-	if math.IsInf(least, 1) {
-		return 0
-	}
-	return milliseconds(b.waits.lately(t.Kind, now) * (least + t.Usual))
+	return milliseconds(best.expected()), b.line(t).Deviation()
 }
 
 // Choose returns the server for one request.
@@ -90,90 +113,120 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	home := b.home(t)
-	best, bestCost := -1, math.Inf(1)
-	for i, s := range t.Servers {
-		state := b.state(s.ID)
+	best, ok := b.best(t, now)
+	if !ok {
+		return nil, errs.New(NoServer, "choose", "none of %d servers can take the request", len(t.Servers))
+	}
+	return b.use(best, t, now), nil
+}
+
+// best returns the server whose choice costs least.
+func (b *Balancer) best(t Task, now time.Time) (best prospect, ok bool) {
+	line := b.line(t)
+	home := b.home(t, line)
+	bestCost := math.Inf(1)
+	for _, s := range t.Servers {
+		state := b.state(s.ID, t.Capacity)
 		if t.Exclude[s.ID] || !state.breaker.allows(now) {
 			continue
 		}
-		if cost := b.cost(s, state, t, home, now); cost < bestCost {
-			best, bestCost = i, cost
+		p := prospect{server: s, state: state, wait: state.wait(now), held: min(state.cache.Held(t.Prompt), t.Tokens)}
+		p.takes = line.At(float64(t.Tokens - p.held))
+		cost := b.cost(p, t, now)
+		if s.ID == home {
+			cost -= homeWorth(t, line, p.held)
+		}
+		if cost < bestCost {
+			best, bestCost, ok = p, cost, true
 		}
 	}
-	if best < 0 {
-		return nil, errs.New(NoServer, "choose", "none of %d servers can take the request", len(t.Servers))
-	}
-	saved := 0.0
-	if t.Servers[best].ID == home {
-		saved = t.SavedWork
-	}
-	return b.use(t.Servers[best], t, saved, now), nil
+	return best, ok
 }
 
 // cost is what the choice of a server for a task costs, in milliseconds of
 // waiting.
-func (b *Balancer) cost(s registry.Server, state *known, t Task, home string, now time.Time) float64 {
-	wait := state.wait(now)
-	cost := wait + jitter*rand.Float64() + state.silence(now)
-	cost += state.health.cost(now, wait+b.waits.mean(t.Kind)*t.Usual)
-	if s.DataHall != b.dataHall {
+func (b *Balancer) cost(p prospect, t Task, now time.Time) float64 {
+	cost := p.expected() + occupancy*p.occupies(t) + jitter*rand.Float64()
+	cost += p.state.health.cost(now, p.expected())
+	if p.server.DataHall != b.dataHall {
 		cost += hallPenalty
 	}
-	if s.ID == home {
-		cost -= t.SavedWork + homePerToken*float64(t.SharedTokens)
-	}
 	return cost
 }
 
-// use counts one request at a server that saves some of its work, in
-// milliseconds.
-func (b *Balancer) use(server registry.Server, t Task, saved float64, now time.Time) *Use {
-	state := b.state(server.ID)
-	idle := state.wait(now) + t.Usual - saved
-	if state.waiting == 0 {
-		state.progress = now
+// occupies is how long a task keeps others waiting, in milliseconds.
+func (p prospect) occupies(t Task) float64 {
+	if t.Tokens > 0 {
+		return p.takes
 	}
-	state.inflight++
-	state.waiting++
-	state.pending += t.Work - saved
-	state.expected = milliseconds(b.waits.mean(t.Kind) * idle)
-	state.breaker.begin(now)
-	return &Use{
+	return p.takes / float64(max(1, p.server.Slots))
+}
+
+// use counts one request at a server.
+func (b *Balancer) use(p prospect, t Task, now time.Time) *Use {
+	u := &Use{
 		balancer: b,
-		server:   server,
-		work:     t.Work - saved,
+		server:   p.server,
+		state:    p.state,
 		kind:     t.Kind,
-		idle:     idle,
-		expected: state.expected,
-		late:     milliseconds(b.waits.late(t.Kind) * idle),
+		prompt:   t.Prompt,
+		tokens:   t.Tokens,
+		held:     p.held,
+		wait:     p.wait,
+		takes:    p.takes,
+		occupies: p.occupies(t),
+		late:     milliseconds(b.waits.late(t.Kind) * p.expected()),
 		started:  now,
 	}
+	p.state.send(u, now)
+	p.state.breaker.begin(now)
+	return u
+}
+
+// homeWorth is the wait that the preferred server of a task may be behind, in
+// milliseconds, if it holds so many tokens of the prompt for sure.
+func homeWorth(t Task, line *estimate.Line, held int) float64 {
+	unknown := max(0, t.Prompt.Shared().Tokens()-held)
+	return homeShare * (1 + occupancy) * line.Rate() * float64(unknown)
 }
 
-// home returns the server that all nodes of this data hall prefer for a
-// prompt's shared parts.
-func (b *Balancer) home(t Task) string {
-	if t.Home == 0 {
+// home returns the server that all nodes prefer for a prompt's shared parts: of
+// all servers where that is worth more than the bytes between data halls, and
+// otherwise of this data hall.
+func (b *Balancer) home(t Task, line *estimate.Line) string {
+	shared := t.Prompt.Shared()
+	if len(shared) == 0 {
 		return ""
 	}
+	everywhere := homeWorth(t, line, 0) > hallPenalty
+	key := shared[len(shared)-1].Hash
 	best, bestScore := "", uint64(0)
 	for _, s := range t.Servers {
-		if s.DataHall != b.dataHall {
+		if s.DataHall != b.dataHall && !everywhere {
 			continue
 		}
-		if score := rendezvous.Score(t.Home, rendezvous.Hash(s.ID)); score >= bestScore {
+		if score := rendezvous.Score(key, rendezvous.Hash(s.ID)); score >= bestScore {
 			best, bestScore = s.ID, score
 		}
 	}
 	return best
 }
 
+// line returns what is known of how long answers of a task's kind take.
+func (b *Balancer) line(t Task) *estimate.Line {
+	l := b.lines[t.Kind]
+	if l == nil {
+		l = estimate.New(t.Assumed.Base, t.Assumed.Rate)
+		b.lines[t.Kind] = l
+	}
+	return l
+}
+
 // state returns what is known of a server, which may be nothing yet.
-func (b *Balancer) state(id string) *known {
+func (b *Balancer) state(id string, capacity int) *known {
 	s := b.servers[id]
 	if s == nil {
-		s = &known{}
+		s = &known{cache: prefix.NewMemory(capacity)}
 		b.servers[id] = s
 	}
 	return s
--- a/route/known.go
+++ b/route/known.go
@@ -2,71 +2,137 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"github.com/violettally/violettally/prefix"
 )
 
 const (
-	// waitingWork is assumed of a request by another node that waits.
-	waitingWork = 60.0
-	// runningWork is what each request under way adds to a step of an engine
-	// while a prompt is read.
+	// runningWork is what each request under way adds to the wait, in
+	// milliseconds: an engine makes a token for each of them between two pieces
+	// of a prompt.
 	runningWork = 2.0
-	// toldHalfLife is how soon a load that a server told is forgotten; a
-	// waiting request has begun about then.
+	// toldHalfLife is how soon the number of running requests that a server told
+	// is forgotten.
 	toldHalfLife = 500 * time.Millisecond
-	// usualSilence is how many times longer than expected a server may be
-	// silent by chance.
-	usualSilence = 5
+	// typicalMemory is the weight of one request in what requests at a server
+	// typically keep it busy with.
+	typicalMemory = 0.1
 )
 
 // Load is what a server told of itself on an answer. The fields are exported
 // for the adapter that reads it.
 type Load struct {
-	// Running and Waiting are requests, of all nodes.
+	// Running and Waiting are requests, of all nodes. The prompt that is being
+	// read counts as running.
 	Running int
 	Waiting int
 	// Slots is the number of requests that the server runs at once.
 	Slots int
 }
 
-// known is what this node knows of one server.
+// known is what this node knows of one server. The server is taken to turn to
+// one request after the other, in the order in which they were sent.
 type known struct {
-	// inflight are this node's own requests, waiting those of them whose
-	// answer has not begun, pending the work of these in milliseconds.
+	// inflight are this node's own requests, waiting those of them whose answer
+	// has not begun, in the order in which they were sent.
 	inflight int
-	waiting  int
-	pending  float64
-	// othersWaiting and othersRunning are the requests of other nodes when
-	// the server last told its load.
-	othersWaiting float64
+	waiting  []*Use
+	// free is when the server will be through with all that it is known to
+	// have got.
+	free time.Time
+	// typical is for how long a request keeps the server busy, in milliseconds.
+	typical float64
+	// othersRunning are the requests of other nodes that ran when the server
+	// last told its load.
 	othersRunning float64
 	toldAt        time.Time
-	// progress is when an answer last began, or a request was sent to a server
-	// that had none of this node waiting.
+	// progress is when the server last gave this node a piece of an answer, or
+	// a request was sent to a server that had none of this node waiting.
 	progress time.Time
-	// expected is how long the answer to the last request sent there usually
-	// takes to begin.
-	expected time.Duration
 
+	cache   *prefix.Memory
 	health  health
 	breaker breaker
 }
 
-// wait estimates how long a request waits at the server until it is read, in
-// milliseconds: behind this node's own work, which it knows, and that of
-// others, as far as the server's word is fresh.
+// wait estimates how long a request waits until the server turns to it, in
+// milliseconds. Where an answer of the server is overdue, all that follow it
+// are, by as much.
 func (s *known) wait(now time.Time) float64 {
-	weight := fresh(now.Sub(s.toldAt), toldHalfLife)
-	running := float64(s.inflight) + weight*s.othersRunning
-	return s.pending + weight*s.othersWaiting*waitingWork + running*runningWork
+	running := float64(s.inflight) + fresh(now.Sub(s.toldAt), toldHalfLife)*s.othersRunning
+	wait := running * runningWork
+	if len(s.waiting) > 0 {
+		since := s.waiting[0].ready
+		if !s.waiting[0].serial() {
+			since = later(since, s.progress)
+		}
+		wait += math.Max(0, inMilliseconds(now.Sub(since)))
+	}
+	return wait + math.Max(0, inMilliseconds(s.free.Sub(now)))
+}
+
+// send counts a request of this node.
+func (s *known) send(u *Use, now time.Time) {
+	if len(s.waiting) == 0 {
+		s.progress = now
+	}
+	s.free = later(s.free, now).Add(milliseconds(u.occupies))
+	s.typical += typicalMemory * (u.occupies - s.typical)
+	u.ready = now.Add(u.Expected())
+	s.inflight++
+	s.waiting = append(s.waiting, u)
+	s.cache.Read(u.prompt)
+}
+
+// begin takes a request off those that wait. Those that were sent after it are
+// ready as much later than expected as it was; one that has gone without an
+// answer leaves its time to them.
+func (s *known) begin(u *Use, answered bool, now time.Time) {
+	at := slices.Index(s.waiting, u)
+	if at < 0 {
+		return
+	}
+	s.waiting = slices.Delete(s.waiting, at, at+1)
+	if !u.serial() {
+		return
+	}
+	shift := now.Sub(u.ready)
+	if !answered {
+		shift = -milliseconds(u.occupies)
+	}
+	for _, w := range s.waiting[at:] {
+		w.ready = later(w.ready.Add(shift), now)
+	}
+	s.free = later(s.free.Add(shift), now)
+}
+
+// tell takes a server's word on its load, less this node's own part of it.
+func (s *known) tell(l Load, now time.Time) {
+	s.othersRunning = math.Max(0, float64(l.Running-(s.inflight-len(s.waiting))))
+	s.toldAt = now
+	own := 0.0
+	for _, u := range s.waiting {
+		own += u.occupies
+	}
+	// One more than those that wait may be being read.
+	others := math.Max(0, float64(l.Waiting-len(s.waiting)))
+	least, most := own+others*s.typical, own+(others+1)*s.typical
+	wait := math.Max(least, math.Min(most, inMilliseconds(s.free.Sub(now))))
+	s.free = now.Add(milliseconds(wait))
 }
 
-// silence is how long requests of this node have been waiting at the server
-// without an answer to any of them, beyond what may be by chance, in
-// milliseconds.
-func (s *known) silence(now time.Time) float64 {
-	if s.waiting == 0 {
-		return 0
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return math.Max(0, float64(now.Sub(s.progress)-usualSilence*s.expected)/float64(time.Millisecond))
+	return b
 }
+
+// milliseconds makes a duration of a number of them, inMilliseconds a number of
+// a duration.
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/route/use.go
+++ b/route/use.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/violettally/violettally/prefix"
 	"github.com/violettally/violettally/registry"
 )
 
@@ -12,43 +13,62 @@
 type Use struct {
 	balancer *Balancer
 	server   registry.Server
-	// work is what it keeps the server busy with before its answer begins, in
-	// milliseconds.
-	work float64
-	kind string
-	// idle is how long the answer would take to begin if all requests of its
-	// kind took as long as the task says, in milliseconds; expected is how long
-	// it takes at a server of the usual speed.
-	idle     float64
-	expected time.Duration
+	state    *known
+	kind     string
+	prompt   prefix.Chain
+	// tokens of the prompt, of which the server is believed to hold some.
+	tokens, held int
+	// wait is how long the request was expected to wait until the server turns
+	// to it, takes how long the answer takes to begin from then on, occupies
+	// how long it keeps others waiting, in milliseconds.
+	wait, takes, occupies float64
 	// late is when the answer is later than almost all of its kind; zero while
 	// too little is known.
 	late    time.Duration
 	started time.Time
-	begin   sync.Once
-	end     sync.Once
+	// ready is when the answer is expected to begin, by all that is known since.
+	ready time.Time
+	begin sync.Once
+	end   sync.Once
 }
 
 // Server returns the chosen server.
 func (u *Use) Server() registry.Server { return u.server }
 
 // Tell takes the load that the server told on its answer.
-func (u *Use) Tell(l Load) { u.balancer.tell(u.server.ID, l) }
+func (u *Use) Tell(l Load) { u.balancer.tell(u.state, l) }
 
 // Late returns how long after it was sent a request's answer is later than
 // almost all of its kind; zero while too little is known.
 func (u *Use) Late() time.Duration { return u.late }
 
-// Expected returns how long the answer usually takes to begin.
-func (u *Use) Expected() time.Duration { return u.expected }
+// Expected returns how long after it was sent the answer was expected to begin.
+func (u *Use) Expected() time.Duration { return milliseconds(u.wait + u.takes) }
+
+// Waits returns which part of Expected the request was expected to wait until
+// the server turns to it.
+func (u *Use) Waits() time.Duration { return milliseconds(u.wait) }
+
+// Held returns how many tokens of the prompt the server was believed to have.
+func (u *Use) Held() int { return u.held }
+
+// serial reports whether the server turns to one such request after the other.
+func (u *Use) serial() bool { return u.tokens > 0 }
 
 // Begin tells that the server's answer has begun.
 func (u *Use) Begin() {
 	u.begin.Do(func() { u.balancer.begin(u, true) })
 }
 
+// Progress tells that the server has given a piece of some answer.
+func (u *Use) Progress() { u.balancer.progress(u.state) }
+
+// Silent returns for how long the server has given this node no sign of life
+// since the request was sent.
+func (u *Use) Silent() time.Duration { return u.balancer.silent(u) }
+
 // Failed tells whether the server answered with a failure of its own.
-func (u *Use) Failed(failed bool) { u.balancer.failed(u.server.ID, failed) }
+func (u *Use) Failed(failed bool) { u.balancer.failed(u.state, failed) }
 
 // Stall tells that the request was taken away since its answer, or the rest of
 // it, was late. A server that has begun no other answer meanwhile has failed.
@@ -63,77 +83,92 @@
 // End tells how the request ended, as far as the server is concerned.
 func (u *Use) End(outcome Outcome) {
 	u.begin.Do(func() { u.balancer.begin(u, false) })
-	u.end.Do(func() { u.balancer.end(u.server.ID, outcome) })
+	u.end.Do(func() { u.balancer.end(u, outcome) })
 }
 
-// tell takes a server's word on its load, less this node's own part of it.
-func (b *Balancer) tell(id string, l Load) {
+// tell takes a server's word on its load.
+func (b *Balancer) tell(s *known, l Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(id)
-	s.othersWaiting = math.Max(0, float64(l.Waiting-s.waiting))
-	s.othersRunning = math.Max(0, float64(l.Running-(s.inflight-s.waiting)))
-	s.toldAt = time.Now()
+	s.tell(l, time.Now())
 }
 
-// begin takes a request's work off what this node has waiting at a server, and
-// learns from an answer that has begun.
+// begin takes a request off those that wait at a server, and learns from an
+// answer that has begun.
 func (b *Balancer) begin(u *Use, answered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(u.server.ID)
-	s.waiting--
-	s.pending -= u.work
+	now := time.Now()
 	if answered {
-		now := time.Now()
-		s.progress = now
-		s.health.learnWait(now, b.learnWait(u, now))
+		u.state.progress = now
+		u.state.health.learnWait(now, b.learn(u, now))
+	} else {
+		u.state.cache.Forget(u.prompt)
 	}
+	u.state.begin(u, answered, now)
 }
 
-// learnWait takes how long a request has waited for its answer. It returns how
-// many times longer than usual that is.
-func (b *Balancer) learnWait(u *Use, now time.Time) float64 {
-	if u.idle <= 0 {
-		return 1
+// learn takes how long an answer has taken to begin. It returns how many times
+// longer than usual that is.
+func (b *Balancer) learn(u *Use, now time.Time) float64 {
+	line := b.lines[u.kind]
+	took := math.Max(0, u.takes+inMilliseconds(now.Sub(u.ready)))
+	size := float64(u.tokens - u.held)
+	if whole := float64(u.tokens); u.held > 0 && math.Abs(took-line.At(whole)) < math.Abs(took-line.At(size)) {
+		// It took as long as reading all of it: the server did not have it.
+		size = whole
 	}
-	return b.waits.learn(u.kind, float64(now.Sub(u.started))/float64(time.Millisecond)/u.idle, now)
+	// Of a long wait little can be told about what came after it.
+	waited := math.Max(0, inMilliseconds(now.Sub(u.started))-took)
+	line.Learn(size, took, (took+1)/(took+waited+1))
+	total := inMilliseconds(now.Sub(u.started))
+	return b.waits.learn(u.kind, total/math.Max(1, u.wait+u.takes))
+}
+
+// progress takes a sign of life of a server.
+func (b *Balancer) progress(s *known) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.progress = time.Now()
+}
+
+// silent returns for how long a server has given no sign of life.
+func (b *Balancer) silent(u *Use) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Since(later(u.started, u.state.progress))
 }
 
 // failed takes whether an answer was a failure of the server's own.
-func (b *Balancer) failed(id string, failed bool) {
+func (b *Balancer) failed(s *known, failed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(id).health.learnFailure(time.Now(), failed)
+	s.health.learnFailure(time.Now(), failed)
 }
 
 // stalled counts a request whose answer was late against its server. It
-// reports whether the server has begun no other answer since that was sent.
+// reports whether the server has given no piece of an answer since it was sent.
 func (b *Balancer) stalled(u *Use) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(u.server.ID)
-	s.health.learnWait(time.Now(), slowest)
-	return !s.progress.After(u.started)
+	u.state.health.learnWait(time.Now(), slowest)
+	return !u.state.progress.After(u.started)
 }
 
 // end takes a request off a server, and lets its breaker judge the outcome.
-func (b *Balancer) end(id string, outcome Outcome) {
+func (b *Balancer) end(u *Use, outcome Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(id)
+	s := u.state
 	s.inflight--
 	switch outcome {
 	case OutcomeOK:
 		s.breaker.succeed()
 	case OutcomeFailed:
 		if s.breaker.fail(time.Now()) {
-			b.opened(id)
+			b.opened(u.server.ID)
 		}
 	default:
 		s.breaker.neutral()
 	}
 }
-
-// milliseconds makes a duration of a number of them.
-func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
--- a/route/waits.go
+++ b/route/waits.go
@@ -1,9 +1,6 @@
 package route
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 // How quickly servers begin their answers is measured against what they were
 // expected to take, in the manner of TCP's retransmission timer (RFC 6298): a
@@ -19,9 +16,6 @@
 	lateSamples = 10
 	// slowest bounds how many times slower than usual one answer counts.
 	slowest = 12.0
-	// waitsHalfLife is how soon the usual wait of a kind that is not asked for
-	// is forgotten, so that it is asked for again.
-	waitsHalfLife = 4 * time.Second
 )
 
 // waits are by kind of request; the balancer's lock guards them.
@@ -33,17 +27,15 @@
 	mean      float64
 	deviation float64
 	samples   int
-	at        time.Time
 }
 
 // learn takes one answer's multiple and returns it against the mean before.
-func (w waits) learn(kind string, multiple float64, now time.Time) float64 {
+func (w waits) learn(kind string, multiple float64) float64 {
 	k := w[kind]
 	if k == nil {
-		w[kind] = &waitRatio{mean: multiple, deviation: multiple / 2, samples: 1, at: now}
+		w[kind] = &waitRatio{mean: multiple, deviation: multiple / 2, samples: 1}
 		return 1
 	}
-	k.at = now
 	relative := multiple / math.Max(k.mean, math.SmallestNonzeroFloat64)
 	// One answer of a dead server must not make all others look quick.
 	multiple = math.Min(multiple, slowest*k.mean)
@@ -62,21 +54,3 @@
 	}
 	return k.mean + deviations*k.deviation
 }
-
-// mean returns the usual multiple of a kind, one while nothing is known.
-func (w waits) mean(kind string) float64 {
-	if k := w[kind]; k != nil {
-		return k.mean
-	}
-	return 1
-}
-
-// lately returns the usual multiple of a kind as far as it may still hold: what
-// is not asked for any more is taken for quick again after a while.
-func (w waits) lately(kind string, now time.Time) float64 {
-	k := w[kind]
-	if k == nil {
-		return 1
-	}
-	return 1 + fresh(now.Sub(k.at), waitsHalfLife)*math.Max(0, k.mean-1)
-}
