share: nodes tell each other what they send to servers

A prompt that another node had just sent made a wait that nobody expected (an error of 0.78 of the time taken for the cheapest model), and 9 to 13 in 100 prompt tokens were known to be held.

Change: package share. A node calls the first of its data hall every 100 ms (10 ms more for each node of the hall beyond ten), tells what it has sent and hears what all others have; the first nodes of two halls do the same with their halls' own sends. Bounded boards, each send once, no agreement, nothing kept. The balancer counts what it hears as work that waits and as prompts read.

--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -8,8 +8,12 @@
 
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/share"
 )
 
+// callExchange tells what a node has sent to servers, and asks the same.
+const callExchange = "exchange"
+
 // callFollow asks for what a node's copy of the store has beyond a revision.
 const callFollow = "follow"
 
@@ -24,6 +28,7 @@
 type Gateway interface {
 	Await(ctx context.Context, revision int64, wait time.Duration) mirror.Batch
 	Counts() (node string, counts rollout.Counts)
+	Exchange(m share.Message) share.Reply
 }
 
 // NewGatewayServer returns a server that answers the calls between gateways, and
@@ -33,6 +38,9 @@
 		callFollow: handle(func(ctx context.Context, r followRequest) (mirror.Batch, error) {
 			return g.Await(ctx, r.After, r.Wait), nil
 		}),
+		callExchange: handle(func(_ context.Context, m share.Message) (share.Reply, error) {
+			return g.Exchange(m), nil
+		}),
 		callCounts: answerCounts(g.Counts),
 	}}
 }
@@ -50,3 +58,9 @@
 func (c *Client) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
 	return invoke[followRequest, mirror.Batch](ctx, c, address, callFollow, followRequest{After: after, Wait: wait})
 }
+
+// Exchange tells a gateway what this node knows of sends to servers, and returns
+// what the gateway knows.
+func (c *Client) Exchange(ctx context.Context, address string, m share.Message) (share.Reply, error) {
+	return invoke[share.Message, share.Reply](ctx, c, address, callExchange, m)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,7 @@
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/settings"
+	"github.com/violettally/violettally/share"
 	"github.com/violettally/violettally/timer"
 	"github.com/violettally/violettally/view"
 )
@@ -87,6 +88,7 @@
 	leases   *lease.Holder
 	client   *peer.Client
 	nodes    *nodes
+	board    *share.Board
 
 	relay   *relay.Relay
 	callers *platform.Callers
@@ -116,8 +118,9 @@
 	g.store = platform.NewStore(s.Store.Address, instruments.PlatformCall)
 	g.client = peer.NewClient(nil, peer.WithCallCounter(instruments.PeerCall))
 	g.registry = registry.New(g.timers)
-	g.balancer = route.NewBalancer(s.DataHall, instruments.BreakerOpened)
+	g.balancer = route.NewBalancer(s.DataHall, instruments.BreakerOpened, route.WithAnnouncer(func(s share.Send) { g.board.Tell(s) }))
 	g.nodes = newNodes(g)
+	g.board = share.NewBoard(g.self, g, g.client, g.timers, g.balancer.Heard)
 	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers)
 	g.makeRollouts()
 	g.subscribe()
@@ -190,7 +193,7 @@
 	for _, d := range doors {
 		go func() { failed <- d.serve(work, d.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.nodes.run, g.leases.Run, g.driver.Run} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.nodes.run, g.board.Run, g.leases.Run, g.driver.Run} {
 		go run(work)
 	}
 	slog.Info("gateway is up", "id", g.self.ID, "caller", g.self.Caller, "data_hall", g.self.DataHall, "store", g.settings.Store.Address)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -7,12 +7,19 @@
 	"time"
 
 	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/share"
 	"github.com/violettally/violettally/view"
 )
 
 // upstreamTried is how many gateways a node asks before it goes to the store.
 const upstreamTried = 3
 
+// Others returns the other known gateways.
+func (g *Gateway) Others() []view.Member { return g.nodes.others() }
+
+// Exchange answers a peer that tells what it has sent to servers.
+func (g *Gateway) Exchange(m share.Message) share.Reply { return g.board.Answer(m) }
+
 // mirrorPeers lets the mirror follow other gateways.
 type mirrorPeers struct{ g *Gateway }
 
--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -29,10 +29,11 @@
 // Mark stands for a prompt's beginning up to the end of one of its parts. The
 // fields are exported for the codecs.
 type Mark struct {
+	_ struct{} `cbor:",toarray"`
 	// Hash is of the model and of all parts so far.
-	Hash uint64 `cbor:"1,keyasint"`
+	Hash uint64
 	// Tokens are those of the last of these parts.
-	Tokens int `cbor:"2,keyasint"`
+	Tokens int
 }
 
 // Chain is a whole prompt as its beginnings, the shortest first.
@@ -88,12 +89,14 @@
 // those of 150 engines take 45 MB at most.
 const entriesMax = 2000
 
-// NewMemory returns the memory of an engine that has read nothing. Capacity is
-// in tokens, zero if it is not known.
-func NewMemory(capacity int) *Memory {
-	return &Memory{capacity: capacity, entries: make(map[uint64]*list.Element), order: list.New()}
+// NewMemory returns the memory of an engine that has read nothing.
+func NewMemory() *Memory {
+	return &Memory{entries: make(map[uint64]*list.Element), order: list.New()}
 }
 
+// SetCapacity says how many tokens the engine holds; zero if it is not known.
+func (m *Memory) SetCapacity(tokens int) { m.capacity = tokens }
+
 // Held returns how many tokens of a prompt need not be read.
 func (m *Memory) Held(c Chain) int {
 	held := 0
--- a/prefix/prefix_test.go
+++ b/prefix/prefix_test.go
@@ -15,7 +15,7 @@
 // TestHeld: parts count by model and only with all parts before them.
 func TestHeld(t *testing.T) {
 	shared, mid := prefix.Part{ID: "a", Tokens: 100}, prefix.Part{ID: "b", Tokens: 20}
-	m := prefix.NewMemory(0)
+	m := prefix.NewMemory()
 	must.Zero(t, m.Held(chain("m", shared)))
 	m.Read(chain("m", shared, mid, prefix.Part{ID: "own", Tokens: 3}))
 	must.Eq(t, 120, m.Held(chain("m", shared, mid, prefix.Part{ID: "other", Tokens: 9})))
@@ -80,7 +80,8 @@
 func TestAgainstEngine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		capacity := rapid.IntRange(50, 2000).Draw(t, "capacity")
-		m, e := prefix.NewMemory(capacity), engine{capacity: capacity}
+		m, e := prefix.NewMemory(), engine{capacity: capacity}
+		m.SetCapacity(capacity)
 		for range rapid.IntRange(1, 80).Draw(t, "prompts") {
 			top := rapid.IntRange(0, 5).Draw(t, "top")
 			sub := rapid.IntRange(0, 3).Draw(t, "sub")
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/violettally/violettally/internal/rendezvous"
 	"github.com/violettally/violettally/prefix"
 	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/share"
 )
 
 // The balancer weighs servers in milliseconds of waiting.
@@ -61,24 +62,39 @@
 type Balancer struct {
 	dataHall string
 	opened   func(server string)
+	announce func(share.Send)
 
 	mu sync.Mutex
-	// servers are by ID, lines and waits by kind of request.
-	servers map[string]*known
+	// servers are by the hash of their ID, lines and waits by kind of request.
+	servers map[uint64]*known
 	lines   map[string]*estimate.Line
 	waits   waits
 }
 
+// BalancerOption changes a Balancer as NewBalancer makes it.
+type BalancerOption func(*Balancer)
+
+// WithAnnouncer names who is told of each prompt that is sent to a server, so that
+// other nodes hear of it.
+func WithAnnouncer(announce func(share.Send)) BalancerOption {
+	return func(b *Balancer) { b.announce = announce }
+}
+
 // NewBalancer returns a balancer of a node in the given data hall. Opened is
 // called for each server that a breaker takes out.
-func NewBalancer(dataHall string, opened func(server string)) *Balancer {
-	return &Balancer{
+func NewBalancer(dataHall string, opened func(server string), options ...BalancerOption) *Balancer {
+	b := &Balancer{
 		dataHall: dataHall,
 		opened:   opened,
-		servers:  make(map[string]*known),
+		announce: func(share.Send) {},
+		servers:  make(map[uint64]*known),
 		lines:    make(map[string]*estimate.Line),
 		waits:    make(waits),
 	}
+	for _, option := range options {
+		option(b)
+	}
+	return b
 }
 
 // prospect is what a server would do with a task, in milliseconds.
@@ -126,7 +142,8 @@
 	home := b.home(t, line)
 	bestCost := math.Inf(1)
 	for _, s := range t.Servers {
-		state := b.state(s.ID, t.Capacity)
+		state := b.state(share.ServerHash(s.ID))
+		state.cache.SetCapacity(t.Capacity)
 		if t.Exclude[s.ID] || !state.breaker.allows(now) {
 			continue
 		}
@@ -180,6 +197,9 @@
 	}
 	p.state.send(u, now)
 	p.state.breaker.begin(now)
+	if u.serial() {
+		b.announce(share.Send{Server: share.ServerHash(p.server.ID), Prompt: t.Prompt.Shared(), Work: float32(u.occupies)})
+	}
 	return u
 }
 
@@ -223,22 +243,34 @@
 }
 
 // state returns what is known of a server, which may be nothing yet.
-func (b *Balancer) state(id string, capacity int) *known {
-	s := b.servers[id]
+func (b *Balancer) state(server uint64) *known {
+	s := b.servers[server]
 	if s == nil {
-		s = &known{cache: prefix.NewMemory(capacity)}
-		b.servers[id] = s
+		s = &known{cache: prefix.NewMemory()}
+		b.servers[server] = s
 	}
 	return s
 }
 
+// Heard takes that another node has sent a prompt to a server.
+func (b *Balancer) Heard(s share.Send) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sent := time.Now().Add(-time.Duration(s.AgeMillis) * time.Millisecond)
+	b.state(s.Server).heard(float64(s.Work), s.Prompt, sent)
+}
+
 // Keep forgets all servers but those listed and those in use.
 func (b *Balancer) Keep(ids map[string]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, s := range b.servers {
-		if !ids[id] && s.inflight == 0 {
-			delete(b.servers, id)
+	kept := make(map[uint64]bool, len(ids))
+	for id := range ids {
+		kept[share.ServerHash(id)] = true
+	}
+	for server, s := range b.servers {
+		if !kept[server] && s.inflight == 0 {
+			delete(b.servers, server)
 		}
 	}
 }
--- a/route/balancer_test.go
+++ b/route/balancer_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/shoenig/test/must"
@@ -10,6 +12,7 @@
 	"github.com/violettally/violettally/prefix"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/share"
 )
 
 var halls = []registry.Server{
@@ -119,3 +122,44 @@
 	must.Eq(t, "near-2", choose(t, b, taking(halls[:2], 1)).Server().ID)
 	use.End(route.OutcomeOK)
 }
+
+// TestBalancerHeard: what other nodes send to a server keeps this node's
+// requests away while it is being read, and draws those of the same prompt
+// once it is.
+func TestBalancerHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer()
+		task := func(own string) route.Task {
+			parts := []prefix.Part{{ID: "shared", Tokens: 5000}, {ID: own, Tokens: 1500}}
+			return route.Task{Servers: halls[:2], Tokens: 6500, Prompt: prefix.NewChain("m", parts), Assumed: route.Assumption{Rate: 0.02}}
+		}
+		for _, far := range []string{"near-1", "near-2"} {
+			b.Heard(share.Send{Server: share.ServerHash(far), Work: 1000})
+		}
+		b.Heard(share.Send{Server: share.ServerHash("near-2"), Work: 1000, Prompt: task("x").Prompt.Shared()})
+		first := choose(t, b, task("a"))
+		must.Eq(t, "near-1", first.Server().ID)
+		must.Between(t, time.Second, first.Waits(), 1100*time.Millisecond)
+		time.Sleep(first.Expected())
+		first.Begin()
+		first.End(route.OutcomeOK)
+		time.Sleep(2 * time.Second)
+		second := choose(t, b, task("b"))
+		must.Eq(t, 5000, second.Held())
+		must.Less(t, 100*time.Millisecond, second.Expected())
+	})
+}
+
+// TestBalancerAnnounces: every prompt that is sent is told to the others, and
+// only what they could share of it.
+func TestBalancerAnnounces(t *testing.T) {
+	var told []share.Send
+	b := route.NewBalancer("near", func(string) {}, route.WithAnnouncer(func(s share.Send) { told = append(told, s) }))
+	prompt := prefix.NewChain("m", []prefix.Part{{ID: "shared", Tokens: 500}, {ID: "own", Tokens: 100}})
+	choose(t, b, route.Task{Servers: halls[:1], Tokens: 600, Prompt: prompt, Assumed: route.Assumption{Rate: 0.1}})
+	choose(t, b, route.Task{Servers: halls[:1]})
+	must.Len(t, 1, told)
+	must.Eq(t, share.ServerHash("near-1"), told[0].Server)
+	must.Eq(t, prompt.Shared(), told[0].Prompt)
+	must.Eq(t, 60, told[0].Work)
+}
--- a/route/known.go
+++ b/route/known.go
@@ -86,6 +86,12 @@
 	s.cache.Read(u.prompt)
 }
 
+// heard counts a request of another node.
+func (s *known) heard(occupies float64, prompt prefix.Chain, sent time.Time) {
+	s.free = later(s.free, sent).Add(milliseconds(occupies))
+	s.cache.Read(prompt)
+}
+
 // begin takes a request off those that wait. Those that were sent after it are
 // ready as much later than expected as it was; one that has gone without an
 // answer leaves its time to them.
--- /dev/null
+++ b/share/run.go
@@ -0,0 +1,136 @@
+package share
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/violettally/violettally/internal/rendezvous"
+	"github.com/violettally/violettally/view"
+)
+
+const (
+	// interval lies between two calls of a node. What is told later than a
+	// prompt takes to be read comes too late to keep others from its server.
+	interval = 100 * time.Millisecond
+	// intervalPerNode stretches it in large data halls, so that the node which
+	// all call gets a hundred calls a second at most.
+	intervalPerNode = 10 * time.Millisecond
+	// callTime bounds one call. Peers answer in some milliseconds.
+	callTime = 300 * time.Millisecond
+	// downTime is how long a peer that did not answer is passed over.
+	downTime = 2 * time.Second
+)
+
+// Nodes knows the other nodes.
+type Nodes interface {
+	Others() []view.Member
+}
+
+// Caller calls other nodes.
+type Caller interface {
+	Exchange(ctx context.Context, address string, m Message) (Reply, error)
+}
+
+// Run exchanges with other nodes until the context ends.
+func (b *Board) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		halls := b.halls()
+		own := halls[b.self.DataHall]
+		ticks := b.timers.Subscribe(max(interval, time.Duration(len(own))*intervalPerNode))
+		select {
+		case <-ctx.Done():
+		case <-ticks.C():
+			for _, address := range b.targets(halls) {
+				b.exchange(ctx, address)
+			}
+		}
+		ticks.Stop()
+	}
+}
+
+// halls returns all nodes that are not passed over, this one included, by data
+// hall and in order.
+func (b *Board) halls() map[string][]view.Member {
+	members := append(b.nodes.Others(), b.self)
+	now := b.timers.Now()
+	halls := make(map[string][]view.Member)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range members {
+		if p := b.peers[m.Peer]; p == nil || now.After(p.down) {
+			halls[m.DataHall] = append(halls[m.DataHall], m)
+		}
+	}
+	for _, hall := range halls {
+		slices.SortFunc(hall, func(x, y view.Member) int { return cmp.Compare(x.VM, y.VM) })
+	}
+	return halls
+}
+
+// targets returns whom this node calls: the first of its data hall, or, if that
+// is itself, the first of each data hall that comes after its own.
+func (b *Board) targets(halls map[string][]view.Member) []string {
+	if first := halls[b.self.DataHall][0]; first.VM != b.self.VM {
+		return []string{first.Peer}
+	}
+	var addresses []string
+	for hall, members := range halls {
+		if hall > b.self.DataHall {
+			addresses = append(addresses, members[0].Peer)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// exchange makes one call.
+func (b *Board) exchange(ctx context.Context, address string) {
+	message, upTo := b.message(address)
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	reply, err := b.caller.Exchange(ctx, address, message)
+	if err != nil {
+		slog.Debug("peer did not take what was sent to servers", "peer", address, "error", err)
+		b.mu.Lock()
+		b.peers[address].down = b.timers.Now().Add(downTime)
+		b.mu.Unlock()
+		return
+	}
+	b.take(reply.News)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.peers[address]
+	p.board, p.after, p.told = reply.Board, reply.UpTo, upTo
+}
+
+// message returns what a peer is to be told, and up to which entry that is all.
+func (b *Board) message(address string) (m Message, upTo uint64) {
+	hall := b.hallOf(address)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.peers[address]
+	if p == nil {
+		p = &peer{}
+		b.peers[address] = p
+	}
+	news := b.since(p.told, func(e entry) bool {
+		if hall == b.hall {
+			return e.node == b.node
+		}
+		return e.hall == b.hall
+	})
+	return Message{Node: b.node, Hall: b.hall, Board: p.board, After: p.after, News: news}, b.count
+}
+
+// hallOf returns the hash of a peer's data hall.
+func (b *Board) hallOf(address string) uint64 {
+	for _, m := range b.nodes.Others() {
+		if m.Peer == address {
+			return rendezvous.Hash(m.DataHall)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/share/share.go
@@ -0,0 +1,231 @@
+// Package share tells the nodes of a deployment what the others have sent to
+// the backend servers, so that each knows what all of them have made wait there
+// and what the engines' caches hold.
+//
+// Each node writes down its own sends on a [Board]. At every interval it calls
+// one node of its data hall, the first by name, gives it what is new, and gets
+// in return what that one has heard from all others. The first nodes of two data
+// halls call each other in the same way with what their own halls have sent, so
+// a send passes between two halls once, however many nodes there are. Who does
+// not answer is passed over for a while.
+//
+// Nothing here is agreed or kept: a board holds the latest sends only, a node
+// that starts is given them with its first call, and one that hears of nothing
+// goes by what it has sent itself.
+//
+// # Usage
+//
+//	board := share.NewBoard(self, nodes, client, timers, balancer.Heard)
+//	go board.Run(ctx)
+//	board.Tell(share.Send{Server: share.ServerHash(id), Prompt: shared, Work: 130})
+//
+//	reply := board.Answer(message) // where a peer calls
+package share
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/internal/rendezvous"
+	"github.com/violettally/violettally/prefix"
+	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/view"
+)
+
+// boardSize is the number of sends that a node remembers for its peers: some
+// ten seconds of a deployment of today, half a megabyte.
+const boardSize = 4096
+
+// Send is one request that was sent to a backend server. The fields are
+// exported for the codecs.
+type Send struct {
+	_ struct{} `cbor:",toarray"`
+	// Number counts the sends of one node.
+	Number uint64
+	// Server is the hash of the server's ID.
+	Server uint64
+	// Prompt is the part of the prompt that other requests share.
+	Prompt prefix.Chain
+	// Work is for how long it keeps the server busy, in milliseconds.
+	Work float32
+	// AgeMillis is how long ago it was sent.
+	AgeMillis uint32
+}
+
+// ServerHash is how sends name a backend server.
+func ServerHash(id string) uint64 { return rendezvous.Hash(id) }
+
+// Group is what one node has sent.
+type Group struct {
+	_ struct{} `cbor:",toarray"`
+	// Node and Hall are hashes of the node's ID and of its data hall.
+	Node  uint64
+	Hall  uint64
+	Sends []Send
+}
+
+// Message is what a node tells another.
+type Message struct {
+	_ struct{} `cbor:",toarray"`
+	// Node and Hall are hashes of the caller's ID and of its data hall.
+	Node uint64
+	Hall uint64
+	// Board and After say up to which entry of which board of the callee the
+	// caller knows everything.
+	Board uint64
+	After uint64
+	News  []Group
+}
+
+// Reply is what it gets in return.
+type Reply struct {
+	_     struct{} `cbor:",toarray"`
+	Board uint64
+	UpTo  uint64
+	News  []Group
+}
+
+// entry is one send on the board.
+type entry struct {
+	node, hall uint64
+	sent       time.Time
+	send       Send
+}
+
+// Board is one node's part of the exchange. It is safe for concurrent use.
+type Board struct {
+	self       view.Member
+	node, hall uint64
+	nodes      Nodes
+	caller     Caller
+	timers     *timer.Service
+	heard      func(Send)
+
+	mu sync.Mutex
+	// id tells this board from those of earlier and later processes.
+	id      uint64
+	entries []entry
+	// count is how many entries there have been; the latest ones are kept.
+	count uint64
+	// latest is by node the number of the last send that was heard of it.
+	latest map[uint64]uint64
+	// peers are by address.
+	peers map[string]*peer
+}
+
+// peer is how far this node and another one know each other's boards.
+type peer struct {
+	// board and after say up to which entry of which board this node knows
+	// everything, told up to which of its own entries it has told the peer.
+	board, after, told uint64
+	// down is until when the peer is passed over.
+	down time.Time
+}
+
+// NewBoard returns the board of a node. Heard is called for each send of
+// another node.
+func NewBoard(self view.Member, nodes Nodes, caller Caller, timers *timer.Service, heard func(Send)) *Board {
+	return &Board{
+		self:    self,
+		node:    rendezvous.Hash(self.ID),
+		hall:    rendezvous.Hash(self.DataHall),
+		nodes:   nodes,
+		caller:  caller,
+		timers:  timers,
+		heard:   heard,
+		id:      rand.Uint64(),
+		entries: make([]entry, 0, boardSize),
+		latest:  make(map[uint64]uint64),
+		peers:   make(map[string]*peer),
+	}
+}
+
+// Tell writes down a send of this node. Its number and age are set here.
+func (b *Board) Tell(s Send) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.latest[b.node]++
+	s.Number = b.latest[b.node]
+	b.write(entry{node: b.node, hall: b.hall, sent: b.timers.Now(), send: s})
+}
+
+// Answer takes what a peer tells, and returns what it does not know.
+func (b *Board) Answer(m Message) Reply {
+	b.take(m.News)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	after := m.After
+	if m.Board != b.id {
+		after = 0
+	}
+	news := b.since(after, func(e entry) bool {
+		if m.Hall != b.hall {
+			return e.hall == b.hall
+		}
+		return e.node != m.Node
+	})
+	return Reply{Board: b.id, UpTo: b.count, News: news}
+}
+
+// take writes down what others have sent, each send once.
+func (b *Board) take(news []Group) {
+	now := b.timers.Now()
+	for _, g := range news {
+		for _, s := range g.Sends {
+			if b.takeOne(g, s, now) {
+				b.heard(s)
+			}
+		}
+	}
+}
+
+func (b *Board) takeOne(g Group, s Send, now time.Time) (isNew bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if g.Node == b.node || s.Number <= b.latest[g.Node] {
+		return false
+	}
+	b.latest[g.Node] = s.Number
+	b.write(entry{node: g.Node, hall: g.Hall, sent: now.Add(-age(s)), send: s})
+	return true
+}
+
+// age is how old a send was when it was told.
+func age(s Send) time.Duration { return time.Duration(s.AgeMillis) * time.Millisecond }
+
+// write puts an entry on the board. The caller holds mu.
+func (b *Board) write(e entry) {
+	if len(b.entries) < boardSize {
+		b.entries = append(b.entries, e)
+	} else {
+		b.entries[b.count%boardSize] = e
+	}
+	b.count++
+}
+
+// since returns the wanted entries after the given one, as far as they are
+// kept, by the node that sent them. The caller holds mu.
+func (b *Board) since(after uint64, wanted func(entry) bool) []Group {
+	if b.count > boardSize {
+		after = max(after, b.count-boardSize)
+	}
+	now := b.timers.Now()
+	var groups []Group
+	at := make(map[uint64]int)
+	for i := after; i < b.count; i++ {
+		e := b.entries[i%boardSize]
+		if !wanted(e) {
+			continue
+		}
+		index, known := at[e.node]
+		if !known {
+			index = len(groups)
+			at[e.node] = index
+			groups = append(groups, Group{Node: e.node, Hall: e.hall})
+		}
+		e.send.AgeMillis = uint32(max(0, now.Sub(e.sent).Milliseconds()))
+		groups[index].Sends = append(groups[index].Sends, e.send)
+	}
+	return groups
+}
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,177 @@
+package share_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/prefix"
+	"github.com/violettally/violettally/share"
+	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/view"
+)
+
+// deployment is a set of boards that call each other without a network.
+type deployment struct {
+	mu      sync.Mutex
+	members []view.Member
+	boards  map[string]*share.Board
+	// cut are addresses that answer nobody.
+	cut map[string]bool
+	// heard are by node the servers' hashes that it heard of, in order.
+	heard map[string][]uint64
+	// sent is the number of sends told, by whether they pass between halls.
+	sent map[bool]int
+}
+
+func (d *deployment) memberAt(address string) view.Member {
+	return d.members[slices.IndexFunc(d.members, func(m view.Member) bool { return m.Peer == address })]
+}
+
+// node is one node's view of a deployment.
+type node struct {
+	d    *deployment
+	self view.Member
+}
+
+func (n node) Others() []view.Member {
+	n.d.mu.Lock()
+	defer n.d.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(n.d.members), func(m view.Member) bool { return m.ID == n.self.ID })
+}
+
+func (n node) Exchange(_ context.Context, address string, m share.Message) (share.Reply, error) {
+	n.d.mu.Lock()
+	board, cut, callee := n.d.boards[address], n.d.cut[address], n.d.memberAt(address)
+	n.d.mu.Unlock()
+	if cut || board == nil {
+		return share.Reply{}, errors.New("no answer")
+	}
+	reply := board.Answer(m)
+	n.d.mu.Lock()
+	defer n.d.mu.Unlock()
+	for _, g := range append(slices.Clone(m.News), reply.News...) {
+		n.d.sent[callee.DataHall != n.self.DataHall] += len(g.Sends)
+	}
+	return reply, nil
+}
+
+// start starts a node in a data hall.
+func (d *deployment) start(ctx context.Context, hall string, i int) *share.Board {
+	name := fmt.Sprintf("%s-%d", hall, i)
+	self := view.Member{ID: name + "#1", VM: name, DataHall: hall, Peer: name}
+	n := node{d, self}
+	board := share.NewBoard(self, n, n, timer.New(), func(s share.Send) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.heard[name] = append(d.heard[name], s.Server)
+	})
+	d.mu.Lock()
+	d.members, d.boards[name] = append(d.members, self), board
+	d.mu.Unlock()
+	go board.Run(ctx)
+	return board
+}
+
+func newDeployment() *deployment {
+	return &deployment{boards: make(map[string]*share.Board), cut: make(map[string]bool), heard: make(map[string][]uint64), sent: make(map[bool]int)}
+}
+
+// TestAllHear: what one node sends is heard of once by every other one, within
+// a few intervals, and passes between two data halls once.
+func TestAllHear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDeployment()
+		for _, hall := range []string{"a", "b", "c"} {
+			for i := range 4 {
+				d.start(ctx, hall, i)
+			}
+		}
+		time.Sleep(time.Second)
+		for i, name := range []string{"a-3", "b-0", "c-1"} {
+			d.boards[name].Tell(share.Send{Server: uint64(i), Work: 5})
+		}
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		for name, heard := range d.heard {
+			slices.Sort(heard)
+			must.Eq(t, len(heard), len(slices.Compact(slices.Clone(heard))), must.Sprintf("%s heard %v", name, heard))
+		}
+		must.MapLen(t, 12, d.heard)
+		must.Len(t, 3, d.heard["a-0"])
+		must.Len(t, 2, d.heard["a-3"])
+		must.Eq(t, 6, d.sent[true])
+	})
+}
+
+// TestFirstIsGone: the next node of a data hall takes the place of the first
+// one, in the hall and towards others, and nothing is lost or heard twice.
+func TestFirstIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDeployment()
+		for _, hall := range []string{"a", "b"} {
+			for i := range 3 {
+				d.start(ctx, hall, i)
+			}
+		}
+		time.Sleep(time.Second)
+		d.mu.Lock()
+		d.cut["b-0"] = true
+		d.mu.Unlock()
+		for i := range 30 {
+			d.boards["a-2"].Tell(share.Send{Server: uint64(i)})
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		cancel()
+		synctest.Wait()
+		for _, name := range []string{"a-0", "a-1", "b-1", "b-2"} {
+			must.Len(t, 30, d.heard[name], must.Sprint(name))
+		}
+	})
+}
+
+// TestLateStart: a node that starts hears what the others know, but no more
+// than a board holds; one whose call fails tells the same again.
+func TestLateStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDeployment()
+		first := d.start(ctx, "a", 0)
+		for i := range 10000 {
+			first.Tell(share.Send{Server: uint64(i), Prompt: prefix.Chain{{Hash: uint64(i), Tokens: 1}}})
+		}
+		d.start(ctx, "a", 1)
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		heard := d.heard["a-1"]
+		must.Between(t, 1000, len(heard), 5000)
+		must.Eq(t, 9999, heard[len(heard)-1])
+	})
+}
+
+// TestAge: a send is as old as the time that it has been on its way.
+func TestAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		board := newDeployment().start(ctx, "a", 0)
+		board.Tell(share.Send{Server: 1})
+		time.Sleep(150 * time.Millisecond)
+		reply := board.Answer(share.Message{Hall: 1})
+		must.Len(t, 1, reply.News)
+		must.Eq(t, 150, reply.News[0].Sends[0].AgeMillis)
+		cancel()
+		synctest.Wait()
+	})
+}
