--- a/relay/work.go
+++ b/relay/work.go
@@ -25,6 +25,7 @@
 		Exclude: x.tried,
 		Kind:    x.workKind(),
 		Assumed: route.Assumption{Base: assumedBase},
+		Bytes:   int(max(0, x.request.Body.Length())),
 	}
 	prompt := x.request.Prompt
 	if prompt.Tokens == 0 {
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -17,8 +17,10 @@
 // The balancer weighs servers in milliseconds of waiting.
 const (
 	// hallPenalty is the wait that a server of this node's data hall may be
-	// behind one elsewhere: bytes between data halls are paid for.
-	hallPenalty = 120.0
+	// behind one elsewhere, and hallPenaltyPerByte that for each byte of the
+	// request: bytes between data halls are paid for.
+	hallPenalty        = 40.0
+	hallPenaltyPerByte = 0.02
 	// occupancy is the wait, for each millisecond that a server is kept busy,
 	// that a choice is worth to those who come after: reading what another
 	// server has already holds up all that wait behind it.
@@ -44,12 +46,18 @@
 	// Tokens of the prompt, zero for none. Engines read one prompt at a time;
 	// requests without one are served side by side.
 	Tokens int
+	// Bytes of the request's body, zero if not known.
+	Bytes int
 	// Capacity is what a server's cache holds, in tokens; zero if not known.
 	Capacity int
 	// Exclude lists servers by ID that have been tried.
 	Exclude map[string]bool
 }
 
+// hallPenalty is the wait in milliseconds that passing the task to another data
+// hall is worth avoiding.
+func (t Task) hallPenalty() float64 { return hallPenalty + hallPenaltyPerByte*float64(t.Bytes) }
+
 // Assumption is a first guess of how long an answer takes to begin.
 type Assumption struct {
 	// Base in milliseconds, and Rate in milliseconds for each token to be read.
@@ -166,7 +174,7 @@
 	cost := p.expected() + occupancy*p.occupies(t) + jitter*rand.Float64()
 	cost += p.state.health.cost(now, p.expected())
 	if p.server.DataHall != b.dataHall {
-		cost += hallPenalty
+		cost += t.hallPenalty()
 	}
 	return cost
 }
@@ -218,7 +226,7 @@
 	if len(shared) == 0 {
 		return ""
 	}
-	everywhere := homeWorth(t, line, 0) > hallPenalty
+	everywhere := homeWorth(t, line, 0) > t.hallPenalty()
 	key := shared[len(shared)-1].Hash
 	best, bestScore := "", uint64(0)
 	for _, s := range t.Servers {
--- a/route/balancer_test.go
+++ b/route/balancer_test.go
@@ -24,7 +24,7 @@
 // taking is a task of a prompt of one token, whose answer takes that many
 // milliseconds to begin.
 func taking(servers []registry.Server, work float64) route.Task {
-	return route.Task{Servers: servers, Tokens: 1, Kind: fmt.Sprint(work), Assumed: route.Assumption{Base: work}}
+	return route.Task{Servers: servers, Tokens: 1, Bytes: 4000, Kind: fmt.Sprint(work), Assumed: route.Assumption{Base: work}}
 }
 
 func choose(t *testing.T, b *route.Balancer, task route.Task) *route.Use {
@@ -68,7 +68,7 @@
 func TestBalancerHome(t *testing.T) {
 	task := func(own int) route.Task {
 		parts := []prefix.Part{{ID: "shared", Tokens: 5000}, {ID: fmt.Sprint(own), Tokens: 1500}}
-		return route.Task{Servers: halls, Tokens: 6500, Prompt: prefix.NewChain("m", parts), Assumed: route.Assumption{Rate: 0.02}}
+		return route.Task{Servers: halls, Tokens: 6500, Bytes: 6500, Prompt: prefix.NewChain("m", parts), Assumed: route.Assumption{Rate: 0.02}}
 	}
 	first := choose(t, balancer(), task(0)).Server().ID
 	for i := range 20 {
