route: only answers that hardly waited teach how long reading takes

Cause: at three times the load the time to read was learned four times too long: what is left of an answer's time after a wait of seconds is mostly the error of that wait, and is never below zero. Expected waits grew to 15 s where 2.7 s came (error 1.12 of the time taken).

Change: a sample counts by the square of the part of its time that was not waiting.

--- a/route/use.go
+++ b/route/use.go
@@ -118,10 +118,11 @@
 		// It took as long as reading all of it: the server did not have it.
 		size = whole
 	}
-	// Of a long wait little can be told about what came after it.
-	waited := math.Max(0, inMilliseconds(now.Sub(u.started))-took)
-	line.Learn(size, took, (took+1)/(took+waited+1))
+	// Of a long wait little can be told about what came after it: its error
+	// is larger than what is to be learned.
 	total := inMilliseconds(now.Sub(u.started))
+	share := u.takes / (u.takes + math.Max(u.wait, total-u.takes))
+	line.Learn(size, took, share*share)
 	return b.waits.learn(u.kind, total/math.Max(1, u.wait+u.takes))
 }
 
