route: an answer that is lost holds up nobody

Change: servers turn to one prompt after the other, so an answer that begins shows that all sent before it are through.

--- a/route/known.go
+++ b/route/known.go
@@ -100,10 +100,18 @@
 	if at < 0 {
 		return
 	}
-	s.waiting = slices.Delete(s.waiting, at, at+1)
 	if !u.serial() {
+		s.waiting = slices.Delete(s.waiting, at, at+1)
 		return
 	}
+	if answered {
+		// Whatever came before it has been passed over: its answer is lost, and
+		// it holds up nobody.
+		s.waiting = slices.Delete(s.waiting, 0, at+1)
+		at = 0
+	} else {
+		s.waiting = slices.Delete(s.waiting, at, at+1)
+	}
 	shift := now.Sub(u.ready)
 	if !answered {
 		shift = -milliseconds(u.occupies)
