relay, cascade: a costlier model is asked where that pays

Cause: whether a costlier model would be late was asked of all servers, though a roll-out lets only some of them take the request: half of the pool looked idle (four in ten offers), and at twice the load 470 requests went to the largest model for which there was room for half. And the bound on confidence was the same with an idle pool and a full one.

Change: the forecast asks the servers that the request may go to. Ladder.Pays weighs the chance that the answer was poor, and that the other one comes in time, against what waits at its server. Each offer is logged with its forecast.

--- a/cascade/ladder.go
+++ b/cascade/ladder.go
@@ -1,5 +1,10 @@
 package cascade
 
+import (
+	"math"
+	"time"
+)
+
 // Ladder decides between models by the confidence that a model tells of its
 // own answer, where no rating service stands beside it. The cheapest model
 // answers first; an answer that it has too little confidence in is dropped
@@ -11,7 +16,7 @@
 	// defaultBound is the least confidence, of 0 to 100, that releases an
 	// answer: of 40, 50, 60, 70 and 80 the best on calm days of both
 	// deployments (docs/MEASUREMENTS.md).
-	defaultBound = 50
+	defaultBound = 65
 	// nearBound is the confidence from which the next model is tried in place
 	// of the costliest: of 35, 40 and 43 the best over the standard days of
 	// both deployments (docs/MEASUREMENTS.md).
@@ -43,3 +48,47 @@
 	}
 	return n - 1, true
 }
+
+const (
+	// evenConfidence is the confidence at which an answer is as often poor as it
+	// is good, sureness how far above it the odds are e to one.
+	evenConfidence = 50.0
+	sureness       = 6.0
+	// leastGain is the least chance of a better answer for which a costlier
+	// model is asked where nothing waits.
+	leastGain = 0.45
+	// fullWait is the wait, as a share of the objective, at which no costlier
+	// model is asked any more.
+	fullWait = 0.5
+	// lateWorth is what a good answer that comes late is worth of one in time.
+	lateWorth = 0.3
+	// spread is by which share of what is expected answers are off.
+	spread = 0.35
+)
+
+// Offer is what a costlier model would take in place of an answer.
+type Offer struct {
+	// Confidence of the answer that it would replace.
+	Confidence float64
+	// Wait is how long the request waits until a server turns to it, Takes how
+	// long its answer takes to begin from then on.
+	Wait, Takes time.Duration
+	// Left is what is left of the objective, zero or less if nothing is.
+	Left, Objective time.Duration
+}
+
+// Pays reports whether a costlier model is worth asking: whether the chance that
+// the answer was poor, and that the other one comes in time, is worth what the
+// others wait for it.
+func (l *Ladder) Pays(o Offer) bool {
+	if o.Objective <= 0 {
+		return true
+	}
+	poor := 1 / (1 + math.Exp((o.Confidence-evenConfidence)/sureness))
+	expected := float64(o.Wait + o.Takes)
+	inTime := 1 / (1 + math.Exp((expected-float64(o.Left))/(spread*expected+1)))
+	worth := inTime + lateWorth*(1-inTime)
+	gain := worth - (1 - poor)
+	price := leastGain + float64(o.Wait)/(fullWait*float64(o.Objective))
+	return gain > price
+}
--- a/cascade/ladder_test.go
+++ b/cascade/ladder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -18,8 +19,9 @@
 		escalates  bool
 	}{
 		{"sure", 3, 0, 90, false, 0, false},
-		{"just sure", 3, 0, 50, false, 0, false},
-		{"nearly sure", 3, 0, 49, false, 1, true},
+		{"just sure", 3, 0, 65, false, 0, false},
+		{"nearly sure", 3, 0, 64, false, 1, true},
+		{"even", 3, 0, 49, false, 1, true},
 		{"nearly sure, one answer left", 3, 0, 49, true, 2, true},
 		{"unsure", 3, 0, 20, false, 2, true},
 		{"the next one is nearly sure", 3, 1, 40, false, 2, true},
@@ -44,3 +46,32 @@
 	must.Eq(t, 2, l.First(3, false))
 	must.Eq(t, 0, l.First(1, false))
 }
+
+// TestLadderPays: a costlier model is asked where a poor answer is likely and
+// its own comes in time; the more there is to wait for it, the surer that must
+// be.
+func TestLadderPays(t *testing.T) {
+	const objective = 4 * time.Second
+	tests := []struct {
+		name              string
+		confidence        float64
+		wait, takes, left time.Duration
+		pays              bool
+	}{
+		{"poor, and idle", 10, 0, time.Second, objective, true},
+		{"as likely good", 50, 0, time.Second, objective, true},
+		{"likely good", 55, 0, time.Second, objective, false},
+		{"as likely good, and others wait", 50, 500 * time.Millisecond, time.Second, objective, false},
+		{"poor, and others wait", 10, 500 * time.Millisecond, time.Second, objective, true},
+		{"poor, and very many wait", 10, 2500 * time.Millisecond, time.Second, objective, false},
+		{"poor, but late", 10, 0, time.Second, 500 * time.Millisecond, false},
+		{"nothing is left", 10, 0, time.Second, -time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := cascade.Offer{Confidence: tt.confidence, Wait: tt.wait, Takes: tt.takes, Left: tt.left, Objective: objective}
+			must.Eq(t, tt.pays, cascade.NewLadder().Pays(o))
+		})
+	}
+	must.True(t, cascade.NewLadder().Pays(cascade.Offer{Wait: time.Hour}), must.Sprint("no objective"))
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/internal/rendezvous"
 	"github.com/violettally/violettally/registry"
@@ -46,7 +47,7 @@
 	first := x.relay.Ladder.First(len(x.route.Models), mayEscalate)
 	switch {
 	case first <= x.step:
-	case !x.inTime(first):
+	case !x.pays(first, noConfidence):
 		x.record.Note("model", "%s, though nothing may follow: %s would be late", x.model(), x.route.Models[first])
 	default:
 		x.step = first
@@ -54,18 +55,25 @@
 	}
 }
 
-// inTime reports whether an answer of the model at a step would begin within
-// the objective, by the load that there is. Where it would not, asking that
-// model holds up all others too: it takes ten times as long as the cheapest.
-func (x *exchange) inTime(step int) bool {
-	if x.route.Objective <= 0 {
-		return true
-	}
+// pays reports whether the model at a step is worth asking in place of an
+// answer of the given confidence, by the load that there is.
+func (x *exchange) pays(step int, confidence float64) bool {
 	before := x.step
 	defer func() { x.step = before }()
 	x.step = step
-	expected, _ := x.relay.Balancer.Expected(x.task(x.relay.Servers.Servers(x.service)))
-	return x.elapsed()+expected <= x.route.Objective
+	servers, _ := x.servers()
+	forecast := x.relay.Balancer.Forecast(x.task(servers))
+	offer := cascade.Offer{
+		Confidence: confidence,
+		Wait:       forecast.Wait,
+		Takes:      forecast.Takes,
+		Left:       x.route.Objective - x.elapsed(),
+		Objective:  x.route.Objective,
+	}
+	pays := x.relay.Ladder.Pays(offer)
+	x.record.Note("offer", "%s for confidence %.0f: %d ms, of it %d waiting, %d left: %t", x.model(), confidence,
+		forecast.Total().Milliseconds(), forecast.Wait.Milliseconds(), offer.Left.Milliseconds(), pays)
+	return pays
 }
 
 // model is the one that the system chose; "" leaves it to the client.
@@ -78,10 +86,8 @@
 
 // choose picks the server of the next attempt.
 func (x *exchange) choose() (*route.Use, string, *Refusal) {
-	left := x.untried(x.relay.Servers.Servers(x.service))
-	servers, version := x.relay.Versions.Choose(x.service, x.request.key(), x.version, left)
+	servers, version := x.servers()
 	x.version = version
-	x.others = len(left) - 1
 	use, err := x.relay.Balancer.Choose(x.task(servers))
 	if err != nil {
 		return nil, "", refuse(ReasonNoServer, comeBackSoon, "service %s: %v", x.service, err)
@@ -91,6 +97,14 @@
 	return use, version, nil
 }
 
+// servers returns the servers that may get the next attempt, and the version
+// under which it is counted.
+func (x *exchange) servers() ([]registry.Server, string) {
+	left := x.untried(x.relay.Servers.Servers(x.service))
+	x.others = len(left) - 1
+	return x.relay.Versions.Choose(x.service, x.request.key(), x.version, left)
+}
+
 // untried returns the servers that have not had the request. Versions are
 // chosen among these, since few servers hold a version at first, and a request
 // is better served by another version than not at all.
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -17,6 +17,8 @@
 	// spareForRetries is the share of the budget for repeats that cascades
 	// leave to requests which got no answer at all.
 	spareForRetries = 0.25
+	// noConfidence is that of an answer which is not there.
+	noConfidence = 0
 	// leastTime is the time that a further attempt must have left to be worth
 	// making; the quickest answers take about that long.
 	leastTime = 50 * time.Millisecond
@@ -120,8 +122,8 @@
 	switch {
 	case !ok:
 		return 0, false
-	case !x.inTime(next):
-		x.record.Note("keep", "confidence %.0f of %s, but %s would be late", confidence, x.model(), x.route.Models[next])
+	case !x.pays(next, confidence):
+		x.record.Note("keep", "confidence %.0f of %s, but %s does not pay", confidence, x.model(), x.route.Models[next])
 		return 0, false
 	case !x.relay.Budgets.Take(x.service, spareForRetries):
 		x.record.Note("keep", "confidence %.0f of %s, but the budget for repeats is used up", confidence, x.model())
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -45,11 +45,13 @@
 	if !x.mayMove(x.runs + 1) {
 		return &watch{}
 	}
-	return &watch{timer: time.AfterFunc(x.patience(use), func() {
+	w := &watch{}
+	w.timer = time.AfterFunc(x.patience(use), func() {
 		if x.relay.Moves.Take(x.service, 0) && x.relay.Budgets.Take(x.service, spareForRetries) {
 			cancel(errStalled)
 		}
-	})}
+	})
+	return w
 }
 
 // pause bounds the time until the next piece of the answer; zero bounds it no
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -28,6 +28,7 @@
 	"net/http"
 	"time"
 
+	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/internal/errs"
@@ -155,6 +156,8 @@
 	// step, whose answer has the given confidence; false to keep the answer.
 	// Last says that nothing can follow the next answer.
 	Next(n, step int, confidence float64, last bool) (int, bool)
+	// Pays reports whether asking that model is worth its time.
+	Pays(o cascade.Offer) bool
 }
 
 // Budgets bound by service how many requests are sent once more.
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -119,17 +119,26 @@
 // expected is how long the answer takes to begin, in milliseconds.
 func (p prospect) expected() float64 { return p.wait + p.takes }
 
-// Expected returns how long the answer to a task would take to begin at the
-// server that Choose would choose, and by which share of it such answers are
-// off, on average; zero if there is no server.
-func (b *Balancer) Expected(t Task) (expected time.Duration, off float64) {
+// Forecast is what a task would find.
+type Forecast struct {
+	// Wait is how long it waits until the server turns to it, Takes how long the
+	// answer takes to begin from then on.
+	Wait, Takes time.Duration
+}
+
+// Total is how long the answer takes to begin.
+func (f Forecast) Total() time.Duration { return f.Wait + f.Takes }
+
+// Forecast returns what a task would find at the server that Choose would
+// choose; nothing to wait for if there is no server.
+func (b *Balancer) Forecast(t Task) Forecast {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best, ok := b.best(t, time.Now())
 	if !ok {
-		return 0, 0
+		return Forecast{}
 	}
-	return milliseconds(best.expected()), b.line(t).Deviation()
+	return Forecast{Wait: milliseconds(best.wait), Takes: milliseconds(best.takes)}
 }
 
 // Choose returns the server for one request.
