share: a tree in each data hall, a bound on what is told, and short boards

What did it: whoever joined another node, as after each start, cut or stop, told and was told a whole board of 4,096 sends, 180 kB, on links of 10 Mbit/s.

Caches are followed by 500 parts a server at most.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,7 +118,7 @@
 	g.store = platform.NewStore(s.Store.Address, instruments.PlatformCall)
 	g.client = peer.NewClient(nil, peer.WithCallCounter(instruments.PeerCall))
 	g.registry = registry.New(g.timers)
-	g.balancer = route.NewBalancer(s.DataHall, instruments.BreakerOpened, route.WithAnnouncer(func(s share.Send) { g.board.Tell(s) }))
+	g.balancer = route.NewBalancer(s.DataHall, instruments.BreakerOpened, route.WithAnnouncer(func(s share.Send, news float64) { g.board.Tell(s, news) }))
 	g.nodes = newNodes(g)
 	g.board = share.NewBoard(g.self, g, g.client, g.timers, g.balancer.Heard)
 	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers)
--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -86,8 +86,8 @@
 }
 
 // entriesMax bounds the parts remembered of one engine: at some 150 bytes each,
-// those of 150 engines take 45 MB at most.
-const entriesMax = 2000
+// those of 150 engines take 11 MB at most.
+const entriesMax = 500
 
 // NewMemory returns the memory of an engine that has read nothing.
 func NewMemory() *Memory {
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -70,7 +70,7 @@
 type Balancer struct {
 	dataHall string
 	opened   func(server string)
-	announce func(share.Send)
+	announce func(s share.Send, news float64)
 
 	mu sync.Mutex
 	// servers are by the hash of their ID, lines and waits by kind of request.
@@ -83,8 +83,9 @@
 type BalancerOption func(*Balancer)
 
 // WithAnnouncer names who is told of each prompt that is sent to a server, so that
-// other nodes hear of it.
-func WithAnnouncer(announce func(share.Send)) BalancerOption {
+// other nodes hear of it. News is for how long the server reads what it did not
+// have of the shared prompt, in milliseconds.
+func WithAnnouncer(announce func(s share.Send, news float64)) BalancerOption {
 	return func(b *Balancer) { b.announce = announce }
 }
 
@@ -94,7 +95,7 @@
 	b := &Balancer{
 		dataHall: dataHall,
 		opened:   opened,
-		announce: func(share.Send) {},
+		announce: func(share.Send, float64) {},
 		servers:  make(map[uint64]*known),
 		lines:    make(map[string]*estimate.Line),
 		waits:    make(waits),
@@ -215,7 +216,9 @@
 	p.state.send(u, now)
 	p.state.breaker.begin(now)
 	if u.serial() {
-		b.announce(share.Send{Server: share.ServerHash(p.server.ID), Prompt: t.Prompt.Shared(), Work: float32(u.occupies)})
+		shared := t.Prompt.Shared()
+		news := b.line(t).Rate() * float64(max(0, shared.Tokens()-u.held))
+		b.announce(share.Send{Server: share.ServerHash(p.server.ID), Prompt: shared, Work: float32(u.occupies)}, news)
 	}
 	return u
 }
@@ -273,8 +276,7 @@
 func (b *Balancer) Heard(s share.Send) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sent := time.Now().Add(-time.Duration(s.AgeMillis) * time.Millisecond)
-	b.state(s.Server).heard(float64(s.Work), s.Prompt, sent)
+	b.state(s.Server).heard(float64(s.Work), s.Prompt, time.Now().Add(-s.Age()))
 }
 
 // Keep forgets all servers but those listed and those in use.
--- a/route/use.go
+++ b/route/use.go
@@ -66,10 +66,6 @@
 // Progress tells that the server has given a piece of some answer.
 func (u *Use) Progress() { u.balancer.progress(u.state) }
 
-// Silent returns for how long the server has given this node no sign of life
-// since the request was sent.
-func (u *Use) Silent() time.Duration { return u.balancer.silent(u) }
-
 // Failed tells whether the server answered with a failure of its own.
 func (u *Use) Failed(failed bool) { u.balancer.failed(u.state, failed) }
 
@@ -136,13 +132,6 @@
 	s.progress = time.Now()
 }
 
-// silent returns for how long a server has given no sign of life.
-func (b *Balancer) silent(u *Use) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Since(later(u.started, u.state.progress))
-}
-
 // failed takes whether an answer was a failure of the server's own.
 func (b *Balancer) failed(s *known, failed bool) {
 	b.mu.Lock()
--- a/share/run.go
+++ b/share/run.go
@@ -15,9 +15,9 @@
 	// interval lies between two calls of a node. What is told later than a
 	// prompt takes to be read comes too late to keep others from its server.
 	interval = 100 * time.Millisecond
-	// intervalPerNode stretches it in large data halls, so that the node which
-	// all call gets a hundred calls a second at most.
-	intervalPerNode = 10 * time.Millisecond
+	// fanOut is how many nodes call the same one in a data hall: with it, a
+	// node tells what it has heard a few times over, in halls of any size.
+	fanOut = 5
 	// callTime bounds one call. Peers answer in some milliseconds.
 	callTime = 300 * time.Millisecond
 	// downTime is how long a peer that did not answer is passed over.
@@ -38,8 +38,7 @@
 func (b *Board) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		halls := b.halls()
-		own := halls[b.self.DataHall]
-		ticks := b.timers.Subscribe(max(interval, time.Duration(len(own))*intervalPerNode))
+		ticks := b.timers.Subscribe(interval)
 		select {
 		case <-ctx.Done():
 		case <-ticks.C():
@@ -70,11 +69,13 @@
 	return halls
 }
 
-// targets returns whom this node calls: the first of its data hall, or, if that
-// is itself, the first of each data hall that comes after its own.
+// targets returns whom this node calls: the one above it in the tree of its data
+// hall, or, if it is the top, that of each data hall which comes after its own.
 func (b *Board) targets(halls map[string][]view.Member) []string {
-	if first := halls[b.self.DataHall][0]; first.VM != b.self.VM {
-		return []string{first.Peer}
+	own := halls[b.self.DataHall]
+	at := slices.IndexFunc(own, func(m view.Member) bool { return m.VM == b.self.VM })
+	if at > 0 {
+		return []string{own[(at-1)/fanOut].Peer}
 	}
 	var addresses []string
 	for hall, members := range halls {
@@ -99,7 +100,8 @@
 		b.mu.Unlock()
 		return
 	}
-	b.take(reply.News)
+	from, _ := b.peerAt(address)
+	b.take(reply.News, from)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peers[address]
@@ -108,7 +110,7 @@
 
 // message returns what a peer is to be told, and up to which entry that is all.
 func (b *Board) message(address string) (m Message, upTo uint64) {
-	hall := b.hallOf(address)
+	node, hall := b.peerAt(address)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peers[address]
@@ -118,19 +120,19 @@
 	}
 	news := b.since(p.told, func(e entry) bool {
 		if hall == b.hall {
-			return e.node == b.node
+			return e.from != node
 		}
 		return e.hall == b.hall
 	})
 	return Message{Node: b.node, Hall: b.hall, Board: p.board, After: p.after, News: news}, b.count
 }
 
-// hallOf returns the hash of a peer's data hall.
-func (b *Board) hallOf(address string) uint64 {
+// peerAt returns the hashes of a peer's ID and of its data hall.
+func (b *Board) peerAt(address string) (node, hall uint64) {
 	for _, m := range b.nodes.Others() {
 		if m.Peer == address {
-			return rendezvous.Hash(m.DataHall)
+			return rendezvous.Hash(m.ID), rendezvous.Hash(m.DataHall)
 		}
 	}
-	return 0
+	return 0, 0
 }
--- a/share/share.go
+++ b/share/share.go
@@ -2,12 +2,14 @@
 // the backend servers, so that each knows what all of them have made wait there
 // and what the engines' caches hold.
 //
-// Each node writes down its own sends on a [Board]. At every interval it calls
-// one node of its data hall, the first by name, gives it what is new, and gets
-// in return what that one has heard from all others. The first nodes of two data
-// halls call each other in the same way with what their own halls have sent, so
-// a send passes between two halls once, however many nodes there are. Who does
-// not answer is passed over for a while.
+// Each node writes down on a [Board] those of its own sends that are worth
+// telling: work that is over before others hear of it is not, and the more
+// there are to tell, the larger a send's work must be. The nodes of a data hall
+// form a tree by their names. At every interval a node calls the one above it,
+// gives it what is new, and gets in return what that one has heard from all
+// others. The top nodes of two data halls call each other in the same way with
+// what their own halls have sent, so a send passes between two halls once,
+// however many nodes there are. Who does not answer is passed over for a while.
 //
 // Nothing here is agreed or kept: a board holds the latest sends only, a node
 // that starts is given them with its first call, and one that hears of nothing
@@ -33,9 +35,11 @@
 	"github.com/violettally/violettally/view"
 )
 
-// boardSize is the number of sends that a node remembers for its peers: some
-// ten seconds of a deployment of today, half a megabyte.
-const boardSize = 4096
+// boardSize is the number of sends that a node remembers for its peers, and the
+// most that one message tells: some 10 kB. Trees are joined anew when nodes come
+// and go; with 4,096 sends told then, every tenth plain answer came late on VMs
+// with a link of 10 Mbit/s.
+const boardSize = 200
 
 // Send is one request that was sent to a backend server. The fields are
 // exported for the codecs.
@@ -53,6 +57,9 @@
 	AgeMillis uint32
 }
 
+// Age is how long ago it was sent.
+func (s Send) Age() time.Duration { return time.Duration(s.AgeMillis) * time.Millisecond }
+
 // ServerHash is how sends name a backend server.
 func ServerHash(id string) uint64 { return rendezvous.Hash(id) }
 
@@ -89,8 +96,10 @@
 // entry is one send on the board.
 type entry struct {
 	node, hall uint64
-	sent       time.Time
-	send       Send
+	// from is the node that told it.
+	from uint64
+	sent time.Time
+	send Send
 }
 
 // Board is one node's part of the exchange. It is safe for concurrent use.
@@ -111,7 +120,8 @@
 	// latest is by node the number of the last send that was heard of it.
 	latest map[uint64]uint64
 	// peers are by address.
-	peers map[string]*peer
+	peers  map[string]*peer
+	budget budget
 }
 
 // peer is how far this node and another one know each other's boards.
@@ -141,18 +151,24 @@
 	}
 }
 
-// Tell writes down a send of this node. Its number and age are set here.
-func (b *Board) Tell(s Send) {
+// Tell writes down a send of this node, if it is worth telling. Its number and
+// age are set here. News says for how long the server reads what it did not have
+// of the shared prompt, in milliseconds.
+func (b *Board) Tell(s Send, news float64) {
+	nodes := len(b.nodes.Others()) + 1
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.budget.allows(max(float64(s.Work), newsWeight*news), nodes, b.timers.Now()) {
+		return
+	}
 	b.latest[b.node]++
 	s.Number = b.latest[b.node]
-	b.write(entry{node: b.node, hall: b.hall, sent: b.timers.Now(), send: s})
+	b.write(entry{node: b.node, hall: b.hall, from: b.node, sent: b.timers.Now(), send: s})
 }
 
 // Answer takes what a peer tells, and returns what it does not know.
 func (b *Board) Answer(m Message) Reply {
-	b.take(m.News)
+	b.take(m.News, m.Node)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	after := m.After
@@ -163,37 +179,34 @@
 		if m.Hall != b.hall {
 			return e.hall == b.hall
 		}
-		return e.node != m.Node
+		return e.from != m.Node
 	})
 	return Reply{Board: b.id, UpTo: b.count, News: news}
 }
 
 // take writes down what others have sent, each send once.
-func (b *Board) take(news []Group) {
+func (b *Board) take(news []Group, from uint64) {
 	now := b.timers.Now()
 	for _, g := range news {
 		for _, s := range g.Sends {
-			if b.takeOne(g, s, now) {
+			if b.takeOne(g, s, from, now) {
 				b.heard(s)
 			}
 		}
 	}
 }
 
-func (b *Board) takeOne(g Group, s Send, now time.Time) (isNew bool) {
+func (b *Board) takeOne(g Group, s Send, from uint64, now time.Time) (isNew bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if g.Node == b.node || s.Number <= b.latest[g.Node] {
 		return false
 	}
 	b.latest[g.Node] = s.Number
-	b.write(entry{node: g.Node, hall: g.Hall, sent: now.Add(-age(s)), send: s})
+	b.write(entry{node: g.Node, hall: g.Hall, from: from, sent: now.Add(-s.Age()), send: s})
 	return true
 }
 
-// age is how old a send was when it was told.
-func age(s Send) time.Duration { return time.Duration(s.AgeMillis) * time.Millisecond }
-
 // write puts an entry on the board. The caller holds mu.
 func (b *Board) write(e entry) {
 	if len(b.entries) < boardSize {
