route: others that wait at a server stay known for a while

Cause: what others made wait at plain servers was taken to be over as fast as it was served, though those others go on sending and nobody tells of it.

Change: the waiting requests that a server told count for at least their typical time, halved every 500 ms, as before the queue model; a request that is served beside others may take five times what is expected before its server looks silent.

--- a/route/known.go
+++ b/route/known.go
@@ -13,9 +13,11 @@
 	// milliseconds: an engine makes a token for each of them between two pieces
 	// of a prompt.
 	runningWork = 2.0
-	// toldHalfLife is how soon the number of running requests that a server told
-	// is forgotten.
+	// toldHalfLife is how soon a load that a server told is forgotten.
 	toldHalfLife = 500 * time.Millisecond
+	// usualSilence is how many times longer than expected a server that serves
+	// requests side by side may be silent by chance.
+	usualSilence = 5
 	// typicalMemory is the weight of one request in what requests at a server
 	// typically keep it busy with.
 	typicalMemory = 0.1
@@ -42,11 +44,14 @@
 	// free is when the server will be through with all that it is known to
 	// have got.
 	free time.Time
-	// typical is for how long a request keeps the server busy, in milliseconds.
+	// typical is how long an answer takes to begin once the server turns to the
+	// request, in milliseconds. Where requests are served side by side, each that
+	// waits counts as much: others that this node does not hear of follow it.
 	typical float64
-	// othersRunning are the requests of other nodes that ran when the server
-	// last told its load.
+	// othersRunning and othersWaiting are the requests of other nodes that ran
+	// and waited when the server last told its load.
 	othersRunning float64
+	othersWaiting float64
 	toldAt        time.Time
 	// progress is when the server last gave this node a piece of an answer, or
 	// a request was sent to a server that had none of this node waiting.
@@ -61,16 +66,19 @@
 // milliseconds. Where an answer of the server is overdue, all that follow it
 // are, by as much.
 func (s *known) wait(now time.Time) float64 {
-	running := float64(s.inflight) + fresh(now.Sub(s.toldAt), toldHalfLife)*s.othersRunning
-	wait := running * runningWork
+	weight := fresh(now.Sub(s.toldAt), toldHalfLife)
+	wait := (float64(s.inflight) + weight*s.othersRunning) * runningWork
 	if len(s.waiting) > 0 {
 		since := s.waiting[0].ready
 		if !s.waiting[0].serial() {
-			since = later(since, s.progress)
+			// One of those that are served side by side says little by itself.
+			since = later(since, s.progress.Add(usualSilence*s.waiting[0].Expected()))
 		}
 		wait += math.Max(0, inMilliseconds(now.Sub(since)))
 	}
-	return wait + math.Max(0, inMilliseconds(s.free.Sub(now)))
+	// Where others wait, more follow them that this node does not hear of.
+	told := weight * s.othersWaiting * s.typical
+	return wait + math.Max(told, inMilliseconds(s.free.Sub(now)))
 }
 
 // send counts a request of this node.
@@ -79,7 +87,7 @@
 		s.progress = now
 	}
 	s.free = later(s.free, now).Add(milliseconds(u.occupies))
-	s.typical += typicalMemory * (u.occupies - s.typical)
+	s.typical += typicalMemory * (u.takes - s.typical)
 	u.ready = now.Add(u.Expected())
 	s.inflight++
 	s.waiting = append(s.waiting, u)
@@ -131,8 +139,8 @@
 		own += u.occupies
 	}
 	// One more than those that wait may be being read.
-	others := math.Max(0, float64(l.Waiting-len(s.waiting)))
-	least, most := own+others*s.typical, own+(others+1)*s.typical
+	s.othersWaiting = math.Max(0, float64(l.Waiting-len(s.waiting)))
+	least, most := own+s.othersWaiting*s.typical, own+(s.othersWaiting+1)*s.typical
 	wait := math.Max(least, math.Min(most, inMilliseconds(s.free.Sub(now))))
 	s.free = now.Add(milliseconds(wait))
 }
