relay: an escalation may go to the server that answered, also in its forecast

Cause: the forecast for a costlier model left out the server that had just answered, though the escalation itself did not; tests of the change to the forecast, of the budget of what is told, of lost answers and of learned times are added here.

--- a/relay/failure.go
+++ b/relay/failure.go
@@ -37,10 +37,7 @@
 		return x.ended(f)
 	}
 	if f.escalates {
-		// The escalation has been paid for already, and the server that
-		// answered may hold the other model as well.
-		clear(x.tried)
-		return nil
+		return nil // it has been paid for already
 	}
 	if refusal := x.stop(f); refusal != nil {
 		return refusal
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -35,7 +35,8 @@
 	parts.Servers = cmp.Or[relay.Servers](parts.Servers, threeServers{})
 	parts.Budgets = cmp.Or[relay.Budgets](parts.Budgets, noBound{})
 	parts.Moves = cmp.Or[relay.Budgets](parts.Moves, noBound{})
-	parts.Versions, parts.Counters = noRollout{}, noCounters{}
+	parts.Versions = cmp.Or[relay.Versions](parts.Versions, noRollout{})
+	parts.Counters = noCounters{}
 	parts.Balancer = cmp.Or(parts.Balancer, route.NewBalancer("", func(string) {}))
 	parts.Ladder = cascade.NewLadder()
 	parts.Records = decision.New("n")
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -114,13 +114,21 @@
 
 // escalation returns the model to ask in place of an answer that a model has
 // too little confidence in.
-func (x *exchange) escalation(answer Answer) (step int, ok bool) {
+func (x *exchange) escalation(answer Answer) (next int, ok bool) {
 	confidence, told := answer.Confidence()
 	if !x.chooses() || !told || answer.Status() != http.StatusOK || x.begun || !x.mayRunAgain() {
 		return 0, false
 	}
 	last := !x.mayDrop(x.runs + 1)
-	next, ok := x.relay.Ladder.Next(len(x.route.Models), x.step, confidence, last)
+	next, ok = x.relay.Ladder.Next(len(x.route.Models), x.step, confidence, last)
+	// The server that answered may hold the other model as well.
+	tried := x.tried
+	x.tried = make(map[string]bool)
+	defer func() {
+		if !ok {
+			x.tried = tried
+		}
+	}()
 	switch {
 	case !ok:
 		return 0, false
--- a/relay/overload_test.go
+++ b/relay/overload_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/relay"
 	"github.com/violettally/violettally/route"
 )
@@ -50,3 +51,24 @@
 		})
 	}
 }
+
+// firstOnly is a roll-out that lets requests go to the first server alone.
+type firstOnly struct{ noRollout }
+
+func (firstOnly) Choose(_, _, _ string, s []registry.Server) ([]registry.Server, string) {
+	return s[:1], "v1"
+}
+
+// TestOverloadInRollout: whether a costlier model would be late is asked of the
+// servers that may get the request; idle ones of another version do not count.
+func TestOverloadInRollout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		balancer, backends := route.NewBalancer("", func(string) {}), &modelsAsked{}
+		target := catalog.Route{Kind: catalog.KindStream, Timeout: 10 * time.Second, Objective: time.Second, Attempts: 3, Models: threeModels}
+		_, err := balancer.Choose(route.Task{Servers: threeServers{}.Servers("")[:1], Tokens: 1, Assumed: route.Assumption{Base: 5000}})
+		must.NoError(t, err)
+		parts := relay.Parts{Balancer: balancer, Versions: firstOnly{}, Moves: noMoves{}, Backends: backends}
+		serve(t, target, parts, relay.Request{AnyModel: true, Body: noBody(t)}, &received{})
+		must.Eq(t, []string{"small"}, backends.sent)
+	})
+}
--- a/route/balancer_test.go
+++ b/route/balancer_test.go
@@ -163,3 +163,39 @@
 	must.Eq(t, prompt.Shared(), told[0].Prompt)
 	must.Eq(t, 60, told[0].Work)
 }
+
+// TestBalancerLostAnswer: a request whose answer is lost holds up nobody once the
+// server answers what was sent after it.
+func TestBalancerLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer()
+		only := taking(halls[:1], 50)
+		choose(t, b, only) // never answered
+		next := choose(t, b, only)
+		time.Sleep(next.Expected())
+		next.Begin()
+		next.End(route.OutcomeOK)
+		time.Sleep(2 * time.Second)
+		must.Less(t, 10*time.Millisecond, choose(t, b, only).Waits())
+	})
+}
+
+// TestBalancerLearns: the time to read a prompt is learned, whatever was assumed,
+// but not from answers that waited for others.
+func TestBalancerLearns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer()
+		task := func(tokens int) route.Task {
+			return route.Task{Servers: halls[:1], Tokens: tokens, Kind: "m", Assumed: route.Assumption{Base: 30, Rate: 0.001}}
+		}
+		for i := range 60 {
+			tokens := 1000 * (1 + i%10)
+			use := choose(t, b, task(tokens))
+			time.Sleep(time.Duration(20+tokens/20) * time.Millisecond)
+			use.Begin()
+			use.End(route.OutcomeOK)
+			time.Sleep(time.Second)
+		}
+		must.Between(t, 450*time.Millisecond, choose(t, b, task(9000)).Expected(), 500*time.Millisecond)
+	})
+}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -176,3 +176,45 @@
 		synctest.Wait()
 	})
 }
+
+// TestWorthTelling: short work is not told, reading a shared part is; and all
+// nodes together tell a bounded number of sends, those of the largest work.
+func TestWorthTelling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDeployment()
+		for i := range 20 {
+			d.start(ctx, "a", i)
+		}
+		board := d.boards["a-0"]
+		told := func() (n int) {
+			for _, g := range board.Answer(share.Message{Hall: 1}).News {
+				n += len(g.Sends)
+			}
+			return n
+		}
+		board.Tell(share.Send{Work: 10}, 0)
+		must.Eq(t, 0, told())
+		board.Tell(share.Send{Work: 10}, 30)
+		must.Eq(t, 1, told())
+		large := 0
+		for i := range 3000 {
+			work := float32(100)
+			if i%30 == 0 {
+				work = 2000
+			}
+			board.Tell(share.Send{Work: work}, 0)
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, g := range board.Answer(share.Message{Hall: 1}).News {
+			for _, s := range g.Sends {
+				if s.Work == 2000 {
+					large++
+				}
+			}
+		}
+		cancel()
+		synctest.Wait()
+		must.Greater(t, 30, large, must.Sprint("of the 33 in the time of 200 sends"))
+	})
+}
