rollout: sessions that began before the order stay on their version

Traced by the sessions' decisions; the fault is older than this work, longer waits showed it.

Change: sessions are remembered with or without an order, from the sending of a request until 5 s after its end.

The test of sessions under way sends its requests in place of only choosing for them.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,7 +157,7 @@
 	g.relay = relay.New(relay.Parts{
 		Catalog:  g.Catalog,
 		Servers:  g.registry,
-		Versions: versions{g.services, g.picker},
+		Versions: g.services,
 		Balancer: g.balancer,
 		Ladder:   cascade.NewLadder(),
 		Budgets:  g.makeBudgets(g.settings.Bounds.RetryRatio),
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -11,7 +11,6 @@
 	"github.com/violettally/violettally/lease"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/platform"
-	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rollout"
 )
 
@@ -69,21 +68,6 @@
 	return false
 }
 
-// versions is what the relay asks of roll-outs.
-type versions struct {
-	services *rollout.Services
-	*rollout.Picker
-}
-
-// Choose narrows servers down by the orders in force.
-func (v versions) Choose(service, key, before string, servers []registry.Server) ([]registry.Server, string) {
-	return v.services.Choose(service, key, before, servers)
-}
-
-func (v versions) Count(service, version string, a rollout.Answer) {
-	v.services.Count(service, version, a)
-}
-
 // stages writes the drivers' document.
 type stages struct{ g *Gateway }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -74,10 +74,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	server := use.Server()
-	if version != "" {
-		x.relay.Versions.Begin(x.service, version)
-		defer x.relay.Versions.End(x.service, version)
-	}
+	x.relay.Versions.Begin(x.service, version, x.request.key())
+	defer x.relay.Versions.End(x.service, version, x.request.key())
 	x.sends++
 	x.record.Note("send", "to %s in %s, model %s, %d of %d tokens held, after event %q, %d ms left",
 		server.ID, server.DataHall, x.model(), use.Held(), x.request.Prompt.Tokens, x.after, time.Until(x.deadline).Milliseconds())
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -64,8 +64,8 @@
 func (noRollout) Choose(_, _, _ string, s []registry.Server) ([]registry.Server, string) {
 	return s, ""
 }
-func (noRollout) Begin(_, _ string)                   {}
-func (noRollout) End(_, _ string)                     {}
+func (noRollout) Begin(_, _, _ string)                {}
+func (noRollout) End(_, _, _ string)                  {}
 func (noRollout) Count(_, _ string, _ rollout.Answer) {}
 
 // noBound lets every request be sent again.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -142,8 +142,10 @@
 	// which it is counted, "" if it is not. A request that was counted under
 	// a version before stays there while it can.
 	Choose(service, key, before string, servers []registry.Server) ([]registry.Server, string)
-	Begin(service, version string)
-	End(service, version string)
+	// Begin and End count a request that is sent and ends, under the version that
+	// Choose named.
+	Begin(service, version, key string)
+	End(service, version, key string)
 	Count(service, version string, a rollout.Answer)
 }
 
--- a/rollout/picker.go
+++ b/rollout/picker.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"sync"
-	"time"
 
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/document"
@@ -22,12 +21,12 @@
 	held map[string]map[uint32]bool
 	// recent are by "model@version" the slots of the sessions that a first
 	// stage could move, with the time of their last request.
-	recent map[string]map[uint32]time.Time
+	recent map[string]map[uint32]session
 }
 
 // NewPicker returns a picker that knows no stage.
 func NewPicker() *Picker {
-	return &Picker{counts: make(Counts), recent: make(map[string]map[uint32]time.Time)}
+	return &Picker{counts: make(Counts), recent: make(map[string]map[uint32]session)}
 }
 
 // Take puts stored stages in force.
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -182,10 +182,34 @@
 	if len(newer) > 0 && !stopped && (toTarget || len(older) == 0) {
 		return s.loaded(&m, newer, len(older)), target
 	}
-	s.picker.Remember(service, oldVersion, key, s.share)
 	return older, oldVersion
 }
 
+// Begin counts a request of a session that Choose gave a version, "" for none, and
+// that is sent now; End counts its end. Sessions on the version in service are
+// remembered without an order too: a stream that was there before the order may
+// end long after it, and its session goes on.
+func (s *Services) Begin(service, version, key string) {
+	if version != "" {
+		s.picker.Begin(service, version)
+	}
+	s.remember(service, version, key, 1)
+}
+
+// End is the counterpart of Begin.
+func (s *Services) End(service, version, key string) {
+	if version != "" {
+		s.picker.End(service, version)
+	}
+	s.remember(service, version, key, -1)
+}
+
+func (s *Services) remember(service, version, key string, change int) {
+	if version == "" || version == oldVersion {
+		s.picker.Remember(service, oldVersion, key, s.share, change)
+	}
+}
+
 // loaded returns so few of the target's servers that each carries, with the
 // stage's share, overLoad times what it will carry in the end, but leastLoaded
 // at least in the first stage. A version may be bad only under load, and the
--- a/rollout/service_test.go
+++ b/rollout/service_test.go
@@ -132,12 +132,17 @@
 		}
 		step()
 		const sessions = 400
+		request := func(session string) {
+			_, version := a.Choose("s", session, "", runners)
+			a.Begin("s", version, session)
+			a.End("s", version, session)
+		}
 		for i := range sessions / 2 {
-			a.Choose("s", fmt.Sprint("gone", i), "", runners)
+			request(fmt.Sprint("gone", i))
 		}
 		time.Sleep(6 * time.Second)
 		for i := range sessions {
-			a.Choose("s", fmt.Sprint(i), "", runners)
+			request(fmt.Sprint(i))
 		}
 		step()
 		moved := func(name string) (moved int) {
@@ -229,3 +234,23 @@
 	s.Count("s", "v2", rollout.Answer{Kind: "look", Wait: time.Minute})
 	must.Eq(t, 2, picker.Counts()["s@v2"].Slow)
 }
+
+// TestSessionBeforeOrder: a session whose request runs on the version in service
+// since before the order is under way until some time after that request's end.
+func TestSessionBeforeOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		picker := rollout.NewPicker()
+		s := rollout.NewServices(picker, 1)
+		recent := func() int { return len(picker.Counts()["s@in-service"].Recent) }
+		s.Begin("s", "", "session")
+		time.Sleep(8 * time.Second)
+		must.Eq(t, 1, recent())
+		s.End("s", "", "session")
+		time.Sleep(4 * time.Second)
+		must.Eq(t, 1, recent())
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 0, recent())
+		s.Begin("s", "v2", "other")
+		must.Eq(t, 0, recent(), must.Sprint("one that has moved is not held"))
+	})
+}
--- a/rollout/slots.go
+++ b/rollout/slots.go
@@ -26,9 +26,24 @@
 	return p.held[model][slot(model, key)]
 }
 
-// Remember notes a request of a session to a version, if a first stage of the
-// given share could move the session.
-func (p *Picker) Remember(model, version, key string, share float64) {
+// recentMax bounds the sessions that are remembered of a version before those
+// that are over are looked for.
+const recentMax = 4096
+
+// session is what is known of a session: when it last began or ended a request,
+// and how many run.
+type session struct {
+	at      time.Time
+	running int
+}
+
+// over reports whether a session is not under way any more.
+func (s session) over() bool { return s.running <= 0 && time.Since(s.at) > sessionLife }
+
+// Remember notes that a request of a session to a version begins, with a change
+// of 1, or ends, with one of -1, if a first stage of the given share could move
+// the session.
+func (p *Picker) Remember(model, version, key string, share float64, change int) {
 	if position(model, key) >= share {
 		return
 	}
@@ -36,17 +51,21 @@
 	defer p.mu.Unlock()
 	name := countName(model, version)
 	if p.recent[name] == nil {
-		p.recent[name] = make(map[uint32]time.Time)
+		p.recent[name] = make(map[uint32]session)
+	}
+	if len(p.recent[name]) >= recentMax {
+		p.recentSlots(name)
 	}
-	p.recent[name][slot(model, key)] = time.Now()
+	slot := slot(model, key)
+	p.recent[name][slot] = session{at: time.Now(), running: p.recent[name][slot].running + change}
 }
 
 // recentSlots returns the slots of sessions that are under way on a
 // "model@version", and forgets those that are not. The caller holds mu.
 func (p *Picker) recentSlots(name string) []uint32 {
 	var slots []uint32
-	for slot, at := range p.recent[name] {
-		if time.Since(at) > sessionLife {
+	for slot, s := range p.recent[name] {
+		if s.over() {
 			delete(p.recent[name], slot)
 			continue
 		}
