--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,8 @@
 //
 // It stands beside package node, which serves the product's own interface. A
 // gateway keeps nothing that outlasts it, asks the store nothing on the path
-// of a request, and sends its peers nothing on that path either.
+// of a request, and sends its peers nothing on that path either; beside it,
+// gateways tell each other what they have sent to servers (package share).
 //
 // # Usage
 //
--- a/share/share.go
+++ b/share/share.go
@@ -19,7 +19,7 @@
 //
 //	board := share.NewBoard(self, nodes, client, timers, balancer.Heard)
 //	go board.Run(ctx)
-//	board.Tell(share.Send{Server: share.ServerHash(id), Prompt: shared, Work: 130})
+//	board.Tell(share.Send{Server: share.ServerHash(id), Prompt: shared, Work: 130}, 105)
 //
 //	reply := board.Answer(message) // where a peer calls
 package share
