estimate: no accessor that nobody calls

Cause: Line.Samples was left over from an earlier form of the fit; no part and no test read it.

Change: it goes. Ruled out: Deviation stays, which the tests of convergence read.

--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -69,9 +69,6 @@
 // average; one while nothing is known.
 func (l *Line) Deviation() float64 { return l.deviation }
 
-// Samples returns how many samples were taken.
-func (l *Line) Samples() int { return l.samples }
-
 // Learn takes that work of a size took so many milliseconds. Weight is between
 // 0 and 1, for how far the sample can be relied on; what is not a time is left
 // out.
