decision, relay, gateway: a process that leaves tells what it leaves behind

Cause: what is under way when a process ends has no decision line, so a lost request can't be told from one that never came; nor do logs tell when the door closes, or that a request came after the signal. Change: lines only. Requests under way at the signal and at the door's close are counted, a request that comes later says how long after the signal, and what is left at the end gets a line with its steps. The route step tells the most tokens to make.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -11,6 +11,12 @@
 //	r.Note("pin", "session keeps %s", version)
 //	…
 //	r.End("answered")
+//
+// A process that ends tells what it leaves behind:
+//
+//	for _, r := range log.Open() {
+//		r.End("left under way")
+//	}
 package decision
 
 import (
@@ -44,6 +50,7 @@
 type Record struct {
 	mu      sync.Mutex
 	summary Summary
+	ended   bool
 }
 
 // Note adds a step.
@@ -82,6 +89,7 @@
 func (r *Record) End(outcome string) {
 	r.mu.Lock()
 	r.summary.Outcome = outcome
+	r.ended = true
 	s := r.summary
 	r.mu.Unlock()
 	slog.Info("decision",
@@ -89,6 +97,13 @@
 		"server", s.Server, "outcome", s.Outcome, "ms", time.Since(s.Started).Milliseconds(), "steps", s.Steps)
 }
 
+// open reports whether the record has not ended yet.
+func (r *Record) open() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.ended
+}
+
 // Summary returns the record as it is now.
 func (r *Record) Summary() Summary {
 	r.mu.Lock()
@@ -140,3 +155,16 @@
 	}
 	return r.Summary(), true
 }
+
+// Open returns the kept records of requests that have not ended.
+func (l *Log) Open() []*Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var open []*Record
+	for _, r := range l.ring {
+		if r != nil && r.open() {
+			open = append(open, r)
+		}
+	}
+	return open
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,7 @@
 	board    *share.Board
 
 	relay   *relay.Relay
+	records *decision.Log
 	callers *platform.Callers
 	catalog atomic.Pointer[catalog.Catalog]
 	leaving atomic.Bool
@@ -155,6 +156,7 @@
 
 // makeRelay joins the path of requests.
 func (g *Gateway) makeRelay() {
+	g.records = decision.New(g.self.ID)
 	g.relay = relay.New(relay.Parts{
 		Catalog:  g.Catalog,
 		Servers:  g.registry,
@@ -164,7 +166,7 @@
 		Budgets:  g.makeBudgets(g.settings.Bounds.RetryRatio),
 		Moves:    g.makeBudgets(min(movesRatio, g.settings.Bounds.RetryRatio)),
 		Backends: platform.NewRunners(),
-		Records:  decision.New(g.self.ID),
+		Records:  g.records,
 		Counters: g.metrics.Relay(),
 	})
 }
@@ -224,18 +226,24 @@
 func (g *Gateway) drain() {
 	start := g.timers.Now()
 	grace := g.settings.Grace()
+	end := start.Add(time.Duration(endShare * float64(grace)))
 	g.leaving.Store(true)
-	slog.Info("gateway is leaving", "grace_ms", grace.Milliseconds())
+	g.relay.Leave(start, end)
+	slog.Info("gateway is leaving", "grace_ms", grace.Milliseconds(), "under_way", len(g.records.Open()))
 	g.callers.Leave()
 	g.nodes.leave()
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(endShare*float64(grace))))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	pause, endPause := context.WithTimeout(ctx, time.Duration(noticeShare*float64(grace)))
 	defer endPause()
 	<-pause.Done()
+	slog.Info("door closes", "after_ms", g.timers.Now().Sub(start).Milliseconds(), "under_way", len(g.records.Open()))
 	if err := g.callers.Shutdown(ctx); err != nil {
 		slog.Warn("requests were still under way", "error", err)
 	}
+	for _, record := range g.records.Open() {
+		record.End("left under way")
+	}
 	slog.Info("gateway has left", "after_ms", g.timers.Now().Sub(start).Milliseconds())
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,6 +26,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/violettally/violettally/cascade"
@@ -199,10 +200,21 @@
 }
 
 // Relay passes requests on. It is safe for concurrent use.
-type Relay struct{ Parts }
+type Relay struct {
+	Parts
+	// stop is set once the process is to end.
+	stop atomic.Pointer[stop]
+}
+
+// stop is a planned end of the process.
+type stop struct{ signal, end time.Time }
 
 // New returns a relay.
-func New(parts Parts) *Relay { return &Relay{parts} }
+func New(parts Parts) *Relay { return &Relay{Parts: parts} }
+
+// Leave tells that the process, which was asked to leave at the time of the
+// signal, ends at the given time, whatever is still under way then.
+func (r *Relay) Leave(signal, end time.Time) { r.stop.Store(&stop{signal, end}) }
 
 // Serve answers one request.
 func (r *Relay) Serve(ctx context.Context, q *Request, reply Reply) {
@@ -240,7 +252,10 @@
 		account = holder.Name
 	}
 	record.SetAccount(account)
-	record.Note("route", "%s of version %d", target.Name, c.Version())
+	record.Note("route", "%s of version %d, at most %d tokens to make", target.Name, c.Version(), q.Prompt.MaxOutput)
+	if stop := r.stop.Load(); stop != nil {
+		record.Note("leaving", "came %d ms after the signal, %d ms before the end", q.Arrived.Sub(stop.signal).Milliseconds(), stop.end.Sub(q.Arrived).Milliseconds())
+	}
 	held := target.Timeout
 	if q.TimeLeft > 0 {
 		held = min(held, q.TimeLeft)
