relay, gateway: a node that leaves takes only what it ends, and ends the rest

Cause: a process that is to end knew its end only as the moment at which it exits. Requests were taken for three eighths of the grace whatever they take, were sent to other servers and costlier models with the client's whole time, and what was still under way at the exit got no answer and no line. The door closed 6 to 12 ms late, since its pause began after the call that takes the node's entry back. Change: the relay learns how long answers of each kind take from head to end. Once the node leaves, each beginning of work (a request, a further attempt, a move, a costlier model) is asked whether it ends by then; one that doesn't is refused as not run, or ended at once. At the end everything left gets its final answer. The door's time counts from the signal, is 2.8 s of 8 s, and no call holds it up.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -214,37 +214,60 @@
 
 const (
 	// noticeShare of the grace is how long a gateway that leaves still takes
-	// new connections: clients keep its address that long. The platform does
-	// not count requests that came later than 3 s after the signal.
-	noticeShare = 0.375
-	// endShare of the grace is when whatever still runs is left.
+	// new connections: clients keep its address that long, and what comes later
+	// than 3 s after the signal would have to be answered whatever happens.
+	noticeShare = 0.35
+	// endShare of the grace is when whatever still runs is ended, so that the
+	// last answers are out before the platform kills the process.
 	endShare = 0.95
+	// flushTime is how long those last answers may take to be written.
+	flushTime = 100 * time.Millisecond
 )
 
 // drain takes the gateway out of the directory, serves until clients have new
 // addresses and the last request has its answer, and returns.
 func (g *Gateway) drain() {
-	start := g.timers.Now()
+	signal := g.timers.Now()
 	grace := g.settings.Grace()
-	end := start.Add(time.Duration(endShare * float64(grace)))
+	end := signal.Add(time.Duration(endShare * float64(grace)))
 	g.leaving.Store(true)
-	g.relay.Leave(start, end)
-	slog.Info("gateway is leaving", "grace_ms", grace.Milliseconds(), "under_way", len(g.records.Open()))
+	g.relay.Leave(relay.NewStop(signal, end))
 	g.callers.Leave()
-	g.nodes.leave()
+	slog.Info("gateway is leaving", "grace_ms", grace.Milliseconds(), "under_way", len(g.records.Open()))
+	// The call to the store may take a second; the door closes on time all the
+	// same, since what comes after that can't be ended.
+	go g.nodes.leave()
+	g.waitUntil(signal.Add(time.Duration(noticeShare * float64(grace))))
+	slog.Info("door closes", "after_ms", g.timers.Now().Sub(signal).Milliseconds(), "under_way", len(g.records.Open()))
+	g.shutdown(end)
+	for _, record := range g.records.Open() {
+		record.End("left under way")
+	}
+	slog.Info("gateway has left", "after_ms", g.timers.Now().Sub(signal).Milliseconds())
+}
+
+// waitUntil returns at a time.
+func (g *Gateway) waitUntil(at time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), at)
+	defer cancel()
+	<-ctx.Done()
+}
+
+// shutdown closes the callers' door and waits for the last answer. At the end
+// it gives what still runs its final answer.
+func (g *Gateway) shutdown(end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	pause, endPause := context.WithTimeout(ctx, time.Duration(noticeShare*float64(grace)))
-	defer endPause()
-	<-pause.Done()
-	slog.Info("door closes", "after_ms", g.timers.Now().Sub(start).Milliseconds(), "under_way", len(g.records.Open()))
-	if err := g.callers.Shutdown(ctx); err != nil {
-		slog.Warn("requests were still under way", "error", err)
+	if g.callers.Shutdown(ctx) == nil {
+		return
 	}
-	for _, record := range g.records.Open() {
-		record.End("left under way")
+	slog.Warn("requests were still under way", "count", len(g.records.Open()))
+	g.relay.Stop()
+	flush, endFlush := context.WithTimeout(context.Background(), flushTime)
+	defer endFlush()
+	if err := g.callers.Wait(flush); err != nil {
+		slog.Warn("last answers not all written", "error", err)
 	}
-	slog.Info("gateway has left", "after_ms", g.timers.Now().Sub(start).Milliseconds())
 }
 
 // Await answers a peer that follows this gateway's copy of the store.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -39,6 +39,10 @@
 	// last event that it has, "" for none.
 	begun bool
 	after string
+	// head is when the head of the last answer came; whole says that the answer
+	// begins with the first event.
+	head  time.Time
+	whole bool
 	// first is how long the first piece of the answer took; zero until then.
 	first time.Duration
 }
@@ -49,6 +53,9 @@
 	x.relay.Budgets.Paid(x.service)
 	x.relay.Moves.Paid(x.service)
 	x.chooseModel()
+	if !x.fits() {
+		return x.left("the answer would not be whole before its end")
+	}
 	for {
 		use, version, refusal := x.choose()
 		if refusal != nil {
@@ -77,6 +84,7 @@
 	x.relay.Versions.Begin(x.service, version, x.request.key())
 	defer x.relay.Versions.End(x.service, version, x.request.key())
 	x.sends++
+	x.whole = x.after == ""
 	x.record.Note("send", "to %s in %s, model %s, %d of %d tokens held, after event %q, %d ms left",
 		server.ID, server.DataHall, x.model(), use.Held(), x.request.Prompt.Tokens, x.after, time.Until(x.deadline).Milliseconds())
 	sent := time.Now()
--- a/relay/failure.go
+++ b/relay/failure.go
@@ -34,7 +34,7 @@
 // next decides on what follows a failed attempt: nil lets another one be made.
 func (x *exchange) next(ctx context.Context, f *failure) *Refusal {
 	if ctx.Err() != nil {
-		return x.ended(f)
+		return x.ended(ctx, f)
 	}
 	if f.escalates {
 		return nil // it has been paid for already
@@ -57,6 +57,8 @@
 	switch {
 	case f.partial, f.ran && !x.mayRunAgain():
 		return refuse(f.reason, 0, "the server gave no answer: %s", f.cause)
+	case !x.fits():
+		return x.left(f.cause)
 	case x.sends >= maxSends, !x.request.Body.Replayable():
 		return x.final(f)
 	case !f.paid && !x.relay.Budgets.Take(x.service, 0):
@@ -74,9 +76,12 @@
 	return refuse(f.reason, retryAfter, "no server took the request: %s", f.cause)
 }
 
-// ended tells what is known of a request whose time is over, or whose client
-// has left.
-func (x *exchange) ended(f *failure) *Refusal {
+// ended tells what is known of a request whose time is over, or that of this
+// process, or whose client has left.
+func (x *exchange) ended(ctx context.Context, f *failure) *Refusal {
+	if stopped(ctx) {
+		return x.left(f.cause)
+	}
 	if !f.ran && x.runs == 0 {
 		return refuse(ReasonDeclined, comeBackSoon, "the time was over before a server took the request")
 	}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -20,9 +20,20 @@
 	"github.com/violettally/violettally/route"
 )
 
-// serve passes one request on a resumable route through a relay. Parts that
-// are not given are the usual ones: three servers, no roll-out, no bounds.
+// serve passes one request on a resumable route through a relay.
 func serve(t *testing.T, target catalog.Route, parts relay.Parts, request relay.Request, reply relay.Reply) {
+	ask(t, newRelay(t, target, parts), request, reply)
+}
+
+// ask passes one request through a relay.
+func ask(t *testing.T, r *relay.Relay, request relay.Request, reply relay.Reply) {
+	request.ID, request.Host, request.Path, request.Arrived = "1", "h", "/", time.Now()
+	r.Serve(t.Context(), &request, reply)
+}
+
+// newRelay returns a relay with a resumable route. Parts that are not given are
+// the usual ones: three servers, no roll-out, no bounds.
+func newRelay(t *testing.T, target catalog.Route, parts relay.Parts) *relay.Relay {
 	target.Name, target.Host, target.Prefix, target.Resumable = "r", "h", "/", true
 	target.Targets = []catalog.Target{{Service: "s", Weight: 1}}
 	c, err := catalog.New(catalog.Document{
@@ -40,8 +51,7 @@
 	parts.Balancer = cmp.Or(parts.Balancer, route.NewBalancer("", func(string) {}))
 	parts.Ladder = cascade.NewLadder()
 	parts.Records = decision.New("n")
-	request.ID, request.Host, request.Path, request.Arrived = "1", "h", "/", time.Now()
-	relay.New(parts).Serve(t.Context(), &request, reply)
+	return relay.New(parts)
 }
 
 // noBody is that of a request without one.
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -57,6 +57,7 @@
 	}
 	x.record.Note("head", "after %d ms, expected %d, of it %d waiting; confidence %s of %s",
 		time.Since(sent).Milliseconds(), use.Expected().Milliseconds(), use.Waits().Milliseconds(), confidence(answer), x.model())
+	x.head = time.Now()
 	use.Begin()
 	use.Failed(failed(answer))
 	x.runs++
--- /dev/null
+++ b/relay/lengths.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/estimate"
+)
+
+const (
+	// assumedLength is the time in milliseconds of a token that is made, while
+	// no answer has been seen. It is told apart from what is known, so that it
+	// only has to be of the right order.
+	assumedLength = 5.0
+	// lengthSamples are needed before a length counts as known.
+	lengthSamples = 3
+	// lengthDeviations is how many mean deviations above what is expected a
+	// length is bounded. With one, four in five answers end by then.
+	lengthDeviations = 1
+	// maxKinds bounds the kinds of request that are remembered; declarations
+	// come with some hundred routes.
+	maxKinds = 2048
+)
+
+// lengths learns how long answers of each kind take from their heads to their
+// ends, by the most tokens that they may have. It is safe for concurrent use.
+type lengths struct {
+	mu    sync.Mutex
+	kinds map[string]*lengthLine
+}
+
+// lengthLine is what is known of one kind.
+type lengthLine struct {
+	line    *estimate.Line
+	samples int
+}
+
+func newLengths() *lengths { return &lengths{kinds: make(map[string]*lengthLine)} }
+
+// learn takes the length of one whole answer.
+func (l *lengths) learn(kind string, tokens int, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.kinds[kind]
+	if k == nil {
+		if len(l.kinds) >= maxKinds {
+			clear(l.kinds)
+		}
+		k = &lengthLine{line: estimate.New(0, assumedLength)}
+		l.kinds[kind] = k
+	}
+	k.samples++
+	k.line.Learn(float64(tokens), float64(took)/float64(time.Millisecond), 1)
+}
+
+// bound returns a length that answers hardly exceed; false while too little is
+// known.
+func (l *lengths) bound(kind string, tokens int) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.kinds[kind]
+	if k == nil || k.samples < lengthSamples {
+		return 0, false
+	}
+	millis := k.line.At(float64(tokens)) * (1 + lengthDeviations*k.line.Deviation())
+	return time.Duration(millis * float64(time.Millisecond)), true
+}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -98,6 +98,9 @@
 // answered ends an attempt whose answer the client has whole.
 func (x *exchange) answered(use *route.Use, answer Answer) {
 	use.End(route.OutcomeOK)
+	if x.whole && !failed(answer) {
+		x.learnLength(x.head)
+	}
 	x.relay.Counters.Answered(x.route.Name, answer.Status(), x.first, x.elapsed())
 }
 
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -46,8 +46,10 @@
 	if !x.mayMove(x.runs + 1) {
 		return &watch{}
 	}
+	length, known := x.length()
+	takes, deadline := use.Expected()+length, x.deadline
 	return &watch{timer: time.AfterFunc(x.patience(use), func() {
-		if x.relay.Moves.Take(x.service, 0) && x.relay.Budgets.Take(x.service, spareForRetries) {
+		if x.relay.ends(deadline, takes, known) && x.relay.Moves.Take(x.service, 0) && x.relay.Budgets.Take(x.service, spareForRetries) {
 			cancel(errStalled)
 		}
 	})}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -35,6 +35,10 @@
 	ReasonStalled
 	// ReasonDeadline: the time of the client or of the route is over.
 	ReasonDeadline
+	// ReasonLeaving: this process is to end before the answer would be whole.
+	ReasonLeaving
+	// ReasonStopped: this process has ended before the answer was whole.
+	ReasonStopped
 )
 
 const (
@@ -45,6 +49,9 @@
 	// one within some 20 ms of its start, so only an outage of the store keeps
 	// it waiting; clients have few tries, and outages last for seconds.
 	comeBackAfterOutage = 2 * time.Second
+	// comeBackElsewhere is told by a node that leaves: any other can take the
+	// request now.
+	comeBackElsewhere = 10 * time.Millisecond
 	// maxComeBack bounds a server's own word on when to come back.
 	maxComeBack = 2 * time.Second
 )
@@ -64,6 +71,8 @@
 	ReasonServerFailed:    http.StatusBadGateway,
 	ReasonStalled:         http.StatusGatewayTimeout,
 	ReasonDeadline:        http.StatusGatewayTimeout,
+	ReasonLeaving:         http.StatusServiceUnavailable,
+	ReasonStopped:         http.StatusBadGateway,
 }
 
 // Refusal is an answer of the system's own.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,12 @@
 //	}
 //	request := &relay.Request{ID: …, Message: message, Body: body, …}
 //	r.Serve(ctx, request, reply) // returns once reply has the end
+//
+// Before the process ends:
+//
+//	r.Leave(relay.NewStop(signal, end)) // takes only what is answered by then
+//	…
+//	r.Stop() // gives the rest its final answers
 package relay
 
 import (
@@ -202,27 +208,30 @@
 // Relay passes requests on. It is safe for concurrent use.
 type Relay struct {
 	Parts
-	// stop is set once the process is to end.
-	stop atomic.Pointer[stop]
+	lengths *lengths
+	// leaving is set once the process is to end; running ends with stop.
+	leaving atomic.Pointer[Stop]
+	running context.Context
+	stop    context.CancelCauseFunc
 }
 
-// stop is a planned end of the process.
-type stop struct{ signal, end time.Time }
-
 // New returns a relay.
-func New(parts Parts) *Relay { return &Relay{Parts: parts} }
-
-// Leave tells that the process, which was asked to leave at the time of the
-// signal, ends at the given time, whatever is still under way then.
-func (r *Relay) Leave(signal, end time.Time) { r.stop.Store(&stop{signal, end}) }
+func New(parts Parts) *Relay {
+	r := &Relay{Parts: parts, lengths: newLengths()}
+	r.running, r.stop = context.WithCancelCause(context.Background())
+	return r
+}
 
 // Serve answers one request.
 func (r *Relay) Serve(ctx context.Context, q *Request, reply Reply) {
 	record := r.Records.Start(q.ID, "")
 	x, refusal := r.accept(q, reply, record)
 	if refusal == nil {
+		x.noteLeaving()
 		ctx, cancel := context.WithDeadline(ctx, x.deadline)
 		defer cancel()
+		ctx, detach := r.withStop(ctx)
+		defer detach()
 		refusal = x.run(ctx)
 	}
 	if refusal != nil {
@@ -253,9 +262,6 @@
 	}
 	record.SetAccount(account)
 	record.Note("route", "%s of version %d, at most %d tokens to make", target.Name, c.Version(), q.Prompt.MaxOutput)
-	if stop := r.stop.Load(); stop != nil {
-		record.Note("leaving", "came %d ms after the signal, %d ms before the end", q.Arrived.Sub(stop.signal).Milliseconds(), stop.end.Sub(q.Arrived).Milliseconds())
-	}
 	held := target.Timeout
 	if q.TimeLeft > 0 {
 		held = min(held, q.TimeLeft)
--- a/relay/relay_enumer.go
+++ b/relay/relay_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadline"
+const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadlineleavingstopped"
 
-var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 86, 97, 110, 117, 125}
+var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 86, 97, 110, 117, 125, 132, 139}
 
-const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadline"
+const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadlineleavingstopped"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -36,9 +36,11 @@
 	_ = x[ReasonServerFailed-(9)]
 	_ = x[ReasonStalled-(10)]
 	_ = x[ReasonDeadline-(11)]
+	_ = x[ReasonLeaving-(12)]
+	_ = x[ReasonStopped-(13)]
 }
 
-var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline}
+var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:16]:    ReasonNoConfiguration,
@@ -53,6 +55,8 @@
 	_ReasonName[97:110]:  ReasonServerFailed,
 	_ReasonName[110:117]: ReasonStalled,
 	_ReasonName[117:125]: ReasonDeadline,
+	_ReasonName[125:132]: ReasonLeaving,
+	_ReasonName[132:139]: ReasonStopped,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -68,6 +72,8 @@
 	_ReasonLowerName[97:110]:  ReasonServerFailed,
 	_ReasonLowerName[110:117]: ReasonStalled,
 	_ReasonLowerName[117:125]: ReasonDeadline,
+	_ReasonLowerName[125:132]: ReasonLeaving,
+	_ReasonLowerName[132:139]: ReasonStopped,
 }
 
 var _ReasonNames = []string{
@@ -83,6 +89,8 @@
 	_ReasonName[97:110],
 	_ReasonName[110:117],
 	_ReasonName[117:125],
+	_ReasonName[125:132],
+	_ReasonName[132:139],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
