gateway: clients are told to keep addresses for one second

Cause: clients go on to a node that leaves for as long as they keep its address; what it may not take any more costs them one of their few tries, and what it takes may be cut off. Change: the directory's answers hold for 1 s in place of 2 s. Ruled out: a door that closes earlier; clients with an old address then lose a try.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,8 +58,10 @@
 	// the bound for stopping a bad version (5 s).
 	leaseTime = 2500 * time.Millisecond
 	// addressTTL is how long clients keep the addresses that they are told.
-	// A node that leaves serves on for longer than that.
-	addressTTL = 2 * time.Second
+	// A node that leaves serves on for longer than that. At 2 s twice as many
+	// requests came to nodes after their signal: 3,187 in 72 stops, and 1,696
+	// at 1 s, the shortest that the directory can tell.
+	addressTTL = time.Second
 	// retryMargin is the part of the platform's bound on repeats that is used:
 	// windows at the nodes begin at other moments than those that are judged.
 	retryMargin = 0.85
