command: a second SIGTERM while a process leaves changes nothing

Cause: the first signal gave SIGTERM its default action back, so that the second one of stops that overlap ended the process at once, with all that was under way. Change: SIGTERM stays caught until the process ends; only a second SIGINT ends it. Both commands that serve share the function.

--- a/command/command.go
+++ b/command/command.go
@@ -4,15 +4,12 @@
 package command
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
 
@@ -181,9 +178,7 @@
 		slog.Error("node cannot start", "error", err)
 		return ExitFailure
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	context.AfterFunc(ctx, stop)
-	if err := n.Run(ctx); err != nil {
+	if err := n.Run(untilTold()); err != nil {
 		slog.Error("node failed", "error", err)
 		return ExitFailure
 	}
--- a/command/gateway.go
+++ b/command/gateway.go
@@ -20,8 +20,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	context.AfterFunc(ctx, stop)
+	ctx := untilTold()
 	s, err := settings.LoadGateway(args.Settings)
 	if err != nil {
 		fmt.Fprintln(r.stderr, err)
@@ -47,6 +46,17 @@
 	return ExitOK
 }
 
+// untilTold returns a context that ends with the first SIGTERM or SIGINT. The
+// platform's later SIGTERMs change nothing, since stops may overlap and a second
+// one would cut off all requests under way; a person's second SIGINT ends the
+// process.
+func untilTold() context.Context {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	return ctx
+}
+
 // setLevel changes the log level in force; the settings have been checked, so
 // an unknown one is a fault of this program.
 func setLevel(level *slog.LevelVar, name string) {
