relay: a refusal for want of servers tells how many are known and tried

Cause: "none of 0 servers can take the request" reads the same where the service had one server that was tried, and where it had two that were both tried. Change: the refusal tells both numbers.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -90,7 +90,7 @@
 	x.version = version
 	use, err := x.relay.Balancer.Choose(x.task(servers))
 	if err != nil {
-		return nil, "", refuse(ReasonNoServer, comeBackSoon, "service %s: %v", x.service, err)
+		return nil, "", refuse(ReasonNoServer, comeBackSoon, "service %s, %d known, %d tried: %v", x.service, x.known, len(x.tried), err)
 	}
 	x.tried[use.Server().ID] = true
 	x.record.Choose(x.model(), version, use.Server().ID)
@@ -100,7 +100,9 @@
 // servers returns the servers that may get the next attempt, and the version
 // under which it is counted.
 func (x *exchange) servers() ([]registry.Server, string) {
-	left := x.untried(x.relay.Servers.Servers(x.service))
+	known := x.relay.Servers.Servers(x.service)
+	left := x.untried(known)
+	x.known = len(known)
 	x.others = len(left) - 1
 	return x.relay.Versions.Choose(x.service, x.request.key(), x.version, left)
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -33,7 +33,9 @@
 	tried map[string]bool
 	sends int
 	runs  int
-	// others is how many servers could have the request after this attempt.
+	// known is how many servers the service had when the last one was chosen,
+	// others how many could have the request after that attempt.
+	known  int
 	others int
 	// begun says that the client has the head of an answer, after which is the
 	// last event that it has, "" for none.
