gateway: a test of what a gateway knows once it is ready, which fails

Cause: a gateway says that it is ready as soon as a declaration is in force. The first read of the store tells its parts of one key after the other, in the order of revisions, so the declaration may be in force with some servers, or none, still to be told. The test holds the gateway back at that point.

--- /dev/null
+++ b/gateway/export_test.go
@@ -0,0 +1,22 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/registry"
+)
+
+// Subscribe lets a test stand in the row of those whom the mirror tells.
+func (g *Gateway) Subscribe(prefix string, changed func(mirror.Change)) {
+	g.mirror.Subscribe(prefix, changed)
+}
+
+// Follow follows the store until the context ends, with all doors closed.
+func (g *Gateway) Follow(ctx context.Context) { g.mirror.Run(ctx) }
+
+// IsReady is what the platform is told.
+func (g *Gateway) IsReady() bool { return g.ready() }
+
+// Servers returns the servers that requests may go to.
+func (g *Gateway) Servers(service string) []registry.Server { return g.registry.Servers(service) }
