gateway: ready once all that the store held has been told

A test, or a client, that comes as soon as the gateway is ready may meet one that knows one of two servers; a repeat after that one's failure then finds 'none of 0 servers' (502), a declined request is told 503, a stream that is cut breaks off. Beside load the task that tells of the servers may be held up between two of them. Change: the mirror says up to which revision its subscribers have been told; a gateway is ready once that is so for the first whole. What a request meets that comes before that is as it was: it is served by the servers known so far. No assertion or wait of TestFaults is changed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -207,8 +207,13 @@
 	}
 }
 
-// ready reports whether this gateway takes requests.
-func (g *Gateway) ready() bool { return !g.leaving.Load() && g.Catalog().Version() > 0 }
+// ready reports whether this gateway takes requests: a declaration is in force,
+// and so is all else that the store held when this gateway first read it. The
+// parts are told of one key after the other, so a declaration may be in force
+// before the servers are known.
+func (g *Gateway) ready() bool {
+	return !g.leaving.Load() && g.Catalog().Version() > 0 && g.mirror.Delivered() > 0
+}
 
 const (
 	// noticeShare of the grace is how long a gateway that leaves still takes
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -117,6 +117,8 @@
 	mu       sync.Mutex
 	items    map[string]Item
 	revision int64
+	// delivered is the revision up to which subscribers have been told.
+	delivered int64
 	// recent are the last changes, all of those after revision recentFrom.
 	recent     []Item
 	recentFrom int64
@@ -159,6 +161,15 @@
 	return m.revision
 }
 
+// Delivered returns the revision up to which all subscribers have been told
+// everything; zero until they have been told the first whole. It lags behind
+// Revision while they are being told.
+func (m *Mirror) Delivered() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.delivered
+}
+
 // Get returns a key's item.
 func (m *Mirror) Get(key string) (Item, bool) {
 	m.mu.Lock()
@@ -224,6 +235,9 @@
 			}
 		}
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.delivered = m.revision
 }
 
 // apply changes the copy and returns what changed.
