--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -57,7 +57,10 @@
 	case <-time.After(p.takes):
 		return 0, io.EOF
 	case <-p.ctx.Done():
-		p.left <- context.Cause(p.ctx)
+		select {
+		case p.left <- context.Cause(p.ctx):
+		default:
+		}
 		return 0, p.ctx.Err()
 	}
 }
@@ -111,6 +114,7 @@
 					must.Eq(t, "id: 1\n\nid: 2\n\n", got.String())
 					return
 				}
+				must.NotNil(t, got.refusal)
 				must.Eq(t, relay.ReasonLeaving, got.refusal.Reason())
 				must.Eq(t, 503, got.refusal.Status())
 				must.Positive(t, got.refusal.RetryAfter())
