relay: what is there, or goes on, is ended only for what can be ended in its place

Cause: the same as of the requests lost at planned stops, by the client's end: a move, a costlier model and a repeat after a server's own failure were begun without being asked whether they end in time; and a move was judged by the server at hand, but refused by the forecast for the others. Change: all three are asked whether a whole answer comes before the client's end and the process's; moves are asked by the other servers' forecast before the attempt is ended, and not again after; a server's failure goes out if no other server is left.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -71,7 +71,7 @@
 		Objective:  x.route.Objective,
 	}
 	length, known := x.length()
-	pays := x.relay.Ladder.Pays(offer) && x.relay.ends(x.deadline, forecast.Total()+length, known)
+	pays := x.relay.Ladder.Pays(offer) && x.relay.endsInTime(x.deadline, forecast.Total()+length, known)
 	x.record.Note("offer", "%s for confidence %.0f: %d ms, of it %d waiting, %d left: %t", x.model(), confidence,
 		forecast.Total().Milliseconds(), forecast.Wait.Milliseconds(), offer.Left.Milliseconds(), pays)
 	return pays
--- a/relay/end_test.go
+++ b/relay/end_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,20 +81,25 @@
 // switched allows repeats while it is on.
 type switched struct {
 	noBound
-	on bool
+	on atomic.Bool
 }
 
-func (s *switched) Take(string, float64) bool { return s.on }
+func (s *switched) Take(string, float64) bool { return s.on.Load() }
+
+// lasting is a stream that takes the given time.
+func lasting(d time.Duration) play {
+	return func(ctx context.Context, _ string, _ int) relay.Answer { return then(ctx, d) }
+}
 
 // usual is a stream of streamTime.
-func usual(ctx context.Context, _ string, _ int) relay.Answer { return then(ctx, streamTime) }
+var usual = lasting(streamTime)
 
-// taught returns a relay that has seen streams of streamTime.
-func taught(t *testing.T, b *scripted, target catalog.Route, parts relay.Parts) *relay.Relay {
+// taught returns a relay that has seen such streams.
+func taught(t *testing.T, b *scripted, target catalog.Route, parts relay.Parts, seenOnes play) *relay.Relay {
 	target.Kind, target.Timeout, target.Attempts = catalog.KindStream, 20*time.Second, 3
 	parts.Backends = b
 	r := newRelay(t, target, parts)
-	b.follow(usual)
+	b.follow(seenOnes)
 	for range seen {
 		ask(t, r, prompted(t), &received{})
 	}
@@ -115,8 +121,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			moves := &switched{}
 			b, servers := &scripted{}, &someServers{threeServers{}.Servers("")}
-			target := catalog.Route{MaxPause: time.Second, Objective: 2 * time.Second}
-			r := taught(t, b, target, relay.Parts{Servers: servers, Moves: moves})
+			target := catalog.Route{MaxPause: 800 * time.Millisecond, Objective: 2 * time.Second}
+			r := taught(t, b, target, relay.Parts{Servers: servers, Moves: moves}, lasting(time.Second))
 			servers.list = servers.list[1:]
 			b.follow(func(ctx context.Context, _ string, _ int) relay.Answer {
 				select {
@@ -129,11 +135,12 @@
 				go ask(t, r, prompted(t), &received{})
 			}
 			synctest.Wait()
-			servers.list, moves.on = threeServers{}.Servers(""), true
+			servers.list = threeServers{}.Servers("")
+			moves.on.Store(true)
 			b.follow(func(ctx context.Context, server string, _ int) relay.Answer {
-				return then(ctx, streamTime/2)
+				return then(ctx, 1400*time.Millisecond)
 			})
-			leave(r, 2*streamTime)
+			leave(r, 2500*time.Millisecond)
 			got := &received{}
 			ask(t, r, prompted(t), got)
 			must.Eq(t, "id: 1\n\nid: 2\n\n", got.String())
@@ -143,8 +150,9 @@
 	})
 	t.Run("a stream that pauses late in its time", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			b := &scripted{}
-			r := taught(t, b, catalog.Route{MaxPause: time.Second}, relay.Parts{})
+			moves, b := &switched{}, &scripted{}
+			r := taught(t, b, catalog.Route{MaxPause: time.Second}, relay.Parts{Moves: moves}, usual)
+			moves.on.Store(true)
 			b.follow(func(ctx context.Context, _ string, n int) relay.Answer {
 				if n == 1 {
 					return then(ctx, time.Second, time.Second, 1500*time.Millisecond)
@@ -162,7 +170,7 @@
 		t.Run("a server's own failure", func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := &scripted{}
-				r := taught(t, b, catalog.Route{}, relay.Parts{Moves: noMoves{}})
+				r := taught(t, b, catalog.Route{}, relay.Parts{Moves: noMoves{}}, usual)
 				const late = 5800 * time.Millisecond
 				b.follow(func(ctx context.Context, _ string, n int) relay.Answer {
 					if n > 1 {
@@ -231,7 +239,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := &scripted{}
-				r := taught(t, b, catalog.Route{}, relay.Parts{Moves: noMoves{}})
+				r := taught(t, b, catalog.Route{}, relay.Parts{Moves: noMoves{}}, usual)
 				b.follow(tt.teach)
 				for range 30 {
 					ask(t, r, prompted(t), &received{})
@@ -246,7 +254,7 @@
 	t.Run("a stream that broke off after its first event", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			b := &scripted{}
-			r := taught(t, b, catalog.Route{}, relay.Parts{Moves: noMoves{}})
+			r := taught(t, b, catalog.Route{}, relay.Parts{Moves: noMoves{}}, usual)
 			// Waiting for the first event took most of the time.
 			b.follow(func(ctx context.Context, _ string, n int) relay.Answer {
 				if n > 1 {
--- a/relay/failure.go
+++ b/relay/failure.go
@@ -57,7 +57,7 @@
 	switch {
 	case f.partial, f.ran && !x.mayRunAgain():
 		return refuse(f.reason, 0, "the server gave no answer: %s", f.cause)
-	case !x.fits():
+	case !f.paid && !x.fits(): // what is paid for has been asked already
 		return x.left(f.cause)
 	case x.sends >= maxSends, !x.request.Body.Replayable():
 		return x.final(f)
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -67,7 +67,7 @@
 		use.End(route.OutcomeNeutral)
 		return &failure{reason: ReasonServerFailed, ran: true, cause: "resumed stream: " + http.StatusText(answer.Status())}
 	}
-	if failed(answer) && x.mayRunAgain() && x.relay.Budgets.Take(x.service, 0) {
+	if failed(answer) && x.mayRunAgain() && x.mayReplace() && x.relay.Budgets.Take(x.service, 0) {
 		use.End(route.OutcomeNeutral)
 		return &failure{reason: ReasonServerFailed, ran: true, paid: true, cause: http.StatusText(answer.Status())}
 	}
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -47,9 +47,12 @@
 		return &watch{}
 	}
 	length, known := x.length()
-	takes, deadline := use.Expected()+length, x.deadline
+	servers, _ := x.servers()
+	task, deadline := x.task(servers), x.deadline
+	task.Exclude = nil // these have not been tried, and tried changes meanwhile
 	return &watch{timer: time.AfterFunc(x.patience(use), func() {
-		if x.relay.ends(deadline, takes, known) && x.relay.Moves.Take(x.service, 0) && x.relay.Budgets.Take(x.service, spareForRetries) {
+		takes := x.relay.Balancer.Forecast(task).Total() + length
+		if x.relay.endsInTime(deadline, takes, known) && x.relay.Moves.Take(x.service, 0) && x.relay.Budgets.Take(x.service, spareForRetries) {
 			cancel(errStalled)
 		}
 	})}
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -34,6 +34,13 @@
 	return known && time.Now().Add(takes).Before(s.end)
 }
 
+// endsInTime reports whether work that takes so long is over before its own
+// deadline, too. That is asked of what would take the place of an answer that is
+// there, or goes on: ended in vain, it would be lost.
+func (r *Relay) endsInTime(deadline time.Time, takes time.Duration, known bool) bool {
+	return r.ends(deadline, takes, known) && (!known || time.Now().Add(takes).Before(deadline))
+}
+
 // withStop returns a context that Stop ends, too.
 func (r *Relay) withStop(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -63,10 +70,21 @@
 	if x.relay.leaving.Load() == nil {
 		return true
 	}
+	return x.forecast(x.relay.ends)
+}
+
+// mayReplace reports whether there is another server, and whether it would bring
+// a whole answer in time to take the place of one that is there.
+func (x *exchange) mayReplace() bool {
+	return x.forecast(x.relay.endsInTime) && x.others >= 0
+}
+
+// forecast asks whether an attempt made now would end in time.
+func (x *exchange) forecast(ends func(deadline time.Time, takes time.Duration, known bool) bool) bool {
 	servers, _ := x.servers()
 	forecast := x.relay.Balancer.Forecast(x.task(servers))
 	length, known := x.length()
-	fits := x.relay.ends(x.deadline, forecast.Total()+length, known)
+	fits := ends(x.deadline, forecast.Total()+length, known)
 	x.record.Note("fits", "%d ms to the answer's head and %d ms from there (seen: %t): %t", forecast.Total().Milliseconds(), length.Milliseconds(), known, fits)
 	return fits
 }
