relay: lengths are learned from answers that were cut, and from streams alone

Cause: a leaving node's bound on how long an answer takes was too low where answers are cut by the client's time (only the short ones taught it), after answers of other statuses, and for streams that have just begun, which counted as half over. Change: an answer that was cut off later than expected teaches its time so far; only status 200 teaches; of a stream that began here the time since its first event is taken off, down to a half.

--- a/relay/lengths.go
+++ b/relay/lengths.go
@@ -43,18 +43,40 @@
 func (l *lengths) learn(kind string, tokens int, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k := l.kinds[kind]
+	l.kind(kind).learn(tokens, took)
+}
+
+// learnCut takes how long an answer had taken when it was cut off. Were only whole
+// ones learned, the shortest would speak for all.
+func (l *lengths) learnCut(kind string, tokens int, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k := l.kind(kind); inMilliseconds(took) > k.line.At(float64(tokens)) {
+		k.learn(tokens, took)
+	}
+}
+
+// kind returns what is known of a kind, which may be nothing yet. The caller
+// holds mu.
+func (l *lengths) kind(name string) *lengthLine {
+	k := l.kinds[name]
 	if k == nil {
 		if len(l.kinds) >= maxKinds {
 			clear(l.kinds)
 		}
 		k = &lengthLine{line: estimate.New(0, assumedLength)}
-		l.kinds[kind] = k
+		l.kinds[name] = k
 	}
+	return k
+}
+
+func (k *lengthLine) learn(tokens int, took time.Duration) {
 	k.samples++
-	k.line.Learn(float64(tokens), float64(took)/float64(time.Millisecond), 1)
+	k.line.Learn(float64(tokens), inMilliseconds(took), 1)
 }
 
+func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // bound returns a length that answers hardly exceed; false while too little is
 // known.
 func (l *lengths) bound(kind string, tokens int) (time.Duration, bool) {
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -98,8 +98,8 @@
 // answered ends an attempt whose answer the client has whole.
 func (x *exchange) answered(use *route.Use, answer Answer) {
 	use.End(route.OutcomeOK)
-	if x.whole && !failed(answer) {
-		x.learnLength(x.head)
+	if answer.Status() == http.StatusOK {
+		x.learnLength(x.relay.lengths.learn)
 	}
 	x.relay.Counters.Answered(x.route.Name, answer.Status(), x.first, x.elapsed())
 }
@@ -107,12 +107,14 @@
 // clientLeft ends an attempt whose client does not read on.
 func (x *exchange) clientLeft(use *route.Use) *failure {
 	use.End(route.OutcomeNeutral)
+	x.learnLength(x.relay.lengths.learnCut)
 	x.record.Note("client left", "after event %q", x.after)
 	return nil
 }
 
 // broken judges an answer that broke off.
 func (x *exchange) broken(ctx context.Context, use *route.Use, err error) *failure {
+	x.learnLength(x.relay.lengths.learnCut)
 	switch {
 	case stalled(ctx):
 		use.Stall()
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -100,16 +100,24 @@
 	if !known {
 		length, known = x.relay.lengths.bound(x.route.Name, x.request.Prompt.MaxOutput)
 	}
-	if x.after != "" {
-		length = time.Duration(restShare * float64(length))
+	rest := time.Duration(restShare * float64(length))
+	switch {
+	case x.begun:
+		return max(rest, length-(x.elapsed()-x.first)), known
+	case x.after != "":
+		return rest, known
 	}
 	return length, known
 }
 
-// learnLength takes how long a whole answer took from its head to its end.
-func (x *exchange) learnLength(head time.Time) {
+// learnLength takes how long the answer took from its head to its end, or until
+// it was cut off. What a client has a part of already is not the whole.
+func (x *exchange) learnLength(learn func(kind string, tokens int, took time.Duration)) {
+	if !x.whole || x.head.IsZero() {
+		return
+	}
 	for _, kind := range []string{x.kind(), x.route.Name} {
-		x.relay.lengths.learn(kind, x.request.Prompt.MaxOutput, time.Since(head))
+		learn(kind, x.request.Prompt.MaxOutput, time.Since(x.head))
 	}
 }
 
