--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -148,3 +148,36 @@
 	must.Eq(t, "ok", string(body))
 	must.NoError(t, <-waited)
 }
+
+// heldListener hands a connection out only when it is told to.
+type heldListener struct {
+	net.Listener
+	accepted, proceed chan struct{}
+}
+
+func (h *heldListener) Accept() (net.Conn, error) {
+	c, err := h.Listener.Accept()
+	if err == nil {
+		close(h.accepted)
+		<-h.proceed
+	}
+	return c, err
+}
+
+// TestAcceptedWhileClosing: a connection that is accepted while the idle ones are
+// closed is closed as well. Otherwise it would be held until its process ends.
+func TestAcceptedWhileClosing(t *testing.T) {
+	inner := &heldListener{listen(t), make(chan struct{}), make(chan struct{})}
+	l := serve(t, inner, http.NotFoundHandler())
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer c.Close()
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	<-inner.accepted
+	must.NoError(t, l.Listener.Close())
+	l.CloseIdle()
+	close(inner.proceed)
+	_, err = c.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF)
+	must.Eq(t, 0, l.Open())
+}
