--- a/drain/drain.go
+++ b/drain/drain.go
@@ -49,8 +49,13 @@
 	}
 	c := &conn{Conn: inner, listener: l}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.open[c] = struct{}{}
+	closing := l.closing
+	l.mu.Unlock()
+	if closing {
+		// CloseIdle could not know of it.
+		c.closeIfIdle()
+	}
 	return c, nil
 }
 
