relay, gateway: what comes after the door has closed must be sure to end

Cause: a request whose header had begun before the door closed is read later, up to the end, and was taken on a bound that one in twelve exceeds; the users count each such loss. A grace above 8.6 s let the door stay open for longer than the 3 s that they allow for. Change: from the door's close on a request is taken only if its own time is over before the process ends; the door closes 2.8 s after the signal at the latest.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,10 +220,12 @@
 }
 
 const (
-	// noticeShare of the grace is how long a gateway that leaves still takes
-	// new connections: clients keep its address that long, and what comes later
-	// than 3 s after the signal would have to be answered whatever happens.
+	// noticeShare of the grace, and noticeTime at most, is how long a gateway
+	// that leaves still takes new connections. Clients keep its address that
+	// long, some for three times addressTTL; what comes later than 3 s after the
+	// signal must be answered whole, whatever happens.
 	noticeShare = 0.35
+	noticeTime  = 2800 * time.Millisecond
 	// endShare of the grace is when whatever still runs is ended, so that the
 	// last answers are out before the platform kills the process.
 	endShare = 0.95
@@ -237,14 +239,15 @@
 	signal := g.timers.Now()
 	grace := g.settings.Grace()
 	end := signal.Add(time.Duration(endShare * float64(grace)))
+	doorCloses := signal.Add(min(noticeTime, time.Duration(noticeShare*float64(grace))))
 	g.leaving.Store(true)
-	g.relay.Leave(relay.NewStop(signal, end))
+	g.relay.Leave(relay.NewStop(signal, doorCloses, end))
 	g.callers.Leave()
 	slog.Info("gateway is leaving", "grace_ms", grace.Milliseconds(), "under_way", len(g.records.Open()))
 	// The call to the store may take a second; the door closes on time all the
 	// same, since what comes after that can't be ended.
 	go g.nodes.leave()
-	g.waitUntil(signal.Add(time.Duration(noticeShare * float64(grace))))
+	g.waitUntil(doorCloses)
 	slog.Info("door closes", "after_ms", g.timers.Now().Sub(signal).Milliseconds(), "under_way", len(g.records.Open()))
 	g.shutdown(end)
 	g.nodes.remove()
--- a/relay/end_test.go
+++ b/relay/end_test.go
@@ -111,7 +111,7 @@
 // requests until then.
 func leave(r *relay.Relay, left time.Duration) {
 	end := time.Now().Add(left)
-	r.Leave(relay.NewStop(time.Now(), end))
+	r.Leave(relay.NewStop(time.Now(), end, end))
 }
 
 // TestNothingEndedInVain: what goes on, or is there whole, is given up only for
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,7 +23,7 @@
 //
 // Before the process ends:
 //
-//	r.Leave(relay.NewStop(signal, end)) // takes only what is answered by then
+//	r.Leave(relay.NewStop(signal, late, end)) // takes only what is answered by then
 //	…
 //	r.Stop() // gives the rest its final answers
 package relay
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -7,11 +7,12 @@
 )
 
 // Stop is a planned end of the process.
-type Stop struct{ signal, end time.Time }
+type Stop struct{ signal, late, end time.Time }
 
 // NewStop returns the stop of a process that was asked to leave at the time of
-// the signal and ends whatever is left at the given end.
-func NewStop(signal, end time.Time) Stop { return Stop{signal: signal, end: end} }
+// the signal and ends whatever is left at the given end. What comes from late on
+// is taken only if its own time is over before the end, whatever is usual.
+func NewStop(signal, late, end time.Time) Stop { return Stop{signal: signal, late: late, end: end} }
 
 // errStopped ends what is still under way when the process ends.
 var errStopped = errors.New("the process ends")
@@ -67,8 +68,12 @@
 // under load, 398 had been taken after the signal without being asked this, and
 // 215 had been sent to another server late.
 func (x *exchange) fits() bool {
-	if x.relay.leaving.Load() == nil {
+	s := x.relay.leaving.Load()
+	switch {
+	case s == nil:
 		return true
+	case x.request.Arrived.After(s.late):
+		return !x.deadline.After(s.end)
 	}
 	return x.forecast(x.relay.ends)
 }
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -80,7 +80,7 @@
 		s.ask(t)
 	}
 	backend.sends = 0
-	s.relay.Leave(relay.NewStop(time.Now(), time.Now().Add(left)))
+	leave(s.relay, left)
 	return s
 }
 
@@ -133,7 +133,7 @@
 			backend := newTimed()
 			r := newRelay(t, catalog.Route{Kind: catalog.KindStream, Timeout: timeout, Attempts: 3}, relay.Parts{Backends: backend})
 			const left = 8 * time.Second
-			r.Leave(relay.NewStop(time.Now(), time.Now().Add(left)))
+			leave(r, left)
 			got := &received{}
 			ask(t, r, relay.Request{Body: noBody(t)}, got)
 			must.Eq(t, timeout < left, got.refusal == nil)
@@ -211,7 +211,7 @@
 				ask(t, r, relay.Request{AnyModel: true, Body: noBody(t)}, &received{})
 			}
 			backend.sent = nil
-			r.Leave(relay.NewStop(time.Now(), time.Now().Add(tt.left)))
+			leave(r, tt.left)
 			ask(t, r, relay.Request{AnyModel: true, Body: noBody(t)}, &received{})
 			must.Eq(t, tt.want, backend.sent)
 		})
@@ -236,3 +236,24 @@
 		must.ErrorContains(t, <-s.backend.left, "the process ends")
 	})
 }
+
+// TestTakenLate: what comes after the last time for it, on a connection that was
+// open or whose header had begun, is taken only if its own time ends first: it
+// must not be broken off by any chance.
+func TestTakenLate(t *testing.T) {
+	for _, timeLeft := range []time.Duration{streamTime / 2, time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &scripted{}
+			r := taught(t, b, catalog.Route{}, relay.Parts{}, usual)
+			b.follow(lasting(time.Second))
+			const left = 2 * streamTime
+			now := time.Now()
+			r.Leave(relay.NewStop(now.Add(-time.Second), now, now.Add(left)))
+			time.Sleep(time.Millisecond)
+			request, got := prompted(t), &received{}
+			request.TimeLeft = timeLeft
+			ask(t, r, request, got)
+			must.Eq(t, timeLeft < left, got.refusal == nil)
+		})
+	}
+}
