faultproxy: open connections may go silent for good

Silent holds back new connections too and lets go of what it held; SilenceOpen swallows what the connections open now carry, their closing included, and passes new ones.

--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -7,6 +7,7 @@
 //	…
 //	p.Set(faultproxy.Silent)
 //	p.Set(faultproxy.Pass)
+//	p.SilenceOpen()
 //	p.Close()
 package faultproxy
 
@@ -55,6 +56,9 @@
 	changed chan struct{}
 	closed  bool
 	open    map[*net.TCPConn]struct{}
+	// passing holds for each connection that is passed on what silences it for
+	// good when it is closed.
+	passing map[chan struct{}]struct{}
 }
 
 // Listen opens a proxy at an address.
@@ -63,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), open: make(map[*net.TCPConn]struct{})}
+	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), open: make(map[*net.TCPConn]struct{}), passing: make(map[chan struct{}]struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -83,6 +87,18 @@
 	}
 }
 
+// SilenceOpen swallows, from now on and in every mode but Reset, all that either side
+// of the connections open now sends, their closing included. New connections
+// pass.
+func (p *Proxy) SilenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for silent := range p.passing {
+		close(silent)
+	}
+	clear(p.passing)
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -119,6 +135,8 @@
 		return
 	}
 	defer p.drop(client)
+	silent := p.begin()
+	defer p.end(silent)
 	c, err := net.DialTimeout("tcp", p.target, dialTime)
 	if err != nil {
 		_ = client.SetLinger(0)
@@ -132,9 +150,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.copy(target, client, NoRequests)
+		p.copy(target, client, NoRequests, silent)
 	}()
-	p.copy(client, target, NoAnswers)
+	p.copy(client, target, NoAnswers, silent)
 	// Once the target has nothing more to say, what the client sends is lost.
 	_ = client.Close()
 	<-done
@@ -160,25 +178,65 @@
 	_ = c.Close()
 }
 
-// copy passes bytes on one way; oneWay is the mode that holds back just these.
-func (p *Proxy) copy(to, from *net.TCPConn, oneWay Mode) {
+// begin counts a connection among those that SilenceOpen silences.
+func (p *Proxy) begin() (silent chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	silent = make(chan struct{})
+	p.passing[silent] = struct{}{}
+	return silent
+}
+
+func (p *Proxy) end(silent chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.passing, silent)
+}
+
+// copy passes bytes on one way; oneWay is the mode that holds back just these,
+// and a closed silent swallows them.
+func (p *Proxy) copy(to, from *net.TCPConn, oneWay Mode, silent <-chan struct{}) {
 	piece := make([]byte, pieceSize)
 	for {
 		n, err := from.Read(piece)
+		if n == 0 && err == nil {
+			continue
+		}
+		p.hold(oneWay) // a close is as silent as bytes
+		select {
+		case <-silent:
+			if err != nil {
+				p.untilClosed()
+				return
+			}
+			continue
+		default:
+		}
 		if n > 0 {
-			p.hold(oneWay)
 			if _, err := to.Write(piece[:n]); err != nil {
 				return
 			}
 		}
 		if err != nil {
-			p.hold(oneWay) // a close is as silent as bytes
 			_ = to.CloseWrite()
 			return
 		}
 	}
 }
 
+// untilClosed returns once the proxy is closed.
+func (p *Proxy) untilClosed() {
+	for {
+		p.mu.Lock()
+		changed, closed := p.changed, p.closed
+		p.mu.Unlock()
+		if closed {
+			return
+		}
+		<-changed
+	}
+}
+
 // hold returns once bytes may pass.
 func (p *Proxy) hold(oneWay Mode) {
 	for {
--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -99,3 +99,35 @@
 		c.Close()
 	}
 }
+
+// TestSilenceOpen: the open connection is silent for good, its closing too, and
+// a new one passes.
+func TestSilenceOpen(t *testing.T) {
+	p, err := faultproxy.Listen("127.0.0.1:0", echo(t))
+	must.NoError(t, err)
+	t.Cleanup(p.Close)
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", p.Address())
+		must.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return c, bufio.NewReader(c)
+	}
+	passes := func(c net.Conn, lines *bufio.Reader) {
+		_, err := io.WriteString(c, "one\n")
+		must.NoError(t, err)
+		line, err := lines.ReadString('\n')
+		must.NoError(t, err)
+		must.Eq(t, "one\n", line)
+	}
+	open, lines := dial()
+	passes(open, lines)
+	p.SilenceOpen()
+	p.Set(faultproxy.Pass)
+	passes(dial())
+	_, err = io.WriteString(open, "two\n")
+	must.NoError(t, err)
+	must.NoError(t, open.(*net.TCPConn).CloseWrite())
+	must.NoError(t, open.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = lines.ReadString('\n')
+	must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
