--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -87,9 +87,9 @@
 	}
 }
 
-// SilenceOpen swallows, from now on and in every mode but Reset, all that either side
-// of the connections open now sends, their closing included. New connections
-// pass.
+// SilenceOpen swallows, from now on and in every mode but Reset, all that either
+// side of the connections open now sends, their closing included. New
+// connections pass.
 func (p *Proxy) SilenceOpen() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
