peer: a call without an answer in time leaves the kept connections

Cause: a call whose context ran out was cancelled by a message (SoftCancel), and its connection went back to the pool. Where connections are silent for good while new ones work, every later call was given a silent one again, until the kernel gave it up after some fifteen minutes.

Change: a call that ran out of time closes its connection, and later calls use none of those kept before it (an epoch by address, part of the key in the pool). Calls that the caller cancels still keep theirs.

Ruled out: no soft cancel at all, since claims cancel the votes that they no longer need; closing the other idle connections, since one may be taken in that moment; a ping, since each of these calls answers within its own bound.

--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -3,7 +3,10 @@
 // (RFC 8949), whose integer keys let fields be added later.
 //
 // A drpc connection carries one call at a time, so the client keeps a small
-// pool of connections per peer. Calls to this node itself do not leave it.
+// pool of connections per peer. Connections may go silent for good while new
+// ones work, so a call that gets no answer in time ends its connection, and the
+// others that were kept with it are not used any more. Calls to this node itself
+// do not leave it.
 //
 // # Usage
 //
@@ -16,8 +19,10 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -93,9 +98,14 @@
 // Client calls other nodes. It is safe for concurrent use.
 type Client struct {
 	tls   *tls.Config
-	pool  *drpcpool.Pool[string, drpcpool.Conn]
+	pool  *drpcpool.Pool[place, drpcpool.Conn]
 	calls func(call string, sent int)
 	self  string
+
+	mu sync.Mutex
+	// epochs counts by address how often the kept connections were left.
+	epochs map[string]uint64
+
 	// address is this node's own peer address.
 	address string
 	node    Node
@@ -114,9 +124,10 @@
 // NewClient returns a client; config is nil for plain TCP.
 func NewClient(config *tls.Config, options ...Option) *Client {
 	c := &Client{
-		tls:   config,
-		pool:  drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: perPeer}),
-		calls: func(string, int) {},
+		tls:    config,
+		pool:   drpcpool.New[place, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: perPeer}),
+		calls:  func(string, int) {},
+		epochs: make(map[string]uint64),
 	}
 	for _, option := range options {
 		option(c)
@@ -136,24 +147,60 @@
 // Close closes all connections.
 func (c *Client) Close() error { return c.pool.Close() }
 
-func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+// place names the connections to a peer that are used in place of each other.
+// Those of an earlier epoch stay unused until their time in the pool is over.
+type place struct {
+	address string
+	epoch   uint64
+}
+
+func (c *Client) place(address string) place {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return place{address, c.epochs[address]}
+}
+
+// leave lets later calls go on new connections. Several calls on old ones leave
+// them once.
+func (c *Client) leave(p place) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.epochs[p.address] == p.epoch {
+		c.epochs[p.address]++
+	}
+}
+
+// conn is a connection that ends with a call that got no answer in time. The
+// library would cancel that call by a message and keep the connection.
+type conn struct{ *drpcconn.Conn }
+
+// Invoke makes a call.
+func (c conn) Invoke(ctx context.Context, call string, encoding drpc.Encoding, in, out drpc.Message) error {
+	err := c.Conn.Invoke(ctx, call, encoding, in, out)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		_ = c.Close()
+	}
+	return err
+}
+
+func (c *Client) dial(ctx context.Context, p place) (drpcpool.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
 	if c.tls != nil {
-		host, _, _ := net.SplitHostPort(address)
+		host, _, _ := net.SplitHostPort(p.address)
 		config := c.tls.Clone()
 		config.ServerName = host
 		raw = tls.Client(raw, config)
 	}
-	return drpcconn.NewWithOptions(raw, drpcconn.Options{
+	return conn{drpcconn.NewWithOptions(raw, drpcconn.Options{
 		Manager: drpcmanager.Options{
 			Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
 			SoftCancel: true,
 		},
-	}), nil
+	})}, nil
 }
 
 // sized counts what a message takes on the wire.
@@ -171,9 +218,13 @@
 func invoke[Request, Reply any](ctx context.Context, c *Client, address, call string, in Request) (Reply, error) {
 	var out Reply
 	encoding := &sized{}
-	err := c.pool.Get(ctx, address, c.dial).Invoke(ctx, call, encoding, &in, &out)
+	p := c.place(address)
+	err := c.pool.Get(ctx, p, c.dial).Invoke(ctx, call, encoding, &in, &out)
 	c.calls(call, encoding.sent)
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.leave(p)
+		}
 		return out, errs.Wrap(Unreachable, call, err, "peer %s", address)
 	}
 	return out, nil
@@ -193,7 +244,7 @@
 // reach connects anew to a peer, since an old connection may still stand
 // where a new one would not come through, and makes an empty call.
 func (c *Client) reach(ctx context.Context, address string) error {
-	conn, err := c.dial(ctx, address)
+	conn, err := c.dial(ctx, place{address: address})
 	if err != nil {
 		return errs.Wrap(Unreachable, "reach", err, "peer %s", address)
 	}
@@ -324,14 +375,18 @@
 	// The stream outlives this call, which only waits for its first message.
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	timer := time.AfterFunc(attachTimeout, cancel)
-	stream, err := c.pool.Get(streamCtx, h.Peer, c.dial).NewStream(streamCtx, callAttach, codec{})
+	p := c.place(h.Peer)
+	stream, err := c.pool.Get(streamCtx, p, c.dial).NewStream(streamCtx, callAttach, codec{})
 	if err != nil {
 		cancel()
 		return nil, false, false, errs.Wrap(Unreachable, callAttach, err, "peer %s", h.Peer)
 	}
 	first, err := firstPart(stream, attemptRequest{Attempt: attempt, Holder: h.ID})
-	if !timer.Stop() && err == nil {
-		err = context.DeadlineExceeded
+	if !timer.Stop() {
+		c.leave(p)
+		if err == nil {
+			err = context.DeadlineExceeded
+		}
 	}
 	if err != nil || !first.Found {
 		cancel()
