--- a/adapter/peer/silent_test.go
+++ b/adapter/peer/silent_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/adapter/peer"
@@ -46,7 +47,7 @@
 	for range kept {
 		calls.Go(func() {
 			_, err := client.Follow(t.Context(), p.Address(), 0, 0)
-			must.NoError(t, err)
+			test.NoError(t, err)
 		})
 	}
 	calls.Wait()
