mirror: a test of connections that all go silent at once, red

A store, the node that follows it and three that follow that one; every connection open at the moment of a change is silent from then on, and new ones work. The change must be known 2 s later.

--- a/mirror/harness_test.go
+++ b/mirror/harness_test.go
@@ -25,10 +25,45 @@
 	gone     bool
 	err      error
 	hang     bool
+	line     line
 	reads    int
 	follows  int
 }
 
+// line is a kept connection to one place: once it is silent, calls on it get no
+// answer, and after the first one that ran out of time they go on a new one.
+type line struct {
+	mu sync.Mutex
+	// silenced counts how often the connection open then went silent, used the
+	// connections that calls have left for it.
+	silenced, used int
+}
+
+func (l *line) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silenced++
+}
+
+// call makes a call, which may return before the time is over.
+func (l *line) call(ctx context.Context, do func() (mirror.Batch, error)) (mirror.Batch, error) {
+	l.mu.Lock()
+	on := l.used
+	l.mu.Unlock()
+	b, err := do()
+	l.mu.Lock()
+	silent := l.silenced > on
+	l.mu.Unlock()
+	if !silent {
+		return b, err
+	}
+	<-ctx.Done()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used = l.silenced
+	return mirror.Batch{}, ctx.Err()
+}
+
 func newStore() *fakeStore { return &fakeStore{items: make(map[string]mirror.Item)} }
 
 func (s *fakeStore) put(key string, deleted bool) {
@@ -51,6 +86,14 @@
 }
 
 func (s *fakeStore) ReadAll(ctx context.Context) (mirror.Batch, error) {
+	return s.line.call(ctx, func() (mirror.Batch, error) { return s.readAll(ctx) })
+}
+
+func (s *fakeStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
+	return s.line.call(ctx, func() (mirror.Batch, error) { return s.follow(ctx, after, wait) })
+}
+
+func (s *fakeStore) readAll(ctx context.Context) (mirror.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
@@ -67,7 +110,7 @@
 	return b, s.err
 }
 
-func (s *fakeStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
+func (s *fakeStore) follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.follows++
@@ -107,6 +150,8 @@
 	// otherShare is one less the share of rounds in which the node asks the
 	// store itself.
 	otherShare float64
+	// lines are the connections to peers by their places.
+	lines [3]line
 
 	mu sync.Mutex
 	// err fails all calls.
@@ -156,7 +201,7 @@
 	if _, err := fmt.Sscan(address, &i); err != nil {
 		return mirror.Batch{}, err
 	}
-	return p.mirrors[i].Await(ctx, after, wait), nil
+	return p.lines[i].call(ctx, func() (mirror.Batch, error) { return p.mirrors[i].Await(ctx, after, wait), nil })
 }
 
 // run returns what mirrors run by until the test ends.
