mirror: a call that ran out of time is made once more at once

Cause: when all open connections went silent, a follower waited for its first upstream (0.8 s), then for the others of the hall (0.3 s each), then for its own watch (0.9 s), and only then asked anybody on a new connection: 2.3 s and more, where 2 s are allowed. The node that follows the store read the whole anew only after it had asked peers and paused.

Change: a watch, and a call to the first upstream, that ran out of time is made once more at once, without waiting there; the client has left the silent connection by then. A store that is dark costs one call more in an outage for each node that follows it.

Ruled out: asking all upstreams at once (three calls for one in each outage of one VM); shorter waits (each watch is paid for).

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -89,13 +90,18 @@
 }
 
 // followPeer takes one answer of the first upstream that has good news. Only
-// the first is waited for, so that the next one costs no time.
+// the first is waited for, so that the next one costs no time. One that gave no
+// answer in time is asked once more: a connection that was open may be silent
+// for good while a new one works, and with it those to the others.
 func (m *Mirror) followPeer(ctx context.Context, upstream []string) bool {
-	wait := peerWait
-	for _, address := range upstream {
-		callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
-		batch, err := m.peers.Follow(callCtx, address, m.Revision(), wait)
-		cancel()
+	batch, err := m.callPeer(ctx, upstream[0], peerWait)
+	if errors.Is(err, context.DeadlineExceeded) {
+		batch, err = m.callPeer(ctx, upstream[0], 0)
+	}
+	for i, address := range upstream {
+		if i > 0 {
+			batch, err = m.callPeer(ctx, address, 0)
+		}
 		if err != nil {
 			slog.Info("upstream did not answer", "peer", address, "error", err)
 		} else if m.accept(batch, batch.Age); batch.Age < staleAge && batch.Revision >= m.Revision() {
@@ -104,20 +110,33 @@
 		} else {
 			slog.Info("upstream has old news", "peer", address, "age_ms", batch.Age.Milliseconds(), "its_revision", batch.Revision, "revision", m.Revision())
 		}
-		wait = 0
 	}
 	return false
 }
 
+// callPeer asks a peer that may wait that long. An error of a call that ran out
+// of time is a context's.
+func (m *Mirror) callPeer(ctx context.Context, address string, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	defer cancel()
+	batch, err := m.peers.Follow(ctx, address, m.Revision(), wait)
+	if err != nil && ctx.Err() != nil {
+		return batch, ctx.Err()
+	}
+	return batch, err
+}
+
 // step does one round with the store.
 func (m *Mirror) step(ctx context.Context) error {
 	after := m.Revision()
 	if after == 0 || m.isAway() {
 		return m.readAll(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
-	defer cancel()
-	batch, err := m.store.Follow(ctx, after, followWait)
+	batch, err := m.watch(ctx, after, followWait)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The connection may be silent for good while a new one works.
+		batch, err = m.watch(ctx, after, 0)
+	}
 	if errorx.IsOfType(err, HistoryGone) {
 		slog.Info("history of the store is gone; reading the whole", "after", after)
 		return m.readAll(ctx)
@@ -129,6 +148,18 @@
 	return nil
 }
 
+// watch asks the store for changes, which may wait that long. An error of a call
+// that ran out of time is a context's.
+func (m *Mirror) watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
+	defer cancel()
+	batch, err := m.store.Follow(ctx, after, wait)
+	if err != nil && ctx.Err() != nil {
+		return batch, ctx.Err()
+	}
+	return batch, err
+}
+
 // readAll reads the whole, which also tells what was removed meanwhile.
 func (m *Mirror) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
