--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -35,10 +35,19 @@
 	revokeTime = time.Second
 )
 
+// entryStore is what the list needs of the platform's store.
+type entryStore interface {
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+	Put(ctx context.Context, key string, data []byte, lease int64) error
+	KeepAlive(ctx context.Context, lease int64) (bool, error)
+	Revoke(ctx context.Context, lease int64) error
+}
+
 // nodes is the list of gateways: each keeps an entry in the store that goes
 // with its lease.
 type nodes struct {
-	g *Gateway
+	g     *Gateway
+	store entryStore
 
 	mu sync.Mutex
 	// known are the entries by their keys, this gateway's own included.
@@ -56,7 +65,7 @@
 }
 
 func newNodes(g *Gateway) *nodes {
-	return &nodes{g: g, known: make(map[string]view.Member), lapsed: make(map[string]time.Time), regained: make(chan struct{}, 1)}
+	return &nodes{g: g, store: g.store, known: make(map[string]view.Member), lapsed: make(map[string]time.Time), regained: make(chan struct{}, 1)}
 }
 
 // storeRegained marks the store's return and renews the entry at once.
@@ -207,7 +216,7 @@
 	id := n.lease
 	n.mu.Unlock()
 	if id != 0 {
-		alive, err := n.g.store.KeepAlive(ctx, id)
+		alive, err := n.store.KeepAlive(ctx, id)
 		if alive || err != nil {
 			return err
 		}
@@ -222,11 +231,11 @@
 	if err != nil {
 		return err
 	}
-	id, err := n.g.store.Grant(ctx, entryLife)
+	id, err := n.store.Grant(ctx, entryLife)
 	if err != nil {
 		return err
 	}
-	if err := n.g.store.Put(ctx, n.key(), entry, id); err != nil {
+	if err := n.store.Put(ctx, n.key(), entry, id); err != nil {
 		return err
 	}
 	n.mu.Lock()
@@ -246,7 +255,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTime)
 	defer cancel()
-	if err := n.g.store.Revoke(ctx, id); err != nil {
+	if err := n.store.Revoke(ctx, id); err != nil {
 		slog.Warn("own entry not taken back; it lapses with its lease", "error", err)
 	}
 }
