gateway: a renewal that failed is followed by an early one

Cause: the entry is renewed every 1.67 s and lives for 5 s. A renewal on a connection that went silent takes its second, and the pause after it was doubled: the next one came 6.0 s after the last good one, and the node was out of the directory of all others until it had written its entry anew.

Change: the next renewal after a first failure comes after half of the usual pause, 3.5 s after the last good one. After the second failure renewals are left out as before, so an outage of the store costs one call more for a node.

--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -25,6 +25,11 @@
 	// kept after its return: a node hears of it within a second or two, and
 	// writes its entry anew at once.
 	returnTime = 3 * time.Second
+	// renewalAgain is how long after a first renewal that failed the next one
+	// follows. One without an answer has taken a second already, and the
+	// connection may only have gone silent while a new one works: with half of
+	// the usual pause the entry has more than a second to live then.
+	renewalAgain = entryLife / renewals / 2
 	// renewalsSkippedMax is how many renewals are left out at most after
 	// several that failed. The store's return ends the pause.
 	renewalsSkippedMax = 4
@@ -183,8 +188,9 @@
 	return all
 }
 
-// run keeps this gateway's entry until the context ends. After renewals that
-// failed it leaves some out, until the store is known to be back.
+// run keeps this gateway's entry until the context ends. After a renewal that
+// failed the next one is early; after several it leaves some out, until the store
+// is known to be back.
 func (n *nodes) run(ctx context.Context) {
 	failed := 0
 	for {
@@ -196,7 +202,13 @@
 				failed = 0
 			}
 		}
-		pause := entryLife / renewals * time.Duration(1+min(failed, renewalsSkippedMax))
+		pause := entryLife / renewals
+		switch {
+		case failed == 1:
+			pause = renewalAgain
+		case failed > 1:
+			pause *= time.Duration(1 + min(failed, renewalsSkippedMax))
+		}
 		ticks := n.g.timers.Subscribe(pause)
 		select {
 		case <-ctx.Done():
