relay, platform: a request that was moved goes on a connection that is not silent

Cause: all connections to the servers may go silent at once. A request that may run again was taken away in time, and was then sent on a kept connection to the next server, as silent as the first one; most have no third attempt.

Change: a call names since when the attempt before it waited in vain.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -39,6 +39,8 @@
 	// last event that it has, "" for none.
 	begun bool
 	after string
+	// quiet is since when the last attempt that was taken away had waited.
+	quiet time.Time
 	// first is how long the first piece of the answer took; zero until then.
 	first time.Duration
 }
@@ -82,12 +84,18 @@
 	sent := time.Now()
 	watch := x.watch(use, cancel)
 	defer watch.stop()
+	defer func() {
+		if stalled(ctx) {
+			x.quiet = watch.from
+		}
+	}()
 	answer, err := x.relay.Backends.Send(ctx, server, Call{
 		Request:  x.request,
 		Account:  x.account,
 		TimeLeft: time.Until(x.deadline),
 		Model:    x.model(),
 		After:    x.after,
+		Quiet:    x.quiet,
 	})
 	x.countVersion(ctx, use, version, answer, time.Since(sent))
 	f := x.judge(ctx, use, sent, answer, err)
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -38,6 +38,8 @@
 // watches nothing.
 type watch struct {
 	timer *time.Timer
+	// from is since when it waits.
+	from time.Time
 }
 
 // watch begins to watch an attempt that has been sent just now.
@@ -46,7 +48,7 @@
 	if !x.mayMove(x.runs + 1) {
 		return &watch{}
 	}
-	return &watch{timer: time.AfterFunc(x.patience(use), func() {
+	return &watch{from: time.Now(), timer: time.AfterFunc(x.patience(use), func() {
 		if x.relay.Moves.Take(x.service, 0) && x.relay.Budgets.Take(x.service, spareForRetries) {
 			cancel(errStalled)
 		}
@@ -59,6 +61,7 @@
 	switch {
 	case w.timer == nil:
 	case d > 0:
+		w.from = time.Now()
 		w.timer.Reset(d)
 	default:
 		w.timer.Stop()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -95,6 +95,9 @@
 	Model string
 	// After is the last event that the client has.
 	After string
+	// Quiet is since when an earlier attempt waited in vain; zero if none did.
+	// Connections that have brought nothing since may be as silent as its own.
+	Quiet time.Time
 }
 
 // Answer is the head of a server's answer, and its body as it comes.
