--- a/drain/drain.go
+++ b/drain/drain.go
@@ -133,6 +133,9 @@
 	closed bool
 }
 
+// NetConn returns the connection without the following of it.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read marks the connection as busy. What arrives after closeIfIdle is not
 // handed on: the client is told, by the close, that it was not read.
 func (c *conn) Read(p []byte) (int, error) {
