--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -23,6 +24,11 @@
 // serve passes one request on a resumable route through a relay. Parts that
 // are not given are the usual ones: three servers, no roll-out, no bounds.
 func serve(t *testing.T, target catalog.Route, parts relay.Parts, request relay.Request, reply relay.Reply) {
+	serveUntil(t.Context(), t, target, parts, request, reply)
+}
+
+// serveUntil is serve for a client that leaves when the context ends.
+func serveUntil(ctx context.Context, t *testing.T, target catalog.Route, parts relay.Parts, request relay.Request, reply relay.Reply) {
 	target.Name, target.Host, target.Prefix, target.Resumable = "r", "h", "/", true
 	target.Targets = []catalog.Target{{Service: "s", Weight: 1}}
 	c, err := catalog.New(catalog.Document{
@@ -41,7 +47,7 @@
 	parts.Ladder = cascade.NewLadder()
 	parts.Records = decision.New("n")
 	request.ID, request.Host, request.Path, request.Arrived = "1", "h", "/", time.Now()
-	relay.New(parts).Serve(t.Context(), &request, reply)
+	relay.New(parts).Serve(ctx, &request, reply)
 }
 
 // noBody is that of a request without one.
