--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/view"
 )
 
 // Subscribe lets a test stand in the row of those whom the mirror tells.
@@ -20,3 +22,11 @@
 
 // Servers returns the servers that requests may go to.
 func (g *Gateway) Servers(service string) []registry.Server { return g.registry.Servers(service) }
+
+// KeepEntry keeps a gateway's entry at a store until the context ends.
+func KeepEntry(ctx context.Context, store entryStore, timers *timer.Service) {
+	g := &Gateway{timers: timers, self: view.NewMember(view.Member{VM: "node"})}
+	n := newNodes(g)
+	n.store = store
+	n.run(ctx)
+}
--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -25,6 +25,11 @@
 	// kept after its return: a node hears of it within a second or two, and
 	// writes its entry anew at once.
 	returnTime = 3 * time.Second
+	// renewalAgain is how long after a first renewal that failed the next one
+	// follows. One without an answer has taken a second already, and the
+	// connection may only have gone silent while a new one works: with half of
+	// the usual pause the entry has more than a second to live then.
+	renewalAgain = entryLife / renewals / 2
 	// renewalsSkippedMax is how many renewals are left out at most after
 	// several that failed. The store's return ends the pause.
 	renewalsSkippedMax = 4
@@ -47,10 +52,19 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// entryStore is what the list needs of the platform's store.
+type entryStore interface {
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+	Put(ctx context.Context, key string, data []byte, lease int64) error
+	KeepAlive(ctx context.Context, lease int64) (bool, error)
+	Revoke(ctx context.Context, lease int64) error
+}
+
 // nodes is the list of gateways: each keeps an entry in the store that goes
 // with its lease.
 type nodes struct {
-	g *Gateway
+	g     *Gateway
+	store entryStore
 
 	mu sync.Mutex
 	// known are the entries by their keys, this gateway's own included.
@@ -68,7 +82,7 @@
 }
 
 func newNodes(g *Gateway) *nodes {
-	return &nodes{g: g, known: make(map[string]entry), lapsed: make(map[string]time.Time), regained: make(chan struct{}, 1)}
+	return &nodes{g: g, store: g.store, known: make(map[string]entry), lapsed: make(map[string]time.Time), regained: make(chan struct{}, 1)}
 }
 
 // storeRegained marks the store's return and renews the entry at once.
@@ -197,8 +211,9 @@
 	return all
 }
 
-// run keeps this gateway's entry until the context ends. After renewals that
-// failed it leaves some out, until the store is known to be back.
+// run keeps this gateway's entry until the context ends. After a renewal that
+// failed the next one is early; after several it leaves some out, until the store
+// is known to be back.
 func (n *nodes) run(ctx context.Context) {
 	failed := 0
 	for {
@@ -208,7 +223,13 @@
 		} else {
 			failed = 0
 		}
-		pause := entryLife / renewals * time.Duration(1+min(failed, renewalsSkippedMax))
+		pause := entryLife / renewals
+		switch {
+		case failed == 1:
+			pause = renewalAgain
+		case failed > 1:
+			pause *= time.Duration(1 + min(failed, renewalsSkippedMax))
+		}
 		ticks := n.g.timers.Subscribe(pause)
 		select {
 		case <-ctx.Done():
@@ -232,7 +253,7 @@
 		return nil
 	}
 	if id != 0 {
-		alive, err := n.g.store.KeepAlive(ctx, id)
+		alive, err := n.store.KeepAlive(ctx, id)
 		if alive || err != nil {
 			return err
 		}
@@ -243,7 +264,7 @@
 
 // announce takes out a lease and writes this gateway's entry with it.
 func (n *nodes) announce(ctx context.Context) error {
-	id, err := n.g.store.Grant(ctx, entryLife)
+	id, err := n.store.Grant(ctx, entryLife)
 	if err != nil {
 		return err
 	}
@@ -266,7 +287,7 @@
 	if err != nil {
 		return err
 	}
-	return n.g.store.Put(ctx, n.key(), data, lease)
+	return n.store.Put(ctx, n.key(), data, lease)
 }
 
 // leave tells the others that this gateway leaves. Where the store does not
@@ -294,7 +315,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), removeTime)
 	defer cancel()
-	if err := n.g.store.Revoke(ctx, id); err != nil {
+	if err := n.store.Revoke(ctx, id); err != nil {
 		slog.Warn("own entry not taken back; it lapses with its lease", "error", err)
 	}
 }
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -22,13 +23,23 @@
 
 // serve passes one request on a resumable route through a relay.
 func serve(t *testing.T, target catalog.Route, parts relay.Parts, request relay.Request, reply relay.Reply) {
-	ask(t, newRelay(t, target, parts), request, reply)
+	serveUntil(t.Context(), t, target, parts, request, reply)
+}
+
+// serveUntil is serve for a client that leaves when the context ends.
+func serveUntil(ctx context.Context, t *testing.T, target catalog.Route, parts relay.Parts, request relay.Request, reply relay.Reply) {
+	askUntil(ctx, newRelay(t, target, parts), request, reply)
 }
 
 // ask passes one request through a relay.
 func ask(t *testing.T, r *relay.Relay, request relay.Request, reply relay.Reply) {
+	askUntil(t.Context(), r, request, reply)
+}
+
+// askUntil is ask for a client that leaves when the context ends.
+func askUntil(ctx context.Context, r *relay.Relay, request relay.Request, reply relay.Reply) {
 	request.ID, request.Host, request.Path, request.Arrived = "1", "h", "/", time.Now()
-	r.Serve(t.Context(), &request, reply)
+	r.Serve(ctx, &request, reply)
 }
 
 // newRelay returns a relay with a resumable route. Parts that are not given are
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -38,6 +38,8 @@
 // watches nothing.
 type watch struct {
 	timer *time.Timer
+	// from is since when it waits.
+	from time.Time
 }
 
 // watch begins to watch an attempt that has been sent just now.
@@ -50,7 +52,7 @@
 	servers, _ := x.servers()
 	task, deadline := x.task(servers), x.deadline
 	task.Exclude = nil // these have not been tried, and tried changes meanwhile
-	return &watch{timer: time.AfterFunc(x.patience(use), func() {
+	return &watch{from: time.Now(), timer: time.AfterFunc(x.patience(use), func() {
 		takes := x.relay.Balancer.Forecast(task).Total() + length
 		if x.relay.endsInTime(deadline, takes, known) && x.relay.Moves.Take(x.service, 0) && x.relay.Budgets.Take(x.service, spareForRetries) {
 			cancel(errStalled)
@@ -64,6 +66,7 @@
 	switch {
 	case w.timer == nil:
 	case d > 0:
+		w.from = time.Now()
 		w.timer.Reset(d)
 	default:
 		w.timer.Stop()
