gateway: the lease of who drives roll-outs is given up at the signal

Cause: the lease ran under the context that ends as Run returns, so it was renewed through the drain, and the process was gone before the call that gives it up. Change: the leases run under a context that ends at the signal, so the gateway that leaves drives no more, and gives the lease up beside its drain. The drain waits for none of it; where the store is silent the lease lapses. Ruled out: giving it up as a step of drain, since a slow store would hold up the door. A step that is under way at the signal may still write; the token and the revision that it swaps at fence it off from what the next driver wrote.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -198,9 +198,15 @@
 	for _, d := range doors {
 		go func() { failed <- d.serve(work, d.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.nodes.run, g.board.Run, g.leases.Run, g.driver.Run} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.nodes.run, g.board.Run, g.driver.Run} {
 		go run(work)
 	}
+	// The lease is given up at the signal and not at the end, so that another
+	// gateway drives roll-outs meanwhile. The drain doesn't wait for it: a lease
+	// that can't be given up lapses.
+	stays, leave := context.WithCancel(ctx)
+	defer leave()
+	go g.leases.Run(stays)
 	slog.Info("gateway is up", "id", g.self.ID, "caller", g.self.Caller, "data_hall", g.self.DataHall, "store", g.settings.Store.Address)
 	select {
 	case <-ctx.Done():
