rollout: what runs at nodes that miss one question, failing

Cause: nodes.running and nodes.recent go by the answers to the latest question alone, and a question has 400 ms. A node that was late once counts as running nothing on the old version, so that the old servers may be stopped under its streams; its sessions under way are not held either, and the first stage may move them.

--- a/rollout/driver_test.go
+++ b/rollout/driver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -47,3 +48,66 @@
 	steps(newDriver(), 1, map[string]rollout.Counts{"c": counted(40, 5)})
 	must.Eq(t, rollout.VerdictStopped, progress().Verdict)
 }
+
+// The driver summed up what runs on the old version over the nodes that had
+// answered its last question. One that was late once, with a stream under way,
+// counted as running nothing: the roll-out was complete, and the old servers could
+// be stopped at once.
+
+// TestRunningAtSilentNode: a roll-out waits for what ran on the old version at a
+// node that does not answer, until the node is taken for gone.
+func TestRunningAtSilentNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := services(t, `{}`)
+		s.Take(rollout.Order{Service: "s", Target: "v2", Period: 10 * time.Second})
+		since, err := json.Marshal(time.Now().UTC())
+		must.NoError(t, err)
+		w := &driverWorld{token: 1, stored: []byte(`{"models": {"s": {"version": "v2", "stage": 2, "since": ` + string(since) + `}}}`)}
+		d := rollout.NewDriver("rollouts", w, w, w, s.Models, timer.New())
+		step := func(counts map[string]rollout.Counts) rollout.Verdict {
+			w.counts = counts
+			d.Step(t.Context(), 1)
+			stages, err := rollout.DecodeStages(w.stored)
+			must.NoError(t, err)
+			return stages.Models["s"].Verdict
+		}
+		counted := func(running int64) rollout.Counts {
+			return rollout.Counts{"s@v2": {Answers: 500}, "s@in-service": {Answers: 500, Running: running}}
+		}
+		time.Sleep(time.Minute) // the last stage has lasted long enough
+		both := map[string]rollout.Counts{"a": counted(0), "b": counted(3)}
+		one := map[string]rollout.Counts{"a": counted(0)}
+		must.Eq(t, rollout.VerdictRunning, step(both))
+		must.Eq(t, rollout.VerdictRunning, step(one), must.Sprint("missed one question"))
+		must.Eq(t, rollout.VerdictRunning, step(one), must.Sprint("missed two"))
+		must.Eq(t, rollout.VerdictRunning, step(both), must.Sprint("answers again"))
+		must.Eq(t, rollout.VerdictRunning, step(one), must.Sprint("one more"))
+		must.Eq(t, rollout.VerdictRunning, step(one), must.Sprint("two more"))
+		must.Eq(t, rollout.VerdictComplete, step(one), must.Sprint("gone"))
+	})
+}
+
+// TestSessionsAtSilentNode: sessions under way at a node that does not answer as
+// the first stage's share is set are held too.
+func TestSessionsAtSilentNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		picker := rollout.NewPicker()
+		s := rollout.NewServices(picker, 1)
+		s.Take(rollout.Order{Service: "s", Target: "v2", Period: 20 * time.Second})
+		w := &driverWorld{token: 1}
+		d := rollout.NewDriver("rollouts", w, w, w, s.Models, timer.New())
+		step := func(counts map[string]rollout.Counts) rollout.Progress {
+			w.counts = counts
+			d.Step(t.Context(), 1)
+			stages, err := rollout.DecodeStages(w.stored)
+			must.NoError(t, err)
+			return stages.Models["s"]
+		}
+		s.Begin("s", "in-service", "session")
+		must.Zero(t, step(map[string]rollout.Counts{"a": picker.Counts()}).Share)
+		time.Sleep(2 * time.Second) // long enough for the requests to be counted
+		p := step(map[string]rollout.Counts{})
+		must.Positive(t, p.Share)
+		must.NotEq(t, "", p.Held)
+	})
+}
