rollout: a node that misses a question still runs what it had

Cause: what runs on the old version, and which sessions are under way, was taken from the nodes that answered the latest question alone, which has 400 ms. Change: both go by the last known counts of each node until it is taken for gone, three questions later, as the sums of answers do already. Ruled out: a longer question, since every step of the driver waits for the slowest node and a bad version is to be stopped within 5 s.

--- a/rollout/nodes.go
+++ b/rollout/nodes.go
@@ -13,8 +13,6 @@
 	// folded are the counts of nodes that were taken for gone; one that answers
 	// again counts from there on.
 	folded map[string]Counts
-	// latest are the counts of the nodes that answered last time.
-	latest map[string]Counts
 }
 
 func newNodes() *nodes {
@@ -23,7 +21,6 @@
 
 // take takes the counts of the nodes that answered in a step.
 func (n *nodes) take(latest map[string]Counts) {
-	n.latest = latest
 	for node := range n.counted {
 		n.missed[node]++
 	}
@@ -48,21 +45,26 @@
 	return candidate.add(p.Gone.count()), baseline.add(p.GoneInService.count())
 }
 
-// running returns how many requests run under a name, as far as the nodes that
-// answered last time know.
+// running returns how many requests run under a name, as far as is known. A node
+// that does not answer still has what it had: it may have been late once.
 func (n *nodes) running(name string) int64 {
 	running := int64(0)
-	for _, counts := range n.latest {
-		running += counts[name].Running
+	for node, counts := range n.counted {
+		if !n.gone(node) {
+			running += counts[name].Running
+		}
 	}
 	return running
 }
 
 // recent returns the slots of the sessions that lately had a request under a
-// name at the nodes that answered last time.
+// name, as far as is known. To hold one that is over harms nothing.
 func (n *nodes) recent(name string) map[uint32]bool {
 	recent := make(map[uint32]bool)
-	for _, counts := range n.latest {
+	for node, counts := range n.counted {
+		if n.gone(node) {
+			continue
+		}
 		for _, slot := range counts[name].Recent {
 			recent[slot] = true
 		}
