rollout: requests from before the order run uncounted, failing

Cause: Choose gives no version without an order, and Begin and End count a request that has none nowhere, so the last stage of a roll-out does not wait for it. A short period can be over before a stream of 25 s that began before the order is.

--- a/rollout/driver_test.go
+++ b/rollout/driver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,3 +112,79 @@
 		must.NotEq(t, "", p.Held)
 	})
 }
+
+// What a node had sent before it knew of an order was counted under no version. A
+// roll-out with a short period was complete, and the old servers could be stopped,
+// under streams from before the order.
+
+// earlier is a node with requests under way from before the order, and the driver
+// of a roll-out.
+type earlier struct {
+	*rollout.Services
+	picker *rollout.Picker
+	world  *driverWorld
+	driver *rollout.Driver
+}
+
+func newEarlier(requests int) *earlier {
+	e := &earlier{picker: rollout.NewPicker(), world: &driverWorld{token: 1}}
+	e.Services = rollout.NewServices(e.picker, 1)
+	for i := range requests {
+		_, version := e.Choose("s", fmt.Sprint(i), "", runners)
+		e.Begin("s", version, fmt.Sprint(i))
+	}
+	e.Take(rollout.Order{Service: "s", Target: "v2", Period: 20 * time.Second})
+	e.driver = rollout.NewDriver("rollouts", e.world, e.world, e.world, e.Models, timer.New())
+	return e
+}
+
+// step makes a step of the driver with the node's counts and those of another one.
+func (e *earlier) step(t *testing.T, other rollout.Counts) rollout.Progress {
+	e.world.counts = map[string]rollout.Counts{"a": e.picker.Counts(), "b": other}
+	e.driver.Step(t.Context(), 1)
+	stages, err := rollout.DecodeStages(e.world.stored)
+	must.NoError(t, err)
+	return stages.Models["s"]
+}
+
+// TestRunningBeforeOrder: a roll-out is not complete while requests from before the
+// order run on the old version.
+func TestRunningBeforeOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEarlier(1)
+		since, err := json.Marshal(time.Now().UTC())
+		must.NoError(t, err)
+		e.world.stored = []byte(`{"models": {"s": {"version": "v2", "stage": 2, "since": ` + string(since) + `}}}`)
+		answered := rollout.Counts{"s@v2": {Answers: 500}, "s@in-service": {Answers: 500}}
+		time.Sleep(time.Minute) // the last stage has lasted long enough
+		must.Eq(t, rollout.VerdictRunning, e.step(t, answered).Verdict)
+		e.End("s", "", "0")
+		must.Eq(t, rollout.VerdictComplete, e.step(t, answered).Verdict)
+	})
+}
+
+// TestShareWithoutEarlier: the first stage's share goes by the requests since the
+// order, whatever runs from before it.
+func TestShareWithoutEarlier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		share := func(requests int) float64 {
+			e := newEarlier(requests)
+			must.Zero(t, e.step(t, nil).Share)
+			time.Sleep(2 * time.Second) // long enough for the requests to be counted
+			return e.step(t, rollout.Counts{"s@in-service": {Answers: 100, Running: 20}}).Share
+		}
+		must.Between(t, 0.01, share(0), 0.99)
+		must.Eq(t, share(0), share(500))
+	})
+}
+
+// TestNothingKept: services without an order leave nothing behind in the counts.
+func TestNothingKept(t *testing.T) {
+	picker := rollout.NewPicker()
+	s := rollout.NewServices(picker, 0)
+	for i := range 100 {
+		s.Begin(fmt.Sprint(i), "", "k")
+		s.End(fmt.Sprint(i), "", "k")
+	}
+	must.MapEmpty(t, picker.Counts())
+}
