rollout: requests from before the order count as running

Cause: what a node sends while it knows of no order has no version, and was counted nowhere, so a roll-out could be complete under it. Change: such requests are counted as Earlier under the version in service, without an order too, and the last stage waits for them as for those that run there since. A name whose count says nothing is dropped, so what is kept is bounded by what runs. Ruled out: counting them as Running, since the first stage is sized by that. Answers and sessions are counted as before. Requests counted under the target of an order that another order replaces are still not waited for.

--- a/rollout/nodes.go
+++ b/rollout/nodes.go
@@ -51,7 +51,7 @@
 	running := int64(0)
 	for node, counts := range n.counted {
 		if !n.gone(node) {
-			running += counts[name].Running
+			running += counts[name].Running + counts[name].Earlier
 		}
 	}
 	return running
@@ -104,5 +104,6 @@
 
 // add sums up two counts. Recent is left out: it is gathered by itself.
 func (c Count) add(other Count) Count {
-	return Count{Answers: c.Answers + other.Answers, Bad: c.Bad + other.Bad, Slow: c.Slow + other.Slow, Running: c.Running + other.Running}
+	return Count{Answers: c.Answers + other.Answers, Bad: c.Bad + other.Bad, Slow: c.Slow + other.Slow,
+		Running: c.Running + other.Running, Earlier: c.Earlier + other.Earlier}
 }
--- a/rollout/picker.go
+++ b/rollout/picker.go
@@ -133,18 +133,38 @@
 }
 
 // Begin counts a request that starts to run on a version; End counts its end.
-func (p *Picker) Begin(model, version string) { p.run(model, version, 1) }
+func (p *Picker) Begin(model, version string) {
+	p.run(model, version, func(c *Count) { c.Running++ })
+}
 
 // End is the counterpart of Begin.
-func (p *Picker) End(model, version string) { p.run(model, version, -1) }
+func (p *Picker) End(model, version string) {
+	p.run(model, version, func(c *Count) { c.Running-- })
+}
+
+// BeginEarlier is Begin for a request that is sent while no roll-out is known;
+// EndEarlier counts its end, then or later.
+func (p *Picker) BeginEarlier(model, version string) {
+	p.run(model, version, func(c *Count) { c.Earlier++ })
+}
 
-// run changes the number of requests that run on a version.
-func (p *Picker) run(model, version string, change int64) {
+// EndEarlier is the counterpart of BeginEarlier.
+func (p *Picker) EndEarlier(model, version string) {
+	p.run(model, version, func(c *Count) { c.Earlier-- })
+}
+
+// run changes the number of requests that run on a version. It keeps no count
+// that says nothing, so that names without a roll-out don't gather.
+func (p *Picker) run(model, version string, change func(*Count)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	name := countName(model, version)
 	c := p.counts[name]
-	c.Running += change
+	change(&c)
+	if c.Answers == 0 && c.Running == 0 && c.Earlier == 0 {
+		delete(p.counts, name)
+		return
+	}
 	p.counts[name] = c
 }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -119,6 +119,10 @@
 	Slow int64 `cbor:"5,keyasint,omitempty" json:"slow,omitempty"`
 	// Running is how many requests the node has there now; it also falls.
 	Running int64 `cbor:"3,keyasint" json:"running"`
+	// Earlier is how many requests run there that the node sent while it knew of
+	// no order. Running leaves them out, since a first stage is sized by what
+	// came since the order.
+	Earlier int64 `cbor:"6,keyasint,omitempty" json:"earlier,omitempty"`
 	// Recent are the slots of the sessions that lately had a request there,
 	// as far as a first stage could move them.
 	Recent []uint32 `cbor:"4,keyasint,omitempty" json:"recent,omitempty"`
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -186,11 +186,13 @@
 }
 
 // Begin counts a request of a session that Choose gave a version, "" for none, and
-// that is sent now; End counts its end. Sessions on the version in service are
-// remembered without an order too: a stream that was there before the order may
-// end long after it, and its session goes on.
+// that is sent now; End counts its end. Requests to the version in service are
+// counted without an order too, and their sessions remembered: a stream that was
+// there before the order may end long after it, and its session goes on.
 func (s *Services) Begin(service, version, key string) {
-	if version != "" {
+	if version == "" {
+		s.picker.BeginEarlier(service, oldVersion)
+	} else {
 		s.picker.Begin(service, version)
 	}
 	s.remember(service, version, key, 1)
@@ -198,7 +200,9 @@
 
 // End is the counterpart of Begin.
 func (s *Services) End(service, version, key string) {
-	if version != "" {
+	if version == "" {
+		s.picker.EndEarlier(service, oldVersion)
+	} else {
 		s.picker.End(service, version)
 	}
 	s.remember(service, version, key, -1)
