lease: a node that stops while it takes the lease, failing

Cause: after a lost answer acquire revokes the lease under the context of Run. Where that is over, which is why the answer was lost, the call fails at once and the key stays until it lapses.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -210,3 +210,40 @@
 		synctest.Wait()
 	})
 }
+
+// lostAnswer is a service that takes the lease's key and answers too late.
+type lostAnswer struct {
+	service
+	taken chan struct{}
+}
+
+func (s *lostAnswer) SwapLeased(ctx context.Context, name string, data []byte, expected, id int64) (int64, bool, error) {
+	_, _, _ = s.service.SwapLeased(ctx, name, data, expected, id)
+	close(s.taken)
+	<-ctx.Done()
+	return 0, false, ctx.Err()
+}
+
+// Revoke fails under a context that is over, as a call over the network does.
+func (s *lostAnswer) Revoke(ctx context.Context, id int64) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return s.service.Revoke(ctx, id)
+}
+
+// TestStopWhileAcquiring: a node that stops while it takes the lease gives up what
+// it may have taken.
+func TestStopWhileAcquiring(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &lostAnswer{taken: make(chan struct{})}
+		go lease.New("driver", "a", s, timers, ttl).Run(ctx)
+		<-s.taken
+		cancel()
+		synctest.Wait()
+		s.set(func() { must.Eq(t, "", s.holder) })
+	})
+}
