lease: what a node may have taken as it stops is given up

Cause: after a lost answer the lease was revoked under the context of Run, which at a stop is over, so nobody could hold the lease until it lapsed: 2.5 s for the driver. Change: such a lease is revoked as one that is held, under a time of its own. Ruled out: letting acquire go on after the end of the context, since the node would then take a lease that it is to give up at once.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -158,7 +158,7 @@
 	if err != nil || !won {
 		// After a lost answer the key may be ours; it goes with its lease,
 		// which nobody renews.
-		_ = h.store.Revoke(ctx, id)
+		h.revoke(id)
 		return
 	}
 	h.mu.Lock()
@@ -167,17 +167,21 @@
 	slog.Info("lease acquired", "lease", h.name, "token", token)
 }
 
-// revokeTimeout bounds the last call of a node that stops.
-const revokeTimeout = time.Second
-
 func (h *Holder) giveUp() {
 	h.mu.Lock()
 	id := h.id
 	h.id, h.token = 0, 0
 	h.mu.Unlock()
-	if id == 0 {
-		return
+	if id != 0 {
+		h.revoke(id)
 	}
+}
+
+// revokeTimeout bounds a call that may be a node's last one.
+const revokeTimeout = time.Second
+
+// revoke ends a lease, also where the node stops: the context of Run is over then.
+func (h *Holder) revoke(id int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
 	defer cancel()
 	_ = h.store.Revoke(ctx, id)
