accuracy: how good the estimates in gateways' logs were

The decisions tell it step by step, and nothing added them up. Change: a package that reads the "head" and "offer" steps of logs and keeps sums by model and by what waited, and offers by confidence. A relay test runs requests and has their steps read; for it the test harness takes records that the test gives. Ruled out: a plot with gonum.org/v1/plot.

--- /dev/null
+++ b/relay/estimates_test.go
@@ -0,0 +1,53 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/accuracy"
+	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/relay"
+)
+
+// TestEstimatesAreRead: what a decision tells of its estimates is in the form
+// that package accuracy reads.
+func TestEstimatesAreRead(t *testing.T) {
+	const answered, unanswered = "35 to 50", "no answer yet"
+	tests := []struct {
+		name     string
+		attempts int
+		anyModel bool
+		models   []string
+		offers   map[string]int
+	}{
+		{"one model after the other", 3, true, []string{"large", "middle", "small"}, map[string]int{answered: 2}},
+		{"the costliest at once", 1, true, []string{"large"}, map[string]int{unanswered: 1}},
+		{"plain request", 3, false, []string{""}, map[string]int{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			target := catalog.Route{Kind: catalog.KindStream, Timeout: 10 * time.Second, Attempts: tt.attempts, Models: threeModels}
+			records := decision.New("n")
+			parts := relay.Parts{Backends: &modelsAsked{}, Moves: noMoves{}, Records: records}
+			serve(t, target, parts, relay.Request{AnyModel: tt.anyModel, Body: noBody(t)}, &received{})
+			summary, ok := records.Find("1")
+			must.True(t, ok)
+			table := accuracy.New()
+			table.Add(summary.Steps)
+			must.Zero(t, table.Unread(), must.Sprint(summary.Steps))
+			var models []string
+			for _, m := range table.Models() {
+				models = append(models, m.Name())
+				must.Eq(t, 1, m.Whole().Answers())
+			}
+			must.Eq(t, tt.models, models)
+			for _, b := range table.Offers() {
+				must.Eq(t, tt.offers[b.Name()], b.Offers(), must.Sprint(b.Name()))
+				must.Eq(t, tt.offers[b.Name()], b.Paid(), must.Sprint(b.Name()))
+			}
+		})
+	}
+}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -61,7 +61,7 @@
 	parts.Counters = noCounters{}
 	parts.Balancer = cmp.Or(parts.Balancer, route.NewBalancer("", func(string) {}))
 	parts.Ladder = cascade.NewLadder()
-	parts.Records = decision.New("n")
+	parts.Records = cmp.Or(parts.Records, decision.New("n"))
 	return relay.New(parts)
 }
 
