command: estimates prints how good the estimates were

Change: `violettally estimates [FILE...]`, standard input without a file; a log without decisions is a failure, so that a wrong file is not taken for a system without answers.

--- a/command/command.go
+++ b/command/command.go
@@ -68,6 +68,10 @@
 	DataHall string `arg:"--data-hall" help:"data hall whose addresses come first"`
 }
 
+type estimatesArgs struct {
+	Files []string `arg:"positional" placeholder:"FILE" help:"gateways' logs (JSON lines); without one, standard input"`
+}
+
 type digestArgs struct {
 	Key string `arg:"positional,required" help:"key of an account or operator; - reads it from standard input"`
 }
@@ -80,6 +84,7 @@
 	Show      *showArgs      `arg:"subcommand:show" help:"print what is in force"`
 	Explain   *explainArgs   `arg:"subcommand:explain" help:"print how a request was decided"`
 	Addresses *addressesArgs `arg:"subcommand:addresses" help:"print the addresses that callers may use"`
+	Estimates *estimatesArgs `arg:"subcommand:estimates" help:"print how good the estimates in gateways' logs were"`
 	Digest    *digestArgs    `arg:"subcommand:digest" help:"print the digest of a key, for a declaration file"`
 	Version   *struct{}      `arg:"subcommand:version" help:"print the version"`
 }
@@ -137,6 +142,8 @@
 		return r.explain(args.Explain)
 	case args.Addresses != nil:
 		return r.addresses(args.Addresses)
+	case args.Estimates != nil:
+		return r.estimates(args.Estimates)
 	case args.Digest != nil:
 		return r.digest(args.Digest)
 	case args.Version != nil:
--- /dev/null
+++ b/command/estimates_test.go
@@ -0,0 +1,49 @@
+package command_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/command"
+)
+
+// line is a decision of a gateway.
+const line = `{"msg":"decision","steps":[{"step":"head","detail":"after 2 ms, expected 1, of it 0 waiting; confidence 9 of m"}]}` + "\n"
+
+func TestEstimates(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "gateway.log")
+	must.NoError(t, os.WriteFile(file, []byte(line+line), 0o600))
+	tests := []struct {
+		name   string
+		files  []string
+		stdin  string
+		code   int
+		stdout string
+		stderr string
+	}{
+		{"standard input", nil, line, command.ExitOK, "1 decisions;", ""},
+		{"file", []string{file}, line, command.ExitOK, "2 decisions;", ""},
+		{"files are added up", []string{file, file}, "", command.ExitOK, "4 decisions;", ""},
+		{"no such file", []string{file, file + "x"}, "", command.ExitFailure, "", "no such file"},
+		{"a directory", []string{filepath.Dir(file)}, "", command.ExitFailure, "", filepath.Dir(file) + ", line 1"},
+		{"another program's log", nil, "started\n{\n", command.ExitFailure, "", "no decisions in these logs; 1 broken lines"},
+		{"unknown flag", []string{"--chart"}, line, command.ExitUsage, "", "--chart"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			code := command.Main(append([]string{"estimates"}, tt.files...), strings.NewReader(tt.stdin), &stdout, &stderr)
+			must.Eq(t, tt.code, code)
+			must.StrContains(t, stdout.String(), tt.stdout)
+			must.StrContains(t, stderr.String(), tt.stderr)
+			if tt.stdout == "" {
+				must.Eq(t, "", stdout.String())
+			}
+		})
+	}
+}
