--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -279,7 +279,7 @@
 		return
 	}
 	slog.Warn("requests were still under way", "count", len(g.records.Open()))
-	g.relay.Stop()
+	g.relay.End()
 	flush, endFlush := context.WithTimeout(context.Background(), flushTime)
 	defer endFlush()
 	if err := g.callers.Wait(flush); err != nil {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -58,7 +58,7 @@
 	x.relay.Moves.Paid(x.service)
 	x.chooseModel()
 	if !x.fits() {
-		return x.left("the answer would not be whole before its end")
+		return x.refuseLeaving("the answer would not be whole before its end")
 	}
 	for {
 		use, version, refusal := x.choose()
--- a/relay/failure.go
+++ b/relay/failure.go
@@ -58,7 +58,7 @@
 	case f.partial, f.ran && !x.mayRunAgain():
 		return refuse(f.reason, 0, "the server gave no answer: %s", f.cause)
 	case !f.paid && !x.fits(): // what is paid for has been asked already
-		return x.left(f.cause)
+		return x.refuseLeaving(f.cause)
 	case x.sends >= maxSends, !x.request.Body.Replayable():
 		return x.final(f)
 	case !f.paid && !x.relay.Budgets.Take(x.service, 0):
@@ -80,7 +80,7 @@
 // process, or whose client has left.
 func (x *exchange) ended(ctx context.Context, f *failure) *Refusal {
 	if stopped(ctx) {
-		return x.left(f.cause)
+		return x.refuseLeaving(f.cause)
 	}
 	if !f.ran && x.runs == 0 {
 		return refuse(ReasonDeclined, comeBackSoon, "the time was over before a server took the request")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,7 +25,7 @@
 //
 //	r.Leave(relay.NewStop(signal, late, end)) // takes only what is answered by then
 //	…
-//	r.Stop() // gives the rest its final answers
+//	r.End() // gives the rest its final answers
 package relay
 
 import (
@@ -212,16 +212,17 @@
 type Relay struct {
 	Parts
 	lengths *lengths
-	// leaving is set once the process is to end; running ends with stop.
+	// leaving is set once the process is to end; running ends with End.
 	leaving atomic.Pointer[Stop]
 	running context.Context
-	stop    context.CancelCauseFunc
+	// cancelAll ends running.
+	cancelAll context.CancelCauseFunc
 }
 
 // New returns a relay.
 func New(parts Parts) *Relay {
 	r := &Relay{Parts: parts, lengths: newLengths()}
-	r.running, r.stop = context.WithCancelCause(context.Background())
+	r.running, r.cancelAll = context.WithCancelCause(context.Background())
 	return r
 }
 
@@ -233,7 +234,7 @@
 		x.noteLeaving()
 		ctx, cancel := context.WithDeadline(ctx, x.deadline)
 		defer cancel()
-		ctx, detach := r.withStop(ctx)
+		ctx, detach := r.withEnd(ctx)
 		defer detach()
 		refusal = x.run(ctx)
 	}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -229,7 +229,7 @@
 			ask(t, s.relay, relay.Request{Body: noBody(t), Prompt: relay.Prompt{Tokens: 100, MaxOutput: 200}}, got)
 		}()
 		synctest.Wait()
-		s.relay.Stop()
+		s.relay.End()
 		<-done
 		must.Eq(t, "id: 1\n\n", got.String())
 		must.True(t, got.broken)
