adapter/peer: a large declaration over one link, failing

A declaration of 1,600 routes (268,480 bytes) that goes from one node to 30 followers over a link of 10 Mbit/s is known to none of them 3 s later.

--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -98,6 +98,7 @@
 // Client calls other nodes. It is safe for concurrent use.
 type Client struct {
 	tls   *tls.Config
+	open  func(ctx context.Context, address string) (net.Conn, error)
 	pool  *drpcpool.Pool[place, drpcpool.Conn]
 	calls func(call string, sent int)
 	self  string
@@ -121,10 +122,22 @@
 	return func(c *Client) { c.calls = count }
 }
 
+// WithDialer opens connections in place of TCP's.
+func WithDialer(open func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.open = open }
+}
+
+// dialTCP opens a connection.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // NewClient returns a client; config is nil for plain TCP.
 func NewClient(config *tls.Config, options ...Option) *Client {
 	c := &Client{
 		tls:    config,
+		open:   dialTCP,
 		pool:   drpcpool.New[place, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: perPeer}),
 		calls:  func(string, int) {},
 		epochs: make(map[string]uint64),
@@ -184,8 +197,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, p place) (drpcpool.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	raw, err := c.open(ctx, p.address)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/adapter/peer/hall_test.go
@@ -0,0 +1,245 @@
+package peer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"github.com/violettally/violettally/adapter/peer"
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/share"
+	"github.com/violettally/violettally/timer"
+)
+
+const (
+	// followers of one node, as the largest data hall that has links of 10 Mbit/s.
+	followers = 30
+	// linkBytes is what such a link carries in a second.
+	linkBytes = 1_250_000
+	// inForce is the time after which a change must be in force everywhere.
+	inForce = 3 * time.Second
+)
+
+// TestLargeDeclaration: a declaration with 1,600 routes is in force at all nodes of
+// a hall in time, though it comes to all of them over the link of one.
+func TestLargeDeclaration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		timers := timer.New()
+		defer timers.Close()
+		kept := &heldStore{}
+		kept.put(declaration(20))
+		upstream := mirror.New(kept, noPeers{}, timers)
+		go upstream.Run(ctx)
+		l := newLink(linkBytes)
+		defer l.Close()
+		go func() { _ = peer.NewGatewayServer(following{upstream}).Serve(ctx, l, nil) }()
+		var nodes []*mirror.Mirror
+		for range followers {
+			client := peer.NewClient(nil, peer.WithDialer(l.dial))
+			defer client.Close()
+			m := mirror.New(kept, onePeer{client}, timers)
+			nodes = append(nodes, m)
+			go m.Run(ctx)
+		}
+		time.Sleep(2 * time.Second)
+
+		large := declaration(1600)
+		kept.put(large)
+		time.Sleep(inForce)
+		for i, m := range nodes {
+			item, _ := m.Get(declarationKey)
+			test.Eq(t, len(large), len(item.Value), test.Sprintf("node %d of %d", i, followers))
+		}
+	})
+}
+
+const declarationKey = "declaration"
+
+// declaration is one with so many routes.
+func declaration(routes int) []byte {
+	type route struct {
+		Name     string  `json:"name"`
+		Host     string  `json:"host"`
+		Prefix   string  `json:"path_prefix"`
+		Kind     string  `json:"kind"`
+		Timeout  float64 `json:"timeout_ms"`
+		Attempts int     `json:"attempts"`
+		Service  string  `json:"service"`
+	}
+	all := make([]route, routes)
+	for i := range all {
+		// Names are as good as random, so that they do not shrink.
+		name := fmt.Sprintf("%x", uint64(i+1)*0x9e3779b97f4a7c15)
+		all[i] = route{"r-" + name, name + ".example", "/" + name + "/", "idempotent", 20000, 3, "pool"}
+	}
+	data, err := json.Marshal(all)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// heldStore holds one key.
+type heldStore struct {
+	mu       sync.Mutex
+	item     mirror.Item
+	revision int64
+}
+
+func (s *heldStore) put(value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.item = mirror.Item{Key: declarationKey, Value: value, Revision: s.revision}
+}
+
+func (s *heldStore) ReadAll(context.Context) (mirror.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return mirror.Batch{Items: []mirror.Item{s.item}, Revision: s.revision, Whole: true}, nil
+}
+
+func (s *heldStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
+	b, err := s.ReadAll(ctx)
+	if b.Revision <= after {
+		time.Sleep(min(wait, 100*time.Millisecond))
+		b.Items = nil
+	}
+	b.Whole = false
+	return b, err
+}
+
+// noPeers are those of a node that follows the store.
+type noPeers struct{}
+
+func (noPeers) Addresses() []string { return nil }
+func (noPeers) Upstream() []string  { return nil }
+func (noPeers) OwnShare() float64   { return 1 }
+func (noPeers) Follow(context.Context, string, int64, time.Duration) (mirror.Batch, error) {
+	return mirror.Batch{}, errors.New("no peer")
+}
+
+// onePeer is the only one that a node follows.
+type onePeer struct{ client *peer.Client }
+
+const upstreamAddress = "upstream"
+
+func (onePeer) Addresses() []string { return []string{upstreamAddress} }
+func (onePeer) Upstream() []string  { return []string{upstreamAddress} }
+
+// OwnShare keeps the nodes from the store: they are to hear from their upstream.
+func (onePeer) OwnShare() float64 { return 0 }
+
+func (p onePeer) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
+	return p.client.Follow(ctx, address, after, wait)
+}
+
+// following answers with what a mirror knows.
+type following struct{ m *mirror.Mirror }
+
+func (g following) Await(ctx context.Context, revision int64, wait time.Duration) mirror.Batch {
+	return g.m.Await(ctx, revision, wait)
+}
+func (following) Counts() (string, rollout.Counts)   { return "node", rollout.Counts{} }
+func (following) Exchange(share.Message) share.Reply { return share.Reply{} }
+
+// link is a node's own link: what it sends on all its connections goes out at one
+// speed, in the order in which it was written.
+type link struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	close    sync.Once
+	perByte  time.Duration
+
+	mu sync.Mutex
+	// free is when all that has been written will have gone out.
+	free time.Time
+	open []net.Conn
+}
+
+func newLink(bytesPerSecond int) *link {
+	return &link{accepted: make(chan net.Conn), closed: make(chan struct{}), perByte: time.Second / time.Duration(bytesPerSecond)}
+}
+
+func (l *link) dial(ctx context.Context, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	l.mu.Lock()
+	l.open = append(l.open, near, far)
+	l.mu.Unlock()
+	select {
+	case l.accepted <- slowConn{far, l}:
+		return near, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *link) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *link) Close() error {
+	l.close.Do(func() { close(l.closed) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.open {
+		_ = c.Close()
+	}
+	return nil
+}
+
+func (l *link) Addr() net.Addr { return &net.TCPAddr{} }
+
+// pass returns when so many bytes have gone out.
+func (l *link) pass(n int) {
+	l.mu.Lock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(n) * l.perByte)
+	wait := time.Until(l.free)
+	l.mu.Unlock()
+	time.Sleep(wait)
+}
+
+// slowConn is a connection over a link.
+type slowConn struct {
+	net.Conn
+	link *link
+}
+
+// segment is what goes out at once, so that connections share the link.
+const segment = 1400
+
+func (c slowConn) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		piece := p[written:min(len(p), written+segment)]
+		c.link.pass(len(piece))
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
--- /dev/null
+++ b/internal/progress/progress.go
@@ -0,0 +1,103 @@
+// Package progress bounds how long a call may be silent, in place of how long it
+// may take.
+//
+// A large answer on a busy link comes for longer than a small one, and is lost
+// if it is given up half-way: it then has to be sent whole again, on the same
+// link. So a call here ends when nothing of its answer has come for some time,
+// however much is still to come, with a bound on the whole.
+//
+// # Usage
+//
+//	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: first, Silence: silence, Whole: whole})
+//	defer cancel()
+//	…
+//	progress.Made(ctx) // with each piece of the answer; see also Reader
+//	…
+//	errors.Is(context.Cause(ctx), context.DeadlineExceeded) // it took too long
+package progress
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+)
+
+// Bounds are how long a call may take.
+type Bounds struct {
+	// First is how long nothing may come at first.
+	First time.Duration
+	// Silence is how long nothing may come after a piece of the answer.
+	Silence time.Duration
+	// Whole is how long the call may take in all, however its answer comes.
+	Whole time.Duration
+}
+
+// clockKey finds the innermost clock of a context.
+type clockKey struct{}
+
+// clock ends one context.
+type clock struct {
+	outer   *clock
+	silence time.Duration
+	latest  time.Time
+
+	mu    sync.Mutex
+	timer *time.Timer
+	at    time.Time
+}
+
+// WithTimeout returns a context that ends as the bounds say; its cause is then
+// context.DeadlineExceeded. Progress inside it counts for the contexts around
+// it, too.
+func WithTimeout(parent context.Context, b Bounds) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	now := time.Now()
+	outer, _ := parent.Value(clockKey{}).(*clock)
+	c := &clock{outer: outer, silence: b.Silence, latest: now.Add(b.Whole), at: now.Add(min(b.First, b.Whole))}
+	c.timer = time.AfterFunc(min(b.First, b.Whole), func() { cancel(context.DeadlineExceeded) })
+	return context.WithValue(ctx, clockKey{}, c), func() {
+		c.timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+// Made tells that a piece of the answer has come.
+func Made(ctx context.Context) {
+	c, _ := ctx.Value(clockKey{}).(*clock)
+	now := time.Now()
+	for ; c != nil; c = c.outer {
+		c.made(now)
+	}
+}
+
+// made puts the end off, and never nearer.
+func (c *clock) made(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := now.Add(c.silence)
+	if at.After(c.latest) {
+		at = c.latest
+	}
+	// A timer that has fired stays so.
+	if at.After(c.at) && c.timer.Stop() {
+		c.at = at
+		c.timer.Reset(at.Sub(now))
+	}
+}
+
+// Reader returns r with each piece that is read told to the context.
+func Reader(ctx context.Context, r io.Reader) io.Reader { return reader{ctx, r} }
+
+type reader struct {
+	ctx context.Context
+	r   io.Reader
+}
+
+func (r reader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if n > 0 {
+		Made(r.ctx)
+	}
+	return n, err
+}
