mirror, adapter/peer, platform: large values packed, calls bounded by silence

Cause: a hall's followers fetch a declaration of 301 kB from one node over its link of 10 Mbit/s; 30 copies take over 7 s of it. Each call was given up after 0.8 s and made anew, so that the link stayed full: calls, connections and the node's own calls to the store failed in turn. Not the processors (the first node had it in force after 0.1 s), not the store.

Change: values from 8 kB on are packed once for all followers (deflate; 268 kB with 1,600 routes become 28 kB), for peers that say that they read them. Calls between nodes and to the store end when nothing has come for as long as they used to take in all, with a bound on the whole (package progress): what keeps coming is not fetched again. The log line on a declaration tells its size.

Ruled out: a tree in the hall. Each level adds a waiting call to the age of the news, past the 1.3 s that say that an upstream has lost the store.

Figures: adapter/peer TestLargeDeclaration failed at 30 of 30 nodes, passes.

--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -23,6 +23,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -37,6 +38,7 @@
 	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/document"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/progress"
 	"github.com/violettally/violettally/ledger"
 	"github.com/violettally/violettally/limit"
 	"github.com/violettally/violettally/member"
@@ -52,6 +54,8 @@
 	Unreachable = namespace.NewType("unreachable")
 	// Unknown says that a peer does not know a call.
 	Unknown = namespace.NewType("unknown")
+	// Malformed says that a peer's answer cannot be read.
+	Malformed = namespace.NewType("malformed")
 	// Credentials says that the certificates cannot be used.
 	Credentials = namespace.NewType("credentials")
 )
@@ -185,17 +189,41 @@
 
 // conn is a connection that ends with a call that got no answer in time. The
 // library would cancel that call by a message and keep the connection.
-type conn struct{ *drpcconn.Conn }
+type conn struct {
+	*drpcconn.Conn
+	metered *metered
+}
 
 // Invoke makes a call.
 func (c conn) Invoke(ctx context.Context, call string, encoding drpc.Encoding, in, out drpc.Message) error {
+	c.metered.call.Store(&ctx)
 	err := c.Conn.Invoke(ctx, call, encoding, in, out)
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if err != nil && ranOut(ctx) {
 		_ = c.Close()
 	}
 	return err
 }
 
+// metered tells the call that is under way of each piece that comes: a large
+// answer on a busy link is not to be given up while it comes.
+type metered struct {
+	net.Conn
+	call atomic.Pointer[context.Context]
+}
+
+func (m *metered) Read(p []byte) (int, error) {
+	n, err := m.Conn.Read(p)
+	if call := m.call.Load(); call != nil && n > 0 {
+		progress.Made(*call)
+	}
+	return n, err
+}
+
+// ranOut reports whether a call got no answer in time.
+func ranOut(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 func (c *Client) dial(ctx context.Context, p place) (drpcpool.Conn, error) {
 	raw, err := c.open(ctx, p.address)
 	if err != nil {
@@ -207,7 +235,8 @@
 		config.ServerName = host
 		raw = tls.Client(raw, config)
 	}
-	return conn{drpcconn.NewWithOptions(raw, drpcconn.Options{
+	wire := &metered{Conn: raw}
+	return conn{metered: wire, Conn: drpcconn.NewWithOptions(wire, drpcconn.Options{
 		Manager: drpcmanager.Options{
 			Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
 			SoftCancel: true,
@@ -234,7 +263,7 @@
 	err := c.pool.Get(ctx, p, c.dial).Invoke(ctx, call, encoding, &in, &out)
 	c.calls(call, encoding.sent)
 	if err != nil {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if ranOut(ctx) {
 			c.leave(p)
 		}
 		return out, errs.Wrap(Unreachable, call, err, "peer %s", address)
--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -22,6 +22,8 @@
 type followRequest struct {
 	After int64         `cbor:"1,keyasint"`
 	Wait  time.Duration `cbor:"2,keyasint"`
+	// Packed says that the caller reads packed values; earlier versions do not.
+	Packed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Gateway is what a gateway answers its peers with.
@@ -34,9 +36,10 @@
 // NewGatewayServer returns a server that answers the calls between gateways, and
 // none of those between the product's own nodes.
 func NewGatewayServer(g Gateway) *Server {
+	packer := newPacker()
 	return &Server{calls: map[string]func(drpc.Stream) error{
-		callFollow: handle(func(ctx context.Context, r followRequest) (mirror.Batch, error) {
-			return g.Await(ctx, r.After, r.Wait), nil
+		callFollow: handle(func(ctx context.Context, r followRequest) (followReply, error) {
+			return packer.reply(g.Await(ctx, r.After, r.Wait), r.Packed)
 		}),
 		callExchange: handle(func(_ context.Context, m share.Message) (share.Reply, error) {
 			return g.Exchange(m), nil
@@ -56,7 +59,11 @@
 // Follow asks a gateway for what its copy has beyond a revision, and lets it
 // wait for something to tell.
 func (c *Client) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
-	return invoke[followRequest, mirror.Batch](ctx, c, address, callFollow, followRequest{After: after, Wait: wait})
+	reply, err := invoke[followRequest, followReply](ctx, c, address, callFollow, followRequest{After: after, Wait: wait, Packed: true})
+	if err != nil {
+		return mirror.Batch{}, err
+	}
+	return reply.batch()
 }
 
 // Exchange tells a gateway what this node knows of sends to servers, and returns
--- a/gateway/subscribe.go
+++ b/gateway/subscribe.go
@@ -38,7 +38,7 @@
 		return
 	}
 	g.catalog.Store(next)
-	slog.Info("declaration in force", "version", next.Version(), "revision", c.Revision)
+	slog.Info("declaration in force", "version", next.Version(), "revision", c.Revision, "bytes", len(c.Value))
 }
 
 // takeServer follows a server's entry.
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/violettally/violettally/internal/progress"
 )
 
 const (
@@ -16,8 +18,8 @@
 	// in silence is noticed after it. Since few nodes watch, short waits cost
 	// little.
 	followWait = 600 * time.Millisecond
-	// followSlack is how late the store may answer a watch that ran out; it
-	// answers in 4 ms.
+	// followSlack is how late the store may answer a watch that ran out, and how
+	// long nothing may come of an answer that has begun; it answers in 4 ms.
 	followSlack = 300 * time.Millisecond
 	// staleAge is how old the news of a peer may be for it to be followed: a
 	// watch, the gathering after it, and some delay. A change must be in force
@@ -34,8 +36,13 @@
 	// gatherTime lies between two watches. Changes that come close together
 	// are then fetched by one call; 300 ms halved the calls in a trial.
 	gatherTime = 250 * time.Millisecond
-	// readTimeout bounds reading the whole.
+	// readTimeout bounds reading the whole until something of it comes.
 	readTimeout = 2 * time.Second
+	// fetchTime bounds what keeps coming: a large declaration needs longer than
+	// a call that brings nothing may take, and given up half-way it would be sent
+	// again over the same link. Past this time the next upstream is the better
+	// choice, since a change must be in force 2 to 4 s after it.
+	fetchTime = 2 * time.Second
 	// firstPatience is how long a node that starts waits for the store before
 	// it asks peers too. The store answers a page in 4 ms; the whole from peers
 	// is paid for where it passes between data halls.
@@ -44,7 +51,7 @@
 	// out of reach.
 	peerInterval = 300 * time.Millisecond
 	// peerTimeout is how late a peer may answer, beyond the time that it was
-	// told to wait.
+	// told to wait, and how long nothing may come of an answer that has begun.
 	peerTimeout = 300 * time.Millisecond
 	// peersAsked at once, so that one silent peer costs no time.
 	peersAsked = 2
@@ -117,11 +124,11 @@
 // callPeer asks a peer that may wait that long. An error of a call that ran out
 // of time is a context's.
 func (m *Mirror) callPeer(ctx context.Context, address string, wait time.Duration) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: wait + peerTimeout, Silence: peerTimeout, Whole: wait + fetchTime})
 	defer cancel()
 	batch, err := m.peers.Follow(ctx, address, m.Revision(), wait)
 	if err != nil && ctx.Err() != nil {
-		return batch, ctx.Err()
+		return batch, context.Cause(ctx)
 	}
 	return batch, err
 }
@@ -151,18 +158,18 @@
 // watch asks the store for changes, which may wait that long. An error of a call
 // that ran out of time is a context's.
 func (m *Mirror) watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
+	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: wait + followSlack, Silence: followSlack, Whole: wait + fetchTime})
 	defer cancel()
 	batch, err := m.store.Follow(ctx, after, wait)
 	if err != nil && ctx.Err() != nil {
-		return batch, ctx.Err()
+		return batch, context.Cause(ctx)
 	}
 	return batch, err
 }
 
 // readAll reads the whole, which also tells what was removed meanwhile.
 func (m *Mirror) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: readTimeout, Silence: followSlack, Whole: readTimeout + fetchTime})
 	defer cancel()
 	batch, err := m.store.ReadAll(ctx)
 	if err != nil {
@@ -185,7 +192,7 @@
 func (m *Mirror) askPeers(ctx context.Context) {
 	addresses := m.peers.Addresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: peerTimeout, Silence: peerTimeout, Whole: fetchTime})
 	defer cancel()
 	var calls sync.WaitGroup
 	for _, address := range addresses[:min(peersAsked, len(addresses))] {
