gateway, relay: a process that starts takes over its VM's entry, and holds requests until it knows what the store holds

Change: items carry their lease; a process renews what its VM's earlier one has left and writes only what differs. Requests wait for the first whole for 0.5 s at most, or a tenth of the client's time.

Ruled out: closing the door until ready: a client whose connection is refused loses a try as well.

--- a/adapter/peer/pack.go
+++ b/adapter/peer/pack.go
@@ -40,6 +40,7 @@
 	Revision int64  `cbor:"3,keyasint"`
 	Deleted  bool   `cbor:"4,keyasint,omitempty"`
 	Packed   bool   `cbor:"5,keyasint,omitempty"`
+	Lease    int64  `cbor:"6,keyasint,omitempty"`
 }
 
 // batch returns what the reply tells.
@@ -53,7 +54,7 @@
 				return mirror.Batch{}, errs.Wrap(Malformed, "follow", err, "value of %s", i.Key)
 			}
 		}
-		b.Items = append(b.Items, mirror.Item{Key: i.Key, Value: value, Revision: i.Revision, Deleted: i.Deleted})
+		b.Items = append(b.Items, mirror.Item{Key: i.Key, Value: value, Revision: i.Revision, Deleted: i.Deleted, Lease: i.Lease})
 	}
 	return b, nil
 }
@@ -77,7 +78,7 @@
 func (p *packer) reply(b mirror.Batch, packed bool) (followReply, error) {
 	r := followReply{Revision: b.Revision, Whole: b.Whole, Age: b.Age}
 	for _, item := range b.Items {
-		i := followItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted}
+		i := followItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted, Lease: item.Lease}
 		if packed && len(item.Value) >= packFrom {
 			data, err := p.pack(item)
 			if err != nil {
--- a/adapter/peer/pack_test.go
+++ b/adapter/peer/pack_test.go
@@ -36,6 +36,7 @@
 					Items: []mirror.Item{
 						{Key: "a", Value: append(bytes.Clone(tt.value), byte('0'+revision)), Revision: revision + 1},
 						{Key: "b", Revision: 1, Deleted: true},
+						{Key: "c", Revision: 1, Lease: 7},
 					},
 					Revision: revision + 1, Whole: true, Age: time.Second,
 				}
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -22,6 +22,10 @@
 	// renewalsSkippedMax is how many renewals are left out at most after
 	// several that failed. The store's return ends the pause.
 	renewalsSkippedMax = 4
+	// leftWait is how long a gateway that starts waits for the store to tell what
+	// an earlier process of its VM left behind. The store answers in 4 ms; where
+	// all of a deployment start at once, within half a second.
+	leftWait = 500 * time.Millisecond
 	// leaveTime bounds the call by which a gateway tells that it leaves. A slow
 	// store takes some hundred milliseconds.
 	leaveTime = time.Second
@@ -37,10 +41,29 @@
 	Revoke(ctx context.Context, lease int64) error
 }
 
+// leftEntry is what an earlier process of this VM has left behind of its entry.
+type leftEntry struct {
+	// lease that it was written under; zero for none.
+	lease int64
+	// same says that the entry would be written as it stands.
+	same bool
+}
+
+// awaitLeft waits until the store has told what is left of an earlier process.
+func (n *nodes) awaitLeft(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leftWait)
+	defer cancel()
+	select {
+	case <-n.told:
+	case <-ctx.Done():
+	}
+}
+
 // run keeps this gateway's entry until the context ends. After a renewal that
 // failed the next one is early; after several it leaves some out, until the store
 // is known to be back.
 func (n *nodes) run(ctx context.Context) {
+	n.awaitLeft(ctx)
 	failed := 0
 	for {
 		if err := n.keep(ctx); err != nil {
@@ -88,25 +111,53 @@
 	return n.announce(ctx)
 }
 
-// announce takes out a lease and writes this gateway's entry with it.
+// announce makes this gateway's entry.
 func (n *nodes) announce(ctx context.Context) error {
-	id, err := n.store.Grant(ctx, entryLife)
+	id, written, err := n.takeLease(ctx)
 	if err != nil {
 		return err
 	}
-	if err := n.write(ctx, id); err != nil {
-		return err
+	if !written {
+		if err := n.write(ctx, id); err != nil {
+			return err
+		}
 	}
 	n.mu.Lock()
 	n.lease = id
+	_, stands := n.known[n.key()]
 	n.mu.Unlock()
-	if n.g.leaving.Load() {
-		// It may have begun to leave while this entry was being written.
+	if n.g.leaving.Load() || written && !stands {
+		// It may have begun to leave while this entry was being written, or the
+		// earlier process's last call may have taken the entry back meanwhile.
 		return n.write(ctx, id)
 	}
 	return nil
 }
 
+// takeLease returns a lease for this gateway's entry, and whether the entry stands
+// under it as it should. A process that was killed leaves both behind: the one
+// that takes its place renews them, which costs a twentieth of making them anew.
+// When all processes of a deployment are killed at once, that is most of what
+// their start asks of the store.
+func (n *nodes) takeLease(ctx context.Context) (id int64, written bool, err error) {
+	n.mu.Lock()
+	left := n.left
+	n.left = leftEntry{}
+	n.mu.Unlock()
+	if left.lease != 0 {
+		alive, err := n.store.KeepAlive(ctx, left.lease)
+		if err != nil {
+			return 0, false, err
+		}
+		if alive {
+			slog.Info("entry of an earlier process taken over", "as_it_stands", left.same)
+			return left.lease, left.same, nil
+		}
+	}
+	id, err = n.store.Grant(ctx, entryLife)
+	return id, false, err
+}
+
 // write writes this gateway's entry under a lease.
 func (n *nodes) write(ctx context.Context, lease int64) error {
 	data, err := json.Marshal(entry{Member: n.g.self, Leaving: n.g.leaving.Load()})
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/registry"
@@ -23,10 +24,27 @@
 // Servers returns the servers that requests may go to.
 func (g *Gateway) Servers(service string) []registry.Server { return g.registry.Servers(service) }
 
-// KeepEntry keeps a gateway's entry at a store until the context ends.
-func KeepEntry(ctx context.Context, store entryStore, timers *timer.Service) {
+// OwnEntry is the entry that KeepEntry keeps, as it is stored.
+func OwnEntry(leaving bool, caller string) mirror.Change {
+	e := entry{Member: view.NewMember(view.Member{VM: "node", Caller: caller}), Leaving: leaving}
+	value, err := json.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	return mirror.Change{Item: mirror.Item{Key: nodePrefix + "node", Value: value, Revision: 1, Lease: 1}}
+}
+
+// KeepEntry keeps a gateway's entry at a store until the context ends. The store
+// held what is told of it first.
+func KeepEntry(ctx context.Context, store entryStore, timers *timer.Service, held ...mirror.Change) {
 	g := &Gateway{timers: timers, self: view.NewMember(view.Member{VM: "node"})}
 	n := newNodes(g)
 	n.store = store
+	told := make(chan struct{})
+	n.told = told
+	for _, c := range held {
+		n.take(c)
+	}
+	close(told)
 	n.run(ctx)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,7 @@
 	g.nodes = newNodes(g)
 	g.board = share.NewBoard(g.self, g, g.client, g.timers, g.balancer.Heard)
 	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers)
+	g.nodes.told = g.mirror.Told()
 	g.makeRollouts()
 	g.subscribe()
 	g.makeRelay()
@@ -160,6 +161,7 @@
 func (g *Gateway) makeRelay() {
 	g.records = decision.New(g.self.ID)
 	g.relay = relay.New(relay.Parts{
+		Started:  g.mirror.Told(),
 		Catalog:  g.Catalog,
 		Servers:  g.registry,
 		Versions: g.services,
--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -48,7 +48,11 @@
 	returned time.Time
 	// lease is that of this gateway's entry; zero for none.
 	lease int64
+	// left is what an earlier process of this VM has left behind of its entry.
+	left leftEntry
 
+	// told is closed once the entries that the store held are known.
+	told <-chan struct{}
 	// regained is sent to when the store has come back after an outage.
 	regained chan struct{}
 }
@@ -85,6 +89,9 @@
 			delete(n.known, c.Key)
 		}
 		slog.Info("gateway is gone", "key", c.Key, "revision", c.Revision, "kept_ms", kept.Milliseconds())
+		if c.Key == n.key() {
+			n.left = leftEntry{}
+		}
 		if c.Key == n.key() && n.lease != 0 {
 			// The lease may live on: an earlier write of the entry, under a
 			// lease that is over, may have taken effect after the last one.
@@ -100,6 +107,9 @@
 	}
 	n.known[c.Key] = e
 	delete(n.lapsed, c.Key)
+	if c.Key == n.key() && n.lease == 0 {
+		n.left = leftEntry{lease: c.Lease, same: !e.Leaving && n.g.self.At(e.Member)}
+	}
 	slog.Info("gateway", "id", e.ID, "caller", e.Caller, "data_hall", e.DataHall, "leaving", e.Leaving, "revision", c.Revision)
 }
 
--- a/gateway/nodes_test.go
+++ b/gateway/nodes_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/gateway"
+	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/timer"
 )
 
@@ -24,6 +25,8 @@
 	// lapses counts the leases that ran out, renewals the calls that came in
 	// time.
 	lapses, renewals int
+	// grants and puts count the calls that make a lease and write the entry.
+	grants, puts int
 }
 
 // callTime is how long a call waits for its answer.
@@ -56,11 +59,20 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.grants++
 	e.ttl, e.expires = ttl, time.Now().Add(ttl)
 	return 1, nil
 }
 
-func (e *entries) Put(context.Context, string, []byte, int64) error { return e.call() }
+func (e *entries) Put(context.Context, string, []byte, int64) error {
+	if err := e.call(); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.puts++
+	return nil
+}
 
 func (e *entries) KeepAlive(context.Context, int64) (bool, error) {
 	if err := e.call(); err != nil {
@@ -107,3 +119,46 @@
 		})
 	}
 }
+
+// TestEntryTakenOver lists what a killed process has left of its VM's entry, and
+// what the next one then asks of the store.
+func TestEntryTakenOver(t *testing.T) {
+	const life = 5 * time.Second
+	deleted := gateway.OwnEntry(false, "")
+	deleted.Deleted = true
+	tests := []struct {
+		name string
+		held []mirror.Change
+		// lives is how much longer the lease that is left lives.
+		lives        time.Duration
+		grants, puts int
+	}{
+		{"nothing", nil, 0, 1, 1},
+		{"as it should be", []mirror.Change{gateway.OwnEntry(false, "")}, life, 0, 0},
+		{"leaving", []mirror.Change{gateway.OwnEntry(true, "")}, life, 0, 1},
+		{"at another address", []mirror.Change{gateway.OwnEntry(false, "10.0.0.1:1")}, life, 0, 1},
+		{"lapsed", []mirror.Change{gateway.OwnEntry(false, "")}, 0, 1, 1},
+		{"taken back", []mirror.Change{gateway.OwnEntry(false, ""), deleted}, life, 1, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				timers := timer.New()
+				t.Cleanup(func() {
+					cancel()
+					timers.Close()
+				})
+				e := &entries{ttl: life, expires: time.Now().Add(tt.lives)}
+				go gateway.KeepEntry(ctx, e, timers, tt.held...)
+				time.Sleep(20 * time.Second)
+				synctest.Wait()
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				must.Eq(t, tt.grants, e.grants)
+				must.Eq(t, tt.puts, e.puts)
+				must.Less(t, e.renewals, 5)
+			})
+		})
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -53,6 +53,9 @@
 	Revision int64  `cbor:"3,keyasint"`
 	// Deleted marks a key that is gone since Revision.
 	Deleted bool `cbor:"4,keyasint,omitempty"`
+	// Lease is the one that the key goes with; zero for none, or if a peer of an
+	// earlier version told of the key.
+	Lease int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Batch is a run of changes up to a revision, or the whole. The fields are
@@ -122,6 +125,8 @@
 	// recent are the last changes, all of those after revision recentFrom.
 	recent     []Item
 	recentFrom int64
+	// told is closed once subscribers have been told the first whole.
+	told chan struct{}
 	// changed is closed, and made anew, when the revision rises.
 	changed chan struct{}
 	// contact is when the store confirmed what this node knows, by its own
@@ -140,7 +145,14 @@
 
 // New returns an empty mirror.
 func New(store Store, peers Peers, timers *timer.Service) *Mirror {
-	return &Mirror{store: store, peers: peers, timers: timers, items: make(map[string]Item), changed: make(chan struct{})}
+	return &Mirror{
+		store:   store,
+		peers:   peers,
+		timers:  timers,
+		items:   make(map[string]Item),
+		told:    make(chan struct{}),
+		changed: make(chan struct{}),
+	}
 }
 
 // Subscribe calls changed with each change of a key under the prefix, one at
@@ -170,6 +182,9 @@
 	return m.delivered
 }
 
+// Told is closed once all subscribers have been told the first whole.
+func (m *Mirror) Told() <-chan struct{} { return m.told }
+
 // Get returns a key's item.
 func (m *Mirror) Get(key string) (Item, bool) {
 	m.mu.Lock()
@@ -237,6 +252,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.delivered == 0 && m.revision > 0 {
+		close(m.told)
+	}
 	m.delivered = m.revision
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -191,8 +191,11 @@
 	Answered(route string, status int, first, total time.Duration)
 }
 
-// Parts is what a Relay is made of. All are needed.
+// Parts is what a Relay is made of. All are needed, but for Started.
 type Parts struct {
+	// Started is closed once this process knows what it goes by; nil if it does
+	// from the beginning.
+	Started <-chan struct{}
 	// Catalog returns the declaration in force.
 	Catalog  func() *catalog.Catalog
 	Servers  Servers
@@ -229,6 +232,7 @@
 // Serve answers one request.
 func (r *Relay) Serve(ctx context.Context, q *Request, reply Reply) {
 	record := r.Records.Start(q.ID, "")
+	r.awaitStart(ctx, q)
 	x, refusal := r.accept(q, reply, record)
 	if refusal == nil {
 		x.noteLeaving()
--- /dev/null
+++ b/relay/start_test.go
@@ -0,0 +1,64 @@
+package relay_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/relay"
+)
+
+// TestAskedWhileStarting lists when a process that has just started knows what the
+// store holds, and what becomes of a request that came before.
+func TestAskedWhileStarting(t *testing.T) {
+	const never = time.Hour
+	tests := []struct {
+		name string
+		// told is when the process knows, left how long the client waits.
+		told, left time.Duration
+		refused    bool
+		after      time.Duration
+	}{
+		{"at once", 0, 10 * time.Second, false, 0},
+		{"among the starts of a whole deployment", 300 * time.Millisecond, 10 * time.Second, false, 300 * time.Millisecond},
+		{"a client that does not say how long it waits", 300 * time.Millisecond, 0, false, 300 * time.Millisecond},
+		{"in an outage", never, 10 * time.Second, true, 500 * time.Millisecond},
+		{"too late for a client in a hurry", 300 * time.Millisecond, time.Second, true, 100 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				started := make(chan struct{})
+				r := newRelay(t, catalog.Route{Kind: catalog.KindRepeatable, Timeout: time.Minute, Attempts: 1}, relay.Parts{
+					Backends: newTimed(),
+					Started:  started,
+				})
+				known := r.Catalog
+				r.Catalog = func() *catalog.Catalog {
+					select {
+					case <-started:
+						return known()
+					default:
+						return catalog.Empty()
+					}
+				}
+				timer := time.AfterFunc(tt.told, func() { close(started) })
+				defer timer.Stop()
+				began := time.Now()
+				reply := &received{}
+				synctest.Wait()
+				ask(t, r, relay.Request{Body: noBody(t), TimeLeft: tt.left}, reply)
+				if !tt.refused {
+					must.Nil(t, reply.refusal)
+					must.Eq(t, tt.after+streamTime, time.Since(began))
+					return
+				}
+				must.Eq(t, relay.ReasonNoConfiguration, reply.refusal.Reason())
+				must.Eq(t, tt.after, time.Since(began))
+			})
+		})
+	}
+}
