route: a choice looks at few servers

Cause: each node looked at all servers, and all of them see the same news: the server that looks best in it gets the requests of all until they hear of these.

Change: three servers of the own data hall and three of the others are drawn for each choice, beside the home of the prompt and one of those that hold the most of it (route/shortlist.go, apart from what is known of servers).

Ruled out: jitter in place of a draw (it must be as wide as the waits that tell servers apart); a share of the pool: what matters is what all nodes send while news is under way, against the number of servers, which is much the same at all sites (crr 13 sends and 18 servers, the large one 95 and 160).

--- a/route/balancer.go
+++ b/route/balancer.go
@@ -154,21 +154,16 @@
 	return b.use(best, t, now), nil
 }
 
-// best returns the server whose choice costs least.
+// best returns the server whose choice costs least, of those that are drawn.
 func (b *Balancer) best(t Task, now time.Time) (best prospect, ok bool) {
 	line := b.line(t)
 	home := b.home(t, line)
 	bestCost := math.Inf(1)
-	for _, s := range t.Servers {
-		state := b.state(share.ServerHash(s.ID))
-		state.cache.SetCapacity(t.Capacity)
-		if t.Exclude[s.ID] || !state.breaker.allows(now) {
-			continue
-		}
-		p := prospect{server: s, state: state, wait: state.wait(now), held: min(state.cache.Held(t.Prompt), t.Tokens)}
+	for _, c := range b.shortlist(t, home, now) {
+		p := prospect{server: t.Servers[c.at], state: c.state, wait: c.state.wait(now), held: c.held}
 		p.takes = line.At(float64(t.Tokens - p.held))
 		cost := b.cost(p, t, line, now)
-		if s.ID == home {
+		if p.server.ID == home {
 			cost -= homeWorth(t, line, p.held)
 		}
 		if cost < bestCost {
@@ -178,6 +173,21 @@
 	return best, ok
 }
 
+// shortlist returns the servers that the choice for a task looks at.
+func (b *Balancer) shortlist(t Task, home string, now time.Time) []candidate {
+	var l shortlist
+	for i, s := range t.Servers {
+		state := b.state(share.ServerHash(s.ID))
+		state.cache.SetCapacity(t.Capacity)
+		if t.Exclude[s.ID] || !state.breaker.allows(now) {
+			continue
+		}
+		c := candidate{at: i, state: state, held: min(state.cache.Held(t.Prompt), t.Tokens)}
+		l.offer(c, s.DataHall == b.dataHall, s.ID == home)
+	}
+	return l.all()
+}
+
 // cost is what the choice of a server for a task costs, in milliseconds of
 // waiting.
 func (b *Balancer) cost(p prospect, t Task, line *estimate.Line, now time.Time) float64 {
