mirror, gateway: a start asks peers only if the store is silent, the own hall first

Of 185 nodes that start together each asked two of the three seeds for the whole (some 100 kB) after 60 ms, though the store's answer was coming: alone it takes 120 ms, among 185 0.26 s, among 295 0.41 s. In an outage each node asked two peers of any hall, and got the whole of it from those that had read it anew.

Change: what has come of the store's answer keeps a start from asking peers. A node that hears of neither store nor upstream asks its own hall first, in one round of four any.

Tests: mirror TestStartAsksTheStore has a case of a store that answers piece by piece for 0.4 s, which fails without the check (peers asked once). TestStart (a silent store, known from a peer within 100 ms) is unchanged.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -23,16 +24,35 @@
 // mirrorPeers lets the mirror follow other gateways.
 type mirrorPeers struct{ g *Gateway }
 
-// Addresses returns the other known gateways', or the seeds' before any is known.
+// farRounds is in how many of its rounds a gateway that hears of neither store nor
+// upstream asks one of another data hall: the whole is paid for between halls, and
+// what one gateway of a hall hears from there the others hear from it.
+const farRounds = 0.25
+
+// Addresses returns the other known gateways', at random but for those of the own
+// data hall, which come first in most rounds; or the seeds' before any is known.
 func (p mirrorPeers) Addresses() []string {
-	var addresses []string
-	for _, m := range p.g.nodes.others() {
-		addresses = append(addresses, m.Peer)
+	others := p.g.nodes.others()
+	if len(others) == 0 {
+		return slices.DeleteFunc(slices.Clone(p.g.settings.Seeds), func(a string) bool { return a == p.g.self.Peer })
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if rand.Float64() >= farRounds {
+		slices.SortStableFunc(others, func(a, b view.Member) int { return cmp.Compare(p.distance(a), p.distance(b)) })
 	}
-	if len(addresses) > 0 {
-		return addresses
+	addresses := make([]string, len(others))
+	for i, m := range others {
+		addresses[i] = m.Peer
+	}
+	return addresses
+}
+
+// distance orders gateways by where they are: zero in the own data hall.
+func (p mirrorPeers) distance(m view.Member) int {
+	if m.DataHall == p.g.self.DataHall {
+		return 0
 	}
-	return slices.DeleteFunc(slices.Clone(p.g.settings.Seeds), func(a string) bool { return a == p.g.self.Peer })
+	return 1
 }
 
 // inHall returns the other gateways of the own data hall by the VM's name.
--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -45,6 +45,8 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	at    time.Time
+	// begun says that some of the answer has come.
+	begun bool
 }
 
 // WithTimeout returns a context that ends as the bounds say; its cause is then
@@ -71,10 +73,22 @@
 	}
 }
 
+// Begun reports whether some of the answer has come.
+func Begun(ctx context.Context) bool {
+	c, _ := ctx.Value(clockKey{}).(*clock)
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun
+}
+
 // made puts the end off, and never nearer.
 func (c *clock) made(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.begun = true
 	at := now.Add(c.silence)
 	if at.After(c.latest) {
 		at = c.latest
--- a/internal/progress/progress_test.go
+++ b/internal/progress/progress_test.go
@@ -38,7 +38,9 @@
 				for _, at := range tt.pieces {
 					time.AfterFunc(at, func() { progress.Made(ctx) })
 				}
+				must.False(t, progress.Begun(ctx))
 				<-ctx.Done()
+				must.Eq(t, len(tt.pieces) > 0, progress.Begun(ctx))
 				must.Eq(t, tt.ends, time.Since(began))
 				must.ErrorIs(t, context.Cause(ctx), context.DeadlineExceeded)
 			})
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -44,8 +44,7 @@
 	// choice, since a change must be in force 2 to 4 s after it.
 	fetchTime = 2 * time.Second
 	// firstPatience is how long a node that starts waits for the store before
-	// it asks peers too. The store answers a page in 4 ms; the whole from peers
-	// is paid for where it passes between data halls.
+	// it asks peers too. The store answers a page in 4 ms.
 	firstPatience = 60 * time.Millisecond
 	// peerInterval lies between two questions to peers while the store is
 	// out of reach.
@@ -61,11 +60,6 @@
 func (m *Mirror) Run(ctx context.Context) {
 	var own time.Time
 	for ctx.Err() == nil {
-		if m.Revision() == 0 {
-			// A node that starts during an outage need not wait for the store
-			// to time out.
-			go m.askPeersLater(ctx)
-		}
 		upstream := m.peers.Upstream()
 		if m.Revision() > 0 && len(upstream) > 0 && m.timers.Now().After(own) {
 			if m.followPeer(ctx, upstream) {
@@ -171,6 +165,11 @@
 func (m *Mirror) readAll(ctx context.Context) error {
 	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: readTimeout, Silence: followSlack, Whole: readTimeout + fetchTime})
 	defer cancel()
+	if m.Revision() == 0 {
+		// A node that starts during an outage need not wait for the store to time
+		// out.
+		go m.askPeersLater(ctx)
+	}
 	batch, err := m.store.ReadAll(ctx)
 	if err != nil {
 		return err
@@ -180,18 +179,20 @@
 	return nil
 }
 
-// askPeersLater asks peers unless the store has told all by then.
-func (m *Mirror) askPeersLater(ctx context.Context) {
-	m.pause(ctx, firstPatience)
-	if m.Revision() == 0 {
-		m.askPeers(ctx)
+// askPeersLater asks peers unless the store has told something by then in a read of
+// the whole that is under way. Many nodes that start at once share its link, and
+// the whole from peers as well would fill theirs: those of the few whose addresses
+// a node starts with.
+func (m *Mirror) askPeersLater(read context.Context) {
+	m.pause(read, firstPatience)
+	if m.Revision() == 0 && read.Err() == nil && !progress.Begun(read) {
+		m.askPeers(read)
 	}
 }
 
-// askPeers takes what a few random peers know.
+// askPeers takes what the first of the peers know.
 func (m *Mirror) askPeers(ctx context.Context) {
 	addresses := m.peers.Addresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: peerTimeout, Silence: peerTimeout, Whole: fetchTime})
 	defer cancel()
 	var calls sync.WaitGroup
--- a/mirror/harness_test.go
+++ b/mirror/harness_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/progress"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/timer"
 )
@@ -26,10 +27,15 @@
 	err      error
 	hang     bool
 	line     line
-	reads    int
-	follows  int
+	// comes is how long the whole takes to come, piece by piece.
+	comes   time.Duration
+	reads   int
+	follows int
 }
 
+// pieceTime lies between two pieces of an answer.
+const pieceTime = 20 * time.Millisecond
+
 // line is a kept connection to one place: once it is silent, calls on it get no
 // answer, and after the first one that ran out of time they go on a new one.
 type line struct {
@@ -103,6 +109,11 @@
 		s.mu.Lock()
 		return mirror.Batch{}, ctx.Err()
 	}
+	for end := time.Now().Add(s.comes); time.Now().Before(end); progress.Made(ctx) {
+		s.mu.Unlock()
+		time.Sleep(pieceTime)
+		s.mu.Lock()
+	}
 	b := mirror.Batch{Revision: s.revision, Whole: true}
 	for _, item := range s.items {
 		b.Items = append(b.Items, item)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -87,7 +87,7 @@
 
 // Peers is what the package needs of the other nodes.
 type Peers interface {
-	// Addresses returns the peers to ask, in no order.
+	// Addresses returns the peers to ask, in the order in which they should be.
 	Addresses() []string
 	// Upstream returns the peers of this node's data hall that it follows, the
 	// first one first; none if this node is to follow the store.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -303,21 +303,34 @@
 // TestStartAsksTheStore: a node that starts while the store answers asks no
 // peer for what the store tells.
 func TestStartAsksTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, timers := run(t)
-		stored, own := newStore(), newStore()
-		stored.put("a", false)
-		own.put("a", false)
-		peer := mirror.New(stored, &peers{}, timers)
-		go peer.Run(ctx)
-		settle(time.Second)
-		p := &peers{mirrors: []*mirror.Mirror{peer}}
-		m := mirror.New(own, p, timers)
-		go m.Run(ctx)
-		settle(time.Second)
-		must.Eq(t, 1, m.Revision())
-		must.Eq(t, 0, p.asked())
-	})
+	tests := []struct {
+		name string
+		// comes is how long the whole takes to come.
+		comes time.Duration
+	}{
+		{"at once", 0},
+		{"among the starts of a whole deployment", 400 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, timers := run(t)
+				stored, own := newStore(), newStore()
+				stored.put("a", false)
+				own.put("a", false)
+				own.comes = tt.comes
+				peer := mirror.New(stored, &peers{}, timers)
+				go peer.Run(ctx)
+				settle(time.Second)
+				p := &peers{mirrors: []*mirror.Mirror{peer}}
+				m := mirror.New(own, p, timers)
+				go m.Run(ctx)
+				settle(time.Second)
+				must.Eq(t, 1, m.Revision())
+				must.Eq(t, 0, p.asked())
+			})
+		})
+	}
 }
 
 // TestAfter: a peer that is a little behind gets changes, one that is far
