--- a/relay/forecast.go
+++ b/relay/forecast.go
@@ -55,19 +55,6 @@
 	return length, known
 }
 
-// lasts is how long an answer usually takes from its head to its end.
-func (x *exchange) lasts() time.Duration {
-	tokens := x.request.Prompt.MaxOutput
-	if lasts, known := x.relay.lengths.usual(x.kind(), tokens); known {
-		return lasts
-	}
-	each := assumedPause * usualOutput
-	if engine := x.engine(); engine != nil {
-		each *= pace(engine, x.model())
-	}
-	return time.Duration(each * float64(tokens) * float64(time.Millisecond))
-}
-
 // learnLength takes how long the answer took from its head to its end, or until
 // it was cut off. What a client has a part of already is not the whole.
 func (x *exchange) learnLength(learn func(kind string, tokens int, took time.Duration)) {
--- a/relay/lengths.go
+++ b/relay/lengths.go
@@ -77,18 +77,6 @@
 
 func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// usual returns the length that answers have on average; false while too little is
-// known.
-func (l *lengths) usual(kind string, tokens int) (time.Duration, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	k := l.kinds[kind]
-	if k == nil || k.samples < lengthSamples {
-		return 0, false
-	}
-	return time.Duration(k.line.At(float64(tokens)) * float64(time.Millisecond)), true
-}
-
 // bound returns a length that answers hardly exceed; false while too little is
 // known.
 func (l *lengths) bound(kind string, tokens int) (time.Duration, bool) {
--- a/relay/work.go
+++ b/relay/work.go
@@ -16,11 +16,6 @@
 	// assumedRate is the time in milliseconds in which the costliest model
 	// reads a token; engines of large models read 10 to 50 in a millisecond.
 	assumedRate = 0.05
-	// assumedPause is the time in milliseconds between two tokens of the costliest
-	// model; engines of large models make 70 to 100 a second for each request.
-	assumedPause = 12.0
-	// usualOutput is which part of the most tokens an answer has, on average.
-	usualOutput = 0.5
 )
 
 // task describes the next attempt to the balancer.
@@ -37,7 +32,6 @@
 		return t
 	}
 	t.Tokens = prompt.Tokens
-	t.Lasts = x.lasts()
 	t.Prompt = prefix.NewChain(x.model(), prompt.Parts)
 	t.Assumed.Rate = assumedRate
 	if engine := x.engine(); engine != nil {
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -48,9 +48,6 @@
 	Tokens int
 	// Bytes of the request's body, zero if not known.
 	Bytes int
-	// Lasts is how long the answer usually takes from its head to its end; zero if
-	// that is not known.
-	Lasts time.Duration
 	// Capacity is what a server's cache holds, in tokens; zero if not known.
 	Capacity int
 	// Exclude lists servers by ID that have been tried.
@@ -86,9 +83,8 @@
 type BalancerOption func(*Balancer)
 
 // WithAnnouncer names who is told of each prompt that is sent to a server, so that
-// other nodes hear of it. News is what that tells them beside the work, in
-// milliseconds: for how long the server reads what it did not have of the shared
-// prompt, or its part of the server's slots.
+// other nodes hear of it. News is for how long the server reads what it did not
+// have of the shared prompt, in milliseconds.
 func WithAnnouncer(announce func(s share.Send, news float64)) BalancerOption {
 	return func(b *Balancer) { b.announce = announce }
 }
@@ -165,9 +161,6 @@
 	bestCost := math.Inf(1)
 	for _, c := range b.shortlist(t, home, now) {
 		p := prospect{server: t.Servers[c.at], state: c.state, wait: c.state.wait(now), held: c.held}
-		if t.Tokens > 0 {
-			p.wait = math.Max(p.wait, c.state.places.wait(now, p.server.Slots))
-		}
 		p.takes = line.At(float64(t.Tokens - p.held))
 		cost := b.cost(p, t, line, now)
 		if p.server.ID == home {
@@ -232,31 +225,19 @@
 		wait:     p.wait,
 		takes:    p.takes,
 		occupies: p.occupies(t, b.line(t)),
-		lasts:    t.Lasts,
 		late:     milliseconds(b.waits.late(t.Kind) * p.expected()),
 		started:  now,
 	}
 	p.state.send(u, now)
 	p.state.breaker.begin(now)
 	if u.serial() {
-		b.tell(u, t)
+		shared := t.Prompt.Shared()
+		news := b.line(t).Rate() * float64(max(0, shared.Tokens()-u.held))
+		b.announce(share.Send{Server: share.ServerHash(p.server.ID), Prompt: shared, Work: float32(u.occupies)}, news)
 	}
 	return u
 }
 
-// tell lets other nodes hear of a request, if that is worth it: for how long it is
-// read, and for how long it holds one of the server's slots.
-func (b *Balancer) tell(u *Use, t Task) {
-	shared := t.Prompt.Shared()
-	send := share.Send{Server: share.ServerHash(u.server.ID), Prompt: shared, Work: float32(u.occupies)}
-	news := b.line(t).Rate() * float64(max(0, shared.Tokens()-u.held))
-	if u.lasts > 0 {
-		send.LastsMillis = uint32((u.Expected() + u.lasts).Milliseconds())
-		news = math.Max(news, inMilliseconds(u.lasts)/float64(max(1, u.server.Slots)))
-	}
-	b.announce(send, news)
-}
-
 // homeWorth is the wait that the preferred server of a task may be behind, in
 // milliseconds, if it holds so many tokens of the prompt for sure.
 func homeWorth(t Task, line *estimate.Line, held int) float64 {
@@ -310,7 +291,7 @@
 func (b *Balancer) Heard(s share.Send) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(s.Server).heard(s, time.Now().Add(-s.Age()))
+	b.state(s.Server).heard(float64(s.Work), s.Prompt, time.Now().Add(-s.Age()))
 }
 
 // Keep forgets all servers but those listed and those in use.
--- a/route/known.go
+++ b/route/known.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/violettally/violettally/prefix"
-	"github.com/violettally/violettally/share"
 )
 
 const (
@@ -59,9 +58,6 @@
 	// a request was sent to a server that had none of this node waiting.
 	progress time.Time
 
-	// places are its slots, where requests are read one after the other.
-	places places
-
 	cache   *prefix.Memory
 	health  health
 	breaker breaker
@@ -75,8 +71,7 @@
 	if s.othersRunning+s.othersWaiting > 0 {
 		weight = fresh(now.Sub(s.toldAt), toldHalfLife)
 	}
-	running := math.Max(float64(s.inflight)+weight*s.othersRunning, float64(s.places.taken(now)))
-	wait := running * runningWork
+	wait := (float64(s.inflight) + weight*s.othersRunning) * runningWork
 	if len(s.waiting) > 0 {
 		since := s.waiting[0].ready
 		if !s.waiting[0].serial() {
@@ -102,22 +97,15 @@
 	}
 	s.typical += typicalMemory * (blocks - s.typical)
 	u.ready = now.Add(u.Expected())
-	u.whole = u.ready.Add(u.lasts)
-	if u.serial() && u.lasts > 0 {
-		s.places.take(u.whole)
-	}
 	s.inflight++
 	s.waiting = append(s.waiting, u)
 	s.cache.Read(u.prompt)
 }
 
-// heard counts a request of another node, made at the given time.
-func (s *known) heard(send share.Send, sent time.Time) {
-	s.free = later(s.free, sent).Add(milliseconds(float64(send.Work)))
-	if send.Lasts() > 0 {
-		s.places.take(sent.Add(send.Lasts()))
-	}
-	s.cache.Read(send.Prompt)
+// heard counts a request of another node.
+func (s *known) heard(occupies float64, prompt prefix.Chain, sent time.Time) {
+	s.free = later(s.free, sent).Add(milliseconds(occupies))
+	s.cache.Read(prompt)
 }
 
 // begin takes a request off those that wait. Those that were sent after it are
--- a/route/use.go
+++ b/route/use.go
@@ -22,17 +22,12 @@
 	// to it, takes how long the answer takes to begin from then on, occupies
 	// how long it keeps others waiting, in milliseconds.
 	wait, takes, occupies float64
-	// lasts is how long the answer is expected to take from its head to its end;
-	// zero if that is not known.
-	lasts time.Duration
 	// late is when the answer is later than almost all of its kind; zero while
 	// too little is known.
 	late    time.Duration
 	started time.Time
 	// ready is when the answer is expected to begin, by all that is known since.
 	ready time.Time
-	// whole is when the answer was expected to be whole, as it was sent.
-	whole time.Time
 	begin sync.Once
 	end   sync.Once
 }
@@ -41,7 +36,7 @@
 func (u *Use) Server() registry.Server { return u.server }
 
 // Tell takes the load that the server told on its answer.
-func (u *Use) Tell(l Load) { u.balancer.told(u.state, l) }
+func (u *Use) Tell(l Load) { u.balancer.tell(u.state, l) }
 
 // Late returns how long after it was sent a request's answer is later than
 // almost all of its kind; zero while too little is known.
@@ -90,8 +85,8 @@
 	u.end.Do(func() { u.balancer.end(u, outcome) })
 }
 
-// told takes a server's word on its load.
-func (b *Balancer) told(s *known, l Load) {
+// tell takes a server's word on its load.
+func (b *Balancer) tell(s *known, l Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.tell(l, time.Now())
@@ -159,7 +154,6 @@
 	defer b.mu.Unlock()
 	s := u.state
 	s.inflight--
-	s.places.leave(u.whole)
 	switch outcome {
 	case OutcomeOK:
 		s.breaker.succeed()
--- a/share/share.go
+++ b/share/share.go
@@ -55,17 +55,11 @@
 	Work float32
 	// AgeMillis is how long ago it was sent.
 	AgeMillis uint32
-	// LastsMillis is how long after it was sent its answer is expected to be whole;
-	// zero if that is not known.
-	LastsMillis uint32
 }
 
 // Age is how long ago it was sent.
 func (s Send) Age() time.Duration { return time.Duration(s.AgeMillis) * time.Millisecond }
 
-// Lasts is how long after it was sent its answer is expected to be whole.
-func (s Send) Lasts() time.Duration { return time.Duration(s.LastsMillis) * time.Millisecond }
-
 // ServerHash is how sends name a backend server.
 func ServerHash(id string) uint64 { return rendezvous.Hash(id) }
 
