--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -22,10 +22,10 @@
 	// renewalsSkippedMax is how many renewals are left out at most after
 	// several that failed. The store's return ends the pause.
 	renewalsSkippedMax = 4
-	// leftWait is how long a gateway that starts waits for the store to tell what
+	// earlierWait is how long a gateway that starts waits for the store to tell what
 	// an earlier process of its VM left behind. The store answers in 4 ms; where
 	// all of a deployment start at once, within half a second.
-	leftWait = 500 * time.Millisecond
+	earlierWait = 500 * time.Millisecond
 	// leaveTime bounds the call by which a gateway tells that it leaves. A slow
 	// store takes some hundred milliseconds.
 	leaveTime = time.Second
@@ -41,17 +41,17 @@
 	Revoke(ctx context.Context, lease int64) error
 }
 
-// leftEntry is what an earlier process of this VM has left behind of its entry.
-type leftEntry struct {
+// earlierEntry is what an earlier process of this VM has left behind of its entry.
+type earlierEntry struct {
 	// lease that it was written under; zero for none.
 	lease int64
 	// same says that the entry would be written as it stands.
 	same bool
 }
 
-// awaitLeft waits until the store has told what is left of an earlier process.
-func (n *nodes) awaitLeft(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leftWait)
+// awaitEarlier waits until the store has told what is left of an earlier process.
+func (n *nodes) awaitEarlier(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, earlierWait)
 	defer cancel()
 	select {
 	case <-n.told:
@@ -63,7 +63,7 @@
 // failed the next one is early; after several it leaves some out, until the store
 // is known to be back.
 func (n *nodes) run(ctx context.Context) {
-	n.awaitLeft(ctx)
+	n.awaitEarlier(ctx)
 	failed := 0
 	for {
 		if err := n.keep(ctx); err != nil {
@@ -141,17 +141,17 @@
 // their start asks of the store.
 func (n *nodes) takeLease(ctx context.Context) (id int64, written bool, err error) {
 	n.mu.Lock()
-	left := n.left
-	n.left = leftEntry{}
+	earlier := n.earlier
+	n.earlier = earlierEntry{}
 	n.mu.Unlock()
-	if left.lease != 0 {
-		alive, err := n.store.KeepAlive(ctx, left.lease)
+	if earlier.lease != 0 {
+		alive, err := n.store.KeepAlive(ctx, earlier.lease)
 		if err != nil {
 			return 0, false, err
 		}
 		if alive {
-			slog.Info("entry of an earlier process taken over", "as_it_stands", left.same)
-			return left.lease, left.same, nil
+			slog.Info("entry of an earlier process taken over", "as_it_stands", earlier.same)
+			return earlier.lease, earlier.same, nil
 		}
 	}
 	id, err = n.store.Grant(ctx, entryLife)
--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -49,7 +49,7 @@
 	// lease is that of this gateway's entry; zero for none.
 	lease int64
 	// left is what an earlier process of this VM has left behind of its entry.
-	left leftEntry
+	earlier earlierEntry
 
 	// told is closed once the entries that the store held are known.
 	told <-chan struct{}
@@ -90,7 +90,7 @@
 		}
 		slog.Info("gateway is gone", "key", c.Key, "revision", c.Revision, "kept_ms", kept.Milliseconds())
 		if c.Key == n.key() {
-			n.left = leftEntry{}
+			n.earlier = earlierEntry{}
 		}
 		if c.Key == n.key() && n.lease != 0 {
 			// The lease may live on: an earlier write of the entry, under a
@@ -108,7 +108,7 @@
 	n.known[c.Key] = e
 	delete(n.lapsed, c.Key)
 	if c.Key == n.key() && n.lease == 0 {
-		n.left = leftEntry{lease: c.Lease, same: !e.Leaving && n.g.self.At(e.Member)}
+		n.earlier = earlierEntry{lease: c.Lease, same: !e.Leaving && n.g.self.At(e.Member)}
 	}
 	slog.Info("gateway", "id", e.ID, "caller", e.Caller, "data_hall", e.DataHall, "leaving", e.Leaving, "revision", c.Revision)
 }
