gateway: the door knows of a stop before readiness does

Cause: at a signal the gateway said that it is not ready, and only then let its relay and its door know. An answer that went out in between did not close its connection, so its client's next request found a node that takes nothing.

Change: the order of three calls. Ruled out: a readiness question that failed by itself (it has no time-out, and the listener was open).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -248,9 +248,11 @@
 	grace := g.settings.Grace()
 	end := signal.Add(time.Duration(endShare * float64(grace)))
 	doorCloses := signal.Add(min(noticeTime, time.Duration(noticeShare*float64(grace))))
-	g.leaving.Store(true)
 	g.relay.Leave(relay.NewStop(signal, doorCloses, end))
 	g.callers.Leave()
+	// Last, since who sees that this gateway is not ready counts on the rest: an
+	// answer that went out in between would keep its connection.
+	g.leaving.Store(true)
 	slog.Info("gateway is leaving", "grace_ms", grace.Milliseconds(), "under_way", len(g.records.Open()))
 	// The call to the store may take a second; the door closes on time all the
 	// same, since what comes after that can't be ended.
--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -48,7 +48,7 @@
 	returned time.Time
 	// lease is that of this gateway's entry; zero for none.
 	lease int64
-	// left is what an earlier process of this VM has left behind of its entry.
+	// earlier is what an earlier process of this VM has left behind of its entry.
 	earlier earlierEntry
 
 	// told is closed once the entries that the store held are known.
