adapter/peer: a test's tasks end before its bubble does

Cause: TestLargeDeclaration left its bubble while its store slept on after the context's end, or while the link still carried bytes: "main bubble goroutine has exited but blocked goroutines remain". Found while a case was added.

Change: the store ends with the context, and the test lets what is under way pass, in its own time. What it checks is the same; its body becomes a function of the sizes.

--- a/adapter/peer/hall_test.go
+++ b/adapter/peer/hall_test.go
@@ -31,15 +31,18 @@
 
 // TestLargeDeclaration: a declaration with 1,600 routes is in force at all nodes of
 // a hall in time, though it comes to all of them over the link of one.
-func TestLargeDeclaration(t *testing.T) {
+func TestLargeDeclaration(t *testing.T) { grow(t, 20, 1600) }
+
+// grow lets a declaration grow, and looks at what the nodes of a hall then know.
+func grow(t *testing.T, before, after int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		defer synctest.Wait()
+		defer settle()
 		defer cancel()
 		timers := timer.New()
 		defer timers.Close()
 		kept := &heldStore{}
-		kept.put(declaration(20))
+		kept.put(declaration(before))
 		upstream := mirror.New(kept, noPeers{}, timers)
 		go upstream.Run(ctx)
 		l := newLink(linkBytes)
@@ -55,7 +58,7 @@
 		}
 		time.Sleep(2 * time.Second)
 
-		large := declaration(1600)
+		large := declaration(after)
 		kept.put(large)
 		time.Sleep(inForce)
 		for i, m := range nodes {
@@ -65,6 +68,13 @@
 	})
 }
 
+// settle lets what the link still carries pass, in the test's own time, so that all
+// tasks end: a bubble must not be left while one of them waits.
+func settle() {
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
+
 const declarationKey = "declaration"
 
 // declaration is one with so many routes.
@@ -114,7 +124,11 @@
 func (s *heldStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
 	b, err := s.ReadAll(ctx)
 	if b.Revision <= after {
-		time.Sleep(min(wait, 100*time.Millisecond))
+		select {
+		case <-time.After(min(wait, 100*time.Millisecond)):
+		case <-ctx.Done():
+			return mirror.Batch{}, ctx.Err()
+		}
 		b.Items = nil
 	}
 	b.Whole = false
