mirror, adapter/peer: a declaration that nodes do not get, failing

TestLargestDeclaration: 4,800 routes become 6,200 (1.04 MB, the most that the store takes under a key). Packed it is 110 kB, 30 followers' answers take 2.6 s of a link of 10 Mbit/s, and a call may take 2.5 s: 30 of 30 nodes are without it 3 s later.

--- a/adapter/peer/hall_test.go
+++ b/adapter/peer/hall_test.go
@@ -33,6 +33,17 @@
 // a hall in time, though it comes to all of them over the link of one.
 func TestLargeDeclaration(t *testing.T) { grow(t, 20, 1600) }
 
+// TestLargestDeclaration: a declaration grows again and again, up to the size that
+// the store takes under one key (1 MB), and each time all nodes of a hall hear of it
+// over the link of one. 38 s into such a day, with 2,800 routes, one node was without
+// the newest declaration 4.9 s after it had been acknowledged: answers of 525 kB took
+// the 30 followers longer than the 0.8 s for which a call was waited for, so all of
+// them were given up and asked for again, and the link stayed full ("upstream did not
+// answer", three upstreams in turn, every 2 s, for 11 s). Packed, an answer takes a
+// tenth of that, but is still as large as the whole: 6,200 routes pass the 2.5 s that
+// a call may take now, for all followers at once, and again when they ask anew.
+func TestLargestDeclaration(t *testing.T) { grow(t, 4800, 6200) }
+
 // grow lets a declaration grow, and looks at what the nodes of a hall then know.
 func grow(t *testing.T, before, after int) {
 	synctest.Test(t, func(t *testing.T) {
