mirror: what comes between two pages of a whole is told to peers

Cause: a whole's revision is that of its first page, so a later page may hold changes that came after it. When the watch tells them, they are known already and were passed over, also in what is kept for peers: a peer at the first page's revision was taken on to the next one without them, and nothing brings them again but the key's next change or a new whole. It takes two pages (500 keys or 1 MB: a deployment of some 400 servers, or a declaration of 750 kB) and a change within the 4 ms between them.

Change: whatever is past the copy's revision is kept for peers, known or not.

Ruled out: the revision of the last page, since changes of earlier pages would then be lost to the node itself.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -272,6 +272,11 @@
 	slices.SortStableFunc(items, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	var changes []Change
 	for _, item := range items {
+		if item.Revision > m.revision {
+			// Also what is known already, from a later page of a whole: peers at
+			// the revision of its first page may not know it.
+			m.recent = append(m.recent, item)
+		}
 		known, ok := m.items[item.Key]
 		if (ok && item.Revision <= known.Revision) || (!ok && item.Deleted) {
 			continue
@@ -281,7 +286,6 @@
 		} else {
 			m.items[item.Key] = item
 		}
-		m.recent = append(m.recent, item)
 		changes = append(changes, Change{item})
 	}
 	m.revision = b.Revision
