adapter/peer, mirror, gateway: large values go between nodes as what has changed

Cause: what a change of the declaration costs grew with all that is declared, for each node of a hall, over one link.

Change: a node that asks says that it knows the large values as they were; it is told the difference from the value before (zstd with that value as dictionary), and asks for the value itself if its copy has gone on meanwhile. The mirror keeps the large value that a key held before. Older processes are told wholes, as they ask for.

Ruled out: a tree in the hall (each level adds a waiting call to the age of the news, past the 1.3 s that say that an upstream has lost the store); a longer time for calls (the bound is 3 s). Differences by routes would know the platform's format in the adapter between nodes.

TestLargestDeclaration failed at 30 of 30 nodes, passes.

--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -42,6 +42,7 @@
 	"github.com/violettally/violettally/ledger"
 	"github.com/violettally/violettally/limit"
 	"github.com/violettally/violettally/member"
+	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/settings"
 	"github.com/violettally/violettally/view"
@@ -56,6 +57,8 @@
 	Unknown = namespace.NewType("unknown")
 	// Malformed says that a peer's answer cannot be read.
 	Malformed = namespace.NewType("malformed")
+	// NoBase says that a value came as the difference from one that is not known.
+	NoBase = namespace.NewType("no_base")
 	// Credentials says that the certificates cannot be used.
 	Credentials = namespace.NewType("credentials")
 )
@@ -105,6 +108,7 @@
 	open  func(ctx context.Context, address string) (net.Conn, error)
 	pool  *drpcpool.Pool[place, drpcpool.Conn]
 	calls func(call string, sent int)
+	known func(key string) (mirror.Item, bool)
 	self  string
 
 	mu sync.Mutex
@@ -126,6 +130,12 @@
 	return func(c *Client) { c.calls = count }
 }
 
+// WithKnown names what this node knows of the platform's store, so that peers tell
+// it only what has changed in large values.
+func WithKnown(known func(key string) (mirror.Item, bool)) Option {
+	return func(c *Client) { c.known = known }
+}
+
 // WithDialer opens connections in place of TCP's.
 func WithDialer(open func(ctx context.Context, address string) (net.Conn, error)) Option {
 	return func(c *Client) { c.open = open }
--- a/adapter/peer/export_test.go
+++ b/adapter/peer/export_test.go
@@ -5,17 +5,24 @@
 // Packing is one node's, as its peers get it.
 type Packing struct{ p *packer }
 
-// NewPacking returns a node's packing.
-func NewPacking() Packing { return Packing{newPacker()} }
+// NewPacking returns the packing of a node whose keys held what before returns.
+func NewPacking(before func(key string) (mirror.Item, bool)) Packing {
+	return Packing{newPacker(before)}
+}
 
-// Reply is what a peer gets, who may or may not read packed values.
+// Request is what a peer asks for.
+type Request = followRequest
+
+// Reply is what it gets.
 type Reply = followReply
 
-// Reply packs a batch.
-func (p Packing) Reply(b mirror.Batch, packed bool) (Reply, error) { return p.p.reply(b, packed) }
+// Reply packs a batch for a request.
+func (p Packing) Reply(b mirror.Batch, r Request) (Reply, error) { return p.p.reply(b, r) }
 
-// Batch is what the peer makes of it.
-func Batch(r Reply) (mirror.Batch, error) { return r.batch() }
+// Batch is what a peer that holds the known values makes of a reply.
+func Batch(r Reply, known func(key string) (mirror.Item, bool)) (mirror.Batch, error) {
+	return r.batch(known)
+}
 
 // Codec is that of all calls.
 var Codec = codec{}
--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"storj.io/drpc"
 
 	"github.com/violettally/violettally/mirror"
@@ -24,11 +26,15 @@
 	Wait  time.Duration `cbor:"2,keyasint"`
 	// Packed says that the caller reads packed values; earlier versions do not.
 	Packed bool `cbor:"3,keyasint,omitempty"`
+	// Differences says that it knows the large values as they were at After, and
+	// reads what has changed in them.
+	Differences bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Gateway is what a gateway answers its peers with.
 type Gateway interface {
 	Await(ctx context.Context, revision int64, wait time.Duration) mirror.Batch
+	Before(key string) (mirror.Item, bool)
 	Counts() (node string, counts rollout.Counts)
 	Exchange(m share.Message) share.Reply
 }
@@ -36,10 +42,10 @@
 // NewGatewayServer returns a server that answers the calls between gateways, and
 // none of those between the product's own nodes.
 func NewGatewayServer(g Gateway) *Server {
-	packer := newPacker()
+	packer := newPacker(g.Before)
 	return &Server{calls: map[string]func(drpc.Stream) error{
 		callFollow: handle(func(ctx context.Context, r followRequest) (followReply, error) {
-			return packer.reply(g.Await(ctx, r.After, r.Wait), r.Packed)
+			return packer.reply(g.Await(ctx, r.After, r.Wait), r)
 		}),
 		callExchange: handle(func(_ context.Context, m share.Message) (share.Reply, error) {
 			return g.Exchange(m), nil
@@ -57,13 +63,26 @@
 }
 
 // Follow asks a gateway for what its copy has beyond a revision, and lets it
-// wait for something to tell.
+// wait for something to tell. Large values that this node knows come as
+// differences from them. Its copy may have gone on meanwhile, by another peer's
+// word; then the values are asked for as they are.
 func (c *Client) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
-	reply, err := invoke[followRequest, followReply](ctx, c, address, callFollow, followRequest{After: after, Wait: wait, Packed: true})
+	request := followRequest{After: after, Wait: wait, Packed: true, Differences: c.known != nil}
+	batch, err := c.follow(ctx, address, request)
+	if errorx.IsOfType(err, NoBase) {
+		slog.Info("difference from a value that is not known; asking for the value", "peer", address, "after", after, "error", err)
+		request.Differences = false
+		batch, err = c.follow(ctx, address, request)
+	}
+	return batch, err
+}
+
+func (c *Client) follow(ctx context.Context, address string, r followRequest) (mirror.Batch, error) {
+	reply, err := invoke[followRequest, followReply](ctx, c, address, callFollow, r)
 	if err != nil {
 		return mirror.Batch{}, err
 	}
-	return reply.batch()
+	return reply.batch(c.known)
 }
 
 // Exchange tells a gateway what this node knows of sends to servers, and returns
--- a/adapter/peer/pack_test.go
+++ b/adapter/peer/pack_test.go
@@ -30,7 +30,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			packing := peer.NewPacking()
+			packing := peer.NewPacking(nothing)
 			for revision := range int64(2) {
 				b := mirror.Batch{
 					Items: []mirror.Item{
@@ -41,7 +41,7 @@
 					Revision: revision + 1, Whole: true, Age: time.Second,
 				}
 				for range 2 {
-					reply, err := packing.Reply(b, tt.packed)
+					reply, err := packing.Reply(b, peer.Request{Packed: tt.packed})
 					must.NoError(t, err)
 					data, err := peer.Codec.Marshal(&reply)
 					must.NoError(t, err)
@@ -49,7 +49,7 @@
 					must.LessEq(t, tt.most, len(data))
 					var got peer.Reply
 					must.NoError(t, peer.Codec.Unmarshal(data, &got))
-					back, err := peer.Batch(got)
+					back, err := peer.Batch(got, nothing)
 					must.NoError(t, err)
 					must.True(t, reflect.DeepEqual(b, back))
 					if !tt.packed {
@@ -63,9 +63,12 @@
 	}
 }
 
+// nothing is known.
+func nothing(string) (mirror.Item, bool) { return mirror.Item{}, false }
+
 // FuzzPacked: whatever a peer sends is read or refused.
 func FuzzPacked(f *testing.F) {
-	reply, err := peer.NewPacking().Reply(mirror.Batch{Items: []mirror.Item{{Key: "a", Value: declaration(100)}}}, true)
+	reply, err := peer.NewPacking(nothing).Reply(mirror.Batch{Items: []mirror.Item{{Key: "a", Value: declaration(100)}}}, peer.Request{Packed: true})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -73,7 +76,7 @@
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		reply.Items[0].Value = data
-		if b, err := peer.Batch(reply); err == nil {
+		if b, err := peer.Batch(reply, nothing); err == nil {
 			must.Len(t, 1, b.Items)
 		}
 	})
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -104,6 +104,11 @@
 // seconds by which peers lie apart.
 const kept = 2048
 
+// LargeValue is the size in bytes from which a value counts as large: declarations
+// are, entries are not. What is smaller fits into a few packets, and is not worth
+// telling in fewer.
+const LargeValue = 8 << 10
+
 // Mirror is the copy. It is safe for concurrent use.
 type Mirror struct {
 	store  Store
@@ -117,8 +122,10 @@
 	// delivery keeps changes in order for subscribers. It is taken before mu.
 	delivery sync.Mutex
 
-	mu       sync.Mutex
-	items    map[string]Item
+	mu    sync.Mutex
+	items map[string]Item
+	// before are the large values that keys held before their last change.
+	before   map[string]Item
 	revision int64
 	// delivered is the revision up to which subscribers have been told.
 	delivered int64
@@ -150,6 +157,7 @@
 		peers:   peers,
 		timers:  timers,
 		items:   make(map[string]Item),
+		before:  make(map[string]Item),
 		told:    make(chan struct{}),
 		changed: make(chan struct{}),
 	}
@@ -193,6 +201,14 @@
 	return item, ok
 }
 
+// Before returns what a key held before its last change, if that was large.
+func (m *Mirror) Before(key string) (Item, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	item, ok := m.before[key]
+	return item, ok
+}
+
 // Age returns how long ago the store, or a peer that had heard from it, last
 // confirmed what this node knows.
 func (m *Mirror) Age() time.Duration {
@@ -281,6 +297,9 @@
 		if (ok && item.Revision <= known.Revision) || (!ok && item.Deleted) {
 			continue
 		}
+		if len(known.Value) >= LargeValue {
+			m.before[item.Key] = known
+		}
 		if item.Deleted {
 			delete(m.items, item.Key)
 		} else {
