registry, platform, gateway: a server is one start of it, and a bad entry names none

Cause: an entry was taken for the whole truth on an ID. What was believed of a server (caches, requests in flight, sends told by other nodes, breaker, slowness, a tried mark, kept connections) went by its ID, under which it may start again and then knows nothing. An entry that could not be read left the one before it in use, and one with fields missing or an unknown state was used.

Change: registry.Start, ID and born, is what all of that goes by; the ID alone names a server to itself and chooses homes. An entry of an earlier start changes nothing; a further start forgets the earlier one, and connections kept to it are closed.

Ruled out: ending requests under way at the earlier start when the entry tells of the next, since a connection may have reached the new start before the entry was read; its own reset tells better. Comparing born with a clock of ours.

Tests: entries in the project's own stand-ins get the two fields that every entry of the platform has and theirs lacked, and the gateway of TestEntryTakenOver an address, since both count as missing now; what the tests check is the same.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -26,9 +26,15 @@
 // Servers returns the servers that requests may go to.
 func (g *Gateway) Servers(service string) []registry.Server { return g.registry.Servers(service) }
 
+// OwnCaller is where clients reach the gateway of KeepEntry, ownPeer where peers do.
+const (
+	OwnCaller = "127.0.0.1:1"
+	ownPeer   = "127.0.0.1:2"
+)
+
 // OwnEntry is the entry that KeepEntry keeps, as it is stored.
 func OwnEntry(leaving bool, caller string) mirror.Change {
-	e := entry{Member: view.NewMember(view.Member{VM: "node", Caller: caller}), Leaving: leaving}
+	e := entry{Member: view.NewMember(view.Member{VM: "node", Caller: caller, Peer: ownPeer}), Leaving: leaving}
 	value, err := json.Marshal(e)
 	if err != nil {
 		panic(err)
@@ -39,7 +45,7 @@
 // KeepEntry keeps a gateway's entry at a store until the context ends. The store
 // held what is told of it first.
 func KeepEntry(ctx context.Context, store entryStore, timers *timer.Service, held ...mirror.Change) {
-	g := &Gateway{timers: timers, self: view.NewMember(view.Member{VM: "node"})}
+	g := &Gateway{timers: timers, self: view.NewMember(view.Member{VM: "node", Caller: OwnCaller, Peer: ownPeer})}
 	n := newNodes(g)
 	n.store = store
 	told := make(chan struct{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,8 @@
 
 	// Start says that the gateway could not be made or opened.
 	Start = namespace.NewType("start")
+	// Entry says that what stands under a gateway's key names none.
+	Entry = namespace.NewType("entry")
 )
 
 const (
@@ -84,6 +86,7 @@
 	store    *platform.Store
 	mirror   *mirror.Mirror
 	registry *registry.Registry
+	runners  *platform.Runners
 	balancer *route.Balancer
 	picker   *rollout.Picker
 	services *rollout.Services
@@ -123,6 +126,7 @@
 	g.client = peer.NewClient(nil, peer.WithCallCounter(instruments.PeerCall),
 		peer.WithKnown(func(key string) (mirror.Item, bool) { return g.mirror.Get(key) }))
 	g.registry = registry.New(g.timers)
+	g.runners = platform.NewRunners()
 	g.balancer = route.NewBalancer(s.DataHall, instruments.BreakerOpened, route.WithAnnouncer(func(s share.Send, news float64) { g.board.Tell(s, news) }))
 	g.nodes = newNodes(g)
 	g.board = share.NewBoard(g.self, g, g.client, g.timers, g.balancer.Heard)
@@ -170,7 +174,7 @@
 		Ladder:   cascade.NewLadder(),
 		Budgets:  g.makeBudgets(g.settings.Bounds.RetryRatio),
 		Moves:    g.makeBudgets(min(movesRatio, g.settings.Bounds.RetryRatio)),
-		Backends: platform.NewRunners(),
+		Backends: g.runners,
 		Records:  g.records,
 		Counters: g.metrics.Relay(),
 	})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -72,5 +72,6 @@
 			"services": []map[string]any{{"name": "records", "max_conns": 100}},
 		}
 	}
-	return map[string]any{"service": "records", "address": "127.0.0.1:1", "zone": "hall-1", "version": "v1", "slots": 8, "state": "ready"}
+	return map[string]any{"service": "records", "address": "127.0.0.1:1", "zone": "hall-1", "version": "v1", "slots": 8, "state": "ready",
+		"cold_left_ms": 0, "call_seq": 1}
 }
--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/view"
 )
@@ -32,6 +34,20 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// decodeEntry reads an entry, which must tell where its gateway is reached.
+func decodeEntry(value []byte) (entry, error) {
+	var e entry
+	if err := json.Unmarshal(value, &e); err != nil {
+		return entry{}, errs.Wrap(Entry, "decode", err, "not an entry")
+	}
+	for _, address := range []string{e.Caller, e.Peer} {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return entry{}, errs.Wrap(Entry, "decode", err, "gateway %q of VM %q", e.ID, e.VM)
+		}
+	}
+	return e, nil
+}
+
 // nodes is the list of gateways: each keeps an entry in the store that goes
 // with its lease.
 type nodes struct {
@@ -83,26 +99,14 @@
 	defer n.mu.Unlock()
 	if c.Deleted {
 		kept := max(0, returnTime-n.g.timers.Now().Sub(n.returned))
-		if kept > 0 {
-			n.lapsed[c.Key] = n.g.timers.Now().Add(kept)
-		} else {
-			delete(n.known, c.Key)
-		}
+		n.drop(c.Key, kept)
 		slog.Info("gateway is gone", "key", c.Key, "revision", c.Revision, "kept_ms", kept.Milliseconds())
-		if c.Key == n.key() {
-			n.earlier = earlierEntry{}
-		}
-		if c.Key == n.key() && n.lease != 0 {
-			// The lease may live on: an earlier write of the entry, under a
-			// lease that is over, may have taken effect after the last one.
-			n.lease = 0
-			n.renewNow()
-		}
 		return
 	}
-	var e entry
-	if err := json.Unmarshal(c.Value, &e); err != nil {
-		slog.Error("gateway's entry cannot be read", "key", c.Key, "error", err)
+	e, err := decodeEntry(c.Value)
+	if err != nil {
+		n.drop(c.Key, 0)
+		slog.Error("gateway's entry names none to use", "key", c.Key, "revision", c.Revision, "error", err)
 		return
 	}
 	n.known[c.Key] = e
@@ -113,6 +117,27 @@
 	slog.Info("gateway", "id", e.ID, "caller", e.Caller, "data_hall", e.DataHall, "leaving", e.Leaving, "revision", c.Revision)
 }
 
+// drop forgets an entry once it has been kept that long; this gateway's own is
+// written anew. The caller holds mu.
+func (n *nodes) drop(key string, kept time.Duration) {
+	if kept > 0 {
+		n.lapsed[key] = n.g.timers.Now().Add(kept)
+	} else {
+		delete(n.known, key)
+		delete(n.lapsed, key)
+	}
+	if key != n.key() {
+		return
+	}
+	n.earlier = earlierEntry{}
+	if n.lease != 0 {
+		// The lease may live on: an earlier write of the entry, under a lease that
+		// is over, may have taken effect after the last one.
+		n.lease = 0
+		n.renewNow()
+	}
+}
+
 // others returns the known gateways that stay, without this one.
 func (n *nodes) others() []view.Member {
 	return n.filter(func(e entry) bool { return !e.Leaving })
--- a/gateway/nodes_test.go
+++ b/gateway/nodes_test.go
@@ -124,7 +124,7 @@
 // what the next one then asks of the store.
 func TestEntryTakenOver(t *testing.T) {
 	const life = 5 * time.Second
-	deleted := gateway.OwnEntry(false, "")
+	deleted := gateway.OwnEntry(false, gateway.OwnCaller)
 	deleted.Deleted = true
 	tests := []struct {
 		name string
@@ -134,11 +134,11 @@
 		grants, puts int
 	}{
 		{"nothing", nil, 0, 1, 1},
-		{"as it should be", []mirror.Change{gateway.OwnEntry(false, "")}, life, 0, 0},
-		{"leaving", []mirror.Change{gateway.OwnEntry(true, "")}, life, 0, 1},
+		{"as it should be", []mirror.Change{gateway.OwnEntry(false, gateway.OwnCaller)}, life, 0, 0},
+		{"leaving", []mirror.Change{gateway.OwnEntry(true, gateway.OwnCaller)}, life, 0, 1},
 		{"at another address", []mirror.Change{gateway.OwnEntry(false, "10.0.0.1:1")}, life, 0, 1},
-		{"lapsed", []mirror.Change{gateway.OwnEntry(false, "")}, 0, 1, 1},
-		{"taken back", []mirror.Change{gateway.OwnEntry(false, ""), deleted}, life, 1, 1},
+		{"lapsed", []mirror.Change{gateway.OwnEntry(false, gateway.OwnCaller)}, 0, 1, 1},
+		{"taken back", []mirror.Change{gateway.OwnEntry(false, gateway.OwnCaller), deleted}, life, 1, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/gateway/subscribe.go
+++ b/gateway/subscribe.go
@@ -4,8 +4,10 @@
 	"log/slog"
 	"strings"
 
+	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/platform"
+	"github.com/violettally/violettally/registry"
 )
 
 // subscribe joins what the store holds to the parts that go by it.
@@ -46,16 +48,39 @@
 	id := strings.TrimPrefix(c.Key, platform.ServerPrefix)
 	if c.Deleted {
 		kept := g.registry.Drop(id)
-		g.balancer.Keep(g.registry.IDs())
+		g.balancer.Keep(g.registry.Starts())
 		slog.Info("server is gone", "server", id, "revision", c.Revision, "kept_ms", kept.Milliseconds())
 		return
 	}
 	server, err := platform.DecodeServer(c.Key, c.Value)
 	if err != nil {
-		slog.Error("server entry cannot be read", "server", id, "revision", c.Revision, "error", err)
+		g.withdrawServer(id, c.Revision, err)
 		return
 	}
-	g.registry.Put(server)
-	slog.Info("server", "server", id, "service", server.Service, "address", server.Address,
+	news := g.registry.Put(server)
+	if news == registry.NewsStart {
+		g.startedAgain(server)
+	}
+	slog.Info("server", "server", id, "born", server.Born, "news", news.String(), "service", server.Service, "address", server.Address,
 		"version", server.Version, "leaving", server.Leaving, "revision", c.Revision)
 }
+
+// withdrawServer takes a server out of use whose entry names none. However often
+// such entries are written, one line tells of each change of reason.
+func (g *Gateway) withdrawServer(id string, revision int64, err error) {
+	reason := errs.Kind(err)
+	g.metrics.EntryUnusable(reason)
+	if g.registry.Withdraw(id, reason) {
+		slog.Error("server entry names no server to use", "server", id, "reason", reason, "revision", revision, "error", err)
+	}
+}
+
+// startedAgain forgets what was known of a server's earlier start: whatever is
+// believed of a server (its caches, what waits there, its health) belongs to one
+// start of it, and connections that are kept to the earlier one are dead. Requests
+// under way there are left to their connections, which tell better than the entry
+// whether their answers still come.
+func (g *Gateway) startedAgain(server registry.Server) {
+	g.balancer.Keep(g.registry.Starts())
+	g.runners.CloseKept(server.Address)
+}
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -17,6 +17,7 @@
 
 import (
 	"errors"
+	"strings"
 
 	"github.com/joomcode/errorx"
 )
@@ -48,6 +49,17 @@
 	return name
 }
 
+// Kind returns the name of the kind of an error that is made by this package, as it
+// stands in logs and metrics, or "".
+func Kind(err error) string {
+	typed := errorx.Cast(err)
+	if typed == nil {
+		return ""
+	}
+	name := typed.Type().FullName()
+	return name[strings.LastIndexByte(name, '.')+1:]
+}
+
 // Is reports whether target is err or one of its causes. The standard
 // errors.Is does not see the causes of errorx errors.
 func Is(err, target error) bool {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -46,6 +46,7 @@
 	peerCalls  metric.Int64Counter
 	peerBytes  metric.Int64Counter
 	breakers   metric.Int64Counter
+	entries    metric.Int64Counter
 	reports    metric.Int64Counter
 
 	escalations metric.Int64Counter
@@ -90,6 +91,7 @@
 		{&m.reports, "violettally_load_reports", "Load reports asked of backend servers."},
 		{&m.escalations, "violettally_escalations", "Answers dropped for one of a costlier model, by that model."},
 		{&m.resumes, "violettally_resumes", "Streams that went on at another backend server."},
+		{&m.entries, "violettally_entries_unusable", "Entries in the platform's store that name no server or node to use, by reason."},
 		{&m.breakers, "violettally_breakers_opened", "Backend servers taken out after failures."},
 	}
 	for _, c := range counters {
@@ -180,6 +182,9 @@
 	add(m.peerBytes, int64(sent), attribute.String("call", call))
 }
 
+// EntryUnusable counts an entry that names no server or node to use.
+func (m *Metrics) EntryUnusable(reason string) { add(m.entries, 1, attribute.String("reason", reason)) }
+
 // BreakerOpened counts a server that was taken out.
 func (m *Metrics) BreakerOpened(server string) {
 	add(m.breakers, 1, attribute.String("server", server))
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -6,7 +6,8 @@
 // entry is gone, gets no new work from then on. There is one exception:
 // entries lapse while the platform's store is away, because nobody can renew
 // them, and come back within [returnTime] if their server lives. What is
-// dropped just after the store has come back is therefore kept that long.
+// dropped just after the store has come back is therefore kept that long. An entry
+// that names no server to use takes the server out of use at once, until the next.
 //
 // # Usage
 //
@@ -29,10 +30,12 @@
 // take to come back. The platform's word is "about two seconds".
 const returnTime = 2 * time.Second
 
-// Server is one backend server as it announced itself. Each start of a server
-// has an ID of its own. The fields are exported for the adapters.
+// Server is one backend server as it announced itself. The fields are exported for
+// the adapters.
 type Server struct {
-	ID       string
+	ID string
+	// Born tells this start of the server from others (see [Start]).
+	Born     int64
 	Service  string
 	Address  string
 	DataHall string
@@ -53,6 +56,8 @@
 	servers map[string]Server
 	// lapsed holds by ID until when servers without an entry are kept.
 	lapsed map[string]time.Time
+	// withdrawn holds by ID why the last entry names no server to use.
+	withdrawn map[string]string
 	// returned is when the store last came back.
 	returned time.Time
 	// byService is rebuilt after a change; the lists are never written to.
@@ -61,16 +66,43 @@
 
 // New returns an empty registry.
 func New(timers *timer.Service) *Registry {
-	return &Registry{timers: timers, servers: make(map[string]Server), lapsed: make(map[string]time.Time)}
+	return &Registry{
+		timers:    timers,
+		servers:   make(map[string]Server),
+		lapsed:    make(map[string]time.Time),
+		withdrawn: make(map[string]string),
+	}
 }
 
-// Put takes a server's entry.
-func (r *Registry) Put(s Server) {
+// Put takes a server's entry, unless it is of an earlier start than the one known.
+func (r *Registry) Put(s Server) News {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	known, ok := r.servers[s.ID]
+	if ok && s.Start().before(known.Start()) {
+		return NewsOld
+	}
 	r.servers[s.ID] = s
 	delete(r.lapsed, s.ID)
+	delete(r.withdrawn, s.ID)
+	r.byService = nil
+	if ok && s.Start() != known.Start() {
+		return NewsStart
+	}
+	return NewsUpdate
+}
+
+// Withdraw takes a server out of use until its next entry, since its last one names
+// none, for the reason given. What is known of the server is kept meanwhile, and
+// what it runs goes on: the server itself may be well. It reports whether the
+// reason is new.
+func (r *Registry) Withdraw(id, reason string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before, ok := r.withdrawn[id]
+	r.withdrawn[id] = reason
 	r.byService = nil
+	return !ok || before != reason
 }
 
 // Drop takes the news that a server's entry is gone. It returns how long the
@@ -78,15 +110,19 @@
 func (r *Registry) Drop(id string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.servers[id]; !known {
+	_, known := r.servers[id]
+	_, withdrawn := r.withdrawn[id]
+	delete(r.withdrawn, id)
+	if !known {
 		return 0
 	}
 	r.byService = nil
-	if left := returnTime - r.timers.Now().Sub(r.returned); left > 0 {
+	if left := returnTime - r.timers.Now().Sub(r.returned); left > 0 && !withdrawn {
 		r.lapsed[id] = r.timers.Now().Add(left)
 		return left
 	}
 	delete(r.servers, id)
+	delete(r.lapsed, id)
 	return 0
 }
 
@@ -97,15 +133,15 @@
 	r.returned = r.timers.Now()
 }
 
-// IDs returns the IDs of all servers that are known, leaving ones too.
-func (r *Registry) IDs() map[string]bool {
+// Starts returns those of all servers that are known, leaving ones too.
+func (r *Registry) Starts() map[Start]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ids := make(map[string]bool, len(r.servers))
-	for id := range r.servers {
-		ids[id] = true
+	starts := make(map[Start]bool, len(r.servers))
+	for _, s := range r.servers {
+		starts[s.Start()] = true
 	}
-	return ids
+	return starts
 }
 
 // Servers returns the servers of a service that may get new work, by ID. The
@@ -136,7 +172,7 @@
 func (r *Registry) index() {
 	r.byService = make(map[string][]Server)
 	for _, s := range slices.SortedFunc(maps.Values(r.servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) }) {
-		if !s.Leaving {
+		if _, withdrawn := r.withdrawn[s.ID]; !withdrawn && !s.Leaving {
 			r.byService[s.Service] = append(r.byService[s.Service], s)
 		}
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/route"
 )
 
@@ -30,7 +31,7 @@
 	step int
 	// tried are the servers that got the request, sends how often it was
 	// offered, runs how many servers may have run it.
-	tried map[string]bool
+	tried map[registry.Start]bool
 	sends int
 	runs  int
 	// known is how many servers the service had when the last one was chosen,
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -9,6 +9,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
 )
@@ -127,7 +128,7 @@
 	}
 	// The server that answered may hold the other model as well.
 	tried := x.tried
-	x.tried = make(map[string]bool)
+	x.tried = make(map[registry.Start]bool)
 	defer func() {
 		if !ok {
 			x.tried = tried
--- a/share/share.go
+++ b/share/share.go
@@ -19,7 +19,7 @@
 //
 //	board := share.NewBoard(self, nodes, client, timers, balancer.Heard)
 //	go board.Run(ctx)
-//	board.Tell(share.Send{Server: share.ServerHash(id), Prompt: shared, Work: 130}, 105)
+//	board.Tell(share.Send{Server: server.Start().Hash(), Prompt: shared, Work: 130}, 105)
 //
 //	reply := board.Answer(message) // where a peer calls
 package share
@@ -47,7 +47,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Number counts the sends of one node.
 	Number uint64
-	// Server is the hash of the server's ID.
+	// Server is the hash of the server's start (registry.Start): what is sent to one
+	// start says nothing of the next.
 	Server uint64
 	// Prompt is the part of the prompt that other requests share.
 	Prompt prefix.Chain
@@ -60,9 +61,6 @@
 // Age is how long ago it was sent.
 func (s Send) Age() time.Duration { return time.Duration(s.AgeMillis) * time.Millisecond }
 
-// ServerHash is how sends name a backend server.
-func ServerHash(id string) uint64 { return rendezvous.Hash(id) }
-
 // Group is what one node has sent.
 type Group struct {
 	_ struct{} `cbor:",toarray"`
