--- a/rollout/service.go
+++ b/rollout/service.go
@@ -48,7 +48,7 @@
 	// overLoad is how many times its later part each server of a stage carries.
 	// Load comes in waves: on a calm day a version that fails under load alone
 	// failed none of 320 answers at the load of a trough, and one in twenty at
-	// that of a crest (platform/days/bad-under-load.toml).
+	// that of a crest (deploy/days/bad-under-load.toml).
 	overLoad = 1.6
 	// mostLoad is how many times its later part each server carries at most. One
 	// of nine servers carried 2.7 times its part, and good versions were stopped
@@ -65,7 +65,7 @@
 // seen soon, or one in two hundred more, seen over many answers, or if three in
 // ten more are slow than an eighth. One good version in a hundred may be
 // stopped by each mistake. A version that failed only under load did so in 23
-// of 1,860 answers (platform/days/bad-under-load.toml). Up to 15 in 100 answers
+// of 1,860 answers (deploy/days/bad-under-load.toml). Up to 15 in 100 answers
 // of good versions were slow, since their servers had read no prompts; of a
 // slow version half were.
 var serviceGuards = config.Guards{
