--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -19,7 +19,6 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"net"
 	"os"
 	"sync"
@@ -208,7 +207,7 @@
 func (c conn) Invoke(ctx context.Context, call string, encoding drpc.Encoding, in, out drpc.Message) error {
 	c.metered.call.Store(&ctx)
 	err := c.Conn.Invoke(ctx, call, encoding, in, out)
-	if err != nil && ranOut(ctx) {
+	if err != nil && progress.RanOut(ctx) {
 		_ = c.Close()
 	}
 	return err
@@ -229,11 +228,6 @@
 	return n, err
 }
 
-// ranOut reports whether a call got no answer in time.
-func ranOut(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
-}
-
 func (c *Client) dial(ctx context.Context, p place) (drpcpool.Conn, error) {
 	raw, err := c.open(ctx, p.address)
 	if err != nil {
@@ -273,7 +267,7 @@
 	err := c.pool.Get(ctx, p, c.dial).Invoke(ctx, call, encoding, &in, &out)
 	c.calls(call, encoding.sent)
 	if err != nil {
-		if ranOut(ctx) {
+		if progress.RanOut(ctx) {
 			c.leave(p)
 		}
 		return out, errs.Wrap(Unreachable, call, err, "peer %s", address)
--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -13,11 +13,12 @@
 //	…
 //	progress.Made(ctx) // with each piece of the answer; see also Reader
 //	…
-//	errors.Is(context.Cause(ctx), context.DeadlineExceeded) // it took too long
+//	if err != nil && progress.RanOut(ctx) { … } // it took too long
 package progress
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -73,6 +74,12 @@
 	}
 }
 
+// RanOut reports whether a context has ended because its call took too long, in all
+// or in silence.
+func RanOut(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 // Begun reports whether some of the answer has come.
 func Begun(ctx context.Context) bool {
 	c, _ := ctx.Value(clockKey{}).(*clock)
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -115,12 +115,19 @@
 	return false
 }
 
-// callPeer asks a peer that may wait that long. An error of a call that ran out
-// of time is a context's.
+// callPeer asks a peer that may wait that long.
 func (m *Mirror) callPeer(ctx context.Context, address string, wait time.Duration) (Batch, error) {
-	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: wait + peerTimeout, Silence: peerTimeout, Whole: wait + fetchTime})
+	return bounded(ctx, wait, peerTimeout, func(ctx context.Context) (Batch, error) {
+		return m.peers.Follow(ctx, address, m.Revision(), wait)
+	})
+}
+
+// bounded makes a call that may wait that long, and may be silent for the slack
+// beside it. An error of a call that ran out of time is a context's.
+func bounded(ctx context.Context, wait, slack time.Duration, call func(context.Context) (Batch, error)) (Batch, error) {
+	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: wait + slack, Silence: slack, Whole: wait + fetchTime})
 	defer cancel()
-	batch, err := m.peers.Follow(ctx, address, m.Revision(), wait)
+	batch, err := call(ctx)
 	if err != nil && ctx.Err() != nil {
 		return batch, context.Cause(ctx)
 	}
@@ -149,16 +156,11 @@
 	return nil
 }
 
-// watch asks the store for changes, which may wait that long. An error of a call
-// that ran out of time is a context's.
+// watch asks the store for changes, which may wait that long.
 func (m *Mirror) watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
-	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: wait + followSlack, Silence: followSlack, Whole: wait + fetchTime})
-	defer cancel()
-	batch, err := m.store.Follow(ctx, after, wait)
-	if err != nil && ctx.Err() != nil {
-		return batch, context.Cause(ctx)
-	}
-	return batch, err
+	return bounded(ctx, wait, followSlack, func(ctx context.Context) (Batch, error) {
+		return m.store.Follow(ctx, after, wait)
+	})
 }
 
 // readAll reads the whole, which also tells what was removed meanwhile.
