mirror: only the value right before a large one is kept for differences

A key whose large value had given way to a small one kept the large one as the base of differences; no node holds that value any more, so each asked twice. Found on reading; packages mirror and adapter/peer pass.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -299,6 +299,8 @@
 		}
 		if len(known.Value) >= LargeValue {
 			m.before[item.Key] = known
+		} else {
+			delete(m.before, item.Key)
 		}
 		if item.Deleted {
 			delete(m.items, item.Key)
