registry: an incarnation of a server, in the word that the project has

Start was a second word for what the glossary calls an incarnation. Type, accessors, news and tests are renamed, behaviour is unchanged; packages registry, route, relay, share, gateway, platform and its e2e pass.

--- a/gateway/subscribe.go
+++ b/gateway/subscribe.go
@@ -48,7 +48,7 @@
 	id := strings.TrimPrefix(c.Key, platform.ServerPrefix)
 	if c.Deleted {
 		kept := g.registry.Drop(id)
-		g.balancer.Keep(g.registry.Starts())
+		g.balancer.Keep(g.registry.Incarnations())
 		slog.Info("server is gone", "server", id, "revision", c.Revision, "kept_ms", kept.Milliseconds())
 		return
 	}
@@ -58,8 +58,8 @@
 		return
 	}
 	news := g.registry.Put(server)
-	if news == registry.NewsStart {
-		g.startedAgain(server)
+	if news == registry.NewsRestart {
+		g.restarted(server)
 	}
 	slog.Info("server", "server", id, "born", server.Born, "news", news.String(), "service", server.Service, "address", server.Address,
 		"version", server.Version, "leaving", server.Leaving, "revision", c.Revision)
@@ -75,12 +75,12 @@
 	}
 }
 
-// startedAgain forgets what was known of a server's earlier start: whatever is
-// believed of a server (its caches, what waits there, its health) belongs to one
-// start of it, and connections that are kept to the earlier one are dead. Requests
-// under way there are left to their connections, which tell better than the entry
-// whether their answers still come.
-func (g *Gateway) startedAgain(server registry.Server) {
-	g.balancer.Keep(g.registry.Starts())
+// restarted forgets what was known of a server's earlier incarnation: whatever is
+// believed of a server (its caches, what waits there, its health) belongs to one of
+// them, and connections that are kept to the earlier one are dead. Requests under way
+// there are left to their connections, which tell better than the entry whether their
+// answers still come.
+func (g *Gateway) restarted(server registry.Server) {
+	g.balancer.Keep(g.registry.Incarnations())
 	g.runners.CloseKept(server.Address)
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -34,7 +34,7 @@
 // the adapters.
 type Server struct {
 	ID string
-	// Born tells this start of the server from others (see [Start]).
+	// Born tells this incarnation of the server from others (see [Incarnation]).
 	Born     int64
 	Service  string
 	Address  string
@@ -74,20 +74,20 @@
 	}
 }
 
-// Put takes a server's entry, unless it is of an earlier start than the one known.
+// Put takes a server's entry, unless it is of an earlier incarnation than the known one.
 func (r *Registry) Put(s Server) News {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, ok := r.servers[s.ID]
-	if ok && s.Start().before(known.Start()) {
+	if ok && s.Incarnation().before(known.Incarnation()) {
 		return NewsOld
 	}
 	r.servers[s.ID] = s
 	delete(r.lapsed, s.ID)
 	delete(r.withdrawn, s.ID)
 	r.byService = nil
-	if ok && s.Start() != known.Start() {
-		return NewsStart
+	if ok && s.Incarnation() != known.Incarnation() {
+		return NewsRestart
 	}
 	return NewsUpdate
 }
@@ -133,15 +133,15 @@
 	r.returned = r.timers.Now()
 }
 
-// Starts returns those of all servers that are known, leaving ones too.
-func (r *Registry) Starts() map[Start]bool {
+// Incarnations returns those of all servers that are known, leaving ones too.
+func (r *Registry) Incarnations() map[Incarnation]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	starts := make(map[Start]bool, len(r.servers))
+	incarnations := make(map[Incarnation]bool, len(r.servers))
 	for _, s := range r.servers {
-		starts[s.Start()] = true
+		incarnations[s.Incarnation()] = true
 	}
-	return starts
+	return incarnations
 }
 
 // Servers returns the servers of a service that may get new work, by ID. The
--- a/registry/registry_enumer.go
+++ b/registry/registry_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NewsName = "updatestartold"
+const _NewsName = "updaterestartold"
 
-var _NewsIndex = [...]uint8{0, 6, 11, 14}
+var _NewsIndex = [...]uint8{0, 6, 13, 16}
 
-const _NewsLowerName = "updatestartold"
+const _NewsLowerName = "updaterestartold"
 
 func (i News) String() string {
 	if i < 0 || i >= News(len(_NewsIndex)-1) {
@@ -25,28 +25,28 @@
 func _NewsNoOp() {
 	var x [1]struct{}
 	_ = x[NewsUpdate-(0)]
-	_ = x[NewsStart-(1)]
+	_ = x[NewsRestart-(1)]
 	_ = x[NewsOld-(2)]
 }
 
-var _NewsValues = []News{NewsUpdate, NewsStart, NewsOld}
+var _NewsValues = []News{NewsUpdate, NewsRestart, NewsOld}
 
 var _NewsNameToValueMap = map[string]News{
 	_NewsName[0:6]:   NewsUpdate,
-	_NewsName[6:11]:  NewsStart,
-	_NewsName[11:14]: NewsOld,
+	_NewsName[6:13]:  NewsRestart,
+	_NewsName[13:16]: NewsOld,
 }
 
 var _NewsLowerNameToValueMap = map[string]News{
 	_NewsLowerName[0:6]:   NewsUpdate,
-	_NewsLowerName[6:11]:  NewsStart,
-	_NewsLowerName[11:14]: NewsOld,
+	_NewsLowerName[6:13]:  NewsRestart,
+	_NewsLowerName[13:16]: NewsOld,
 }
 
 var _NewsNames = []string{
 	_NewsName[0:6],
-	_NewsName[6:11],
-	_NewsName[11:14],
+	_NewsName[6:13],
+	_NewsName[13:16],
 }
 
 // NewsString retrieves an enum value from the enum constants string name.
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -31,7 +31,7 @@
 	must.Eq(t, 0, r.Drop("b"))
 	must.SliceEmpty(t, ids(r))
 	must.Eq(t, 0, r.Drop("unknown"))
-	must.Eq(t, map[registry.Start]bool{{ID: "a"}: true, {ID: "c"}: true}, r.Starts())
+	must.Eq(t, map[registry.Incarnation]bool{{ID: "a"}: true, {ID: "c"}: true}, r.Incarnations())
 }
 
 // TestLapsedEntries: what is dropped just after the store has come back is
@@ -66,8 +66,8 @@
 	must.SliceEmpty(t, ids(r))
 }
 
-// TestStarts lists entries under one ID, and what each brings.
-func TestStarts(t *testing.T) {
+// TestIncarnations lists entries under one ID, and what each brings.
+func TestIncarnations(t *testing.T) {
 	r := registry.New(timer.New())
 	for _, tt := range []struct {
 		name    string
@@ -79,15 +79,15 @@
 		{"new", 1000, false, registry.NewsUpdate, true},
 		{"as it was", 1000, false, registry.NewsUpdate, true},
 		{"leaves", 1000, true, registry.NewsUpdate, false},
-		{"starts again, and does not leave", 2000, false, registry.NewsStart, true},
+		{"starts again, and does not leave", 2000, false, registry.NewsRestart, true},
 		{"late write of the first start", 1000, true, registry.NewsOld, true},
-		{"by a writer that tells no start", 0, false, registry.NewsStart, true},
-		{"by one that does", 1500, false, registry.NewsStart, true},
+		{"by a writer that tells no start", 0, false, registry.NewsRestart, true},
+		{"by one that does", 1500, false, registry.NewsRestart, true},
 	} {
 		must.Eq(t, tt.news, r.Put(registry.Server{ID: "a", Service: "s", Born: tt.born, Leaving: tt.leaving}), must.Sprint(tt.name))
 		must.Eq(t, tt.used, len(ids(r)) == 1, must.Sprint(tt.name))
 	}
-	must.Eq(t, map[registry.Start]bool{{ID: "a", Born: 1500}: true}, r.Starts())
+	must.Eq(t, map[registry.Incarnation]bool{{ID: "a", Born: 1500}: true}, r.Incarnations())
 	r.Drop("a")
 	must.Eq(t, registry.NewsUpdate, r.Put(registry.Server{ID: "a", Service: "s", Born: 1000}))
 }
@@ -102,7 +102,7 @@
 		must.False(t, r.Withdraw("a", "type"))
 		must.True(t, r.Withdraw("a", "state"))
 		must.SliceEmpty(t, ids(r))
-		must.Eq(t, map[registry.Start]bool{{ID: "a", Born: 1}: true}, r.Starts())
+		must.Eq(t, map[registry.Incarnation]bool{{ID: "a", Born: 1}: true}, r.Incarnations())
 		must.Eq(t, registry.NewsUpdate, r.Put(registry.Server{ID: "a", Service: "s", Born: 1}))
 		must.Eq(t, []string{"a"}, ids(r))
 		must.True(t, r.Withdraw("a", "state"))
@@ -110,20 +110,20 @@
 		r.StoreReturned()
 		must.Eq(t, 0, r.Drop("a"))
 		must.SliceEmpty(t, ids(r))
-		must.MapEmpty(t, r.Starts())
+		must.MapEmpty(t, r.Incarnations())
 		must.True(t, r.Withdraw("unknown", "type"))
 		must.Eq(t, 0, r.Drop("unknown"))
 		must.True(t, r.Withdraw("unknown", "type"))
 	})
 }
 
-// TestStartHash: starts under one ID are told apart, and one that is not told is
+// TestIncarnationHash: those under one ID are told apart, and one that is not told is
 // named as by those who know of none.
-func TestStartHash(t *testing.T) {
+func TestIncarnationHash(t *testing.T) {
 	hashes := make(map[uint64]bool)
-	for _, s := range []registry.Start{{ID: "a"}, {ID: "a", Born: 1}, {ID: "a", Born: 2}, {ID: "b", Born: 1}} {
+	for _, s := range []registry.Incarnation{{ID: "a"}, {ID: "a", Born: 1}, {ID: "a", Born: 2}, {ID: "b", Born: 1}} {
 		hashes[s.Hash()] = true
 	}
 	must.MapLen(t, 4, hashes)
-	must.Eq(t, rendezvous.Hash("a"), registry.Start{ID: "a"}.Hash())
+	must.Eq(t, rendezvous.Hash("a"), registry.Incarnation{ID: "a"}.Hash())
 }
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, "", refuse(ReasonNoServer, comeBackSoon, "service %s, %d known, %d tried: %v", x.service, x.known, len(x.tried), err)
 	}
-	x.tried[use.Server().Start()] = true
+	x.tried[use.Server().Incarnation()] = true
 	x.record.Choose(x.model(), version, use.Server().ID)
 	return use, version, nil
 }
@@ -115,5 +115,5 @@
 	if len(x.tried) == 0 {
 		return servers
 	}
-	return slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool { return x.tried[s.Start()] })
+	return slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool { return x.tried[s.Incarnation()] })
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -31,7 +31,7 @@
 	step int
 	// tried are the servers that got the request, sends how often it was
 	// offered, runs how many servers may have run it.
-	tried map[registry.Start]bool
+	tried map[registry.Incarnation]bool
 	sends int
 	runs  int
 	// known is how many servers the service had when the last one was chosen,
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -128,7 +128,7 @@
 	}
 	// The server that answered may hold the other model as well.
 	tried := x.tried
-	x.tried = make(map[registry.Start]bool)
+	x.tried = make(map[registry.Incarnation]bool)
 	defer func() {
 		if !ok {
 			x.tried = tried
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -283,7 +283,7 @@
 		account:  account,
 		service:  pickService(target, q),
 		deadline: q.Arrived.Add(held),
-		tried:    make(map[registry.Start]bool),
+		tried:    make(map[registry.Incarnation]bool),
 		after:    q.After,
 	}, nil
 }
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -51,7 +51,7 @@
 	// Capacity is what a server's cache holds, in tokens; zero if not known.
 	Capacity int
 	// Exclude lists the servers that have been tried.
-	Exclude map[registry.Start]bool
+	Exclude map[registry.Incarnation]bool
 }
 
 // hallPenalty is the wait in milliseconds that passing the task to another data
@@ -73,7 +73,7 @@
 	announce func(s share.Send, news float64)
 
 	mu sync.Mutex
-	// servers are by the hash of their start, lines and waits by kind of request.
+	// servers are by the hash of their incarnation, lines and waits by kind of request.
 	servers map[uint64]*known
 	lines   map[string]*estimate.Line
 	waits   waits
@@ -177,10 +177,10 @@
 func (b *Balancer) shortlist(t Task, home string, now time.Time) []candidate {
 	var l shortlist
 	for i, s := range t.Servers {
-		start := s.Start()
-		state := b.state(start.Hash())
+		incarnation := s.Incarnation()
+		state := b.state(incarnation.Hash())
 		state.cache.SetCapacity(t.Capacity)
-		if t.Exclude[start] || !state.breaker.allows(now) {
+		if t.Exclude[incarnation] || !state.breaker.allows(now) {
 			continue
 		}
 		c := candidate{at: i, state: state, held: min(state.cache.Held(t.Prompt), t.Tokens)}
@@ -234,7 +234,7 @@
 	if u.serial() {
 		shared := t.Prompt.Shared()
 		news := b.line(t).Rate() * float64(max(0, shared.Tokens()-u.held))
-		b.announce(share.Send{Server: p.server.Start().Hash(), Prompt: shared, Work: float32(u.occupies)}, news)
+		b.announce(share.Send{Server: p.server.Incarnation().Hash(), Prompt: shared, Work: float32(u.occupies)}, news)
 	}
 	return u
 }
@@ -296,12 +296,12 @@
 }
 
 // Keep forgets all servers but those listed and those in use.
-func (b *Balancer) Keep(starts map[registry.Start]bool) {
+func (b *Balancer) Keep(incarnations map[registry.Incarnation]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	kept := make(map[uint64]bool, len(starts))
-	for start := range starts {
-		kept[start.Hash()] = true
+	kept := make(map[uint64]bool, len(incarnations))
+	for i := range incarnations {
+		kept[i.Hash()] = true
 	}
 	for server, s := range b.servers {
 		if !kept[server] && s.inflight == 0 {
--- a/route/balancer_test.go
+++ b/route/balancer_test.go
@@ -110,7 +110,7 @@
 	must.True(t, errorx.IsOfType(err, route.NoServer))
 	must.Eq(t, []string{"near-1"}, opened)
 	must.Eq(t, "near-2", choose(t, b, route.Task{Servers: halls[:2]}).Server().ID)
-	_, err = b.Choose(route.Task{Servers: halls[1:2], Exclude: map[registry.Start]bool{{ID: "near-2"}: true}})
+	_, err = b.Choose(route.Task{Servers: halls[1:2], Exclude: map[registry.Incarnation]bool{{ID: "near-2"}: true}})
 	must.True(t, errorx.IsOfType(err, route.NoServer))
 }
 
@@ -118,7 +118,7 @@
 func TestBalancerKeep(t *testing.T) {
 	b := balancer()
 	use := choose(t, b, taking(halls[:1], 100))
-	b.Keep(map[registry.Start]bool{})
+	b.Keep(map[registry.Incarnation]bool{})
 	must.Eq(t, "near-2", choose(t, b, taking(halls[:2], 1)).Server().ID)
 	use.End(route.OutcomeOK)
 }
@@ -134,9 +134,9 @@
 			return route.Task{Servers: halls[:2], Tokens: 6500, Prompt: prefix.NewChain("m", parts), Assumed: route.Assumption{Rate: 0.02}}
 		}
 		for _, far := range []string{"near-1", "near-2"} {
-			b.Heard(share.Send{Server: registry.Start{ID: far}.Hash(), Work: 1000})
+			b.Heard(share.Send{Server: registry.Incarnation{ID: far}.Hash(), Work: 1000})
 		}
-		b.Heard(share.Send{Server: registry.Start{ID: "near-2"}.Hash(), Work: 1000, Prompt: task("x").Prompt.Shared()})
+		b.Heard(share.Send{Server: registry.Incarnation{ID: "near-2"}.Hash(), Work: 1000, Prompt: task("x").Prompt.Shared()})
 		first := choose(t, b, task("a"))
 		must.Eq(t, "near-1", first.Server().ID)
 		must.Between(t, time.Second, first.Waits(), 1100*time.Millisecond)
@@ -159,7 +159,7 @@
 	choose(t, b, route.Task{Servers: halls[:1], Tokens: 600, Prompt: prompt, Assumed: route.Assumption{Rate: 0.1}})
 	choose(t, b, route.Task{Servers: halls[:1]})
 	must.Len(t, 1, told)
-	must.Eq(t, registry.Start{ID: "near-1"}.Hash(), told[0].Server)
+	must.Eq(t, registry.Incarnation{ID: "near-1"}.Hash(), told[0].Server)
 	must.Eq(t, prompt.Shared(), told[0].Prompt)
 	must.Eq(t, 60, told[0].Work)
 }
--- a/route/restart_test.go
+++ b/route/restart_test.go
@@ -11,9 +11,9 @@
 	"github.com/violettally/violettally/share"
 )
 
-// TestStartForgets lists what is known of a server's earlier start. To the one after
+// TestRestartForgets lists what is known of a server's earlier incarnation. To the one after
 // it, none of that says anything, nor does what nodes tell that have not heard of it.
-func TestStartForgets(t *testing.T) {
+func TestRestartForgets(t *testing.T) {
 	first := registry.Server{ID: "s", DataHall: "near", Born: 1000, Slots: 8}
 	second := first
 	second.Born = 2000
@@ -45,7 +45,7 @@
 			use.End(route.OutcomeNeutral)
 		},
 		"what another node has sent": func(_ *testing.T, b *route.Balancer) {
-			b.Heard(share.Send{Server: first.Start().Hash(), Work: 5000, Prompt: task(first).Prompt.Shared()})
+			b.Heard(share.Send{Server: first.Incarnation().Hash(), Work: 5000, Prompt: task(first).Prompt.Shared()})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -53,7 +53,7 @@
 			before(t, b)
 			// What a kind of request takes is learned of all servers, and stays.
 			takes := b.Forecast(task(second)).Takes
-			b.Keep(map[registry.Start]bool{second.Start(): true})
+			b.Keep(map[registry.Incarnation]bool{second.Incarnation(): true})
 			use := choose(t, b, task(second))
 			must.Eq(t, 0, use.Held())
 			must.Eq(t, 0, use.Waits())
@@ -62,9 +62,9 @@
 	}
 }
 
-// TestTriedStart: what has been sent to one start of a server may be sent to the next.
-func TestTriedStart(t *testing.T) {
+// TestTriedIncarnation: what has been sent to one incarnation may be sent to the next.
+func TestTriedIncarnation(t *testing.T) {
 	servers := []registry.Server{{ID: "s", Born: 2000}}
-	tried := map[registry.Start]bool{{ID: "s", Born: 1000}: true}
+	tried := map[registry.Incarnation]bool{{ID: "s", Born: 1000}: true}
 	choose(t, balancer(), route.Task{Servers: servers, Exclude: tried})
 }
--- a/share/share.go
+++ b/share/share.go
@@ -19,7 +19,7 @@
 //
 //	board := share.NewBoard(self, nodes, client, timers, balancer.Heard)
 //	go board.Run(ctx)
-//	board.Tell(share.Send{Server: server.Start().Hash(), Prompt: shared, Work: 130}, 105)
+//	board.Tell(share.Send{Server: server.Incarnation().Hash(), Prompt: shared, Work: 130}, 105)
 //
 //	reply := board.Answer(message) // where a peer calls
 package share
@@ -47,8 +47,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Number counts the sends of one node.
 	Number uint64
-	// Server is the hash of the server's start (registry.Start): what is sent to one
-	// start says nothing of the next.
+	// Server is the hash of the server's incarnation: what is sent to one says nothing
+	// of the next.
 	Server uint64
 	// Prompt is the part of the prompt that other requests share.
 	Prompt prefix.Chain
