e2e: a failed test prints what is needed to find a missing bill

The logs that it printed ended 5 s before the journals were closed and began 0.3 s before that (4 kB each, 30 of some 246 decisions), so the request could not be found. Now 400 kB each. Not run to a failure again.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -162,8 +162,10 @@
 	}
 }
 
-// maxLog is how much of a process's log a failed test prints.
-const maxLog = 4000
+// maxLog is how much of a process's log a failed test prints, in bytes: some 20 s of
+// requests. A bill that is missing shows at the end of a run, and its request may be
+// any of those before; with the last 4 kB its line was gone.
+const maxLog = 400_000
 
 func (p *process) printLog() {
 	data, _ := os.ReadFile(p.log)
