relay, metrics, gateway: a decision names the news it went by, and a gateway tells when it did not run

No line told how old the news was by which a server was chosen, so a server that got a request after it had left could not be told from a choice that arrived late. Each "send" step now names the store's revision and the age of the news; a histogram has the ages at use. Stalls are logged by gateways as by nodes (package internal/stall).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/stall"
 	"github.com/violettally/violettally/lease"
 	"github.com/violettally/violettally/metrics"
 	"github.com/violettally/violettally/mirror"
@@ -172,6 +173,7 @@
 		Started:  g.mirror.Told(),
 		Catalog:  g.Catalog,
 		Servers:  g.registry,
+		News:     g.mirror,
 		Versions: g.services,
 		Balancer: g.balancer,
 		Ladder:   cascade.NewLadder(),
@@ -209,7 +211,7 @@
 	for _, d := range doors {
 		go func() { failed <- d.serve(work, d.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.nodes.run, g.board.Run, g.driver.Run, g.reviewSuspects} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.nodes.run, g.board.Run, g.driver.Run, g.reviewSuspects, g.watchStalls} {
 		go run(work)
 	}
 	// The lease is given up at the signal and not at the end, so that another
@@ -228,6 +230,9 @@
 	}
 }
 
+// watchStalls logs when this process did not run.
+func (g *Gateway) watchStalls(ctx context.Context) { stall.Watch(ctx, g.timers) }
+
 // ready reports whether this gateway takes requests: a declaration is in force,
 // and so is all else that the store held when this gateway first read it. The
 // parts are told of one key after the other, so a declaration may be in force
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -38,6 +38,7 @@
 	answers    metric.Int64Counter
 	firstToken metric.Float64Histogram
 	total      metric.Float64Histogram
+	newsAge    metric.Float64Histogram
 	billed     metric.Int64Counter
 	billedCost metric.Int64Counter
 	votes      metric.Int64Counter
@@ -57,6 +58,10 @@
 // 66 ms and 1 s, lie between bounds close to them.
 var latencyBounds = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.066, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60}
 
+// ageBounds are those of the ages of news in seconds; deployments agree on bounds of
+// 2 to 4 s.
+var ageBounds = []float64{0.1, 0.25, 0.5, 0.75, 1, 1.25, 1.5, 2, 3, 4, 6, 10}
+
 // New returns instruments that all stand at zero.
 func New() (*Metrics, error) {
 	registry := prometheus.NewRegistry()
@@ -111,6 +116,12 @@
 	m.total, err = m.meter.Float64Histogram("violettally_answer_seconds",
 		metric.WithDescription("Time to the whole answer, from the choice of the model on."),
 		metric.WithExplicitBucketBoundaries(latencyBounds...))
+	if err != nil {
+		return err
+	}
+	m.newsAge, err = m.meter.Float64Histogram("violettally_news_age_seconds",
+		metric.WithDescription("Age of the news of the platform's store by which a request was sent to a server."),
+		metric.WithExplicitBucketBoundaries(ageBounds...))
 	return err
 }
 
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -29,6 +30,10 @@
 // Resumed counts a stream that goes on at another server.
 func (r Relay) Resumed() { add(r.m.resumes, 1) }
 
+// Sent counts a request that goes to a server, with the age of the news of the
+// platform's store by which the server was chosen.
+func (r Relay) Sent(age time.Duration) { r.m.newsAge.Record(context.Background(), age.Seconds()) }
+
 // Answered counts an answer and its times. The times are not told apart by
 // status, which would multiply the histograms.
 func (r Relay) Answered(route string, status int, first, total time.Duration) {
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/violettally/violettally/dispatch"
 	"github.com/violettally/violettally/document"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/stall"
 	"github.com/violettally/violettally/lease"
 	"github.com/violettally/violettally/ledger"
 	"github.com/violettally/violettally/limit"
@@ -368,7 +369,8 @@
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
 		n.vms.Run, n.spreader.Run, n.prober.Run, n.keeper.Run, n.replica.Run, n.journal.Run, n.closer.Run, n.bills.Run,
-		n.answers.Run, n.limiter.Run, n.leases.Run, n.driver.Run, n.loads.Run, n.backends.Run, n.adoptOrphans, n.watchStalls,
+		n.answers.Run, n.limiter.Run, n.leases.Run, n.driver.Run, n.loads.Run, n.backends.Run, n.adoptOrphans,
+		func(ctx context.Context) { stall.Watch(ctx, n.timers) },
 	} {
 		parts.Go(func() { run(ctx) })
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -95,8 +95,11 @@
 	defer x.relay.Versions.End(x.service, version, x.request.key())
 	x.sends++
 	x.whole = x.after == ""
-	x.record.Note("send", "to %s in %s, model %s, %d of %d tokens held, after event %q, %d ms left",
-		server.ID, server.DataHall, x.model(), use.Held(), x.request.Prompt.Tokens, x.after, time.Until(x.deadline).Milliseconds())
+	age := x.relay.News.Age()
+	x.relay.Counters.Sent(age)
+	x.record.Note("send", "to %s in %s, model %s, %d of %d tokens held, after event %q, %d ms left, by revision %d, %d ms old",
+		server.ID, server.DataHall, x.model(), use.Held(), x.request.Prompt.Tokens, x.after, time.Until(x.deadline).Milliseconds(),
+		x.relay.News.Revision(), age.Milliseconds())
 	sent := time.Now()
 	watch := x.watch(use, cancel)
 	defer watch.stop()
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -57,6 +57,7 @@
 	parts.Servers = cmp.Or[relay.Servers](parts.Servers, threeServers{})
 	parts.Budgets = cmp.Or[relay.Budgets](parts.Budgets, noBound{})
 	parts.Moves = cmp.Or[relay.Budgets](parts.Moves, noBound{})
+	parts.News = cmp.Or[relay.News](parts.News, noNews{})
 	parts.Suspects = cmp.Or[relay.Suspects](parts.Suspects, noSuspects{})
 	parts.Versions = cmp.Or[relay.Versions](parts.Versions, noRollout{})
 	parts.Counters = noCounters{}
@@ -82,6 +83,12 @@
 func (noSuspects) Answered(uint64)        {}
 func (noSuspects) Runs(uint64, time.Time) {}
 
+// noNews is of a process that knows all there is.
+type noNews struct{}
+
+func (noNews) Revision() int64    { return 1 }
+func (noNews) Age() time.Duration { return 0 }
+
 // threeServers are all there are.
 type threeServers struct{}
 
@@ -117,6 +124,7 @@
 func (noCounters) Retried(relay.Reason)                               {}
 func (noCounters) Escalated(string)                                   {}
 func (noCounters) Resumed()                                           {}
+func (noCounters) Sent(time.Duration)                                 {}
 func (noCounters) Answered(string, int, time.Duration, time.Duration) {}
 
 // given is a server's answer.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -145,6 +145,14 @@
 	Servers(service string) []registry.Server
 }
 
+// News tells how far this process knows what the platform holds, which servers are
+// chosen by.
+type News interface {
+	Revision() int64
+	// Age is how long ago that was confirmed.
+	Age() time.Duration
+}
+
 // Versions narrows servers down by the roll-outs under way, and takes the
 // evidence on versions.
 type Versions interface {
@@ -188,6 +196,9 @@
 	Retried(reason Reason)
 	Escalated(model string)
 	Resumed()
+	// Sent counts a request that goes to a server, with the age of the news by
+	// which that was chosen.
+	Sent(age time.Duration)
 	Answered(route string, status int, first, total time.Duration)
 }
 
@@ -210,6 +221,7 @@
 	// Catalog returns the declaration in force.
 	Catalog  func() *catalog.Catalog
 	Servers  Servers
+	News     News
 	Versions Versions
 	Balancer *route.Balancer
 	Ladder   Ladder
