--- /dev/null
+++ b/mirror/hall_test.go
@@ -0,0 +1,203 @@
+package mirror_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/timer"
+)
+
+// learnTime is when a node must know at the latest what the store has taken: the
+// shortest bound that deployments agree on.
+const learnTime = 2 * time.Second
+
+// TestUpstreamsGone: the nodes that a data hall follows lose power one and all, and
+// the others, which reach the store the whole time, must know in time what it takes
+// in that moment. They learned it after 2.6 s: upstreams were asked one after the
+// other, 1.7 s in all ("upstream did not answer", three times), the store after that
+// in one round of four, and news of an age of 1.3 s was good enough to wait for more.
+func TestUpstreamsGone(t *testing.T) {
+	for after := time.Duration(0); after < time.Second; after += 100 * time.Millisecond {
+		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHall(t, 12)
+				settle(5*time.Second + after)
+				h.silence(0, 1, 2)
+				h.store.put("b", false)
+				settle(learnTime)
+				must.SliceEmpty(t, h.without("b", 3))
+			})
+		})
+	}
+}
+
+// TestLostUpstreamIsNoOutage: a node whose upstreams are gone takes news from the
+// store, which has been well all the time. It took its own silence for an outage of
+// the store, in which entries lapse that their servers can't renew, and kept servers
+// that were really gone for 2 s more ("server is gone … kept_ms 1999").
+func TestLostUpstreamIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHall(t, 12)
+		settle(5 * time.Second)
+		h.silence(0, 1, 2)
+		settle(20 * time.Second)
+		must.Eq(t, 0, h.outages(3))
+	})
+}
+
+// hall is the nodes of one data hall before one store.
+type hall struct {
+	store  *fakeStore
+	timers *timer.Service
+	nodes  []*mirror.Mirror
+
+	mu sync.Mutex
+	// silent are the nodes that answer nobody, cut those that do not reach the
+	// store; gone are the nodes whose entries have lapsed.
+	silent, cut, gone map[int]bool
+	// regained counts by node how often it took the store for back.
+	regained map[int]int
+}
+
+// newHall returns a hall whose nodes run until the test ends.
+func newHall(t *testing.T, size int) *hall {
+	ctx, timers := run(t)
+	h := &hall{store: newStore(), timers: timers, silent: make(map[int]bool), cut: make(map[int]bool), gone: make(map[int]bool), regained: make(map[int]int)}
+	h.store.put("a", false)
+	for i := range size {
+		m := mirror.New(hallStore{h, i}, hallPeers{h, i}, timers)
+		m.OnRegained(func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.regained[i]++
+		})
+		h.nodes = append(h.nodes, m)
+	}
+	for _, m := range h.nodes {
+		go m.Run(ctx)
+	}
+	return h
+}
+
+// silence lets nodes lose power.
+func (h *hall) silence(nodes ...int) { h.set(h.silent, true, nodes...) }
+
+func (h *hall) set(state map[int]bool, value bool, nodes ...int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, i := range nodes {
+		state[i] = value
+	}
+}
+
+func (h *hall) is(state map[int]bool, i int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return state[i]
+}
+
+// without returns the nodes from one on that do not know a key.
+func (h *hall) without(key string, from int) []int {
+	var without []int
+	for i, m := range h.nodes[from:] {
+		if _, ok := m.Get(key); !ok {
+			without = append(without, from+i)
+		}
+	}
+	return without
+}
+
+// outages is how often nodes from one on took the store for back.
+func (h *hall) outages(from int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	count := 0
+	for i, n := range h.regained {
+		if i >= from {
+			count += n
+		}
+	}
+	return count
+}
+
+// hallStore is the store as one node reaches it.
+type hallStore struct {
+	h *hall
+	i int
+}
+
+func (s hallStore) ReadAll(ctx context.Context) (mirror.Batch, error) {
+	if s.h.is(s.h.cut, s.i) || s.h.is(s.h.silent, s.i) {
+		<-ctx.Done()
+		return mirror.Batch{}, ctx.Err()
+	}
+	return s.h.store.ReadAll(ctx)
+}
+
+func (s hallStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
+	if s.h.is(s.h.cut, s.i) || s.h.is(s.h.silent, s.i) {
+		<-ctx.Done()
+		return mirror.Batch{}, ctx.Err()
+	}
+	return s.h.store.Follow(ctx, after, wait)
+}
+
+// hallPeers are the other nodes as one of them knows them.
+type hallPeers struct {
+	h *hall
+	i int
+}
+
+func (p hallPeers) Addresses() []string {
+	var addresses []string
+	for i := range p.h.nodes {
+		if i != p.i && !p.h.is(p.h.gone, i) {
+			addresses = append(addresses, fmt.Sprint(i))
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+func (p hallPeers) Upstream() []string {
+	var upstream []string
+	for i := range p.i {
+		if !p.h.is(p.h.gone, i) {
+			upstream = append(upstream, fmt.Sprint(i))
+		}
+	}
+	return slices.Clip(upstream[:min(3, len(upstream))])
+}
+
+func (p hallPeers) OwnShare() float64 {
+	if p.i <= 3 {
+		return 1
+	}
+	return 3 / float64(len(p.h.nodes))
+}
+
+func (p hallPeers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
+	var i int
+	if _, err := fmt.Sscan(address, &i); err != nil {
+		return mirror.Batch{}, err
+	}
+	if p.h.is(p.h.silent, i) || p.h.is(p.h.silent, p.i) {
+		<-ctx.Done()
+		return mirror.Batch{}, ctx.Err()
+	}
+	b := p.h.nodes[i].Await(ctx, after, wait)
+	if p.h.is(p.h.silent, i) {
+		<-ctx.Done()
+		return mirror.Batch{}, ctx.Err()
+	}
+	return b, ctx.Err()
+}
