mirror, gateway: a node whose news grows old looks at the store itself

Callers' requests reached servers that had left up to 4.1 s before (3 s allowed). In a data hall whose first nodes lost power the others, in touch with the store the whole time, heard of a leaving 2.6 s late.

Cause: bounds stood on single steps (a call to an upstream, an age that makes its news good enough, a pause), and none on the age of the news that a node goes by. Three upstreams were asked in turn, 0.8 + 0.3 + 0.3 + 0.3 s; then the store, but in a large hall only in one round of n/3; and news of 1.3 s counted as good though the next look came up to 1.7 s later. The steps added up to more than the bound.

Following makes looks rare: an upstream that does not answer, or knows less than the store tells, is passed over for 3 s, the next one by name is followed, and the first that is left follows the store. Calls that wait return when the store has confirmed that nothing is new, so followers' news is as young as their upstream's.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,9 +12,6 @@
 	"github.com/violettally/violettally/view"
 )
 
-// upstreamTried is how many gateways a node asks before it goes to the store.
-const upstreamTried = 3
-
 // Others returns the other known gateways.
 func (g *Gateway) Others() []view.Member { return g.nodes.others() }
 
@@ -63,27 +60,14 @@
 	return inHall
 }
 
-// OwnShare lets the gateways that others of the data hall ask go to the store
-// whenever their upstream is lost, and of the rest so many that a few do in
-// each round: in an outage each call is paid for and tells nothing.
-func (p mirrorPeers) OwnShare() float64 {
-	inHall := p.inHall()
-	if len(inHall) < upstreamTried || p.g.self.VM < inHall[upstreamTried-1].VM {
-		return 1
-	}
-	return upstreamTried / float64(len(inHall)+1)
-}
-
-// Upstream returns the first gateways of the own data hall, by the VM's name,
-// unless this one is the first.
+// Upstream returns the gateways of the own data hall that come before this one by
+// the VM's name, so that no two follow each other.
 func (p mirrorPeers) Upstream() []string {
-	inHall := p.inHall()
-	if len(inHall) == 0 || p.g.self.VM < inHall[0].VM {
-		return nil
-	}
 	var addresses []string
-	for _, m := range inHall[:min(upstreamTried, len(inHall))] {
-		addresses = append(addresses, m.Peer)
+	for _, m := range p.inHall() {
+		if m.VM < p.g.self.VM {
+			addresses = append(addresses, m.Peer)
+		}
 	}
 	return addresses
 }
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,15 +20,11 @@
 	// followSlack is how late the store may answer a watch that ran out, and how
 	// long nothing may come of an answer that has begun; it answers in 4 ms.
 	followSlack = 300 * time.Millisecond
-	// staleAge is how old the news of a peer may be for it to be followed: a
-	// watch, the gathering after it, and some delay. A change must be in force
-	// 2 s after it (the bound of the deployments of today), at a node whose
-	// upstream is cut off in the moment of the change too.
-	staleAge = 1300 * time.Millisecond
 	// peerWait is how long a call to the upstream waits.
 	peerWait = 500 * time.Millisecond
-	// ownTime is how long a node without good upstream follows the store.
-	ownTime = 3 * time.Second
+	// passTime is how long an upstream is passed over: the entry of one that has
+	// lost power is gone by then, or soon after.
+	passTime = 3 * time.Second
 	// retryPause lies between two tries at the store of a node that followed
 	// a peer before: in an outage not all nodes should call at once.
 	retryPause = time.Second
@@ -58,61 +53,91 @@
 
 // Run follows the upstream, the store, or any peer, until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
-	var own time.Time
+	var fresh sync.WaitGroup
+	fresh.Go(func() { m.keepFresh(ctx) })
+	defer fresh.Wait()
 	for ctx.Err() == nil {
-		upstream := m.peers.Upstream()
-		if m.Revision() > 0 && len(upstream) > 0 && m.timers.Now().After(own) {
-			if m.followPeer(ctx, upstream) {
-				continue
-			}
-			if rand.Float64() >= m.peers.OwnShare() {
-				m.askPeers(ctx)
-				m.pause(ctx, peerInterval)
-				continue
-			}
-			own = m.timers.Now().Add(ownTime)
-		}
-		err := m.step(ctx)
-		if err == nil {
-			m.pause(ctx, gatherTime)
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		m.lost(err)
-		m.askPeers(ctx)
-		if len(upstream) > 0 {
-			m.pause(ctx, retryPause)
+		upstream, ok := m.upstream()
+		m.reads.Store(!ok || m.Revision() == 0)
+		if m.reads.Load() {
+			m.followStore(ctx)
 		} else {
-			m.pause(ctx, peerInterval)
+			m.followPeer(ctx, upstream)
 		}
 	}
 }
 
-// followPeer takes one answer of the first upstream that has good news. Only
-// the first is waited for, so that the next one costs no time. One that gave no
-// answer in time is asked once more: a connection that was open may be silent
-// for good while a new one works, and with it those to the others.
-func (m *Mirror) followPeer(ctx context.Context, upstream []string) bool {
-	batch, err := m.callPeer(ctx, upstream[0], peerWait)
-	if errors.Is(err, context.DeadlineExceeded) {
-		batch, err = m.callPeer(ctx, upstream[0], 0)
-	}
-	for i, address := range upstream {
-		if i > 0 {
-			batch, err = m.callPeer(ctx, address, 0)
-		}
-		if err != nil {
-			slog.Info("upstream did not answer", "peer", address, "error", err)
-		} else if m.accept(batch, batch.Age); batch.Age < staleAge && batch.Revision >= m.Revision() {
-			m.gained()
-			return true
-		} else {
-			slog.Info("upstream has old news", "peer", address, "age_ms", batch.Age.Milliseconds(), "its_revision", batch.Revision, "revision", m.Revision())
+// upstream returns the first upstream that is not passed over.
+func (m *Mirror) upstream() (address string, ok bool) {
+	now := m.timers.Now()
+	for _, address := range m.peers.Upstream() {
+		if now.After(m.passed[address]) {
+			delete(m.passed, address)
+			return address, true
 		}
 	}
-	return false
+	return "", false
+}
+
+// passOver lets the next upstream be followed for a while.
+func (m *Mirror) passOver(address string) {
+	m.passed[address] = m.timers.Now().Add(passTime)
+	m.followed = ""
+}
+
+// followStore does one round with the store. If it does not answer, peers may know
+// more.
+func (m *Mirror) followStore(ctx context.Context) {
+	err := m.step(ctx)
+	if err == nil {
+		m.pause(ctx, gatherTime)
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	m.lost(err)
+	m.askPeers(ctx)
+	if len(m.peers.Upstream()) > 0 {
+		m.pause(ctx, retryPause)
+	} else {
+		m.pause(ctx, peerInterval)
+	}
+}
+
+// followPeer takes one answer of an upstream. One that gave none in time is asked
+// once more: a connection that was open may be silent for good while a new one works.
+func (m *Mirror) followPeer(ctx context.Context, address string) {
+	wait := peerWait
+	if m.followed != address {
+		wait = 0 // whether it answers at all should show at once
+	}
+	batch, err := m.callPeer(ctx, address, wait)
+	if wait > 0 && errors.Is(err, context.DeadlineExceeded) {
+		batch, err = m.callPeer(ctx, address, 0)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		slog.Info("upstream did not answer; passed over", "peer", address, "age_ms", m.Age().Milliseconds(), "error", err)
+		m.passOver(address)
+		return
+	}
+	m.accept(batch, batch.Age)
+	switch {
+	case batch.Age <= lookAge:
+		m.followed = address
+		m.gained()
+	case m.Age() <= lookAge:
+		slog.Info("upstream has old news; passed over", "peer", address, "its_age_ms", batch.Age.Milliseconds(), "its_revision", batch.Revision,
+			"age_ms", m.Age().Milliseconds(), "revision", m.Revision())
+		m.passOver(address)
+	default:
+		// The store may be away, so that nobody knows better.
+		m.followed = address
+		m.askPeers(ctx)
+	}
 }
 
 // callPeer asks a peer that may wait that long.
@@ -134,13 +159,18 @@
 	return batch, err
 }
 
-// step does one round with the store.
+// step waits for what the store tells next.
 func (m *Mirror) step(ctx context.Context) error {
-	after := m.Revision()
-	if after == 0 || m.isAway() {
+	if m.Revision() == 0 || m.isAway() {
 		return m.readAll(ctx)
 	}
-	batch, err := m.watch(ctx, after, followWait)
+	return m.ask(ctx, followWait)
+}
+
+// ask takes the changes since what this node knows, for which the store may wait.
+func (m *Mirror) ask(ctx context.Context, wait time.Duration) error {
+	after := m.Revision()
+	batch, err := m.watch(ctx, after, wait)
 	if errors.Is(err, context.DeadlineExceeded) {
 		// The connection may be silent for good while a new one works.
 		batch, err = m.watch(ctx, after, 0)
@@ -212,32 +242,22 @@
 }
 
 // outageAge without fresh news is an outage of the store: entries lapse in it,
-// which takes three heartbeats of a second and more. Without one, news is never
-// older than a watch, the gathering after it and a call to the upstream.
+// which takes three heartbeats of a second and more.
 const outageAge = 2 * time.Second
 
 // accept takes news of the given age. Fresh news after an outage is told to
 // those who asked for that first, since what lapsed meanwhile stands in it.
 func (m *Mirror) accept(b Batch, age time.Duration) {
+	now := m.timers.Now()
 	m.mu.Lock()
-	outage := !m.contact.IsZero() && m.timers.Now().Sub(m.contact) > outageAge
+	outage := !m.contact.IsZero() && now.Sub(m.contact) > outageAge
 	m.mu.Unlock()
-	if outage && age < staleAge {
+	if outage && age <= lookAge {
 		for _, do := range m.regained {
 			do()
 		}
 	}
-	m.take(b)
-	m.confirm(age)
-}
-
-// confirm notes that what this node knows was in force age ago.
-func (m *Mirror) confirm(age time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if at := m.timers.Now().Add(-age); at.After(m.contact) {
-		m.contact = at
-	}
+	m.take(b, now.Add(-age))
 }
 
 // isAway reports whether the store is out of reach as far as is known.
@@ -251,7 +271,7 @@
 func (m *Mirror) lost(err error) {
 	m.mu.Lock()
 	before := m.away
-	m.away = true
+	m.away, m.vain = true, m.timers.Now()
 	revision := m.revision
 	m.mu.Unlock()
 	if !before {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -8,10 +8,15 @@
 // Every call to the store is paid for, so one node of each data hall follows
 // it by waiting watches, and the others follow that node, by calls that wait
 // in the same way. Each answer tells how long ago the store was last heard of.
-// A node that gets none in time, or only old news, follows the store itself
-// for a while, or in a large data hall leaves that to others for most rounds;
-// one that does not reach the store either takes what any peer knows. A node
-// that starts asks the store first, and peers soon after.
+// An upstream that does not answer, or knows less than the store tells, is
+// passed over for a while: the next one is followed, and a node without any
+// follows the store.
+//
+// However that goes, news is not to be older than [lookAge]: a node whose news
+// would be looks at the store itself, whatever its upstream does. So a node that
+// reaches the store knows of a change within that time and one call. In an outage
+// of the store looks get rarer, and nodes take what any peer knows. A node that
+// starts asks the store first, and peers soon after.
 //
 // # Usage
 //
@@ -31,6 +36,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/violettally/violettally/internal/errs"
@@ -89,12 +95,9 @@
 type Peers interface {
 	// Addresses returns the peers to ask, in the order in which they should be.
 	Addresses() []string
-	// Upstream returns the peers of this node's data hall that it follows, the
-	// first one first; none if this node is to follow the store.
+	// Upstream returns the peers of this node's data hall that it may follow, the
+	// one to follow if all is well first; none if this node is to follow the store.
 	Upstream() []string
-	// OwnShare returns the share of this node's rounds, 0 to 1, in which it
-	// asks the store itself while its upstreams give no fresh news.
-	OwnShare() float64
 	// Follow asks a peer for what it knows beyond a revision. The peer waits
 	// that long for something to tell.
 	Follow(ctx context.Context, address string, after int64, wait time.Duration) (Batch, error)
@@ -134,14 +137,27 @@
 	recentFrom int64
 	// told is closed once subscribers have been told the first whole.
 	told chan struct{}
-	// changed is closed, and made anew, when the revision rises.
+	// changed is closed, and made anew, when there is something to tell a peer: the
+	// revision rises, or the store has confirmed it anew.
 	changed chan struct{}
 	// contact is when the store confirmed what this node knows, by its own
-	// word or a peer's.
-	contact time.Time
+	// word or a peer's, and inForce the same of what subscribers have been told.
+	contact, inForce time.Time
+	// announced is the contact when peers were last told.
+	announced time.Time
 	// away says that the store did not answer, and that neither it nor an
 	// upstream that reaches it has since.
 	away bool
+	// vain is when a call to the store last failed, nextLook when a look that
+	// failed may follow.
+	vain, nextLook time.Time
+
+	// reads says that Run's task follows the store.
+	reads atomic.Bool
+	// Only Run's task uses these. followed is the upstream that answered last; passed
+	// holds until when upstreams are passed over.
+	followed string
+	passed   map[string]time.Time
 }
 
 // subscriber is told of the changes under a prefix.
@@ -160,6 +176,7 @@
 		before:  make(map[string]Item),
 		told:    make(chan struct{}),
 		changed: make(chan struct{}),
+		passed:  make(map[string]time.Time),
 	}
 }
 
@@ -210,11 +227,11 @@
 }
 
 // Age returns how long ago the store, or a peer that had heard from it, last
-// confirmed what this node knows.
+// confirmed what subscribers have been told.
 func (m *Mirror) Age() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.timers.Now().Sub(m.contact)
+	return m.timers.Now().Sub(m.inForce)
 }
 
 // After answers a peer: what this node knows beyond a revision.
@@ -236,14 +253,15 @@
 	return b
 }
 
-// Await is After, but waits until there is something beyond the revision, or
-// the time is over. It waits no longer than this package's own callers ask, so
-// that no peer can hold a call for as long as it likes.
+// Await is After, but waits until there is something beyond the revision, the
+// store has confirmed that there is nothing, or the time is over. It waits no longer
+// than this package's own callers ask, so that no peer can hold a call for as long
+// as it likes.
 func (m *Mirror) Await(ctx context.Context, after int64, wait time.Duration) Batch {
 	m.mu.Lock()
 	known, changed := m.revision, m.changed
 	m.mu.Unlock()
-	if known <= after {
+	if known <= after && wait > 0 {
 		expiry := time.NewTimer(min(wait, peerWait))
 		defer expiry.Stop()
 		select {
@@ -255,11 +273,12 @@
 	return m.After(after)
 }
 
-// take puts a batch in force if it brings anything new.
-func (m *Mirror) take(b Batch) {
+// take puts a batch in force that the store confirmed at a time, if it brings
+// anything new.
+func (m *Mirror) take(b Batch, at time.Time) {
 	m.delivery.Lock()
 	defer m.delivery.Unlock()
-	for _, change := range m.apply(b) {
+	for _, change := range m.apply(b, at) {
 		for _, s := range m.subscribers {
 			if strings.HasPrefix(change.Key, s.prefix) {
 				s.changed(change)
@@ -271,14 +290,23 @@
 	if m.delivered == 0 && m.revision > 0 {
 		close(m.told)
 	}
-	m.delivered = m.revision
+	m.delivered, m.inForce = m.revision, m.contact
 }
 
 // apply changes the copy and returns what changed.
-func (m *Mirror) apply(b Batch) []Change {
+func (m *Mirror) apply(b Batch, at time.Time) []Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if b.Revision <= m.revision && m.revision != 0 {
+	if b.Revision < m.revision {
+		return nil
+	}
+	if at.After(m.contact) {
+		m.contact = at
+	}
+	if b.Revision == m.revision && m.revision != 0 {
+		if m.contact.Sub(m.announced) >= announceStep {
+			m.announce()
+		}
 		return nil
 	}
 	items := b.Items
@@ -310,12 +338,22 @@
 		changes = append(changes, Change{item})
 	}
 	m.revision = b.Revision
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.announce()
 	m.trim(b.Whole)
 	return changes
 }
 
+// announceStep is by how much news must be fresher for peers to be told that
+// nothing has changed.
+const announceStep = 100 * time.Millisecond
+
+// announce lets the calls of peers that wait return. The caller holds mu.
+func (m *Mirror) announce() {
+	m.announced = m.contact
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // missing returns the deletions that a whole implies.
 func (m *Mirror) missing(b Batch) []Item {
 	present := make(map[string]bool, len(b.Items))
