mirror: a process that did not run trusts an old answer, and takes its silence for an outage; failing

Cause, as far as the tests show it: an answer's age counts from its reading, and news older than 2 s is an outage whatever made it old. Change: tests only, of a process whose calls return 3 s late.

--- a/mirror/hall_test.go
+++ b/mirror/hall_test.go
@@ -57,6 +57,106 @@
 	})
 }
 
+// TestStalledProcess: a process that does not run for 3 s, with the store well, finds
+// that calls of its own ran out of time. It took its silence for an outage of the store,
+// and kept servers that were really gone for 2 s more.
+func TestStalledProcess(t *testing.T) {
+	const stalled = 5
+	for after := time.Duration(0); after < time.Second; after += 50 * time.Millisecond {
+		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHall(t, 12)
+				settle(5*time.Second + after)
+				thaw := h.freeze(stalled)
+				settle(3 * time.Second)
+				h.store.put("b", false)
+				thaw()
+				settle(time.Second)
+				must.SliceEmpty(t, h.without("b", stalled))
+				must.Eq(t, 0, h.outages(stalled))
+			})
+		})
+	}
+}
+
+// TestAnswerReadLate: an answer lies in the socket of a process that does not run for
+// 3 s. The process took it for news of the moment in which it read it, and so went by
+// news that was 3 s older than it knew.
+func TestAnswerReadLate(t *testing.T) {
+	const late = 3 * time.Second
+	for _, name := range []string{"of the store", "of an upstream"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, timers := run(t)
+				own := newStore()
+				own.put("a", false)
+				p := &peers{}
+				if name == "of an upstream" {
+					upstream := mirror.New(own, &peers{}, timers)
+					go upstream.Run(ctx)
+					p.mirrors, p.upstream = []*mirror.Mirror{upstream}, []string{"0"}
+				}
+				held := &heldAnswers{}
+				m := mirror.New(heldStore{own, held}, heldPeers{p, held}, timers)
+				go m.Run(ctx)
+				settle(time.Second)
+				// Answers are held from now on, and the next ones never come.
+				held.hold(late)
+				settle(late + time.Millisecond)
+				must.Greater(t, late-learnTime/2, m.Age())
+			})
+		})
+	}
+}
+
+// heldAnswers hands the answer to a call that is under way over late, and none to a
+// later call.
+type heldAnswers struct {
+	mu    sync.Mutex
+	until time.Time
+}
+
+func (h *heldAnswers) hold(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.until = time.Now().Add(d)
+}
+
+func (h *heldAnswers) call(do func() (mirror.Batch, error)) (mirror.Batch, error) {
+	h.mu.Lock()
+	over := !h.until.IsZero()
+	h.mu.Unlock()
+	if over {
+		return mirror.Batch{}, errStore
+	}
+	b, err := do()
+	h.mu.Lock()
+	left := time.Until(h.until)
+	h.mu.Unlock()
+	time.Sleep(left)
+	return b, err
+}
+
+// heldStore is a store whose answers are held.
+type heldStore struct {
+	mirror.Store
+	held *heldAnswers
+}
+
+func (s heldStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
+	return s.held.call(func() (mirror.Batch, error) { return s.Store.Follow(ctx, after, wait) })
+}
+
+// heldPeers are peers whose answers are held.
+type heldPeers struct {
+	mirror.Peers
+	held *heldAnswers
+}
+
+func (p heldPeers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
+	return p.held.call(func() (mirror.Batch, error) { return p.Peers.Follow(ctx, address, after, wait) })
+}
+
 // TestCallsInOutage: in an outage each node calls the store once to learn of it, and
 // after that a hall of 30 nodes makes at most ten calls a second, whose answers tell
 // nothing. All of them have the news soon after the store's return.
@@ -101,6 +201,8 @@
 	// silent are the nodes that answer nobody, cut those that do not reach the
 	// store; gone are the nodes whose entries have lapsed.
 	silent, cut, gone map[int]bool
+	// frozen holds by node what is closed when its process runs again.
+	frozen map[int]chan struct{}
 	// regained counts by node how often it took the store for back.
 	regained map[int]int
 }
@@ -108,7 +210,7 @@
 // newHall returns a hall whose nodes run until the test ends.
 func newHall(t *testing.T, size int) *hall {
 	ctx, timers := run(t)
-	h := &hall{store: newStore(), timers: timers, silent: make(map[int]bool), cut: make(map[int]bool), gone: make(map[int]bool), regained: make(map[int]int)}
+	h := &hall{store: newStore(), timers: timers, silent: make(map[int]bool), cut: make(map[int]bool), gone: make(map[int]bool), frozen: make(map[int]chan struct{}), regained: make(map[int]int)}
 	h.store.put("a", false)
 	for i := range size {
 		m := mirror.New(hallStore{h, i}, hallPeers{h, i}, timers)
@@ -142,6 +244,41 @@
 	return state[i]
 }
 
+// freeze lets a node's process not run until thaw is called.
+func (h *hall) freeze(i int) (thaw func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	frozen := make(chan struct{})
+	h.frozen[i] = frozen
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.frozen, i)
+		close(frozen)
+	}
+}
+
+// run makes a call of a node's. One that the process makes while it is frozen is not
+// sent; the answer to one made before lies in the socket.
+func (h *hall) run(ctx context.Context, i int, call func() (mirror.Batch, error)) (mirror.Batch, error) {
+	h.awaitThaw(i)
+	if ctx.Err() != nil {
+		return mirror.Batch{}, ctx.Err()
+	}
+	b, err := call()
+	h.awaitThaw(i)
+	return b, err
+}
+
+func (h *hall) awaitThaw(i int) {
+	h.mu.Lock()
+	frozen := h.frozen[i]
+	h.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+}
+
 // without returns the nodes from one on that do not know a key.
 func (h *hall) without(key string, from int) []int {
 	var without []int
@@ -177,7 +314,7 @@
 		<-ctx.Done()
 		return mirror.Batch{}, ctx.Err()
 	}
-	return s.h.store.ReadAll(ctx)
+	return s.h.run(ctx, s.i, func() (mirror.Batch, error) { return s.h.store.ReadAll(ctx) })
 }
 
 func (s hallStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
@@ -185,7 +322,7 @@
 		<-ctx.Done()
 		return mirror.Batch{}, ctx.Err()
 	}
-	return s.h.store.Follow(ctx, after, wait)
+	return s.h.run(ctx, s.i, func() (mirror.Batch, error) { return s.h.store.Follow(ctx, after, wait) })
 }
 
 // hallPeers are the other nodes as one of them knows them.
@@ -224,10 +361,10 @@
 		<-ctx.Done()
 		return mirror.Batch{}, ctx.Err()
 	}
-	b := p.h.nodes[i].Await(ctx, after, wait)
+	b, err := p.h.run(ctx, p.i, func() (mirror.Batch, error) { return p.h.nodes[i].Await(ctx, after, wait), nil })
 	if p.h.is(p.h.silent, i) {
 		<-ctx.Done()
 		return mirror.Batch{}, ctx.Err()
 	}
-	return b, ctx.Err()
+	return b, err
 }
