mirror: the age of news counts from what can be proved

A process that did not run for 3 s read an answer of before, and took it for news of that moment: it went on sending requests to servers that had left meanwhile, until its next call had an answer.

Cause: an answer's age was counted from its reading. Change: an answer of the store is as old as the call less the time for which the store may have let it wait; one of a peer is as old as the peer says, and the time on its way beside that: the call less the time for which the peer held it, which it tells now. A peer of the version before tells none; its news counts as older by its wait then, which costs looks at the store while nodes are replaced, and no more. Ruled out: dropping such answers, since what they tell is true.

TestAnswerReadLate: an age of 1 ms where 2 s and more had passed; now it fails no more.

--- a/adapter/peer/pack.go
+++ b/adapter/peer/pack.go
@@ -27,6 +27,7 @@
 	Revision int64         `cbor:"2,keyasint"`
 	Whole    bool          `cbor:"3,keyasint,omitempty"`
 	Age      time.Duration `cbor:"4,keyasint,omitempty"`
+	Held     time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // followItem is a mirror.Item on the wire.
@@ -44,7 +45,7 @@
 
 // batch returns what the reply tells to a node that holds the values in known.
 func (r followReply) batch(known func(key string) (mirror.Item, bool)) (mirror.Batch, error) {
-	b := mirror.Batch{Revision: r.Revision, Whole: r.Whole, Age: r.Age}
+	b := mirror.Batch{Revision: r.Revision, Whole: r.Whole, Age: r.Age, Held: r.Held}
 	for _, i := range r.Items {
 		value, err := i.value(known)
 		if err != nil {
@@ -101,7 +102,7 @@
 
 // reply makes the answer to a peer's request.
 func (p *packer) reply(b mirror.Batch, r followRequest) (followReply, error) {
-	reply := followReply{Revision: b.Revision, Whole: b.Whole, Age: b.Age}
+	reply := followReply{Revision: b.Revision, Whole: b.Whole, Age: b.Age, Held: b.Held}
 	for _, item := range b.Items {
 		i, err := p.item(item, r)
 		if err != nil {
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -124,7 +124,7 @@
 		m.passOver(address)
 		return
 	}
-	m.accept(batch, batch.Age)
+	m.accept(batch)
 	switch {
 	case batch.Age <= lookAge:
 		m.followed = address
@@ -142,9 +142,12 @@
 
 // callPeer asks a peer that may wait that long.
 func (m *Mirror) callPeer(ctx context.Context, address string, wait time.Duration) (Batch, error) {
-	return bounded(ctx, wait, peerTimeout, func(ctx context.Context) (Batch, error) {
+	begun := m.timers.Now()
+	batch, err := bounded(ctx, wait, peerTimeout, func(ctx context.Context) (Batch, error) {
 		return m.peers.Follow(ctx, address, m.Revision(), wait)
 	})
+	batch.Age += max(0, m.timers.Now().Sub(begun)-batch.Held)
+	return batch, err
 }
 
 // bounded makes a call that may wait that long, and may be silent for the slack
@@ -182,15 +185,19 @@
 	if err != nil {
 		return err
 	}
-	m.accept(batch, 0)
+	m.accept(batch)
 	return nil
 }
 
-// watch asks the store for changes, which may wait that long.
+// watch asks the store for changes, which may wait that long. An answer that came
+// later than that was on its way, or lay unread.
 func (m *Mirror) watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
-	return bounded(ctx, wait, followSlack, func(ctx context.Context) (Batch, error) {
+	begun := m.timers.Now()
+	batch, err := bounded(ctx, wait, followSlack, func(ctx context.Context) (Batch, error) {
 		return m.store.Follow(ctx, after, wait)
 	})
+	batch.Age = max(0, m.timers.Now().Sub(begun)-wait)
+	return batch, err
 }
 
 // readAll reads the whole, which also tells what was removed meanwhile.
@@ -202,12 +209,14 @@
 		// out.
 		go m.askPeersLater(ctx)
 	}
+	begun := m.timers.Now()
 	batch, err := m.store.ReadAll(ctx)
 	if err != nil {
 		return err
 	}
+	batch.Age = m.timers.Now().Sub(begun)
 	m.gained()
-	m.accept(batch, 0)
+	m.accept(batch)
 	return nil
 }
 
@@ -230,12 +239,12 @@
 	var calls sync.WaitGroup
 	for _, address := range addresses[:min(peersAsked, len(addresses))] {
 		calls.Go(func() {
-			batch, err := m.peers.Follow(ctx, address, m.Revision(), 0)
+			batch, err := m.callPeer(ctx, address, 0)
 			if err != nil {
 				slog.Debug("peer did not answer", "peer", address, "error", err)
 				return
 			}
-			m.accept(batch, batch.Age)
+			m.accept(batch)
 		})
 	}
 	calls.Wait()
@@ -245,19 +254,19 @@
 // which takes three heartbeats of a second and more.
 const outageAge = 2 * time.Second
 
-// accept takes news of the given age. Fresh news after an outage is told to
-// those who asked for that first, since what lapsed meanwhile stands in it.
-func (m *Mirror) accept(b Batch, age time.Duration) {
+// accept takes news. Fresh news after an outage is told to those who asked for that
+// first, since what lapsed meanwhile stands in it.
+func (m *Mirror) accept(b Batch) {
 	now := m.timers.Now()
 	m.mu.Lock()
 	outage := !m.contact.IsZero() && now.Sub(m.contact) > outageAge
 	m.mu.Unlock()
-	if outage && age <= lookAge {
+	if outage && b.Age <= lookAge {
 		for _, do := range m.regained {
 			do()
 		}
 	}
-	m.take(b, now.Add(-age))
+	m.take(b, now.Add(-b.Age))
 }
 
 // isAway reports whether the store is out of reach as far as is known.
--- a/mirror/hall_test.go
+++ b/mirror/hall_test.go
@@ -80,8 +80,10 @@
 }
 
 // TestAnswerReadLate: an answer lies in the socket of a process that does not run for
-// 3 s. The process took it for news of the moment in which it read it, and so went by
-// news that was 3 s older than it knew.
+// 3 s. The process took it for news of the moment in which it read it (an age of 1 ms
+// here), and so went by news that was 3 s older than it knew. An age now counts from what
+// can be proved: an answer was made no earlier than the call began, less what whoever
+// made it says that it let the call wait.
 func TestAnswerReadLate(t *testing.T) {
 	const late = 3 * time.Second
 	for _, name := range []string{"of the store", "of an upstream"} {
@@ -143,6 +145,10 @@
 	held *heldAnswers
 }
 
+func (s heldStore) ReadAll(ctx context.Context) (mirror.Batch, error) {
+	return s.held.call(func() (mirror.Batch, error) { return s.Store.ReadAll(ctx) })
+}
+
 func (s heldStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
 	return s.held.call(func() (mirror.Batch, error) { return s.Store.Follow(ctx, after, wait) })
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -72,8 +72,11 @@
 	Revision int64 `cbor:"2,keyasint"`
 	// Whole says that keys which are not among Items do not exist.
 	Whole bool `cbor:"3,keyasint,omitempty"`
-	// Age is how long ago the sender last heard from the store.
+	// Age is how long ago the store confirmed this: as the sender knew it, or once
+	// it has come, at the least that the receiver can prove.
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// Held is for how long the sender let the call wait.
+	Held time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Change is one key's change as subscribers see it: the item as it now is, or
@@ -258,6 +261,7 @@
 // than this package's own callers ask, so that no peer can hold a call for as long
 // as it likes.
 func (m *Mirror) Await(ctx context.Context, after int64, wait time.Duration) Batch {
+	begun := m.timers.Now()
 	m.mu.Lock()
 	known, changed := m.revision, m.changed
 	m.mu.Unlock()
@@ -270,7 +274,9 @@
 		case <-ctx.Done():
 		}
 	}
-	return m.After(after)
+	b := m.After(after)
+	b.Held = m.timers.Now().Sub(begun)
+	return b
 }
 
 // take puts a batch in force that the store confirmed at a time, if it brings
