mirror: what a node missed is an outage of the store only if the store did not answer it

Callers' requests went to servers whose entries were gone, up to 2 s after the node had learned that: it kept them, since entries lapse in an outage of the store and come back. There had been none.

Cause: news older than 2 s counted as an outage.

Change: the node must have asked the store itself in that time, in vain. Every node does once its news grows old, so each has evidence of its own. A call that outlasts its bounds by a quarter of a second is the process's doing (kind stalled) and no evidence. Ruled out: a word of other nodes on the outage, which one that was cut off would pass on to nodes that were not.

A node that is cut off from all others and the store can't tell that from an outage, and keeps what it finds gone afterwards for 2 s.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/internal/progress"
 )
 
@@ -93,7 +94,7 @@
 		m.pause(ctx, gatherTime)
 		return
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errorx.IsOfType(err, Stalled) {
 		return
 	}
 	m.lost(err)
@@ -116,7 +117,7 @@
 	if wait > 0 && errors.Is(err, context.DeadlineExceeded) {
 		batch, err = m.callPeer(ctx, address, 0)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errorx.IsOfType(err, Stalled) {
 		return
 	}
 	if err != nil {
@@ -143,20 +144,41 @@
 // callPeer asks a peer that may wait that long.
 func (m *Mirror) callPeer(ctx context.Context, address string, wait time.Duration) (Batch, error) {
 	begun := m.timers.Now()
-	batch, err := bounded(ctx, wait, peerTimeout, func(ctx context.Context) (Batch, error) {
+	batch, err := bounded(ctx, waiting(wait, peerTimeout), func(ctx context.Context) (Batch, error) {
 		return m.peers.Follow(ctx, address, m.Revision(), wait)
 	})
 	batch.Age += max(0, m.timers.Now().Sub(begun)-batch.Held)
 	return batch, err
 }
 
-// bounded makes a call that may wait that long, and may be silent for the slack
-// beside it. An error of a call that ran out of time is a context's.
-func bounded(ctx context.Context, wait, slack time.Duration, call func(context.Context) (Batch, error)) (Batch, error) {
-	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: wait + slack, Silence: slack, Whole: wait + fetchTime})
+// waiting returns the bounds of a call that may wait that long, and may be silent for
+// the slack beside it.
+func waiting(wait, slack time.Duration) progress.Bounds {
+	return progress.Bounds{First: wait + slack, Silence: slack, Whole: wait + fetchTime}
+}
+
+// stallSlack is by how much a call may outlast its bounds before that is this
+// process's doing.
+const stallSlack = 250 * time.Millisecond
+
+// bounded makes a call. An error of one that ran out of time is a context's, or
+// Stalled.
+func bounded(ctx context.Context, b progress.Bounds, call func(context.Context) (Batch, error)) (Batch, error) {
+	ctx, cancel := progress.WithTimeout(ctx, b)
 	defer cancel()
+	begun := time.Now()
 	batch, err := call(ctx)
-	if err != nil && ctx.Err() != nil {
+	if err == nil {
+		return batch, nil
+	}
+	allowed := b.First
+	if progress.Begun(ctx) {
+		allowed = b.Whole
+	}
+	if took := time.Since(begun); took > allowed+stallSlack {
+		return batch, errs.Wrap(Stalled, "call", err, "the process did not run: %d ms in place of %d", took.Milliseconds(), allowed.Milliseconds())
+	}
+	if ctx.Err() != nil {
 		return batch, context.Cause(ctx)
 	}
 	return batch, err
@@ -193,7 +215,7 @@
 // later than that was on its way, or lay unread.
 func (m *Mirror) watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
 	begun := m.timers.Now()
-	batch, err := bounded(ctx, wait, followSlack, func(ctx context.Context) (Batch, error) {
+	batch, err := bounded(ctx, waiting(wait, followSlack), func(ctx context.Context) (Batch, error) {
 		return m.store.Follow(ctx, after, wait)
 	})
 	batch.Age = max(0, m.timers.Now().Sub(begun)-wait)
@@ -202,15 +224,16 @@
 
 // readAll reads the whole, which also tells what was removed meanwhile.
 func (m *Mirror) readAll(ctx context.Context) error {
-	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{First: readTimeout, Silence: followSlack, Whole: readTimeout + fetchTime})
-	defer cancel()
-	if m.Revision() == 0 {
-		// A node that starts during an outage need not wait for the store to time
-		// out.
-		go m.askPeersLater(ctx)
-	}
 	begun := m.timers.Now()
-	batch, err := m.store.ReadAll(ctx)
+	bounds := progress.Bounds{First: readTimeout, Silence: followSlack, Whole: readTimeout + fetchTime}
+	batch, err := bounded(ctx, bounds, func(ctx context.Context) (Batch, error) {
+		if m.Revision() == 0 {
+			// A node that starts during an outage need not wait for the store to time
+			// out.
+			go m.askPeersLater(ctx)
+		}
+		return m.store.ReadAll(ctx)
+	})
 	if err != nil {
 		return err
 	}
@@ -250,8 +273,10 @@
 	calls.Wait()
 }
 
-// outageAge without fresh news is an outage of the store: entries lapse in it,
-// which takes three heartbeats of a second and more.
+// outageAge without fresh news is an outage of the store if the store was asked
+// meanwhile, in vain: entries lapse in it, which takes three heartbeats of a second
+// and more. Without that an upstream was lost, or this process did not run, and
+// what is gone from the store is gone.
 const outageAge = 2 * time.Second
 
 // accept takes news. Fresh news after an outage is told to those who asked for that
@@ -259,7 +284,7 @@
 func (m *Mirror) accept(b Batch) {
 	now := m.timers.Now()
 	m.mu.Lock()
-	outage := !m.contact.IsZero() && now.Sub(m.contact) > outageAge
+	outage := now.Sub(m.contact) > outageAge && m.vain.After(m.contact)
 	m.mu.Unlock()
 	if outage && b.Age <= lookAge {
 		for _, do := range m.regained {
--- a/mirror/fresh.go
+++ b/mirror/fresh.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 const (
@@ -28,9 +30,11 @@
 			m.pause(ctx, left)
 			continue
 		}
-		if err := m.ask(ctx, 0); err == nil {
+		err := m.ask(ctx, 0)
+		switch {
+		case err == nil:
 			m.gained()
-		} else if ctx.Err() == nil {
+		case ctx.Err() == nil && !errorx.IsOfType(err, Stalled):
 			m.lookedInVain(err)
 		}
 	}
--- a/mirror/hall_test.go
+++ b/mirror/hall_test.go
@@ -46,7 +46,9 @@
 // TestLostUpstreamIsNoOutage: a node whose upstreams are gone takes news from the
 // store, which has been well all the time. It took its own silence for an outage of
 // the store, in which entries lapse that their servers can't renew, and kept servers
-// that were really gone for 2 s more ("server is gone … kept_ms 1999").
+// that were really gone for 2 s more ("server is gone … kept_ms 1999"; a request
+// went to one "by revision 329, 432 ms old", and its entry was gone since revision 249).
+// An outage is now what the node itself has asked the store in and got no answer.
 func TestLostUpstreamIsNoOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHall(t, 12)
@@ -59,7 +61,8 @@
 
 // TestStalledProcess: a process that does not run for 3 s, with the store well, finds
 // that calls of its own ran out of time. It took its silence for an outage of the store,
-// and kept servers that were really gone for 2 s more.
+// and kept servers that were really gone for 2 s more. A call that outlasted its bounds
+// is now this process's own doing, and says nothing of the store.
 func TestStalledProcess(t *testing.T) {
 	const stalled = 5
 	for after := time.Duration(0); after < time.Second; after += 50 * time.Millisecond {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -49,6 +49,9 @@
 	// HistoryGone says that the changes since a revision are not kept any
 	// more; the whole has to be read anew.
 	HistoryGone = namespace.NewType("history_gone")
+	// Stalled says that this process did not run while a call was under way, so that
+	// its failure tells nothing of whoever was called.
+	Stalled = namespace.NewType("stalled")
 )
 
 // Item is one key as it was last written. The fields are exported for the
@@ -151,7 +154,8 @@
 	// away says that the store did not answer, and that neither it nor an
 	// upstream that reaches it has since.
 	away bool
-	// vain is when a call to the store last failed, nextLook when a look that
+	// vain is when a call to the store last failed: without one, silence is not the
+	// store's. nextLook is when a look that
 	// failed may follow.
 	vain, nextLook time.Time
 
