relay, platform, mirror: a request is looked at once more before its first byte

Change: what is written first on a connection for a request is kept back if the server may get no new work any more, or the news is in doubt: older than 1.7 s, though the store was not asked in vain since. The request then goes on as if it had not been tried there (reason overtaken; no retry is spent, and the server counts neither as tried nor as bad).

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -306,6 +306,7 @@
 	m.mu.Lock()
 	before := m.away
 	m.away, m.vain = true, m.timers.Now()
+	m.settle()
 	revision := m.revision
 	m.mu.Unlock()
 	if !before {
--- a/mirror/fresh.go
+++ b/mirror/fresh.go
@@ -19,6 +19,10 @@
 	// outage a call is paid for and tells nothing.
 	lookPause    = time.Second
 	lookPauseMax = 10 * time.Second
+	// doubtAge is the age from which a node does not go by its news any more, unless
+	// the store did not answer it: a look has told by then, also on a connection that
+	// is silent, but for a process that did not run.
+	doubtAge = lookAge + 2*followSlack
 )
 
 // keepFresh looks at the store whenever the news of this node has grown old, until
@@ -26,8 +30,7 @@
 // Run does only makes looks rare.
 func (m *Mirror) keepFresh(ctx context.Context) {
 	for ctx.Err() == nil {
-		if left := m.untilLook(); left > 0 {
-			m.pause(ctx, left)
+		if left := m.untilLook(); left > 0 && !m.urged(ctx, left) {
 			continue
 		}
 		err := m.ask(ctx, 0)
@@ -40,7 +43,71 @@
 	}
 }
 
-// untilLook returns how long the news is fresh enough.
+// urged waits that long and reports whether a look was asked for meanwhile.
+func (m *Mirror) urged(ctx context.Context, d time.Duration) bool {
+	ticks := m.timers.Subscribe(d)
+	defer ticks.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ticks.C():
+	case <-m.urgent:
+		return ctx.Err() == nil
+	}
+	return false
+}
+
+// InDoubt reports whether the news is too old to go by, though the store might tell
+// what is new. While the store does not answer nobody knows better, and old news is
+// gone by.
+func (m *Mirror) InDoubt() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inDoubt()
+}
+
+// inDoubt is InDoubt for a caller that holds mu.
+func (m *Mirror) inDoubt() bool {
+	return m.timers.Now().Sub(m.inForce) > doubtAge && !m.vain.After(m.contact)
+}
+
+// Settle returns once the news is in doubt no more. It returns at once if it is not,
+// and waits no longer than a look takes.
+func (m *Mirror) Settle(ctx context.Context) {
+	m.mu.Lock()
+	doubt := m.inDoubt()
+	m.mu.Unlock()
+	if !doubt {
+		return
+	}
+	select {
+	case m.urgent <- struct{}{}:
+	default: // one is due already
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*followSlack)
+	defer cancel()
+	for {
+		m.mu.Lock()
+		doubt, settled := m.inDoubt(), m.settled
+		m.mu.Unlock()
+		if !doubt {
+			return
+		}
+		select {
+		case <-settled:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// settle lets those look again who wait in Settle. The caller holds mu.
+func (m *Mirror) settle() {
+	close(m.settled)
+	m.settled = make(chan struct{})
+}
+
+// untilLook returns how long no look is due. It is asked for again by then, since what
+// it goes by changes meanwhile.
 func (m *Mirror) untilLook() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -51,7 +118,7 @@
 	if m.vain.After(m.contact) && m.nextLook.After(due) {
 		due = m.nextLook
 	}
-	return due.Sub(m.timers.Now())
+	return min(lookAge, due.Sub(m.timers.Now()))
 }
 
 // lookedInVain notes that the store did not answer a look.
--- a/mirror/hall_test.go
+++ b/mirror/hall_test.go
@@ -82,6 +82,35 @@
 	}
 }
 
+// TestSettle: a process that runs again after 3 s does not go by what it knew, and knows
+// more as soon as the store has answered. While the store does not answer, old news is
+// no reason to wait.
+func TestSettle(t *testing.T) {
+	const stalled = 5
+	synctest.Test(t, func(t *testing.T) {
+		h := newHall(t, 12)
+		settle(5 * time.Second)
+		m := h.nodes[stalled]
+		must.False(t, m.InDoubt())
+		thaw := h.freeze(stalled)
+		settle(time.Second)
+		h.store.put("b", false)
+		settle(2 * time.Second)
+		must.True(t, m.InDoubt())
+		thaw()
+		m.Settle(t.Context())
+		must.False(t, m.InDoubt())
+		_, ok := m.Get("b")
+		must.True(t, ok)
+
+		h.store.set(errStore, false, false)
+		for range 500 {
+			time.Sleep(20 * time.Millisecond)
+			must.False(t, m.InDoubt())
+		}
+	})
+}
+
 // TestAnswerReadLate: an answer lies in the socket of a process that does not run for
 // 3 s. The process took it for news of the moment in which it read it (an age of 1 ms
 // here), and so went by news that was 3 s older than it knew. An age now counts from what
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -159,6 +159,11 @@
 	// failed may follow.
 	vain, nextLook time.Time
 
+	// settled is closed, and made anew, when subscribers have been told what the store
+	// confirmed, or the store did not answer; urgent asks for a look at once.
+	settled chan struct{}
+	urgent  chan struct{}
+
 	// reads says that Run's task follows the store.
 	reads atomic.Bool
 	// Only Run's task uses these. followed is the upstream that answered last; passed
@@ -183,6 +188,8 @@
 		before:  make(map[string]Item),
 		told:    make(chan struct{}),
 		changed: make(chan struct{}),
+		settled: make(chan struct{}),
+		urgent:  make(chan struct{}, 1),
 		passed:  make(map[string]time.Time),
 	}
 }
@@ -301,6 +308,7 @@
 		close(m.told)
 	}
 	m.delivered, m.inForce = m.revision, m.contact
+	m.settle()
 }
 
 // apply changes the copy and returns what changed.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -156,6 +156,16 @@
 	return r.byService[service]
 }
 
+// Usable reports whether an incarnation of a server may still get new work.
+func (r *Registry) Usable(i Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire()
+	s, known := r.servers[i.ID]
+	_, withdrawn := r.withdrawn[i.ID]
+	return known && s.Incarnation() == i && !s.Leaving && !withdrawn
+}
+
 // expire removes entries that did not come back.
 func (r *Registry) expire() {
 	now := r.timers.Now()
--- a/relay/end_test.go
+++ b/relay/end_test.go
@@ -120,7 +120,7 @@
 	t.Run("a stream that pauses, others busy", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			moves := &switched{}
-			b, servers := &scripted{}, &someServers{threeServers{}.Servers("")}
+			b, servers := &scripted{}, &someServers{list: threeServers{}.Servers("")}
 			target := catalog.Route{MaxPause: 800 * time.Millisecond, Objective: 2 * time.Second}
 			r := taught(t, b, target, relay.Parts{Servers: servers, Moves: moves}, lasting(time.Second))
 			servers.list = servers.list[1:]
@@ -208,7 +208,10 @@
 }
 
 // someServers are those of a list.
-type someServers struct{ list []registry.Server }
+type someServers struct {
+	allUsable
+	list []registry.Server
+}
 
 func (s *someServers) Servers(string) []registry.Server { return s.list }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -67,6 +67,7 @@
 		if x.suspected() {
 			return x.give(refuse(ReasonSuspected, 0, "servers ended while they ran this request, content %016x; it is sent to no other one", x.content()))
 		}
+		x.relay.News.Settle(ctx)
 		use, version, refusal := x.choose()
 		if refusal != nil {
 			return x.give(refusal)
@@ -115,6 +116,9 @@
 		Model:    x.model(),
 		After:    x.after,
 		Quiet:    x.quiet,
+		// Between the choice and the first byte lie a dial, and whatever keeps this
+		// process from running.
+		Overtaken: func() bool { return x.relay.News.InDoubt() || !x.relay.Servers.Usable(server.Incarnation()) },
 	})
 	x.countVersion(ctx, use, version, answer, time.Since(sent))
 	f := x.judge(ctx, use, sent, answer, err)
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -86,16 +86,23 @@
 // noNews is of a process that knows all there is.
 type noNews struct{}
 
-func (noNews) Revision() int64    { return 1 }
-func (noNews) Age() time.Duration { return 0 }
+func (noNews) Revision() int64        { return 1 }
+func (noNews) Age() time.Duration     { return 0 }
+func (noNews) InDoubt() bool          { return false }
+func (noNews) Settle(context.Context) {}
 
 // threeServers are all there are.
-type threeServers struct{}
+type threeServers struct{ allUsable }
 
 func (threeServers) Servers(string) []registry.Server {
 	return []registry.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 }
 
+// allUsable are servers that stay.
+type allUsable struct{}
+
+func (allUsable) Usable(registry.Incarnation) bool { return true }
+
 // noRollout lets every server get every request.
 type noRollout struct{}
 
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -99,6 +99,11 @@
 		x.runs++
 		return stall()
 	}
+	if errorx.IsOfType(err, Overtaken) {
+		use.End(route.OutcomeNeutral)
+		delete(x.tried, use.Server().Incarnation()) // it has got nothing
+		return &failure{reason: ReasonOvertaken, paid: true, cause: err.Error()}
+	}
 	outcome := route.OutcomeFailed
 	if errors.Is(ctx.Err(), context.Canceled) {
 		outcome = route.OutcomeNeutral
--- /dev/null
+++ b/relay/overtaken_test.go
@@ -0,0 +1,85 @@
+package relay_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/relay"
+)
+
+// TestOvertaken: between the choice of a server and the first byte that is sent there lie
+// a dial, which may take a second, and whatever keeps the process from running. A server
+// may have left meanwhile, and the news may have grown old; the request went out all the
+// same. It is now looked at once more, goes to another server, or waits for fresh news,
+// and no server counts as tried, no retry as spent.
+func TestOvertaken(t *testing.T) {
+	tests := []struct {
+		name string
+		// meanwhile happens between the choice and the first byte of the first attempt.
+		meanwhile func(l *leaving)
+		sent      []string
+	}{
+		{"nothing", func(*leaving) {}, []string{"a"}},
+		{"the server leaves", func(l *leaving) { l.gone = "a" }, []string{"b"}},
+		{"the news grows old", func(l *leaving) { l.old = true }, []string{"a"}},
+		{"the news grows old, and tells of the leaving", func(l *leaving) { l.old, l.next = true, "a" }, []string{"b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := &leaving{meanwhile: tt.meanwhile}
+			reply := &received{}
+			serve(t, catalog.Route{Kind: catalog.KindOnce, Attempts: 1, Timeout: time.Second}, relay.Parts{Servers: l, News: l, Backends: l, Budgets: noRepeats{}},
+				relay.Request{Body: noBody(t)}, reply)
+			must.Eq(t, 200, reply.status, must.Sprint(reply.refusal))
+			must.Eq(t, tt.sent, l.sent)
+		})
+	}
+}
+
+// leaving are two servers and the news of them.
+type leaving struct {
+	noNews
+	meanwhile func(l *leaving)
+	calls     int
+	// gone is the server that has left, next the one that the next news tells of.
+	gone, next string
+	old        bool
+	sent       []string
+}
+
+func (l *leaving) Servers(string) []registry.Server {
+	var left []registry.Server
+	for _, id := range []string{"a", "b"} {
+		if id != l.gone {
+			left = append(left, registry.Server{ID: id})
+		}
+	}
+	return left[:1]
+}
+
+func (l *leaving) Usable(i registry.Incarnation) bool { return i.ID != l.gone }
+
+func (l *leaving) InDoubt() bool { return l.old }
+
+func (l *leaving) Settle(context.Context) {
+	if l.old {
+		l.old, l.gone = false, l.next
+	}
+}
+
+func (l *leaving) Send(_ context.Context, s registry.Server, call relay.Call) (relay.Answer, error) {
+	if l.calls++; l.calls == 1 {
+		l.meanwhile(l)
+	}
+	if call.Overtaken() {
+		return nil, relay.Overtaken.New("nothing sent")
+	}
+	l.sent = append(l.sent, s.ID)
+	return given{200, strings.NewReader("")}, nil
+}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -41,6 +41,9 @@
 	ReasonStopped
 	// ReasonSuspected: servers ended while they ran the request.
 	ReasonSuspected
+	// ReasonOvertaken: the server was leaving, or the news by which it was chosen had
+	// grown old, before anything was sent.
+	ReasonOvertaken
 )
 
 const (
@@ -76,6 +79,7 @@
 	ReasonLeaving:         http.StatusServiceUnavailable,
 	ReasonStopped:         http.StatusBadGateway,
 	ReasonSuspected:       http.StatusBadGateway,
+	ReasonOvertaken:       http.StatusServiceUnavailable,
 }
 
 // Refusal is an answer of the system's own.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,6 +51,9 @@
 	// NotRun says that a server surely has not run and will not run a
 	// request: it said so, or not a byte of the request reached it.
 	NotRun = namespace.NewType("not_run")
+	// Overtaken says that a request was not sent, since what it was to be sent by no
+	// longer holds.
+	Overtaken = namespace.NewType("overtaken")
 	// Failed says that a server may have run a request and gave no answer
 	// that can be used.
 	Failed = namespace.NewType("failed")
@@ -105,6 +108,9 @@
 	// Quiet is since when an earlier attempt waited in vain; zero if none did.
 	// Connections that have brought nothing since may be as silent as its own.
 	Quiet time.Time
+	// Overtaken reports whether the choice of the server no longer holds. It is asked
+	// just before the first byte is sent; the request is not sent then.
+	Overtaken func() bool
 }
 
 // Answer is the head of a server's answer, and its body as it comes.
@@ -123,7 +129,7 @@
 	Close()
 }
 
-// Backends passes requests on. Errors are NotRun or Failed.
+// Backends passes requests on. Errors are NotRun, Overtaken or Failed.
 type Backends interface {
 	Send(ctx context.Context, server registry.Server, call Call) (Answer, error)
 }
@@ -143,6 +149,8 @@
 // Servers knows the backend servers.
 type Servers interface {
 	Servers(service string) []registry.Server
+	// Usable reports whether a server may still get new work.
+	Usable(i registry.Incarnation) bool
 }
 
 // News tells how far this process knows what the platform holds, which servers are
@@ -151,6 +159,10 @@
 	Revision() int64
 	// Age is how long ago that was confirmed.
 	Age() time.Duration
+	// InDoubt reports whether that is too long ago to choose by, though the platform
+	// might tell what is new. Settle lets it tell, or shows that it does not.
+	InDoubt() bool
+	Settle(ctx context.Context)
 }
 
 // Versions narrows servers down by the roll-outs under way, and takes the
--- a/relay/relay_enumer.go
+++ b/relay/relay_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspected"
+const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
-var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 86, 97, 110, 117, 125, 132, 139, 148}
+var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 86, 97, 110, 117, 125, 132, 139, 148, 157}
 
-const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspected"
+const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -39,9 +39,10 @@
 	_ = x[ReasonLeaving-(12)]
 	_ = x[ReasonStopped-(13)]
 	_ = x[ReasonSuspected-(14)]
+	_ = x[ReasonOvertaken-(15)]
 }
 
-var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected}
+var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:16]:    ReasonNoConfiguration,
@@ -59,6 +60,7 @@
 	_ReasonName[125:132]: ReasonLeaving,
 	_ReasonName[132:139]: ReasonStopped,
 	_ReasonName[139:148]: ReasonSuspected,
+	_ReasonName[148:157]: ReasonOvertaken,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -77,6 +79,7 @@
 	_ReasonLowerName[125:132]: ReasonLeaving,
 	_ReasonLowerName[132:139]: ReasonStopped,
 	_ReasonLowerName[139:148]: ReasonSuspected,
+	_ReasonLowerName[148:157]: ReasonOvertaken,
 }
 
 var _ReasonNames = []string{
@@ -95,6 +98,7 @@
 	_ReasonName[125:132],
 	_ReasonName[132:139],
 	_ReasonName[139:148],
+	_ReasonName[148:157],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -107,7 +107,7 @@
 }
 
 // oneServer is all there is.
-type oneServer struct{}
+type oneServer struct{ allUsable }
 
 func (oneServer) Servers(string) []registry.Server { return []registry.Server{{ID: "a"}} }
 
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -20,6 +20,7 @@
 // crashing are servers that end under one body. Each end is followed by a new
 // start with another ID.
 type crashing struct {
+	allUsable
 	servers []registry.Server
 	started int
 	// ended counts the servers that ended.
