lag, command, internal/jsonlines: violettally lags tells from logs how late nodes learned

Nothing told how late a node learns what the store has taken. Every node logs each leaving, end of an entry and declaration with its revision; the table takes the first node's time as the store's, by kind of news and for the latest nodes. The reading of logs line by line is shared with estimates (internal/jsonlines).

--- a/accuracy/accuracy.go
+++ b/accuracy/accuracy.go
@@ -24,8 +24,6 @@
 package accuracy
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -34,6 +32,7 @@
 
 	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/jsonlines"
 )
 
 var (
@@ -46,8 +45,6 @@
 )
 
 const (
-	// maxLine bounds a line in bytes; a decision takes a few thousand.
-	maxLine = 1 << 20
 	// maxModels bounds the models that have lines of their own, whatever the
 	// logs name.
 	maxModels = 256
@@ -84,39 +81,17 @@
 
 // Read adds the decisions of one log. The name is for errors.
 func (t *Table) Read(name string, log io.Reader) error {
-	lines := bufio.NewReaderSize(log, maxLine)
-	for n := 1; ; n++ {
-		line, err := lines.ReadSlice('\n')
-		if errors.Is(err, bufio.ErrBufferFull) {
-			t.broken++
-			err = skipLine(lines)
-		} else if err == nil || errors.Is(err, io.EOF) {
-			t.readLine(line)
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return errs.Wrap(Unreadable, "read", err, "%s, line %d", name, n)
-		}
+	broken, err := jsonlines.Read(name, log, t.take)
+	t.broken += broken
+	if err != nil {
+		return errs.Wrap(Unreadable, "read", err, "log %s", name)
 	}
+	return nil
 }
 
-// skipLine reads to the end of a line that is too long.
-func skipLine(lines *bufio.Reader) error {
-	for {
-		if _, err := lines.ReadSlice('\n'); !errors.Is(err, bufio.ErrBufferFull) {
-			return err
-		}
-	}
-}
-
-// readLine adds the decision of one line, if it holds one.
-func (t *Table) readLine(line []byte) {
-	brace := bytes.IndexByte(line, '{')
-	if brace < 0 {
-		return
-	}
+// take adds the decision of one line, if it holds one, and reports whether the line
+// can be read.
+func (t *Table) take(object []byte) bool {
 	// The steps are decoded only once the message is known, since those of
 	// other messages may be anything.
 	var entry struct {
@@ -124,23 +99,22 @@
 		Steps   json.RawMessage `json:"steps"`
 	}
 	var otherType *json.UnmarshalTypeError
-	switch err := json.Unmarshal(line[brace:], &entry); {
+	switch err := json.Unmarshal(object, &entry); {
 	case errors.As(err, &otherType):
-		return
+		return true
 	case err != nil:
-		t.broken++
-		return
+		return false
 	}
 	if entry.Message != "decision" {
-		return
+		return true
 	}
 	// A request that was refused at its arrival may have no steps.
 	var steps []decision.Step
 	if len(entry.Steps) > 0 && json.Unmarshal(entry.Steps, &steps) != nil {
-		t.broken++
-		return
+		return false
 	}
 	t.Add(steps)
+	return true
 }
 
 // Add adds one decision by its steps.
--- a/command/command.go
+++ b/command/command.go
@@ -68,7 +68,7 @@
 	DataHall string `arg:"--data-hall" help:"data hall whose addresses come first"`
 }
 
-type estimatesArgs struct {
+type logArgs struct {
 	Files []string `arg:"positional" placeholder:"FILE" help:"gateways' logs (JSON lines); without one, standard input"`
 }
 
@@ -84,7 +84,8 @@
 	Show      *showArgs      `arg:"subcommand:show" help:"print what is in force"`
 	Explain   *explainArgs   `arg:"subcommand:explain" help:"print how a request was decided"`
 	Addresses *addressesArgs `arg:"subcommand:addresses" help:"print the addresses that callers may use"`
-	Estimates *estimatesArgs `arg:"subcommand:estimates" help:"print how good the estimates in gateways' logs were"`
+	Estimates *logArgs       `arg:"subcommand:estimates" help:"print how good the estimates in gateways' logs were"`
+	Lags      *logArgs       `arg:"subcommand:lags" help:"print how late gateways learned what the store had taken, by their logs"`
 	Digest    *digestArgs    `arg:"subcommand:digest" help:"print the digest of a key, for a declaration file"`
 	Version   *struct{}      `arg:"subcommand:version" help:"print the version"`
 }
@@ -144,6 +145,8 @@
 		return r.addresses(args.Addresses)
 	case args.Estimates != nil:
 		return r.estimates(args.Estimates)
+	case args.Lags != nil:
+		return r.lags(args.Lags)
 	case args.Digest != nil:
 		return r.digest(args.Digest)
 	case args.Version != nil:
--- a/command/estimates.go
+++ b/command/estimates.go
@@ -2,20 +2,40 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/violettally/violettally/accuracy"
+	"github.com/violettally/violettally/lag"
 )
 
+// logTable is what a command makes of logs.
+type logTable interface {
+	Read(name string, log io.Reader) error
+	Print(w io.Writer) error
+	Broken() int
+}
+
 // estimates needs no node: it reads logs alone.
-func (r *runner) estimates(args *estimatesArgs) int {
+func (r *runner) estimates(args *logArgs) int {
 	table := accuracy.New()
+	return r.printLogs(table, args, "decisions", func() bool { return table.Decisions() > 0 })
+}
+
+// lags needs no node either.
+func (r *runner) lags(args *logArgs) int {
+	table := lag.New()
+	return r.printLogs(table, args, "news of the store", func() bool { return len(table.Learned()) > 0 })
+}
+
+// printLogs reads logs into a table and prints it, if they hold what it is of.
+func (r *runner) printLogs(table logTable, args *logArgs, what string, held func() bool) int {
 	if err := r.readLogs(table, args.Files); err != nil {
 		fmt.Fprintln(r.stderr, err)
 		return ExitFailure
 	}
-	if table.Decisions() == 0 {
-		fmt.Fprintf(r.stderr, "no decisions in these logs; %d broken lines\n", table.Broken())
+	if !held() {
+		fmt.Fprintf(r.stderr, "no %s in these logs; %d broken lines\n", what, table.Broken())
 		return ExitFailure
 	}
 	if err := table.Print(r.stdout); err != nil {
@@ -25,8 +45,8 @@
 	return ExitOK
 }
 
-// readLogs adds up the files, or standard input if there are none.
-func (r *runner) readLogs(table *accuracy.Table, files []string) error {
+// readLogs reads the files, or standard input if there are none.
+func (r *runner) readLogs(table logTable, files []string) error {
 	if len(files) == 0 {
 		return table.Read("standard input", r.stdin)
 	}
@@ -38,7 +58,7 @@
 	return nil
 }
 
-func readLog(table *accuracy.Table, file string) error {
+func readLog(table logTable, file string) error {
 	log, err := os.Open(file)
 	if err != nil {
 		return err
--- a/command/estimates_test.go
+++ b/command/estimates_test.go
@@ -15,6 +15,19 @@
 // line is a decision of a gateway.
 const line = `{"msg":"decision","steps":[{"step":"head","detail":"after 2 ms, expected 1, of it 0 waiting; confidence 9 of m"}]}` + "\n"
 
+func TestLags(t *testing.T) {
+	const learned = `{"time":"2026-01-01T00:00:00Z","msg":"server is gone","vm":"n","server":"s","revision":1}` + "\n"
+	for _, tt := range []struct {
+		name, stdin string
+		code        int
+	}{{"learned", learned, command.ExitOK}, {"nothing", line, command.ExitFailure}} {
+		t.Run(tt.name, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			must.Eq(t, tt.code, command.Main([]string{"lags"}, strings.NewReader(tt.stdin), &stdout, &stderr), must.Sprint(stderr.String()))
+		})
+	}
+}
+
 func TestEstimates(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "gateway.log")
 	must.NoError(t, os.WriteFile(file, []byte(line+line), 0o600))
