--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -123,6 +123,9 @@
 	if err != nil {
 		slog.Info("upstream did not answer; passed over", "peer", address, "age_ms", m.Age().Milliseconds(), "error", err)
 		m.passOver(address)
+		if m.Age() > lookAge {
+			m.askPeers(ctx) // many upstreams may be lost, one after the other
+		}
 		return
 	}
 	m.accept(batch)
--- a/mirror/fresh.go
+++ b/mirror/fresh.go
@@ -15,10 +15,12 @@
 	// lookSlack is that delay.
 	lookSlack = 250 * time.Millisecond
 	// lookPause lies between two looks while the store does not answer. It grows with
-	// the number of nodes that are to look before this one, up to lookPauseMax: in an
-	// outage a call is paid for and tells nothing.
-	lookPause    = time.Second
-	lookPauseMax = 10 * time.Second
+	// the number of nodes that are to look before this one, since in an outage a call is
+	// paid for and tells nothing, up to lookPauseMax: a node that reaches the store again,
+	// and nobody else, must have caught up within the 3 s after which its knowledge
+	// counts and the 2 s that a change may take.
+	lookPause    = 1500 * time.Millisecond
+	lookPauseMax = 4 * time.Second
 	// doubtAge is the age from which a node does not go by its news any more, unless
 	// the store did not answer it: a look has told by then, also on a connection that
 	// is silent, but for a process that did not run.
--- a/mirror/hall_test.go
+++ b/mirror/hall_test.go
@@ -237,8 +237,9 @@
 
 	mu sync.Mutex
 	// silent are the nodes that answer nobody, cut those that do not reach the
-	// store; gone are the nodes whose entries have lapsed.
-	silent, cut, gone map[int]bool
+	// store, parted those that reach no other node; gone are the nodes whose entries
+	// have lapsed.
+	silent, cut, parted, gone map[int]bool
 	// frozen holds by node what is closed when its process runs again.
 	frozen map[int]chan struct{}
 	// regained counts by node how often it took the store for back.
@@ -248,7 +249,7 @@
 // newHall returns a hall whose nodes run until the test ends.
 func newHall(t *testing.T, size int) *hall {
 	ctx, timers := run(t)
-	h := &hall{store: newStore(), timers: timers, silent: make(map[int]bool), cut: make(map[int]bool), gone: make(map[int]bool), frozen: make(map[int]chan struct{}), regained: make(map[int]int)}
+	h := &hall{store: newStore(), timers: timers, silent: make(map[int]bool), cut: make(map[int]bool), parted: make(map[int]bool), gone: make(map[int]bool), frozen: make(map[int]chan struct{}), regained: make(map[int]int)}
 	h.store.put("a", false)
 	for i := range size {
 		m := mirror.New(hallStore{h, i}, hallPeers{h, i}, timers)
@@ -296,6 +297,12 @@
 	}
 }
 
+func (h *hall) isFrozen(i int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.frozen[i] != nil
+}
+
 // run makes a call of a node's. One that the process makes while it is frozen is not
 // sent; the answer to one made before lies in the socket.
 func (h *hall) run(ctx context.Context, i int, call func() (mirror.Batch, error)) (mirror.Batch, error) {
@@ -395,14 +402,24 @@
 	if _, err := fmt.Sscan(address, &i); err != nil {
 		return mirror.Batch{}, err
 	}
-	if p.h.is(p.h.silent, i) || p.h.is(p.h.silent, p.i) {
+	if p.unreached(i) {
 		<-ctx.Done()
 		return mirror.Batch{}, ctx.Err()
 	}
 	b, err := p.h.run(ctx, p.i, func() (mirror.Batch, error) { return p.h.nodes[i].Await(ctx, after, wait), nil })
-	if p.h.is(p.h.silent, i) {
+	if p.unreached(i) {
 		<-ctx.Done()
 		return mirror.Batch{}, ctx.Err()
 	}
 	return b, err
 }
+
+// unreached reports whether the node does not reach another one.
+func (p hallPeers) unreached(i int) bool {
+	for _, state := range []map[int]bool{p.h.silent, p.h.parted} {
+		if p.h.is(state, i) || p.h.is(state, p.i) {
+			return true
+		}
+	}
+	return false
+}
