mirror, metrics, gateway: what happens to a node's news is counted by event

An outage of the store, a lost upstream, old news, a look in vain and a stalled process each have a name and a counter (violettally_news), so that metrics tell them apart. A gateway warns at its start where the agreed time for leaving servers is shorter than news may be old (mirror.OldestUsed).

Cause: logs told these states apart and no metric did. Ruled out: one counter for each, which dashboards would have to add up.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,7 +134,7 @@
 	g.nodes = newNodes(g)
 	g.suspects = suspect.New(g.timers)
 	g.board = share.NewBoard(g.self, g, g.client, g.timers, g.heard)
-	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers)
+	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers, mirror.WithEvents(instruments.News))
 	g.nodes.told = g.mirror.Told()
 	g.makeRollouts()
 	g.subscribe()
@@ -220,6 +220,10 @@
 	stays, leave := context.WithCancel(ctx)
 	defer leave()
 	go g.leases.Run(stays)
+	if drain := g.settings.Drain(); drain > 0 && drain < mirror.OldestUsed {
+		slog.Warn("requests may go by news that is older than the agreed time after which a leaving server gets none",
+			"agreed_ms", drain.Milliseconds(), "oldest_ms", mirror.OldestUsed.Milliseconds())
+	}
 	slog.Info("gateway is up", "id", g.self.ID, "caller", g.self.Caller, "data_hall", g.self.DataHall, "store", g.settings.Store.Address)
 	select {
 	case <-ctx.Done():
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -26,6 +26,7 @@
 	"github.com/violettally/violettally/dispatch"
 	"github.com/violettally/violettally/ledger"
 	"github.com/violettally/violettally/member"
+	"github.com/violettally/violettally/mirror"
 )
 
 // Metrics is one node's instruments. It is safe for concurrent use.
@@ -49,6 +50,7 @@
 	breakers   metric.Int64Counter
 	entries    metric.Int64Counter
 	reports    metric.Int64Counter
+	news       metric.Int64Counter
 
 	escalations metric.Int64Counter
 	resumes     metric.Int64Counter
@@ -97,6 +99,7 @@
 		{&m.escalations, "violettally_escalations", "Answers dropped for one of a costlier model, by that model."},
 		{&m.resumes, "violettally_resumes", "Streams that went on at another backend server."},
 		{&m.entries, "violettally_entries_unusable", "Entries in the platform's store that name no server or node to use, by reason."},
+		{&m.news, "violettally_news", "What happened to the news of the platform's store, by event."},
 		{&m.breakers, "violettally_breakers_opened", "Backend servers taken out after failures."},
 	}
 	for _, c := range counters {
@@ -196,6 +199,9 @@
 // EntryUnusable counts an entry that names no server or node to use.
 func (m *Metrics) EntryUnusable(reason string) { add(m.entries, 1, attribute.String("reason", reason)) }
 
+// News counts what happened to the news of the platform's store.
+func (m *Metrics) News(e mirror.Event) { add(m.news, 1, attribute.String("event", e.String())) }
+
 // BreakerOpened counts a server that was taken out.
 func (m *Metrics) BreakerOpened(server string) {
 	add(m.breakers, 1, attribute.String("server", server))
--- /dev/null
+++ b/mirror/event.go
@@ -0,0 +1,32 @@
+package mirror
+
+//go:generate go tool enumer -type=Event -trimprefix=Event -transform=snake -output=mirror_enumer.go
+
+// Event is what happened to the news of a node. Each is counted.
+type Event int
+
+// The events.
+const (
+	// EventLook is a look at the store itself, since the news had grown old.
+	EventLook Event = iota
+	// EventLookInVain is one that the store did not answer.
+	EventLookInVain
+	// EventUpstreamSilent is an upstream that did not answer, and is passed over.
+	EventUpstreamSilent
+	// EventUpstreamOld is one that knew less than the store told, and is passed over.
+	EventUpstreamOld
+	// EventStoreLost and EventStoreBack are the first call that the store did not answer
+	// and the first that it did, or that an upstream did which reaches it.
+	EventStoreLost
+	EventStoreBack
+	// EventOutage is fresh news after an outage of the store, in which entries lapse.
+	EventOutage
+	// EventStalled is a call during which this process did not run.
+	EventStalled
+)
+
+// Option changes a Mirror as New makes it.
+type Option func(*Mirror)
+
+// WithEvents calls count with each event.
+func WithEvents(count func(Event)) Option { return func(m *Mirror) { m.count = count } }
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -94,7 +94,7 @@
 		m.pause(ctx, gatherTime)
 		return
 	}
-	if ctx.Err() != nil || errorx.IsOfType(err, Stalled) {
+	if ctx.Err() != nil || m.stalled(err) {
 		return
 	}
 	m.lost(err)
@@ -117,10 +117,11 @@
 	if wait > 0 && errors.Is(err, context.DeadlineExceeded) {
 		batch, err = m.callPeer(ctx, address, 0)
 	}
-	if ctx.Err() != nil || errorx.IsOfType(err, Stalled) {
+	if ctx.Err() != nil || m.stalled(err) {
 		return
 	}
 	if err != nil {
+		m.count(EventUpstreamSilent)
 		slog.Info("upstream did not answer; passed over", "peer", address, "age_ms", m.Age().Milliseconds(), "error", err)
 		m.passOver(address)
 		if m.Age() > lookAge {
@@ -134,6 +135,7 @@
 		m.followed = address
 		m.gained()
 	case m.Age() <= lookAge:
+		m.count(EventUpstreamOld)
 		slog.Info("upstream has old news; passed over", "peer", address, "its_age_ms", batch.Age.Milliseconds(), "its_revision", batch.Revision,
 			"age_ms", m.Age().Milliseconds(), "revision", m.Revision())
 		m.passOver(address)
@@ -187,6 +189,15 @@
 	return batch, err
 }
 
+// stalled reports whether a call failed since this process did not run.
+func (m *Mirror) stalled(err error) bool {
+	if !errorx.IsOfType(err, Stalled) {
+		return false
+	}
+	m.count(EventStalled)
+	return true
+}
+
 // step waits for what the store tells next.
 func (m *Mirror) step(ctx context.Context) error {
 	if m.Revision() == 0 || m.isAway() {
@@ -290,6 +301,7 @@
 	outage := now.Sub(m.contact) > outageAge && m.vain.After(m.contact)
 	m.mu.Unlock()
 	if outage && b.Age <= lookAge {
+		m.count(EventOutage)
 		for _, do := range m.regained {
 			do()
 		}
@@ -313,6 +325,7 @@
 	revision := m.revision
 	m.mu.Unlock()
 	if !before {
+		m.count(EventStoreLost)
 		slog.Warn("store is out of reach; following peers", "revision", revision, "error", err)
 	}
 }
@@ -324,6 +337,7 @@
 	m.away = false
 	m.mu.Unlock()
 	if before {
+		m.count(EventStoreBack)
 		slog.Info("store is reached again", "away_ms", m.Age().Milliseconds())
 	}
 }
--- a/mirror/fresh.go
+++ b/mirror/fresh.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/joomcode/errorx"
 )
 
 const (
@@ -27,6 +25,11 @@
 	doubtAge = lookAge + 2*followSlack
 )
 
+// OldestUsed is the age of news from which requests don't go by it. A change that the
+// store has taken is in force that much later at the latest, at a node that reaches the
+// store, but for the time of one call.
+const OldestUsed = doubtAge
+
 // keepFresh looks at the store whenever the news of this node has grown old, until
 // the context ends. It is what bounds the age of the news that a node goes by; what
 // Run does only makes looks rare.
@@ -35,11 +38,12 @@
 		if left := m.untilLook(); left > 0 && !m.urged(ctx, left) {
 			continue
 		}
+		m.count(EventLook)
 		err := m.ask(ctx, 0)
 		switch {
 		case err == nil:
 			m.gained()
-		case ctx.Err() == nil && !errorx.IsOfType(err, Stalled):
+		case ctx.Err() == nil && !m.stalled(err):
 			m.lookedInVain(err)
 		}
 	}
@@ -125,6 +129,7 @@
 
 // lookedInVain notes that the store did not answer a look.
 func (m *Mirror) lookedInVain(err error) {
+	m.count(EventLookInVain)
 	before := len(m.peers.Upstream())
 	m.lost(err)
 	m.mu.Lock()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -123,6 +123,7 @@
 	store  Store
 	peers  Peers
 	timers *timer.Service
+	count  func(Event)
 
 	// subscribers and regained do not change any more once Run has begun.
 	subscribers []subscriber
@@ -179,8 +180,9 @@
 }
 
 // New returns an empty mirror.
-func New(store Store, peers Peers, timers *timer.Service) *Mirror {
-	return &Mirror{
+func New(store Store, peers Peers, timers *timer.Service, options ...Option) *Mirror {
+	m := &Mirror{
+		count:   func(Event) {},
 		store:   store,
 		peers:   peers,
 		timers:  timers,
@@ -192,6 +194,10 @@
 		urgent:  make(chan struct{}, 1),
 		passed:  make(map[string]time.Time),
 	}
+	for _, option := range options {
+		option(m)
+	}
+	return m
 }
 
 // Subscribe calls changed with each change of a key under the prefix, one at
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -89,6 +89,12 @@
 	return time.Duration(g.Bounds.GraceSeconds * float64(time.Second))
 }
 
+// Drain is the agreed time after which a server that leaves gets no requests; zero if
+// none is.
+func (g *Gateway) Drain() time.Duration {
+	return time.Duration(g.Bounds.DrainMillis * float64(time.Millisecond))
+}
+
 // setDefaults fills in what the file leaves out.
 func (g *Gateway) setDefaults() {
 	setDefault(&g.LogLevel, "info")
