relay, mirror: the declaration is not gone by either while the news is in doubt

A request that comes to a process that has just run again was routed by the declaration of before its stall. The news is settled before the route is looked up, too.

--- a/mirror/fresh.go
+++ b/mirror/fresh.go
@@ -64,7 +64,7 @@
 
 // InDoubt reports whether the news is too old to go by, though the store might tell
 // what is new. While the store does not answer nobody knows better, and old news is
-// gone by.
+// gone by. Where nothing is known there is nothing to doubt.
 func (m *Mirror) InDoubt() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -73,7 +73,8 @@
 
 // inDoubt is InDoubt for a caller that holds mu.
 func (m *Mirror) inDoubt() bool {
-	return m.timers.Now().Sub(m.inForce) > doubtAge && !m.vain.After(m.contact)
+	known := !m.inForce.IsZero()
+	return known && m.timers.Now().Sub(m.inForce) > doubtAge && !m.vain.After(m.contact)
 }
 
 // Settle returns once the news is in doubt no more. It returns at once if it is not,
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,18 @@
 	must.Eq(t, map[registry.Incarnation]bool{{ID: "a"}: true, {ID: "c"}: true}, r.Incarnations())
 }
 
+// BenchmarkUsable is the look at a server before a request's first byte.
+func BenchmarkUsable(b *testing.B) {
+	r := registry.New(timer.New())
+	for i := range 2800 {
+		r.Put(registry.Server{ID: fmt.Sprint(i), Service: "s"})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Usable(registry.Incarnation{ID: "7"})
+	}
+}
+
 // TestLapsedEntries: what is dropped just after the store has come back is
 // kept for two seconds, or until it is back; what is dropped later is gone.
 func TestLapsedEntries(t *testing.T) {
--- a/relay/overtaken_test.go
+++ b/relay/overtaken_test.go
@@ -28,11 +28,15 @@
 		{"nothing", func(*leaving) {}, []string{"a"}},
 		{"the server leaves", func(l *leaving) { l.gone = "a" }, []string{"b"}},
 		{"the news grows old", func(l *leaving) { l.old = true }, []string{"a"}},
+		{"the news was old before", func(*leaving) {}, []string{"b"}},
 		{"the news grows old, and tells of the leaving", func(l *leaving) { l.old, l.next = true, "a" }, []string{"b"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			l := &leaving{meanwhile: tt.meanwhile}
+			if tt.name == "the news was old before" {
+				l.old, l.next = true, "a"
+			}
 			reply := &received{}
 			serve(t, catalog.Route{Kind: catalog.KindOnce, Attempts: 1, Timeout: time.Second}, relay.Parts{Servers: l, News: l, Backends: l, Budgets: noRepeats{}},
 				relay.Request{Body: noBody(t)}, reply)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -269,6 +269,7 @@
 func (r *Relay) Serve(ctx context.Context, q *Request, reply Reply) {
 	record := r.Records.Start(q.ID, "")
 	r.awaitStart(ctx, q)
+	r.News.Settle(ctx) // the declaration is old news as well
 	x, refusal := r.accept(q, reply, record)
 	if refusal == nil {
 		x.noteLeaving()
