--- a/command/estimates.go
+++ b/command/estimates.go
@@ -25,7 +25,7 @@
 // lags needs no node either.
 func (r *runner) lags(args *logArgs) int {
 	table := lag.New()
-	return r.printLogs(table, args, "news of the store", func() bool { return len(table.Learned()) > 0 })
+	return r.printLogs(table, args, "news of the store", func() bool { return table.Changes() > 0 })
 }
 
 // printLogs reads logs into a table and prints it, if they hold what it is of.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -235,7 +235,7 @@
 }
 
 // watchStalls logs when this process did not run.
-func (g *Gateway) watchStalls(ctx context.Context) { stall.Watch(ctx, g.timers) }
+func (g *Gateway) watchStalls(ctx context.Context) { stall.Watch(ctx, g.timers, stall.Log) }
 
 // ready reports whether this gateway takes requests: a declaration is in force,
 // and so is all else that the store held when this gateway first read it. The
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	go stall.Watch(ctx, timers)
+//	go stall.Watch(ctx, timers, stall.Log)
 package stall
 
 import (
@@ -23,8 +23,12 @@
 	least = 300 * time.Millisecond
 )
 
-// Watch logs when this process did not run for long, until the context ends.
-func Watch(ctx context.Context, timers *timer.Service) {
+// Log writes a log line of a stall.
+func Log(late time.Duration) { slog.Warn("process did not run", "late_ms", late.Milliseconds()) }
+
+// Watch calls tell when this process did not run for long, with how long, until the
+// context ends.
+func Watch(ctx context.Context, timers *timer.Service, tell func(late time.Duration)) {
 	ticks := timers.Subscribe(tick)
 	defer ticks.Stop()
 	last := timers.Now()
@@ -36,7 +40,7 @@
 		}
 		now := timers.Now()
 		if late := now.Sub(last) - tick; late > least {
-			slog.Warn("process did not run", "late_ms", late.Milliseconds())
+			tell(late)
 		}
 		last = now
 	}
--- a/lag/lag.go
+++ b/lag/lag.go
@@ -19,6 +19,7 @@
 package lag
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"slices"
@@ -75,7 +76,6 @@
 // line is what the package reads of a log line.
 type line struct {
 	Time     time.Time `json:"time"`
-	Message  string    `json:"msg"`
 	Node     string    `json:"vm"`
 	Server   string    `json:"server"`
 	Leaving  bool      `json:"leaving"`
@@ -163,7 +163,7 @@
 			}
 		}
 	}
-	slices.SortFunc(all, func(a, b Learned) int { return int(a.late - b.late) })
+	slices.SortFunc(all, func(a, b Learned) int { return cmp.Compare(a.late, b.late) })
 	return all
 }
 
@@ -182,5 +182,8 @@
 	return slices.ContainsFunc(t.started[node], func(at time.Time) bool { return at.After(from) && !at.After(to) })
 }
 
+// Changes returns how many changes of the store nodes learned of.
+func (t *Table) Changes() int { return len(t.learned) }
+
 // Broken returns how many lines held a brace and no JSON, or were too long.
 func (t *Table) Broken() int { return t.broken }
--- a/lag/print.go
+++ b/lag/print.go
@@ -1,10 +1,10 @@
 package lag
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -46,10 +46,7 @@
 	}
 	most := func(node string) time.Duration { return byNode[node][len(byNode[node])-1] }
 	slices.SortFunc(nodes, func(a, b string) int {
-		if most(a) != most(b) {
-			return int(most(b) - most(a))
-		}
-		return strings.Compare(a, b)
+		return cmp.Or(cmp.Compare(most(b), most(a)), cmp.Compare(a, b))
 	})
 	return nodes[:min(nodesShown, len(nodes))]
 }
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -148,11 +148,10 @@
 
 // callPeer asks a peer that may wait that long.
 func (m *Mirror) callPeer(ctx context.Context, address string, wait time.Duration) (Batch, error) {
-	begun := m.timers.Now()
-	batch, err := bounded(ctx, waiting(wait, peerTimeout), func(ctx context.Context) (Batch, error) {
+	batch, took, err := bounded(ctx, waiting(wait, peerTimeout), func(ctx context.Context) (Batch, error) {
 		return m.peers.Follow(ctx, address, m.Revision(), wait)
 	})
-	batch.Age += max(0, m.timers.Now().Sub(begun)-batch.Held)
+	batch.Age += max(0, took-batch.Held)
 	return batch, err
 }
 
@@ -166,27 +165,28 @@
 // process's doing.
 const stallSlack = 250 * time.Millisecond
 
-// bounded makes a call. An error of one that ran out of time is a context's, or
-// Stalled.
-func bounded(ctx context.Context, b progress.Bounds, call func(context.Context) (Batch, error)) (Batch, error) {
+// bounded makes a call and tells how long it took. An error of one that ran out of
+// time is a context's, or Stalled.
+func bounded(ctx context.Context, b progress.Bounds, call func(context.Context) (Batch, error)) (batch Batch, took time.Duration, err error) {
 	ctx, cancel := progress.WithTimeout(ctx, b)
 	defer cancel()
 	begun := time.Now()
-	batch, err := call(ctx)
+	batch, err = call(ctx)
+	took = time.Since(begun)
 	if err == nil {
-		return batch, nil
+		return batch, took, nil
 	}
 	allowed := b.First
 	if progress.Begun(ctx) {
 		allowed = b.Whole
 	}
-	if took := time.Since(begun); took > allowed+stallSlack {
-		return batch, errs.Wrap(Stalled, "call", err, "the process did not run: %d ms in place of %d", took.Milliseconds(), allowed.Milliseconds())
+	if took > allowed+stallSlack {
+		return batch, took, errs.Wrap(Stalled, "call", err, "the process did not run: %d ms in place of %d", took.Milliseconds(), allowed.Milliseconds())
 	}
 	if ctx.Err() != nil {
-		return batch, context.Cause(ctx)
+		return batch, took, context.Cause(ctx)
 	}
-	return batch, err
+	return batch, took, err
 }
 
 // stalled reports whether a call failed since this process did not run.
@@ -228,19 +228,17 @@
 // watch asks the store for changes, which may wait that long. An answer that came
 // later than that was on its way, or lay unread.
 func (m *Mirror) watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
-	begun := m.timers.Now()
-	batch, err := bounded(ctx, waiting(wait, followSlack), func(ctx context.Context) (Batch, error) {
+	batch, took, err := bounded(ctx, waiting(wait, followSlack), func(ctx context.Context) (Batch, error) {
 		return m.store.Follow(ctx, after, wait)
 	})
-	batch.Age = max(0, m.timers.Now().Sub(begun)-wait)
+	batch.Age = max(0, took-wait)
 	return batch, err
 }
 
 // readAll reads the whole, which also tells what was removed meanwhile.
 func (m *Mirror) readAll(ctx context.Context) error {
-	begun := m.timers.Now()
 	bounds := progress.Bounds{First: readTimeout, Silence: followSlack, Whole: readTimeout + fetchTime}
-	batch, err := bounded(ctx, bounds, func(ctx context.Context) (Batch, error) {
+	batch, took, err := bounded(ctx, bounds, func(ctx context.Context) (Batch, error) {
 		if m.Revision() == 0 {
 			// A node that starts during an outage need not wait for the store to time
 			// out.
@@ -251,7 +249,7 @@
 	if err != nil {
 		return err
 	}
-	batch.Age = m.timers.Now().Sub(begun)
+	batch.Age = took
 	m.gained()
 	m.accept(batch)
 	return nil
--- a/mirror/fresh.go
+++ b/mirror/fresh.go
@@ -80,10 +80,7 @@
 // Settle returns once the news is in doubt no more. It returns at once if it is not,
 // and waits no longer than a look takes.
 func (m *Mirror) Settle(ctx context.Context) {
-	m.mu.Lock()
-	doubt := m.inDoubt()
-	m.mu.Unlock()
-	if !doubt {
+	if !m.InDoubt() {
 		return
 	}
 	select {
--- a/mirror/hall_test.go
+++ b/mirror/hall_test.go
@@ -29,18 +29,14 @@
 // steps added up. Now a node whose news grows old looks at the store, whatever it waits
 // for.
 func TestUpstreamsGone(t *testing.T) {
-	for after := time.Duration(0); after < time.Second; after += 100 * time.Millisecond {
-		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				h := newHall(t, 12)
-				settle(5*time.Second + after)
-				h.silence(0, 1, 2)
-				h.store.put("b", false)
-				settle(learnTime)
-				must.SliceEmpty(t, h.without("b", 3))
-			})
-		})
-	}
+	atMoments(t, 100*time.Millisecond, func(t *testing.T, after time.Duration) {
+		h := newHall(t, 12)
+		settle(5*time.Second + after)
+		h.silence(0, 1, 2)
+		h.store.put("b", false)
+		settle(learnTime)
+		must.SliceEmpty(t, h.without("b", 3))
+	})
 }
 
 // TestLostUpstreamIsNoOutage: a node whose upstreams are gone takes news from the
@@ -65,21 +61,17 @@
 // is now this process's own doing, and says nothing of the store.
 func TestStalledProcess(t *testing.T) {
 	const stalled = 5
-	for after := time.Duration(0); after < time.Second; after += 50 * time.Millisecond {
-		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				h := newHall(t, 12)
-				settle(5*time.Second + after)
-				thaw := h.freeze(stalled)
-				settle(3 * time.Second)
-				h.store.put("b", false)
-				thaw()
-				settle(time.Second)
-				must.SliceEmpty(t, h.without("b", stalled))
-				must.Eq(t, 0, h.outages(stalled))
-			})
-		})
-	}
+	atMoments(t, 50*time.Millisecond, func(t *testing.T, after time.Duration) {
+		h := newHall(t, 12)
+		settle(5*time.Second + after)
+		thaw := h.freeze(stalled)
+		settle(3 * time.Second)
+		h.store.put("b", false)
+		thaw()
+		settle(time.Second)
+		must.SliceEmpty(t, h.without("b", stalled))
+		must.Eq(t, 0, h.outages(stalled))
+	})
 }
 
 // TestSettle: a process that runs again after 3 s does not go by what it knew, and knows
--- a/mirror/harness_test.go
+++ b/mirror/harness_test.go
@@ -228,6 +228,16 @@
 	return ctx, timers
 }
 
+// atMoments plays a test at the moments of a second, since what a node waits for in that
+// moment decides how soon it hears.
+func atMoments(t *testing.T, step time.Duration, play func(t *testing.T, after time.Duration)) {
+	for after := time.Duration(0); after < time.Second; after += step {
+		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { play(t, after) })
+		})
+	}
+}
+
 // settle lets time pass and every task rest, so that a test may look at what
 // they wrote.
 func settle(d time.Duration) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -156,8 +156,7 @@
 	// upstream that reaches it has since.
 	away bool
 	// vain is when a call to the store last failed: without one, silence is not the
-	// store's. nextLook is when a look that
-	// failed may follow.
+	// store's. nextLook is when another look may follow one that failed.
 	vain, nextLook time.Time
 
 	// settled is closed, and made anew, when subscribers have been told what the store
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -148,44 +148,40 @@
 // TestSilentConnections: when every connection open now goes silent for good,
 // while new ones work, a change made then is known everywhere 2 s later.
 func TestSilentConnections(t *testing.T) {
-	for after := time.Duration(0); after < time.Second; after += 50 * time.Millisecond {
-		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, timers := run(t)
-				// The first node follows the store, the others follow it.
-				var stores [4]*fakeStore
-				var links [4]*peers
-				var nodes [4]*mirror.Mirror
-				for i := range nodes {
-					stores[i], links[i] = newStore(), &peers{}
-					nodes[i] = mirror.New(stores[i], links[i], timers)
-					stores[i].put("a", false)
-				}
-				for i, node := range nodes {
-					links[i].mirrors = nodes[:3]
-					for j := range min(i, 3) {
-						links[i].upstream = append(links[i].upstream, fmt.Sprint(j))
-					}
-					go node.Run(ctx)
-				}
-				settle(5*time.Second + after)
-				for i := range nodes {
-					stores[i].line.silence()
-					for j := range links[i].lines {
-						links[i].lines[j].silence()
-					}
-				}
-				for _, s := range stores {
-					s.put("b", false)
-				}
-				settle(2 * time.Second)
-				for i, node := range nodes {
-					_, ok := node.Get("b")
-					must.True(t, ok, must.Sprint("node ", i))
-				}
-			})
-		})
-	}
+	atMoments(t, 50*time.Millisecond, func(t *testing.T, after time.Duration) {
+		ctx, timers := run(t)
+		// The first node follows the store, the others follow it.
+		var stores [4]*fakeStore
+		var links [4]*peers
+		var nodes [4]*mirror.Mirror
+		for i := range nodes {
+			stores[i], links[i] = newStore(), &peers{}
+			nodes[i] = mirror.New(stores[i], links[i], timers)
+			stores[i].put("a", false)
+		}
+		for i, node := range nodes {
+			links[i].mirrors = nodes[:3]
+			for j := range min(i, 3) {
+				links[i].upstream = append(links[i].upstream, fmt.Sprint(j))
+			}
+			go node.Run(ctx)
+		}
+		settle(5*time.Second + after)
+		for i := range nodes {
+			stores[i].line.silence()
+			for j := range links[i].lines {
+				links[i].lines[j].silence()
+			}
+		}
+		for _, s := range stores {
+			s.put("b", false)
+		}
+		settle(2 * time.Second)
+		for i, node := range nodes {
+			_, ok := node.Get("b")
+			must.True(t, ok, must.Sprint("node ", i))
+		}
+	})
 }
 
 // TestStart: a node that starts while the store is silent has what its peers
--- a/node/node.go
+++ b/node/node.go
@@ -370,7 +370,7 @@
 	for _, run := range []func(context.Context){
 		n.vms.Run, n.spreader.Run, n.prober.Run, n.keeper.Run, n.replica.Run, n.journal.Run, n.closer.Run, n.bills.Run,
 		n.answers.Run, n.limiter.Run, n.leases.Run, n.driver.Run, n.loads.Run, n.backends.Run, n.adoptOrphans,
-		func(ctx context.Context) { stall.Watch(ctx, n.timers) },
+		func(ctx context.Context) { stall.Watch(ctx, n.timers, stall.Log) },
 	} {
 		parts.Go(func() { run(ctx) })
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -67,7 +67,6 @@
 		if x.suspected() {
 			return x.give(refuse(ReasonSuspected, 0, "servers ended while they ran this request, content %016x; it is sent to no other one", x.content()))
 		}
-		x.relay.News.Settle(ctx)
 		use, version, refusal := x.choose()
 		if refusal != nil {
 			return x.give(refusal)
@@ -83,6 +82,7 @@
 		if refusal := x.next(ctx, f); refusal != nil {
 			return x.give(refusal)
 		}
+		x.relay.News.Settle(ctx)
 	}
 }
 
--- a/relay/overtaken_test.go
+++ b/relay/overtaken_test.go
@@ -21,21 +21,23 @@
 func TestOvertaken(t *testing.T) {
 	tests := []struct {
 		name string
+		// before is what the process knows when the request comes; nil for all.
+		before func(l *leaving)
 		// meanwhile happens between the choice and the first byte of the first attempt.
 		meanwhile func(l *leaving)
 		sent      []string
 	}{
-		{"nothing", func(*leaving) {}, []string{"a"}},
-		{"the server leaves", func(l *leaving) { l.gone = "a" }, []string{"b"}},
-		{"the news grows old", func(l *leaving) { l.old = true }, []string{"a"}},
-		{"the news was old before", func(*leaving) {}, []string{"b"}},
-		{"the news grows old, and tells of the leaving", func(l *leaving) { l.old, l.next = true, "a" }, []string{"b"}},
+		{"nothing", nil, func(*leaving) {}, []string{"a"}},
+		{"the server leaves", nil, func(l *leaving) { l.gone = "a" }, []string{"b"}},
+		{"the news grows old", nil, func(l *leaving) { l.old = true }, []string{"a"}},
+		{"the news was old before", func(l *leaving) { l.old, l.next = true, "a" }, func(*leaving) {}, []string{"b"}},
+		{"the news grows old, and tells of the leaving", nil, func(l *leaving) { l.old, l.next = true, "a" }, []string{"b"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			l := &leaving{meanwhile: tt.meanwhile}
-			if tt.name == "the news was old before" {
-				l.old, l.next = true, "a"
+			if tt.before != nil {
+				tt.before(l)
 			}
 			reply := &received{}
 			serve(t, catalog.Route{Kind: catalog.KindOnce, Attempts: 1, Timeout: time.Second}, relay.Parts{Servers: l, News: l, Backends: l, Budgets: noRepeats{}},
