suspect, share, metrics: losses are counted, and those that are not told

What the records could not tell apart: whether evidence on a request was missing at a node because it was not told, or told and not counted. violettally_suspects counts lost, untold and heard; the step of a lost attempt names at how many servers the text was lost. No logic is changed (suspect, share, relay, gateway, metrics tests pass).

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/violettally/violettally/share"
+	"github.com/violettally/violettally/suspect"
 )
 
 // suspects joins what this node knows of requests under which servers end with
@@ -22,15 +23,23 @@
 // Lost notes a request that a server left without an answer, and tells the other
 // nodes: the client's next try comes to another one.
 func (s suspects) Lost(digest, server uint64) {
-	if s.g.suspects.Lost(digest, server) {
-		s.g.board.TellLost(server, digest)
+	if !s.g.suspects.Lost(digest, server) {
+		return
+	}
+	s.g.metrics.Suspects(suspect.EventLost)
+	if !s.g.board.TellLost(server, digest) {
+		s.g.metrics.Suspects(suspect.EventUntold)
 	}
 }
 
+func (s suspects) Ends(digest uint64) int { return s.g.suspects.Ends(digest) }
+
 // heard takes what another node has told on the board.
 func (g *Gateway) heard(s share.Send) {
 	if s.Lost != 0 {
-		g.suspects.Lost(s.Lost, s.Server)
+		if g.suspects.Lost(s.Lost, s.Server) {
+			g.metrics.Suspects(suspect.EventHeard)
+		}
 		return
 	}
 	g.balancer.Heard(s)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -27,6 +27,7 @@
 	"github.com/violettally/violettally/ledger"
 	"github.com/violettally/violettally/member"
 	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/suspect"
 )
 
 // Metrics is one node's instruments. It is safe for concurrent use.
@@ -51,6 +52,7 @@
 	entries    metric.Int64Counter
 	reports    metric.Int64Counter
 	news       metric.Int64Counter
+	suspects   metric.Int64Counter
 
 	escalations metric.Int64Counter
 	resumes     metric.Int64Counter
@@ -100,6 +102,7 @@
 		{&m.resumes, "violettally_resumes", "Streams that went on at another backend server."},
 		{&m.entries, "violettally_entries_unusable", "Entries in the platform's store that name no server or node to use, by reason."},
 		{&m.news, "violettally_news", "What happened to the news of the platform's store, by event."},
+		{&m.suspects, "violettally_suspects", "What happened to the evidence on requests under which servers end, by event."},
 		{&m.breakers, "violettally_breakers_opened", "Backend servers taken out after failures."},
 	}
 	for _, c := range counters {
@@ -202,6 +205,11 @@
 // News counts what happened to the news of the platform's store.
 func (m *Metrics) News(e mirror.Event) { add(m.news, 1, attribute.String("event", e.String())) }
 
+// Suspects counts what happened to the evidence on requests under which servers end.
+func (m *Metrics) Suspects(e suspect.Event) {
+	add(m.suspects, 1, attribute.String("event", e.String()))
+}
+
 // BreakerOpened counts a server that was taken out.
 func (m *Metrics) BreakerOpened(server string) {
 	add(m.breakers, 1, attribute.String("server", server))
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -80,6 +80,7 @@
 func (noSuspects) Empty() bool            { return true }
 func (noSuspects) Refuses(uint64) bool    { return false }
 func (noSuspects) Lost(uint64, uint64)    {}
+func (noSuspects) Ends(uint64) int        { return 0 }
 func (noSuspects) Answered(uint64)        {}
 func (noSuspects) Runs(uint64, time.Time) {}
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -220,6 +220,8 @@
 	Refuses(digest uint64) bool
 	// Lost takes the word that a server left a request without an answer.
 	Lost(digest, server uint64)
+	// Ends returns at how many servers the request was lost.
+	Ends(digest uint64) int
 	Answered(digest uint64)
 	// Runs takes the word that a server answers what was sent at a time.
 	Runs(server uint64, sent time.Time)
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -29,7 +29,7 @@
 		return
 	}
 	x.relay.Suspects.Lost(x.content(), use.Server().Incarnation().Hash())
-	x.record.Note("lost", "at %s; content %016x", use.Server().ID, x.content())
+	x.record.Note("lost", "at %s; content %016x, lost at %d servers", use.Server().ID, x.content(), x.relay.Suspects.Ends(x.content()))
 }
 
 // goesOn takes note that a server answers what was sent to it at a time.
--- a/share/share.go
+++ b/share/share.go
@@ -181,16 +181,18 @@
 }
 
 // TellLost writes down that a server left a request without an answer. Losses do
-// not draw on what sends may take, and have a bound of their own.
-func (b *Board) TellLost(server, digest uint64) {
+// not draw on what sends may take, and have a bound of their own. It reports whether
+// the others are told.
+func (b *Board) TellLost(server, digest uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.losses.AllowN(b.timers.Now(), 1) {
-		return
+		return false
 	}
 	b.latest[b.node]++
 	s := Send{Number: b.latest[b.node], Server: server, Lost: digest}
 	b.write(entry{node: b.node, hall: b.hall, from: b.node, sent: b.timers.Now(), send: s})
+	return true
 }
 
 // Answer takes what a peer tells, and returns what it does not know.
--- /dev/null
+++ b/suspect/event.go
@@ -0,0 +1,17 @@
+package suspect
+
+//go:generate go tool enumer -type=Event -trimprefix=Event -transform=snake -output=suspect_enumer.go
+
+// Event is what happened to the evidence against requests. Each is counted.
+type Event int
+
+// The events.
+const (
+	// EventLost is a request that a server left without an answer at this node.
+	EventLost Event = iota
+	// EventUntold is one of these that was not told to other nodes, since there were
+	// too many of them.
+	EventUntold
+	// EventHeard is a loss that another node has told of.
+	EventHeard
+)
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -112,6 +112,19 @@
 	return true
 }
 
+// Ends returns at how many servers the request was lost that are not known to go on.
+func (l *List) Ends(digest uint64) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, known := range l.losses {
+		if known.digest == digest {
+			count++
+		}
+	}
+	return count
+}
+
 // Answered clears a request: a server has answered it.
 func (l *List) Answered(digest uint64) {
 	l.keep(func(known loss) bool { return known.digest != digest })
