--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -27,7 +27,7 @@
 		return
 	}
 	s.g.metrics.Suspects(suspect.EventLost)
-	if !s.g.board.TellLost(server, digest) {
+	if !s.g.board.TellLost(server, digest, s.g.suspects.Ends(digest) > 1) {
 		s.g.metrics.Suspects(suspect.EventUntold)
 	}
 }
--- a/share/share.go
+++ b/share/share.go
@@ -181,9 +181,10 @@
 }
 
 // TellLost writes down that a server left a request without an answer. Losses do
-// not draw on what sends may take, and have a bound of their own. It reports whether
-// the others are told.
-func (b *Board) TellLost(server, digest uint64) bool {
+// not draw on what sends may take, and have a bound of their own. Again says that the
+// request had been lost at another server before. It reports whether the others are
+// told.
+func (b *Board) TellLost(server, digest uint64, again bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.losses.AllowN(b.timers.Now(), 1) {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -101,7 +101,7 @@
 			d.boards["a-7"].Tell(share.Send{Server: 1_000 + i, Work: 500}, 0)
 		}
 		for digest := range uint64(1_000) {
-			d.boards["b-19"].TellLost(7, digest+1)
+			d.boards["b-19"].TellLost(7, digest+1, false)
 		}
 		time.Sleep(300 * time.Millisecond)
 		cancel()
@@ -122,6 +122,28 @@
 	})
 }
 
+// TestKnownLossIsTold: a server ends with more requests of one node than it tells of, and
+// the last of them is the one under which another server had ended before.
+func TestKnownLossIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDeployment()
+		for i := range 3 {
+			d.start(ctx, "a", i)
+		}
+		time.Sleep(time.Second)
+		const running = 128
+		for digest := range uint64(running) {
+			d.boards["a-2"].TellLost(7, digest+1, false)
+		}
+		must.True(t, d.boards["a-2"].TellLost(8, running+1, true))
+		time.Sleep(300 * time.Millisecond)
+		cancel()
+		synctest.Wait()
+		must.SliceContains(t, d.heard["a-0"], 8)
+	})
+}
+
 // TestAllHear: what one node sends is heard of once by every other one, within
 // a few intervals, and passes between two data halls once.
 func TestAllHear(t *testing.T) {
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -67,6 +67,44 @@
 	}
 }
 
+// TestEndsAtOneMoment: copies of a popular request were at three servers that ended at
+// one moment, a rack's, and the next copies were refused.
+func TestEndsAtOneMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		l := suspect.New(timers)
+		server := uint64(0)
+		for moment := range 3 {
+			must.False(t, l.Refuses(1), must.Sprintf("after %d moments", moment))
+			for range 4 {
+				server++
+				l.Lost(1, server)
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(time.Second)
+		}
+		must.True(t, l.Refuses(1))
+	})
+}
+
+// TestAnsweredBefore: a request that servers had answered was refused after three of them
+// had ended for other reasons.
+func TestAnsweredBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		l := suspect.New(timers)
+		l.Answered(1)
+		for server := range uint64(4) {
+			must.False(t, l.Refuses(1), must.Sprintf("%d servers ended", server))
+			time.Sleep(time.Second)
+			l.Lost(1, server)
+		}
+		must.True(t, l.Refuses(1), must.Sprint("servers end under it now"))
+	})
+}
+
 // TestRestart takes a server for ended for good once it was seen to be gone: its
 // name may come back.
 func TestRestart(t *testing.T) {
