relay: an answer that declines is no sign that its server goes on

Cause: the server that starts at the address of one that has ended turns away what is meant for that one (421), and any answer counted as a sign that the server goes on. Change: only an answer of its own does.

--- a/relay/judge.go
+++ b/relay/judge.go
@@ -49,14 +49,15 @@
 	if err != nil {
 		return x.judgeError(ctx, use, err)
 	}
-	x.goesOn(use, sent)
 	if load, ok := answer.Load(); ok {
 		use.Tell(load)
 	}
 	if answer.Declined() {
+		// It may be another server's, at the address of one that has ended.
 		use.End(route.OutcomeDeclined)
 		return &failure{reason: ReasonDeclined, retryAfter: answer.RetryAfter(), cause: http.StatusText(answer.Status())}
 	}
+	x.goesOn(use, sent)
 	x.record.Note("head", "after %d ms, expected %d, of it %d waiting; confidence %s of %s",
 		time.Since(sent).Milliseconds(), use.Expected().Milliseconds(), use.Waits().Milliseconds(), confidence(answer), x.model())
 	x.head = time.Now()
