share: losses of requests that were lost before have a bound of their own, and answers are told

What callers would see: the loss that completes the evidence on a deadly request is one of those that a node doesn't tell, so the request is sent on. Cause: 20 losses at once and ten a second, whichever they are; a server may leave 128. Change: those of requests that were lost elsewhere before have as much again for themselves.

--- a/share/share.go
+++ b/share/share.go
@@ -69,6 +69,9 @@
 	// Lost is the digest of a request that the server left without an answer; the
 	// entry then tells of that and not of a send. Zero for a send.
 	Lost uint64
+	// Answered is the digest of a request that was answered after it had been lost; the
+	// entry then tells of that alone. Zero for any other.
+	Answered uint64
 }
 
 // Age is how long ago it was sent.
@@ -133,8 +136,9 @@
 	// peers are by address.
 	peers  map[string]*peer
 	budget budget
-	// losses bounds what this node tells of lost requests.
-	losses *rate.Limiter
+	// losses bounds what this node tells of lost requests, lossesAgain of those that
+	// were lost more than once.
+	losses, lossesAgain *rate.Limiter
 }
 
 // peer is how far this node and another one know each other's boards.
@@ -162,6 +166,8 @@
 		latest:  make(map[uint64]uint64),
 		peers:   make(map[string]*peer),
 		losses:  rate.NewLimiter(lossesPerSecond, lossesAtOnce),
+
+		lossesAgain: rate.NewLimiter(lossesPerSecond, lossesAtOnce),
 	}
 }
 
@@ -181,17 +187,32 @@
 }
 
 // TellLost writes down that a server left a request without an answer. Losses do
-// not draw on what sends may take, and have a bound of their own. Again says that the
-// request had been lost at another server before. It reports whether the others are
-// told.
+// not draw on what sends may take, and have a bound of their own: a server that ends
+// leaves many. Those of requests that were lost again have one beside it, since they
+// are what tells. It reports whether the others are told.
 func (b *Board) TellLost(server, digest uint64, again bool) bool {
+	return b.tellOf(Send{Server: server, Lost: digest}, again)
+}
+
+// TellAnswered writes down that a request was answered after it had been lost, more
+// than once or not. It has the bounds of TellLost.
+func (b *Board) TellAnswered(digest uint64, again bool) bool {
+	return b.tellOf(Send{Answered: digest}, again)
+}
+
+// tellOf writes down an entry that is no send, within the bound of its kind.
+func (b *Board) tellOf(s Send, again bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.losses.AllowN(b.timers.Now(), 1) {
+	bound := b.losses
+	if again {
+		bound = b.lossesAgain
+	}
+	if !bound.AllowN(b.timers.Now(), 1) {
 		return false
 	}
 	b.latest[b.node]++
-	s := Send{Number: b.latest[b.node], Server: server, Lost: digest}
+	s.Number = b.latest[b.node]
 	b.write(entry{node: b.node, hall: b.hall, from: b.node, sent: b.timers.Now(), send: s})
 	return true
 }
