suspect, gateway, relay: servers that end at one moment are one piece of evidence, and answers count

Cause: copies of a popular request are at every server; three that end together were three pieces of evidence. An answer that had come before counted for nothing, and one that another node had seen neither. Change: ends within 50 ms are one moment, three moments make the verdict; four if the request was answered within ten minutes (4,096 digests kept); an answer after a loss is told to the other nodes. A verdict is reached once and stands: what ends under others later doesn't excuse it (a request that was refused can't have been there), late news of earlier ends does. Refuses is a look-up. Evidence: TestEndsAtOneMoment and TestAnsweredBefore failed before; new: TestLateNews. Tests that let servers end at one instant where three ends were meant now let time pass; TestRefuses' case of another that ended more servers has its losses in the order in which servers end, and one more where they come after the verdict. TestBounded plays 18,000 losses in place of 60,000 (12 s with the race detector), against a bound of 4,096. TestCrashesWithoutCause: 172 of 6,000,000 refused before and after (600 allowed). Refuses with the losses of ten servers: 948 to 31 ns, no allocations.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/violettally/violettally/share"
@@ -9,42 +11,95 @@
 )
 
 // suspects joins what this node knows of requests under which servers end with
-// what the others tell.
+// what the others tell and the store keeps.
 type suspects struct{ g *Gateway }
 
+// Empty reports whether nothing is known against any request.
 func (s suspects) Empty() bool { return s.g.suspects.Empty() }
 
+// Refuses reports whether a request is refused.
 func (s suspects) Refuses(digest uint64) bool { return s.g.suspects.Refuses(digest) }
 
-func (s suspects) Answered(digest uint64) { s.g.suspects.Answered(digest) }
-
-func (s suspects) Runs(server uint64, sent time.Time) { s.g.suspects.Runs(server, sent) }
+// Ends returns at how many servers a request was lost.
+func (s suspects) Ends(digest uint64) int { return s.g.suspects.Ends(digest) }
 
 // Lost notes a request that a server left without an answer, and tells the other
 // nodes: the client's next try comes to another one.
 func (s suspects) Lost(digest, server uint64) {
-	if !s.g.suspects.Lost(digest, server) {
+	finding, withdrawn := s.g.suspects.Lost(digest, server, 0)
+	if finding == suspect.FindingKnown {
 		return
 	}
 	s.g.metrics.Suspects(suspect.EventLost)
 	if !s.g.board.TellLost(server, digest, s.g.suspects.Ends(digest) > 1) {
 		s.g.metrics.Suspects(suspect.EventUntold)
 	}
+	s.g.found(digest, finding, true)
+	s.g.withdrawn(withdrawn)
 }
 
-func (s suspects) Ends(digest uint64) int { return s.g.suspects.Ends(digest) }
+// Answered clears a request, and tells the other nodes if anything was known against
+// it.
+func (s suspects) Answered(digest uint64) {
+	ends := s.g.suspects.Ends(digest)
+	cleared := s.g.suspects.Answered(digest)
+	if cleared == suspect.ClearedNothing {
+		return
+	}
+	s.g.board.TellAnswered(digest, ends > 1 || cleared == suspect.ClearedVerdict)
+	if cleared == suspect.ClearedVerdict {
+		s.g.withdrawn([]uint64{digest})
+	}
+}
+
+// Runs takes the word that a server answers.
+func (s suspects) Runs(server uint64, sent time.Time) {
+	s.g.withdrawn(s.g.suspects.Runs(server, sent))
+}
 
 // heard takes what another node has told on the board.
 func (g *Gateway) heard(s share.Send) {
-	if s.Lost != 0 {
-		if g.suspects.Lost(s.Lost, s.Server) {
-			g.metrics.Suspects(suspect.EventHeard)
-		}
+	switch {
+	case s.Lost != 0:
+		g.heardLost(s)
+	case s.Answered != 0:
+		g.suspects.Answered(s.Answered)
+	default:
+		g.balancer.Heard(s)
+	}
+}
+
+// heardLost takes the word of another node that a request was lost.
+func (g *Gateway) heardLost(s share.Send) {
+	finding, withdrawn := g.suspects.Lost(s.Lost, s.Server, s.Age())
+	if finding == suspect.FindingKnown {
+		return
+	}
+	g.metrics.Suspects(suspect.EventHeard)
+	g.found(s.Lost, finding, false)
+	g.withdrawn(withdrawn)
+}
+
+// found tells of what a loss leads to.
+func (g *Gateway) found(digest uint64, finding suspect.Finding, own bool) {
+	if finding != suspect.FindingVerdict {
 		return
 	}
-	g.balancer.Heard(s)
+	g.metrics.Suspects(suspect.EventVerdict)
+	slog.Warn("servers end under a request; it is refused", "content", contentName(digest), "servers", g.suspects.Ends(digest), "own", own)
 }
 
+// withdrawn notes requests that are refused no more.
+func (g *Gateway) withdrawn(digests []uint64) {
+	for _, digest := range digests {
+		g.metrics.Suspects(suspect.EventWithdrawn)
+		slog.Warn("a request is refused no more", "content", contentName(digest))
+	}
+}
+
+// contentName is how log lines and decisions name a request's content.
+func contentName(digest uint64) string { return fmt.Sprintf("%016x", digest) }
+
 // reviewInterval is how soon it shows that a server goes on at which a request
 // was lost.
 const reviewInterval = 500 * time.Millisecond
@@ -64,6 +119,6 @@
 		for incarnation := range g.registry.Incarnations() {
 			running[incarnation.Hash()] = true
 		}
-		g.suspects.Review(running)
+		g.withdrawn(g.suspects.Review(running))
 	})
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -216,6 +216,7 @@
 
 // Suspects knows the requests under which servers end.
 type Suspects interface {
+	// Empty reports whether nothing is known against any request.
 	Empty() bool
 	Refuses(digest uint64) bool
 	// Lost takes the word that a server left a request without an answer.
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -40,8 +40,4 @@
 }
 
 // cleared takes note that a server has answered the request.
-func (x *exchange) cleared() {
-	if !x.relay.Suspects.Empty() {
-		x.relay.Suspects.Answered(x.content())
-	}
-}
+func (x *exchange) cleared() { x.relay.Suspects.Answered(x.content()) }
--- a/suspect/event.go
+++ b/suspect/event.go
@@ -1,6 +1,6 @@
 package suspect
 
-//go:generate go tool enumer -type=Event -trimprefix=Event -transform=snake -output=suspect_enumer.go
+//go:generate go tool enumer -type=Event,Finding,Clearance -trimprefix=Event,Finding,Cleared -transform=snake -output=suspect_enumer.go
 
 // Event is what happened to the evidence against requests. Each is counted.
 type Event int
@@ -14,4 +14,8 @@
 	EventUntold
 	// EventHeard is a loss that another node has told of.
 	EventHeard
+	// EventVerdict is a request that is refused from now on, EventWithdrawn one that is
+	// so no more.
+	EventVerdict
+	EventWithdrawn
 )
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -7,9 +7,16 @@
 // gathered from all nodes. Many are lost with each server that ends, and what
 // tells the cause from the rest is that it was there each time: a loss counts
 // against a request only if no other one that was lost at the same server has
-// been lost at more of them. A server that goes on has not ended, so what was
-// lost there, to a reset connection, counts for nothing: it shows by answering what
-// is sent to it later, or by its entry. An answer to the request clears.
+// been lost at more of them. Servers that end at one moment, a rack's or a data
+// hall's, are one piece of evidence, however many of them had the request. A server
+// that goes on has not ended, so what was lost there, to a reset connection, counts
+// for nothing: it shows by answering what is sent to it later, or by its entry. An
+// answer to the request clears, and one that came before makes it need more.
+//
+// With enough evidence there is a verdict: the request is refused. A verdict is
+// known to all nodes, outlasts their processes (whoever uses this package stores
+// it), and is put to the test again after a while, since it may be wrong, or the
+// servers' software mended.
 //
 // A request is known by a digest of what servers are given, since a client that
 // tries again does so under another ID, and two clients may send the same. The
@@ -22,7 +29,10 @@
 //	if list.Refuses(digest) {
 //		return … // it ran, and is not sent again
 //	}
-//	list.Lost(digest, server.Incarnation().Hash()) // here, or heard of a peer
+//	switch list.Lost(digest, server.Incarnation().Hash(), 0) { // here, or heard of a peer
+//	case suspect.FindingVerdict:
+//		… // tell the store
+//	}
 //	list.Answered(digest)
 //	list.Runs(server.Incarnation().Hash(), sent) // it answers what was sent then
 //	list.Review(running) // now and then, with the servers that run
@@ -31,6 +41,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -39,17 +50,23 @@
 )
 
 const (
-	// endsToRefuse is how many servers end under a request before it is sent to
-	// no other one. One server ends for any reason; two may end beside each
-	// other, a rack's or a pair's.
+	// endsToRefuse is how many moments at which servers end under a request lead to
+	// its verdict. One server ends for any reason; two may end one after the other.
 	endsToRefuse = 3
+	// endsIfAnswered is the same for a request that servers have answered.
+	endsIfAnswered = 4
+	// oneMoment is the time within which servers end together. What one cause ends
+	// is seen within some milliseconds, and told with the error of one network way; a
+	// request that ends its servers needs longer to be sent to the next one and run.
+	oneMoment = 50 * time.Millisecond
 	// doubtTime is how long a server counts as ended on the word of a lost answer.
 	// The entries of servers that end are gone, or told anew, after 2.5 to 3.5 s;
 	// with 3 s a request that had ended three servers was sent again then.
 	doubtTime = 6 * time.Second
-	// memory is how long a loss is remembered. Software that is mended reaches
-	// the servers by a roll-out, which takes about as long.
-	memory = 10 * time.Minute
+	// Memory is how long a loss is remembered, and a verdict that is not put to the
+	// test. Software that is mended reaches the servers by a roll-out, which takes
+	// about as long.
+	Memory = 10 * time.Minute
 	// maxLosses bounds what is remembered, some 200 kB, whatever clients send.
 	// The oldest loss gives way.
 	maxLosses = 4096
@@ -75,41 +92,83 @@
 	ended bool
 }
 
+// Finding is what a loss leads to.
+type Finding int
+
+// The findings.
+const (
+	// FindingKnown: the loss was known.
+	FindingKnown Finding = iota
+	// FindingNew: it was not, and leads to nothing yet.
+	FindingNew
+	// FindingVerdict: from now on the request is refused.
+	FindingVerdict
+)
+
 // List is what one node knows of such requests. It is safe for concurrent use.
 type List struct {
 	timers *timer.Service
 
 	mu sync.Mutex
 	// losses are in the order in which they were heard of.
-	losses []loss
+	losses   []loss
+	answered *answers
+	verdicts map[uint64]*verdict
 }
 
 // New returns an empty list.
-func New(timers *timer.Service) *List { return &List{timers: timers} }
+func New(timers *timer.Service) *List {
+	return &List{timers: timers, answered: newAnswers(), verdicts: make(map[uint64]*verdict)}
+}
 
-// Empty reports whether nothing is known against any request, so that digests
-// need not be made.
+// Empty reports whether nothing is known against any request, so that digests need not
+// be made.
 func (l *List) Empty() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.losses) == 0
+	return len(l.losses) == 0 && len(l.verdicts) == 0
 }
 
-// Lost notes that a server left a request without an answer. It reports whether
-// that was not known.
-func (l *List) Lost(digest, server uint64) bool {
+// Lost notes that a server left a request without an answer, that long ago. It also
+// returns the requests that are refused no more, since this one was there each time and
+// at more servers.
+func (l *List) Lost(digest, server uint64, ago time.Duration) (Finding, []uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var beside []uint64
 	for _, known := range l.losses {
-		if known.digest == digest && known.server == server {
-			return false
+		switch {
+		case known.server != server:
+		case known.digest == digest:
+			return FindingKnown, nil
+		default:
+			beside = append(beside, known.digest)
 		}
 	}
 	if len(l.losses) >= maxLosses {
+		oldest := l.losses[0].digest
 		l.losses = l.losses[1:]
+		l.lapse(oldest)
 	}
-	l.losses = append(l.losses, loss{digest: digest, server: server, at: l.timers.Now()})
-	return true
+	l.losses = append(l.losses, loss{digest: digest, server: server, at: l.timers.Now().Add(-ago)})
+	return l.judge(digest), l.withdraw(beside)
+}
+
+// judge says what a new loss of a request leads to. The caller holds mu.
+func (l *List) judge(digest uint64) Finding {
+	if !l.enough(digest) {
+		return FindingNew
+	}
+	now := l.timers.Now()
+	v := l.verdicts[digest]
+	if v == nil {
+		l.verdicts[digest] = &verdict{since: now, proved: now}
+		return FindingVerdict
+	}
+	if v.proved.IsZero() {
+		v.proved = now
+	}
+	return FindingNew
 }
 
 // Ends returns at how many servers the request was lost that are not known to go on.
@@ -125,69 +184,170 @@
 	return count
 }
 
+// Clearance is what an answer does away with.
+type Clearance int
+
+// The clearances.
+const (
+	// ClearedNothing: nothing was known against the request.
+	ClearedNothing Clearance = iota
+	// ClearedLosses: it had been lost.
+	ClearedLosses
+	// ClearedVerdict: it was refused.
+	ClearedVerdict
+)
+
 // Answered clears a request: a server has answered it.
-func (l *List) Answered(digest uint64) {
-	l.keep(func(known loss) bool { return known.digest != digest })
+func (l *List) Answered(digest uint64) Clearance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answered.add(digest, l.timers.Now())
+	return l.clear(digest)
+}
+
+// clear forgets what is known against a request. The caller holds mu.
+func (l *List) clear(digest uint64) Clearance {
+	lost := l.forget(func(known loss) bool { return known.digest == digest })
+	switch {
+	case l.verdicts[digest] != nil:
+		delete(l.verdicts, digest)
+		return ClearedVerdict
+	case len(lost) > 0:
+		return ClearedLosses
+	}
+	return ClearedNothing
 }
 
 // Runs takes the word that a server answers what was sent to it at a time: it
-// had not ended by what was lost before.
-func (l *List) Runs(server uint64, sent time.Time) {
-	l.keep(func(known loss) bool { return known.server != server || known.ended || known.at.After(sent) })
+// had not ended by what was lost before. It returns the requests that are refused no
+// more for that.
+func (l *List) Runs(server uint64, sent time.Time) []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.withdraw(l.forget(func(known loss) bool {
+		return known.server == server && !known.ended && !known.at.After(sent)
+	}))
 }
 
-// Refuses reports whether a request is to be sent to no server any more.
-func (l *List) Refuses(digest uint64) bool {
+// Review forgets what was lost at servers that go on, and what is old. Running
+// are the incarnations that are known to run. It returns the requests that are refused
+// no more since their servers go on.
+func (l *List) Review(running map[uint64]bool) []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.against(digest) >= endsToRefuse
+	now := l.timers.Now()
+	for _, digest := range l.forget(func(known loss) bool { return now.Sub(known.at) >= Memory }) {
+		l.lapse(digest)
+	}
+	goOn := l.forget(func(known loss) bool {
+		return !known.ended && running[known.server] && now.Sub(known.at) >= doubtTime
+	})
+	for i, known := range l.losses {
+		l.losses[i].ended = known.ended || !running[known.server]
+	}
+	return l.withdraw(goOn)
 }
 
-// against counts the servers that ended under a request and under none that
-// more of them ended under.
-func (l *List) against(digest uint64) int {
-	servers := make(map[uint64]bool)
-	for _, known := range l.losses {
-		if known.digest == digest {
-			servers[known.server] = true
+// withdraw ends the verdicts on those of the requests for which this node had evidence
+// and has not enough any more, and returns these. The caller holds mu.
+func (l *List) withdraw(digests []uint64) []uint64 {
+	var withdrawn []uint64
+	for _, digest := range digests {
+		if v := l.verdicts[digest]; v != nil && !v.proved.IsZero() && !l.enough(digest) {
+			delete(l.verdicts, digest)
+			withdrawn = append(withdrawn, digest)
 		}
 	}
-	if len(servers) < endsToRefuse {
-		return len(servers)
+	return withdrawn
+}
+
+// lapse notes that a loss of a request is too old to be remembered: a verdict that is
+// not stored ends with its evidence. The caller holds mu.
+func (l *List) lapse(digest uint64) {
+	v := l.verdicts[digest]
+	if v == nil || v.proved.IsZero() || l.enough(digest) {
+		return
 	}
-	ends := make(map[uint64]int)
+	v.proved = time.Time{}
+	if !v.stored {
+		delete(l.verdicts, digest)
+	}
+}
+
+// enough reports whether the evidence against a request is enough for a verdict. The
+// caller holds mu.
+func (l *List) enough(digest uint64) bool {
+	needed := endsToRefuse
+	if l.answered.since(digest, l.timers.Now().Add(-Memory)) {
+		needed = endsIfAnswered
+	}
+	return l.moments(digest) >= needed
+}
+
+// moments counts those at which servers ended under a request and under none that
+// more of them ended under. The caller holds mu.
+func (l *List) moments(digest uint64) int {
+	lost := make(map[uint64]time.Time)
 	for _, known := range l.losses {
-		ends[known.digest]++
+		if known.digest == digest {
+			lost[known.server] = known.at
+		}
 	}
+	if len(lost) < endsToRefuse {
+		return len(lost) // no more moments than that
+	}
+	ends := l.ends(digest, lost)
 	for _, known := range l.losses {
 		if ends[known.digest] > ends[digest] {
-			delete(servers, known.server)
+			delete(lost, known.server)
+		}
+	}
+	count, begun := 0, time.Time{}
+	for _, at := range slices.SortedFunc(maps.Values(lost), time.Time.Compare) {
+		if count == 0 || at.Sub(begun) > oneMoment {
+			count, begun = count+1, at
 		}
 	}
-	return len(servers)
+	return count
 }
 
-// Review forgets what was lost at servers that go on, and what is old. Running
-// are the incarnations that are known to run.
-func (l *List) Review(running map[uint64]bool) {
-	now := l.timers.Now()
-	l.keep(func(known loss) bool {
-		return now.Sub(known.at) < memory && (known.ended || !running[known.server] || now.Sub(known.at) < doubtTime)
-	})
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for i, known := range l.losses {
-		l.losses[i].ended = known.ended || !running[known.server]
+// ends counts the servers that ended under a request, and under each that was lost at
+// one of these. What ends under others once the request is refused tells nothing of it,
+// since it could not be there. The caller holds mu.
+func (l *List) ends(digest uint64, servers map[uint64]time.Time) map[uint64]int {
+	proved := l.timers.Now()
+	if v := l.verdicts[digest]; v != nil && !v.proved.IsZero() {
+		proved = v.proved
+	}
+	ends := make(map[uint64]int)
+	for _, known := range l.losses {
+		if _, shared := servers[known.server]; shared {
+			ends[known.digest] = 0
+		}
+	}
+	for _, known := range l.losses {
+		if _, shared := ends[known.digest]; shared && !known.at.After(proved) {
+			ends[known.digest]++
+		}
 	}
+	return ends
 }
 
-// keep forgets the losses that are not wanted any more. A new list is made only
-// if there is one, since it is asked for with each answer.
-func (l *List) keep(wanted func(loss) bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	unwanted := func(known loss) bool { return !wanted(known) }
-	if slices.ContainsFunc(l.losses, unwanted) {
-		l.losses = slices.DeleteFunc(slices.Clone(l.losses), unwanted)
+// forget forgets the losses that are not wanted any more and returns of which requests
+// they were. A new list is made only if there are some, since it is asked for with each
+// answer. The caller holds mu.
+func (l *List) forget(unwanted func(loss) bool) []uint64 {
+	if !slices.ContainsFunc(l.losses, unwanted) {
+		return nil
 	}
+	var digests []uint64
+	l.losses = slices.DeleteFunc(slices.Clone(l.losses), func(known loss) bool {
+		forgotten := unwanted(known)
+		if forgotten {
+			digests = append(digests, known.digest)
+		}
+		return forgotten
+	})
+	slices.Sort(digests)
+	return slices.Compact(digests)
 }
