relay, gateway: copies of a request that is refused are taken back from where they wait

Cause: a verdict kept further copies from being sent, and did nothing about those sent. Change: an attempt of which no answer has begun is ended when its content is refused; its client has 502 suspected.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -80,13 +80,15 @@
 	g.withdrawn(withdrawn)
 }
 
-// found tells of what a loss leads to.
+// found acts by what a loss leads to: copies of a request that is refused from now on
+// are taken back from where they wait.
 func (g *Gateway) found(digest uint64, finding suspect.Finding, own bool) {
 	if finding != suspect.FindingVerdict {
 		return
 	}
 	g.metrics.Suspects(suspect.EventVerdict)
 	slog.Warn("servers end under a request; it is refused", "content", contentName(digest), "servers", g.suspects.Ends(digest), "own", own)
+	g.relay.TakeBack(digest)
 }
 
 // withdrawn notes requests that are refused no more.
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -100,6 +100,11 @@
 		x.runs++
 		return stall()
 	}
+	if takenBack(ctx) {
+		use.End(route.OutcomeNeutral)
+		x.runs++
+		return &failure{reason: ReasonSuspected, ran: true, paid: true, cause: errTakenBack.Error()}
+	}
 	if errorx.IsOfType(err, Overtaken) {
 		use.End(route.OutcomeNeutral)
 		delete(x.tried, use.Server().Incarnation()) // it has got nothing
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -254,6 +254,7 @@
 type Relay struct {
 	Parts
 	lengths *lengths
+	waiting *waiting
 	// leaving is set once the process is to end; running ends with End.
 	leaving atomic.Pointer[Stop]
 	running context.Context
@@ -263,7 +264,7 @@
 
 // New returns a relay.
 func New(parts Parts) *Relay {
-	r := &Relay{Parts: parts, lengths: newLengths()}
+	r := &Relay{Parts: parts, lengths: newLengths(), waiting: newWaiting()}
 	r.running, r.cancelAll = context.WithCancelCause(context.Background())
 	return r
 }
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/violettally/violettally/route"
@@ -17,11 +21,14 @@
 // content returns the digest of what servers are given of the request.
 func (x *exchange) content() uint64 {
 	if x.digest == 0 {
-		x.digest = suspect.Digest(x.request.Path, x.request.Body.Head(), x.request.Body.Length())
+		x.digest = content(x.request)
 	}
 	return x.digest
 }
 
+// content returns the digest of what servers are given of a request.
+func content(q *Request) uint64 { return suspect.Digest(q.Path, q.Body.Head(), q.Body.Length()) }
+
 // lost takes note that a server ended an attempt without an answer, or with a
 // part of one. Where this node or its client ended it, the server may be well.
 func (x *exchange) lost(ctx context.Context, use *route.Use) {
@@ -41,3 +48,52 @@
 
 // cleared takes note that a server has answered the request.
 func (x *exchange) cleared() { x.relay.Suspects.Answered(x.content()) }
+
+// errTakenBack ends an attempt whose request is refused since it was sent.
+var errTakenBack = errors.New("servers end under the request")
+
+// takenBack reports whether an attempt was ended for that.
+func takenBack(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errTakenBack) }
+
+// TakeBack ends the attempts with a request that servers have not begun to answer:
+// they would end under it as well when its turn comes there.
+func (r *Relay) TakeBack(digest uint64) {
+	for _, w := range r.waiting.all() {
+		if content(w.request) == digest {
+			w.cancel(errTakenBack)
+		}
+	}
+}
+
+// waiting holds the attempts of which no answer has begun.
+type waiting struct {
+	mu       sync.Mutex
+	attempts map[*waitingAttempt]struct{}
+}
+
+type waitingAttempt struct {
+	request *Request
+	cancel  context.CancelCauseFunc
+}
+
+func newWaiting() *waiting { return &waiting{attempts: make(map[*waitingAttempt]struct{})} }
+
+// add notes an attempt until what it returns is called.
+func (w *waiting) add(q *Request, cancel context.CancelCauseFunc) (remove func()) {
+	a := &waitingAttempt{request: q, cancel: cancel}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attempts[a] = struct{}{}
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.attempts, a)
+	}
+}
+
+// all returns the attempts that wait now.
+func (w *waiting) all() []*waitingAttempt {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.attempts))
+}
