suspect, gateway: verdicts are kept in the store

Cause: what nodes know of a request lived in their memory and on each other's boards. Change: suspect.Keeper writes an entry under suspects/ for each verdict that holds for half a second: once, by the node that saw the last loss, or by another if that doesn't; under a lease of ten minutes; 64 at the most; anew where it lapsed in an outage. Nodes read it at their start and follow it as all else. A node that withdraws a verdict tells the store. Waits are spread by the number of nodes, so that an outage is met by two calls a second at the most (model of 100 nodes: TestVerdictAfterOutage). Not stored: losses below a verdict. They come with each crash, one for each request under way; a restart costs up to two servers more then. Cost: a grant and a write for each verdict.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,6 +98,7 @@
 	nodes    *nodes
 	board    *share.Board
 	suspects *suspect.List
+	verdicts *suspect.Keeper
 
 	relay   *relay.Relay
 	records *decision.Log
@@ -136,6 +137,7 @@
 	g.board = share.NewBoard(g.self, g, g.client, g.timers, g.heard)
 	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers, mirror.WithEvents(instruments.News))
 	g.nodes.told = g.mirror.Told()
+	g.verdicts = suspect.NewKeeper(g.suspects, g.store, g.mirror, g.nodes.countWorking, g.timers)
 	g.makeRollouts()
 	g.subscribe()
 	g.makeRelay()
@@ -211,7 +213,7 @@
 	for _, d := range doors {
 		go func() { failed <- d.serve(work, d.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.nodes.run, g.board.Run, g.driver.Run, g.reviewSuspects, g.watchStalls} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.nodes.run, g.board.Run, g.driver.Run, g.reviewSuspects, g.verdicts.Run, g.watchStalls} {
 		go run(work)
 	}
 	// The lease is given up at the signal and not at the end, so that another
--- a/gateway/subscribe.go
+++ b/gateway/subscribe.go
@@ -8,6 +8,7 @@
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/platform"
 	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/suspect"
 )
 
 // subscribe joins what the store holds to the parts that go by it.
@@ -19,6 +20,7 @@
 	g.mirror.Subscribe(platform.OrderPrefix, g.takeOrder)
 	g.mirror.Subscribe(stagesKey, g.takeStages)
 	g.mirror.Subscribe(nodePrefix, g.nodes.take)
+	g.mirror.Subscribe(suspect.Prefix, g.verdicts.Take)
 }
 
 // takeCatalog puts a declaration in force. Versions only rise.
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"time"
 
@@ -20,6 +19,11 @@
 // Refuses reports whether a request is refused.
 func (s suspects) Refuses(digest uint64) bool { return s.g.suspects.Refuses(digest) }
 
+// Test reports whether a request that is refused is to be tested here and now.
+func (s suspects) Test(ctx context.Context, digest uint64) bool {
+	return s.g.verdicts.Test(ctx, digest)
+}
+
 // Ends returns at how many servers a request was lost.
 func (s suspects) Ends(digest uint64) int { return s.g.suspects.Ends(digest) }
 
@@ -81,27 +85,26 @@
 }
 
 // found acts by what a loss leads to: copies of a request that is refused from now on
-// are taken back from where they wait.
+// are taken back from where they wait, and the store is told.
 func (g *Gateway) found(digest uint64, finding suspect.Finding, own bool) {
 	if finding != suspect.FindingVerdict {
 		return
 	}
 	g.metrics.Suspects(suspect.EventVerdict)
-	slog.Warn("servers end under a request; it is refused", "content", contentName(digest), "servers", g.suspects.Ends(digest), "own", own)
+	slog.Warn("servers end under a request; it is refused", "content", suspect.Name(digest), "servers", g.suspects.Ends(digest), "own", own)
 	g.relay.TakeBack(digest)
+	g.verdicts.Changed(digest, own)
 }
 
 // withdrawn notes requests that are refused no more.
 func (g *Gateway) withdrawn(digests []uint64) {
 	for _, digest := range digests {
 		g.metrics.Suspects(suspect.EventWithdrawn)
-		slog.Warn("a request is refused no more", "content", contentName(digest))
+		slog.Warn("a request is refused no more", "content", suspect.Name(digest))
+		g.verdicts.Changed(digest, true)
 	}
 }
 
-// contentName is how log lines and decisions name a request's content.
-func contentName(digest uint64) string { return fmt.Sprintf("%016x", digest) }
-
 // reviewInterval is how soon it shows that a server goes on at which a request
 // was lost.
 const reviewInterval = 500 * time.Millisecond
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -114,11 +114,13 @@
 	losses   []loss
 	answered *answers
 	verdicts map[uint64]*verdict
+	// pardoned holds when verdicts were last withdrawn here.
+	pardoned map[uint64]time.Time
 }
 
 // New returns an empty list.
 func New(timers *timer.Service) *List {
-	return &List{timers: timers, answered: newAnswers(), verdicts: make(map[uint64]*verdict)}
+	return &List{timers: timers, answered: newAnswers(), verdicts: make(map[uint64]*verdict), pardoned: make(map[uint64]time.Time)}
 }
 
 // Empty reports whether nothing is known against any request, so that digests need not
@@ -210,7 +212,7 @@
 	lost := l.forget(func(known loss) bool { return known.digest == digest })
 	switch {
 	case l.verdicts[digest] != nil:
-		delete(l.verdicts, digest)
+		l.pardon(digest)
 		return ClearedVerdict
 	case len(lost) > 0:
 		return ClearedLosses
@@ -235,10 +237,8 @@
 func (l *List) Review(running map[uint64]bool) []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.forgetOld()
 	now := l.timers.Now()
-	for _, digest := range l.forget(func(known loss) bool { return now.Sub(known.at) >= Memory }) {
-		l.lapse(digest)
-	}
 	goOn := l.forget(func(known loss) bool {
 		return !known.ended && running[known.server] && now.Sub(known.at) >= doubtTime
 	})
@@ -248,13 +248,22 @@
 	return l.withdraw(goOn)
 }
 
+// forgetOld forgets losses and pardons that are too old. The caller holds mu.
+func (l *List) forgetOld() {
+	now := l.timers.Now()
+	maps.DeleteFunc(l.pardoned, func(_ uint64, at time.Time) bool { return now.Sub(at) >= pardonTime })
+	for _, digest := range l.forget(func(known loss) bool { return now.Sub(known.at) >= Memory }) {
+		l.lapse(digest)
+	}
+}
+
 // withdraw ends the verdicts on those of the requests for which this node had evidence
 // and has not enough any more, and returns these. The caller holds mu.
 func (l *List) withdraw(digests []uint64) []uint64 {
 	var withdrawn []uint64
 	for _, digest := range digests {
 		if v := l.verdicts[digest]; v != nil && !v.proved.IsZero() && !l.enough(digest) {
-			delete(l.verdicts, digest)
+			l.pardon(digest)
 			withdrawn = append(withdrawn, digest)
 		}
 	}
--- a/suspect/verdict.go
+++ b/suspect/verdict.go
@@ -9,6 +9,8 @@
 	firstTest = time.Minute
 	// lastTest bounds the pause, so that a test comes before the verdict is forgotten.
 	lastTest = 8 * time.Minute
+	// pardonTime is how long it may take until the store tells of a pardon.
+	pardonTime = 10 * time.Second
 )
 
 // verdict is that a request is refused.
@@ -53,12 +55,22 @@
 	return v.tests + 1, true
 }
 
+// pardon ends a verdict. The caller holds mu.
+func (l *List) pardon(digest uint64) {
+	delete(l.verdicts, digest)
+	l.pardoned[digest] = l.timers.Now()
+}
+
 // Stored takes the word of the store, or of whoever has just written there, that a
-// request is refused and was tested that often since.
+// request is refused and was tested that often since. Just after a pardon here that is
+// old news, or soon will be.
 func (l *List) Stored(digest uint64, tests int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.verdicts[digest]
+	if at, ok := l.pardoned[digest]; v == nil && ok && l.timers.Now().Sub(at) < pardonTime {
+		return
+	}
 	if v == nil {
 		v = &verdict{since: l.timers.Now()}
 		l.verdicts[digest] = v
@@ -83,6 +95,7 @@
 func (l *List) Expired(digest uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.forgetOld()
 	v := l.verdicts[digest]
 	if v == nil {
 		return false
