relay: a request that is refused is tried again after a while, by one node, at one server

What callers would see: a verdict that is wrong, or whose software has been mended, keeps refusing a request until nobody has evidence any more, for ten minutes at the least. Cause: an answer clears a request, and none can come once all nodes refuse it.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -52,6 +52,8 @@
 	first time.Duration
 	// digest names what servers are given of the request; zero until asked for.
 	digest uint64
+	// tested says that the request was sent though it is refused.
+	tested bool
 }
 
 // run makes attempts until the client has its answer. A refusal that it
@@ -64,7 +66,7 @@
 		return x.refuseLeaving("the answer would not be whole before its end")
 	}
 	for {
-		if x.suspected() {
+		if x.suspected() && !x.tests(ctx) {
 			return x.give(refuse(ReasonSuspected, 0, "servers ended while they ran this request, content %016x; it is sent to no other one", x.content()))
 		}
 		use, version, refusal := x.choose()
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -77,12 +77,13 @@
 // noSuspects knows nothing against any request.
 type noSuspects struct{}
 
-func (noSuspects) Empty() bool            { return true }
-func (noSuspects) Refuses(uint64) bool    { return false }
-func (noSuspects) Lost(uint64, uint64)    {}
-func (noSuspects) Ends(uint64) int        { return 0 }
-func (noSuspects) Answered(uint64)        {}
-func (noSuspects) Runs(uint64, time.Time) {}
+func (noSuspects) Empty() bool                       { return true }
+func (noSuspects) Refuses(uint64) bool               { return false }
+func (noSuspects) Test(context.Context, uint64) bool { return false }
+func (noSuspects) Lost(uint64, uint64)               {}
+func (noSuspects) Ends(uint64) int                   { return 0 }
+func (noSuspects) Answered(uint64)                   {}
+func (noSuspects) Runs(uint64, time.Time)            {}
 
 // noNews is of a process that knows all there is.
 type noNews struct{}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -219,6 +219,9 @@
 	// Empty reports whether nothing is known against any request.
 	Empty() bool
 	Refuses(digest uint64) bool
+	// Test reports whether a request that is refused is to be sent once more all the
+	// same, to see whether servers still end under it.
+	Test(ctx context.Context, digest uint64) bool
 	// Lost takes the word that a server left a request without an answer.
 	Lost(digest, server uint64)
 	// Ends returns at how many servers the request was lost.
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -29,6 +29,17 @@
 // content returns the digest of what servers are given of a request.
 func content(q *Request) uint64 { return suspect.Digest(q.Path, q.Body.Head(), q.Body.Length()) }
 
+// tests reports whether this request, which is refused, is the one that is sent once
+// more to see whether servers still end under it: to one server, once.
+func (x *exchange) tests(ctx context.Context) bool {
+	if x.tested || !x.relay.Suspects.Test(ctx, x.content()) {
+		return false
+	}
+	x.tested = true
+	x.record.Note("test", "content %016x is refused and sent to one server", x.content())
+	return true
+}
+
 // lost takes note that a server ended an attempt without an answer, or with a
 // part of one. Where this node or its client ended it, the server may be well.
 func (x *exchange) lost(ctx context.Context, use *route.Use) {
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -71,6 +71,7 @@
 func (s suspects) Lost(digest, server uint64)         { s.List.Lost(digest, server, 0) }
 func (s suspects) Answered(digest uint64)             { s.List.Answered(digest) }
 func (s suspects) Runs(server uint64, sent time.Time) { s.List.Runs(server, sent) }
+func (s suspects) Test(context.Context, uint64) bool  { return false }
 
 // TestDeadlyRequest is a client that sends a request again and again, each time to
 // another node, under which every server ends. On a day with such requests 60
@@ -107,3 +108,50 @@
 		must.Eq(t, 3, servers.ended)
 	})
 }
+
+// onceMore are suspects that let a refused request be sent once more.
+type onceMore struct {
+	suspects
+	tests int
+}
+
+func (o *onceMore) Test(context.Context, uint64) bool {
+	o.tests--
+	return o.tests >= 0
+}
+
+// TestRefusedOnceMore: a request that is refused is put to the test now and then: at one
+// server, whatever the route allows. It is served if that one answers.
+func TestRefusedOnceMore(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		text string
+		want string
+		// ended is how many servers end by it.
+		ended int
+	}{
+		{"ends its servers still", deadly, "", 1},
+		{"was refused wrongly", "harmless", "answer", 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				timers := timer.New()
+				defer timers.Close()
+				servers, list := newCrashing(6), &onceMore{suspects: suspects{suspect.New(timers)}, tests: 1}
+				target := catalog.Route{Kind: catalog.KindRepeatable, Timeout: 10 * time.Second, Attempts: 3}
+				node := newRelay(t, target, relay.Parts{Servers: servers, Backends: servers, Suspects: list})
+				list.Stored(suspect.Digest("/", []byte(tt.text), int64(len(tt.text))), 0)
+				body, err := relay.NewBody(strings.NewReader(tt.text), int64(len(tt.text)))
+				must.NoError(t, err)
+				got := &received{}
+				ask(t, node, relay.Request{Body: body}, got)
+				must.Eq(t, tt.want, got.String())
+				must.Eq(t, tt.ended, servers.ended)
+				must.LessEq(t, 0, list.tests, must.Sprint("it was refused"))
+				if tt.want == "" {
+					must.Eq(t, relay.ReasonSuspected, got.refusal.Reason())
+				}
+			})
+		})
+	}
+}
