suspect, relay, gateway: an attempt that was given up just before its server ended counts as lost there

Cause: an attempt that a node drops (for a costlier model, as late, with its client) was no evidence, though the server may run it on, and a server that ends under a request does so when the answer has begun. Change: such attempts are remembered for half a second (512 at the most); when the server's end is noticed, here or elsewhere, they count as lost there. TestLeftBehind (does not compile before; the list had no such evidence).

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -29,17 +29,36 @@
 
 // Lost notes a request that a server left without an answer, and tells the other
 // nodes: the client's next try comes to another one.
-func (s suspects) Lost(digest, server uint64) {
-	finding, withdrawn := s.g.suspects.Lost(digest, server, 0)
+func (s suspects) Lost(digest, server uint64) { s.g.lost(digest, server, 0) }
+
+// lost notes a request that was lost to this node, that long ago.
+func (g *Gateway) lost(digest, server uint64, ago time.Duration) {
+	finding, withdrawn := g.suspects.Lost(digest, server, ago)
 	if finding == suspect.FindingKnown {
 		return
 	}
-	s.g.metrics.Suspects(suspect.EventLost)
-	if !s.g.board.TellLost(server, digest, s.g.suspects.Ends(digest) > 1) {
-		s.g.metrics.Suspects(suspect.EventUntold)
+	g.metrics.Suspects(suspect.EventLost)
+	if !g.board.TellLost(server, digest, g.suspects.Ends(digest) > 1) {
+		g.metrics.Suspects(suspect.EventUntold)
+	}
+	g.found(digest, finding, true)
+	g.withdrawn(withdrawn)
+	g.leftBehind(server, ago)
+}
+
+// leftBehind notes the requests that this node had given up at a server just before it
+// ended.
+func (g *Gateway) leftBehind(server uint64, ago time.Duration) {
+	for _, digest := range g.suspects.LeftBehind(server, ago) {
+		g.lost(digest, server, ago)
+	}
+}
+
+// Left notes an attempt that this node has given up.
+func (s suspects) Left(digest, server uint64) {
+	if s.g.suspects.Left(digest, server) {
+		s.g.lost(digest, server, 0)
 	}
-	s.g.found(digest, finding, true)
-	s.g.withdrawn(withdrawn)
 }
 
 // Answered clears a request, and tells the other nodes if anything was known against
@@ -82,6 +101,7 @@
 	g.metrics.Suspects(suspect.EventHeard)
 	g.found(s.Lost, finding, false)
 	g.withdrawn(withdrawn)
+	g.leftBehind(s.Server, s.Age())
 }
 
 // found acts by what a loss leads to: copies of a request that is refused from now on
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -81,6 +81,7 @@
 func (noSuspects) Refuses(uint64) bool               { return false }
 func (noSuspects) Test(context.Context, uint64) bool { return false }
 func (noSuspects) Lost(uint64, uint64)               {}
+func (noSuspects) Left(uint64, uint64)               {}
 func (noSuspects) Ends(uint64) int                   { return 0 }
 func (noSuspects) Answered(uint64)                   {}
 func (noSuspects) Runs(uint64, time.Time)            {}
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -76,6 +76,7 @@
 	}
 	if next, ok := x.escalation(answer); ok {
 		use.End(route.OutcomeOK)
+		x.left(use)
 		x.step = next
 		return &failure{escalates: true, ran: true}
 	}
@@ -97,6 +98,7 @@
 func (x *exchange) judgeError(ctx context.Context, use *route.Use, err error) *failure {
 	if stalled(ctx) {
 		use.Stall()
+		x.left(use)
 		x.runs++
 		return stall()
 	}
@@ -119,6 +121,9 @@
 		return &failure{reason: ReasonUnreachable, cause: err.Error()}
 	}
 	x.runs++
+	if ctx.Err() != nil {
+		x.left(use)
+	}
 	x.lost(ctx, use)
 	reason := ReasonServerFailed
 	if x.request.Body.Err() != nil {
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -108,6 +108,7 @@
 // clientLeft ends an attempt whose client does not read on.
 func (x *exchange) clientLeft(use *route.Use) *failure {
 	use.End(route.OutcomeNeutral)
+	x.left(use)
 	x.learnLength(x.relay.lengths.learnCut)
 	x.record.Note("client left", "after event %q", x.after)
 	return nil
@@ -119,9 +120,11 @@
 	switch {
 	case stalled(ctx):
 		use.Stall()
+		x.left(use)
 		return stall()
 	case ctx.Err() != nil:
 		use.End(route.OutcomeNeutral)
+		x.left(use)
 	default:
 		use.End(route.OutcomeFailed)
 		x.lost(ctx, use)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -224,6 +224,9 @@
 	Test(ctx context.Context, digest uint64) bool
 	// Lost takes the word that a server left a request without an answer.
 	Lost(digest, server uint64)
+	// Left takes the word that an attempt was given up at a server, which may run the
+	// request on.
+	Left(digest, server uint64)
 	// Ends returns at how many servers the request was lost.
 	Ends(digest uint64) int
 	Answered(digest uint64)
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -50,6 +50,11 @@
 	x.record.Note("lost", "at %s; content %016x, lost at %d servers", use.Server().ID, x.content(), x.relay.Suspects.Ends(x.content()))
 }
 
+// left takes note that this attempt was given up, though the server may run it on.
+func (x *exchange) left(use *route.Use) {
+	x.relay.Suspects.Left(x.content(), use.Server().Incarnation().Hash())
+}
+
 // goesOn takes note that a server answers what was sent to it at a time.
 func (x *exchange) goesOn(use *route.Use, sent time.Time) {
 	if !x.relay.Suspects.Empty() {
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -69,6 +69,7 @@
 type suspects struct{ *suspect.List }
 
 func (s suspects) Lost(digest, server uint64)         { s.List.Lost(digest, server, 0) }
+func (s suspects) Left(digest, server uint64)         { s.List.Left(digest, server) }
 func (s suspects) Answered(digest uint64)             { s.List.Answered(digest) }
 func (s suspects) Runs(server uint64, sent time.Time) { s.List.Runs(server, sent) }
 func (s suspects) Test(context.Context, uint64) bool  { return false }
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -63,6 +63,12 @@
 	// The entries of servers that end are gone, or told anew, after 2.5 to 3.5 s;
 	// with 3 s a request that had ended three servers was sent again then.
 	doubtTime = 6 * time.Second
+	// leftTime is how long before a server's end an attempt may have been given up there
+	// for its request to count as lost: an engine that ends under a request does so soon
+	// after the answer has begun, which may be what it was given up for.
+	leftTime = 500 * time.Millisecond
+	// maxLeft bounds the attempts that are remembered for it.
+	maxLeft = 512
 	// Memory is how long a loss is remembered, and a verdict that is not put to the
 	// test. Software that is mended reaches the servers by a roll-out, which takes
 	// about as long.
@@ -111,7 +117,9 @@
 
 	mu sync.Mutex
 	// losses are in the order in which they were heard of.
-	losses   []loss
+	losses []loss
+	// left are the latest attempts that were given up, in the order in which they were.
+	left     []loss
 	answered *answers
 	verdicts map[uint64]*verdict
 	// pardoned holds when verdicts were last withdrawn here.
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -132,6 +132,46 @@
 	})
 }
 
+// TestLeftBehind: a request that ended its servers had been taken away from them just
+// before, since their first answers were poor; nobody counted it there, and those that
+// were lost beside it were blamed.
+func TestLeftBehind(t *testing.T) {
+	const before = 100 * time.Millisecond
+	for _, tt := range []struct {
+		name string
+		// left and lost are when the attempt was given up and when the server ended.
+		left, lost time.Duration
+		want       bool
+	}{
+		{"just before", 0, before, true},
+		{"long before", 0, 5 * time.Second, false},
+		{"before it was heard of", before, 0, true},
+		{"long after", 5 * time.Second, 0, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				timers := timer.New()
+				defer timers.Close()
+				l := suspect.New(timers)
+				var found []uint64
+				time.AfterFunc(tt.left, func() {
+					if l.Left(1, 10) {
+						found = append(found, 1)
+					}
+				})
+				time.AfterFunc(tt.lost, func() {
+					l.Lost(2, 10, 0)
+					found = append(found, l.LeftBehind(10, 0)...)
+					must.SliceEmpty(t, l.LeftBehind(11, 0))
+				})
+				time.Sleep(10 * time.Second)
+				must.Eq(t, tt.want, len(found) == 1, must.Sprint(found))
+				must.SliceEmpty(t, l.LeftBehind(10, 0))
+			})
+		})
+	}
+}
+
 // TestRestart takes a server for ended for good once it was seen to be gone: its
 // name may come back.
 func TestRestart(t *testing.T) {
