suspect, gateway: entries that stand just after an outage are no sign that their servers go on

Cause: a server counts as going on if its entry stands six seconds after the loss; in an outage entries stand whatever becomes of their servers, and for some seconds after it. Change: the six seconds count from when the news was last old.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -137,7 +137,11 @@
 // the context ends.
 func (g *Gateway) reviewSuspects(ctx context.Context) {
 	g.timers.Every(ctx, reviewInterval, func() {
-		if g.suspects.Empty() || g.mirror.Age() > reviewAge {
+		if g.mirror.Age() > reviewAge {
+			g.suspects.Stale()
+			return
+		}
+		if g.suspects.Empty() {
 			return
 		}
 		running := make(map[uint64]bool)
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -122,6 +122,8 @@
 	left     []loss
 	answered *answers
 	verdicts map[uint64]*verdict
+	// stale is when the news of the servers' entries was last too old to go by.
+	stale time.Time
 	// pardoned holds when verdicts were last withdrawn here.
 	pardoned map[uint64]time.Time
 }
@@ -239,6 +241,14 @@
 	}))
 }
 
+// Stale tells that the news of the servers' entries is old: those of servers that have
+// ended may stand for a while after it is fresh again.
+func (l *List) Stale() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stale = l.timers.Now()
+}
+
 // Review forgets what was lost at servers that go on, and what is old. Running
 // are the incarnations that are known to run. It returns the requests that are refused
 // no more since their servers go on.
@@ -248,7 +258,8 @@
 	l.forgetOld()
 	now := l.timers.Now()
 	goOn := l.forget(func(known loss) bool {
-		return !known.ended && running[known.server] && now.Sub(known.at) >= doubtTime
+		seen := min(now.Sub(known.at), now.Sub(l.stale))
+		return !known.ended && running[known.server] && seen >= doubtTime
 	})
 	for i, known := range l.losses {
 		l.losses[i].ended = known.ended || !running[known.server]
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -190,6 +190,29 @@
 	})
 }
 
+// TestEntriesAfterOutage: the store was away, the entries of servers that had ended
+// meanwhile were there when it came back, and the verdict was forgotten at that.
+func TestEntriesAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		l := suspect.New(timers)
+		running := make(map[uint64]bool)
+		for server := range uint64(3) {
+			l.Lost(1, server, 0)
+			running[server] = true
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Minute)
+		l.Stale()
+		time.Sleep(time.Second)
+		must.SliceEmpty(t, l.Review(running))
+		must.True(t, l.Refuses(1))
+		time.Sleep(6 * time.Second)
+		must.Eq(t, []uint64{1}, l.Review(running), must.Sprint("by then the entries would be gone"))
+	})
+}
+
 // TestRuns loses a request at three servers, of which one answers another request:
 // one that was sent before the loss tells nothing, one that was sent after it
 // tells that the server goes on.
