timer, mirror, lease, registry, limit, suspect: what is trusted by its age ages while the machine is suspended

What callers would see: a machine is suspended for a while; its news, leases and grants seem as young as before to its processes, which go by servers that have left, keys that were taken away and a lease that another node has, until their next look at the store. Cause: the steady clock stands still meanwhile; nothing read CLOCK_BOOTTIME. Change: timer.Steady goes on by the difference of the two clocks; ages and expiries of news, leases, kept entries, grants and losses, and the watch for stalls, go by it. Not changed: the product's own journals, views, pins and claims.

--- a/gateway/nodes.go
+++ b/gateway/nodes.go
@@ -80,7 +80,7 @@
 // storeRegained marks the store's return and renews the entry at once.
 func (n *nodes) storeRegained() {
 	n.mu.Lock()
-	n.returned = n.g.timers.Now()
+	n.returned = n.g.timers.Steady()
 	n.mu.Unlock()
 	n.renewNow()
 }
@@ -98,7 +98,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if c.Deleted {
-		kept := max(0, returnTime-n.g.timers.Now().Sub(n.returned))
+		kept := max(0, returnTime-n.g.timers.Steady().Sub(n.returned))
 		n.drop(c.Key, kept)
 		slog.Info("gateway is gone", "key", c.Key, "revision", c.Revision, "kept_ms", kept.Milliseconds())
 		return
@@ -121,7 +121,7 @@
 // written anew. The caller holds mu.
 func (n *nodes) drop(key string, kept time.Duration) {
 	if kept > 0 {
-		n.lapsed[key] = n.g.timers.Now().Add(kept)
+		n.lapsed[key] = n.g.timers.Steady().Add(kept)
 	} else {
 		delete(n.known, key)
 		delete(n.lapsed, key)
@@ -178,7 +178,7 @@
 // forgetLapsed drops the entries that were not written anew in time. The caller
 // holds mu.
 func (n *nodes) forgetLapsed() {
-	now := n.g.timers.Now()
+	now := n.g.timers.Steady()
 	for key, until := range n.lapsed {
 		if now.After(until) {
 			delete(n.known, key)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -77,7 +77,7 @@
 
 // Runs takes the word that a server answers.
 func (s suspects) Runs(server uint64, sent time.Time) {
-	s.g.withdrawn(s.g.suspects.Runs(server, sent))
+	s.g.withdrawn(s.g.suspects.Runs(server, time.Since(sent)))
 }
 
 // heard takes what another node has told on the board.
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -31,14 +31,14 @@
 func Watch(ctx context.Context, timers *timer.Service, tell func(late time.Duration)) {
 	ticks := timers.Subscribe(tick)
 	defer ticks.Stop()
-	last := timers.Now()
+	last := timers.Steady()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticks.C():
 		}
-		now := timers.Now()
+		now := timers.Steady()
 		if late := now.Sub(last) - tick; late > least {
 			tell(late)
 		}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -84,7 +84,7 @@
 func (h *Holder) Held(d time.Duration) (token int64, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.token, h.token != 0 && h.timers.Now().Add(d).Before(h.until)
+	return h.token, h.token != 0 && h.timers.Steady().Add(d).Before(h.until)
 }
 
 // HeldFor returns how long the lease has been held without a gap. A new
@@ -95,7 +95,7 @@
 	if h.token == 0 {
 		return 0
 	}
-	return h.timers.Now().Sub(h.since)
+	return h.timers.Steady().Sub(h.since)
 }
 
 // Run competes for the lease and renews it until the context ends, then
@@ -129,7 +129,7 @@
 // renew counts the lease's life from before the call, since the service may
 // have renewed it at any moment of the call.
 func (h *Holder) renew(ctx context.Context, id int64) {
-	start := h.timers.Now()
+	start := h.timers.Steady()
 	alive, err := h.store.KeepAlive(ctx, id)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -139,7 +139,7 @@
 	case err == nil:
 		slog.Warn("lease lapsed", "lease", h.name)
 		h.token, h.id = 0, 0
-	case h.timers.Now().After(h.until):
+	case h.timers.Steady().After(h.until):
 		h.token, h.id = 0, 0
 	}
 }
@@ -149,7 +149,7 @@
 	if err != nil || revision != 0 {
 		return
 	}
-	start := h.timers.Now()
+	start := h.timers.Steady()
 	id, err := h.store.Grant(ctx, h.ttl)
 	if err != nil {
 		return
@@ -163,7 +163,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.id, h.token, h.until, h.since = id, token, start.Add(h.ttl), h.timers.Now()
+	h.id, h.token, h.until, h.since = id, token, start.Add(h.ttl), h.timers.Steady()
 	slog.Info("lease acquired", "lease", h.name, "token", token)
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -188,6 +188,27 @@
 	}
 }
 
+// TestSuspendedHolder: a holder's machine was suspended for longer than its lease lasts,
+// and it trusted the lease all the same.
+func TestSuspendedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asleep := time.Duration(0)
+		timers := timer.New(timer.WithSuspended(func() time.Duration { return asleep }))
+		defer timers.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		holder := lease.New("driver", "a", &service{}, timers, ttl)
+		go holder.Run(ctx)
+		time.Sleep(2 * ttl)
+		_, held := holder.Held(0)
+		must.True(t, held)
+		asleep = 2 * ttl
+		_, held = holder.Held(0)
+		must.False(t, held)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestUnreachableService makes a holder stop trusting its lease before the
 // service lets it lapse.
 func TestUnreachableService(t *testing.T) {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -118,7 +118,7 @@
 	defer l.mu.Unlock()
 	s := l.share(account.Name, account.Limits)
 	s.arrived++
-	s.usedAt = l.timers.Now()
+	s.usedAt = l.timers.Steady()
 	l.refresh(s)
 	reservation := s.bucket.Reserve()
 	if wait := reservation.Delay(); wait > 0 {
@@ -146,7 +146,7 @@
 func (l *Limiter) refresh(s *share) {
 	now := l.timers.Now()
 	held := s.limit * evenShare / float64(max(1, l.grantors.Members()))
-	if now.Before(s.expires) {
+	if l.timers.Steady().Before(s.expires) {
 		held += s.granted
 	}
 	held = min(held, s.limit)
@@ -170,7 +170,7 @@
 		renewals.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, leaseInterval)
 			defer cancel()
-			start := l.timers.Now()
+			start := l.timers.Steady()
 			grant, err := l.grantors.Ask(ctx, ask)
 			if err == nil && !grant.Refused {
 				l.take(ask.Account, grant, start)
@@ -183,7 +183,7 @@
 func (l *Limiter) asks() []Ask {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.timers.Now()
+	now := l.timers.Steady()
 	var asks []Ask
 	for name, s := range l.accounts {
 		s.demand = s.demand*(1-demandMemory) + float64(s.arrived)*demandMemory
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -70,7 +70,7 @@
 
 // upstream returns the first upstream that is not passed over.
 func (m *Mirror) upstream() (address string, ok bool) {
-	now := m.timers.Now()
+	now := m.timers.Steady()
 	for _, address := range m.peers.Upstream() {
 		if now.After(m.passed[address]) {
 			delete(m.passed, address)
@@ -82,7 +82,7 @@
 
 // passOver lets the next upstream be followed for a while.
 func (m *Mirror) passOver(address string) {
-	m.passed[address] = m.timers.Now().Add(passTime)
+	m.passed[address] = m.timers.Steady().Add(passTime)
 	m.followed = ""
 }
 
@@ -148,7 +148,7 @@
 
 // callPeer asks a peer that may wait that long.
 func (m *Mirror) callPeer(ctx context.Context, address string, wait time.Duration) (Batch, error) {
-	batch, took, err := bounded(ctx, waiting(wait, peerTimeout), func(ctx context.Context) (Batch, error) {
+	batch, took, err := m.bounded(ctx, waiting(wait, peerTimeout), func(ctx context.Context) (Batch, error) {
 		return m.peers.Follow(ctx, address, m.Revision(), wait)
 	})
 	batch.Age += max(0, took-batch.Held)
@@ -167,12 +167,12 @@
 
 // bounded makes a call and tells how long it took. An error of one that ran out of
 // time is a context's, or Stalled.
-func bounded(ctx context.Context, b progress.Bounds, call func(context.Context) (Batch, error)) (batch Batch, took time.Duration, err error) {
+func (m *Mirror) bounded(ctx context.Context, b progress.Bounds, call func(context.Context) (Batch, error)) (batch Batch, took time.Duration, err error) {
 	ctx, cancel := progress.WithTimeout(ctx, b)
 	defer cancel()
-	begun := time.Now()
+	begun := m.timers.Steady()
 	batch, err = call(ctx)
-	took = time.Since(begun)
+	took = m.timers.Steady().Sub(begun)
 	if err == nil {
 		return batch, took, nil
 	}
@@ -228,7 +228,7 @@
 // watch asks the store for changes, which may wait that long. An answer that came
 // later than that was on its way, or lay unread.
 func (m *Mirror) watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
-	batch, took, err := bounded(ctx, waiting(wait, followSlack), func(ctx context.Context) (Batch, error) {
+	batch, took, err := m.bounded(ctx, waiting(wait, followSlack), func(ctx context.Context) (Batch, error) {
 		return m.store.Follow(ctx, after, wait)
 	})
 	batch.Age = max(0, took-wait)
@@ -238,7 +238,7 @@
 // readAll reads the whole, which also tells what was removed meanwhile.
 func (m *Mirror) readAll(ctx context.Context) error {
 	bounds := progress.Bounds{First: readTimeout, Silence: followSlack, Whole: readTimeout + fetchTime}
-	batch, took, err := bounded(ctx, bounds, func(ctx context.Context) (Batch, error) {
+	batch, took, err := m.bounded(ctx, bounds, func(ctx context.Context) (Batch, error) {
 		if m.Revision() == 0 {
 			// A node that starts during an outage need not wait for the store to time
 			// out.
@@ -294,7 +294,7 @@
 // accept takes news. Fresh news after an outage is told to those who asked for that
 // first, since what lapsed meanwhile stands in it.
 func (m *Mirror) accept(b Batch) {
-	now := m.timers.Now()
+	now := m.timers.Steady()
 	m.mu.Lock()
 	outage := now.Sub(m.contact) > outageAge && m.vain.After(m.contact)
 	m.mu.Unlock()
@@ -318,7 +318,7 @@
 func (m *Mirror) lost(err error) {
 	m.mu.Lock()
 	before := m.away
-	m.away, m.vain = true, m.timers.Now()
+	m.away, m.vain = true, m.timers.Steady()
 	m.settle()
 	revision := m.revision
 	m.mu.Unlock()
--- a/mirror/fresh.go
+++ b/mirror/fresh.go
@@ -74,7 +74,7 @@
 // inDoubt is InDoubt for a caller that holds mu.
 func (m *Mirror) inDoubt() bool {
 	known := !m.inForce.IsZero()
-	return known && m.timers.Now().Sub(m.inForce) > doubtAge && !m.vain.After(m.contact)
+	return known && m.timers.Steady().Sub(m.inForce) > doubtAge && !m.vain.After(m.contact)
 }
 
 // Settle returns once the news is in doubt no more. It returns at once if it is not,
@@ -122,7 +122,7 @@
 	if m.vain.After(m.contact) && m.nextLook.After(due) {
 		due = m.nextLook
 	}
-	return min(lookAge, due.Sub(m.timers.Now()))
+	return min(lookAge, due.Sub(m.timers.Steady()))
 }
 
 // lookedInVain notes that the store did not answer a look.
@@ -132,5 +132,5 @@
 	m.lost(err)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.nextLook = m.timers.Now().Add(min(lookPauseMax, time.Duration(max(1, before))*lookPause))
+	m.nextLook = m.timers.Steady().Add(min(lookPauseMax, time.Duration(max(1, before))*lookPause))
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -250,14 +250,14 @@
 func (m *Mirror) Age() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.timers.Now().Sub(m.inForce)
+	return m.timers.Steady().Sub(m.inForce)
 }
 
 // After answers a peer: what this node knows beyond a revision.
 func (m *Mirror) After(after int64) Batch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	b := Batch{Revision: m.revision, Age: m.timers.Now().Sub(m.contact)}
+	b := Batch{Revision: m.revision, Age: m.timers.Steady().Sub(m.contact)}
 	switch {
 	case after >= m.revision:
 	case after >= m.recentFrom:
@@ -277,7 +277,7 @@
 // than this package's own callers ask, so that no peer can hold a call for as long
 // as it likes.
 func (m *Mirror) Await(ctx context.Context, after int64, wait time.Duration) Batch {
-	begun := m.timers.Now()
+	begun := m.timers.Steady()
 	m.mu.Lock()
 	known, changed := m.revision, m.changed
 	m.mu.Unlock()
@@ -291,7 +291,7 @@
 		}
 	}
 	b := m.After(after)
-	b.Held = m.timers.Now().Sub(begun)
+	b.Held = m.timers.Steady().Sub(begun)
 	return b
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/timer"
 )
 
 // TestMirror lists what happens to the store between two changes, and looks
@@ -90,6 +91,30 @@
 	})
 }
 
+// TestSuspended: a machine was suspended, the steady clock had stood still, and its news
+// seemed as young as before.
+func TestSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, _ := run(t)
+		asleep := time.Duration(0)
+		timers := timer.New(timer.WithSuspended(func() time.Duration { return asleep }))
+		defer timers.Close()
+		store := newStore()
+		store.put("a", false)
+		m := mirror.New(store, &peers{}, timers)
+		go m.Run(ctx)
+		settle(time.Second)
+		must.False(t, m.InDoubt())
+		asleep = time.Minute
+		must.True(t, m.InDoubt())
+		must.GreaterEq(t, time.Minute, m.Age())
+		must.GreaterEq(t, time.Minute, m.After(0).Age, must.Sprint("what peers are told"))
+		m.Settle(ctx)
+		must.False(t, m.InDoubt())
+		must.Less(t, 2*time.Second, m.Age())
+	})
+}
+
 // TestUpstream lists how a node's upstream may fail while the store serves the
 // node, and what the node then calls.
 func TestUpstream(t *testing.T) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -117,8 +117,8 @@
 		return 0
 	}
 	r.byService = nil
-	if left := returnTime - r.timers.Now().Sub(r.returned); left > 0 && !withdrawn {
-		r.lapsed[id] = r.timers.Now().Add(left)
+	if left := returnTime - r.timers.Steady().Sub(r.returned); left > 0 && !withdrawn {
+		r.lapsed[id] = r.timers.Steady().Add(left)
 		return left
 	}
 	delete(r.servers, id)
@@ -130,7 +130,7 @@
 func (r *Registry) StoreReturned() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.returned = r.timers.Now()
+	r.returned = r.timers.Steady()
 }
 
 // Incarnations returns those of all servers that are known, leaving ones too.
@@ -168,7 +168,7 @@
 
 // expire removes entries that did not come back.
 func (r *Registry) expire() {
-	now := r.timers.Now()
+	now := r.timers.Steady()
 	for id, until := range r.lapsed {
 		if now.After(until) {
 			delete(r.lapsed, id)
--- a/suspect/keeper.go
+++ b/suspect/keeper.go
@@ -170,7 +170,7 @@
 func (k *Keeper) writeIn(digest uint64, wait time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.due[digest] = k.timers.Now().Add(wait)
+	k.due[digest] = k.timers.Steady().Add(wait)
 }
 
 // takeDue returns the requests whose time has come.
@@ -179,7 +179,7 @@
 	defer k.mu.Unlock()
 	var digests []uint64
 	for digest, at := range k.due {
-		if !k.timers.Now().Before(at) {
+		if !k.timers.Steady().Before(at) {
 			digests = append(digests, digest)
 			delete(k.due, digest)
 		}
--- a/suspect/left.go
+++ b/suspect/left.go
@@ -11,7 +11,7 @@
 func (l *List) Left(digest, server uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.timers.Now()
+	now := l.timers.Steady()
 	ended := func(known loss) bool { return known.server == server && now.Sub(known.at) < leftTime }
 	if slices.ContainsFunc(l.losses, ended) {
 		return true
@@ -28,7 +28,7 @@
 func (l *List) LeftBehind(server uint64, ago time.Duration) []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	end := l.timers.Now().Add(-ago)
+	end := l.timers.Steady().Add(-ago)
 	l.left = slices.DeleteFunc(l.left, func(known loss) bool { return end.Sub(known.at) > leftTime })
 	var digests []uint64
 	l.left = slices.DeleteFunc(l.left, func(known loss) bool {
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -34,7 +34,7 @@
 //		… // tell the store
 //	}
 //	list.Answered(digest)
-//	list.Runs(server.Incarnation().Hash(), sent) // it answers what was sent then
+//	list.Runs(server.Incarnation().Hash(), ago) // it answers what was sent then
 //	list.Review(running) // now and then, with the servers that run
 package suspect
 
@@ -162,7 +162,7 @@
 		l.losses = l.losses[1:]
 		l.lapse(oldest)
 	}
-	l.losses = append(l.losses, loss{digest: digest, server: server, at: l.timers.Now().Add(-ago)})
+	l.losses = append(l.losses, loss{digest: digest, server: server, at: l.timers.Steady().Add(-ago)})
 	return l.judge(digest), l.withdraw(beside)
 }
 
@@ -171,7 +171,7 @@
 	if !l.enough(digest) {
 		return FindingNew
 	}
-	now := l.timers.Now()
+	now := l.timers.Steady()
 	v := l.verdicts[digest]
 	if v == nil {
 		l.verdicts[digest] = &verdict{since: now, proved: now}
@@ -213,7 +213,7 @@
 func (l *List) Answered(digest uint64) Clearance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.answered.add(digest, l.timers.Now())
+	l.answered.add(digest, l.timers.Steady())
 	return l.clear(digest)
 }
 
@@ -230,12 +230,13 @@
 	return ClearedNothing
 }
 
-// Runs takes the word that a server answers what was sent to it at a time: it
+// Runs takes the word that a server answers what was sent to it that long ago: it
 // had not ended by what was lost before. It returns the requests that are refused no
 // more for that.
-func (l *List) Runs(server uint64, sent time.Time) []uint64 {
+func (l *List) Runs(server uint64, ago time.Duration) []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	sent := l.timers.Steady().Add(-ago)
 	return l.withdraw(l.forget(func(known loss) bool {
 		return known.server == server && !known.ended && !known.at.After(sent)
 	}))
@@ -246,7 +247,7 @@
 func (l *List) Stale() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stale = l.timers.Now()
+	l.stale = l.timers.Steady()
 }
 
 // Review forgets what was lost at servers that go on, and what is old. Running
@@ -256,7 +257,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.forgetOld()
-	now := l.timers.Now()
+	now := l.timers.Steady()
 	goOn := l.forget(func(known loss) bool {
 		seen := min(now.Sub(known.at), now.Sub(l.stale))
 		return !known.ended && running[known.server] && seen >= doubtTime
@@ -269,7 +270,7 @@
 
 // forgetOld forgets losses and pardons that are too old. The caller holds mu.
 func (l *List) forgetOld() {
-	now := l.timers.Now()
+	now := l.timers.Steady()
 	maps.DeleteFunc(l.pardoned, func(_ uint64, at time.Time) bool { return now.Sub(at) >= pardonTime })
 	for _, digest := range l.forget(func(known loss) bool { return now.Sub(known.at) >= Memory }) {
 		l.lapse(digest)
@@ -306,7 +307,7 @@
 // caller holds mu.
 func (l *List) enough(digest uint64) bool {
 	needed := endsToRefuse
-	if l.answered.since(digest, l.timers.Now().Add(-Memory)) {
+	if l.answered.since(digest, l.timers.Steady().Add(-Memory)) {
 		needed = endsIfAnswered
 	}
 	return l.moments(digest) >= needed
@@ -343,7 +344,7 @@
 // one of these. What ends under others once the request is refused tells nothing of it,
 // since it could not be there. The caller holds mu.
 func (l *List) ends(digest uint64, servers map[uint64]time.Time) map[uint64]int {
-	proved := l.timers.Now()
+	proved := l.timers.Steady()
 	if v := l.verdicts[digest]; v != nil && !v.proved.IsZero() {
 		proved = v.proved
 	}
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -227,10 +227,10 @@
 			l.Lost(1, server, 0)
 			time.Sleep(time.Second)
 		}
-		l.Runs(2, before)
+		l.Runs(2, time.Since(before))
 		must.True(t, l.Refuses(1))
 		time.Sleep(time.Second)
-		l.Runs(2, time.Now())
+		l.Runs(2, 0)
 		must.False(t, l.Refuses(1))
 	})
 }
--- a/suspect/verdict.go
+++ b/suspect/verdict.go
@@ -48,17 +48,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.verdicts[digest]
-	if v == nil || l.timers.Now().Sub(v.since) < v.pause() {
+	if v == nil || l.timers.Steady().Sub(v.since) < v.pause() {
 		return 0, false
 	}
-	v.since = l.timers.Now()
+	v.since = l.timers.Steady()
 	return v.tests + 1, true
 }
 
 // pardon ends a verdict. The caller holds mu.
 func (l *List) pardon(digest uint64) {
 	delete(l.verdicts, digest)
-	l.pardoned[digest] = l.timers.Now()
+	l.pardoned[digest] = l.timers.Steady()
 }
 
 // Stored takes the word of the store, or of whoever has just written there, that a
@@ -68,16 +68,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.verdicts[digest]
-	if at, ok := l.pardoned[digest]; v == nil && ok && l.timers.Now().Sub(at) < pardonTime {
+	if at, ok := l.pardoned[digest]; v == nil && ok && l.timers.Steady().Sub(at) < pardonTime {
 		return
 	}
 	if v == nil {
-		v = &verdict{since: l.timers.Now()}
+		v = &verdict{since: l.timers.Steady()}
 		l.verdicts[digest] = v
 	}
 	v.stored = true
 	if tests > v.tests {
-		v.tests, v.since = tests, l.timers.Now()
+		v.tests, v.since = tests, l.timers.Steady()
 	}
 }
 
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -29,6 +29,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,16 +43,55 @@
 	mu            sync.Mutex
 	subscriptions map[*Subscription]struct{}
 	closed        bool
+
+	// suspended tells for how long the machine has been suspended; before is that of
+	// when this service was made, and counted what counts since, in nanoseconds.
+	suspended func() time.Duration
+	before    time.Duration
+	counted   atomic.Int64
+}
+
+// Option changes a Service as New makes it.
+type Option func(*Service)
+
+// WithSuspended sets what tells for how long the machine has been suspended so far.
+func WithSuspended(suspended func() time.Duration) Option {
+	return func(s *Service) { s.suspended = suspended }
 }
 
 // New returns a running service.
-func New() *Service {
-	return &Service{subscriptions: make(map[*Subscription]struct{})}
+func New(options ...Option) *Service {
+	s := &Service{subscriptions: make(map[*Subscription]struct{}), suspended: suspended}
+	for _, option := range options {
+		option(s)
+	}
+	s.before = s.suspended()
+	return s
 }
 
 // Now returns the present time.
 func (s *Service) Now() time.Time { return time.Now() }
 
+// Steady returns a time for ages and expiries. It goes on while the machine is
+// suspended, for which the steady clock behind Now stands still, so what was known
+// before is as old as it is. It is no time of day, and is compared with its like alone.
+func (s *Service) Steady() time.Time {
+	asleep := s.suspended() - s.before
+	for {
+		counted := s.counted.Load()
+		if asleep < time.Duration(counted)+shortestSuspension {
+			return time.Now().Add(time.Duration(counted))
+		}
+		if s.counted.CompareAndSwap(counted, int64(asleep)) {
+			return time.Now().Add(asleep)
+		}
+	}
+}
+
+// shortestSuspension is the least that counts as one. Two clocks are read one after the
+// other, so that their difference is told with an error.
+const shortestSuspension = 10 * time.Millisecond
+
 // Subscribe returns a subscription that ticks about every interval, within a
 // tenth of it. A tick that nobody has taken is not queued twice.
 func (s *Service) Subscribe(interval time.Duration) *Subscription {
