mirror: a peer that knows nothing confirms nothing, and the age that a peer tells is bounded

Cause: a node that has heard nothing yet tells of the time since the zero time, the greatest duration there is; whoever asked adds the time of the call, and the sum is negative: its news was confirmed in 292 years. TestPeerThatKnowsNothing failed before for four of five ages, lies included.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -151,10 +151,14 @@
 	batch, took, err := m.bounded(ctx, waiting(wait, peerTimeout), func(ctx context.Context) (Batch, error) {
 		return m.peers.Follow(ctx, address, m.Revision(), wait)
 	})
-	batch.Age += max(0, took-batch.Held)
+	batch.Age = min(max(0, batch.Age), oldestTold) + max(0, took-batch.Held)
 	return batch, err
 }
 
+// oldestTold bounds the age that a peer is believed to tell, which counts as any age from
+// which nothing is gone by. A peer that has heard nothing yet tells of no beginning.
+const oldestTold = 24 * time.Hour
+
 // waiting returns the bounds of a call that may wait that long, and may be silent for
 // the slack beside it.
 func waiting(wait, slack time.Duration) progress.Bounds {
@@ -294,6 +298,9 @@
 // accept takes news. Fresh news after an outage is told to those who asked for that
 // first, since what lapsed meanwhile stands in it.
 func (m *Mirror) accept(b Batch) {
+	if b.Revision == 0 {
+		return // who knows nothing confirms nothing
+	}
 	now := m.timers.Steady()
 	m.mu.Lock()
 	outage := now.Sub(m.contact) > outageAge && m.vain.After(m.contact)
--- a/mirror/harness_test.go
+++ b/mirror/harness_test.go
@@ -173,6 +173,9 @@
 	err error
 	// calls is how often a peer was asked.
 	calls int
+	// tells is the age that peers tell in place of their own, after a network's way; nil
+	// for their own.
+	tells *time.Duration
 }
 
 func (p *peers) asked() int {
@@ -214,7 +217,12 @@
 	if _, err := fmt.Sscan(address, &i); err != nil {
 		return mirror.Batch{}, err
 	}
-	return p.lines[i].call(ctx, func() (mirror.Batch, error) { return p.mirrors[i].Await(ctx, after, wait), nil })
+	b, err := p.lines[i].call(ctx, func() (mirror.Batch, error) { return p.mirrors[i].Await(ctx, after, wait), nil })
+	if p.tells != nil {
+		time.Sleep(time.Millisecond)
+		b.Age = *p.tells
+	}
+	return b, err
 }
 
 // run returns what mirrors run by until the test ends.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,6 +92,34 @@
 	})
 }
 
+// TestPeerThatKnowsNothing: nodes that start while the store is silent ask each other. One
+// that had heard nothing yet told of the greatest age there is; the time that the call took
+// was added to it, and the sum was a time to come: whoever had asked was never in doubt
+// of its news again.
+func TestPeerThatKnowsNothing(t *testing.T) {
+	for _, age := range []time.Duration{0, -time.Hour, math.MinInt64, math.MaxInt64 - 1, math.MaxInt64} {
+		t.Run(fmt.Sprint("that tells ", age), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, timers := run(t)
+				store := newStore()
+				store.put("a", false)
+				store.set(errStore, false, false)
+				p := &peers{mirrors: []*mirror.Mirror{mirror.New(newStore(), &peers{}, timers)}, tells: &age}
+				m := mirror.New(store, p, timers)
+				go m.Run(ctx)
+				settle(2 * time.Second)
+				must.GreaterEq(t, 0, m.After(0).Age, must.Sprint("what it tells others"))
+				store.set(nil, false, false)
+				settle(5 * time.Second)
+				must.Between(t, 0, m.Age(), 2*time.Second)
+				store.set(nil, true, false)
+				settle(5 * time.Second)
+				must.Between(t, 2*time.Second, m.Age(), time.Minute, must.Sprint("of news that grows old"))
+			})
+		})
+	}
+}
+
 // TestSuspended: a machine was suspended, the steady clock had stood still, and its news
 // seemed as young as before.
 func TestSuspended(t *testing.T) {
