suspect, relay, platform: what proves that a server goes on

Cause: whatever was sent after a loss and answered counted as proof, whoever answered; and a stream that went on through the loss did not. Change: what comes 0.2 s and more after a loss on a connection that is older than it is proof, streams' events too (looked at every 0.2 s); an answer on a later connection only within 2 s of the loss, since a server loads its models first. Attempts given up count for 0.2 s before an end in place of 0.5. Still open: innocents after repeated resets at sites with little traffic.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -76,8 +76,8 @@
 }
 
 // Runs takes the word that a server answers.
-func (s suspects) Runs(server uint64, sent time.Time) {
-	s.g.withdrawn(s.g.suspects.Runs(server, time.Since(sent)))
+func (s suspects) Runs(server uint64, sent, opened time.Time) {
+	s.g.withdrawn(s.g.suspects.Runs(server, time.Since(sent), time.Since(opened)))
 }
 
 // heard takes what another node has told on the board.
--- a/relay/evidence_test.go
+++ b/relay/evidence_test.go
@@ -20,7 +20,7 @@
 
 func (h *heardRunning) Empty() bool { return false }
 
-func (h *heardRunning) Runs(server uint64, _ time.Time) { h.servers = append(h.servers, server) }
+func (h *heardRunning) Runs(server uint64, _, _ time.Time) { h.servers = append(h.servers, server) }
 
 // declining servers turn requests away, as does one that was started at the address of
 // another.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -132,7 +132,7 @@
 	if f != nil {
 		return f
 	}
-	return x.pass(ctx, use, answer, watch)
+	return x.pass(ctx, use, sent, answer, watch)
 }
 
 // finish ends the record of a request.
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -84,7 +84,7 @@
 func (noSuspects) Left(uint64, uint64)               {}
 func (noSuspects) Ends(uint64) int                   { return 0 }
 func (noSuspects) Answered(uint64)                   {}
-func (noSuspects) Runs(uint64, time.Time)            {}
+func (noSuspects) Runs(uint64, time.Time, time.Time) {}
 
 // noNews is of a process that knows all there is.
 type noNews struct{}
@@ -149,6 +149,7 @@
 func (a given) Confidence() (float64, bool) { return 0, false }
 func (a given) Load() (route.Load, bool)    { return route.Load{}, false }
 func (a given) RetryAfter() time.Duration   { return 0 }
+func (a given) Opened() time.Time           { return time.Time{} }
 func (a given) Body() io.Reader             { return a.body }
 func (a given) Close()                      {}
 
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -57,7 +57,7 @@
 		use.End(route.OutcomeDeclined)
 		return &failure{reason: ReasonDeclined, retryAfter: answer.RetryAfter(), cause: http.StatusText(answer.Status())}
 	}
-	x.goesOn(use, sent)
+	x.goesOn(use, sent, answer)
 	x.record.Note("head", "after %d ms, expected %d, of it %d waiting; confidence %s of %s",
 		time.Since(sent).Milliseconds(), use.Expected().Milliseconds(), use.Waits().Milliseconds(), confidence(answer), x.model())
 	x.head = time.Now()
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -17,12 +17,14 @@
 	headroom = 64 << 10
 	// chunk is the size of one read in bytes.
 	chunk = 16 << 10
+	// toldInterval lies between two notes that a server goes on with a stream.
+	toldInterval = 200 * time.Millisecond
 )
 
 // pass hands a server's answer to the client as it comes.
-func (x *exchange) pass(ctx context.Context, use *route.Use, answer Answer, watch *watch) *failure {
+func (x *exchange) pass(ctx context.Context, use *route.Use, sent time.Time, answer Answer, watch *watch) *failure {
 	if x.route.Kind == catalog.KindStream && answer.Status() == http.StatusOK {
-		return x.passStream(ctx, use, answer, watch)
+		return x.passStream(ctx, use, sent, answer, watch)
 	}
 	return x.passPlain(ctx, use, answer, watch)
 }
@@ -60,8 +62,9 @@
 
 // passStream hands on whole events only, so that a stream which breaks off in
 // the middle of one can be taken up after the one before.
-func (x *exchange) passStream(ctx context.Context, use *route.Use, answer Answer, watch *watch) *failure {
+func (x *exchange) passStream(ctx context.Context, use *route.Use, sent time.Time, answer Answer, watch *watch) *failure {
 	events := newEvents(answer.Body())
+	told := sent
 	for {
 		watch.pause(time.Duration(pausePatience * float64(x.route.MaxPause)))
 		event, err := events.next()
@@ -73,6 +76,10 @@
 			return x.broken(ctx, use, err)
 		}
 		use.Progress()
+		if time.Since(told) > toldInterval {
+			told = time.Now()
+			x.goesOn(use, sent, answer)
+		}
 		x.begin(answer)
 		if x.reply.Write(event.raw) != nil {
 			return x.clientLeft(use)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -124,6 +124,8 @@
 	Confidence() (float64, bool)
 	Load() (route.Load, bool)
 	RetryAfter() time.Duration
+	// Opened is when the connection was opened on which it comes.
+	Opened() time.Time
 	Body() io.Reader
 	// Close ends the request at the server, if it still runs there.
 	Close()
@@ -230,8 +232,9 @@
 	// Ends returns at how many servers the request was lost.
 	Ends(digest uint64) int
 	Answered(digest uint64)
-	// Runs takes the word that a server answers what was sent at a time.
-	Runs(server uint64, sent time.Time)
+	// Runs takes the word that something has come just now from a server, of its answer to
+	// what was sent at a time on a connection that was opened at another.
+	Runs(server uint64, sent, opened time.Time)
 }
 
 // Parts is what a Relay is made of. All are needed, but for Started.
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -67,10 +67,11 @@
 	x.relay.Suspects.Left(x.content(), use.Server().Incarnation().Hash())
 }
 
-// goesOn takes note that a server answers what was sent to it at a time.
-func (x *exchange) goesOn(use *route.Use, sent time.Time) {
+// goesOn takes note that something came of a server's answer to what was sent to it at a
+// time.
+func (x *exchange) goesOn(use *route.Use, sent time.Time, answer Answer) {
 	if !x.relay.Suspects.Empty() {
-		x.relay.Suspects.Runs(use.Server().Incarnation().Hash(), sent)
+		x.relay.Suspects.Runs(use.Server().Incarnation().Hash(), sent, answer.Opened())
 	}
 }
 
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -67,11 +67,13 @@
 // suspects is a list that all nodes have in common.
 type suspects struct{ *suspect.List }
 
-func (s suspects) Lost(digest, server uint64)         { s.List.Lost(digest, server, 0) }
-func (s suspects) Left(digest, server uint64)         { s.List.Left(digest, server) }
-func (s suspects) Answered(digest uint64)             { s.List.Answered(digest) }
-func (s suspects) Runs(server uint64, sent time.Time) { s.List.Runs(server, time.Since(sent)) }
-func (s suspects) Test(context.Context, uint64) bool  { return false }
+func (s suspects) Lost(digest, server uint64) { s.List.Lost(digest, server, 0) }
+func (s suspects) Left(digest, server uint64) { s.List.Left(digest, server) }
+func (s suspects) Answered(digest uint64)     { s.List.Answered(digest) }
+func (s suspects) Runs(server uint64, sent, opened time.Time) {
+	s.List.Runs(server, time.Since(sent), time.Since(opened))
+}
+func (s suspects) Test(context.Context, uint64) bool { return false }
 
 // TestDeadlyRequest is a client that sends a request again and again, each time to
 // another node, under which every server ends. On a day with such requests 60
--- a/suspect/keeper_test.go
+++ b/suspect/keeper_test.go
@@ -283,7 +283,7 @@
 		next := s.start(ctx)
 		time.Sleep(5 * time.Second)
 		must.True(t, next.Refuses(1))
-		withdrawn := s.nodes[0].Runs(1, 0)
+		withdrawn := s.nodes[0].Runs(1, 0, time.Hour)
 		must.Eq(t, []uint64{1}, withdrawn)
 		s.nodes[0].Changed(1, true)
 		time.Sleep(5 * time.Second)
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -34,7 +34,7 @@
 //		… // tell the store
 //	}
 //	list.Answered(digest)
-//	list.Runs(server.Incarnation().Hash(), ago) // it answers what was sent then
+//	list.Runs(server.Incarnation().Hash(), sentAgo, openedAgo) // it answers what was sent then
 //	list.Review(running) // now and then, with the servers that run
 package suspect
 
@@ -62,10 +62,15 @@
 	// The entries of servers that end are gone, or told anew, after 2.5 to 3.5 s;
 	// with 3 s a request that had ended three servers was sent again then.
 	doubtTime = 6 * time.Second
+	// backTime is how soon after its end a server is back at the earliest: it loads its
+	// models first.
+	backTime = 2 * time.Second
+	// wayTime is how long what a server had sent before its end may be on its way.
+	wayTime = 200 * time.Millisecond
 	// leftTime is how long before a server's end an attempt may have been given up there
 	// for its request to count as lost: an engine that ends under a request does so soon
 	// after the answer has begun, which may be what it was given up for.
-	leftTime = 500 * time.Millisecond
+	leftTime = 200 * time.Millisecond
 	// maxLeft bounds the attempts that are remembered for it.
 	maxLeft = 512
 	// Memory is how long a loss is remembered, and a verdict that is not put to the
@@ -229,15 +234,23 @@
 	return ClearedNothing
 }
 
-// Runs takes the word that a server answers what was sent to it that long ago: it
-// had not ended by what was lost before. It returns the requests that are refused no
-// more for that.
-func (l *List) Runs(server uint64, ago time.Duration) []uint64 {
+// Runs takes the word that something came from a server just now, of an answer to what
+// was sent to it that long ago on a connection that was opened that long ago. A loss
+// before that had not ended the server: one that starts in its place, under its address
+// and perhaps its ID, is not back so soon and has other connections. It returns the
+// requests that are refused no more for that.
+func (l *List) Runs(server uint64, sentAgo, openedAgo time.Duration) []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sent := l.timers.Steady().Add(-ago)
+	now := l.timers.Steady()
 	return l.withdraw(l.forget(func(known loss) bool {
-		return known.server == server && !known.ended && !known.at.After(sent)
+		if known.server != server || known.ended {
+			return false
+		}
+		ago := now.Sub(known.at)
+		sentLater := sentAgo <= ago
+		connected := ago < openedAgo
+		return sentLater && (connected || ago < backTime) || connected && ago > wayTime
 	}))
 }
 
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -1,6 +1,7 @@
 package suspect_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -213,26 +214,37 @@
 	})
 }
 
-// TestRuns loses a request at three servers, of which one answers another request:
-// one that was sent before the loss tells nothing, one that was sent after it
-// tells that the server goes on.
+// TestRuns loses a request at three servers, of which the last answers another request: one
+// that was sent before the loss tells nothing, one that was sent after it tells that the
+// server goes on, unless its connection was opened later than that.
 func TestRuns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timers := timer.New()
-		defer timers.Close()
-		l := suspect.New(timers)
-		before := time.Now()
-		time.Sleep(time.Second)
-		for server := range uint64(3) {
-			l.Lost(1, server, 0)
-			time.Sleep(time.Second)
-		}
-		l.Runs(2, time.Since(before))
-		must.True(t, l.Refuses(1))
-		time.Sleep(time.Second)
-		l.Runs(2, 0)
-		must.False(t, l.Refuses(1))
-	})
+	for _, tt := range []struct {
+		name string
+		// sent and opened are how long ago, when the loss is three seconds old.
+		sent, opened time.Duration
+		goesOn       bool
+	}{
+		{"sent before, on a later connection", 4 * time.Second, time.Second, false},
+		{"sent before, and something has come since", 4 * time.Second, time.Minute, true},
+		{"sent after, on an older connection", time.Second, time.Minute, true},
+		{"sent after, on a later connection", time.Second, time.Second, false},
+		{"at an unknown time", time.Second, math.MaxInt64, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				timers := timer.New()
+				defer timers.Close()
+				l := suspect.New(timers)
+				for server := range uint64(3) {
+					time.Sleep(time.Second)
+					l.Lost(1, server, 0)
+				}
+				time.Sleep(3 * time.Second)
+				must.Eq(t, tt.goesOn, len(l.Runs(2, tt.sent, tt.opened)) == 1)
+				must.Eq(t, !tt.goesOn, l.Refuses(1))
+			})
+		})
+	}
 }
 
 // TestBounded is a client that sends ever different requests under which servers
