--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -1,6 +1,7 @@
 package suspect_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -355,3 +356,16 @@
 		})
 	}
 }
+
+// BenchmarkDigest is what each answered request costs, by the length of its body.
+func BenchmarkDigest(b *testing.B) {
+	for _, length := range []int{0, 1 << 10, 64 << 10} {
+		b.Run(fmt.Sprint(length, " bytes"), func(b *testing.B) {
+			body := make([]byte, length)
+			b.ReportAllocs()
+			for b.Loop() {
+				suspect.Digest("/v1/chat", body, int64(length))
+			}
+		})
+	}
+}
