--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -104,7 +104,7 @@
 		server.ID, server.DataHall, x.model(), use.Held(), x.request.Prompt.Tokens, x.after, time.Until(x.deadline).Milliseconds(),
 		x.relay.News.Revision(), age.Milliseconds())
 	sent := time.Now()
-	answers := x.relay.waiting.add(x.request, cancel)
+	stopWaiting := x.relay.waiting.add(x.request, cancel)
 	watch := x.watch(use, cancel)
 	defer watch.stop()
 	defer func() {
@@ -123,7 +123,7 @@
 		// process from running.
 		Overtaken: func() bool { return x.relay.News.InDoubt() || !x.relay.Servers.Usable(server.Incarnation()) },
 	})
-	answers()
+	stopWaiting()
 	x.countVersion(ctx, use, version, answer, time.Since(sent))
 	f := x.judge(ctx, use, sent, answer, err)
 	if answer != nil {
--- a/suspect/keeper_test.go
+++ b/suspect/keeper_test.go
@@ -19,29 +19,29 @@
 // learnTime is how late a node hears what the store holds.
 const learnTime = time.Second
 
-// shop is a store with leases, and all nodes that follow it.
-type shop struct {
+// fakeStore is a store with leases, and all nodes that follow it.
+type fakeStore struct {
 	mu       sync.Mutex
 	away     bool
 	items    map[string]mirror.Item
 	lapses   map[int64]time.Time
 	revision int64
 	calls    int
-	nodes    []*keeping
+	nodes    []*node
 }
 
-// keeping is one node.
-type keeping struct {
+// node is one node.
+type node struct {
 	*suspect.List
 	*suspect.Keeper
-	s    *shop
+	s    *fakeStore
 	stop context.CancelFunc
 
 	mu    sync.Mutex
 	known map[string]mirror.Item
 }
 
-func (n *keeping) Get(key string) (mirror.Item, bool) {
+func (n *node) Get(key string) (mirror.Item, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	item, ok := n.known[key]
@@ -49,7 +49,7 @@
 }
 
 // take hears of a change.
-func (n *keeping) take(item mirror.Item) {
+func (n *node) take(item mirror.Item) {
 	n.mu.Lock()
 	if item.Deleted {
 		delete(n.known, item.Key)
@@ -60,15 +60,15 @@
 	n.Take(mirror.Change{Item: item})
 }
 
-func newShop() *shop {
-	return &shop{items: make(map[string]mirror.Item), lapses: make(map[int64]time.Time)}
+func newFakeStore() *fakeStore {
+	return &fakeStore{items: make(map[string]mirror.Item), lapses: make(map[int64]time.Time)}
 }
 
 // start starts a node, which knows at once what the store holds.
-func (s *shop) start(ctx context.Context) *keeping {
+func (s *fakeStore) start(ctx context.Context) *node {
 	ctx, stop := context.WithCancel(ctx)
 	timers := timer.New()
-	n := &keeping{List: suspect.New(timers), s: s, stop: stop, known: make(map[string]mirror.Item)}
+	n := &node{List: suspect.New(timers), s: s, stop: stop, known: make(map[string]mirror.Item)}
 	n.Keeper = suspect.NewKeeper(n.List, s, n, s.size, timers)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,7 +81,7 @@
 }
 
 // tell lets all nodes hear of a change, later. The caller holds mu.
-func (s *shop) tell(item mirror.Item) {
+func (s *fakeStore) tell(item mirror.Item) {
 	s.revision++
 	item.Revision = s.revision
 	if item.Deleted {
@@ -96,7 +96,7 @@
 
 var errAway = errors.New("the store is away")
 
-func (s *shop) Grant(_ context.Context, ttl time.Duration) (int64, error) {
+func (s *fakeStore) Grant(_ context.Context, ttl time.Duration) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -110,7 +110,7 @@
 }
 
 // lapse ends a lease whose time is over.
-func (s *shop) lapse(lease int64) {
+func (s *fakeStore) lapse(lease int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if time.Now().Before(s.lapses[lease]) {
@@ -123,7 +123,7 @@
 	}
 }
 
-func (s *shop) SwapLeased(_ context.Context, key string, data []byte, expected, lease int64) (int64, bool, error) {
+func (s *fakeStore) SwapLeased(_ context.Context, key string, data []byte, expected, lease int64) (int64, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -137,7 +137,7 @@
 	return s.revision, true, nil
 }
 
-func (s *shop) KeepAlive(_ context.Context, lease int64) (bool, error) {
+func (s *fakeStore) KeepAlive(_ context.Context, lease int64) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapses[lease] = time.Now().Add(suspect.Memory)
@@ -146,20 +146,20 @@
 }
 
 // called returns how many writing calls there were since the last time.
-func (s *shop) called() int {
+func (s *fakeStore) called() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer func() { s.calls = 0 }()
 	return s.calls
 }
 
-func (s *shop) size() int {
+func (s *fakeStore) size() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.nodes)
 }
 
-func (s *shop) setAway(away bool) {
+func (s *fakeStore) setAway(away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.away = away
@@ -167,7 +167,7 @@
 
 // endUnder lets three servers end under a request; the losses are seen by one node
 // and heard of by the others.
-func (s *shop) endUnder(digest uint64, seen *keeping) {
+func (s *fakeStore) endUnder(digest uint64, seen *node) {
 	for range 3 {
 		s.mu.Lock()
 		s.revision++ // names the server
@@ -182,11 +182,11 @@
 	}
 }
 
-// inShop runs a test with a store and some nodes, in its own time.
-func inShop(t *testing.T, nodes int, play func(ctx context.Context, s *shop)) {
+// withNodes runs a test with a store and some nodes, in its own time.
+func withNodes(t *testing.T, nodes int, play func(ctx context.Context, s *fakeStore)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		s := newShop()
+		s := newFakeStore()
 		for range nodes {
 			s.start(ctx)
 		}
@@ -200,7 +200,7 @@
 // TestVerdictIsWrittenOnce: of many nodes that reach a verdict one tells the store, a
 // grant and a write, and a node that starts goes by it.
 func TestVerdictIsWrittenOnce(t *testing.T) {
-	inShop(t, 100, func(ctx context.Context, s *shop) {
+	withNodes(t, 100, func(ctx context.Context, s *fakeStore) {
 		s.endUnder(1, s.nodes[7])
 		time.Sleep(time.Minute)
 		must.Eq(t, 2, s.called())
@@ -213,7 +213,7 @@
 // has seen the last loss ends; the others tell the store once it is back. They don't
 // press it meanwhile.
 func TestVerdictAfterOutage(t *testing.T) {
-	inShop(t, 100, func(ctx context.Context, s *shop) {
+	withNodes(t, 100, func(ctx context.Context, s *fakeStore) {
 		s.setAway(true)
 		s.endUnder(1, s.nodes[7])
 		s.nodes[7].stop()
@@ -230,7 +230,7 @@
 // TestVerdictsAreBounded: a client that ends servers under ever different requests makes
 // the nodes write a bounded number of entries.
 func TestVerdictsAreBounded(t *testing.T) {
-	inShop(t, 3, func(_ context.Context, s *shop) {
+	withNodes(t, 3, func(_ context.Context, s *fakeStore) {
 		for digest := range uint64(150) {
 			s.endUnder(digest+1, s.nodes[0])
 		}
@@ -242,7 +242,7 @@
 
 // TestVerdictLapses: nobody sends the request any more, and it is forgotten.
 func TestVerdictLapses(t *testing.T) {
-	inShop(t, 3, func(ctx context.Context, s *shop) {
+	withNodes(t, 3, func(ctx context.Context, s *fakeStore) {
 		s.endUnder(1, s.nodes[0])
 		next := s.start(ctx)
 		time.Sleep(5 * time.Second)
@@ -263,7 +263,7 @@
 // TestVerdictOutlivesLease: the entry lapses while the store is away, and the nodes that
 // still have the evidence tell of it anew.
 func TestVerdictOutlivesLease(t *testing.T) {
-	inShop(t, 3, func(ctx context.Context, s *shop) {
+	withNodes(t, 3, func(ctx context.Context, s *fakeStore) {
 		s.endUnder(1, s.nodes[0])
 		time.Sleep(5 * time.Second)
 		s.mu.Lock()
@@ -278,7 +278,7 @@
 // TestWithdrawnVerdict: a server turns out to go on, and all nodes hear of it, also those
 // that have no evidence of their own.
 func TestWithdrawnVerdict(t *testing.T) {
-	inShop(t, 3, func(ctx context.Context, s *shop) {
+	withNodes(t, 3, func(ctx context.Context, s *fakeStore) {
 		s.endUnder(1, s.nodes[0])
 		next := s.start(ctx)
 		time.Sleep(5 * time.Second)
@@ -295,7 +295,7 @@
 
 // TestForeignEntry: keys and values of other writers change nothing.
 func TestForeignEntry(t *testing.T) {
-	inShop(t, 1, func(_ context.Context, s *shop) {
+	withNodes(t, 1, func(_ context.Context, s *fakeStore) {
 		n := s.nodes[0]
 		for _, key := range []string{"", "x", "00000000000000001", "-1", "1/2"} {
 			n.take(mirror.Item{Key: suspect.Prefix + key, Value: []byte(`{"refused":true}`)})
@@ -312,7 +312,7 @@
 // TestWrongVerdictIsFoundOut: a request that is refused wrongly is sent once more after a
 // minute, by one node of all; its answer lets all have it.
 func TestWrongVerdictIsFoundOut(t *testing.T) {
-	inShop(t, 20, func(ctx context.Context, s *shop) {
+	withNodes(t, 20, func(ctx context.Context, s *fakeStore) {
 		s.endUnder(1, s.nodes[0])
 		time.Sleep(2 * time.Minute)
 		tests := 0
@@ -334,7 +334,7 @@
 // TestRightVerdictStands: a request that goes on to end its servers and comes all the time
 // is sent more and more rarely, however often all processes are replaced.
 func TestRightVerdictStands(t *testing.T) {
-	inShop(t, 5, func(ctx context.Context, s *shop) {
+	withNodes(t, 5, func(ctx context.Context, s *fakeStore) {
 		s.endUnder(1, s.nodes[0])
 		ends := []time.Duration{}
 		begun := time.Now()
