registry, gateway: evacuated data halls get no requests

What callers saw: nothing; operators who empty a data hall saw its servers get requests all the same.

Cause: nothing read op/evacuate/HALL.

Change: the gateway follows the orders like the other keys of the store. The registry takes all servers of the hall out of use at once, also those that register later: first attempts, retries, escalations, resumed streams, forecasts, homes of prompts and roll-outs choose among what it lists, and a request that is chosen but not sent is stopped before its first byte by the check that exists (Usable). What runs there ends there. A service whose servers are all in such halls is refused at once, 503 "evacuated", with when to come back; the order binds, so there is no way around it. An order whose body cannot be read holds, since its key alone names the hall; both that and an unknown hall are logged. A gateway in an emptied hall goes on serving clients and stays in the directory: the order is about servers, and clients sent elsewhere would all connect anew at the other halls' gateways.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,6 +157,10 @@
 			func() float64 { return float64(g.mirror.Revision()) }),
 		g.metrics.Gauge("violettally_store_age_seconds", "Time since the store, or a peer that had heard from it, confirmed that.",
 			func() float64 { return g.mirror.Age().Seconds() }),
+		g.metrics.Gauge("violettally_evacuated_data_halls", "Data halls that operators have evacuated.",
+			func() float64 { return float64(len(g.registry.Evacuations())) }),
+		g.metrics.Gauge("violettally_evacuated_requests", "Requests of this node that still run in evacuated data halls.",
+			func() float64 { return float64(g.countEvacuatedRequests()) }),
 	)
 }
 
@@ -215,7 +219,7 @@
 	for _, e := range endpoints {
 		go func() { failed <- e.serve(workCtx, e.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations} {
 		go run(workCtx)
 	}
 	// The driver's lease is released at the stop signal and not after the drain, so
@@ -224,10 +228,7 @@
 	leaseCtx, releaseLease := context.WithCancel(ctx)
 	defer releaseLease()
 	go g.leaseHolder.Run(leaseCtx)
-	if drain := g.settings.Drain(); drain > 0 && drain < mirror.MaxStaleness {
-		slog.Warn("maximum staleness of server entries exceeds the agreed time after which a leaving server gets no requests",
-			"agreed_ms", drain.Milliseconds(), "oldest_ms", mirror.MaxStaleness.Milliseconds())
-	}
+	g.warnOfShortBounds()
 	slog.Info("gateway started", "id", g.self.ID, "caller", g.self.Caller, "data_hall", g.self.DataHall, "store", g.settings.Store.Address)
 	select {
 	case <-ctx.Done():
@@ -238,6 +239,17 @@
 	}
 }
 
+// warnOfShortBounds logs the agreed times within which this gateway can't be sure to have
+// heard of an order or of a server that leaves.
+func (g *Gateway) warnOfShortBounds() {
+	for name, agreed := range map[string]time.Duration{"drain": g.settings.Drain(), "evacuation": g.settings.Evacuation()} {
+		if agreed > 0 && agreed < mirror.MaxStaleness {
+			slog.Warn("maximum staleness of what the store holds exceeds the agreed time", "bound", name,
+				"agreed_ms", agreed.Milliseconds(), "oldest_ms", mirror.MaxStaleness.Milliseconds())
+		}
+	}
+}
+
 // watchStalls logs each time that this process was not scheduled for a while.
 func (g *Gateway) watchStalls(ctx context.Context) { stall.Watch(ctx, g.timers, stall.Log) }
 
--- a/gateway/subscribe.go
+++ b/gateway/subscribe.go
@@ -18,6 +18,7 @@
 	g.mirror.Subscribe(platform.CatalogKey, g.applyCatalog)
 	g.mirror.Subscribe(platform.ServerPrefix, g.applyServer)
 	g.mirror.Subscribe(platform.OrderPrefix, g.applyOrder)
+	g.mirror.Subscribe(platform.EvacuationPrefix, g.applyEvacuation)
 	g.mirror.Subscribe(stagesKey, g.applyStages)
 	g.mirror.Subscribe(gatewayPrefix, g.membership.applyChange)
 	g.mirror.Subscribe(suspect.KeyPrefix, g.verdictSyncer.Apply)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -8,7 +8,8 @@
 // within [recoveryGrace] by servers that are alive. A server whose entry is deleted
 // just after the store has recovered is therefore kept until the end of that time. An
 // entry that cannot be used takes its server out of use at once, until the next valid
-// entry.
+// entry. While a data hall is evacuated, by order of an operator, none of its servers
+// gets new requests.
 //
 // # Usage
 //
@@ -45,6 +46,12 @@
 	// Slots is the number of requests that the server runs at once.
 	Slots   int
 	Leaving bool
+	// WarmUp is how much longer the server was going to warm up when the entry was written.
+	WarmUp time.Duration
+
+	// Updated is when the entry arrived, and Restored when the evacuation of the server's
+	// data hall last ended, zero for never. The registry sets both, by [timer.Service.Steady].
+	Updated, Restored time.Time
 }
 
 // Registry is one node's view of the servers. It is safe for concurrent use.
@@ -58,6 +65,10 @@
 	graceUntil map[string]time.Time
 	// invalid holds by ID why the last entry cannot be used.
 	invalid map[string]string
+	// evacuated holds the evacuated data halls, restored when the evacuation of others
+	// last ended.
+	evacuated map[string]Evacuation
+	restored  map[string]time.Time
 	// storeRecovered is when the store last recovered from an outage.
 	storeRecovered time.Time
 	// byService is rebuilt after a change. The lists are never modified.
@@ -71,6 +82,8 @@
 		servers:    make(map[string]Server),
 		graceUntil: make(map[string]time.Time),
 		invalid:    make(map[string]string),
+		evacuated:  make(map[string]Evacuation),
+		restored:   make(map[string]time.Time),
 	}
 }
 
@@ -83,6 +96,7 @@
 	if ok && s.Incarnation().before(known.Incarnation()) {
 		return PutResultOld
 	}
+	s.Updated = r.timers.Steady()
 	r.servers[s.ID] = s
 	delete(r.graceUntil, s.ID)
 	delete(r.invalid, s.ID)
@@ -164,8 +178,22 @@
 	defer r.mu.Unlock()
 	r.removeExpired()
 	s, known := r.servers[i.ID]
-	_, invalid := r.invalid[i.ID]
-	return known && s.Incarnation() == i && !s.Leaving && !invalid
+	return known && s.Incarnation() == i && r.usable(s)
+}
+
+// usable reports whether a known server may get new requests.
+func (r *Registry) usable(s Server) bool { return r.inService(s) && !r.inEvacuatedHall(s) }
+
+// inService reports whether a known server may get new requests unless its data hall is
+// evacuated.
+func (r *Registry) inService(s Server) bool {
+	_, invalid := r.invalid[s.ID]
+	return !s.Leaving && !invalid
+}
+
+func (r *Registry) inEvacuatedHall(s Server) bool {
+	_, evacuated := r.evacuated[s.DataHall]
+	return evacuated
 }
 
 // removeExpired removes servers whose entries were not written again in time.
@@ -184,8 +212,10 @@
 func (r *Registry) index() {
 	r.byService = make(map[string][]Server)
 	for _, s := range slices.SortedFunc(maps.Values(r.servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) }) {
-		if _, invalid := r.invalid[s.ID]; !invalid && !s.Leaving {
-			r.byService[s.Service] = append(r.byService[s.Service], s)
+		if !r.usable(s) {
+			continue
 		}
+		s.Restored = r.restored[s.DataHall]
+		r.byService[s.Service] = append(r.byService[s.Service], s)
 	}
 }
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -92,13 +92,21 @@
 	x.version = version
 	assignment, err := x.relay.Balancer.Choose(x.task(servers))
 	if err != nil {
-		return nil, "", refusalf(ReasonNoServer, retrySoon, "service %s, %d known, %d tried: %v", x.service, x.knownServers, len(x.tried), err)
+		return nil, "", x.noServerRefusal(err)
 	}
 	x.tried[assignment.Server().Incarnation()] = true
 	x.record.SetServer(x.model(), version, assignment.Server().ID)
 	return assignment, version, nil
 }
 
+// noServerRefusal returns the refusal of a request that no server can take now.
+func (x *exchange) noServerRefusal(err error) *Refusal {
+	if x.knownServers == 0 && x.relay.Servers.HasEvacuated(x.service) {
+		return refusalf(ReasonEvacuated, retryAfterOutage, "all servers of service %s are in evacuated data halls", x.service)
+	}
+	return refusalf(ReasonNoServer, retrySoon, "service %s, %d known, %d tried: %v", x.service, x.knownServers, len(x.tried), err)
+}
+
 // servers returns the candidates for the next attempt, and the version under which it is
 // counted.
 func (x *exchange) servers() ([]registry.Server, string) {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -105,6 +105,7 @@
 type allUsable struct{}
 
 func (allUsable) Usable(registry.Incarnation) bool { return true }
+func (allUsable) HasEvacuated(string) bool         { return false }
 
 // noRollout lets every server get every request.
 type noRollout struct{}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -23,6 +23,9 @@
 	ReasonMalformed
 	// ReasonNoServer: the service has no server that can be chosen now.
 	ReasonNoServer
+	// ReasonEvacuated: all servers of the service are in data halls that operators have
+	// evacuated.
+	ReasonEvacuated
 	// ReasonDeclined: the servers say that they are full or leaving.
 	ReasonDeclined
 	// ReasonUnreachable: no byte of the request reached a server.
@@ -49,9 +52,10 @@
 	// retrySoon is for failures that pass within a second. Clients wait for at most a third of
 	// their remaining time.
 	retrySoon = 300 * time.Millisecond
-	// retryAfterOutage is used by a node without a declaration. A node loads it within some 20
-	// ms of its start, so only an outage of the store causes this; outages last for seconds,
-	// and clients make few attempts.
+	// retryAfterOutage is used by a node without a declaration, and while all servers of a
+	// service are in evacuated data halls. Both last for seconds, since a node loads the
+	// declaration within some 20 ms of its start unless the store is down, and clients make
+	// few attempts.
 	retryAfterOutage = 2 * time.Second
 	// retryElsewhere is used by a draining node: any other node can take the request now.
 	retryElsewhere = 10 * time.Millisecond
@@ -69,6 +73,7 @@
 	ReasonBodyBroken:      http.StatusRequestEntityTooLarge,
 	ReasonMalformed:       http.StatusBadRequest,
 	ReasonNoServer:        http.StatusServiceUnavailable,
+	ReasonEvacuated:       http.StatusServiceUnavailable,
 	ReasonDeclined:        http.StatusServiceUnavailable,
 	ReasonUnreachable:     http.StatusServiceUnavailable,
 	ReasonServerFailed:    http.StatusBadGateway,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -154,6 +154,9 @@
 	Servers(service string) []registry.Server
 	// Usable reports whether a server may still get new requests.
 	Usable(i registry.Incarnation) bool
+	// HasEvacuated reports whether servers of a service get no requests only because their
+	// data hall is evacuated.
+	HasEvacuated(service string) bool
 }
 
 // StoreView describes how current this process's copy of the platform's store is. Servers are
--- a/relay/relay_enumer.go
+++ b/relay/relay_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
+const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuateddeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
-var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 86, 97, 110, 117, 125, 132, 139, 148, 157}
+var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 87, 95, 106, 119, 126, 134, 141, 148, 157, 166}
 
-const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
+const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuateddeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -31,18 +31,19 @@
 	_ = x[ReasonBodyBroken-(4)]
 	_ = x[ReasonMalformed-(5)]
 	_ = x[ReasonNoServer-(6)]
-	_ = x[ReasonDeclined-(7)]
-	_ = x[ReasonUnreachable-(8)]
-	_ = x[ReasonServerFailed-(9)]
-	_ = x[ReasonStalled-(10)]
-	_ = x[ReasonDeadline-(11)]
-	_ = x[ReasonLeaving-(12)]
-	_ = x[ReasonStopped-(13)]
-	_ = x[ReasonSuspected-(14)]
-	_ = x[ReasonOvertaken-(15)]
+	_ = x[ReasonEvacuated-(7)]
+	_ = x[ReasonDeclined-(8)]
+	_ = x[ReasonUnreachable-(9)]
+	_ = x[ReasonServerFailed-(10)]
+	_ = x[ReasonStalled-(11)]
+	_ = x[ReasonDeadline-(12)]
+	_ = x[ReasonLeaving-(13)]
+	_ = x[ReasonStopped-(14)]
+	_ = x[ReasonSuspected-(15)]
+	_ = x[ReasonOvertaken-(16)]
 }
 
-var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
+var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonEvacuated, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:16]:    ReasonNoConfiguration,
@@ -52,15 +53,16 @@
 	_ReasonName[49:60]:   ReasonBodyBroken,
 	_ReasonName[60:69]:   ReasonMalformed,
 	_ReasonName[69:78]:   ReasonNoServer,
-	_ReasonName[78:86]:   ReasonDeclined,
-	_ReasonName[86:97]:   ReasonUnreachable,
-	_ReasonName[97:110]:  ReasonServerFailed,
-	_ReasonName[110:117]: ReasonStalled,
-	_ReasonName[117:125]: ReasonDeadline,
-	_ReasonName[125:132]: ReasonLeaving,
-	_ReasonName[132:139]: ReasonStopped,
-	_ReasonName[139:148]: ReasonSuspected,
-	_ReasonName[148:157]: ReasonOvertaken,
+	_ReasonName[78:87]:   ReasonEvacuated,
+	_ReasonName[87:95]:   ReasonDeclined,
+	_ReasonName[95:106]:  ReasonUnreachable,
+	_ReasonName[106:119]: ReasonServerFailed,
+	_ReasonName[119:126]: ReasonStalled,
+	_ReasonName[126:134]: ReasonDeadline,
+	_ReasonName[134:141]: ReasonLeaving,
+	_ReasonName[141:148]: ReasonStopped,
+	_ReasonName[148:157]: ReasonSuspected,
+	_ReasonName[157:166]: ReasonOvertaken,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -71,15 +73,16 @@
 	_ReasonLowerName[49:60]:   ReasonBodyBroken,
 	_ReasonLowerName[60:69]:   ReasonMalformed,
 	_ReasonLowerName[69:78]:   ReasonNoServer,
-	_ReasonLowerName[78:86]:   ReasonDeclined,
-	_ReasonLowerName[86:97]:   ReasonUnreachable,
-	_ReasonLowerName[97:110]:  ReasonServerFailed,
-	_ReasonLowerName[110:117]: ReasonStalled,
-	_ReasonLowerName[117:125]: ReasonDeadline,
-	_ReasonLowerName[125:132]: ReasonLeaving,
-	_ReasonLowerName[132:139]: ReasonStopped,
-	_ReasonLowerName[139:148]: ReasonSuspected,
-	_ReasonLowerName[148:157]: ReasonOvertaken,
+	_ReasonLowerName[78:87]:   ReasonEvacuated,
+	_ReasonLowerName[87:95]:   ReasonDeclined,
+	_ReasonLowerName[95:106]:  ReasonUnreachable,
+	_ReasonLowerName[106:119]: ReasonServerFailed,
+	_ReasonLowerName[119:126]: ReasonStalled,
+	_ReasonLowerName[126:134]: ReasonDeadline,
+	_ReasonLowerName[134:141]: ReasonLeaving,
+	_ReasonLowerName[141:148]: ReasonStopped,
+	_ReasonLowerName[148:157]: ReasonSuspected,
+	_ReasonLowerName[157:166]: ReasonOvertaken,
 }
 
 var _ReasonNames = []string{
@@ -90,15 +93,16 @@
 	_ReasonName[49:60],
 	_ReasonName[60:69],
 	_ReasonName[69:78],
-	_ReasonName[78:86],
-	_ReasonName[86:97],
-	_ReasonName[97:110],
-	_ReasonName[110:117],
-	_ReasonName[117:125],
-	_ReasonName[125:132],
-	_ReasonName[132:139],
-	_ReasonName[139:148],
+	_ReasonName[78:87],
+	_ReasonName[87:95],
+	_ReasonName[95:106],
+	_ReasonName[106:119],
+	_ReasonName[119:126],
+	_ReasonName[126:134],
+	_ReasonName[134:141],
+	_ReasonName[141:148],
 	_ReasonName[148:157],
+	_ReasonName[157:166],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/relay/stale_choice_test.go
+++ b/relay/stale_choice_test.go
@@ -69,6 +69,8 @@
 	return left[:1]
 }
 
+func (l *leavingServers) HasEvacuated(string) bool { return false }
+
 func (l *leavingServers) Usable(i registry.Incarnation) bool { return i.ID != l.departed }
 
 func (l *leavingServers) NeedsRefresh() bool { return l.stale }
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -302,6 +302,19 @@
 	b.state(s.Server).addRemoteRequest(float64(s.WorkMillis), s.Prompt, time.Now().Add(-s.Age()))
 }
 
+// InFlight returns the number of this node's requests in flight at the given servers.
+func (b *Balancer) InFlight(incarnations []registry.Incarnation) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for _, i := range incarnations {
+		if s := b.servers[i.Hash()]; s != nil {
+			count += s.inflight
+		}
+	}
+	return count
+}
+
 // Retain drops the state of all servers but the given ones and those with
 // requests in flight.
 func (b *Balancer) Retain(incarnations map[registry.Incarnation]bool) {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -55,6 +55,9 @@
 	// DrainMillis is the time from the announcement that a server is draining until
 	// it must get no more requests.
 	DrainMillis float64 `json:"drain_ms"`
+	// EvacuationMillis is the time from an operator's order to evacuate a data hall until
+	// its servers must get no more requests; zero for none.
+	EvacuationMillis float64 `json:"evacuation_ms"`
 	// AddressTTLMaxSeconds is the longest time that clients cache addresses.
 	AddressTTLMaxSeconds float64 `json:"address_ttl_max_s"`
 	// SessionIdleSeconds is the time without requests after which a session
@@ -97,6 +100,12 @@
 	return time.Duration(g.Bounds.DrainMillis * float64(time.Millisecond))
 }
 
+// Evacuation returns the time after which the servers of an evacuated data hall must get
+// no more requests; zero if none is set.
+func (g *Gateway) Evacuation() time.Duration {
+	return time.Duration(g.Bounds.EvacuationMillis * float64(time.Millisecond))
+}
+
 // setDefaults fills in the fields that the file leaves out.
 func (g *Gateway) setDefaults() {
 	setDefault(&g.LogLevel, "info")
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -25,13 +25,31 @@
 	"bounds.retry_slack": "54", "bounds.canary_share": "0.15", "bounds.canary_slack": "30",
 }
 
-var placeholder = regexp.MustCompile(`\{\{([^|}]+)(\|json)?\}\}`)
+// optionalValues are those that the platform has on some deployments only.
+var optionalValues = map[string]string{"bounds.evacuate_ms": "5000"}
 
-// renderTemplate returns the settings template as the platform renders it.
-func renderTemplate(t *testing.T) string {
+var (
+	placeholder = regexp.MustCompile(`\{\{([^|}]+)(\|json)?\}\}`)
+	// section is what stands in the template only if the platform has the value of the name.
+	section = regexp.MustCompile(`(?s)\{\{#([^}]+)\}\}(.*?)\{\{/([^}]+)\}\}`)
+)
+
+// renderTemplate returns the settings template as the platform renders it, with the given
+// optional values.
+func renderTemplate(t *testing.T, optional map[string]string) string {
 	template, err := os.ReadFile("../deploy/settings.json.tmpl")
 	must.NoError(t, err)
-	return placeholder.ReplaceAllStringFunc(string(template), func(match string) string {
+	text := section.ReplaceAllStringFunc(string(template), func(match string) string {
+		parts := section.FindStringSubmatch(match)
+		must.Eq(t, parts[1], parts[3])
+		must.MapContainsKey(t, optionalValues, parts[1])
+		value, present := optional[parts[1]]
+		if !present {
+			return ""
+		}
+		return strings.ReplaceAll(parts[2], "{{.}}", value)
+	})
+	return placeholder.ReplaceAllStringFunc(text, func(match string) string {
 		name := placeholder.FindStringSubmatch(match)[1]
 		value, known := templateValues[name]
 		must.True(t, known, must.Sprint(name))
@@ -48,8 +66,12 @@
 // TestTemplate checks that the rendered settings template is valid and that its
 // values are decoded.
 func TestTemplate(t *testing.T) {
-	g, err := load(t, renderTemplate(t))
+	g, err := load(t, renderTemplate(t, nil))
+	must.NoError(t, err)
+	must.Eq(t, 0, g.Evacuation())
+	g, err = load(t, renderTemplate(t, optionalValues))
 	must.NoError(t, err)
+	must.Eq(t, 5*time.Second, g.Evacuation())
 	must.Eq(t, "front-1", g.Name)
 	must.Eq(t, "10.0.0.1:7340", g.Metrics.Address())
 	must.Eq(t, 8*time.Second, g.Grace())
@@ -71,7 +93,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			_, err := load(t, strings.Replace(renderTemplate(t), tt.from, tt.to, 1))
+			_, err := load(t, strings.Replace(renderTemplate(t, optionalValues), tt.from, tt.to, 1))
 			must.True(t, errorx.IsOfType(err, settings.Invalid))
 			must.StrContains(t, err.Error(), tt.want)
 			must.StrContains(t, err.Error(), "settings.json:")
