warmup: servers that warm up are each sent to by one node

What callers saw: with two data halls coming back amid bursts, servers that had just started were sent more than they bear and crashed under it (18 of them), with all that ran there.

An empty server looks best to every node at once.

Change: package warmup. Each server that warms up is owned by one node, by rendezvous hashing over the gateways of its data hall, and gets from it at most what its service declares. A node that leaves the list is counted on for 3.1 s more, a node that joins waits as long, and one whose list is older than 1.7 s claims nothing; so no two nodes own a server within one window, whatever they know of each other. Servers of a hall whose evacuation has ended count as just started. The version of a roll-out is chosen before the limit applies, and the first stage holds while the target's servers warm up, so that no session changes its version as nodes see them warm. A service whose servers all warm up refuses with the time until the first is warm.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -110,6 +110,10 @@
 	// MaxConnections is the number of connections that one server accepts from
 	// all nodes together.
 	MaxConnections int
+	// WarmUp is how long a server warms up after its start, and WarmUpRate the number of
+	// requests a second that it bears meanwhile; zero for no limit.
+	WarmUp     time.Duration
+	WarmUpRate float64
 	// Engine is set if the servers run models.
 	Engine *Engine
 }
@@ -169,7 +173,11 @@
 		return nil, errs.New(Invalid, "new", "version %d is not above zero", d.Version)
 	}
 	for i := range d.Services {
-		c.services[d.Services[i].Name] = &d.Services[i]
+		s := &d.Services[i]
+		if s.WarmUp < 0 || s.WarmUpRate < 0 {
+			return nil, errs.New(Invalid, "new", "service %s: warm-up of %s at %g requests a second is negative", s.Name, s.WarmUp, s.WarmUpRate)
+		}
+		c.services[s.Name] = s
 	}
 	for i := range d.Routes {
 		if err := c.addRoute(&d.Routes[i]); err != nil {
--- a/config/config.go
+++ b/config/config.go
@@ -187,6 +187,9 @@
 	// TargetSamples lowers Share so that about this many responses are expected
 	// within MinSeconds; zero leaves Share as it is. It cannot be set in a file.
 	TargetSamples int `json:"-"`
+	// HoldSeconds is for how long a stage with TargetSamples sends nothing to the version
+	// yet: its servers have just started. It cannot be set in a file.
+	HoldSeconds float64 `json:"-"`
 }
 
 // Guards are the conditions that stop a rollout whose version is worse than the
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/platform"
@@ -69,3 +70,9 @@
 
 // Balancer returns the balancer that chooses among servers.
 func (g *Gateway) Balancer() *route.Balancer { return g.balancer }
+
+// ApplyCatalog applies a stored declaration with one service.
+func (g *Gateway) ApplyCatalog(version int, service string) {
+	value := fmt.Sprintf(`{"version":%d,"services":[%s]}`, version, service)
+	g.applyCatalog(mirror.Change{Item: mirror.Item{Key: platform.CatalogKey, Value: []byte(value)}})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,7 @@
 	"github.com/violettally/violettally/suspect"
 	"github.com/violettally/violettally/timer"
 	"github.com/violettally/violettally/view"
+	"github.com/violettally/violettally/warmup"
 )
 
 var (
@@ -89,6 +90,7 @@
 	store         *platform.Store
 	mirror        *mirror.Mirror
 	registry      *registry.Registry
+	warmUps       *warmup.Limiter
 	backends      *platform.BackendClient
 	balancer      *route.Balancer
 	picker        *rollout.Picker
@@ -136,6 +138,7 @@
 	g.membership = newMembership(g)
 	g.detector = suspect.New(g.timers)
 	g.exchange = share.NewExchange(g.self, g, g.peerClient, g.timers, g.handleRecord)
+	g.warmUps = warmup.New(g.self, listedNodes{g}, g.warmUpLimit, g.timers)
 	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers, mirror.WithEvents(instruments.MirrorEvent))
 	g.membership.synced = g.mirror.Synced()
 	g.verdictSyncer = suspect.NewSyncer(g.detector, g.store, g.mirror, g.membership.countAllPeers, g.timers)
@@ -161,6 +164,8 @@
 			func() float64 { return float64(len(g.registry.Evacuations())) }),
 		g.metrics.Gauge("violettally_evacuated_requests", "Requests of this node that still run in evacuated data halls.",
 			func() float64 { return float64(g.countEvacuatedRequests()) }),
+		g.metrics.Gauge("violettally_servers_warming_up", "Servers that are warming up and were considered for a request of this node.",
+			func() float64 { return float64(g.warmUps.CountWarmingUp()) }),
 	)
 }
 
@@ -180,6 +185,7 @@
 		Ready:     g.mirror.Synced(),
 		Catalog:   g.Catalog,
 		Servers:   g.registry,
+		WarmUps:   g.warmUps,
 		StoreView: g.mirror,
 		Versions:  g.servicePicker,
 		Balancer:  g.balancer,
@@ -219,7 +225,7 @@
 	for _, e := range endpoints {
 		go func() { failed <- e.serve(workCtx, e.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.warmUps.Run} {
 		go run(workCtx)
 	}
 	// The driver's lease is released at the stop signal and not after the drain, so
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -138,6 +138,15 @@
 	}
 }
 
+// listed reports whether this gateway's own entry is known to be in the store.
+func (m *membership) listed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, known := m.entries[m.ownKey()]
+	_, expired := m.keptUntil[m.ownKey()]
+	return known && !expired
+}
+
 // peers returns the other gateways that are not leaving.
 func (m *membership) peers() []view.Member {
 	return m.filterPeers(func(e entry) bool { return !e.Leaving })
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -35,6 +35,7 @@
 		return
 	}
 	order.Service = service
+	order.WarmUp = g.warmUpLimit(service).Duration
 	g.servicePicker.SetOrder(order)
 }
 
--- /dev/null
+++ b/gateway/warmups.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/violettally/violettally/view"
+	"github.com/violettally/violettally/warmup"
+)
+
+// warmUpLimit returns what the servers of a service bear while they warm up: what the
+// declaration says, and no more than what is agreed with the platform.
+func (g *Gateway) warmUpLimit(service string) warmup.Limit {
+	s := g.Catalog().Service(service)
+	if s == nil {
+		return warmup.Limit{}
+	}
+	bounds := g.settings.Bounds
+	return warmup.Limit{
+		Duration:  s.WarmUp,
+		PerSecond: min(s.WarmUpRate, bounds.WarmUpFactor*s.WarmUpRate+bounds.WarmUpSlack),
+	}
+}
+
+// listedNodes is the list of gateways as the warm-up limiter uses it.
+type listedNodes struct{ g *Gateway }
+
+// Listed reports whether this gateway's entry is in the store and says that it stays.
+func (n listedNodes) Listed() bool { return !n.g.leaving.Load() && n.g.membership.listed() }
+
+// Others returns the other gateways that are not leaving.
+func (n listedNodes) Others() []view.Member { return n.g.membership.peers() }
+
+// Age is the time since the store last confirmed the list.
+func (n listedNodes) Age() time.Duration { return n.g.mirror.Age() }
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -88,33 +88,62 @@
 
 // choose picks the server of the next attempt.
 func (x *exchange) choose() (*route.Assignment, string, *Refusal) {
-	servers, version := x.servers()
-	x.version = version
-	assignment, err := x.relay.Balancer.Choose(x.task(servers))
+	assignment, version, err := x.assign()
 	if err != nil {
 		return nil, "", x.noServerRefusal(err)
 	}
+	x.version = version
 	x.tried[assignment.Server().Incarnation()] = true
 	x.record.SetServer(x.model(), version, assignment.Server().ID)
 	return assignment, version, nil
 }
 
+// assign assigns the next attempt to a server. Other requests may use up the limit of a server
+// that warms up between its choice and the assignment; another one is then chosen.
+func (x *exchange) assign() (*route.Assignment, string, error) {
+	for {
+		servers, version := x.servers()
+		assignment, err := x.relay.Balancer.Choose(x.task(servers))
+		if err != nil {
+			return nil, "", err
+		}
+		if x.relay.WarmUps.Take(assignment.Server()) {
+			return assignment, version, nil
+		}
+		assignment.End(route.OutcomeNeutral)
+	}
+}
+
 // noServerRefusal returns the refusal of a request that no server can take now.
 func (x *exchange) noServerRefusal(err error) *Refusal {
 	if x.knownServers == 0 && x.relay.Servers.HasEvacuated(x.service) {
 		return refusalf(ReasonEvacuated, retryAfterOutage, "all servers of service %s are in evacuated data halls", x.service)
 	}
+	if known := x.relay.Servers.Servers(x.service); len(known) > 0 && len(x.relay.WarmUps.Filter(known)) == 0 {
+		retryAfter := min(maxRetryAfter, max(retrySoon, x.relay.WarmUps.UntilWarm(known)))
+		return refusalf(ReasonWarmingUp, retryAfter, "all %d servers of service %s are warming up and get no more requests now", len(known), x.service)
+	}
 	return refusalf(ReasonNoServer, retrySoon, "service %s, %d known, %d tried: %v", x.service, x.knownServers, len(x.tried), err)
 }
 
 // servers returns the candidates for the next attempt, and the version under which it is
-// counted.
+// counted. The version is chosen first, so that a session keeps it while servers warm up; if
+// none of its servers may get a request, any version is better than no response.
 func (x *exchange) servers() ([]registry.Server, string) {
 	known := x.relay.Servers.Servers(x.service)
-	candidates := x.untried(known)
+	untried := x.untried(known)
 	x.knownServers = len(known)
-	x.otherServers = len(candidates) - 1
-	return x.relay.Versions.Choose(x.service, x.request.hashKey(), x.version, candidates)
+	servers, version := x.chooseVersion(untried)
+	candidates := x.relay.WarmUps.Filter(servers)
+	if len(candidates) == 0 && len(servers) > 0 {
+		candidates, version = x.chooseVersion(x.relay.WarmUps.Filter(untried))
+	}
+	x.otherServers = len(untried) - 1
+	return candidates, version
+}
+
+func (x *exchange) chooseVersion(servers []registry.Server) ([]registry.Server, string) {
+	return x.relay.Versions.Choose(x.service, x.request.hashKey(), x.version, servers)
 }
 
 // untried returns the servers that have not been sent the request. The version is chosen among
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -55,6 +55,7 @@
 	must.NoError(t, err)
 	options.Catalog = func() *catalog.Catalog { return c }
 	options.Servers = cmp.Or[relay.Servers](options.Servers, threeServers{})
+	options.WarmUps = cmp.Or[relay.WarmUps](options.WarmUps, allWarm{})
 	options.Budgets = cmp.Or[relay.Budgets](options.Budgets, unlimitedBudget{})
 	options.Reroutes = cmp.Or[relay.Budgets](options.Reroutes, unlimitedBudget{})
 	options.StoreView = cmp.Or[relay.StoreView](options.StoreView, freshView{})
@@ -107,6 +108,13 @@
 func (allUsable) Usable(registry.Incarnation) bool { return true }
 func (allUsable) HasEvacuated(string) bool         { return false }
 
+// allWarm limits no server.
+type allWarm struct{}
+
+func (allWarm) Filter(s []registry.Server) []registry.Server { return s }
+func (allWarm) Take(registry.Server) bool                    { return true }
+func (allWarm) UntilWarm([]registry.Server) time.Duration    { return 0 }
+
 // noRollout lets every server get every request.
 type noRollout struct{}
 
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -26,6 +26,9 @@
 	// ReasonEvacuated: all servers of the service are in data halls that operators have
 	// evacuated.
 	ReasonEvacuated
+	// ReasonWarmingUp: all servers of the service are warming up and get no more requests from
+	// this node now.
+	ReasonWarmingUp
 	// ReasonDeclined: the servers say that they are full or leaving.
 	ReasonDeclined
 	// ReasonUnreachable: no byte of the request reached a server.
@@ -74,6 +77,7 @@
 	ReasonMalformed:       http.StatusBadRequest,
 	ReasonNoServer:        http.StatusServiceUnavailable,
 	ReasonEvacuated:       http.StatusServiceUnavailable,
+	ReasonWarmingUp:       http.StatusServiceUnavailable,
 	ReasonDeclined:        http.StatusServiceUnavailable,
 	ReasonUnreachable:     http.StatusServiceUnavailable,
 	ReasonServerFailed:    http.StatusBadGateway,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -159,6 +159,17 @@
 	HasEvacuated(service string) bool
 }
 
+// WarmUps limits the requests to servers that are warming up. All nodes share these limits.
+type WarmUps interface {
+	// Filter returns those of the servers that this node may send a request now.
+	Filter(servers []registry.Server) []registry.Server
+	// Take counts a request to a server. It returns false, and counts nothing, if the server
+	// may not get one from this node now.
+	Take(s registry.Server) bool
+	// UntilWarm returns the time until the first of the servers is warm.
+	UntilWarm(servers []registry.Server) time.Duration
+}
+
 // StoreView describes how current this process's copy of the platform's store is. Servers are
 // chosen by that copy.
 type StoreView interface {
@@ -248,6 +259,7 @@
 	// Catalog returns the declaration in force.
 	Catalog   func() *catalog.Catalog
 	Servers   Servers
+	WarmUps   WarmUps
 	StoreView StoreView
 	Versions  Versions
 	Balancer  *route.Balancer
--- a/relay/relay_enumer.go
+++ b/relay/relay_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuateddeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
+const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_updeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
-var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 87, 95, 106, 119, 126, 134, 141, 148, 157, 166}
+var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 87, 97, 105, 116, 129, 136, 144, 151, 158, 167, 176}
 
-const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuateddeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
+const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_updeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -32,18 +32,19 @@
 	_ = x[ReasonMalformed-(5)]
 	_ = x[ReasonNoServer-(6)]
 	_ = x[ReasonEvacuated-(7)]
-	_ = x[ReasonDeclined-(8)]
-	_ = x[ReasonUnreachable-(9)]
-	_ = x[ReasonServerFailed-(10)]
-	_ = x[ReasonStalled-(11)]
-	_ = x[ReasonDeadline-(12)]
-	_ = x[ReasonLeaving-(13)]
-	_ = x[ReasonStopped-(14)]
-	_ = x[ReasonSuspected-(15)]
-	_ = x[ReasonOvertaken-(16)]
+	_ = x[ReasonWarmingUp-(8)]
+	_ = x[ReasonDeclined-(9)]
+	_ = x[ReasonUnreachable-(10)]
+	_ = x[ReasonServerFailed-(11)]
+	_ = x[ReasonStalled-(12)]
+	_ = x[ReasonDeadline-(13)]
+	_ = x[ReasonLeaving-(14)]
+	_ = x[ReasonStopped-(15)]
+	_ = x[ReasonSuspected-(16)]
+	_ = x[ReasonOvertaken-(17)]
 }
 
-var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonEvacuated, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
+var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonEvacuated, ReasonWarmingUp, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:16]:    ReasonNoConfiguration,
@@ -54,15 +55,16 @@
 	_ReasonName[60:69]:   ReasonMalformed,
 	_ReasonName[69:78]:   ReasonNoServer,
 	_ReasonName[78:87]:   ReasonEvacuated,
-	_ReasonName[87:95]:   ReasonDeclined,
-	_ReasonName[95:106]:  ReasonUnreachable,
-	_ReasonName[106:119]: ReasonServerFailed,
-	_ReasonName[119:126]: ReasonStalled,
-	_ReasonName[126:134]: ReasonDeadline,
-	_ReasonName[134:141]: ReasonLeaving,
-	_ReasonName[141:148]: ReasonStopped,
-	_ReasonName[148:157]: ReasonSuspected,
-	_ReasonName[157:166]: ReasonOvertaken,
+	_ReasonName[87:97]:   ReasonWarmingUp,
+	_ReasonName[97:105]:  ReasonDeclined,
+	_ReasonName[105:116]: ReasonUnreachable,
+	_ReasonName[116:129]: ReasonServerFailed,
+	_ReasonName[129:136]: ReasonStalled,
+	_ReasonName[136:144]: ReasonDeadline,
+	_ReasonName[144:151]: ReasonLeaving,
+	_ReasonName[151:158]: ReasonStopped,
+	_ReasonName[158:167]: ReasonSuspected,
+	_ReasonName[167:176]: ReasonOvertaken,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -74,15 +76,16 @@
 	_ReasonLowerName[60:69]:   ReasonMalformed,
 	_ReasonLowerName[69:78]:   ReasonNoServer,
 	_ReasonLowerName[78:87]:   ReasonEvacuated,
-	_ReasonLowerName[87:95]:   ReasonDeclined,
-	_ReasonLowerName[95:106]:  ReasonUnreachable,
-	_ReasonLowerName[106:119]: ReasonServerFailed,
-	_ReasonLowerName[119:126]: ReasonStalled,
-	_ReasonLowerName[126:134]: ReasonDeadline,
-	_ReasonLowerName[134:141]: ReasonLeaving,
-	_ReasonLowerName[141:148]: ReasonStopped,
-	_ReasonLowerName[148:157]: ReasonSuspected,
-	_ReasonLowerName[157:166]: ReasonOvertaken,
+	_ReasonLowerName[87:97]:   ReasonWarmingUp,
+	_ReasonLowerName[97:105]:  ReasonDeclined,
+	_ReasonLowerName[105:116]: ReasonUnreachable,
+	_ReasonLowerName[116:129]: ReasonServerFailed,
+	_ReasonLowerName[129:136]: ReasonStalled,
+	_ReasonLowerName[136:144]: ReasonDeadline,
+	_ReasonLowerName[144:151]: ReasonLeaving,
+	_ReasonLowerName[151:158]: ReasonStopped,
+	_ReasonLowerName[158:167]: ReasonSuspected,
+	_ReasonLowerName[167:176]: ReasonOvertaken,
 }
 
 var _ReasonNames = []string{
@@ -94,15 +97,16 @@
 	_ReasonName[60:69],
 	_ReasonName[69:78],
 	_ReasonName[78:87],
-	_ReasonName[87:95],
-	_ReasonName[95:106],
-	_ReasonName[106:119],
-	_ReasonName[119:126],
-	_ReasonName[126:134],
-	_ReasonName[134:141],
-	_ReasonName[141:148],
-	_ReasonName[148:157],
-	_ReasonName[157:166],
+	_ReasonName[87:97],
+	_ReasonName[97:105],
+	_ReasonName[105:116],
+	_ReasonName[116:129],
+	_ReasonName[129:136],
+	_ReasonName[136:144],
+	_ReasonName[144:151],
+	_ReasonName[151:158],
+	_ReasonName[158:167],
+	_ReasonName[167:176],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -197,7 +197,7 @@
 func (d *Driver) setShare(m *config.Model, p Progress, stage config.Stage, baseline Count, now time.Time) Progress {
 	elapsed := now.Sub(p.StageSince).Seconds()
 	remaining := stage.MinSeconds - elapsed
-	if elapsed < measureDuration.Seconds() || remaining <= 0 {
+	if elapsed < max(measureDuration.Seconds(), stage.HoldSeconds) || remaining <= 0 {
 		return p
 	}
 	expected := float64(baseline.Answers+baseline.Running) / elapsed * remaining
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -21,6 +21,9 @@
 	Target  string
 	// Period is the time in which the rollout should complete.
 	Period time.Duration
+	// WarmUp is how long the servers of the target warm up after their start; zero if they
+	// bear their usual load at once.
+	WarmUp time.Duration
 }
 
 const (
@@ -33,6 +36,9 @@
 	// load for the whole stage. More responses would use up too much of what a bad
 	// version may receive in all stages.
 	firstStageTargetSamples = 220
+	// maxHoldFraction limits the fraction of the first stage in which the target gets nothing
+	// because its servers warm up.
+	maxHoldFraction = 0.5
 	// firstStageMinSamples is the number of responses of the target that the first
 	// stage needs. Services with few requests give no more in half a period.
 	firstStageMinSamples = 5
@@ -125,6 +131,7 @@
 func (s *ServicePicker) SetOrder(o Order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	firstStage := firstStageFraction * o.Period.Seconds()
 	s.models[o.Service] = config.Model{
 		Name: o.Service,
 		Versions: []config.Version{
@@ -134,7 +141,10 @@
 		Rollout: &config.Rollout{
 			Version: o.Target,
 			Stages: []config.Stage{
-				{Share: s.firstStageShare, MinSamples: firstStageMinSamples, TargetSamples: firstStageTargetSamples, MinSeconds: firstStageFraction * o.Period.Seconds()},
+				{
+					Share: s.firstStageShare, MinSamples: firstStageMinSamples, TargetSamples: firstStageTargetSamples, MinSeconds: firstStage,
+					HoldSeconds: min(o.WarmUp.Seconds(), maxHoldFraction*firstStage),
+				},
 				{Share: secondStageShare, MinSeconds: secondStageFraction * o.Period.Seconds()},
 				{Share: 1, MinSeconds: max(lastStageMinSeconds, lastStageFraction*o.Period.Seconds())},
 			},
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -75,6 +75,10 @@
 	// requests, may reach a version that turns out to be bad.
 	CanaryShare float64 `json:"canary_share"`
 	CanarySlack float64 `json:"canary_slack"`
+	// While a server warms up, all nodes together may send it WarmUpFactor times the
+	// requests a second that its service declares, plus WarmUpSlack requests.
+	WarmUpFactor float64 `json:"warm_up_factor"`
+	WarmUpSlack  float64 `json:"warm_up_slack"`
 }
 
 const (
@@ -87,6 +91,8 @@
 	defaultRetryWindowSeconds = 10.0
 	// defaultCanaryShare is the share of the first rollout stage.
 	defaultCanaryShare = 0.1
+	// defaultWarmUpFactor keeps a server that warms up at what its service declares.
+	defaultWarmUpFactor = 1.0
 )
 
 // Grace returns the time between SIGTERM and the forced end of the process.
@@ -113,6 +119,7 @@
 	setDefault(&g.Bounds.RetryRatio, defaultRetryRatio)
 	setDefault(&g.Bounds.RetryWindowSeconds, defaultRetryWindowSeconds)
 	setDefault(&g.Bounds.CanaryShare, defaultCanaryShare)
+	setDefault(&g.Bounds.WarmUpFactor, defaultWarmUpFactor)
 	setDefault(&g.Store.MinLeaseMillis, defaultMinLeaseMillis)
 }
 
@@ -133,6 +140,12 @@
 	if g.Bounds.RetryRatio < 0 {
 		report("/bounds/retry_ratio", "want a share of zero or more, found %g", g.Bounds.RetryRatio)
 	}
+	if g.Bounds.WarmUpFactor < 0 || g.Bounds.WarmUpSlack < 0 {
+		report("/bounds/warm_up_factor", "want a factor and a slack of zero or more, found %g and %g", g.Bounds.WarmUpFactor, g.Bounds.WarmUpSlack)
+	}
+	if g.Bounds.EvacuationMillis < 0 {
+		report("/bounds/evacuation_ms", "want a time of zero or more, found %g", g.Bounds.EvacuationMillis)
+	}
 	if g.Bounds.CanaryShare <= 0 || g.Bounds.CanaryShare > 1 {
 		report("/bounds/canary_share", "want a share above 0 and up to 1, found %g", g.Bounds.CanaryShare)
 	}
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -26,7 +26,7 @@
 }
 
 // optionalValues are those that the platform has on some deployments only.
-var optionalValues = map[string]string{"bounds.evacuate_ms": "5000"}
+var optionalValues = map[string]string{"bounds.cold_over": "1.5", "bounds.cold_slack": "5", "bounds.evacuate_ms": "5000"}
 
 var (
 	placeholder = regexp.MustCompile(`\{\{([^|}]+)(\|json)?\}\}`)
@@ -69,9 +69,12 @@
 	g, err := load(t, renderTemplate(t, nil))
 	must.NoError(t, err)
 	must.Eq(t, 0, g.Evacuation())
+	must.Eq(t, 1.0, g.Bounds.WarmUpFactor)
 	g, err = load(t, renderTemplate(t, optionalValues))
 	must.NoError(t, err)
 	must.Eq(t, 5*time.Second, g.Evacuation())
+	must.Eq(t, 1.5, g.Bounds.WarmUpFactor)
+	must.Eq(t, 5.0, g.Bounds.WarmUpSlack)
 	must.Eq(t, "front-1", g.Name)
 	must.Eq(t, "10.0.0.1:7340", g.Metrics.Address())
 	must.Eq(t, 8*time.Second, g.Grace())
@@ -87,6 +90,8 @@
 		{"address", `"10.0.0.1:1"`, `"host:1"`, "/caller/listen: want IP:PORT"},
 		{"store", `"10.0.0.9:5"`, `"nowhere"`, "/store/address: want IP:PORT"},
 		{"share", `"canary_share": 0.15`, `"canary_share": 1.5`, "/bounds/canary_share: want a share"},
+		{"warm-up slack", `"warm_up_slack": 5`, `"warm_up_slack": -5`, "/bounds/warm_up_factor: want a factor and a slack of zero or more"},
+		{"evacuation time", `"evacuation_ms": 5000`, `"evacuation_ms": -1`, "/bounds/evacuation_ms: want a time"},
 		{"unknown field", `"seeds"`, `"seedz"`, "seedz"},
 		{"wrong type", `"retry_ratio": 0.9`, `"retry_ratio": "much"`, "/bounds/retry_ratio"},
 		{"invalid JSON", `"bounds"`, ``, ":"},
--- /dev/null
+++ b/warmup/warmup.go
@@ -0,0 +1,307 @@
+// Package warmup limits the requests to servers that are warming up.
+//
+// A server that has just started bears only a few requests a second, and crashes well
+// above that. It may begin to warm up again at any moment. All nodes share its limit, but
+// no request can wait for an agreement. Each such server is therefore owned by one node,
+// and only its owner sends it requests. All nodes compute the owner by rendezvous hashing
+// over the list of nodes, preferably among those of the server's data hall.
+//
+// Nodes learn of a change of the list at different times. Two rules keep two of them from
+// being the owner within one window:
+//
+//   - a node counts on others for [handover] after they have left the list, and claims no
+//     server before it has been listed for as long itself;
+//   - a node whose list may be out of date claims nothing.
+//
+// A server whose owner is gone gets nothing meanwhile. It warms up for seconds only, and
+// the others take its requests.
+//
+// # Usage
+//
+//	l := warmup.New(self, nodes, limits, timers)
+//	go l.Run(ctx)
+//	servers = l.Filter(servers)
+//	… choose one of them …
+//	if !l.Take(server) {
+//		… choose again …
+//	}
+package warmup
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/violettally/violettally/internal/rendezvous"
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/view"
+)
+
+const (
+	// window is the time in which an owner counts its requests. It exceeds the second for
+	// which limits are declared, since requests may take unequally long to arrive.
+	window = 1200 * time.Millisecond
+	// handover is the time for which no node may own a server that had another owner. The
+	// last requests of the previous owner, which may learn of the change by news of
+	// [mirror.MaxStaleness], must have left the window by then.
+	handover = mirror.MaxStaleness + window + refreshInterval
+	// refreshInterval is the time between two reads of the list of nodes.
+	refreshInterval = 200 * time.Millisecond
+	// maxRefreshGap is the longest time between two reads after which the list still counts
+	// as known throughout. This process did not run if it is exceeded.
+	maxRefreshGap = time.Second
+	// maxWarmUp is the longest time for which a server is taken to warm up if its service
+	// declares none.
+	maxWarmUp = time.Minute
+)
+
+// Limit is what a server bears while it warms up.
+type Limit struct {
+	// Duration is how long a server warms up after its start; zero if unknown.
+	Duration time.Duration
+	// PerSecond is the number of requests a second from all nodes together; zero for no limit.
+	PerSecond float64
+}
+
+// maxRequests returns the number of requests that an owner may send in one window.
+func (l Limit) maxRequests() int { return int(l.PerSecond) }
+
+// Nodes lists the nodes that share the servers.
+type Nodes interface {
+	// Listed reports whether the other nodes can find this one in their lists.
+	Listed() bool
+	Others() []view.Member
+	// Age is the time since the list was last confirmed to be current.
+	Age() time.Duration
+}
+
+// Limiter admits one node's requests to servers that are warming up. It is safe for
+// concurrent use.
+type Limiter struct {
+	self   view.Member
+	nodes  Nodes
+	limits func(service string) Limit
+	timers *timer.Service
+
+	mu          sync.Mutex
+	refreshedAt time.Time
+	// listedSince is since when this node has been listed and its list up to date; zero if
+	// it is not.
+	listedSince time.Time
+	// others holds the other nodes by VM, including those that left within handover.
+	others map[string]otherNode
+	// servers holds the servers that are warming up, by hash of the incarnation.
+	servers map[uint64]*server
+}
+
+// otherNode is another node that may own servers.
+type otherNode struct {
+	hash     uint64
+	dataHall string
+	lastSeen time.Time
+}
+
+// server is the state of one server that is warming up.
+type server struct {
+	// owned reports whether this node is the owner by the present list.
+	owned, ownerKnown bool
+	// sent holds the times of the requests within the window.
+	sent   []time.Time
+	warmAt time.Time
+}
+
+// New returns the limiter of a node. Limits returns what the servers of a service bear.
+func New(self view.Member, nodes Nodes, limits func(service string) Limit, timers *timer.Service) *Limiter {
+	return &Limiter{
+		self:    self,
+		nodes:   nodes,
+		limits:  limits,
+		timers:  timers,
+		others:  make(map[string]otherNode),
+		servers: make(map[uint64]*server),
+	}
+}
+
+// Run keeps the list of nodes up to date until the context ends.
+func (l *Limiter) Run(ctx context.Context) {
+	l.timers.Every(ctx, refreshInterval, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.refresh(l.timers.Steady())
+	})
+}
+
+// Filter returns the servers that this node may send a request now. It does not modify the
+// given list.
+func (l *Limiter) Filter(servers []registry.Server) []registry.Server {
+	first := slices.IndexFunc(servers, mayWarmUp)
+	if first < 0 {
+		return servers
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timers.Steady()
+	allowed := slices.Clone(servers[:first])
+	for _, s := range servers[first:] {
+		if !mayWarmUp(s) || l.allows(s, now) {
+			allowed = append(allowed, s)
+		}
+	}
+	return allowed
+}
+
+// Take counts one request to a server. It returns false, and counts nothing, if this node
+// may not send it now.
+func (l *Limiter) Take(s registry.Server) bool {
+	if !mayWarmUp(s) {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timers.Steady()
+	if !l.allows(s, now) {
+		return false
+	}
+	if state := l.servers[s.Incarnation().Hash()]; state != nil {
+		state.sent = append(state.sent, now)
+	}
+	return true
+}
+
+// UntilWarm returns the time until the first of the given servers is warm; zero if one is.
+func (l *Limiter) UntilWarm(servers []registry.Server) time.Duration {
+	now := l.timers.Steady()
+	least := maxWarmUp
+	for _, s := range servers {
+		least = min(least, max(0, l.warmAt(s).Sub(now)))
+	}
+	return least
+}
+
+// CountWarmingUp returns the number of servers that are warming up and that this node has
+// considered for a request.
+func (l *Limiter) CountWarmingUp() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.timers.Steady()
+	count := 0
+	for _, s := range l.servers {
+		if now.Before(s.warmAt) {
+			count++
+		}
+	}
+	return count
+}
+
+// mayWarmUp reports whether a server may still be warming up.
+func mayWarmUp(s registry.Server) bool { return s.WarmUp > 0 || !s.Restored.IsZero() }
+
+// warmAt returns when a server is warm. The servers of a data hall may have cooled down
+// while it was evacuated.
+func (l *Limiter) warmAt(s registry.Server) time.Time {
+	limit := l.limits(s.Service)
+	if limit.PerSecond <= 0 {
+		return time.Time{}
+	}
+	longest := limit.Duration
+	if longest <= 0 {
+		longest = maxWarmUp
+	}
+	warmAt := s.Updated.Add(min(s.WarmUp, longest))
+	if !s.Restored.IsZero() {
+		if restored := s.Restored.Add(limit.Duration); restored.After(warmAt) {
+			warmAt = restored
+		}
+	}
+	return warmAt
+}
+
+// allows reports whether this node may send a server a request now. The caller holds mu.
+func (l *Limiter) allows(s registry.Server, now time.Time) bool {
+	warmAt := l.warmAt(s)
+	if !now.Before(warmAt) {
+		return true
+	}
+	l.refresh(now)
+	hash := s.Incarnation().Hash()
+	state := l.servers[hash]
+	if state == nil {
+		state = &server{}
+		l.servers[hash] = state
+	}
+	state.warmAt = warmAt
+	if l.listedSince.IsZero() || now.Sub(l.listedSince) < handover {
+		return false
+	}
+	if !state.ownerKnown {
+		state.owned, state.ownerKnown = l.owns(s.DataHall, hash), true
+	}
+	state.sent = slices.DeleteFunc(state.sent, func(at time.Time) bool { return now.Sub(at) >= window })
+	return state.owned && len(state.sent) < l.limits(s.Service).maxRequests()
+}
+
+// owns reports whether this node has the highest score for a server among the nodes of the
+// server's data hall, or among all nodes if there are none. The caller holds mu.
+func (l *Limiter) owns(dataHall string, hash uint64) bool {
+	local := l.self.DataHall == dataHall
+	for _, o := range l.others {
+		local = local || o.dataHall == dataHall
+	}
+	if local && l.self.DataHall != dataHall {
+		return false
+	}
+	own := rendezvous.Score(hash, rendezvous.Hash(l.self.VM))
+	for _, o := range l.others {
+		if (!local || o.dataHall == dataHall) && rendezvous.Score(hash, o.hash) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// refresh reads the list of nodes again after refreshInterval. The caller holds mu.
+func (l *Limiter) refresh(now time.Time) {
+	if now.Sub(l.refreshedAt) < refreshInterval {
+		return
+	}
+	if now.Sub(l.refreshedAt) > maxRefreshGap {
+		l.listedSince = time.Time{}
+	}
+	l.refreshedAt = now
+	switch upToDate := l.nodes.Listed() && l.nodes.Age() < mirror.MaxStaleness; {
+	case !upToDate:
+		l.listedSince = time.Time{}
+	case l.listedSince.IsZero():
+		l.listedSince = now
+	}
+	if l.updateOthers(now) {
+		for _, s := range l.servers {
+			s.ownerKnown = false
+		}
+	}
+	for hash, s := range l.servers {
+		if now.Sub(s.warmAt) >= window {
+			delete(l.servers, hash)
+		}
+	}
+}
+
+// updateOthers updates the list of other nodes, and reports whether it has changed. The
+// caller holds mu.
+func (l *Limiter) updateOthers(now time.Time) (changed bool) {
+	for _, m := range l.nodes.Others() {
+		known, ok := l.others[m.VM]
+		changed = changed || !ok || known.dataHall != m.DataHall
+		l.others[m.VM] = otherNode{hash: rendezvous.Hash(m.VM), dataHall: m.DataHall, lastSeen: now}
+	}
+	for vm, o := range l.others {
+		if now.Sub(o.lastSeen) > handover {
+			delete(l.others, vm)
+			changed = true
+		}
+	}
+	return changed
+}
