config: data halls can be evacuated in the product's own declaration

What operators saw: only the users' platform could empty a data hall; a declaration of the product's own had no way to say it.

Change: evacuated_halls in the declaration. The servers of these halls are not in use: chosen, polled, or given orders; requests that run there end there. A hall that no server declares is a fault of the file, since a misspelt name would evacuate nothing.

--- a/config/check.go
+++ b/config/check.go
@@ -33,6 +33,7 @@
 	for i := range c.Services {
 		k.checkService(fmt.Sprintf("/services/%d", i), &c.Services[i])
 	}
+	k.checkEvacuatedHalls()
 }
 
 type checker struct {
@@ -224,6 +225,22 @@
 	}
 }
 
+// checkEvacuatedHalls reports evacuated data halls that no server declares, since a misspelt
+// name would evacuate nothing.
+func (k *checker) checkEvacuatedHalls() {
+	halls := make(map[string]bool)
+	for _, p := range k.Pools {
+		for _, s := range p.Servers {
+			halls[s.DataHall] = true
+		}
+	}
+	for i, hall := range k.EvacuatedHalls {
+		if hall == "" || !halls[hall] {
+			k.report(fmt.Sprintf("/evacuated_halls/%d", i), "no server is declared in data hall %q", hall)
+		}
+	}
+}
+
 func (k *checker) checkService(path string, s *Service) {
 	k.checkPoolName(path, s.Pool)
 	for i, c := range s.Calls {
--- a/config/config.go
+++ b/config/config.go
@@ -86,6 +86,8 @@
 	Cascades  []Cascade  `json:"cascades"`
 	Pools     []Pool     `json:"pools"`
 	Services  []Service  `json:"services"`
+	// EvacuatedHalls are data halls whose servers get no new requests.
+	EvacuatedHalls []string `json:"evacuated_halls"`
 }
 
 // Account is a client account. Keys holds digests as printed by
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -60,6 +60,12 @@
 			`/pools/0/servers/0/url: want an http or https URL, found "ftp://x"`,
 			`/pools/0/servers/0/slots: want 1 or more`,
 		}},
+		{"evacuated halls", `{"pools": [{"name": "p", "servers": [{"name": "s", "url": "http://x", "data_hall": "north", "slots": 1}]}],
+ "evacuated_halls": ["north", "nroth", ""]}`, []string{
+			`f.json:2:31: /evacuated_halls/1: no server is declared in data hall "nroth"`,
+			`f.json:2:40: /evacuated_halls/2: no server is declared in data hall ""`,
+		}},
+		{"evacuated halls, not a list", `{"evacuated_halls": "north"}`, []string{`f.json:1:21: /evacuated_halls: want an array, found a string`}},
 		{"duplicate field", `{"pools": [], "pools": []}`, []string{`f.json:1:15: /pools: field "pools" stands twice`}},
 		{"services", `{"pools": [{"name": "p"}], "services": [{"name": "s", "pool": "p", "calls": [{"method": "post", "path": "x"}]}]}`, []string{
 			`/services/0/calls/0/method: want an HTTP method in capitals, found "post"`,
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"regexp"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -34,8 +35,10 @@
 	models   map[string]*Model
 	cascades map[string]*Cascade
 	pools    map[string]*Pool
-	services map[string]*Service
-	keys     map[string]keyOwner
+	// serversInUse holds the servers of each pool whose data hall is not evacuated.
+	serversInUse map[string][]Server
+	services     map[string]*Service
+	keys         map[string]keyOwner
 }
 
 type keyOwner struct {
@@ -51,14 +54,15 @@
 		return nil, faults
 	}
 	s := &Snapshot{
-		document: d,
-		config:   c,
-		accounts: make(map[string]*Account),
-		models:   make(map[string]*Model),
-		cascades: make(map[string]*Cascade),
-		pools:    make(map[string]*Pool),
-		services: make(map[string]*Service),
-		keys:     make(map[string]keyOwner),
+		document:     d,
+		config:       c,
+		accounts:     make(map[string]*Account),
+		models:       make(map[string]*Model),
+		cascades:     make(map[string]*Cascade),
+		pools:        make(map[string]*Pool),
+		serversInUse: make(map[string][]Server),
+		services:     make(map[string]*Service),
+		keys:         make(map[string]keyOwner),
 	}
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
@@ -80,6 +84,9 @@
 	}
 	for i := range c.Pools {
 		s.pools[c.Pools[i].Name] = &c.Pools[i]
+		s.serversInUse[c.Pools[i].Name] = slices.DeleteFunc(slices.Clone(c.Pools[i].Servers), func(server Server) bool {
+			return slices.Contains(c.EvacuatedHalls, server.DataHall)
+		})
 	}
 	for i := range c.Services {
 		s.services[c.Services[i].Name] = &c.Services[i]
@@ -195,13 +202,9 @@
 	return best
 }
 
-// Servers returns the servers of the named pool.
-func (s *Snapshot) Servers(pool string) []Server {
-	if p := s.pools[pool]; p != nil {
-		return p.Servers
-	}
-	return nil
-}
+// Servers returns the servers of the named pool that may get requests: those whose data hall
+// is not evacuated.
+func (s *Snapshot) Servers(pool string) []Server { return s.serversInUse[pool] }
 
 const digestPrefix = "sha256:"
 
--- a/node/backends.go
+++ b/node/backends.go
@@ -105,7 +105,7 @@
 func (b *backends) polledServers() []poolServer {
 	var servers []poolServer
 	for _, pool := range b.n.Config().Pools() {
-		for _, server := range b.chooser.Subset(pool.Name, pool.Servers) {
+		for _, server := range b.chooser.Subset(pool.Name, b.n.Config().Servers(pool.Name)) {
 			servers = append(servers, poolServer{pool.Name, server})
 		}
 	}
