warmup: keep the list without servers that other nodes own

Cause: each request filters the servers of its service three or four times, and all servers of a hall that warm up were looked at each time, though which of them this node owns changes a few times a second.

--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -91,10 +91,27 @@
 	// listedSince is since when this node has been listed and its list up to date; zero if
 	// it is not.
 	listedSince time.Time
+	// mayOwn is whether that is long enough for this node to own servers.
+	mayOwn bool
 	// others holds the other nodes by VM, including those that left within handover.
 	others map[string]otherNode
 	// servers holds the servers that are warming up, by hash of the incarnation.
 	servers map[uint64]*server
+	// last is the last result of withoutUnowned.
+	last ownedList
+}
+
+// ownedList is a list of servers without those that are warming up and that another node owns.
+// Lists of servers are filtered several times a request and change a few times a second.
+type ownedList struct {
+	// first and length identify the list that was filtered.
+	first  *registry.Server
+	length int
+	// validUntil is when one of the servers left out will be warm.
+	validUntil time.Time
+	servers    []registry.Server
+	// warming holds the indices of the servers that are warming up, which this node owns.
+	warming []int
 }
 
 // otherNode is another node that may own servers.
@@ -137,20 +154,52 @@
 // Filter returns the servers that this node may send a request now. It does not modify the
 // given list.
 func (l *Limiter) Filter(servers []registry.Server) []registry.Server {
-	first := slices.IndexFunc(servers, mayWarmUp)
-	if first < 0 {
+	if !slices.ContainsFunc(servers, mayWarmUp) {
 		return servers
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Steady()
-	allowed := slices.Clone(servers[:first])
-	for _, s := range servers[first:] {
-		if !mayWarmUp(s) || l.allows(s, now) {
-			allowed = append(allowed, s)
+	owned := l.withoutUnowned(servers, now)
+	exhausted := func(i int) bool { return !l.allows(owned.servers[i], now) }
+	if !slices.ContainsFunc(owned.warming, exhausted) {
+		return owned.servers
+	}
+	allowed := make([]registry.Server, 0, len(owned.servers))
+	from := 0
+	for _, i := range owned.warming {
+		if exhausted(i) {
+			allowed = append(allowed, owned.servers[from:i]...)
+			from = i + 1
+		}
+	}
+	return append(allowed, owned.servers[from:]...)
+}
+
+// withoutUnowned returns the list without the servers that are warming up and that another
+// node owns. The caller holds mu.
+func (l *Limiter) withoutUnowned(servers []registry.Server, now time.Time) ownedList {
+	l.refresh(now)
+	if l.last.first == &servers[0] && l.last.length == len(servers) && now.Before(l.last.validUntil) {
+		return l.last
+	}
+	list := ownedList{first: &servers[0], length: len(servers), validUntil: now.Add(maxWarmUp), servers: make([]registry.Server, 0, len(servers))}
+	for _, s := range servers {
+		warmAt := l.warmAt(s)
+		switch {
+		case !now.Before(warmAt):
+		case l.state(s, warmAt).owned:
+			list.warming = append(list.warming, len(list.servers))
+		default:
+			if warmAt.Before(list.validUntil) {
+				list.validUntil = warmAt
+			}
+			continue
 		}
+		list.servers = append(list.servers, s)
 	}
-	return allowed
+	l.last = list
+	return list
 }
 
 // Take counts one request to a server. It returns false, and counts nothing, if this node
@@ -226,6 +275,13 @@
 		return true
 	}
 	l.refresh(now)
+	state := l.state(s, warmAt)
+	state.sent = slices.DeleteFunc(state.sent, func(at time.Time) bool { return now.Sub(at) >= window })
+	return state.owned && len(state.sent) < l.limits(s.Service).maxRequests()
+}
+
+// state returns the state of a server that is warming up. The caller holds mu.
+func (l *Limiter) state(s registry.Server, warmAt time.Time) *server {
 	hash := s.Incarnation().Hash()
 	state := l.servers[hash]
 	if state == nil {
@@ -233,14 +289,10 @@
 		l.servers[hash] = state
 	}
 	state.warmAt = warmAt
-	if l.listedSince.IsZero() || now.Sub(l.listedSince) < handover {
-		return false
-	}
 	if !state.ownerKnown {
-		state.owned, state.ownerKnown = l.owns(s.DataHall, hash), true
+		state.owned, state.ownerKnown = l.mayOwn && l.owns(s.DataHall, hash), true
 	}
-	state.sent = slices.DeleteFunc(state.sent, func(at time.Time) bool { return now.Sub(at) >= window })
-	return state.owned && len(state.sent) < l.limits(s.Service).maxRequests()
+	return state
 }
 
 // owns reports whether this node has the highest score for a server among the nodes of the
@@ -277,10 +329,10 @@
 	case l.listedSince.IsZero():
 		l.listedSince = now
 	}
-	if l.updateOthers(now) {
-		for _, s := range l.servers {
-			s.ownerKnown = false
-		}
+	mayOwn := !l.listedSince.IsZero() && now.Sub(l.listedSince) >= handover
+	if l.updateOthers(now) || mayOwn != l.mayOwn {
+		l.mayOwn = mayOwn
+		l.forgetOwners()
 	}
 	for hash, s := range l.servers {
 		if now.Sub(s.warmAt) >= window {
@@ -289,6 +341,14 @@
 	}
 }
 
+// forgetOwners makes the owners of all servers be computed again. The caller holds mu.
+func (l *Limiter) forgetOwners() {
+	l.last = ownedList{}
+	for _, s := range l.servers {
+		s.ownerKnown = false
+	}
+}
+
 // updateOthers updates the list of other nodes, and reports whether it has changed. The
 // caller holds mu.
 func (l *Limiter) updateOthers(now time.Time) (changed bool) {
