--- a/gateway/subscribe.go
+++ b/gateway/subscribe.go
@@ -66,7 +66,7 @@
 		g.resetServer(server)
 	}
 	slog.Info("server", "server", id, "born", server.Born, "news", result.String(), "service", server.Service, "address", server.Address,
-		"version", server.Version, "leaving", server.Leaving, "revision", c.Revision)
+		"version", server.Version, "leaving", server.Leaving, "warm_up_ms", server.WarmUp.Milliseconds(), "revision", c.Revision)
 }
 
 // invalidateServer takes a server with an invalid entry out of use. It logs only when
