--- a/decision/decision.go
+++ b/decision/decision.go
@@ -44,6 +44,8 @@
 	Server    string    `json:"server" cbor:"7,keyasint"`
 	Outcome   string    `json:"outcome" cbor:"8,keyasint"`
 	Steps     []Step    `json:"steps" cbor:"9,keyasint"`
+	// Status is the HTTP status that the client got; zero if it got none or it is not known.
+	Status int `json:"status,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Record collects the steps of one request. It is safe for concurrent use.
@@ -85,6 +87,13 @@
 	r.summary.Model, r.summary.Version, r.summary.Server = model, version, server
 }
 
+// SetStatus records the HTTP status that the client gets.
+func (r *Record) SetStatus(status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.summary.Status = status
+}
+
 // End sets the outcome and writes the log line.
 func (r *Record) End(outcome string) {
 	r.mu.Lock()
@@ -94,7 +103,7 @@
 	r.mu.Unlock()
 	slog.Info("decision",
 		"request_id", s.RequestID, "account", s.Account, "model", s.Model, "version", s.Version,
-		"server", s.Server, "outcome", s.Outcome, "ms", time.Since(s.Started).Milliseconds(), "steps", s.Steps)
+		"server", s.Server, "outcome", s.Outcome, "status", s.Status, "ms", time.Since(s.Started).Milliseconds(), "steps", s.Steps)
 }
 
 // open reports whether the record has not ended yet.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -98,6 +98,7 @@
 	if !x.responseStarted {
 		x.responseStarted = true
 		x.firstByte = max(1, x.elapsed())
+		x.record.SetStatus(resp.Status())
 		x.writer.WriteHeader(resp)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -310,6 +310,7 @@
 	if refusal != nil {
 		r.Counters.Refused(refusal.reason, record.Account())
 		record.AddStep("refused", "%s", refusal.Error())
+		record.SetStatus(refusal.Status())
 		record.End("refused: " + refusal.reason.String())
 		w.Refuse(refusal)
 	}
