--- a/registry/registry.go
+++ b/registry/registry.go
@@ -69,8 +69,9 @@
 	// last ended.
 	evacuated map[string]Evacuation
 	restored  map[string]time.Time
-	// storeRecovered is when the store last recovered from an outage.
-	storeRecovered time.Time
+	// storeRecovered is when the store last recovered from an outage, synced when this process
+	// had read it for the first time.
+	storeRecovered, synced time.Time
 	// byService is rebuilt after a change. The lists are never modified.
 	byService map[string][]Server
 }
@@ -148,6 +149,23 @@
 	r.storeRecovered = r.timers.Steady()
 }
 
+// Synced records that this process has just read the store for the first time.
+func (r *Registry) Synced() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.synced = r.timers.Steady()
+}
+
+// Recovering reports whether entries of running servers may still be missing: they expire in
+// an outage of the store and are written again within recoveryGrace. This process may have
+// started in the outage.
+func (r *Registry) Recovering() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.timers.Steady()
+	return now.Sub(r.storeRecovered) < recoveryGrace || now.Sub(r.synced) < recoveryGrace
+}
+
 // Incarnations returns the incarnations of all known servers, including those that are
 // leaving.
 func (r *Registry) Incarnations() map[Incarnation]bool {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -107,6 +107,7 @@
 
 func (allUsable) Usable(registry.Incarnation) bool { return true }
 func (allUsable) HasEvacuated(string) bool         { return false }
+func (allUsable) Recovering() bool                 { return false }
 
 // allWarm limits no server.
 type allWarm struct{}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -154,6 +154,9 @@
 	Servers(service string) []registry.Server
 	// Usable reports whether a server may still get new requests.
 	Usable(i registry.Incarnation) bool
+	// Recovering reports whether entries of running servers may be missing for a moment, because
+	// the store has just recovered or this process has just started.
+	Recovering() bool
 	// HasEvacuated reports whether servers of a service get no requests only because their
 	// data hall is evacuated.
 	HasEvacuated(service string) bool
--- a/relay/stale_choice_test.go
+++ b/relay/stale_choice_test.go
@@ -71,6 +71,8 @@
 
 func (l *leavingServers) HasEvacuated(string) bool { return false }
 
+func (l *leavingServers) Recovering() bool { return false }
+
 func (l *leavingServers) Usable(i registry.Incarnation) bool { return i.ID != l.departed }
 
 func (l *leavingServers) NeedsRefresh() bool { return l.stale }
