--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -19,9 +19,7 @@
 	// poor. Below it, [ConfidencePolicy.WorthEscalating] decides.
 	minReleaseConfidence = 65
 	// minNextModelConfidence is the confidence from which the next model is
-	// asked instead of the costliest. Without the middle model, the answers'
-	// value falls from 0.707 to 0.698, and with a limit of 42 to 0.705
-	// (docs/DECISIONS.md).
+	// asked instead of the costliest.
 	minNextModelConfidence = 35
 )
 
@@ -63,13 +61,11 @@
 	confidenceScale    = 6.0
 	// minGain is the least gain, as a share of a good answer's value, for which
 	// a costlier model is asked when no requests are waiting. It covers the
-	// model's price and the delay to the requests that come next. With 0.15,
-	// the answers' value at twice the load falls from 0.67 to 0.62.
+	// model's price and the delay to the requests that come next.
 	minGain = 0.45
 	// fullCostWait is the wait, as a share of the objective, that costs as much
 	// as a good answer is worth. Together with minGain, it rules out costlier
-	// models from about half of this wait on. With twice the share, the
-	// answers' value at three times the load falls from 0.59 to 0.57.
+	// models from about half of this wait on.
 	fullCostWait = 0.5
 	// lateValue is the value of a good answer that is late, relative to one in
 	// time. The deployments' specifications set 0.3 for each kind of request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,8 +65,8 @@
 	driverLeaseTTL = 2500 * time.Millisecond
 	// addressTTL is how long clients may cache the addresses from the directory.
 	// A gateway that shuts down keeps serving for longer. 1 s is the shortest TTL
-	// that the directory can express; with 2 s, twice as many requests arrived
-	// after the stop signal (3,187 instead of 1,696 in 72 stops).
+	// that the directory can express; the longer it is, the more requests arrive after
+	// the stop signal.
 	addressTTL = time.Second
 	// retrySafetyFactor is the fraction of the platform's retry limit that is used,
 	// since the gateways' windows are not aligned with those that the platform checks.
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -30,7 +30,7 @@
 	// upstream, so that not all nodes call at once in an outage.
 	retryPause = time.Second
 	// coalesceTime is the time between two watches, so that one call fetches changes
-	// that come close together. 300 ms halved the number of calls.
+	// that come close together.
 	coalesceTime = 250 * time.Millisecond
 	// readTimeout is how long a snapshot may take until its first bytes arrive.
 	readTimeout = 2 * time.Second
--- a/relay/durations.go
+++ b/relay/durations.go
@@ -15,9 +15,7 @@
 	// minDurationSamples is how many samples make a duration known.
 	minDurationSamples = 3
 	// boundDeviations is how many mean deviations the upper bound is above the expected
-	// duration. With one, 168 of 1,273 requests that draining nodes admitted under load were
-	// truncated; with two, 95 of 1,122, and refusing the others had no visible cost for
-	// clients.
+	// duration. A draining node that admits what fits on average truncates many responses.
 	boundDeviations = 2
 	// maxKinds bounds the kinds of request that are tracked; declarations have a few hundred
 	// routes.
--- a/relay/forecast.go
+++ b/relay/forecast.go
@@ -3,9 +3,8 @@
 import "time"
 
 // endsBeforeShutdown reports whether an attempt made now with the present model completes
-// before the process ends. Without this check, shutdowns truncated many requests: of 1,873
-// requests cut off by 36 shutdowns under load, 398 had been admitted after the signal and 215
-// had been sent to another server late.
+// before the process ends, so that a shutdown does not truncate requests that were admitted
+// after the signal or sent to another server late.
 func (x *exchange) endsBeforeShutdown() bool {
 	shutdown := x.relay.shutdown.Load()
 	switch {
--- a/relay/ready.go
+++ b/relay/ready.go
@@ -12,9 +12,8 @@
 	// the client is then refused with a retry time.
 	maxReadyWait = 500 * time.Millisecond
 	// readyWaitShare is the share of the client's time that may be spent waiting, so that the
-	// rest is left for another node. With a tenth, 366 of 660 requests to starting nodes of a
-	// large deployment were refused, mostly those whose clients wait for 1.5 s, while the nodes
-	// were ready after 0.26 to 0.42 s.
+	// rest is left for another node. Clients with short deadlines need this much: a node of a
+	// large deployment takes up to half a second.
 	readyWaitShare = 1.0 / 3
 )
 
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -14,9 +14,8 @@
 const (
 	// minFirstByteShare and maxFirstByteShare bound the wait for the first byte, as shares of
 	// the route's objective; only responses that are expected to take longer may exceed them. A
-	// rerouted request is processed again elsewhere and delays all others: at half of the
-	// objective, one request in ten was rerouted, from servers that were only busy, and the
-	// value of the responses fell from 0.67 to 0.64.
+	// rerouted request is processed again elsewhere and delays all others, so servers that are
+	// only busy must not lose their requests.
 	minFirstByteShare = 0.8
 	maxFirstByteShare = 0.9
 	// maxExpectedFactor is the multiple of the expected time within which a response must
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -53,14 +53,12 @@
 	// lastStageFraction is the last stage's least fraction of the period.
 	lastStageFraction = 0.08
 	// targetLoadFactor is the load of each target server during a stage, as a
-	// multiple of its final load. It makes up for the variation of load over time:
-	// a version that fails only under load failed none of 320 responses when load
-	// was low and one in twenty when it was high (deploy/days/bad-under-load.toml).
+	// multiple of its final load. It makes up for the variation of load over time: a
+	// version that fails only under load shows nothing while load is low
+	// (deploy/days/bad-under-load.toml).
 	targetLoadFactor = 1.6
 	// maxLoadFactor limits the load of each target server, as a multiple of its
-	// final load. With one of nine servers at 2.7 times its final load, good
-	// versions were stopped as slow in four of twelve rollouts; two servers carry
-	// 1.35 times theirs.
+	// final load. Above it, good versions are stopped as slow.
 	maxLoadFactor = 2.2
 	// minFirstStageServers is the least number of servers that get the first
 	// stage's share, so that one slow server does not decide about its version.
@@ -75,10 +73,8 @@
 // service counts as at least 0.125. Each test may stop one good version in a
 // hundred.
 //
-// A version that failed only under load failed 23 of 1,860 responses
-// (deploy/days/bad-under-load.toml). Of the responses of good versions up to 15 in
-// 100 were slow, since the prompt caches of their servers were empty; of a slow
-// version's responses half were slow.
+// Some responses of good versions are slow because the prompt caches of their new
+// servers are empty, which MinSlowBaseline allows for.
 var serviceGuards = config.Guards{
 	MaxBadIncrease: 0.1, StrictBadIncrease: 0.005, MaxSlowIncrease: 0.3, MinSlowBaseline: 0.125, FalseAlarmRate: 0.01,
 }
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -207,10 +207,8 @@
 // blockingTime returns for how long a task delays the requests behind it, in
 // milliseconds. An engine prefills one prompt at a time, but the part of the
 // latency that does not depend on the prompt's size (receiving the request, the
-// first token, sending the response) does not block others: of two short prompts
-// that reached an idle engine within 12 ms, both took 58 ms (medians of 26
-// pairs). Counted as blocking, that part was nine tenths of a short prompt's work
-// for a fast model, and most predicted waits did not occur.
+// first token, sending the response) does not block others. It is most of a short
+// prompt's latency, so counting it would predict waits that do not occur.
 func (p prediction) blockingTime(t Task, regression *estimate.Regression) float64 {
 	if t.PromptTokens > 0 {
 		return regression.Rate() * float64(t.PromptTokens-p.cachedTokens)
--- a/route/shortlist.go
+++ b/route/shortlist.go
@@ -8,11 +8,7 @@
 // sampleSize is how many random servers of the node's own data hall, and how many
 // of all others, are compared for a request. In a large deployment all nodes
 // receive the same updates, some 100 ms late: if each compared all servers, all
-// would send to the best one until they learn of each other's sends. With updates
-// 125 ms old and 105 servers, 26% of the requests were at least the sixth to reach
-// their server within 100 ms, and requests waited for 210 ms; with samples of
-// three it was 3% and 98 ms, with six 10% and 115 ms (TestHerd). With six nodes
-// and 15 servers it makes no difference.
+// would send to the best one until they learn of each other's sends (TestHerd).
 const sampleSize = 3
 
 // candidate is a server that can take a task.
--- a/share/budget.go
+++ b/share/budget.go
@@ -16,8 +16,8 @@
 	// maxRecordsPerSecond bounds the requests that all nodes publish together. At some
 	// 45 bytes each, a node receives 36 kB a second, however many nodes there are, and a
 	// node in the middle of a tree sends eight times as much, a quarter of a link of
-	// 10 Mbit/s. With half of the requests published instead of all, requests waited for
-	// 160 ms instead of 80 (1,000 prompts a second, 105 servers).
+	// 10 Mbit/s. The fewer are published, the longer requests wait at servers that other
+	// nodes have filled.
 	maxRecordsPerSecond = 800.0
 	// thresholdStep is the relative rise of the threshold with each published record.
 	thresholdStep = 0.05
--- a/share/share.go
+++ b/share/share.go
@@ -39,8 +39,7 @@
 
 // logSize is the number of records that a node keeps for its peers, and the most that one
 // message carries, some 10 kB. When nodes join or leave, other nodes get a new parent and
-// receive the whole log; with 4,096 records, every tenth plain response was late on VMs with
-// a link of 10 Mbit/s.
+// receive the whole log, which must not delay responses on a link of 10 Mbit/s.
 const logSize = 200
 
 const (
