warmup, relay: limits of a new declaration count at once; servers left for a further attempt

Found on reading: the list without other nodes' servers was used for up to a minute, also if a declaration changed the limits meanwhile; and servers that this node may not send to counted as left for another attempt, so that a server's answer of 500 could be dropped though nobody else could be asked.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -138,7 +138,7 @@
 	if len(candidates) == 0 && len(servers) > 0 {
 		candidates, version = x.chooseVersion(x.relay.WarmUps.Filter(untried))
 	}
-	x.otherServers = len(untried) - 1
+	x.otherServers = len(x.relay.WarmUps.Filter(untried)) - 1
 	return candidates, version
 }
 
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -53,6 +53,9 @@
 	// maxRefreshGap is the longest time between two reads after which the list still counts
 	// as known throughout. This process did not run if it is exceeded.
 	maxRefreshGap = time.Second
+	// listValidity is the longest time for which a filtered list is used again: a new
+	// declaration may change the limits.
+	listValidity = time.Second
 	// maxWarmUp is the longest time for which a server is taken to warm up if its service
 	// declares none.
 	maxWarmUp = time.Minute
@@ -107,7 +110,8 @@
 	// first and length identify the list that was filtered.
 	first  *registry.Server
 	length int
-	// validUntil is when one of the servers left out will be warm.
+	// validUntil is when one of the servers left out will be warm, and listValidity from the
+	// filtering at the latest.
 	validUntil time.Time
 	servers    []registry.Server
 	// warming holds the indices of the servers that are warming up, which this node owns.
@@ -183,7 +187,7 @@
 	if l.last.first == &servers[0] && l.last.length == len(servers) && now.Before(l.last.validUntil) {
 		return l.last
 	}
-	list := ownedList{first: &servers[0], length: len(servers), validUntil: now.Add(maxWarmUp), servers: make([]registry.Server, 0, len(servers))}
+	list := ownedList{first: &servers[0], length: len(servers), validUntil: now.Add(listValidity), servers: make([]registry.Server, 0, len(servers))}
 	for _, s := range servers {
 		warmAt := l.warmAt(s)
 		switch {
