--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -225,7 +225,7 @@
 	for _, e := range endpoints {
 		go func() { failed <- e.serve(workCtx, e.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.noteSync, g.watchStalls, g.watchEvacuations, g.warmUps.Run} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.warmUps.Run} {
 		go run(workCtx)
 	}
 	// The driver's lease is released at the stop signal and not after the drain, so
@@ -256,15 +256,6 @@
 	}
 }
 
-// noteSync tells the registry when the first read of the store has been delivered.
-func (g *Gateway) noteSync(ctx context.Context) {
-	select {
-	case <-g.mirror.Synced():
-		g.registry.Synced()
-	case <-ctx.Done():
-	}
-}
-
 // watchStalls logs each time that this process was not scheduled for a while.
 func (g *Gateway) watchStalls(ctx context.Context) { stall.Watch(ctx, g.timers, stall.Log) }
 
--- a/gateway/subscribe.go
+++ b/gateway/subscribe.go
@@ -43,6 +43,9 @@
 	if next.Version() <= g.Catalog().Version() {
 		return
 	}
+	if g.Catalog().Version() == 0 {
+		g.registry.Synced() // the first read of the store brings the first declaration
+	}
 	g.catalog.Store(next)
 	slog.Info("declaration in force", "version", next.Version(), "revision", c.Revision, "bytes", len(c.Value))
 }
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -68,9 +68,6 @@
 	PerSecond float64
 }
 
-// maxRequests returns the number of requests that an owner may send in one window.
-func (l Limit) maxRequests() int { return int(l.PerSecond) }
-
 // Nodes lists the nodes that share the servers.
 type Nodes interface {
 	// Listed reports whether the other nodes can find this one in their lists.
@@ -273,7 +270,7 @@
 	l.refresh(now)
 	state := l.state(s, warmAt)
 	state.sent = slices.DeleteFunc(state.sent, func(at time.Time) bool { return now.Sub(at) >= window })
-	return state.owned && len(state.sent) < l.limits(s.Service).maxRequests()
+	return state.owned && float64(len(state.sent)+1) <= l.limits(s.Service).PerSecond
 }
 
 // state returns the state of a server that is warming up. The caller holds mu.
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -290,6 +290,23 @@
 	}
 }
 
+// TestAbsurdRate checks that a rate beyond any integer is no limit. Converted to an integer it
+// was negative, and the server got nothing while it warmed up.
+func TestAbsurdRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		limit := warmup.Limit{Duration: time.Hour, PerSecond: 1e300}
+		l := warmup.New(view.Member{VM: "n"}, listedAlone{}, func(string) warmup.Limit { return limit }, timers)
+		servers := []registry.Server{{ID: "s", Updated: timers.Steady(), WarmUp: time.Hour}}
+		for end := time.Now().Add(settled); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			l.Filter(servers)
+		}
+		must.Len(t, 1, l.Filter(servers))
+		must.True(t, l.Take(servers[0]))
+	})
+}
+
 // listedAlone is the list of nodes of the only node.
 type listedAlone struct{}
 
