--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -32,8 +32,9 @@
 		slog.Warn("evacuation order for a data hall that is not among the settings", "data_hall", hall, "revision", c.Revision)
 	}
 	if _, isNew := g.registry.Evacuate(hall, c.Revision); isNew {
-		slog.Info("data hall evacuated", "data_hall", hall, "revision", c.Revision, "servers", len(g.registry.Evacuated(hall)),
-			"requests_running", g.balancer.InFlight(g.registry.Evacuated(hall)))
+		servers := g.registry.Evacuated(hall)
+		slog.Info("data hall evacuated", "data_hall", hall, "revision", c.Revision, "servers", len(servers),
+			"requests_running", g.balancer.InFlight(servers))
 	}
 }
 
--- a/node/backends.go
+++ b/node/backends.go
@@ -104,8 +104,9 @@
 // polledServers returns the servers that this node sends requests to.
 func (b *backends) polledServers() []poolServer {
 	var servers []poolServer
-	for _, pool := range b.n.Config().Pools() {
-		for _, server := range b.chooser.Subset(pool.Name, b.n.Config().Servers(pool.Name)) {
+	snapshot := b.n.Config()
+	for _, pool := range snapshot.Pools() {
+		for _, server := range b.chooser.Subset(pool.Name, snapshot.Servers(pool.Name)) {
 			servers = append(servers, poolServer{pool.Name, server})
 		}
 	}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -135,10 +135,11 @@
 	x.knownServers = len(known)
 	servers, version := x.chooseVersion(untried)
 	candidates := x.relay.WarmUps.Filter(servers)
+	allowed := x.relay.WarmUps.Filter(untried)
 	if len(candidates) == 0 && len(servers) > 0 {
-		candidates, version = x.chooseVersion(x.relay.WarmUps.Filter(untried))
+		candidates, version = x.chooseVersion(allowed)
 	}
-	x.otherServers = len(x.relay.WarmUps.Filter(untried)) - 1
+	x.otherServers = len(allowed) - 1
 	return candidates, version
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -68,8 +68,10 @@
 		if x.suspected() && !x.takeProbe(ctx) {
 			return x.deliver(refusalf(ReasonSuspected, 0, "servers ended while they ran this request, content %016x; it is sent to no other one", x.contentDigest()))
 		}
-		x.awaitServers(ctx)
 		assignment, version, refusal := x.choose()
+		if refusal != nil && x.awaitServers(ctx) {
+			assignment, version, refusal = x.choose()
+		}
 		if refusal != nil {
 			return x.deliver(refusal)
 		}
--- a/relay/recovery.go
+++ b/relay/recovery.go
@@ -18,10 +18,11 @@
 
 // awaitServers holds a request while its service has no known server although there may be
 // running ones, whose entries have expired in an outage of the store. A refusal would cost the
-// client one of few attempts, and all clients would come back at once.
-func (x *exchange) awaitServers(ctx context.Context) {
+// client one of few attempts, and all clients would come back at once. It reports whether the
+// request was held.
+func (x *exchange) awaitServers(ctx context.Context) bool {
 	if !x.awaitsServers() {
-		return
+		return false
 	}
 	begun := time.Now()
 	left := time.Duration(serversWaitShare * float64(time.Until(x.deadline)))
@@ -32,6 +33,7 @@
 	}
 	x.record.AddStep("servers", "waited %d ms for servers of %s, %d known", time.Since(begun).Milliseconds(), x.service,
 		len(x.relay.Servers.Servers(x.service)))
+	return true
 }
 
 // awaitsServers reports whether servers of the service may become known soon.
