--- /dev/null
+++ b/autoscale/planner.go
@@ -0,0 +1,209 @@
+package autoscale
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// targetBusy is the share of the time for which servers are to be busy with prompts. The
+	// higher it is, the longer requests wait when several arrive at once.
+	targetBusy = 0.2
+	// targetSlots is the share of the slots that are to be in use. The more of them are, the
+	// slower each request runs.
+	targetSlots = 0.4
+	// shrinkTime is the time in which a service without demand would lose all its servers:
+	// load that has just fallen may rise again, and removed servers lose their caches.
+	shrinkTime = 5 * time.Minute
+	// refusalPause is how long a data hall that had no spot servers is not asked for any.
+	refusalPause = 3 * time.Second
+	// shrinkStep is the least relative fall of the number of spot servers that is worth an
+	// order.
+	shrinkStep = 0.15
+	// spareTime is how long reserved servers are kept after spot servers have replaced them.
+	spareTime = 2 * time.Second
+)
+
+// Planner decides how many servers of a service are needed. It is not safe for concurrent
+// use.
+//
+// The load pattern that it answers: load that jumps within seconds and falls slowly, and
+// spot servers of which a whole data hall's go at once.
+type Planner struct {
+	service Service
+	halls   []string
+	// capacity is the number of servers that the service needs, updated at updated; zero
+	// until the first plan.
+	capacity float64
+	updated  time.Time
+	// spot is the last number of spot servers in each data hall.
+	spot int
+	// refusedUntil holds by data hall until when no spot servers are ordered there.
+	refusedUntil map[string]time.Time
+	// startedUntil holds by data hall until when spot servers that were ordered count as
+	// starting.
+	startedUntil map[string]time.Time
+	// reserved is the last number of reserved servers by data hall, and spareSince since when
+	// fewer would do.
+	reserved   map[string]int
+	spareSince time.Time
+}
+
+// NewPlanner returns a planner that has planned nothing.
+func NewPlanner(s Service) *Planner {
+	p := &Planner{
+		refusedUntil: make(map[string]time.Time),
+		startedUntil: make(map[string]time.Time),
+		reserved:     make(map[string]int),
+	}
+	p.Declare(s)
+	return p
+}
+
+// Declare replaces the declaration of the service.
+func (p *Planner) Declare(s Service) {
+	p.service = s
+	p.halls = p.halls[:0]
+	for hall := range s.HallPrices {
+		p.halls = append(p.halls, hall)
+	}
+	slices.SortFunc(p.halls, func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.HallPrices[a], s.HallPrices[b]), cmp.Compare(a, b))
+	})
+}
+
+// SpotRefused records that a data hall has no spot servers now.
+func (p *Planner) SpotRefused(hall string, now time.Time) {
+	p.refusedUntil[hall] = now.Add(refusalPause)
+	delete(p.startedUntil, hall)
+}
+
+// SpotOrdered records that spot servers of a data hall have been ordered.
+func (p *Planner) SpotOrdered(hall string, now time.Time) {
+	p.startedUntil[hall] = now.Add(p.service.StartUp + p.service.WarmUp)
+}
+
+// Plan returns the orders that hold from now on, for all data halls, cheapest first.
+func (p *Planner) Plan(now time.Time, pools map[string]Pool, d Demand) []Order {
+	p.updateCapacity(now, pools, d)
+	if spot := p.spotPerHall(); spot > p.spot || float64(spot) <= (1-shrinkStep)*float64(p.spot) {
+		p.spot = spot
+	}
+	var orders []Order
+	expected := 0
+	for _, hall := range p.halls {
+		if p.spot > 0 && !now.Before(p.refusedUntil[hall]) {
+			orders = append(orders, Order{Service: p.service.Name, Hall: hall, Spot: true, Servers: p.spot})
+		}
+		expected += p.expectedSpot(hall, pools[hall], now)
+	}
+	return append(orders, p.planReserved(now, pools, int(math.Ceil(p.capacity))-expected)...)
+}
+
+// updateCapacity raises the capacity to the demand at once and lowers it slowly.
+func (p *Planner) updateCapacity(now time.Time, pools map[string]Pool, d Demand) {
+	if p.capacity == 0 {
+		p.capacity = p.initialCapacity(pools)
+	}
+	if !p.updated.IsZero() {
+		p.capacity -= p.capacity * float64(now.Sub(p.updated)) / float64(shrinkTime)
+	}
+	p.updated = now
+	needed := math.Max(d.Busy/targetBusy, d.Running/(targetSlots*float64(max(1, p.service.Slots))))
+	least := float64(max(1, p.service.Min*len(p.halls)))
+	p.capacity = math.Min(math.Max(math.Max(p.capacity, needed), least), float64(p.service.Max*len(p.halls)))
+}
+
+// initialCapacity returns the capacity of the servers that run. Spot servers beyond what is
+// needed are there for the loss of one data hall.
+func (p *Planner) initialCapacity(pools map[string]Pool) float64 {
+	reserved, spot := 0, 0
+	for _, pool := range pools {
+		reserved += pool.Reserved
+		spot += pool.Spot
+	}
+	return float64(reserved) + float64(spot)*p.withoutOneHall()
+}
+
+// withoutOneHall is the share of evenly spread servers that is left when one data hall loses
+// its own.
+func (p *Planner) withoutOneHall() float64 {
+	if len(p.halls) < 2 {
+		return 1
+	}
+	return float64(len(p.halls)-1) / float64(len(p.halls))
+}
+
+// spotPerHall returns how many spot servers each data hall should have, so that without those
+// of any one hall the others suffice. It is zero if spot servers don't save anything.
+func (p *Planner) spotPerHall() int {
+	if p.service.SpotPrice <= 0 || p.service.SpotPrice >= p.withoutOneHall() || len(p.halls) == 0 {
+		return 0
+	}
+	perHall := p.capacity / p.withoutOneHall() / float64(len(p.halls))
+	return min(max(int(math.Ceil(perHall)), p.service.Min), p.service.Max)
+}
+
+// expectedSpot returns how many warm spot servers a data hall has or is about to have.
+func (p *Planner) expectedSpot(hall string, pool Pool, now time.Time) int {
+	warm := pool.Spot - pool.ColdSpot
+	if p.reserved[hall] == 0 && now.Before(p.startedUntil[hall]) {
+		// There is nothing that could be kept until they are warm.
+		return max(warm, p.spot)
+	}
+	return warm
+}
+
+// planReserved returns the orders for reserved servers, so that there are at least the given
+// number in all. Reserved servers are removed only after they have been spare for spareTime.
+func (p *Planner) planReserved(now time.Time, pools map[string]Pool, total int) []Order {
+	have := 0
+	for hall, pool := range pools {
+		if _, planned := p.reserved[hall]; !planned {
+			p.reserved[hall] = pool.Reserved
+		}
+		have += p.reserved[hall]
+	}
+	switch {
+	case total >= have:
+		p.spareSince = time.Time{}
+		p.addReserved(pools, total-have)
+	case p.spareSince.IsZero():
+		p.spareSince = now
+	case now.Sub(p.spareSince) >= spareTime:
+		p.removeReserved(pools, have-max(0, total))
+	}
+	orders := make([]Order, 0, len(p.halls))
+	for _, hall := range p.halls {
+		orders = append(orders, Order{Service: p.service.Name, Hall: hall, Servers: p.reserved[hall]})
+	}
+	return orders
+}
+
+// addReserved plans more reserved servers, in the cheapest data halls that have room, but in
+// no hall more than half again its share.
+func (p *Planner) addReserved(pools map[string]Pool, count int) {
+	if len(p.halls) == 0 {
+		return
+	}
+	share := int(math.Ceil(1.5 * p.capacity / float64(len(p.halls))))
+	for _, hall := range p.halls {
+		room := min(p.service.Max-pools[hall].Spot, share) - p.reserved[hall]
+		added := max(0, min(count, room))
+		p.reserved[hall] += added
+		count -= added
+	}
+}
+
+// removeReserved plans fewer reserved servers, the dearest data halls first. Each hall keeps
+// the declared minimum while it has no spot servers.
+func (p *Planner) removeReserved(pools map[string]Pool, count int) {
+	for _, hall := range slices.Backward(p.halls) {
+		least := max(0, p.service.Min-(pools[hall].Spot-pools[hall].ColdSpot))
+		removed := max(0, min(count, p.reserved[hall]-least))
+		p.reserved[hall] -= removed
+		count -= removed
+	}
+}
