--- a/adapter/peer/declaration_test.go
+++ b/adapter/peer/declaration_test.go
@@ -200,6 +200,7 @@
 func (g mirrorGateway) Previous(key string) (mirror.Item, bool) { return g.m.Previous(key) }
 func (mirrorGateway) Counts() (string, rollout.Counts)          { return "node", rollout.Counts{} }
 func (mirrorGateway) Exchange(share.Message) share.Reply        { return share.Reply{} }
+func (mirrorGateway) Activity(int64) peer.Activity              { return peer.Activity{} }
 
 // link simulates a node's network link: all its connections share one rate, and send
 // in the order of writing.
--- a/adapter/peer/delta_test.go
+++ b/adapter/peer/delta_test.go
@@ -88,6 +88,7 @@
 }
 func (*fakeGateway) Counts() (string, rollout.Counts)   { return "node", rollout.Counts{} }
 func (*fakeGateway) Exchange(share.Message) share.Reply { return share.Reply{} }
+func (*fakeGateway) Activity(int64) peer.Activity       { return peer.Activity{} }
 
 // FuzzDifference checks that any delta from a peer is decoded or rejected.
 func FuzzDifference(f *testing.F) {
--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -8,9 +8,11 @@
 	"github.com/joomcode/errorx"
 	"storj.io/drpc"
 
+	"github.com/violettally/violettally/autoscale"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/share"
+	"github.com/violettally/violettally/usage"
 )
 
 // callExchange sends a peer records of the requests that were sent to servers, and
@@ -20,6 +22,22 @@
 // callFollow fetches the changes after a revision from a node's copy of the store.
 const callFollow = "follow"
 
+// callActivity fetches what a node has sent to backend servers.
+const callActivity = "activity"
+
+// activityRequest asks for the usage counts of the windows from FromWindow on.
+type activityRequest struct {
+	FromWindow int64 `cbor:"1,keyasint"`
+}
+
+// Activity is what a node has sent to backend servers.
+type Activity struct {
+	// Usage holds the requests that servers have begun to run, by client account.
+	Usage usage.Snapshot `cbor:"1,keyasint"`
+	// Work is by service.
+	Work map[string]autoscale.Work `cbor:"2,keyasint,omitempty"`
+}
+
 // followRequest asks for the changes after a revision, waiting for some up to Wait.
 type followRequest struct {
 	After int64         `cbor:"1,keyasint"`
@@ -38,6 +56,7 @@
 	Previous(key string) (mirror.Item, bool)
 	Counts() (node string, counts rollout.Counts)
 	Exchange(m share.Message) share.Reply
+	Activity(fromWindow int64) Activity
 }
 
 // NewGatewayServer returns a server for the calls between gateways. It does not serve
@@ -52,6 +71,9 @@
 			return g.Exchange(m), nil
 		}),
 		callCounts: countsHandler(g.Counts),
+		callActivity: unaryHandler(func(_ context.Context, r activityRequest) (Activity, error) {
+			return g.Activity(r.FromWindow), nil
+		}),
 	}}
 }
 
@@ -91,3 +113,9 @@
 func (c *Client) Exchange(ctx context.Context, address string, m share.Message) (share.Reply, error) {
 	return invoke[share.Message, share.Reply](ctx, c, address, callExchange, m)
 }
+
+// Activity fetches what a gateway has sent to backend servers, with the usage counts of the
+// windows from the given one on.
+func (c *Client) Activity(ctx context.Context, address string, fromWindow int64) (Activity, error) {
+	return invoke[activityRequest, Activity](ctx, c, address, callActivity, activityRequest{FromWindow: fromWindow})
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -116,6 +116,21 @@
 	WarmUpRate float64
 	// Engine is set if the servers run models.
 	Engine *Engine
+	// Autoscale is set if this system orders the service's servers.
+	Autoscale *Autoscale
+}
+
+// Autoscale declares how many servers of a service may be ordered, and their prices.
+type Autoscale struct {
+	// Min and Max bound the number of servers in each data hall.
+	Min, Max int
+	// StartUp is the time from an order until a new server serves.
+	StartUp time.Duration
+	// SpotPrice is the price of a spot server as a share of a reserved one's; zero if there
+	// are none.
+	SpotPrice float64
+	// HallPrices is the price of a reserved server in each data hall.
+	HallPrices map[string]float64
 }
 
 // Engine describes the model engines of a service.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,7 +58,8 @@
 )
 
 const (
-	// driverLeaseName is the name of the lease of the gateway that drives rollouts.
+	// driverLeaseName is the name of the lease of the gateway that drives rollouts and makes
+	// the calls that only one may make.
 	driverLeaseName = "driver"
 	// driverLeaseTTL leaves enough time to replace a failed driver within the 5 s
 	// in which a bad version must be stopped. A shorter TTL costs more renewals.
@@ -97,6 +98,8 @@
 	servicePicker *rollout.ServicePicker
 	driver        *rollout.Driver
 	leaseHolder   *lease.Holder
+	vacancy       lease.Vacancy
+	duties        *duties
 	peerClient    *peer.Client
 	membership    *membership
 	exchange      *share.Exchange
@@ -143,6 +146,7 @@
 	g.membership.synced = g.mirror.Synced()
 	g.verdictSyncer = suspect.NewSyncer(g.detector, g.store, g.mirror, g.membership.countAllPeers, g.timers)
 	g.initRollouts()
+	g.duties = newDuties(g)
 	g.subscribe()
 	g.initRelay()
 	if err := g.registerGauges(); err != nil {
@@ -174,14 +178,14 @@
 func (g *Gateway) initRollouts() {
 	g.picker = rollout.NewPicker()
 	g.servicePicker = rollout.NewServicePicker(g.picker, canarySafetyFactor*g.settings.Bounds.CanaryShare)
-	g.leaseHolder = lease.New(driverLeaseName, g.self.ID, g.store, g.timers, driverLeaseTTL, lease.WithEligibility(g.mayDrive))
+	g.leaseHolder = lease.New(driverLeaseName, g.self.ID, g.store, g.timers, driverLeaseTTL, lease.WithEligibility(g.mayHoldLease))
 	g.driver = rollout.NewDriver(stagesKey, stageUpdater{g}, countCollector{g}, g.leaseHolder, g.servicePicker.Models, g.timers)
 }
 
 // initRelay creates the relay, which handles requests.
 func (g *Gateway) initRelay() {
 	g.decisions = decision.New(g.self.ID)
-	g.relay = relay.New(relay.Options{
+	options := relay.Options{
 		Ready:     g.mirror.Synced(),
 		Catalog:   g.Catalog,
 		Servers:   g.registry,
@@ -196,7 +200,11 @@
 		Backends:  g.backends,
 		Records:   g.decisions,
 		Counters:  g.metrics.Relay(),
-	})
+	}
+	if g.duties != nil {
+		options.Usage = g.duties.meter
+	}
+	g.relay = relay.New(options)
 }
 
 // newRetryBudgets returns this gateway's part of a retry budget that all gateways
@@ -228,6 +236,9 @@
 	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.warmUps.Run} {
 		go run(workCtx)
 	}
+	if g.duties != nil {
+		go g.duties.run(workCtx)
+	}
 	// The driver's lease is released at the stop signal and not after the drain, so
 	// that another gateway can drive rollouts meanwhile. The drain doesn't wait for
 	// it: a lease that can't be released expires.
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -4,23 +4,16 @@
 	"context"
 	"log/slog"
 	"strings"
-	"sync"
-	"time"
 
 	"github.com/violettally/violettally/document"
-	"github.com/violettally/violettally/lease"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/platform"
 	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/view"
 )
 
-const (
-	// stagesKey holds the stages of all rollouts, so that the next driver can
-	// continue them.
-	stagesKey = "rollouts"
-	// collectTimeout limits the collection of the peers' counts.
-	collectTimeout = 400 * time.Millisecond
-)
+// stagesKey holds the stages of all rollouts, so that the next driver can continue them.
+const stagesKey = "rollouts"
 
 // applyOrder applies a change of an operator's rollout order.
 func (g *Gateway) applyOrder(c mirror.Change) {
@@ -51,13 +44,6 @@
 	slog.Info("rollout stages updated", "stages", string(c.Value), "revision", c.Revision)
 }
 
-// mayDrive reports whether this gateway competes for the driver's lease: a rollout is
-// active and no gateway is known to hold the lease.
-func (g *Gateway) mayDrive() bool {
-	_, held := g.mirror.Get(lease.Prefix + driverLeaseName)
-	return !held && !g.leaving.Load() && g.rolloutActive()
-}
-
 // rolloutActive reports whether any ordered rollout has not ended yet.
 func (g *Gateway) rolloutActive() bool {
 	for _, m := range g.servicePicker.Models() {
@@ -114,28 +100,22 @@
 
 // Collect returns the counts of this gateway and of those that respond in time, by
 // gateway ID.
+//
+// Without the counts of gateways that are leaving, a rollout could be considered complete and
+// the old servers stopped while those gateways still serve streams.
 func (c countCollector) Collect(ctx context.Context) map[string]rollout.Counts {
-	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
-	defer cancel()
+	type reply struct {
+		id     string
+		counts rollout.Counts
+	}
+	replies := collectFromPeers(ctx, c.g, func(ctx context.Context, m view.Member) (reply, error) {
+		id, counts, err := c.g.peerClient.Counts(ctx, m)
+		return reply{id, counts}, err
+	})
 	ownID, ownCounts := c.g.Counts()
 	all := map[string]rollout.Counts{ownID: ownCounts}
-	var mu sync.Mutex
-	var calls sync.WaitGroup
-	// Gateways that are leaving are included, since their streams run on for seconds.
-	// Without their counts, a rollout could be considered complete and the old servers
-	// stopped while they still serve those streams.
-	for _, m := range c.g.membership.allPeers() {
-		calls.Go(func() {
-			id, counts, err := c.g.peerClient.Counts(ctx, m)
-			if err != nil {
-				slog.Debug("collecting counts of a gateway failed", "id", m.ID, "error", err)
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			all[id] = counts
-		})
+	for _, r := range replies {
+		all[r.id] = r.counts
 	}
-	calls.Wait()
 	return all
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -23,10 +23,12 @@
 
 	"github.com/violettally/violettally/claim"
 	"github.com/violettally/violettally/dispatch"
+	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/ledger"
 	"github.com/violettally/violettally/member"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/suspect"
+	"github.com/violettally/violettally/usage"
 )
 
 // Metrics holds the instruments of one process. It is safe for concurrent use.
@@ -52,6 +54,8 @@
 	loadReports     metric.Int64Counter
 	mirrorEvents    metric.Int64Counter
 	suspectEvents   metric.Int64Counter
+	usageReports    metric.Int64Counter
+	serverOrders    metric.Int64Counter
 
 	escalations metric.Int64Counter
 	resumes     metric.Int64Counter
@@ -103,6 +107,8 @@
 		{&m.unusableEntries, "violettally_entries_unusable", "Entries in the platform's store that name no server or node to use, by reason."},
 		{&m.mirrorEvents, "violettally_news", "What happened to the news of the platform's store, by event."},
 		{&m.suspectEvents, "violettally_suspects", "What happened to the evidence on requests under which servers end, by event."},
+		{&m.usageReports, "violettally_usage_reports", "Windows whose usage was to be reported, by result."},
+		{&m.serverOrders, "violettally_server_orders", "Orders of backend servers, by result."},
 		{&m.breakersOpened, "violettally_breakers_opened", "Backend servers taken out after failures."},
 	}
 	for _, c := range counters {
@@ -216,6 +222,20 @@
 	add(m.suspectEvents, 1, attribute.String("event", e.String()))
 }
 
+// UsageReport counts what became of the usage report on a window.
+func (m *Metrics) UsageReport(r usage.Result) {
+	add(m.usageReports, 1, attribute.String("result", r.String()))
+}
+
+// ServersOrdered counts an order of backend servers, by the kind of its error.
+func (m *Metrics) ServersOrdered(err error) {
+	result := "accepted"
+	if err != nil {
+		result = errs.Kind(err)
+	}
+	add(m.serverOrders, 1, attribute.String("result", result))
+}
+
 // BreakerOpened counts a server whose circuit breaker opened.
 func (m *Metrics) BreakerOpened(server string) {
 	add(m.breakersOpened, 1, attribute.String("server", server))
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -46,6 +46,8 @@
 	// Slots is the number of requests that the server runs at once.
 	Slots   int
 	Leaving bool
+	// Spot means that the server is a cheap one that may be taken away at any time.
+	Spot bool
 	// WarmUp is how much longer the server was going to warm up when the entry was written.
 	WarmUp time.Duration
 
@@ -178,6 +180,20 @@
 	return incarnations
 }
 
+// Known returns the servers of a service whose entries are valid, including those that are
+// leaving and those in evacuated data halls.
+func (r *Registry) Known(service string) []Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var known []Server
+	for _, s := range r.servers {
+		if _, invalid := r.invalid[s.ID]; s.Service == service && !invalid {
+			known = append(known, s)
+		}
+	}
+	return known
+}
+
 // Servers returns the servers of a service that may get new requests, sorted by ID. The
 // list must not be modified.
 func (r *Registry) Servers(service string) []Server {
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -66,6 +66,9 @@
 	assignment.RecordResponseStart()
 	assignment.RecordResult(isServerError(resp))
 	x.runs++
+	if x.relay.Usage != nil && x.account != "" {
+		x.relay.Usage.Count(x.account)
+	}
 	if x.responseStarted && resp.Status() != http.StatusOK {
 		// The client is in the middle of a stream and can only be sent the rest of it.
 		assignment.End(route.OutcomeNeutral)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -254,7 +254,12 @@
 	ReportProgress(server uint64, sent, opened time.Time)
 }
 
-// Options are the dependencies of a Relay. All are required except Ready.
+// Usage counts the requests that servers have begun to run, by client account.
+type Usage interface {
+	Count(account string)
+}
+
+// Options are the dependencies of a Relay. All are required except Ready and Usage.
 type Options struct {
 	// Ready is closed once this process has loaded its configuration; nil if it has it from the
 	// beginning.
@@ -275,6 +280,7 @@
 	Backends Backends
 	Records  *decision.Log
 	Counters Counters
+	Usage    Usage
 }
 
 // Relay forwards requests. It is safe for concurrent use.
--- a/route/assignment.go
+++ b/route/assignment.go
@@ -163,6 +163,7 @@
 	defer b.mu.Unlock()
 	s := a.state
 	s.inflight--
+	b.serviceWork(a.server.Service).Running--
 	switch outcome {
 	case OutcomeOK:
 		s.breaker.succeed()
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -81,6 +81,16 @@
 	servers       map[uint64]*balancerServer
 	regressions   map[string]*estimate.Regression
 	latencyRatios latencyRatios
+	// work is by service.
+	work map[string]*Work
+}
+
+// Work is what this node has sent to the servers of one service.
+type Work struct {
+	// BusyMillis is the time for which all prompts so far kept servers busy, in milliseconds.
+	BusyMillis float64
+	// Running is the number of requests in flight.
+	Running int
 }
 
 // BalancerOption configures a Balancer.
@@ -103,6 +113,7 @@
 		servers:       make(map[uint64]*balancerServer),
 		regressions:   make(map[string]*estimate.Regression),
 		latencyRatios: make(latencyRatios),
+		work:          make(map[string]*Work),
 	}
 	for _, option := range options {
 		option(b)
@@ -233,8 +244,11 @@
 		sentAt:       now,
 	}
 	p.state.addRequest(a, now)
+	work := b.serviceWork(p.server.Service)
+	work.Running++
 	p.state.breaker.begin(now)
 	if a.serial() {
+		work.BusyMillis += a.blockingTime
 		shared := t.Prompt.Shared()
 		prefillMillis := b.regression(t).Rate() * float64(max(0, shared.Tokens()-a.cachedTokens))
 		b.publish(share.Record{Server: p.server.Incarnation().Hash(), Prompt: shared, WorkMillis: float32(a.blockingTime)}, prefillMillis)
@@ -293,6 +307,27 @@
 	return s
 }
 
+// serviceWork returns the work of a service, creating it if needed.
+func (b *Balancer) serviceWork(service string) *Work {
+	w := b.work[service]
+	if w == nil {
+		w = &Work{}
+		b.work[service] = w
+	}
+	return w
+}
+
+// Work returns what this node has sent to the servers of each service.
+func (b *Balancer) Work() map[string]Work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	work := make(map[string]Work, len(b.work))
+	for service, w := range b.work {
+		work[service] = *w
+	}
+	return work
+}
+
 // ObserveSend records that another node has sent a prompt to a server.
 func (b *Balancer) ObserveSend(s share.Record) {
 	b.mu.Lock()
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/violettally/violettally/internal/errs"
@@ -28,6 +29,7 @@
 	Seeds []string `json:"seeds"`
 
 	Store  GatewayStore  `json:"store"`
+	Cloud  GatewayCloud  `json:"cloud"`
 	Limits GatewayLimits `json:"limits"`
 	Bounds GatewayBounds `json:"bounds"`
 	// LogLevel is debug, info, warn or error.
@@ -41,6 +43,26 @@
 	MinLeaseMillis int `json:"min_lease_ms"`
 }
 
+// GatewayCloud configures the platform's interface for usage reports and for orders of
+// backend servers. Only one node calls it at a time.
+type GatewayCloud struct {
+	// Address is empty if the platform has no such interface.
+	Address string `json:"address"`
+	// Duties are the calls that this system has to make: usage and scale.
+	Duties []string `json:"duties"`
+}
+
+// The values of GatewayCloud.Duties.
+const (
+	DutyUsage = "usage"
+	DutyScale = "scale"
+)
+
+// Has reports whether a duty is this system's.
+func (c GatewayCloud) Has(duty string) bool {
+	return c.Address != "" && slices.Contains(c.Duties, duty)
+}
+
 // GatewayLimits are the resource limits of the process on its VM.
 type GatewayLimits struct {
 	MemoryMB int `json:"memory_mb"`
@@ -79,6 +101,13 @@
 	// requests a second that its service declares, plus WarmUpSlack requests.
 	WarmUpFactor float64 `json:"warm_up_factor"`
 	WarmUpSlack  float64 `json:"warm_up_slack"`
+	// HolderChangeMillis is the time within which no two nodes may make the calls of
+	// GatewayCloud in turns.
+	HolderChangeMillis float64 `json:"holder_change_ms"`
+	// UsageWindowSeconds is the length of the windows whose usage is reported, and
+	// UsageLateSeconds how long after the end of one its report is due.
+	UsageWindowSeconds float64 `json:"usage_window_s"`
+	UsageLateSeconds   float64 `json:"usage_late_s"`
 }
 
 const (
@@ -93,6 +122,8 @@
 	defaultCanaryShare = 0.1
 	// defaultWarmUpFactor keeps a server that warms up at what its service declares.
 	defaultWarmUpFactor = 1.0
+	// minUsageWindow is the shortest window whose usage can be collected from all nodes.
+	minUsageWindow = time.Second
 )
 
 // Grace returns the time between SIGTERM and the forced end of the process.
@@ -112,6 +143,22 @@
 	return time.Duration(g.Bounds.EvacuationMillis * float64(time.Millisecond))
 }
 
+// HolderChange returns the time within which no two nodes may make the calls of GatewayCloud
+// in turns.
+func (g *Gateway) HolderChange() time.Duration {
+	return time.Duration(g.Bounds.HolderChangeMillis * float64(time.Millisecond))
+}
+
+// UsageWindow returns the length of the windows whose usage is reported.
+func (g *Gateway) UsageWindow() time.Duration {
+	return time.Duration(g.Bounds.UsageWindowSeconds * float64(time.Second))
+}
+
+// UsageLate returns how long after the end of a window its usage report is due.
+func (g *Gateway) UsageLate() time.Duration {
+	return time.Duration(g.Bounds.UsageLateSeconds * float64(time.Second))
+}
+
 // setDefaults fills in the fields that the file leaves out.
 func (g *Gateway) setDefaults() {
 	setDefault(&g.LogLevel, "info")
@@ -146,6 +193,21 @@
 	if g.Bounds.EvacuationMillis < 0 {
 		report("/bounds/evacuation_ms", "want a time of zero or more, found %g", g.Bounds.EvacuationMillis)
 	}
+	if g.Cloud.Address != "" {
+		checkAddress(report, "/cloud/address", g.Cloud.Address)
+	}
+	for _, duty := range g.Cloud.Duties {
+		if duty != DutyUsage && duty != DutyScale {
+			report("/cloud/duties", "want %s or %s, found %q", DutyUsage, DutyScale, duty)
+		}
+	}
+	if g.Cloud.Has(DutyUsage) && (g.UsageWindow() < minUsageWindow || g.Bounds.UsageLateSeconds <= 0) {
+		report("/bounds/usage_window_s", "want windows of %g s or more and a time above zero for their reports, found %g and %g",
+			minUsageWindow.Seconds(), g.Bounds.UsageWindowSeconds, g.Bounds.UsageLateSeconds)
+	}
+	if g.Bounds.HolderChangeMillis < 0 {
+		report("/bounds/holder_change_ms", "want a time of zero or more, found %g", g.Bounds.HolderChangeMillis)
+	}
 	if g.Bounds.CanaryShare <= 0 || g.Bounds.CanaryShare > 1 {
 		report("/bounds/canary_share", "want a share above 0 and up to 1, found %g", g.Bounds.CanaryShare)
 	}
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -22,11 +22,12 @@
 	"ip": "10.0.0.1", "port_range.0": "7340", "provider.address": `"10.0.0.9:5"`, "provider.ttl_min_ms": "1000",
 	"limits.ram_mb": "134", "limits.max_fds": "4100", "bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.ttl_max_s": "5",
 	"bounds.session_s": "5", "bounds.again_s": "7.9", "bounds.retry_ratio": "0.9", "bounds.retry_window_s": "10",
-	"bounds.retry_slack": "54", "bounds.canary_share": "0.15", "bounds.canary_slack": "30",
+	"bounds.retry_slack": "54", "cloud.duties": `["usage", "scale"]`, "bounds.canary_share": "0.15", "bounds.canary_slack": "30",
 }
 
 // optionalValues are those that the platform has on some deployments only.
-var optionalValues = map[string]string{"bounds.cold_over": "1.5", "bounds.cold_slack": "5", "bounds.evacuate_ms": "5000"}
+var optionalValues = map[string]string{"bounds.cold_over": "1.5", "bounds.cold_slack": "5", "bounds.evacuate_ms": "5000",
+	"cloud.address": "10.0.0.8:6", "bounds.lease_ms": "3000", "bounds.report_window_s": "5", "bounds.usage_late_s": "10"}
 
 var (
 	placeholder = regexp.MustCompile(`\{\{([^|}]+)(\|json)?\}\}`)
@@ -75,6 +76,11 @@
 	must.Eq(t, 5*time.Second, g.Evacuation())
 	must.Eq(t, 1.5, g.Bounds.WarmUpFactor)
 	must.Eq(t, 5.0, g.Bounds.WarmUpSlack)
+	must.True(t, g.Cloud.Has(settings.DutyUsage))
+	must.True(t, g.Cloud.Has(settings.DutyScale))
+	must.Eq(t, 3*time.Second, g.HolderChange())
+	must.Eq(t, 5*time.Second, g.UsageWindow())
+	must.Eq(t, 10*time.Second, g.UsageLate())
 	must.Eq(t, "front-1", g.Name)
 	must.Eq(t, "10.0.0.1:7340", g.Metrics.Address())
 	must.Eq(t, 8*time.Second, g.Grace())
@@ -92,6 +98,9 @@
 		{"share", `"canary_share": 0.15`, `"canary_share": 1.5`, "/bounds/canary_share: want a share"},
 		{"warm-up slack", `"warm_up_slack": 5`, `"warm_up_slack": -5`, "/bounds/warm_up_factor: want a factor and a slack of zero or more"},
 		{"evacuation time", `"evacuation_ms": 5000`, `"evacuation_ms": -1`, "/bounds/evacuation_ms: want a time"},
+		{"cloud address", `"10.0.0.8:6"`, `"cloud"`, "/cloud/address: want IP:PORT"},
+		{"duty", `"scale"`, `"bill"`, "/cloud/duties: want usage or scale"},
+		{"usage window", `"usage_window_s": 5`, `"usage_window_s": 0.1`, "/bounds/usage_window_s: want windows of 1 s or more"},
 		{"unknown field", `"seeds"`, `"seedz"`, "seedz"},
 		{"wrong type", `"retry_ratio": 0.9`, `"retry_ratio": "much"`, "/bounds/retry_ratio"},
 		{"invalid JSON", `"bounds"`, ``, ":"},
