registry: lists of servers are updated in place of sorted anew

Cause: after each changed entry the next request sorted all servers (servers log servers). Change: a list takes over the changed IDs when it is read.

--- a/registry/evacuation.go
+++ b/registry/evacuation.go
@@ -24,7 +24,7 @@
 	}
 	e := Evacuation{Revision: revision, Since: r.timers.Steady()}
 	r.evacuated[dataHall] = e
-	r.byService = nil
+	r.markHallChanged(dataHall)
 	return e, true
 }
 
@@ -39,10 +39,19 @@
 	}
 	delete(r.evacuated, dataHall)
 	r.restored[dataHall] = r.timers.Steady()
-	r.byService = nil
+	r.markHallChanged(dataHall)
 	return e, true
 }
 
+// markHallChanged makes the lists with servers of a data hall be updated. The caller holds mu.
+func (r *Registry) markHallChanged(dataHall string) {
+	for _, s := range r.servers {
+		if s.DataHall == dataHall {
+			r.markChanged(s)
+		}
+	}
+}
+
 // Evacuations returns the evacuated data halls.
 func (r *Registry) Evacuations() map[string]Evacuation {
 	r.mu.Lock()
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -19,12 +19,10 @@
 package registry
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/violettally/violettally/internal/rendezvous"
 	"github.com/violettally/violettally/timer"
 )
 
@@ -54,6 +52,25 @@
 	// Updated is when the entry arrived, and Restored when the evacuation of the server's
 	// data hall last ended, zero for never. The registry sets both, by [timer.Service.Steady].
 	Updated, Restored time.Time
+
+	// idHash and hash are the hashes of the ID and of the incarnation; zero if not computed.
+	idHash, hash uint64
+}
+
+// IDHash returns the hash of the server's ID.
+func (s *Server) IDHash() uint64 {
+	if s.idHash == 0 {
+		return rendezvous.Hash(s.ID)
+	}
+	return s.idHash
+}
+
+// Hash returns the hash of the server's incarnation.
+func (s *Server) Hash() uint64 {
+	if s.hash == 0 {
+		return s.Incarnation().Hash()
+	}
+	return s.hash
 }
 
 // Registry is one node's view of the servers. It is safe for concurrent use.
@@ -74,8 +91,8 @@
 	// storeRecovered is when the store last recovered from an outage, synced when this process
 	// had read it for the first time.
 	storeRecovered, synced time.Time
-	// byService is rebuilt after a change. The lists are never modified.
-	byService map[string][]Server
+	// lists holds the servers that may get new requests, by service.
+	lists map[string]*list
 }
 
 // New returns an empty registry.
@@ -87,6 +104,7 @@
 		invalid:    make(map[string]string),
 		evacuated:  make(map[string]Evacuation),
 		restored:   make(map[string]time.Time),
+		lists:      make(map[string]*list),
 	}
 }
 
@@ -100,10 +118,14 @@
 		return PutResultOld
 	}
 	s.Updated = r.timers.Steady()
+	s.idHash, s.hash = rendezvous.Hash(s.ID), s.Incarnation().Hash()
+	if ok {
+		r.markChanged(known)
+	}
 	r.servers[s.ID] = s
 	delete(r.graceUntil, s.ID)
 	delete(r.invalid, s.ID)
-	r.byService = nil
+	r.markChanged(s)
 	if ok && s.Incarnation() != known.Incarnation() {
 		return PutResultRestart
 	}
@@ -119,7 +141,9 @@
 	defer r.mu.Unlock()
 	previous, ok := r.invalid[id]
 	r.invalid[id] = reason
-	r.byService = nil
+	if s, known := r.servers[id]; known {
+		r.markChanged(s)
+	}
 	return !ok || previous != reason
 }
 
@@ -128,13 +152,13 @@
 func (r *Registry) Drop(id string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, known := r.servers[id]
+	s, known := r.servers[id]
 	_, invalid := r.invalid[id]
 	delete(r.invalid, id)
 	if !known {
 		return 0
 	}
-	r.byService = nil
+	r.markChanged(s)
 	if left := recoveryGrace - r.timers.Steady().Sub(r.storeRecovered); left > 0 && !invalid {
 		r.graceUntil[id] = r.timers.Steady().Add(left)
 		return left
@@ -200,10 +224,33 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.removeExpired()
-	if r.byService == nil {
-		r.index()
+	l := r.lists[service]
+	if l == nil {
+		return nil
 	}
-	return r.byService[service]
+	l.update(r.listed)
+	return l.servers
+}
+
+// listed returns a server as it appears in the list of a service; false if it gets no new
+// requests.
+func (r *Registry) listed(id string) (Server, bool) {
+	s, known := r.servers[id]
+	if !known || !r.usable(s) {
+		return Server{}, false
+	}
+	s.Restored = r.restored[s.DataHall]
+	return s, true
+}
+
+// markChanged makes the list of a server's service be updated. The caller holds mu.
+func (r *Registry) markChanged(s Server) {
+	l := r.lists[s.Service]
+	if l == nil {
+		l = &list{service: s.Service, changed: make(map[string]bool)}
+		r.lists[s.Service] = l
+	}
+	l.changed[s.ID] = true
 }
 
 // Usable reports whether an incarnation of a server may still get new requests.
@@ -235,21 +282,9 @@
 	now := r.timers.Steady()
 	for id, until := range r.graceUntil {
 		if now.After(until) {
+			r.markChanged(r.servers[id])
 			delete(r.graceUntil, id)
 			delete(r.servers, id)
-			r.byService = nil
-		}
-	}
-}
-
-// index rebuilds the lists by service.
-func (r *Registry) index() {
-	r.byService = make(map[string][]Server)
-	for _, s := range slices.SortedFunc(maps.Values(r.servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) }) {
-		if !r.usable(s) {
-			continue
 		}
-		s.Restored = r.restored[s.DataHall]
-		r.byService[s.Service] = append(r.byService[s.Service], s)
 	}
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,56 @@
 	must.Eq(t, map[registry.Incarnation]bool{{ID: "a"}: true, {ID: "c"}: true}, r.Incarnations())
 }
 
+// TestListsFollowChanges compares the lists with those of a registry that has seen only the
+// latest entries, over random changes: a list is updated in place of being built anew.
+func TestListsFollowChanges(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	r := registry.New(timer.New())
+	latest := make(map[string]registry.Server)
+	for step := range 2000 {
+		id := fmt.Sprint(random.IntN(40))
+		switch random.IntN(4) {
+		case 0:
+			r.Drop(id)
+			delete(latest, id)
+		case 1:
+			r.Evacuate("hall", 1)
+			r.Restore("hall")
+		default:
+			s := registry.Server{ID: id, Service: []string{"s", "other"}[random.IntN(2)], DataHall: "hall", Leaving: random.IntN(4) == 0, Slots: step}
+			r.Put(s)
+			latest[id] = s
+		}
+		if random.IntN(3) == 0 {
+			continue // several changes between two reads
+		}
+		anew := registry.New(timer.New())
+		for _, s := range latest {
+			anew.Put(s)
+		}
+		must.Eq(t, ids(anew), ids(r))
+		for _, s := range r.Servers("s") {
+			must.Eq(t, latest[s.ID].Slots, s.Slots)
+		}
+	}
+}
+
+// BenchmarkChange measures one changed entry, with the list that the next request reads.
+func BenchmarkChange(b *testing.B) {
+	for _, size := range []int{150, 3000, 10000, 20000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r := registry.New(timer.New())
+			for i := range size {
+				r.Put(registry.Server{ID: fmt.Sprint("i-", i), Service: "s"})
+			}
+			for i := 0; b.Loop(); i++ {
+				r.Put(registry.Server{ID: fmt.Sprint("i-", i%size), Service: "s", Slots: i})
+				r.Servers("s")
+			}
+		})
+	}
+}
+
 // BenchmarkUsable measures the check of a server before a request's first byte.
 func BenchmarkUsable(b *testing.B) {
 	r := registry.New(timer.New())
