route: among many servers a choice compares random ones and the prompt's home

Cause: each request looked at all servers of its service, and kept state of each. Change: above 512 servers, random ones until there are three of the own hall and three others, and the home; state only of those used. Up to 512 servers nothing changes.

--- a/route/balancer.go
+++ b/route/balancer.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -32,6 +33,20 @@
 	jitterMS = 5.0
 )
 
+const (
+	// maxScanned is the number of servers up to which all are looked at for each request.
+	// Among more, random ones are tried.
+	maxScanned = 512
+	// maxProbes is how many random servers are tried for one request: enough to find some of
+	// the node's own data hall among ten.
+	maxProbes = 64
+	// maxStates is the number of servers up to which the state of all that were ever used is
+	// kept. Of more, it is dropped after maxIdle, at most every trimInterval.
+	maxStates    = 1024
+	maxIdle      = 15 * time.Second
+	trimInterval = time.Second
+)
+
 // Task describes one request for which a Balancer picks a server.
 type Task struct {
 	// Servers are the servers to choose from.
@@ -83,6 +98,8 @@
 	latencyRatios latencyRatios
 	// work is by service.
 	work map[string]*Work
+	// trimmedAt is when unused states were last dropped.
+	trimmedAt time.Time
 }
 
 // Work is what this node has sent to the servers of one service.
@@ -179,7 +196,7 @@
 		p := prediction{server: t.Servers[c.index], state: c.state, wait: c.state.queueWait(now), cachedTokens: c.cachedTokens}
 		p.serviceTime = regression.Predict(float64(t.PromptTokens - p.cachedTokens))
 		cost := b.cost(p, t, regression, now)
-		if p.server.ID == home {
+		if c.index == home {
 			cost -= homeBonus(t, regression, p.cachedTokens)
 		}
 		if cost < bestCost {
@@ -189,22 +206,46 @@
 	return best, ok
 }
 
-// shortlist returns the servers that are compared for a task.
-func (b *Balancer) shortlist(t Task, home string, now time.Time) []candidate {
+// shortlist returns the servers that are compared for a task. Home is the index of the prompt's
+// home server, or noHome.
+func (b *Balancer) shortlist(t Task, home int, now time.Time) []candidate {
 	var l shortlist
-	for i, s := range t.Servers {
-		incarnation := s.Incarnation()
-		state := b.state(incarnation.Hash())
-		state.cache.SetCapacity(t.CacheCapacity)
-		if t.Exclude[incarnation] || !state.breaker.allows(now) {
-			continue
+	add := func(i int) {
+		if c, ok := b.candidate(t, i, now); ok {
+			l.add(c, t.Servers[i].DataHall == b.dataHall, i == home)
 		}
-		c := candidate{index: i, state: state, cachedTokens: min(state.cache.CachedTokens(t.Prompt), t.PromptTokens)}
-		l.add(c, s.DataHall == b.dataHall, s.ID == home)
+	}
+	if len(t.Servers) > maxScanned {
+		for probe := 0; probe < maxProbes && !l.full(); probe++ {
+			add(rand.IntN(len(t.Servers)))
+		}
+		if home != noHome && !l.hasHome {
+			add(home)
+		}
+		if !l.empty() {
+			return l.candidates()
+		}
+	}
+	for i := range t.Servers {
+		add(i)
 	}
 	return l.candidates()
 }
 
+// candidate returns a server as a candidate for a task; false if it can't take it.
+func (b *Balancer) candidate(t Task, index int, now time.Time) (candidate, bool) {
+	s := &t.Servers[index]
+	state := b.servers[s.Hash()]
+	if state == nil {
+		state = newBalancerServer() // kept only if it is chosen
+	}
+	state.cache.SetCapacity(t.CacheCapacity)
+	if (len(t.Exclude) > 0 && t.Exclude[s.Incarnation()]) || !state.breaker.allows(now) {
+		return candidate{}, false
+	}
+	return candidate{index: index, state: state, cachedTokens: min(state.cache.CachedTokens(t.Prompt), t.PromptTokens)}, true
+}
+
 // cost returns the cost of sending a task to a server, in milliseconds of waiting.
 func (b *Balancer) cost(p prediction, t Task, regression *estimate.Regression, now time.Time) float64 {
 	cost := p.latency() + blockingWeight*p.blockingTime(t, regression) + jitterMS*rand.Float64()
@@ -243,6 +284,7 @@
 		lateAfter:    durationFromMS(b.latencyRatios.lateRatio(t.Kind) * p.latency()),
 		sentAt:       now,
 	}
+	b.keep(p.server.Hash(), p.state)
 	p.state.addRequest(a, now)
 	work := b.serviceWork(p.server.Service)
 	work.Running++
@@ -264,24 +306,28 @@
 	return homeHitProbability * (1 + blockingWeight) * regression.Rate() * float64(unknown)
 }
 
-// home returns the ID of a prompt's home server: the one that all nodes prefer
+// noHome is the index of the home server of a prompt that has none.
+const noHome = -1
+
+// home returns the index of a prompt's home server: the one that all nodes prefer
 // for its shared parts, by rendezvous hashing. It is taken from all servers if
 // the bonus exceeds the cost of another data hall, otherwise from the servers of
 // this data hall.
-func (b *Balancer) home(t Task, regression *estimate.Regression) string {
+func (b *Balancer) home(t Task, regression *estimate.Regression) int {
 	shared := t.Prompt.Shared()
 	if len(shared) == 0 {
-		return ""
+		return noHome
 	}
 	allHalls := homeBonus(t, regression, 0) > t.crossHallPenalty()
 	key := shared[len(shared)-1].Hash
-	best, bestScore := "", uint64(0)
-	for _, s := range t.Servers {
+	best, bestScore := noHome, uint64(0)
+	for i := range t.Servers {
+		s := &t.Servers[i]
 		if s.DataHall != b.dataHall && !allHalls {
 			continue
 		}
-		if score := rendezvous.Score(key, rendezvous.Hash(s.ID)); score >= bestScore {
-			best, bestScore = s.ID, score
+		if score := rendezvous.Score(key, s.IDHash()); score >= bestScore {
+			best, bestScore = i, score
 		}
 	}
 	return best
@@ -301,12 +347,27 @@
 func (b *Balancer) state(server uint64) *balancerServer {
 	s := b.servers[server]
 	if s == nil {
-		s = &balancerServer{cache: prefix.NewCacheTracker()}
-		b.servers[server] = s
+		s = newBalancerServer()
+		b.keep(server, s)
 	}
 	return s
 }
 
+// keep keeps the state of a server. If there are very many, those that have not been used for a
+// while are dropped.
+func (b *Balancer) keep(server uint64, s *balancerServer) {
+	if b.servers[server] != nil {
+		return
+	}
+	if now := time.Now(); len(b.servers) >= maxStates && now.Sub(b.trimmedAt) >= trimInterval {
+		b.trimmedAt = now
+		maps.DeleteFunc(b.servers, func(_ uint64, s *balancerServer) bool {
+			return s.inflight == 0 && now.Sub(s.usedAt) >= maxIdle
+		})
+	}
+	b.servers[server] = s
+}
+
 // serviceWork returns the work of a service, creating it if needed.
 func (b *Balancer) serviceWork(service string) *Work {
 	w := b.work[service]
--- a/route/balancer_server.go
+++ b/route/balancer_server.go
@@ -60,6 +60,12 @@
 	cache   *prefix.CacheTracker
 	health  health
 	breaker breaker
+	// usedAt is when a request was last sent there, by any node.
+	usedAt time.Time
+}
+
+func newBalancerServer() *balancerServer {
+	return &balancerServer{cache: prefix.NewCacheTracker()}
 }
 
 // queueWait estimates how long a new request waits in the server's queue, in
@@ -97,6 +103,7 @@
 	s.typicalBlockingTime += blockingTimeSmoothing * (blockingTime - s.typicalBlockingTime)
 	a.expectedStart = now.Add(a.ExpectedLatency())
 	s.inflight++
+	s.usedAt = now
 	s.waiting = append(s.waiting, a)
 	s.cache.Insert(a.prompt)
 }
@@ -106,6 +113,7 @@
 func (s *balancerServer) addRemoteRequest(blockingTime float64, prompt prefix.Chain, sent time.Time) {
 	s.freeAt = later(s.freeAt, sent).Add(durationFromMS(blockingTime))
 	s.cache.Insert(prompt)
+	s.usedAt = later(s.usedAt, sent)
 }
 
 // removeWaiting removes a request from the queue, because its response started or
--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/violettally/violettally/prefix"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/timer"
 )
 
 // BenchmarkChoose measures a choice among 2,800 servers, on one of 480 nodes.
@@ -52,13 +53,19 @@
 	}
 }
 
-// BenchmarkBalancerChoose measures a choice among 150 engines for a prompt of three
-// parts, as in a large deployment.
+// BenchmarkBalancerChoose measures a choice among engines for a prompt of three parts.
 func BenchmarkBalancerChoose(b *testing.B) {
-	var servers []registry.Server
-	for i := range 150 {
-		servers = append(servers, registry.Server{ID: fmt.Sprint("i-", i), DataHall: fmt.Sprint("hall-", i%3)})
+	for _, size := range []int{150, 500, 3000, 10000, 20000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) { benchmarkBalancerChoose(b, size) })
 	}
+}
+
+func benchmarkBalancerChoose(b *testing.B, size int) {
+	r := registry.New(timer.New())
+	for i := range size {
+		r.Put(registry.Server{ID: fmt.Sprint("i-", i), DataHall: fmt.Sprint("hall-", i%5), Service: "s"})
+	}
+	servers := r.Servers("s")
 	balancer := route.NewBalancer("hall-0", func(string) {})
 	for i := 0; b.Loop(); i++ {
 		parts := []prefix.Part{{ID: fmt.Sprint("top", i%4), Tokens: 2500}, {ID: fmt.Sprint("sub", i%40), Tokens: 3800}, {ID: fmt.Sprint(i), Tokens: 2900}}
--- a/route/shortlist.go
+++ b/route/shortlist.go
@@ -38,6 +38,8 @@
 	}
 }
 
+func (r *reservoir) full() bool { return r.seen >= sampleSize }
+
 func (r *reservoir) sampled() []candidate { return r.items[:min(r.seen, sampleSize)] }
 
 // shortlist collects the candidates that are compared for a task: a few random
@@ -53,6 +55,12 @@
 	bestCachedCount int
 }
 
+// empty reports whether no server has been added.
+func (l *shortlist) empty() bool { return l.local.seen+l.remote.seen == 0 }
+
+// full reports whether there are enough random servers.
+func (l *shortlist) full() bool { return l.local.full() && l.remote.full() }
+
 func (l *shortlist) add(c candidate, local, home bool) {
 	if local {
 		l.local.add(c)
