usage, autoscale: a request counts once; reserved servers only where essential

Cause: the platform counts a request when its first server begins, we counted each repeat; reserved servers were ordered for comfort at the price of seven spot servers.

--- a/autoscale/planner.go
+++ b/autoscale/planner.go
@@ -8,12 +8,18 @@
 )
 
 const (
-	// targetBusy is the share of the time for which servers are to be busy with prompts. The
-	// higher it is, the longer requests wait when several arrive at once.
-	targetBusy = 0.2
-	// targetSlots is the share of the slots that are to be in use. The more of them are, the
-	// slower each request runs.
+	// targetBusy is the share of the time for which servers are to be busy with prompts, and
+	// maxBusy the share from which it is worth the price of reserved servers to have more. The
+	// higher the share, the longer requests wait when several arrive at once.
+	targetBusy = 0.25
+	maxBusy    = 0.45
+	// targetSlots and maxSlots are the same for the share of the slots that are in use. The
+	// more of them are, the slower each request runs.
 	targetSlots = 0.4
+	maxSlots    = 0.8
+	// growthFactor is how many more servers are ordered than needed, since load that rises
+	// mostly rises on.
+	growthFactor = 1.15
 	// shrinkTime is the time in which a service without demand would lose all its servers:
 	// load that has just fallen may rise again, and removed servers lose their caches.
 	shrinkTime = 5 * time.Minute
@@ -34,10 +40,10 @@
 type Planner struct {
 	service Service
 	halls   []string
-	// capacity is the number of servers that the service needs, updated at updated; zero
-	// until the first plan.
-	capacity float64
-	updated  time.Time
+	// capacity is the number of servers that the service should have, updated at updated;
+	// zero until the first plan. It needs at least essential of them.
+	capacity, essential float64
+	updated             time.Time
 	// spot is the last number of spot servers in each data hall.
 	spot int
 	// refusedUntil holds by data hall until when no spot servers are ordered there.
@@ -99,7 +105,7 @@
 		}
 		expected += p.expectedSpot(hall, pools[hall], now)
 	}
-	return append(orders, p.planReserved(now, pools, int(math.Ceil(p.capacity))-expected)...)
+	return append(orders, p.planReserved(now, pools, expected)...)
 }
 
 // updateCapacity raises the capacity to the demand at once and lowers it slowly.
@@ -111,9 +117,13 @@
 		p.capacity -= p.capacity * float64(now.Sub(p.updated)) / float64(shrinkTime)
 	}
 	p.updated = now
-	needed := math.Max(d.Busy/targetBusy, d.Running/(targetSlots*float64(max(1, p.service.Slots))))
-	least := float64(max(1, p.service.Min*len(p.halls)))
-	p.capacity = math.Min(math.Max(math.Max(p.capacity, needed), least), float64(p.service.Max*len(p.halls)))
+	slots := float64(max(1, p.service.Slots))
+	if needed := math.Max(d.Busy/targetBusy, d.Running/(targetSlots*slots)); needed > p.capacity {
+		p.capacity = growthFactor * needed
+	}
+	least, most := float64(max(1, p.service.Min*len(p.halls))), float64(p.service.Max*len(p.halls))
+	p.capacity = math.Min(math.Max(p.capacity, least), most)
+	p.essential = math.Min(math.Max(d.Busy/maxBusy, d.Running/(maxSlots*slots)), p.capacity)
 }
 
 // initialCapacity returns the capacity of the servers that run. Spot servers beyond what is
@@ -156,9 +166,11 @@
 	return warm
 }
 
-// planReserved returns the orders for reserved servers, so that there are at least the given
-// number in all. Reserved servers are removed only after they have been spare for spareTime.
-func (p *Planner) planReserved(now time.Time, pools map[string]Pool, total int) []Order {
+// planReserved returns the orders for reserved servers, next to the given number of spot
+// servers. They are added where there would be fewer servers than essential, and removed only
+// after more than the capacity have run for spareTime.
+func (p *Planner) planReserved(now time.Time, pools map[string]Pool, spot int) []Order {
+	essential, enough := int(math.Ceil(p.essential))-spot, max(0, int(math.Ceil(p.capacity))-spot)
 	have := 0
 	for hall, pool := range pools {
 		if _, planned := p.reserved[hall]; !planned {
@@ -167,13 +179,15 @@
 		have += p.reserved[hall]
 	}
 	switch {
-	case total >= have:
+	case essential > have:
+		p.addReserved(pools, essential-have)
+		fallthrough
+	case enough >= have:
 		p.spareSince = time.Time{}
-		p.addReserved(pools, total-have)
 	case p.spareSince.IsZero():
 		p.spareSince = now
 	case now.Sub(p.spareSince) >= spareTime:
-		p.removeReserved(pools, have-max(0, total))
+		p.removeReserved(pools, have-enough)
 	}
 	orders := make([]Order, 0, len(p.halls))
 	for _, hall := range p.halls {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -51,6 +51,8 @@
 	firstByte time.Duration
 	// digest identifies the content that servers get; zero until computed.
 	digest uint64
+	// counted means that the request is counted in the usage of its client account.
+	counted bool
 	// probeSent means that the refused request was sent once more as a probe.
 	probeSent bool
 }
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -66,9 +66,7 @@
 	assignment.RecordResponseStart()
 	assignment.RecordResult(isServerError(resp))
 	x.runs++
-	if x.relay.Usage != nil && x.account != "" {
-		x.relay.Usage.Count(x.account)
-	}
+	x.countUsage()
 	if x.responseStarted && resp.Status() != http.StatusOK {
 		// The client is in the middle of a stream and can only be sent the rest of it.
 		assignment.End(route.OutcomeNeutral)
@@ -87,6 +85,16 @@
 	return nil
 }
 
+// countUsage counts the request in the usage of its client account, once however many servers
+// run it.
+func (x *exchange) countUsage() {
+	if x.relay.Usage == nil || x.account == "" || x.counted {
+		return
+	}
+	x.counted = true
+	x.relay.Usage.Count(x.account)
+}
+
 // formatConfidence formats a model's confidence for the decision record.
 func formatConfidence(resp Response) string {
 	if value, ok := resp.Confidence(); ok {
