autoscale: nothing is removed before what runs is known, nor in a rollout

Cause: entries of servers that have just started come in one by one, and 46 of 90 were taken for all; a rollout starts servers of its own, which were stopped by our orders or paid for after it.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -47,6 +47,8 @@
 	// HallPrices holds the price of a reserved server by data hall; its keys are the halls in
 	// which servers may be ordered.
 	HallPrices map[string]float64
+	// InRollout means that a rollout starts and stops servers beside those that are ordered.
+	InRollout bool
 }
 
 // Pool counts the servers of a service in one data hall.
--- a/autoscale/controller.go
+++ b/autoscale/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -95,12 +96,7 @@
 		if !known {
 			continue
 		}
-		p := c.planners[s.Name]
-		if p == nil {
-			p = NewPlanner(s)
-			c.planners[s.Name] = p
-		}
-		p.Declare(s)
+		p := c.planner(s)
 		now := c.Timers.Steady()
 		demand := c.Demand.Demand(s.Name)
 		for _, o := range p.Plan(now, pools, demand) {
@@ -111,6 +107,22 @@
 	}
 }
 
+// planner returns the planner of a service. After a rollout, other servers run than were
+// ordered, so it goes on from what there is.
+func (c *Controller) planner(s Service) *Planner {
+	p := c.planners[s.Name]
+	if p == nil {
+		p = NewPlanner(s)
+		c.planners[s.Name] = p
+	}
+	if p.service.InRollout && !s.InRollout {
+		p.Resume()
+		maps.DeleteFunc(c.sent, func(about subject, _ sentOrder) bool { return about.service == s.Name })
+	}
+	p.Declare(s)
+	return p
+}
+
 // isDue reports whether an order is to be sent: it differs from the last one, or that one
 // has had no effect.
 func (c *Controller) isDue(o Order, s Service, pool Pool, now time.Time) bool {
@@ -120,6 +132,8 @@
 		running = pool.Spot
 	}
 	switch {
+	case s.InRollout && o.Servers <= running:
+		return false
 	case !known:
 		return running != o.Servers
 	case last.servers != o.Servers:
--- a/autoscale/planner.go
+++ b/autoscale/planner.go
@@ -28,6 +28,9 @@
 	// shrinkStep is the least relative fall of the number of spot servers that is worth an
 	// order.
 	shrinkStep = 0.15
+	// settleTime is how long a new planner removes nothing: the entries of servers that have just
+	// started come in one by one.
+	settleTime = 5 * time.Second
 	// spareTime is how long reserved servers are kept after spot servers have replaced them.
 	spareTime = 2 * time.Second
 )
@@ -44,6 +47,8 @@
 	// zero until the first plan. It needs at least essential of them.
 	capacity, essential float64
 	updated             time.Time
+	// started is when the first plan was made.
+	started time.Time
 	// spot is the last number of spot servers in each data hall.
 	spot int
 	// refusedUntil holds by data hall until when no spot servers are ordered there.
@@ -80,6 +85,9 @@
 	})
 }
 
+// Resume makes the next plan go on from the servers that run, in place of those planned before.
+func (p *Planner) Resume() { clear(p.reserved) }
+
 // SpotRefused records that a data hall has no spot servers now.
 func (p *Planner) SpotRefused(hall string, now time.Time) {
 	p.refusedUntil[hall] = now.Add(refusalPause)
@@ -110,8 +118,11 @@
 
 // updateCapacity raises the capacity to the demand at once and lowers it slowly.
 func (p *Planner) updateCapacity(now time.Time, pools map[string]Pool, d Demand) {
-	if p.capacity == 0 {
-		p.capacity = p.initialCapacity(pools)
+	if p.started.IsZero() {
+		p.started = now
+	}
+	if !p.settled(now) {
+		p.capacity = math.Max(p.capacity, p.initialCapacity(pools))
 	}
 	if !p.updated.IsZero() {
 		p.capacity -= p.capacity * float64(now.Sub(p.updated)) / float64(shrinkTime)
@@ -126,6 +137,9 @@
 	p.essential = math.Min(math.Max(d.Busy/maxBusy, d.Running/(maxSlots*slots)), p.capacity)
 }
 
+// settled reports whether the servers that run are known.
+func (p *Planner) settled(now time.Time) bool { return now.Sub(p.started) >= settleTime }
+
 // initialCapacity returns the capacity of the servers that run. Spot servers beyond what is
 // needed are there for the loss of one data hall.
 func (p *Planner) initialCapacity(pools map[string]Pool) float64 {
@@ -173,8 +187,8 @@
 	essential, enough := int(math.Ceil(p.essential))-spot, max(0, int(math.Ceil(p.capacity))-spot)
 	have := 0
 	for hall, pool := range pools {
-		if _, planned := p.reserved[hall]; !planned {
-			p.reserved[hall] = pool.Reserved
+		if _, planned := p.reserved[hall]; !planned || !p.settled(now) {
+			p.reserved[hall] = max(p.reserved[hall], pool.Reserved)
 		}
 		have += p.reserved[hall]
 	}
@@ -182,7 +196,7 @@
 	case essential > have:
 		p.addReserved(pools, essential-have)
 		fallthrough
-	case enough >= have:
+	case enough >= have || !p.settled(now):
 		p.spareSince = time.Time{}
 	case p.spareSince.IsZero():
 		p.spareSince = now
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -134,7 +134,7 @@
 		}
 		service := autoscale.Service{
 			Name: s.Name, Min: s.Autoscale.Min, Max: s.Autoscale.Max, StartUp: s.Autoscale.StartUp, WarmUp: s.WarmUp,
-			SpotPrice: s.Autoscale.SpotPrice, HallPrices: s.Autoscale.HallPrices,
+			SpotPrice: s.Autoscale.SpotPrice, HallPrices: s.Autoscale.HallPrices, InRollout: d.g.inRollout(s.Name),
 		}
 		if s.Engine != nil {
 			service.Slots = s.Engine.Slots
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strings"
 
+	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/document"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/platform"
@@ -46,9 +48,14 @@
 
 // rolloutActive reports whether any ordered rollout has not ended yet.
 func (g *Gateway) rolloutActive() bool {
+	return slices.ContainsFunc(g.servicePicker.Models(), func(m config.Model) bool { return g.inRollout(m.Name) })
+}
+
+// inRollout reports whether a service has a rollout that has not ended yet.
+func (g *Gateway) inRollout(service string) bool {
 	for _, m := range g.servicePicker.Models() {
 		p, known := g.picker.Progress(m.Name)
-		if !known || p.Version != m.Rollout.Version || p.Verdict == rollout.VerdictRunning {
+		if m.Name == service && (!known || p.Version != m.Rollout.Version || p.Verdict == rollout.VerdictRunning) {
 			return true
 		}
 	}
