autoscale: fewer servers, by the load once it is known

Cause: a cheap server's place was kept at a quarter of its time busy, and what ran at first counted for ever. Change: shares of 0.35 (spot) and 0.6 (reserved); the first count is dropped once load was seen for 10 s.

--- a/autoscale/planner.go
+++ b/autoscale/planner.go
@@ -11,8 +11,8 @@
 	// targetBusy is the share of the time for which servers are to be busy with prompts, and
 	// maxBusy the share from which it is worth the price of reserved servers to have more. The
 	// higher the share, the longer requests wait when several arrive at once.
-	targetBusy = 0.25
-	maxBusy    = 0.45
+	targetBusy = 0.35
+	maxBusy    = 0.6
 	// targetSlots and maxSlots are the same for the share of the slots that are in use. The
 	// more of them are, the slower each request runs.
 	targetSlots = 0.4
@@ -22,12 +22,14 @@
 	growthFactor = 1.15
 	// shrinkTime is the time in which a service without demand would lose all its servers:
 	// load that has just fallen may rise again, and removed servers lose their caches.
-	shrinkTime = 5 * time.Minute
+	shrinkTime = 2 * time.Minute
 	// refusalPause is how long a data hall that had no spot servers is not asked for any.
 	refusalPause = 3 * time.Second
 	// shrinkStep is the least relative fall of the number of spot servers that is worth an
 	// order.
 	shrinkStep = 0.15
+	// learnTime is how long load must have been observed until it alone decides.
+	learnTime = 10 * time.Second
 	// settleTime is how long a new planner removes nothing: the entries of servers that have just
 	// started come in one by one.
 	settleTime = 5 * time.Second
@@ -43,12 +45,15 @@
 type Planner struct {
 	service Service
 	halls   []string
-	// capacity is the number of servers that the service should have, updated at updated;
-	// zero until the first plan. It needs at least essential of them.
+	// initial is the number of servers that ran at first. It counts until load has been
+	// observed for learnTime.
+	initial int
+	// capacity is the number of servers that the load needs, updated at updated. At least
+	// essential of them must run.
 	capacity, essential float64
 	updated             time.Time
-	// started is when the first plan was made.
-	started time.Time
+	// started is when the first plan was made, loadedSince when there was load first.
+	started, loadedSince time.Time
 	// spot is the last number of spot servers in each data hall.
 	spot int
 	// refusedUntil holds by data hall until when no spot servers are ordered there.
@@ -101,7 +106,8 @@
 
 // Plan returns the orders that hold from now on, for all data halls, cheapest first.
 func (p *Planner) Plan(now time.Time, pools map[string]Pool, d Demand) []Order {
-	p.updateCapacity(now, pools, d)
+	p.updateInitial(now, pools, d)
+	p.updateCapacity(now, d)
 	if spot := p.spotPerHall(); spot > p.spot || float64(spot) <= (1-shrinkStep)*float64(p.spot) {
 		p.spot = spot
 	}
@@ -116,14 +122,33 @@
 	return append(orders, p.planReserved(now, pools, expected)...)
 }
 
-// updateCapacity raises the capacity to the demand at once and lowers it slowly.
-func (p *Planner) updateCapacity(now time.Time, pools map[string]Pool, d Demand) {
+// updateInitial counts the servers that run at first, and forgets them once the load is known.
+func (p *Planner) updateInitial(now time.Time, pools map[string]Pool, d Demand) {
 	if p.started.IsZero() {
 		p.started = now
 	}
-	if !p.settled(now) {
-		p.capacity = math.Max(p.capacity, p.initialCapacity(pools))
+	if p.loadedSince.IsZero() && d.Running > 0 {
+		p.loadedSince = now
+	}
+	switch running := countRunning(pools); {
+	case !p.loadedSince.IsZero() && now.Sub(p.loadedSince) >= learnTime:
+		p.initial = 0
+	case !p.settled(now) && len(p.startedUntil) == 0:
+		p.initial = max(p.initial, running)
+	}
+}
+
+// countRunning returns the number of servers in all pools.
+func countRunning(pools map[string]Pool) int {
+	running := 0
+	for _, pool := range pools {
+		running += pool.Reserved + pool.Spot
 	}
+	return running
+}
+
+// updateCapacity raises the capacity to the demand at once and lowers it slowly.
+func (p *Planner) updateCapacity(now time.Time, d Demand) {
 	if !p.updated.IsZero() {
 		p.capacity -= p.capacity * float64(now.Sub(p.updated)) / float64(shrinkTime)
 	}
@@ -134,23 +159,12 @@
 	}
 	least, most := float64(max(1, p.service.Min*len(p.halls))), float64(p.service.Max*len(p.halls))
 	p.capacity = math.Min(math.Max(p.capacity, least), most)
-	p.essential = math.Min(math.Max(d.Busy/maxBusy, d.Running/(maxSlots*slots)), p.capacity)
+	p.essential = math.Min(math.Max(d.Busy/maxBusy, d.Running/(maxSlots*slots)), most)
 }
 
 // settled reports whether the servers that run are known.
 func (p *Planner) settled(now time.Time) bool { return now.Sub(p.started) >= settleTime }
 
-// initialCapacity returns the capacity of the servers that run. Spot servers beyond what is
-// needed are there for the loss of one data hall.
-func (p *Planner) initialCapacity(pools map[string]Pool) float64 {
-	reserved, spot := 0, 0
-	for _, pool := range pools {
-		reserved += pool.Reserved
-		spot += pool.Spot
-	}
-	return float64(reserved) + float64(spot)*p.withoutOneHall()
-}
-
 // withoutOneHall is the share of evenly spread servers that is left when one data hall loses
 // its own.
 func (p *Planner) withoutOneHall() float64 {
@@ -166,8 +180,13 @@
 	if p.service.SpotPrice <= 0 || p.service.SpotPrice >= p.withoutOneHall() || len(p.halls) == 0 {
 		return 0
 	}
-	perHall := p.capacity / p.withoutOneHall() / float64(len(p.halls))
-	return min(max(int(math.Ceil(perHall)), p.service.Min), p.service.Max)
+	return min(max(p.perHall(), p.service.Min), p.service.Max)
+}
+
+// perHall returns how many servers each data hall should have.
+func (p *Planner) perHall() int {
+	halls := float64(len(p.halls))
+	return int(math.Ceil(math.Max(float64(p.initial)/halls, p.capacity/p.withoutOneHall()/halls)))
 }
 
 // expectedSpot returns how many warm spot servers a data hall has or is about to have.
@@ -184,7 +203,7 @@
 // servers. They are added where there would be fewer servers than essential, and removed only
 // after more than the capacity have run for spareTime.
 func (p *Planner) planReserved(now time.Time, pools map[string]Pool, spot int) []Order {
-	essential, enough := int(math.Ceil(p.essential))-spot, max(0, int(math.Ceil(p.capacity))-spot)
+	essential, enough := int(math.Ceil(p.essential))-spot, max(0, p.perHall()*len(p.halls)-spot)
 	have := 0
 	for hall, pool := range pools {
 		if _, planned := p.reserved[hall]; !planned || !p.settled(now) {
@@ -210,13 +229,15 @@
 	return orders
 }
 
-// addReserved plans more reserved servers, in the cheapest data halls that have room, but in
-// no hall more than half again its share.
+// maxHallShare is how much more than its share of the reserved servers a cheap data hall gets.
+const maxHallShare = 1.5
+
+// addReserved plans more reserved servers, in the cheapest data halls that have room.
 func (p *Planner) addReserved(pools map[string]Pool, count int) {
 	if len(p.halls) == 0 {
 		return
 	}
-	share := int(math.Ceil(1.5 * p.capacity / float64(len(p.halls))))
+	share := int(math.Ceil(maxHallShare * p.essential / float64(len(p.halls))))
 	for _, hall := range p.halls {
 		room := min(p.service.Max-pools[hall].Spot, share) - p.reserved[hall]
 		added := max(0, min(count, room))
