autoscale: servers that register late count at the start as well

Cause: the count of what ran at first ended with the first order, at 46 of 90. Change: until a new holder has settled, reserved servers that come in still count.

--- a/autoscale/planner.go
+++ b/autoscale/planner.go
@@ -130,19 +130,23 @@
 	if p.loadedSince.IsZero() && d.Running > 0 {
 		p.loadedSince = now
 	}
-	switch running := countRunning(pools); {
+	switch {
 	case !p.loadedSince.IsZero() && now.Sub(p.loadedSince) >= learnTime:
 		p.initial = 0
-	case !p.settled(now) && len(p.startedUntil) == 0:
-		p.initial = max(p.initial, running)
+	case !p.settled(now):
+		p.initial = max(p.initial, countInitial(pools, len(p.startedUntil) > 0))
 	}
 }
 
-// countRunning returns the number of servers in all pools.
-func countRunning(pools map[string]Pool) int {
+// countInitial returns the number of servers in all pools, without spot servers if some of them
+// have been ordered meanwhile.
+func countInitial(pools map[string]Pool, ordered bool) int {
 	running := 0
 	for _, pool := range pools {
-		running += pool.Reserved + pool.Spot
+		running += pool.Reserved
+		if !ordered {
+			running += pool.Spot
+		}
 	}
 	return running
 }
