tree, share, gateway: a tree of bounded fan-out in each data hall

Cause: 196 nodes followed one; lists of nodes were copied, filtered and sorted at each use. Change: package tree (levels by what links can carry, parents by rendezvous hashing), used by the mirror's upstreams and by share; the list of nodes is made once a change; entries stand under nodes/HALL/. Evidence: tree TestShape (36 followers at most in halls of up to 1,010), TestNoCycle, TestStable; share TestRootFailure unchanged.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return mirror.Change{Item: mirror.Item{Key: gatewayPrefix + "node", Value: value, Revision: 1, Lease: 1}}
+	return mirror.Change{Item: mirror.Item{Key: hallPrefix("") + "node", Value: value, Revision: 1, Lease: 1}}
 }
 
 // MaintainEntry maintains a gateway's entry in a store until the context ends. Held are
@@ -65,7 +65,7 @@
 
 // ApplyGatewayEntry applies another gateway's stored entry.
 func (g *Gateway) ApplyGatewayEntry(vm string, value []byte) {
-	g.membership.applyChange(mirror.Change{Item: mirror.Item{Key: gatewayPrefix + vm, Value: value}})
+	g.membership.applyChange(mirror.Change{Item: mirror.Item{Key: hallPrefix("hall-1") + vm, Value: value}})
 }
 
 // Balancer returns the balancer that chooses among servers.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,6 +129,7 @@
 			DataHall: s.DataHall,
 			Caller:   s.Caller.Address(),
 			Peer:     s.Peer.Address(),
+			FanOut:   fanOut(s.Limits),
 		}),
 	}
 	g.catalog.Store(catalog.Empty())
@@ -155,6 +156,19 @@
 	return g, nil
 }
 
+const (
+	// mbpsPerFollower is the link capacity, in Mbit/s, that a gateway needs for each other one
+	// that it passes news on to.
+	mbpsPerFollower = 8.0
+	// minFanOut and maxFanOut bound the number of gateways that one passes news on to.
+	minFanOut, maxFanOut = 8, 24
+)
+
+// fanOut returns the number of gateways that one with the given limits can pass news on to.
+func fanOut(l settings.GatewayLimits) int {
+	return max(minFanOut, min(maxFanOut, int(l.LinkMbps/mbpsPerFollower)))
+}
+
 // registerGauges registers gauges for the state of this gateway's copy of the store.
 func (g *Gateway) registerGauges() error {
 	return errors.Join(
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -8,8 +8,11 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/tree"
 	"github.com/violettally/violettally/view"
 )
 
@@ -23,6 +26,9 @@
 	// minLocalAddresses is how many gateways of a client's data hall must be known for
 	// the client to be sent to these alone. The same holds for its region.
 	minLocalAddresses = 2
+	// entryLogsPerSecond and entryLogBurst limit the log lines about other gateways' entries.
+	entryLogsPerSecond = 5
+	entryLogBurst      = 50
 )
 
 // entry is a gateway's entry in the store. Its fields are exported for the codec.
@@ -60,6 +66,8 @@
 	// still used: an entry that expired during an outage is written again if its gateway
 	// is running.
 	keptUntil map[string]time.Time
+	// current is computed from entries when it is needed; nil after a change.
+	current *roster
 	// recoveredAt is when the store last recovered from an outage.
 	recoveredAt time.Time
 	// leaseID is the lease of this gateway's entry; zero for none.
@@ -67,6 +75,10 @@
 	// previous is the entry that a previous process of this VM has left in the store.
 	previous previousEntry
 
+	// logs limits the log lines about entries, suppressed counts those that were left out.
+	logs       *rate.Limiter
+	suppressed int
+
 	// synced is closed once the entries that the store held at the start are known.
 	synced <-chan struct{}
 	// renewRequests makes run renew or rewrite this gateway's entry at once.
@@ -74,7 +86,10 @@
 }
 
 func newMembership(g *Gateway) *membership {
-	return &membership{g: g, store: g.store, entries: make(map[string]entry), keptUntil: make(map[string]time.Time), renewRequests: make(chan struct{}, 1)}
+	return &membership{
+		g: g, store: g.store, entries: make(map[string]entry), keptUntil: make(map[string]time.Time),
+		logs: rate.NewLimiter(entryLogsPerSecond, entryLogBurst), renewRequests: make(chan struct{}, 1),
+	}
 }
 
 // storeRecovered records that an outage of the store is over, and requests a renewal.
@@ -100,7 +115,7 @@
 	if c.Deleted {
 		keptFor := max(0, expiryGracePeriod-m.g.timers.Steady().Sub(m.recoveredAt))
 		m.removeEntry(c.Key, keptFor)
-		slog.Info("gateway entry deleted", "key", c.Key, "revision", c.Revision, "kept_ms", keptFor.Milliseconds())
+		m.log("gateway entry deleted", "key", c.Key, "revision", c.Revision, "kept_ms", keptFor.Milliseconds())
 		return
 	}
 	e, err := decodeEntry(c.Value)
@@ -110,11 +125,26 @@
 		return
 	}
 	m.entries[c.Key] = e
+	m.current = nil
 	delete(m.keptUntil, c.Key)
 	if c.Key == m.ownKey() && m.leaseID == 0 {
-		m.previous = previousEntry{leaseID: c.Lease, current: !e.Leaving && m.g.self.SameLocation(e.Member)}
+		m.previous = previousEntry{leaseID: c.Lease, current: !e.Leaving && m.g.self.SameLocation(e.Member) && m.g.self.FanOut == e.FanOut}
+	}
+	m.log("gateway entry updated", "id", e.ID, "caller", e.Caller, "data_hall", e.DataHall, "leaving", e.Leaving, "revision", c.Revision)
+}
+
+// log writes a log line about an entry, unless there were too many of them. When all gateways
+// of a large deployment start, each of them learns of each other one. The caller holds mu.
+func (m *membership) log(message string, args ...any) {
+	if !m.logs.AllowN(m.g.timers.Now(), 1) {
+		m.suppressed++
+		return
+	}
+	if m.suppressed > 0 {
+		args = append(args, "lines_left_out", m.suppressed, "entries", len(m.entries))
+		m.suppressed = 0
 	}
-	slog.Info("gateway entry updated", "id", e.ID, "caller", e.Caller, "data_hall", e.DataHall, "leaving", e.Leaving, "revision", c.Revision)
+	slog.Info(message, args...)
 }
 
 // removeEntry removes an entry from the list after the given time. If it is this
@@ -125,6 +155,7 @@
 	} else {
 		delete(m.entries, key)
 		delete(m.keptUntil, key)
+		m.current = nil
 	}
 	if key != m.ownKey() {
 		return
@@ -147,41 +178,50 @@
 	return known && !expired
 }
 
-// peers returns the other gateways that are not leaving.
-func (m *membership) peers() []view.Member {
-	return m.filterPeers(func(e entry) bool { return !e.Leaving })
-}
+// peers returns the other gateways that are not leaving. The list must not be modified.
+func (m *membership) peers() []view.Member { return m.roster().peers }
 
 // allPeers returns the other gateways, including those that are leaving, which may
-// still be serving requests.
-func (m *membership) allPeers() []view.Member {
-	return m.filterPeers(func(entry) bool { return true })
-}
+// still be serving requests. The list must not be modified.
+func (m *membership) allPeers() []view.Member { return m.roster().all }
 
 // countAllPeers returns the number of gateways that allPeers returns.
-func (m *membership) countAllPeers() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.removeExpired()
-	count := len(m.entries)
-	if _, own := m.entries[m.ownKey()]; own {
-		count--
-	}
-	return count
+func (m *membership) countAllPeers() int { return len(m.roster().all) }
+
+// roster is the list of the other gateways as of the last change. It is not modified.
+type roster struct {
+	// peers holds those that are not leaving, all also those that are.
+	peers, all []view.Member
+	// parents are those that this gateway may follow, the preferred one first.
+	parents []view.Member
 }
 
-// filterPeers returns the other gateways whose entries match.
-func (m *membership) filterPeers(match func(entry) bool) []view.Member {
+// roster returns the present list of gateways.
+func (m *membership) roster() *roster {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.removeExpired()
-	var found []view.Member
-	for key, e := range m.entries {
-		if key != m.ownKey() && match(e) {
-			found = append(found, e.Member)
+	if m.current != nil {
+		return m.current
+	}
+	r := &roster{}
+	hall := []view.Member{m.g.self}
+	for _, e := range m.entries {
+		if e.VM == m.g.self.VM {
+			continue
+		}
+		r.all = append(r.all, e.Member)
+		if e.Leaving {
+			continue
+		}
+		r.peers = append(r.peers, e.Member)
+		if e.DataHall == m.g.self.DataHall {
+			hall = append(hall, e.Member)
 		}
 	}
-	return found
+	r.parents = tree.Parents(m.g.self, hall)
+	m.current = r
+	return r
 }
 
 // removeExpired removes the entries that expired during an outage of the store and were
@@ -192,18 +232,23 @@
 		if now.After(until) {
 			delete(m.entries, key)
 			delete(m.keptUntil, key)
+			m.current = nil
 		}
 	}
 }
 
+// hallPrefix is the prefix of the keys of a data hall's entries, so that a gateway that starts
+// can read those of its own hall alone.
+func hallPrefix(dataHall string) string { return gatewayPrefix + dataHall + "/" }
+
 // ownKey returns the key of this gateway's entry. It is named after the VM, so that a
 // restarted process overwrites the entry of the previous one.
-func (m *membership) ownKey() string { return gatewayPrefix + m.g.self.VM }
+func (m *membership) ownKey() string { return hallPrefix(m.g.self.DataHall) + m.g.self.VM }
 
 // clientAddresses returns the addresses of the gateways that a client should use: those
 // of its data hall, those of its region if the hall has too few, or else all.
 func (m *membership) clientAddresses(region, dataHall string) []string {
-	members := m.peers()
+	members := slices.Clone(m.peers())
 	if !m.g.leaving.Load() {
 		members = append(members, m.g.self)
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -32,7 +32,7 @@
 // with those of the own data hall first. It returns the seeds while no other gateway is
 // known.
 func (p mirrorPeers) Addresses() []string {
-	others := p.g.membership.peers()
+	others := slices.Clone(p.g.membership.peers())
 	if len(others) == 0 {
 		return slices.DeleteFunc(slices.Clone(p.g.settings.Seeds), func(a string) bool { return a == p.g.self.Peer })
 	}
@@ -55,22 +55,12 @@
 	return 1
 }
 
-// hallPeers returns the other gateways of the own data hall, sorted by VM name.
-func (p mirrorPeers) hallPeers() []view.Member {
-	others := p.g.membership.peers()
-	members := slices.DeleteFunc(others, func(m view.Member) bool { return m.DataHall != p.g.self.DataHall })
-	slices.SortFunc(members, func(a, b view.Member) int { return cmp.Compare(a.VM, b.VM) })
-	return members
-}
-
-// Upstream returns the peer addresses of the gateways of the own data hall whose VM
-// names sort before this one's, so that no two gateways follow each other.
+// Upstream returns the peer addresses of this gateway's parents in the tree of its data hall.
 func (p mirrorPeers) Upstream() []string {
-	var addresses []string
-	for _, m := range p.hallPeers() {
-		if m.VM < p.g.self.VM {
-			addresses = append(addresses, m.Peer)
-		}
+	parents := p.g.membership.roster().parents
+	addresses := make([]string, len(parents))
+	for i, m := range parents {
+		addresses[i] = m.Peer
 	}
 	return addresses
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -68,6 +68,8 @@
 	MemoryMB int `json:"memory_mb"`
 	// FileDescriptors is the maximum number of open files and connections.
 	FileDescriptors int `json:"descriptors"`
+	// LinkMbps is the capacity of the VM's network link in Mbit/s.
+	LinkMbps float64 `json:"link_mbps"`
 }
 
 // GatewayBounds are the times and ratios agreed with the platform.
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -20,7 +20,7 @@
 	"node_name": `"front-1"`, "region": `"r"`, "zone": `"z"`, "zones": `{"z": "r"}`, "seeds": `["10.0.0.1:4"]`,
 	"listen.front": `"10.0.0.1:1"`, "listen.ready": `"10.0.0.1:2"`, "listen.directory": `"10.0.0.1:3"`, "listen.control": `"10.0.0.1:4"`,
 	"ip": "10.0.0.1", "port_range.0": "7340", "provider.address": `"10.0.0.9:5"`, "provider.ttl_min_ms": "1000",
-	"limits.ram_mb": "134", "limits.max_fds": "4100", "bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.ttl_max_s": "5",
+	"limits.ram_mb": "134", "limits.max_fds": "4100", "limits.net_mbps": "20.0", "bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.ttl_max_s": "5",
 	"bounds.session_s": "5", "bounds.again_s": "7.9", "bounds.retry_ratio": "0.9", "bounds.retry_window_s": "10",
 	"bounds.retry_slack": "54", "cloud.duties": `["usage", "scale"]`, "bounds.canary_share": "0.15", "bounds.canary_slack": "30",
 }
--- a/view/view.go
+++ b/view/view.go
@@ -48,6 +48,8 @@
 	Peer     string `json:"peer"`
 	// Joined is when the member joined, in Unix seconds.
 	Joined int64 `json:"joined"`
+	// FanOut is the number of members that this one can pass news on to (package tree).
+	FanOut int `json:"fan_out,omitempty"`
 }
 
 // MemberID returns the ID of one incarnation of a VM's process.
