mirror, adapter/peer: a start takes the whole from a node of its hall, packed

Cause: each start read 55 pages; the hall's first node gave a whole to each of 196 at once, 290 to 535 MB, and ended; beyond 64 pages the store could not be read.

--- a/adapter/peer/declaration_test.go
+++ b/adapter/peer/declaration_test.go
@@ -136,6 +136,15 @@
 	return mirror.Batch{Items: []mirror.Item{s.item}, Revision: s.revision, Snapshot: true}, nil
 }
 
+func (s *singleKeyStore) ReadStart(ctx context.Context) (mirror.Batch, bool, error) {
+	b, err := s.ReadAll(ctx)
+	return b, false, err
+}
+
+func (s *singleKeyStore) ReadRest(_ context.Context, start mirror.Batch) (mirror.Batch, error) {
+	return start, nil
+}
+
 func (s *singleKeyStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
 	b, err := s.ReadAll(ctx)
 	if b.Revision <= after {
@@ -164,6 +173,11 @@
 	return s.singleKeyStore.ReadAll(ctx)
 }
 
+func (s *readOnceStore) ReadStart(ctx context.Context) (mirror.Batch, bool, error) {
+	b, err := s.ReadAll(ctx)
+	return b, false, err
+}
+
 func (*readOnceStore) Follow(context.Context, int64, time.Duration) (mirror.Batch, error) {
 	return mirror.Batch{}, errStoreUnreachable
 }
@@ -173,8 +187,10 @@
 // noPeers is the peer set of a node that follows the store.
 type noPeers struct{}
 
-func (noPeers) Addresses() []string { return nil }
-func (noPeers) Upstream() []string  { return nil }
+func (noPeers) Addresses() []string                               { return nil }
+func (noPeers) Sources(context.Context) ([]string, time.Duration) { return nil, 0 }
+
+func (noPeers) Upstream() []string { return nil }
 func (noPeers) Follow(context.Context, string, int64, time.Duration) (mirror.Batch, error) {
 	return mirror.Batch{}, errors.New("no peer")
 }
@@ -184,8 +200,10 @@
 
 const upstreamAddress = "upstream"
 
-func (singlePeer) Addresses() []string { return []string{upstreamAddress} }
-func (singlePeer) Upstream() []string  { return []string{upstreamAddress} }
+func (singlePeer) Addresses() []string                               { return []string{upstreamAddress} }
+func (singlePeer) Sources(context.Context) ([]string, time.Duration) { return nil, 0 }
+
+func (singlePeer) Upstream() []string { return []string{upstreamAddress} }
 
 func (p singlePeer) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
 	return p.client.Follow(ctx, address, after, wait)
@@ -201,6 +219,8 @@
 func (mirrorGateway) Counts() (string, rollout.Counts)          { return "node", rollout.Counts{} }
 func (mirrorGateway) Exchange(share.Message) share.Reply        { return share.Reply{} }
 func (mirrorGateway) Activity(int64) peer.Activity              { return peer.Activity{} }
+func (g mirrorGateway) Knows(after int64) bool                  { return g.m.Knows(after) }
+func (mirrorGateway) FanOut() int                               { return 8 }
 
 // link simulates a node's network link: all its connections share one rate, and send
 // in the order of writing.
--- a/adapter/peer/delta_test.go
+++ b/adapter/peer/delta_test.go
@@ -89,6 +89,8 @@
 func (*fakeGateway) Counts() (string, rollout.Counts)   { return "node", rollout.Counts{} }
 func (*fakeGateway) Exchange(share.Message) share.Reply { return share.Reply{} }
 func (*fakeGateway) Activity(int64) peer.Activity       { return peer.Activity{} }
+func (*fakeGateway) Knows(after int64) bool             { return true }
+func (*fakeGateway) FanOut() int                        { return 8 }
 
 // FuzzDifference checks that any delta from a peer is decoded or rejected.
 func FuzzDifference(f *testing.F) {
--- a/adapter/peer/encode.go
+++ b/adapter/peer/encode.go
@@ -28,6 +28,10 @@
 	Snapshot bool          `cbor:"3,keyasint,omitempty"`
 	Age      time.Duration `cbor:"4,keyasint,omitempty"`
 	Waited   time.Duration `cbor:"5,keyasint,omitempty"`
+	// Packed holds the items in place of Items, encoded and compressed together.
+	Packed []byte `cbor:"6,keyasint,omitempty"`
+	// Busy means that this node sends as many snapshots as it can. The reply holds nothing else.
+	Busy bool `cbor:"7,keyasint,omitempty"`
 }
 
 // followItem is the message for a mirror.Item.
@@ -46,8 +50,15 @@
 // decode returns the reply's batch. Known returns the values that the receiver has,
 // the bases of deltas.
 func (r followReply) decode(known func(key string) (mirror.Item, bool)) (mirror.Batch, error) {
-	b := mirror.Batch{Revision: r.Revision, Snapshot: r.Snapshot, Age: r.Age, Waited: r.Waited}
-	for _, i := range r.Items {
+	b := mirror.Batch{Revision: r.Revision, Snapshot: r.Snapshot, Age: r.Age, Waited: r.Waited, Busy: r.Busy}
+	items := r.Items
+	if len(r.Packed) > 0 {
+		var err error
+		if items, err = unpackItems(r.Packed); err != nil {
+			return mirror.Batch{}, errs.Wrap(Malformed, "follow", err, "packed items")
+		}
+	}
+	for _, i := range items {
 		value, err := i.decodeValue(known)
 		if err != nil {
 			return mirror.Batch{}, err
@@ -88,6 +99,17 @@
 	mu sync.Mutex
 	// compressed and deltas cache the last encoding of each key.
 	compressed, deltas map[string]encodedValue
+	// packed caches the last packed items.
+	packed packedItems
+}
+
+// packedItems are the packed items of one batch. Batches with the same revision and the same
+// number of items are equal if they are snapshots, or begin at the same revision.
+type packedItems struct {
+	revision, after int64
+	count           int
+	snapshot        bool
+	data            []byte
 }
 
 // encodedValue is the encoding of a value at a revision. baseRevision is that of the
@@ -104,14 +126,54 @@
 // encode returns the reply to a peer's request.
 func (e *batchEncoder) encode(b mirror.Batch, r followRequest) (followReply, error) {
 	reply := followReply{Revision: b.Revision, Snapshot: b.Snapshot, Age: b.Age, Waited: b.Waited}
-	for _, item := range b.Items {
+	var err error
+	if r.AcceptPacked && len(b.Items) >= minPackedItems {
+		reply.Packed, err = e.pack(b, r)
+		return reply, err
+	}
+	reply.Items, err = e.encodeItems(b.Items, r)
+	return reply, err
+}
+
+// minPackedItems is the number of items from which they are packed.
+const minPackedItems = 32
+
+// encodeItems returns the messages for the items of a batch.
+func (e *batchEncoder) encodeItems(items []mirror.Item, r followRequest) ([]followItem, error) {
+	encoded := make([]followItem, 0, len(items))
+	for _, item := range items {
 		i, err := e.encodeItem(item, r)
 		if err != nil {
-			return followReply{}, err
+			return nil, err
 		}
-		reply.Items = append(reply.Items, i)
+		encoded = append(encoded, i)
+	}
+	return encoded, nil
+}
+
+// pack returns the packed items of a batch, from cache if they were packed for another peer.
+func (e *batchEncoder) pack(b mirror.Batch, r followRequest) ([]byte, error) {
+	key := packedItems{revision: b.Revision, count: len(b.Items), snapshot: b.Snapshot}
+	if !b.Snapshot {
+		key.after = r.After
+	}
+	e.mu.Lock()
+	known := e.packed
+	e.mu.Unlock()
+	if known.data != nil && known.revision == key.revision && known.after == key.after && known.count == key.count && known.snapshot == key.snapshot {
+		return known.data, nil
 	}
-	return reply, nil
+	items, err := e.encodeItems(b.Items, r)
+	if err != nil {
+		return nil, err
+	}
+	if key.data, err = packItems(items); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.packed = key
+	return key.data, nil
 }
 
 // encodeItem returns the message for one item: a delta if the peer accepts one and
--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -48,6 +48,9 @@
 	// AcceptDeltas means that the sender of the request has the large values as of
 	// After, and decodes deltas of them.
 	AcceptDeltas bool `cbor:"4,keyasint,omitempty"`
+	// AcceptPacked means that the sender of the request decodes packed items, and replies
+	// that the peer is busy.
+	AcceptPacked bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Gateway handles the calls of other gateways.
@@ -57,16 +60,19 @@
 	Counts() (node string, counts rollout.Counts)
 	Exchange(m share.Message) share.Reply
 	Activity(fromWindow int64) Activity
+	// Knows reports whether this node has all changes after a revision, so that a peer needs
+	// no snapshot.
+	Knows(after int64) bool
+	// FanOut is the number of nodes that this one can pass its copy on to.
+	FanOut() int
 }
 
 // NewGatewayServer returns a server for the calls between gateways. It does not serve
 // the calls of [Node].
 func NewGatewayServer(g Gateway) *Server {
-	encoder := newBatchEncoder(g.Previous)
+	follow := &followHandler{gateway: g, encoder: newBatchEncoder(g.Previous), snapshots: make(chan struct{}, max(minSnapshots, g.FanOut()/fanOutPerSnapshot))}
 	return &Server{handlers: map[string]func(drpc.Stream) error{
-		callFollow: unaryHandler(func(ctx context.Context, r followRequest) (followReply, error) {
-			return encoder.encode(g.Await(ctx, r.After, r.Wait), r)
-		}),
+		callFollow: follow.handle,
 		callExchange: unaryHandler(func(_ context.Context, m share.Message) (share.Reply, error) {
 			return g.Exchange(m), nil
 		}),
@@ -77,6 +83,44 @@
 	}}
 }
 
+const (
+	// A node sends one snapshot at a time for each fanOutPerSnapshot nodes that it can pass
+	// changes on to, and minSnapshots at least. Snapshots of a large deployment take some
+	// hundred kilobytes each; too many at once fill its link and its memory.
+	fanOutPerSnapshot = 4
+	minSnapshots      = 2
+)
+
+// followHandler handles callFollow.
+type followHandler struct {
+	gateway Gateway
+	encoder *batchEncoder
+	// snapshots holds a value for each snapshot that is being sent.
+	snapshots chan struct{}
+}
+
+// handle sends the changes that a peer lacks. Peers that need a snapshot while too many are
+// being sent are told that this node is busy.
+func (h *followHandler) handle(stream drpc.Stream) error {
+	var r followRequest
+	if err := stream.MsgRecv(&r, codec{}); err != nil {
+		return err
+	}
+	if r.AcceptPacked && !h.gateway.Knows(r.After) {
+		select {
+		case h.snapshots <- struct{}{}:
+			defer func() { <-h.snapshots }()
+		default:
+			return stream.MsgSend(&followReply{Busy: true}, codec{})
+		}
+	}
+	reply, err := h.encoder.encode(h.gateway.Await(stream.Context(), r.After, r.Wait), r)
+	if err != nil {
+		return err
+	}
+	return stream.MsgSend(&reply, codec{})
+}
+
 // countsHandler returns the handler of callCounts.
 func countsHandler(get func() (node string, counts rollout.Counts)) func(drpc.Stream) error {
 	return unaryHandler(func(context.Context, empty) (countsReply, error) {
@@ -90,7 +134,7 @@
 // this node's copy changed in the meantime, because another peer updated it, the base
 // of a delta may be missing; then Follow fetches the whole values.
 func (c *Client) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
-	request := followRequest{After: after, Wait: wait, AcceptCompressed: true, AcceptDeltas: c.knownValue != nil}
+	request := followRequest{After: after, Wait: wait, AcceptCompressed: true, AcceptDeltas: c.knownValue != nil, AcceptPacked: true}
 	batch, err := c.follow(ctx, address, request)
 	if errorx.IsOfType(err, UnknownBase) {
 		slog.Info("delta with an unknown base; fetching the whole value", "peer", address, "after", after, "error", err)
--- a/adapter/peer/silent_test.go
+++ b/adapter/peer/silent_test.go
@@ -30,6 +30,8 @@
 func (g *blockingGateway) Counts() (string, rollout.Counts)   { return "node", rollout.Counts{} }
 func (g *blockingGateway) Exchange(share.Message) share.Reply { return share.Reply{} }
 func (g *blockingGateway) Activity(int64) peer.Activity       { return peer.Activity{} }
+func (*blockingGateway) Knows(after int64) bool               { return true }
+func (*blockingGateway) FanOut() int                          { return 8 }
 
 // TestSilentConnections checks that after a call that timed out, the next one uses a
 // new connection, even if the pool holds others.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -368,5 +368,11 @@
 // large; the peer server sends large values as deltas from it.
 func (g *Gateway) Previous(key string) (mirror.Item, bool) { return g.mirror.Previous(key) }
 
+// Knows reports whether this gateway's copy of the store has all changes after a revision.
+func (g *Gateway) Knows(after int64) bool { return g.mirror.Knows(after) }
+
+// FanOut returns the number of gateways that this one can pass its copy of the store on to.
+func (g *Gateway) FanOut() int { return g.self.FanOut }
+
 // Counts returns this gateway's ID and its counts for the driver of rollouts.
 func (g *Gateway) Counts() (string, rollout.Counts) { return g.self.ID, g.picker.Counts() }
--- a/gateway/own_entry.go
+++ b/gateway/own_entry.go
@@ -22,10 +22,10 @@
 	// maxSkippedRenewals limits how many renewals are skipped after consecutive
 	// failures. When the store recovers, the entry is renewed at once.
 	maxSkippedRenewals = 4
-	// syncTimeout is how long a starting gateway waits to learn which entry a previous
-	// process of its VM has left in the store. The store responds in 4 ms, and within
-	// half a second when all gateways of a deployment start at once.
-	syncTimeout = 500 * time.Millisecond
+	// syncTimeout is how long a starting gateway waits for its copy of the store before it
+	// registers. Without it, it could serve neither clients nor peers, and would not know
+	// which entry a previous process of its VM has left.
+	syncTimeout = 5 * time.Second
 	// leaveTimeout limits the call that marks the entry as leaving. A slow store takes
 	// some hundred milliseconds.
 	leaveTimeout = time.Second
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -65,6 +66,48 @@
 	return addresses
 }
 
+const (
+	// firstSpread is the time within which the gateways of a deployment begin to read the store
+	// that starts for the first time, and spreadPerGateway the same for each gateway of the
+	// data hall that ran before. A gateway has read a large store, and can pass its copy on,
+	// after about a second.
+	firstSpread      = 3 * time.Second
+	spreadPerGateway = 10 * time.Millisecond
+	// earlySpread is the time for gateways that can serve many others, and for seeds.
+	earlySpread = 200 * time.Millisecond
+)
+
+// Sources returns the peer addresses of the gateways of the own data hall, those that can serve
+// most others first and otherwise in random order. The hall's entries are read from the store
+// each time, since this gateway does not know any others yet.
+func (p mirrorPeers) Sources(ctx context.Context) (addresses []string, spread time.Duration) {
+	items, err := p.g.store.ListPrefix(ctx, hallPrefix(p.g.self.DataHall))
+	if err != nil {
+		slog.Info("gateways of the data hall cannot be listed", "error", err)
+	}
+	var hall []view.Member
+	for _, item := range items {
+		if e, err := decodeEntry(item.Value); err == nil && !e.Leaving && e.VM != p.g.self.VM {
+			hall = append(hall, e.Member)
+		}
+	}
+	rand.Shuffle(len(hall), func(i, j int) { hall[i], hall[j] = hall[j], hall[i] })
+	// The first half of the choices goes to those that can serve more.
+	slices.SortStableFunc(hall, func(a, b view.Member) int { return cmp.Compare(b.FanOut, a.FanOut) })
+	for _, m := range hall {
+		addresses = append(addresses, m.Peer)
+	}
+	switch {
+	case p.g.self.FanOut > minFanOut || slices.Contains(p.g.settings.Seeds, p.g.self.Peer):
+		spread = earlySpread
+	case len(hall) == 0:
+		spread = firstSpread
+	default:
+		spread = time.Duration(len(hall)) * spreadPerGateway
+	}
+	return addresses, spread
+}
+
 // Follow requests the changes after a revision from the copy of another gateway.
 func (p mirrorPeers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
 	return p.g.peerClient.Follow(ctx, address, after, wait)
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -34,6 +34,9 @@
 	coalesceTime = 250 * time.Millisecond
 	// readTimeout is how long a snapshot may take until its first bytes arrive.
 	readTimeout = 2 * time.Second
+	// readTotal bounds a snapshot that keeps arriving, page by page: of 20,000 servers it
+	// takes some seconds over a link of 20 Mbit/s.
+	readTotal = 30 * time.Second
 	// transferTimeout bounds a response that keeps arriving. A large declaration takes
 	// longer than a call without changes may, and an aborted transfer would be repeated
 	// over the same link. After this time the next upstream is the better choice, since
@@ -131,6 +134,10 @@
 		}
 		return
 	}
+	if batch.Busy {
+		m.pause(ctx, busyPause)
+		return
+	}
 	m.accept(batch)
 	switch {
 	case batch.Age <= pollAge:
@@ -209,7 +216,10 @@
 // fetchNext waits for the next changes from the store. It reads a snapshot if this node
 // has no data or the store was unreachable.
 func (m *Mirror) fetchNext(ctx context.Context) error {
-	if m.Revision() == 0 || m.isUnreachable() {
+	switch {
+	case m.Revision() == 0:
+		return m.start(ctx)
+	case m.isUnreachable():
 		return m.readAll(ctx)
 	}
 	return m.fetchChanges(ctx, watchWait)
@@ -248,15 +258,7 @@
 
 // readAll reads a snapshot, from which deletions follow as well.
 func (m *Mirror) readAll(ctx context.Context) error {
-	bounds := progress.Timeouts{FirstByte: readTimeout, Idle: watchSlack, Total: readTimeout + transferTimeout}
-	batch, took, err := m.callWithBounds(ctx, bounds, func(ctx context.Context) (Batch, error) {
-		if m.Revision() == 0 {
-			// A node that starts during an outage does not have to wait until the call
-			// to the store times out.
-			go m.queryPeersAfterDelay(ctx)
-		}
-		return m.store.ReadAll(ctx)
-	})
+	batch, took, err := m.callWithBounds(ctx, readBounds, m.store.ReadAll)
 	if err != nil {
 		return err
 	}
@@ -266,6 +268,9 @@
 	return nil
 }
 
+// readBounds are the bounds of reading a snapshot from the store.
+var readBounds = progress.Timeouts{FirstByte: readTimeout, Idle: watchSlack, Total: readTotal}
+
 // queryPeersAfterDelay queries peers unless a response of the store has begun by then
 // in the current read of the snapshot. Many nodes that start at once share the link of
 // the store, and snapshots from peers would also fill the links of the few peers whose
--- a/mirror/hall_test.go
+++ b/mirror/hall_test.go
@@ -171,6 +171,15 @@
 	return s.responses.call(func() (mirror.Batch, error) { return s.Store.ReadAll(ctx) })
 }
 
+func (s delayedStore) ReadStart(ctx context.Context) (b mirror.Batch, more bool, err error) {
+	b, err = s.responses.call(func() (mirror.Batch, error) {
+		b, m, err := s.Store.ReadStart(ctx)
+		more = m
+		return b, err
+	})
+	return b, more, err
+}
+
 func (s delayedStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
 	return s.responses.call(func() (mirror.Batch, error) { return s.Store.Follow(ctx, after, wait) })
 }
@@ -355,6 +364,15 @@
 	return s.h.call(ctx, s.i, func() (mirror.Batch, error) { return s.h.store.ReadAll(ctx) })
 }
 
+func (s hallStore) ReadStart(ctx context.Context) (mirror.Batch, bool, error) {
+	b, err := s.ReadAll(ctx)
+	return b, false, err
+}
+
+func (s hallStore) ReadRest(_ context.Context, start mirror.Batch) (mirror.Batch, error) {
+	return start, nil
+}
+
 func (s hallStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
 	if s.h.is(s.h.cutOff, s.i) || s.h.is(s.h.down, s.i) {
 		<-ctx.Done()
@@ -380,6 +398,8 @@
 	return addresses
 }
 
+func (p hallPeers) Sources(context.Context) ([]string, time.Duration) { return nil, 0 }
+
 func (p hallPeers) Upstream() []string {
 	var upstream []string
 	for i := range p.i {
--- a/mirror/harness_test.go
+++ b/mirror/harness_test.go
@@ -102,6 +102,15 @@
 	return s.conn.call(ctx, func() (mirror.Batch, error) { return s.readAll(ctx) })
 }
 
+func (s *fakeStore) ReadStart(ctx context.Context) (mirror.Batch, bool, error) {
+	b, err := s.ReadAll(ctx)
+	return b, false, err
+}
+
+func (s *fakeStore) ReadRest(_ context.Context, start mirror.Batch) (mirror.Batch, error) {
+	return start, nil
+}
+
 func (s *fakeStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
 	return s.conn.call(ctx, func() (mirror.Batch, error) { return s.follow(ctx, after, wait) })
 }
@@ -204,6 +213,8 @@
 	return addresses
 }
 
+func (p *peers) Sources(context.Context) ([]string, time.Duration) { return nil, 0 }
+
 func (p *peers) Upstream() []string { return p.upstream }
 
 func (p *peers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -81,6 +81,9 @@
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
 	// Waited is how long the sender held the call before it responded.
 	Waited time.Duration `cbor:"5,keyasint,omitempty"`
+	// Busy says that the sender passes its copy on to as many others as it can at present. The
+	// batch is empty then.
+	Busy bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Change is a changed key as subscribers see it: the current item, or one that is
@@ -93,6 +96,11 @@
 type Store interface {
 	// ReadAll returns a full snapshot.
 	ReadAll(ctx context.Context) (Batch, error)
+	// ReadStart returns the beginning of a snapshot, of bounded size, and whether there is
+	// more. It may be some seconds old, and costs less than ReadAll.
+	ReadStart(ctx context.Context) (start Batch, more bool, err error)
+	// ReadRest returns the whole snapshot of which ReadStart has returned the beginning.
+	ReadRest(ctx context.Context, start Batch) (Batch, error)
 	// Follow returns the changes after a revision as soon as there are any, an empty
 	// batch after wait, or HistoryGone.
 	Follow(ctx context.Context, after int64, wait time.Duration) (Batch, error)
@@ -105,6 +113,10 @@
 	// Upstream returns the peers of this node's data hall that it may follow, the
 	// preferred one first; none if this node has to follow the store.
 	Upstream() []string
+	// Sources returns nodes of this node's data hall that may have a copy, in the order in which
+	// to ask them, and the time within which nodes that start together without any source begin
+	// to read the store.
+	Sources(ctx context.Context) (addresses []string, spread time.Duration)
 	// Follow asks a peer for the changes after a revision. The peer holds the call for
 	// up to wait until there are any.
 	Follow(ctx context.Context, address string, after int64, wait time.Duration) (Batch, error)
@@ -141,6 +153,8 @@
 	revision int64
 	// delivered is the revision up to which changes were delivered to subscribers.
 	delivered int64
+	// snapshot is the last snapshot made for peers, for those that ask for one soon after.
+	snapshot Batch
 	// recent holds the last changes: all those after revision recentFrom.
 	recent     []Item
 	recentFrom int64
@@ -152,6 +166,8 @@
 	// asOf is when the store confirmed the copy, directly or by way of a peer;
 	// deliveredAsOf is the same for what was delivered to subscribers.
 	asOf, deliveredAsOf time.Time
+	// snapshotAsOf is when the store confirmed the snapshot for peers.
+	snapshotAsOf time.Time
 	// notifiedAsOf is the value of asOf when waiting peers last got a response.
 	notifiedAsOf time.Time
 	// unreachable says that the store did not respond, and that since then neither the
@@ -274,11 +290,51 @@
 			}
 		}
 	default:
-		b.Items, b.Snapshot = slices.Collect(maps.Values(m.items)), true
+		return m.snapshotForPeers()
 	}
 	return b
 }
 
+const (
+	// snapshotReuse is how long a large snapshot is given to further peers, which get the later
+	// changes with their next call. When many nodes start at once, it is made and encoded once.
+	snapshotReuse = 2 * time.Second
+	// largeSnapshot is the number of items from which a snapshot is large.
+	largeSnapshot = 1000
+)
+
+// snapshotForPeers returns a snapshot of the copy, which may be up to snapshotReuse old. The
+// caller holds mu.
+func (m *Mirror) snapshotForPeers() Batch {
+	now := m.timers.Steady()
+	reusable := len(m.items) >= largeSnapshot && m.snapshot.Revision >= m.recentFrom && now.Sub(m.snapshotAsOf) <= snapshotReuse
+	if m.revision != m.snapshot.Revision && !reusable {
+		m.snapshot = Batch{Items: slices.Collect(maps.Values(m.items)), Revision: m.revision, Snapshot: true}
+	}
+	if m.revision == m.snapshot.Revision {
+		m.snapshotAsOf = m.asOf
+	}
+	b := m.snapshot
+	b.Age = now.Sub(m.snapshotAsOf)
+	return b
+}
+
+// dropOldSnapshot frees the snapshot for peers if it is not given out any more. The caller holds
+// mu.
+func (m *Mirror) dropOldSnapshot() {
+	if m.timers.Steady().Sub(m.snapshotAsOf) > snapshotReuse {
+		m.snapshot = Batch{}
+	}
+}
+
+// Knows reports whether this node has all changes after a revision, so that ChangesAfter
+// returns no snapshot.
+func (m *Mirror) Knows(after int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return after >= m.revision || after >= m.recentFrom
+}
+
 // Await is ChangesAfter, but first waits until there are changes after the revision,
 // the store has confirmed that there are none, or the time is over. It waits no longer
 // than this package's own calls ask for, so that no peer can hold a call open for as
@@ -368,6 +424,7 @@
 		changes = append(changes, Change{item})
 	}
 	m.revision = b.Revision
+	m.dropOldSnapshot()
 	m.notifyPeers()
 	m.trimRecent(b.Snapshot)
 	return changes
--- a/mirror/pages_test.go
+++ b/mirror/pages_test.go
@@ -68,6 +68,15 @@
 
 func (s *pagedStore) ReadAll(context.Context) (mirror.Batch, error) { return s.snapshot, nil }
 
+func (s *pagedStore) ReadStart(ctx context.Context) (mirror.Batch, bool, error) {
+	b, err := s.ReadAll(ctx)
+	return b, false, err
+}
+
+func (s *pagedStore) ReadRest(_ context.Context, start mirror.Batch) (mirror.Batch, error) {
+	return start, nil
+}
+
 func (s *pagedStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
 	s.mu.Lock()
 	released := s.released
