--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,8 +109,12 @@
 	relay     *relay.Relay
 	decisions *decision.Log
 	frontend  *platform.Frontend
-	catalog   atomic.Pointer[catalog.Catalog]
-	leaving   atomic.Bool
+	// serverLog is for the log lines about servers that register, serverEndLog for the others.
+	serverLog, serverEndLog *limitedLog
+	// serversGone means that there may be state of servers that are gone.
+	serversGone atomic.Bool
+	catalog     atomic.Pointer[catalog.Catalog]
+	leaving     atomic.Bool
 }
 
 // New returns a gateway that is not running yet.
@@ -132,6 +136,8 @@
 			FanOut:   fanOut(s.Limits),
 		}),
 	}
+	g.serverLog = newLimitedLog(serverLogsPerSecond, serverLogBurst)
+	g.serverEndLog = newLimitedLog(serverEndLogsPerSecond, serverEndLogBurst)
 	g.catalog.Store(catalog.Empty())
 	g.store = platform.NewStore(s.Store.Address, instruments.PlatformCall)
 	g.peerClient = peer.NewClient(nil, peer.WithCallCounter(instruments.PeerCall),
@@ -247,7 +253,7 @@
 	for _, e := range endpoints {
 		go func() { failed <- e.serve(workCtx, e.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.warmUps.Run} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.dropServerState, g.warmUps.Run} {
 		go run(workCtx)
 	}
 	if g.duties != nil {
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/tree"
@@ -75,9 +73,8 @@
 	// previous is the entry that a previous process of this VM has left in the store.
 	previous previousEntry
 
-	// logs limits the log lines about entries, suppressed counts those that were left out.
-	logs       *rate.Limiter
-	suppressed int
+	// log is for the lines about entries.
+	log *limitedLog
 
 	// synced is closed once the entries that the store held at the start are known.
 	synced <-chan struct{}
@@ -88,7 +85,7 @@
 func newMembership(g *Gateway) *membership {
 	return &membership{
 		g: g, store: g.store, entries: make(map[string]entry), keptUntil: make(map[string]time.Time),
-		logs: rate.NewLimiter(entryLogsPerSecond, entryLogBurst), renewRequests: make(chan struct{}, 1),
+		log: newLimitedLog(entryLogsPerSecond, entryLogBurst), renewRequests: make(chan struct{}, 1),
 	}
 }
 
@@ -115,7 +112,7 @@
 	if c.Deleted {
 		keptFor := max(0, expiryGracePeriod-m.g.timers.Steady().Sub(m.recoveredAt))
 		m.removeEntry(c.Key, keptFor)
-		m.log("gateway entry deleted", "key", c.Key, "revision", c.Revision, "kept_ms", keptFor.Milliseconds())
+		m.log.info(m.g.timers.Now(), "gateway entry deleted", "key", c.Key, "revision", c.Revision, "kept_ms", keptFor.Milliseconds())
 		return
 	}
 	e, err := decodeEntry(c.Value)
@@ -130,21 +127,7 @@
 	if c.Key == m.ownKey() && m.leaseID == 0 {
 		m.previous = previousEntry{leaseID: c.Lease, current: !e.Leaving && m.g.self.SameLocation(e.Member) && m.g.self.FanOut == e.FanOut}
 	}
-	m.log("gateway entry updated", "id", e.ID, "caller", e.Caller, "data_hall", e.DataHall, "leaving", e.Leaving, "revision", c.Revision)
-}
-
-// log writes a log line about an entry, unless there were too many of them. When all gateways
-// of a large deployment start, each of them learns of each other one. The caller holds mu.
-func (m *membership) log(message string, args ...any) {
-	if !m.logs.AllowN(m.g.timers.Now(), 1) {
-		m.suppressed++
-		return
-	}
-	if m.suppressed > 0 {
-		args = append(args, "lines_left_out", m.suppressed, "entries", len(m.entries))
-		m.suppressed = 0
-	}
-	slog.Info(message, args...)
+	m.log.info(m.g.timers.Now(), "gateway entry updated", "id", e.ID, "caller", e.Caller, "data_hall", e.DataHall, "leaving", e.Leaving, "revision", c.Revision)
 }
 
 // removeEntry removes an entry from the list after the given time. If it is this
--- a/gateway/subscribe.go
+++ b/gateway/subscribe.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"strings"
+	"time"
 
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/mirror"
@@ -55,8 +57,8 @@
 	id := strings.TrimPrefix(c.Key, platform.ServerPrefix)
 	if c.Deleted {
 		kept := g.registry.Drop(id)
-		g.balancer.Retain(g.registry.Incarnations())
-		slog.Info("server is gone", "server", id, "revision", c.Revision, "kept_ms", kept.Milliseconds())
+		g.serversGone.Store(true)
+		g.serverEndLog.info(g.timers.Now(), "server is gone", "server", id, "revision", c.Revision, "kept_ms", kept.Milliseconds())
 		return
 	}
 	server, err := platform.DecodeServer(c.Key, c.Value)
@@ -68,7 +70,11 @@
 	if result == registry.PutResultRestart {
 		g.resetServer(server)
 	}
-	slog.Info("server", "server", id, "born", server.Born, "news", result.String(), "service", server.Service, "address", server.Address,
+	log := g.serverLog
+	if server.Leaving || result != registry.PutResultUpdate {
+		log = g.serverEndLog
+	}
+	log.info(g.timers.Now(), "server", "server", id, "born", server.Born, "news", result.String(), "service", server.Service, "address", server.Address,
 		"version", server.Version, "leaving", server.Leaving, "warm_up_ms", server.WarmUp.Milliseconds(), "revision", c.Revision)
 }
 
@@ -87,6 +93,29 @@
 // dead. Running requests are not aborted: their connections show better than the entry
 // whether a response will still come.
 func (g *Gateway) resetServer(server registry.Server) {
-	g.balancer.Retain(g.registry.Incarnations())
+	g.serversGone.Store(true)
 	g.backends.CloseIdle(server.Address)
 }
+
+// stateDropInterval is the time between two looks for state of servers that are gone. It takes a
+// look at all servers, so it does not follow each of them.
+const stateDropInterval = 2 * time.Second
+
+// dropServerState periodically drops the state of servers that are gone, until the context ends.
+func (g *Gateway) dropServerState(ctx context.Context) {
+	g.timers.Every(ctx, stateDropInterval, func() {
+		if g.serversGone.Swap(false) {
+			g.balancer.Retain(g.registry.Incarnations())
+		}
+	})
+}
+
+const (
+	// serverLogsPerSecond and serverLogBurst limit the log lines about servers that register,
+	// serverEndLogsPerSecond and serverEndLogBurst those about servers that leave, restart or
+	// are gone.
+	serverLogsPerSecond    = 10
+	serverLogBurst         = 100
+	serverEndLogsPerSecond = 100
+	serverEndLogBurst      = 500
+)
