--- a/command/gateway.go
+++ b/command/gateway.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/violettally/violettally/gateway"
@@ -13,6 +14,10 @@
 	"github.com/violettally/violettally/settings"
 )
 
+// gcPercent is how much the heap may grow between two collections. A gateway holds all servers
+// of its deployment and allocates little, so memory matters more than the time to collect.
+const gcPercent = 50
+
 // gateway runs a gateway until SIGTERM or SIGINT, then drains it. SIGHUP
 // reloads the log level from the settings file.
 func (r *runner) gateway(args *gatewayArgs) int {
@@ -20,6 +25,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
+	debug.SetGCPercent(gcPercent)
 	ctx := shutdownContext()
 	s, err := settings.LoadGateway(args.Settings)
 	if err != nil {
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -76,3 +76,15 @@
 	value := fmt.Sprintf(`{"version":%d,"services":[%s]}`, version, service)
 	g.applyCatalog(mirror.Change{Item: mirror.Item{Key: platform.CatalogKey, Value: []byte(value)}})
 }
+
+// LimitedLog is a log with a bounded rate.
+type LimitedLog struct{ l *limitedLog }
+
+// NewLimitedLog returns a log of up to burst lines at once.
+func NewLimitedLog(burst int64) LimitedLog { return LimitedLog{newLimitedLog(burst)} }
+
+// Info writes a line, unless there were too many.
+func (l LimitedLog) Info(message string) { l.l.info(message) }
+
+// Refill allows further lines.
+func (l LimitedLog) Refill(lines int64) { l.l.refill(lines) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,8 +136,8 @@
 			FanOut:   fanOut(s.Limits),
 		}),
 	}
-	g.serverLog = newLimitedLog(serverLogsPerSecond, serverLogBurst)
-	g.serverEndLog = newLimitedLog(serverEndLogsPerSecond, serverEndLogBurst)
+	g.serverLog = newLimitedLog(serverLogBurst)
+	g.serverEndLog = newLimitedLog(serverEndLogBurst)
 	g.catalog.Store(catalog.Empty())
 	g.store = platform.NewStore(s.Store.Address, instruments.PlatformCall)
 	g.peerClient = peer.NewClient(nil, peer.WithCallCounter(instruments.PeerCall),
@@ -253,7 +253,7 @@
 	for _, e := range endpoints {
 		go func() { failed <- e.serve(workCtx, e.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.dropServerState, g.warmUps.Run} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.maintain, g.warmUps.Run} {
 		go run(workCtx)
 	}
 	if g.duties != nil {
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -24,9 +24,8 @@
 	// minLocalAddresses is how many gateways of a client's data hall must be known for
 	// the client to be sent to these alone. The same holds for its region.
 	minLocalAddresses = 2
-	// entryLogsPerSecond and entryLogBurst limit the log lines about other gateways' entries.
-	entryLogsPerSecond = 5
-	entryLogBurst      = 50
+	// entryLogBurst is the most log lines about other gateways' entries at once.
+	entryLogBurst = 50
 )
 
 // entry is a gateway's entry in the store. Its fields are exported for the codec.
@@ -85,7 +84,7 @@
 func newMembership(g *Gateway) *membership {
 	return &membership{
 		g: g, store: g.store, entries: make(map[string]entry), keptUntil: make(map[string]time.Time),
-		log: newLimitedLog(entryLogsPerSecond, entryLogBurst), renewRequests: make(chan struct{}, 1),
+		log: newLimitedLog(entryLogBurst), renewRequests: make(chan struct{}, 1),
 	}
 }
 
@@ -112,7 +111,7 @@
 	if c.Deleted {
 		keptFor := max(0, expiryGracePeriod-m.g.timers.Steady().Sub(m.recoveredAt))
 		m.removeEntry(c.Key, keptFor)
-		m.log.info(m.g.timers.Now(), "gateway entry deleted", "key", c.Key, "revision", c.Revision, "kept_ms", keptFor.Milliseconds())
+		m.log.info("gateway entry deleted", "key", c.Key, "revision", c.Revision, "kept_ms", keptFor.Milliseconds())
 		return
 	}
 	e, err := decodeEntry(c.Value)
@@ -127,7 +126,7 @@
 	if c.Key == m.ownKey() && m.leaseID == 0 {
 		m.previous = previousEntry{leaseID: c.Lease, current: !e.Leaving && m.g.self.SameLocation(e.Member) && m.g.self.FanOut == e.FanOut}
 	}
-	m.log.info(m.g.timers.Now(), "gateway entry updated", "id", e.ID, "caller", e.Caller, "data_hall", e.DataHall, "leaving", e.Leaving, "revision", c.Revision)
+	m.log.info("gateway entry updated", "id", e.ID, "caller", e.Caller, "data_hall", e.DataHall, "leaving", e.Leaving, "revision", c.Revision)
 }
 
 // removeEntry removes an entry from the list after the given time. If it is this
@@ -210,6 +209,9 @@
 // removeExpired removes the entries that expired during an outage of the store and were
 // not written again in time. The caller holds mu.
 func (m *membership) removeExpired() {
+	if len(m.keptUntil) == 0 {
+		return
+	}
 	now := m.g.timers.Steady()
 	for key, until := range m.keptUntil {
 		if now.After(until) {
--- a/gateway/subscribe.go
+++ b/gateway/subscribe.go
@@ -58,7 +58,7 @@
 	if c.Deleted {
 		kept := g.registry.Drop(id)
 		g.serversGone.Store(true)
-		g.serverEndLog.info(g.timers.Now(), "server is gone", "server", id, "revision", c.Revision, "kept_ms", kept.Milliseconds())
+		g.serverEndLog.info("server is gone", "server", id, "revision", c.Revision, "kept_ms", kept.Milliseconds())
 		return
 	}
 	server, err := platform.DecodeServer(c.Key, c.Value)
@@ -74,7 +74,7 @@
 	if server.Leaving || result != registry.PutResultUpdate {
 		log = g.serverEndLog
 	}
-	log.info(g.timers.Now(), "server", "server", id, "born", server.Born, "news", result.String(), "service", server.Service, "address", server.Address,
+	log.info("server", "server", id, "born", server.Born, "news", result.String(), "service", server.Service, "address", server.Address,
 		"version", server.Version, "leaving", server.Leaving, "warm_up_ms", server.WarmUp.Milliseconds(), "revision", c.Revision)
 }
 
@@ -97,25 +97,26 @@
 	g.backends.CloseIdle(server.Address)
 }
 
-// stateDropInterval is the time between two looks for state of servers that are gone. It takes a
-// look at all servers, so it does not follow each of them.
-const stateDropInterval = 2 * time.Second
+const (
+	// maintainInterval is the time between two rounds of work that need not follow each change.
+	maintainInterval = 2 * time.Second
+	// serverLogBurst and serverEndLogBurst are the most log lines at once about servers that
+	// register, and about those that leave, restart or are gone.
+	serverLogBurst    = 100
+	serverEndLogBurst = 500
+	// In each round as many log lines become possible again as this share of a burst.
+	logRefillShare = 5
+)
 
-// dropServerState periodically drops the state of servers that are gone, until the context ends.
-func (g *Gateway) dropServerState(ctx context.Context) {
-	g.timers.Every(ctx, stateDropInterval, func() {
+// maintain drops the state of servers that are gone, and allows log lines, at an interval until
+// the context ends.
+func (g *Gateway) maintain(ctx context.Context) {
+	g.timers.Every(ctx, maintainInterval, func() {
 		if g.serversGone.Swap(false) {
 			g.balancer.Retain(g.registry.Incarnations())
 		}
+		for _, l := range []*limitedLog{g.serverLog, g.serverEndLog, g.membership.log} {
+			l.refill(l.burst / logRefillShare)
+		}
 	})
 }
-
-const (
-	// serverLogsPerSecond and serverLogBurst limit the log lines about servers that register,
-	// serverEndLogsPerSecond and serverEndLogBurst those about servers that leave, restart or
-	// are gone.
-	serverLogsPerSecond    = 10
-	serverLogBurst         = 100
-	serverEndLogsPerSecond = 100
-	serverEndLogBurst      = 500
-)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -49,8 +49,9 @@
 	// WarmUp is how much longer the server was going to warm up when the entry was written.
 	WarmUp time.Duration
 
-	// Updated is when the entry arrived, and Restored when the evacuation of the server's
-	// data hall last ended, zero for never. The registry sets both, by [timer.Service.Steady].
+	// Updated is when the entry of a server that warms up arrived, and Restored when the
+	// evacuation of the server's data hall last ended, zero for never. The registry sets both,
+	// by [timer.Service.Steady].
 	Updated, Restored time.Time
 
 	// idHash and hash are the hashes of the ID and of the incarnation; zero if not computed.
@@ -117,7 +118,9 @@
 	if ok && s.Incarnation().before(known.Incarnation()) {
 		return PutResultOld
 	}
-	s.Updated = r.timers.Steady()
+	if s.WarmUp > 0 {
+		s.Updated = r.timers.Steady()
+	}
 	s.idHash, s.hash = rendezvous.Hash(s.ID), s.Incarnation().Hash()
 	if ok {
 		r.markChanged(known)
@@ -279,6 +282,9 @@
 
 // removeExpired removes servers whose entries were not written again in time.
 func (r *Registry) removeExpired() {
+	if len(r.graceUntil) == 0 {
+		return
+	}
 	now := r.timers.Steady()
 	for id, until := range r.graceUntil {
 		if now.After(until) {
--- a/share/run.go
+++ b/share/run.go
@@ -16,7 +16,7 @@
 	exchangeInterval = 50 * time.Millisecond
 	// maxCallsPerSecond bounds the calls of all nodes together. In a deployment of a thousand
 	// nodes there are far more servers than a record could help to choose among.
-	maxCallsPerSecond = 6000
+	maxCallsPerSecond = 4000
 	// callTimeout bounds one call. Peers respond within a few milliseconds.
 	callTimeout = 300 * time.Millisecond
 	// peerBackoff is how long a peer that did not respond is skipped.
--- a/warmup/owners.go
+++ b/warmup/owners.go
@@ -11,6 +11,8 @@
 type otherNode struct {
 	hash     uint64
 	dataHall string
+	// listed means that the node is in the present list; else lastSeen is when it was last.
+	listed   bool
 	lastSeen time.Time
 }
 
@@ -71,19 +73,50 @@
 // updateOthers updates the list of other nodes, and reports whether it has changed. The
 // caller holds mu.
 func (l *Limiter) updateOthers(now time.Time) (changed bool) {
-	for _, m := range l.nodes.Others() {
+	others := l.nodes.Others()
+	if len(others) > 0 && l.listFirst == &others[0] && l.listCount == len(others) {
+		l.listedAt = now
+		return l.removeGone(now)
+	}
+	// Those that are not listed any more were listed until the last look.
+	for vm, o := range l.others {
+		if o.listed {
+			o.listed, o.lastSeen = false, l.listedAt
+			l.others[vm] = o
+		}
+	}
+	l.hasGone = true
+	l.listFirst, l.listCount, l.listedAt = nil, len(others), now
+	if len(others) > 0 {
+		l.listFirst = &others[0]
+	}
+	for _, m := range others {
 		known, ok := l.others[m.VM]
 		if !ok || known.dataHall != m.DataHall {
 			changed = true
 			known = otherNode{hash: rendezvous.Hash(m.VM), dataHall: m.DataHall}
 		}
-		known.lastSeen = now
+		known.listed = true
 		l.others[m.VM] = known
 	}
+	return l.removeGone(now) || changed
+}
+
+// removeGone removes the nodes that have not been listed for handover, and reports whether there
+// were any. The caller holds mu.
+func (l *Limiter) removeGone(now time.Time) (changed bool) {
+	if !l.hasGone {
+		return false
+	}
+	l.hasGone = false
 	for vm, o := range l.others {
-		if now.Sub(o.lastSeen) > handover {
+		switch {
+		case o.listed:
+		case now.Sub(o.lastSeen) > handover:
 			delete(l.others, vm)
 			changed = true
+		default:
+			l.hasGone = true
 		}
 	}
 	return changed
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -72,6 +72,7 @@
 type Nodes interface {
 	// Listed reports whether the other nodes can find this one in their lists.
 	Listed() bool
+	// Others returns the other nodes, the same list until it changes.
 	Others() []view.Member
 	// Age is the time since the list was last confirmed to be current.
 	Age() time.Duration
@@ -94,6 +95,12 @@
 	mayOwn bool
 	// others holds the other nodes by VM, including those that left within handover.
 	others map[string]otherNode
+	// listFirst and listCount identify the list that others was updated from, at listedAt last.
+	listFirst *view.Member
+	listCount int
+	listedAt  time.Time
+	// hasGone means that others may hold nodes that are not listed any more.
+	hasGone bool
 	// servers holds the servers that are warming up, by hash of the incarnation.
 	servers map[uint64]*server
 	// last is the last result of withoutUnowned.
