gateway, suspect, mirror, stall: nothing wakes up where there is nothing to do

Cause: each node woke up some 100 times a second. Change: evacuations and verdicts are looked at while there are some, warm-ups while declared, stalls 5 times a second; a follower's call waits until the store has confirmed.

--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -33,6 +33,10 @@
 	}
 	if _, isNew := g.registry.Evacuate(hall, c.Revision); isNew {
 		servers := g.registry.Evacuated(hall)
+		select {
+		case g.evacuationOrders <- struct{}{}:
+		default: // there is one already
+		}
 		slog.Info("data hall evacuated", "data_hall", hall, "revision", c.Revision, "servers", len(servers),
 			"requests_running", g.balancer.InFlight(servers))
 	}
@@ -46,16 +50,38 @@
 // ended.
 func (g *Gateway) watchEvacuations(ctx context.Context) {
 	empty := make(map[string]registry.Evacuation)
-	g.timers.Every(ctx, evacuationCheckInterval, func() {
-		for hall, e := range g.registry.Evacuations() {
-			if empty[hall] == e || g.balancer.InFlight(g.registry.Evacuated(hall)) > 0 {
-				continue
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.evacuationOrders:
+		}
+		ticks := g.timers.Subscribe(evacuationCheckInterval)
+		for g.checkEvacuations(empty) {
+			select {
+			case <-ctx.Done():
+				ticks.Stop()
+				return
+			case <-ticks.C():
 			}
-			empty[hall] = e
-			slog.Info("no request of this gateway runs in the evacuated data hall any more", "data_hall", hall,
-				"revision", e.Revision, "after_ms", g.timers.Steady().Sub(e.Since).Milliseconds())
 		}
-	})
+		ticks.Stop()
+	}
+}
+
+// checkEvacuations logs the evacuated data halls in which no request of this gateway runs any
+// more, each once, and adds them to empty. It reports whether any data hall is evacuated.
+func (g *Gateway) checkEvacuations(empty map[string]registry.Evacuation) bool {
+	evacuations := g.registry.Evacuations()
+	for hall, e := range evacuations {
+		if empty[hall] == e || g.balancer.InFlight(g.registry.Evacuated(hall)) > 0 {
+			continue
+		}
+		empty[hall] = e
+		slog.Info("no request of this gateway runs in the evacuated data hall any more", "data_hall", hall,
+			"revision", e.Revision, "after_ms", g.timers.Steady().Sub(e.Since).Milliseconds())
+	}
+	return len(evacuations) > 0
 }
 
 // countEvacuatedRequests returns the number of this gateway's requests that run in evacuated
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,8 +113,10 @@
 	serverLog, serverEndLog *limitedLog
 	// serversGone means that there may be state of servers that are gone.
 	serversGone atomic.Bool
-	catalog     atomic.Pointer[catalog.Catalog]
-	leaving     atomic.Bool
+	// evacuationOrders wakes watchEvacuations.
+	evacuationOrders chan struct{}
+	catalog          atomic.Pointer[catalog.Catalog]
+	leaving          atomic.Bool
 }
 
 // New returns a gateway that is not running yet.
@@ -127,6 +129,8 @@
 		settings: s,
 		timers:   timer.New(),
 		metrics:  instruments,
+
+		evacuationOrders: make(chan struct{}, 1),
 		self: view.NewMember(view.Member{
 			VM:       s.Name,
 			Region:   s.Region,
@@ -253,7 +257,7 @@
 	for _, e := range endpoints {
 		go func() { failed <- e.serve(workCtx, e.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.maintain, g.warmUps.Run} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.maintain, g.runWarmUps} {
 		go run(workCtx)
 	}
 	if g.duties != nil {
--- a/gateway/warmups.go
+++ b/gateway/warmups.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
+	"slices"
 	"time"
 
+	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/view"
 	"github.com/violettally/violettally/warmup"
 )
@@ -21,6 +24,14 @@
 	}
 }
 
+// hasWarmUpLimits reports whether the servers of any service have a limit while they warm up.
+func (g *Gateway) hasWarmUpLimits() bool {
+	return slices.ContainsFunc(g.Catalog().Services(), func(s catalog.Service) bool { return s.WarmUpRate > 0 })
+}
+
+// runWarmUps keeps the list of gateways up to date by which servers that warm up are shared.
+func (g *Gateway) runWarmUps(ctx context.Context) { g.warmUps.Run(ctx, g.hasWarmUpLimits) }
+
 // listedNodes is the list of gateways as the warm-up limiter uses it.
 type listedNodes struct{ g *Gateway }
 
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	checkInterval = 100 * time.Millisecond
+	checkInterval = 200 * time.Millisecond
 	// minReported is the delay above which a stall is reported: a claim replica that
 	// stalls for so long misses its response deadline.
 	minReported = 300 * time.Millisecond
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -21,8 +21,9 @@
 	// watchSlack is how late the store may respond to a watch whose wait is over, and
 	// how long a response that has begun may pause; the store responds in 4 ms.
 	watchSlack = 300 * time.Millisecond
-	// peerWait is how long the upstream holds a call without changes.
-	peerWait = 500 * time.Millisecond
+	// peerWait is how long the upstream holds a call without changes: a little longer than the
+	// time after which the store confirms that there are none.
+	peerWait = watchWait + coalesceTime + 50*time.Millisecond
 	// skipTime is how long an upstream is skipped. The entry of one that has lost power
 	// is removed by then, or soon after.
 	skipTime = 3 * time.Second
--- a/suspect/syncer.go
+++ b/suspect/syncer.go
@@ -83,6 +83,8 @@
 	stored map[uint64]bool
 	// due holds, by digest, when an entry is to be written.
 	due map[uint64]time.Time
+	// scheduled wakes Run.
+	scheduled chan struct{}
 }
 
 // NewSyncer returns a syncer between a detector and a store. NodeCount returns how many
@@ -90,24 +92,55 @@
 func NewSyncer(detector *Detector, store Store, local Mirror, nodeCount func() int, timers *timer.Service) *Syncer {
 	return &Syncer{
 		detector: detector, store: store, local: local, nodeCount: nodeCount, timers: timers,
-		stored: make(map[uint64]bool), due: make(map[uint64]time.Time),
+		stored: make(map[uint64]bool), due: make(map[uint64]time.Time), scheduled: make(chan struct{}, 1),
 	}
 }
 
 // Run writes verdicts to the store until the context ends.
 func (s *Syncer) Run(ctx context.Context) {
-	s.timers.Every(ctx, writeInterval, func() {
-		for _, digest := range s.takeDue() {
-			err := s.write(ctx, digest)
-			switch {
-			case errors.Is(err, errConflict):
-				s.scheduleIn(digest, remoteWriteDelay)
-			case err != nil:
-				slog.Debug("failed to store verdict; retrying", "content", FormatDigest(digest), "error", err)
-				s.ScheduleWrite(digest, false)
-			}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.scheduled:
 		}
-	})
+		s.writeScheduled(ctx)
+	}
+}
+
+// writeScheduled writes the scheduled verdicts as they become due, until there are no more.
+func (s *Syncer) writeScheduled(ctx context.Context) {
+	ticks := s.timers.Subscribe(writeInterval)
+	defer ticks.Stop()
+	for s.hasScheduled() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+			s.writeDue(ctx)
+		}
+	}
+}
+
+// hasScheduled reports whether any verdict is to be written, now or later.
+func (s *Syncer) hasScheduled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.due) > 0
+}
+
+// writeDue writes the verdicts that are due.
+func (s *Syncer) writeDue(ctx context.Context) {
+	for _, digest := range s.takeDue() {
+		err := s.write(ctx, digest)
+		switch {
+		case errors.Is(err, errConflict):
+			s.scheduleIn(digest, remoteWriteDelay)
+		case err != nil:
+			slog.Debug("failed to store verdict; retrying", "content", FormatDigest(digest), "error", err)
+			s.ScheduleWrite(digest, false)
+		}
+	}
 }
 
 // Apply applies a change of an entry in the store.
@@ -172,6 +205,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.due[digest] = s.timers.Steady().Add(wait)
+	select {
+	case s.scheduled <- struct{}{}:
+	default: // Run is woken already
+	}
 }
 
 // takeDue removes and returns the requests whose entries are due.
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -49,6 +49,9 @@
 	handover = mirror.MaxStaleness + window + refreshInterval
 	// refreshInterval is the time between two reads of the list of nodes.
 	refreshInterval = 200 * time.Millisecond
+	// idleInterval is the same while no service has a limit. It exceeds maxRefreshGap, so that
+	// a node owns nothing until it has kept its list up to date for a while.
+	idleInterval = 2 * time.Second
 	// maxRefreshGap is the longest time between two reads after which the list still counts
 	// as known throughout. This process did not run if it is exceeded.
 	maxRefreshGap = time.Second
@@ -142,13 +145,24 @@
 	}
 }
 
-// Run keeps the list of nodes up to date until the context ends.
-func (l *Limiter) Run(ctx context.Context) {
-	l.timers.Every(ctx, refreshInterval, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.refresh(l.timers.Steady())
-	})
+// Run keeps the list of nodes up to date until the context ends, as long as limited reports that
+// the servers of some service have a limit while they warm up.
+func (l *Limiter) Run(ctx context.Context, limited func() bool) {
+	for ctx.Err() == nil {
+		interval := refreshInterval
+		if !limited() {
+			interval = idleInterval
+		}
+		ticks := l.timers.Subscribe(interval)
+		select {
+		case <-ctx.Done():
+		case <-ticks.C():
+			l.mu.Lock()
+			l.refresh(l.timers.Steady())
+			l.mu.Unlock()
+		}
+		ticks.Stop()
+	}
 }
 
 // Filter returns the servers that this node may send a request now. It does not modify the
