mirror, share: changes of large stores are gathered for longer, sends told more rarely

Cause: each batch of changes is a call for every node, each exchange as well. Change: 25 us a key more between two watches, 0.5 s at most, and shorter waits, so that ages stay; beyond 300 nodes the interval of exchanges grows with the square of their number.

--- a/adapter/peer/export_test.go
+++ b/adapter/peer/export_test.go
@@ -1,6 +1,10 @@
 package peer
 
-import "github.com/violettally/violettally/mirror"
+import (
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/violettally/violettally/mirror"
+)
 
 // BatchEncoder exports batchEncoder for tests.
 type BatchEncoder struct{ encoder *batchEncoder }
@@ -27,3 +31,24 @@
 
 // Codec is the codec of all calls.
 var Codec = codec{}
+
+// PackItems and UnpackItems convert between items and their packed form.
+func PackItems(items []mirror.Item) ([]byte, error) {
+	e := newBatchEncoder(func(string) (mirror.Item, bool) { return mirror.Item{}, false })
+	return e.pack(mirror.Batch{Items: items, Snapshot: true}, followRequest{})
+}
+
+// UnpackItems returns packed items.
+func UnpackItems(packed []byte) ([]mirror.Item, error) {
+	b, err := followReply{Packed: packed}.decode(nil)
+	return b.Items, err
+}
+
+// Compress compresses data as packed items are.
+func Compress(data []byte) []byte {
+	w, err := zstd.NewWriter(nil)
+	if err != nil {
+		panic(err)
+	}
+	return w.EncodeAll(data, nil)
+}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -33,6 +33,9 @@
 	// coalesceTime is the time between two watches, so that one call fetches changes
 	// that come close together.
 	coalesceTime = 250 * time.Millisecond
+	// coalesceTimePerKey is added for each key of the store, up to coalesceTimeMax.
+	coalesceTimePerKey = 25 * time.Microsecond
+	coalesceTimeMax    = 500 * time.Millisecond
 	// readTimeout is how long a snapshot may take until its first bytes arrive.
 	readTimeout = 2 * time.Second
 	// readTotal bounds a snapshot that keeps arriving, page by page: of 20,000 servers it
@@ -97,7 +100,7 @@
 func (m *Mirror) followStore(ctx context.Context) {
 	err := m.fetchNext(ctx)
 	if err == nil {
-		m.pause(ctx, coalesceTime)
+		m.pause(ctx, m.coalesce())
 		return
 	}
 	if ctx.Err() != nil || m.stalled(err) {
@@ -223,7 +226,16 @@
 	case m.isUnreachable():
 		return m.readAll(ctx)
 	}
-	return m.fetchChanges(ctx, watchWait)
+	return m.fetchChanges(ctx, watchWait+coalesceTime-m.coalesce())
+}
+
+// coalesce returns the time between two watches. The more keys there are, the more changes come
+// together, and each batch of them is a call for every node. A watch waits shorter by as much, so
+// that the age of the copy stays the same.
+func (m *Mirror) coalesce() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return min(coalesceTimeMax, coalesceTime+time.Duration(len(m.items))*coalesceTimePerKey)
 }
 
 // fetchChanges takes the changes after the known revision from the store, which may
--- a/share/layout.go
+++ b/share/layout.go
@@ -86,8 +86,11 @@
 	return nodes[i].Peer, true
 }
 
-// interval returns the time between two calls of a node. All nodes together make no more than
-// maxCallsPerSecond calls, so the cost of a node falls as the deployment grows.
+// interval returns the time between two calls of a node. Servers grow with the nodes while the
+// number of records that a node receives does not, so a record is of the less use the more nodes
+// there are. From smallDeployment nodes on, the interval grows with the square of their number,
+// so that the calls of all nodes together become fewer.
 func (l *layout) interval() time.Duration {
-	return max(exchangeInterval, time.Duration(l.count+1)*time.Second/maxCallsPerSecond)
+	scale := max(1, float64(l.count+1)/smallDeployment)
+	return min(maxExchangeInterval, time.Duration(scale*scale*float64(exchangeInterval)))
 }
--- a/share/run.go
+++ b/share/run.go
@@ -14,9 +14,11 @@
 	// choosing the server. In a data hall of 60 nodes a record passes through four calls,
 	// and one more to another hall: 125 ms on average, 250 ms with twice the interval.
 	exchangeInterval = 50 * time.Millisecond
-	// maxCallsPerSecond bounds the calls of all nodes together. In a deployment of a thousand
-	// nodes there are far more servers than a record could help to choose among.
-	maxCallsPerSecond = 4000
+	// maxExchangeInterval bounds the interval in large deployments, which have more than
+	// smallDeployment nodes. Lost requests must be known before their clients have retried
+	// several times.
+	maxExchangeInterval = time.Second
+	smallDeployment     = 300.0
 	// callTimeout bounds one call. Peers respond within a few milliseconds.
 	callTimeout = 300 * time.Millisecond
 	// peerBackoff is how long a peer that did not respond is skipped.
