--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -122,7 +122,7 @@
 	last, revision, known := r.last(ctx)
 	now := r.Clock.Now()
 	if known && !last.Unknown && last.Window != r.delivered && last.Window >= r.Windows.oldest(now) {
-		r.send(ctx, token, last)
+		r.send(ctx, last)
 		return
 	}
 	window := r.nextWindow(last, known, now)
@@ -139,9 +139,7 @@
 		r.Count(ResultGivenUp)
 		return
 	}
-	if token, held = r.Lease.Held(callTimeout); held {
-		r.send(ctx, token, next)
-	}
+	r.send(ctx, next)
 }
 
 // nextWindow returns the window to report after the last one. Windows whose report would be
@@ -207,8 +205,12 @@
 	return true
 }
 
-// send sends a stored report.
-func (r *Reporter) send(ctx context.Context, token int64, stored report) {
+// send sends a stored report, if the lease is still held: what came before may have taken long.
+func (r *Reporter) send(ctx context.Context, stored report) {
+	token, held := r.Lease.Held(callTimeout)
+	if !held {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := r.Platform.ReportUsage(ctx, token, stored.Window, stored.Counts)
