--- a/adapter/peer/pack.go
+++ b/adapter/peer/pack.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"sync"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
 )
@@ -17,28 +19,37 @@
 	maxUnpackedBytes = 64 << 20
 )
 
+// packer and unpacker are shared by all calls of the process: their tables take some hundred
+// kilobytes, too much to allocate for each batch of changes.
+var (
+	packer = sync.OnceValues(func() (*zstd.Encoder, error) {
+		return zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+			zstd.WithWindowSize(packWindow), zstd.WithLowerEncoderMem(true))
+	})
+	unpacker = sync.OnceValues(func() (*zstd.Decoder, error) {
+		return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxUnpackedBytes))
+	})
+)
+
 // packItems encodes and compresses items.
 func packItems(items []followItem) ([]byte, error) {
 	data, err := cbor.Marshal(items)
 	if err != nil {
 		return nil, err
 	}
-	w, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
-		zstd.WithWindowSize(packWindow), zstd.WithLowerEncoderMem(true))
+	w, err := packer()
 	if err != nil {
 		return nil, err
 	}
-	defer w.Close()
 	return w.EncodeAll(data, nil), nil
 }
 
 // unpackItems decodes packed items.
 func unpackItems(packed []byte) ([]followItem, error) {
-	r, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxUnpackedBytes))
+	r, err := unpacker()
 	if err != nil {
 		return nil, err
 	}
-	defer r.Close()
 	data, err := r.DecodeAll(packed, nil)
 	if err != nil {
 		return nil, err
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -462,10 +462,14 @@
 	if snapshot {
 		m.recent, m.recentFrom = nil, m.revision
 	}
-	// Two changes are kept for each key: when all servers of a large deployment
-	// register at once, peers must not need a snapshot for every few of them.
-	if surplus := len(m.recent) - max(minRecentChanges, 2*len(m.items)); surplus > 0 {
-		m.recentFrom = m.recent[surplus-1].Revision
-		m.recent = slices.Clone(m.recent[surplus:])
+	// A change is kept for each key: when all servers of a large deployment register at once,
+	// peers must not need a snapshot for every few of them. Changes are dropped many at a time,
+	// since the rest is copied.
+	kept := max(minRecentChanges, len(m.items))
+	if len(m.recent) < kept+kept/4 {
+		return
 	}
+	surplus := len(m.recent) - kept
+	m.recentFrom = m.recent[surplus-1].Revision
+	m.recent = slices.Clone(m.recent[surplus:])
 }
