--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -164,7 +164,7 @@
 }
 
 // addServer counts a server in its pool.
-func addServer(pool *autoscale.Pool, s registry.Server, now time.Time) {
+func addServer(pool *autoscale.Pool, s *registry.Server, now time.Time) {
 	count, cold := &pool.Reserved, &pool.ColdReserved
 	if s.Spot {
 		count, cold = &pool.Spot, &pool.ColdSpot
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -25,7 +25,7 @@
 func (g *Gateway) IsReady() bool { return g.ready() }
 
 // Servers returns the servers of a service that may get requests.
-func (g *Gateway) Servers(service string) []registry.Server { return g.registry.Servers(service) }
+func (g *Gateway) Servers(service string) []*registry.Server { return g.registry.Servers(service) }
 
 // The addresses of MaintainEntry's gateway, for clients and for peers.
 const (
--- a/registry/list.go
+++ b/registry/list.go
@@ -12,21 +12,21 @@
 type list struct {
 	service string
 	// servers is sorted by ID and never modified.
-	servers []Server
+	servers []*Server
 	// changed holds the IDs of the servers that may have changed since.
 	changed map[string]bool
 }
 
 // update takes over the changes. Listed returns a server as it is to appear in the list;
 // false if it does not.
-func (l *list) update(listed func(id string) (Server, bool)) {
+func (l *list) update(listed func(id string) (*Server, bool)) {
 	if len(l.changed) == 0 {
 		return
 	}
-	updated := make([]Server, 0, len(l.servers)+len(l.changed))
+	updated := make([]*Server, 0, len(l.servers)+len(l.changed))
 	rest := l.servers
 	for _, id := range slices.Sorted(maps.Keys(l.changed)) {
-		at, found := slices.BinarySearchFunc(rest, id, func(s Server, id string) int { return cmp.Compare(s.ID, id) })
+		at, found := slices.BinarySearchFunc(rest, id, func(s *Server, id string) int { return cmp.Compare(s.ID, id) })
 		updated = append(updated, rest[:at]...)
 		rest = rest[at:]
 		if found {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -209,13 +209,13 @@
 
 // Known returns the servers of a service whose entries are valid, including those that are
 // leaving and those in evacuated data halls.
-func (r *Registry) Known(service string) []Server {
+func (r *Registry) Known(service string) []*Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var known []Server
+	var known []*Server
 	for _, s := range r.servers {
 		if _, invalid := r.invalid[s.ID]; s.Service == service && !invalid {
-			known = append(known, s)
+			known = append(known, &s)
 		}
 	}
 	return known
@@ -223,7 +223,7 @@
 
 // Servers returns the servers of a service that may get new requests, sorted by ID. The
 // list must not be modified.
-func (r *Registry) Servers(service string) []Server {
+func (r *Registry) Servers(service string) []*Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.removeExpired()
@@ -237,13 +237,13 @@
 
 // listed returns a server as it appears in the list of a service; false if it gets no new
 // requests.
-func (r *Registry) listed(id string) (Server, bool) {
+func (r *Registry) listed(id string) (*Server, bool) {
 	s, known := r.servers[id]
 	if !known || !r.usable(s) {
-		return Server{}, false
+		return nil, false
 	}
 	s.Restored = r.restored[s.DataHall]
-	return s, true
+	return &s, true
 }
 
 // markChanged makes the list of a server's service be updated. The caller holds mu.
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -129,7 +129,7 @@
 // servers returns the candidates for the next attempt, and the version under which it is
 // counted. The version is chosen first, so that a session keeps it while servers warm up; if
 // none of its servers may get a request, any version is better than no response.
-func (x *exchange) servers() ([]registry.Server, string) {
+func (x *exchange) servers() ([]*registry.Server, string) {
 	known := x.relay.Servers.Servers(x.service)
 	untried := x.untried(known)
 	x.knownServers = len(known)
@@ -143,16 +143,16 @@
 	return candidates, version
 }
 
-func (x *exchange) chooseVersion(servers []registry.Server) ([]registry.Server, string) {
+func (x *exchange) chooseVersion(servers []*registry.Server) ([]*registry.Server, string) {
 	return x.relay.Versions.Choose(x.service, x.request.hashKey(), x.version, servers)
 }
 
 // untried returns the servers that have not been sent the request. The version is chosen among
 // these: early in a rollout few servers run the new version, and another version is better
 // than no response.
-func (x *exchange) untried(servers []registry.Server) []registry.Server {
+func (x *exchange) untried(servers []*registry.Server) []*registry.Server {
 	if len(x.tried) == 0 {
 		return servers
 	}
-	return slices.DeleteFunc(slices.Clone(servers), func(s registry.Server) bool { return x.tried[s.Incarnation()] })
+	return slices.DeleteFunc(slices.Clone(servers), func(s *registry.Server) bool { return x.tried[s.Incarnation()] })
 }
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -98,8 +98,8 @@
 // threeServers is a fixed set of three servers.
 type threeServers struct{ allUsable }
 
-func (threeServers) Servers(string) []registry.Server {
-	return []registry.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+func (threeServers) Servers(string) []*registry.Server {
+	return []*registry.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 }
 
 // allUsable reports all servers as usable.
@@ -112,14 +112,14 @@
 // allWarm limits no server.
 type allWarm struct{}
 
-func (allWarm) Filter(s []registry.Server) []registry.Server { return s }
-func (allWarm) Take(registry.Server) bool                    { return true }
-func (allWarm) UntilWarm([]registry.Server) time.Duration    { return 0 }
+func (allWarm) Filter(s []*registry.Server) []*registry.Server { return s }
+func (allWarm) Take(registry.Server) bool                      { return true }
+func (allWarm) UntilWarm([]*registry.Server) time.Duration     { return 0 }
 
 // noRollout lets every server get every request.
 type noRollout struct{}
 
-func (noRollout) Choose(_, _, _ string, s []registry.Server) ([]registry.Server, string) {
+func (noRollout) Choose(_, _, _ string, s []*registry.Server) ([]*registry.Server, string) {
 	return s, ""
 }
 func (noRollout) Begin(_, _, _ string)                {}
--- a/relay/overload_test.go
+++ b/relay/overload_test.go
@@ -55,7 +55,7 @@
 // firstServerOnly is a rollout that admits only the first server.
 type firstServerOnly struct{ noRollout }
 
-func (firstServerOnly) Choose(_, _, _ string, s []registry.Server) ([]registry.Server, string) {
+func (firstServerOnly) Choose(_, _, _ string, s []*registry.Server) ([]*registry.Server, string) {
 	return s[:1], "v1"
 }
 
--- a/relay/recovery_test.go
+++ b/relay/recovery_test.go
@@ -59,11 +59,11 @@
 
 func (s *returningServers) Recovering() bool { return time.Now().Before(s.recovered) }
 
-func (s *returningServers) Servers(string) []registry.Server {
+func (s *returningServers) Servers(string) []*registry.Server {
 	if time.Now().Before(s.known) {
 		return nil
 	}
-	return []registry.Server{{ID: "a"}}
+	return []*registry.Server{{ID: "a"}}
 }
 
 func (s *returningServers) Send(context.Context, registry.Server, relay.Call) (relay.Response, error) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -151,7 +151,7 @@
 
 // Servers lists the backend servers.
 type Servers interface {
-	Servers(service string) []registry.Server
+	Servers(service string) []*registry.Server
 	// Usable reports whether a server may still get new requests.
 	Usable(i registry.Incarnation) bool
 	// Recovering reports whether entries of running servers may be missing for a moment, because
@@ -165,12 +165,12 @@
 // WarmUps limits the requests to servers that are warming up. All nodes share these limits.
 type WarmUps interface {
 	// Filter returns those of the servers that this node may send a request now.
-	Filter(servers []registry.Server) []registry.Server
+	Filter(servers []*registry.Server) []*registry.Server
 	// Take counts a request to a server. It returns false, and counts nothing, if the server
 	// may not get one from this node now.
 	Take(s registry.Server) bool
 	// UntilWarm returns the time until the first of the servers is warm.
-	UntilWarm(servers []registry.Server) time.Duration
+	UntilWarm(servers []*registry.Server) time.Duration
 }
 
 // StoreView describes how current this process's copy of the platform's store is. Servers are
@@ -191,7 +191,7 @@
 	// Choose returns the servers that may get a request and the version under which it is
 	// counted, "" if it is not counted. A request that was counted under a version before stays
 	// there if possible.
-	Choose(service, key, before string, servers []registry.Server) ([]registry.Server, string)
+	Choose(service, key, before string, servers []*registry.Server) ([]*registry.Server, string)
 	// Begin and End count a request as sent and ended, under the version that Choose returned.
 	Begin(service, version, key string)
 	End(service, version, key string)
--- a/relay/replacement_test.go
+++ b/relay/replacement_test.go
@@ -205,10 +205,10 @@
 // listedServers is a fixed list of servers.
 type listedServers struct {
 	allUsable
-	list []registry.Server
+	list []*registry.Server
 }
 
-func (s *listedServers) Servers(string) []registry.Server { return s.list }
+func (s *listedServers) Servers(string) []*registry.Server { return s.list }
 
 // TestDurationsLearned checks that durations are learned from whole responses, and from those
 // that were cut off later than expected, and from nothing else, and that a stream that has just
--- a/relay/stale_choice_test.go
+++ b/relay/stale_choice_test.go
@@ -59,11 +59,11 @@
 	sent                   []string
 }
 
-func (l *leavingServers) Servers(string) []registry.Server {
-	var left []registry.Server
+func (l *leavingServers) Servers(string) []*registry.Server {
+	var left []*registry.Server
 	for _, id := range []string{"a", "b"} {
 		if id != l.departed {
-			left = append(left, registry.Server{ID: id})
+			left = append(left, &registry.Server{ID: id})
 		}
 	}
 	return left[:1]
--- a/relay/status_test.go
+++ b/relay/status_test.go
@@ -44,7 +44,7 @@
 // noServers is an empty set of servers.
 type noServers struct{ allUsable }
 
-func (noServers) Servers(string) []registry.Server { return nil }
+func (noServers) Servers(string) []*registry.Server { return nil }
 
 // fixedStatus responds to every request with one status.
 type fixedStatus int
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -21,7 +21,7 @@
 // crashingServers crash while they run poisonBody. Each restarts with another ID.
 type crashingServers struct {
 	allUsable
-	servers []registry.Server
+	servers []*registry.Server
 	started int
 	// runTime is how long a server runs the request before it crashes.
 	runTime time.Duration
@@ -39,10 +39,10 @@
 
 func (c *crashingServers) start() {
 	c.started++
-	c.servers = append(c.servers, registry.Server{ID: fmt.Sprintf("s%d", c.started)})
+	c.servers = append(c.servers, &registry.Server{ID: fmt.Sprintf("s%d", c.started)})
 }
 
-func (c *crashingServers) Servers(string) []registry.Server { return c.servers }
+func (c *crashingServers) Servers(string) []*registry.Server { return c.servers }
 
 const poisonBody = "ends its server"
 
@@ -52,7 +52,7 @@
 	}
 	time.Sleep(c.runTime)
 	c.crashed++
-	var left []registry.Server
+	var left []*registry.Server
 	for _, s := range c.servers {
 		if s.ID != server.ID {
 			left = append(left, s)
--- a/relay/task.go
+++ b/relay/task.go
@@ -19,7 +19,7 @@
 )
 
 // task describes the next attempt to the balancer.
-func (x *exchange) task(servers []registry.Server) route.Task {
+func (x *exchange) task(servers []*registry.Server) route.Task {
 	t := route.Task{
 		Servers:   servers,
 		Exclude:   x.tried,
--- a/relay/warmup_test.go
+++ b/relay/warmup_test.go
@@ -51,8 +51,8 @@
 	sent           []string
 }
 
-func (w *warmingServers) Filter(servers []registry.Server) []registry.Server {
-	var allowed []registry.Server
+func (w *warmingServers) Filter(servers []*registry.Server) []*registry.Server {
+	var allowed []*registry.Server
 	for _, s := range servers {
 		if strings.Contains(w.allowed, s.ID) {
 			allowed = append(allowed, s)
@@ -69,7 +69,7 @@
 	return false
 }
 
-func (w *warmingServers) UntilWarm([]registry.Server) time.Duration { return 1200 * time.Millisecond }
+func (w *warmingServers) UntilWarm([]*registry.Server) time.Duration { return 1200 * time.Millisecond }
 
 func (w *warmingServers) Send(_ context.Context, s registry.Server, _ relay.Call) (relay.Response, error) {
 	w.sent = append(w.sent, s.ID)
--- a/relay/watchdog_test.go
+++ b/relay/watchdog_test.go
@@ -107,7 +107,7 @@
 // oneServer is a set of one server.
 type oneServer struct{ allUsable }
 
-func (oneServer) Servers(string) []registry.Server { return []registry.Server{{ID: "a"}} }
+func (oneServer) Servers(string) []*registry.Server { return []*registry.Server{{ID: "a"}} }
 
 // slowBackend responds after a few seconds.
 type slowBackend struct{ sends int }
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -175,7 +175,7 @@
 // hash is compared with the stage's share. previous is the version name of an
 // earlier attempt of the request, if any: the request stays on that version unless
 // the rollout was stopped or the version has no servers.
-func (s *ServicePicker) Choose(service, key, previous string, servers []registry.Server) ([]registry.Server, string) {
+func (s *ServicePicker) Choose(service, key, previous string, servers []*registry.Server) ([]*registry.Server, string) {
 	s.mu.Lock()
 	m, ordered := s.models[service]
 	s.mu.Unlock()
@@ -234,7 +234,7 @@
 // minFirstStageServers in the first stage. A version may be bad only under load,
 // and a small share that is spread over all servers loads none of them. All nodes
 // return the same servers, and more of them as the share rises.
-func (s *ServicePicker) concentrate(m *config.Model, servers []registry.Server, oldServers int) []registry.Server {
+func (s *ServicePicker) concentrate(m *config.Model, servers []*registry.Server, oldServers int) []*registry.Server {
 	share := s.picker.share(m)
 	if share <= 0 || share >= 1 || oldServers == 0 {
 		return servers
@@ -252,9 +252,9 @@
 }
 
 // topScored returns the n servers with the highest scores for a key.
-func topScored(servers []registry.Server, key uint64, n int) []registry.Server {
+func topScored(servers []*registry.Server, key uint64, n int) []*registry.Server {
 	type scored struct {
-		server registry.Server
+		server *registry.Server
 		score  uint64
 	}
 	byScore := make([]scored, len(servers))
@@ -262,7 +262,7 @@
 		byScore[i] = scored{s, rendezvous.Score(key, rendezvous.Hash(s.ID))}
 	}
 	slices.SortFunc(byScore, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	chosen := make([]registry.Server, min(n, len(byScore)))
+	chosen := make([]*registry.Server, min(n, len(byScore)))
 	for i := range chosen {
 		chosen[i] = byScore[i].server
 	}
@@ -285,7 +285,7 @@
 }
 
 // splitByVersion separates the servers of a version from all others.
-func splitByVersion(servers []registry.Server, version string) (matching, others []registry.Server) {
+func splitByVersion(servers []*registry.Server, version string) (matching, others []*registry.Server) {
 	for _, s := range servers {
 		if s.Version == version {
 			matching = append(matching, s)
--- a/rollout/service_test.go
+++ b/rollout/service_test.go
@@ -15,7 +15,7 @@
 	"github.com/violettally/violettally/timer"
 )
 
-var testServers = []registry.Server{{ID: "old-1", Version: "v1"}, {ID: "old-2", Version: "v1"}, {ID: "new-1", Version: "v2"}}
+var testServers = []*registry.Server{{ID: "old-1", Version: "v1"}, {ID: "old-2", Version: "v1"}, {ID: "new-1", Version: "v2"}}
 
 func newServicePicker(t *testing.T, stages string) *rollout.ServicePicker {
 	picker := rollout.NewPicker()
@@ -32,7 +32,7 @@
 	tests := []struct {
 		name    string
 		stages  string
-		servers []registry.Server
+		servers []*registry.Server
 		// share is the share of requests that go to the target.
 		share float64
 	}{
@@ -97,7 +97,7 @@
 	stopped := `{"models": {"s": {"version": "v2", "verdict": "stopped"}}}`
 	tests := []struct {
 		stages, before string
-		servers        []registry.Server
+		servers        []*registry.Server
 		want           string
 	}{
 		{running, "in-service", testServers, "in-service"},
@@ -175,32 +175,40 @@
 // servers that each carries more than its final load, and that all nodes choose
 // the same servers.
 func TestShareIsConcentrated(t *testing.T) {
-	var many []registry.Server
+	var many []*registry.Server
 	for i := range 40 {
-		many = append(many, registry.Server{ID: fmt.Sprint("old", i), Version: "v1"}, registry.Server{ID: fmt.Sprint("new", i), Version: "v2"})
+		many = append(many, &registry.Server{ID: fmt.Sprint("old", i), Version: "v1"}, &registry.Server{ID: fmt.Sprint("new", i), Version: "v2"})
 	}
 	stage := func(fields string) string { return `{"models": {"s": {"version": "v2", ` + fields + `}}}` }
-	var last []registry.Server
+	var last []string
 	for _, tt := range []struct {
 		stages string
 		want   int
 	}{{stage(`"stage": 0, "share": 0.01`), 2}, {stage(`"stage": 0, "share": 0.05`), 2}, {stage(`"stage": 1`), 7}, {stage(`"stage": 2`), 40}} {
 		servers, _ := newServicePicker(t, tt.stages).Choose("s", "k", "v2", many)
 		must.Len(t, tt.want, servers)
-		must.SliceContainsSubset(t, servers, last)
+		must.SliceContainsSubset(t, serverIDs(servers), last)
 		again, _ := newServicePicker(t, tt.stages).Choose("s", "other", "v2", many)
-		must.SliceContainsAll(t, servers, again)
-		last = servers
+		must.SliceContainsAll(t, serverIDs(servers), serverIDs(again))
+		last = serverIDs(servers)
 	}
 }
 
+func serverIDs(servers []*registry.Server) []string {
+	ids := make([]string, len(servers))
+	for i, s := range servers {
+		ids[i] = s.ID
+	}
+	return ids
+}
+
 // TestConcentrationOnFewServers checks that no server of a small service gets several
 // times its final load.
 func TestConcentrationOnFewServers(t *testing.T) {
 	for _, tt := range []struct{ servers, want int }{{3, 1}, {9, 2}, {12, 2}, {18, 3}} {
-		var all []registry.Server
+		var all []*registry.Server
 		for i := range tt.servers {
-			all = append(all, registry.Server{ID: fmt.Sprint("old", i), Version: "v1"}, registry.Server{ID: fmt.Sprint("new", i), Version: "v2"})
+			all = append(all, &registry.Server{ID: fmt.Sprint("old", i), Version: "v1"}, &registry.Server{ID: fmt.Sprint("new", i), Version: "v2"})
 		}
 		servers, _ := newServicePicker(t, `{"models": {"s": {"version": "v2", "stage": 1}}}`).Choose("s", "k", "v2", all)
 		must.Len(t, tt.want, servers)
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -50,7 +50,7 @@
 // Task describes one request for which a Balancer picks a server.
 type Task struct {
 	// Servers are the servers to choose from.
-	Servers []registry.Server
+	Servers []*registry.Server
 	// Kind groups requests for which the time until the response starts depends
 	// on the prompt's size in the same way.
 	Kind string
@@ -193,7 +193,7 @@
 	home := b.home(t, regression)
 	bestCost := math.Inf(1)
 	for _, c := range b.shortlist(t, home, now) {
-		p := prediction{server: t.Servers[c.index], state: c.state, wait: c.state.queueWait(now), cachedTokens: c.cachedTokens}
+		p := prediction{server: *t.Servers[c.index], state: c.state, wait: c.state.queueWait(now), cachedTokens: c.cachedTokens}
 		p.serviceTime = regression.Predict(float64(t.PromptTokens - p.cachedTokens))
 		cost := b.cost(p, t, regression, now)
 		if c.index == home {
@@ -234,7 +234,7 @@
 
 // candidate returns a server as a candidate for a task; false if it can't take it.
 func (b *Balancer) candidate(t Task, index int, now time.Time) (candidate, bool) {
-	s := &t.Servers[index]
+	s := t.Servers[index]
 	state := b.servers[s.Hash()]
 	if state == nil {
 		state = newBalancerServer() // kept only if it is chosen
@@ -322,7 +322,7 @@
 	key := shared[len(shared)-1].Hash
 	best, bestScore := noHome, uint64(0)
 	for i := range t.Servers {
-		s := &t.Servers[i]
+		s := t.Servers[i]
 		if s.DataHall != b.dataHall && !allHalls {
 			continue
 		}
--- a/route/balancer_test.go
+++ b/route/balancer_test.go
@@ -15,7 +15,7 @@
 	"github.com/violettally/violettally/share"
 )
 
-var halls = []registry.Server{
+var halls = []*registry.Server{
 	{ID: "near-1", DataHall: "near"}, {ID: "near-2", DataHall: "near"}, {ID: "far-1", DataHall: "far"}, {ID: "far-2", DataHall: "far"},
 }
 
@@ -23,7 +23,7 @@
 
 // prefillTask returns a task with a prompt whose prefill takes the given number of
 // milliseconds.
-func prefillTask(servers []registry.Server, milliseconds float64) route.Task {
+func prefillTask(servers []*registry.Server, milliseconds float64) route.Task {
 	return route.Task{Servers: servers, PromptTokens: 1, BodyBytes: 4000, Kind: fmt.Sprint(milliseconds), Initial: route.InitialEstimate{Rate: milliseconds}}
 }
 
--- a/route/health_test.go
+++ b/route/health_test.go
@@ -11,7 +11,7 @@
 	"github.com/violettally/violettally/route"
 )
 
-var twoServers = []registry.Server{{ID: "good", DataHall: "near"}, {ID: "bad", DataHall: "near"}}
+var twoServers = []*registry.Server{{ID: "good", DataHall: "near"}, {ID: "bad", DataHall: "near"}}
 
 // shortTask is a task with an initial estimate of 50 ms.
 var shortTask = route.Task{Servers: twoServers, PromptTokens: 1, Kind: "brief/small", Initial: route.InitialEstimate{Base: 50}}
--- a/route/herd_test.go
+++ b/route/herd_test.go
@@ -81,7 +81,7 @@
 type herd struct {
 	events  events
 	nodes   []*route.Balancer
-	servers []registry.Server
+	servers []*registry.Server
 	engines map[string]*engine
 	// waited is the total time for which the measured requests waited in queues,
 	// measured their number.
@@ -94,7 +94,7 @@
 	h := &herd{engines: make(map[string]*engine)}
 	for i := range herdServers {
 		s := registry.Server{ID: fmt.Sprint("i-", i), DataHall: fmt.Sprint("hall-", i%herdHalls), Slots: 16}
-		h.servers = append(h.servers, s)
+		h.servers = append(h.servers, &s)
 		h.engines[s.ID] = &engine{}
 	}
 	for i := range herdNodes {
--- a/route/large_test.go
+++ b/route/large_test.go
@@ -13,7 +13,7 @@
 )
 
 // manyServers returns servers spread over five data halls.
-func manyServers(count int) []registry.Server {
+func manyServers(count int) []*registry.Server {
 	r := registry.New(timer.New())
 	for i := range count {
 		r.Put(registry.Server{ID: fmt.Sprint("i-", i), Service: "s", DataHall: fmt.Sprint("hall-", i%5), Slots: 24})
--- a/route/restart_test.go
+++ b/route/restart_test.go
@@ -20,7 +20,7 @@
 	second.Born = 2000
 	parts := []prefix.Part{{ID: "shared", Tokens: 5000}, {ID: "own", Tokens: 1000}}
 	task := func(s registry.Server) route.Task {
-		return route.Task{Servers: []registry.Server{s}, Kind: "m", PromptTokens: 6000, Prompt: prefix.NewChain("m", parts), Initial: route.InitialEstimate{Base: 30, Rate: 0.05}}
+		return route.Task{Servers: []*registry.Server{&s}, Kind: "m", PromptTokens: 6000, Prompt: prefix.NewChain("m", parts), Initial: route.InitialEstimate{Base: 30, Rate: 0.05}}
 	}
 	for name, before := range map[string]func(t *testing.T, b *route.Balancer){
 		"nothing": func(*testing.T, *route.Balancer) {},
@@ -66,7 +66,7 @@
 // TestTriedIncarnation checks that a request that was tried on one incarnation of a
 // server can be sent to the next.
 func TestTriedIncarnation(t *testing.T) {
-	servers := []registry.Server{{ID: "s", Born: 2000}}
+	servers := []*registry.Server{{ID: "s", Born: 2000}}
 	tried := map[registry.Incarnation]bool{{ID: "s", Born: 1000}: true}
 	choose(t, balancer(), route.Task{Servers: servers, Exclude: tried})
 }
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -114,12 +114,12 @@
 // Lists of servers are filtered several times a request and change a few times a second.
 type ownedList struct {
 	// first and length identify the list that was filtered.
-	first  *registry.Server
+	first  **registry.Server
 	length int
 	// validUntil is when one of the servers left out will be warm, and listValidity from the
 	// filtering at the latest.
 	validUntil time.Time
-	servers    []registry.Server
+	servers    []*registry.Server
 	// warming holds the indices of the servers that are warming up, which this node owns.
 	warming []int
 }
@@ -167,7 +167,7 @@
 
 // Filter returns the servers that this node may send a request now. It does not modify the
 // given list.
-func (l *Limiter) Filter(servers []registry.Server) []registry.Server {
+func (l *Limiter) Filter(servers []*registry.Server) []*registry.Server {
 	if !slices.ContainsFunc(servers, mayWarmUp) {
 		return servers
 	}
@@ -179,7 +179,7 @@
 	if !slices.ContainsFunc(owned.warming, exhausted) {
 		return owned.servers
 	}
-	allowed := make([]registry.Server, 0, len(owned.servers))
+	allowed := make([]*registry.Server, 0, len(owned.servers))
 	from := 0
 	for _, i := range owned.warming {
 		if exhausted(i) {
@@ -192,12 +192,12 @@
 
 // withoutUnowned returns the list without the servers that are warming up and that another
 // node owns. The caller holds mu.
-func (l *Limiter) withoutUnowned(servers []registry.Server, now time.Time) ownedList {
+func (l *Limiter) withoutUnowned(servers []*registry.Server, now time.Time) ownedList {
 	l.refresh(now)
 	if l.last.first == &servers[0] && l.last.length == len(servers) && now.Before(l.last.validUntil) {
 		return l.last
 	}
-	list := ownedList{first: &servers[0], length: len(servers), validUntil: now.Add(listValidity), servers: make([]registry.Server, 0, len(servers))}
+	list := ownedList{first: &servers[0], length: len(servers), validUntil: now.Add(listValidity), servers: make([]*registry.Server, 0, len(servers))}
 	for _, s := range servers {
 		warmAt := l.warmAt(s)
 		switch {
@@ -219,13 +219,13 @@
 // Take counts one request to a server. It returns false, and counts nothing, if this node
 // may not send it now.
 func (l *Limiter) Take(s registry.Server) bool {
-	if !mayWarmUp(s) {
+	if !mayWarmUp(&s) {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Steady()
-	if !l.allows(s, now) {
+	if !l.allows(&s, now) {
 		return false
 	}
 	if state := l.servers[s.Incarnation().Hash()]; state != nil {
@@ -235,7 +235,7 @@
 }
 
 // UntilWarm returns the time until the first of the given servers is warm; zero if one is.
-func (l *Limiter) UntilWarm(servers []registry.Server) time.Duration {
+func (l *Limiter) UntilWarm(servers []*registry.Server) time.Duration {
 	now := l.timers.Steady()
 	least := maxWarmUp
 	for _, s := range servers {
@@ -260,11 +260,11 @@
 }
 
 // mayWarmUp reports whether a server may still be warming up.
-func mayWarmUp(s registry.Server) bool { return s.WarmUp > 0 || !s.Restored.IsZero() }
+func mayWarmUp(s *registry.Server) bool { return s.WarmUp > 0 || !s.Restored.IsZero() }
 
 // warmAt returns when a server is warm. The servers of a data hall may have cooled down
 // while it was evacuated.
-func (l *Limiter) warmAt(s registry.Server) time.Time {
+func (l *Limiter) warmAt(s *registry.Server) time.Time {
 	limit := l.limits(s.Service)
 	if limit.PerSecond <= 0 {
 		return time.Time{}
@@ -283,7 +283,7 @@
 }
 
 // allows reports whether this node may send a server a request now. The caller holds mu.
-func (l *Limiter) allows(s registry.Server, now time.Time) bool {
+func (l *Limiter) allows(s *registry.Server, now time.Time) bool {
 	warmAt := l.warmAt(s)
 	if !now.Before(warmAt) {
 		return true
@@ -295,7 +295,7 @@
 }
 
 // state returns the state of a server that is warming up. The caller holds mu.
-func (l *Limiter) state(s registry.Server, warmAt time.Time) *server {
+func (l *Limiter) state(s *registry.Server, warmAt time.Time) *server {
 	hash := s.Incarnation().Hash()
 	state := l.servers[hash]
 	if state == nil {
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -87,7 +87,7 @@
 	random  *rand.Rand
 	timers  *timer.Service
 	step    time.Duration
-	servers []registry.Server
+	servers []*registry.Server
 	nodes   []*clusterNode
 	// history holds the list of nodes at different times, the last one as it is.
 	history []snapshot
@@ -118,7 +118,7 @@
 func newCluster(nodes, servers int, seed uint64) *cluster {
 	c := &cluster{random: rand.New(rand.NewPCG(seed, 0)), timers: timer.New()}
 	for i := range servers {
-		c.servers = append(c.servers, registry.Server{ID: fmt.Sprint("s-", i), Service: "s", DataHall: fmt.Sprint(i % (halls + 1)), Updated: c.timers.Steady(), WarmUp: time.Hour})
+		c.servers = append(c.servers, &registry.Server{ID: fmt.Sprint("s-", i), Service: "s", DataHall: fmt.Sprint(i % (halls + 1)), Updated: c.timers.Steady(), WarmUp: time.Hour})
 	}
 	for i := range nodes {
 		n := &clusterNode{c: c, self: view.Member{VM: fmt.Sprint("n-", i), DataHall: fmt.Sprint(i % halls)}}
@@ -204,7 +204,7 @@
 			n.lag = time.Duration(c.random.Float64() * float64(mirror.MaxStaleness))
 			for servers := n.limiter.Filter(c.servers); len(servers) > 0; servers = n.limiter.Filter(servers) {
 				for _, s := range servers {
-					if n.limiter.Take(s) {
+					if n.limiter.Take(*s) {
 						sent[s.ID] = append(sent[s.ID], time.Now())
 					}
 				}
@@ -275,7 +275,7 @@
 				if tt.restored {
 					s.Restored = timers.Steady()
 				}
-				servers := []registry.Server{s}
+				servers := []*registry.Server{&s}
 				must.Eq(t, tt.want, l.UntilWarm(servers))
 				must.Eq(t, tt.want == 0, len(l.Filter(servers)) == 1)
 				must.Eq(t, tt.want == 0, l.Take(s))
@@ -298,12 +298,12 @@
 		defer timers.Close()
 		limit := warmup.Limit{Duration: time.Hour, PerSecond: 1e300}
 		l := warmup.New(view.Member{VM: "n"}, listedAlone{}, func(string) warmup.Limit { return limit }, timers)
-		servers := []registry.Server{{ID: "s", Updated: timers.Steady(), WarmUp: time.Hour}}
+		servers := []*registry.Server{{ID: "s", Updated: timers.Steady(), WarmUp: time.Hour}}
 		for end := time.Now().Add(settled); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 			l.Filter(servers)
 		}
 		must.Len(t, 1, l.Filter(servers))
-		must.True(t, l.Take(servers[0]))
+		must.True(t, l.Take(*servers[0]))
 	})
 }
 
