gateway: before the first declaration any service may have a limit

Cause, by reading: since the list of gateways is kept up to date only while a service declares a limit for servers that warm up, a node that had just started looked at it for the first time up to 2 s later, and owned no such server for as much longer. Before the first declaration it is kept up to date now. Not measured by a play; gateway and warmup tests pass.

--- a/gateway/warmups.go
+++ b/gateway/warmups.go
@@ -24,9 +24,10 @@
 	}
 }
 
-// hasWarmUpLimits reports whether the servers of any service have a limit while they warm up.
+// hasWarmUpLimits reports whether the servers of any service have a limit while they warm up, as
+// far as is known.
 func (g *Gateway) hasWarmUpLimits() bool {
-	return slices.ContainsFunc(g.Catalog().Services(), func(s catalog.Service) bool { return s.WarmUpRate > 0 })
+	return g.Catalog().Version() == 0 || slices.ContainsFunc(g.Catalog().Services(), func(s catalog.Service) bool { return s.WarmUpRate > 0 })
 }
 
 // runWarmUps keeps the list of gateways up to date by which servers that warm up are shared.
