usage: the model of the store in the schedules without data races

The race detector found that calls which had been given up wrote to results that their callers had returned. go test -race ./usage -schedules 60 passes.

--- a/usage/schedules_test.go
+++ b/usage/schedules_test.go
@@ -320,10 +320,10 @@
 	}
 }
 
-func (p *port) Get(ctx context.Context, key string) (data []byte, revision int64, err error) {
+func (p *port) Get(ctx context.Context, key string) ([]byte, int64, error) {
 	w := p.node.world
 	var k storedKey
-	err = p.call(ctx, func() {
+	err := p.call(ctx, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		k = w.get(key)
@@ -338,9 +338,10 @@
 	return p.SwapLeased(ctx, key, data, expected, 0)
 }
 
-func (p *port) SwapLeased(ctx context.Context, key string, data []byte, expected, lease int64) (revision int64, won bool, err error) {
+func (p *port) SwapLeased(ctx context.Context, key string, data []byte, expected, lease int64) (int64, bool, error) {
 	w := p.node.world
-	err = p.call(ctx, func() {
+	var revision int64
+	err := p.call(ctx, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.get(key).revision != expected {
@@ -348,17 +349,18 @@
 		}
 		w.revision++
 		w.keys[key] = storedKey{data, w.revision, lease}
-		revision, won = w.revision, true
+		revision = w.revision
 	})
 	if err != nil {
 		return 0, false, err
 	}
-	return revision, won, nil
+	return revision, revision > 0, nil
 }
 
-func (p *port) Grant(ctx context.Context, ttl time.Duration) (id int64, err error) {
+func (p *port) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
 	w := p.node.world
-	err = p.call(ctx, func() {
+	var id int64
+	err := p.call(ctx, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.revision++
@@ -371,9 +373,10 @@
 	return id, nil
 }
 
-func (p *port) KeepAlive(ctx context.Context, id int64) (alive bool, err error) {
+func (p *port) KeepAlive(ctx context.Context, id int64) (bool, error) {
 	w := p.node.world
-	err = p.call(ctx, func() {
+	alive := false
+	err := p.call(ctx, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if alive = time.Now().Before(w.leases[id]); alive {
