--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -92,7 +92,6 @@
 		}
 	}
 	rand.Shuffle(len(hall), func(i, j int) { hall[i], hall[j] = hall[j], hall[i] })
-	// The first half of the choices goes to those that can serve more.
 	slices.SortStableFunc(hall, func(a, b view.Member) int { return cmp.Compare(b.FanOut, a.FanOut) })
 	for _, m := range hall {
 		addresses = append(addresses, m.Peer)
