--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -248,6 +249,9 @@
 		batch, err = m.watch(ctx, after, 0)
 	}
 	if errorx.IsOfType(err, HistoryGone) {
+		if m.awaitUpstream(ctx, after) {
+			return nil
+		}
 		slog.Info("store no longer keeps the changes after this revision; reading a snapshot", "after", after)
 		return m.readAll(ctx)
 	}
@@ -258,6 +262,26 @@
 	return nil
 }
 
+// snapshotSpreadPerKey is the time, for each key of a large store, within which the nodes that
+// follow others read a snapshot when the changes are gone.
+const snapshotSpreadPerKey = 200 * time.Microsecond
+
+// awaitUpstream gives the upstream of a node some time to pass on what the store does not keep any
+// more, and reports whether it has. When a large store loses its history, all nodes find that at
+// once, and it could not serve a snapshot to each. The node's own goroutine of Run follows the
+// upstream meanwhile.
+func (m *Mirror) awaitUpstream(ctx context.Context, after int64) bool {
+	m.mu.Lock()
+	keys := len(m.items)
+	m.mu.Unlock()
+	if keys < largeSnapshot || m.followsStore.Load() || len(m.peers.Upstream()) == 0 {
+		return false
+	}
+	spread := time.Duration(keys) * snapshotSpreadPerKey
+	m.pause(ctx, spread/2+rand.N(spread/2))
+	return m.Revision() > after || m.Age() <= pollAge
+}
+
 // watch asks the store for changes and lets it wait that long for some. A response that
 // took longer than that was in transit, or waited unread in this process, so the time
 // beyond the wait counts as its age.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -423,10 +423,11 @@
 		}
 		changes = append(changes, Change{item})
 	}
+	large := m.revision != 0 && len(m.items) >= largeSnapshot
 	m.revision = b.Revision
 	m.dropOldSnapshot()
 	m.notifyPeers()
-	m.trimRecent(b.Snapshot)
+	m.trimRecent(b.Snapshot && !large)
 	return changes
 }
 
@@ -457,7 +458,8 @@
 }
 
 // trimRecent bounds the changes that are kept. The changes that led to a snapshot are
-// not known, so peers that are behind it need a snapshot, too.
+// not known, so peers that are behind it need a snapshot, too. A large snapshot would be passed
+// on to all peers; they get what it has changed instead, which leads to the same copy.
 func (m *Mirror) trimRecent(snapshot bool) {
 	if snapshot {
 		m.recent, m.recentFrom = nil, m.revision
@@ -470,6 +472,8 @@
 		return
 	}
 	surplus := len(m.recent) - kept
-	m.recentFrom = m.recent[surplus-1].Revision
+	for _, dropped := range m.recent[:surplus] {
+		m.recentFrom = max(m.recentFrom, dropped.Revision)
+	}
 	m.recent = slices.Clone(m.recent[surplus:])
 }
