adapter/peer: packed batches are cached by what the peer has, and encoded once

Cause: the cache of packed batches did not tell peers that accept deltas, or have their base, from others: a batch with a delta went to a peer without the base, which asked again without deltas and got the same. And all followers that wake up together each encoded the batch, since no lock was held as it is for single values. Change: the key holds the peer's revision and whether it accepts deltas; a lock of its own is held while packing. Evidence: TestPackedForPeersWithDifferentBases fails without it (no_base), passes with it; go test -race ./adapter/peer.

--- a/adapter/peer/encode.go
+++ b/adapter/peer/encode.go
@@ -99,17 +99,19 @@
 	mu sync.Mutex
 	// compressed and deltas cache the last encoding of each key.
 	compressed, deltas map[string]encodedValue
-	// packed caches the last packed items.
-	packed packedItems
+	// packed caches the last packed items, those of packedKey. Both are guarded by packing,
+	// which is locked before mu.
+	packing   sync.Mutex
+	packedKey packKey
+	packed    []byte
 }
 
-// packedItems are the packed items of one batch. Batches with the same revision and the same
-// number of items are equal if they are snapshots, or begin at the same revision.
-type packedItems struct {
-	revision, after int64
-	count           int
-	snapshot        bool
-	data            []byte
+// packKey identifies the packed items of one batch. They depend on what the peer has, since large
+// values are packed as deltas of that.
+type packKey struct {
+	revision, after  int64
+	count            int
+	snapshot, deltas bool
 }
 
 // encodedValue is the encoding of a value at a revision. baseRevision is that of the
@@ -151,29 +153,25 @@
 	return encoded, nil
 }
 
-// pack returns the packed items of a batch, from cache if they were packed for another peer.
+// pack returns the packed items of a batch, from cache if they were packed for another peer. The
+// lock is held meanwhile, as in cached.
 func (e *batchEncoder) pack(b mirror.Batch, r followRequest) ([]byte, error) {
-	key := packedItems{revision: b.Revision, count: len(b.Items), snapshot: b.Snapshot}
-	if !b.Snapshot {
-		key.after = r.After
-	}
-	e.mu.Lock()
-	known := e.packed
-	e.mu.Unlock()
-	if known.data != nil && known.revision == key.revision && known.after == key.after && known.count == key.count && known.snapshot == key.snapshot {
-		return known.data, nil
+	key := packKey{revision: b.Revision, after: r.After, count: len(b.Items), snapshot: b.Snapshot, deltas: r.AcceptDeltas}
+	e.packing.Lock()
+	defer e.packing.Unlock()
+	if e.packed != nil && e.packedKey == key {
+		return e.packed, nil
 	}
 	items, err := e.encodeItems(b.Items, r)
 	if err != nil {
 		return nil, err
 	}
-	if key.data, err = packItems(items); err != nil {
+	data, err := packItems(items)
+	if err != nil {
 		return nil, err
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.packed = key
-	return key.data, nil
+	e.packedKey, e.packed = key, data
+	return data, nil
 }
 
 // encodeItem returns the message for one item: a delta if the peer accepts one and
--- a/adapter/peer/pack_test.go
+++ b/adapter/peer/pack_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -123,6 +124,32 @@
 	}
 }
 
+// TestPackedForPeersWithDifferentBases checks that a batch packed with a delta for one peer is not
+// sent to another one that lacks the base, which asked again in vain.
+func TestPackedForPeersWithDifferentBases(t *testing.T) {
+	value := bytes.Repeat([]byte("declaration "), mirror.LargeValueBytes)
+	base := mirror.Item{Key: "declaration", Value: value[1:], Revision: 5}
+	e := peer.NewBatchEncoder(func(string) (mirror.Item, bool) { return base, true })
+	items := append(serverItems(100), mirror.Item{Key: base.Key, Value: value, Revision: 200})
+	b := mirror.Batch{Items: items, Revision: 200, Snapshot: true}
+	known := func(string) (mirror.Item, bool) { return base, true }
+	nothing := func(string) (mirror.Item, bool) { return mirror.Item{}, false }
+	for _, tt := range []struct {
+		request peer.Request
+		known   func(string) (mirror.Item, bool)
+	}{
+		{peer.Request{After: 7, AcceptPacked: true, AcceptDeltas: true, AcceptCompressed: true}, known},
+		{peer.Request{After: 7, AcceptPacked: true, AcceptCompressed: true}, nothing},
+		{peer.Request{AcceptPacked: true, AcceptDeltas: true, AcceptCompressed: true}, nothing},
+	} {
+		reply, err := e.Encode(b, tt.request)
+		must.NoError(t, err)
+		got, err := peer.Decode(reply, tt.known)
+		must.NoError(t, err)
+		must.Eq(t, items, got.Items)
+	}
+}
+
 // TestSnapshotSize checks the size of a snapshot of 10,000 servers on the wire.
 func TestSnapshotSize(t *testing.T) {
 	const maxBytes = 400_000
