gateway, usage: one piece of code each for ongoing rollouts, the mirrored store, expired windows

The change had written again the read of the mirror (stageStore beside mirroredStore), looked through all rollouts once for each of them, and stated how long a usage report is of use in two places. No change of behaviour; go test -race ./gateway ./usage passes.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -96,7 +96,7 @@
 		return
 	}
 	started := d.clock.Now()
-	oldest := d.window.At(started.Add(-2 * d.window.Late))
+	oldest := d.window.Oldest(started)
 	from := max(oldest, d.window.At(started)-1)
 	activities := collectFromPeers(ctx, d.g, func(ctx context.Context, m view.Member) (peer.Activity, error) {
 		return d.g.peerClient.Activity(ctx, m.Peer, from)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -48,18 +48,18 @@
 
 // rolloutActive reports whether any ordered rollout has not ended yet.
 func (g *Gateway) rolloutActive() bool {
-	return slices.ContainsFunc(g.servicePicker.Models(), func(m config.Model) bool { return g.inRollout(m.Name) })
+	return slices.ContainsFunc(g.servicePicker.Models(), g.isOngoing)
 }
 
 // inRollout reports whether a service has a rollout that has not ended yet.
 func (g *Gateway) inRollout(service string) bool {
-	for _, m := range g.servicePicker.Models() {
-		p, known := g.picker.Progress(m.Name)
-		if m.Name == service && (!known || p.Version != m.Rollout.Version || p.Verdict == rollout.VerdictRunning) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(g.servicePicker.Models(), func(m config.Model) bool { return m.Name == service && g.isOngoing(m) })
+}
+
+// isOngoing reports whether an ordered rollout has not ended yet.
+func (g *Gateway) isOngoing(m config.Model) bool {
+	p, known := g.picker.Progress(m.Name)
+	return !known || p.Version != m.Rollout.Version || p.Verdict == rollout.VerdictRunning
 }
 
 // stageUpdater updates the driver's document, which holds the stages of all rollouts.
@@ -70,19 +70,13 @@
 	if !s.g.rolloutActive() {
 		return document.Item{}, document.ErrUnchanged
 	}
-	return document.Update(ctx, stageStore(s), key, change)
+	return document.Update(ctx, stageStore{mirroredStore(s)}, key, change)
 }
 
 // stageStore reads the stages from the mirror, which needs no call, and writes them
 // together with the status for operators. After a stale read the swap fails and the
 // update is retried.
-type stageStore struct{ g *Gateway }
-
-// Get reads the stages from the mirror.
-func (s stageStore) Get(_ context.Context, key string) ([]byte, int64, error) {
-	item, _ := s.g.mirror.Get(key)
-	return item.Value, item.Revision, nil
-}
+type stageStore struct{ mirroredStore }
 
 // Swap writes the stages and the status of each rollout in one transaction, if the
 // stages are still at the expected revision.
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -121,7 +121,7 @@
 	}
 	last, revision, known := r.last(ctx)
 	now := r.Clock.Now()
-	if known && !last.Unknown && last.Window != r.delivered && last.Window >= r.Windows.oldest(now) {
+	if known && !last.Unknown && last.Window != r.delivered && last.Window >= r.Windows.Oldest(now) {
 		r.send(ctx, last)
 		return
 	}
@@ -148,7 +148,7 @@
 	if !known {
 		last.Window = r.first - 1
 	}
-	oldest := r.Windows.oldest(now)
+	oldest := r.Windows.Oldest(now)
 	for window := max(last.Window, r.passedOver) + 1; window < oldest; window++ {
 		slog.Warn("usage is not reported any more; its time is over", "window", window)
 		r.Count(ResultGivenUp)
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -55,8 +55,8 @@
 // twice as late as it may be.
 func (w Windows) expiry() time.Duration { return 2 * w.Late }
 
-// oldest returns the oldest window whose report is still of use.
-func (w Windows) oldest(now time.Time) int64 { return w.At(now.Add(-w.expiry())) }
+// Oldest returns the oldest window whose report is still of use.
+func (w Windows) Oldest(now time.Time) int64 { return w.At(now.Add(-w.expiry())) }
 
 // Clock tells the time of day. After its start it advances with a steady clock, so a step
 // of the system's clock does not move requests to other windows.
@@ -109,7 +109,7 @@
 	if counts == nil {
 		counts = make(Counts)
 		m.counts[window] = counts
-		m.removeBefore(m.windows.oldest(now))
+		m.removeBefore(m.windows.Oldest(now))
 	}
 	counts[account]++
 }
