tunnel, gateway, node: tell which servers a node reaches

What callers saw: a node that reached no server said nothing of it; each decision told of the servers that it had tried, and what they had in common was found by counting 306 timeouts.

Change: connections to servers are opened in one place, package tunnel, on both interfaces. It counts outcomes (violettally_server_connections), shows servers that are not reached (violettally_unreachable_servers), and logs "way to servers" when a server is lost and reached again, when no server is reached any more, and when one is again. Choices, retries and time limits are as before. WithServerDialer lets tests cut one node off.

Evidence: go test ./platform ./gateway ./adapter/... ./platform/e2e passed.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -56,6 +56,7 @@
 // Client is a client of backend servers. It is safe for concurrent use.
 type Client struct {
 	http             *http.Client
+	dial             func(ctx context.Context, network, address string) (net.Conn, error)
 	maxResponseBytes int64
 	onLimit          func(server config.Server, perSecond float64)
 }
@@ -72,6 +73,17 @@
 	return func(c *Client) { c.onLimit = onLimit }
 }
 
+// WithDialer sets the function that opens connections to servers, in place of [DialServer].
+func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dial = dial }
+}
+
+// DialServer opens a connection to a server.
+func DialServer(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, network, address)
+}
+
 const defaultMaxResponseBytes = 1 << 20
 
 // New returns a client.
@@ -79,19 +91,20 @@
 	c := &Client{
 		maxResponseBytes: defaultMaxResponseBytes,
 		onLimit:          func(config.Server, float64) {},
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-				MaxIdleConnsPerHost: maxIdleConnsPerHost,
-				IdleConnTimeout:     idleTimeout,
-				DisableCompression:  true,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
+		dial:             DialServer,
 	}
 	for _, option := range options {
 		option(c)
 	}
+	c.http = &http.Client{
+		Transport: &http.Transport{
+			DialContext:         c.dial,
+			MaxIdleConnsPerHost: maxIdleConnsPerHost,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	return c
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,7 @@
 	"github.com/violettally/violettally/suspect"
 	"github.com/violettally/violettally/throttle"
 	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/tunnel"
 	"github.com/violettally/violettally/view"
 	"github.com/violettally/violettally/warmup"
 )
@@ -96,6 +97,8 @@
 	roster        *owner.Roster
 	warmUps       *warmup.Limiter
 	throttle      *throttle.Limiter
+	dialServer    tunnel.DialFunc
+	dialer        *tunnel.Dialer
 	backends      *platform.BackendClient
 	balancer      *route.Balancer
 	picker        *rollout.Picker
@@ -114,8 +117,9 @@
 	decisions *decision.Log
 	frontend  *platform.Frontend
 	// serverLog is for the log lines about servers that register, serverEndLog for the others,
-	// limitLog for those about the limits that servers name.
-	serverLog, serverEndLog, limitLog *limitedLog
+	// limitLog for those about the limits that servers name, pathLog for those about the ways to
+	// them.
+	serverLog, serverEndLog, limitLog, pathLog *limitedLog
 	// serversGone means that there may be state of servers that are gone.
 	serversGone atomic.Bool
 	// evacuationOrders wakes watchEvacuations.
@@ -124,8 +128,16 @@
 	leaving          atomic.Bool
 }
 
+// Option configures a Gateway in New.
+type Option func(*Gateway)
+
+// WithServerDialer sets the function that opens connections to backend servers, in place of TCP.
+func WithServerDialer(dial tunnel.DialFunc) Option {
+	return func(g *Gateway) { g.dialServer = dial }
+}
+
 // New returns a gateway that is not running yet.
-func New(s *settings.Gateway) (*Gateway, error) {
+func New(s *settings.Gateway, options ...Option) (*Gateway, error) {
 	instruments, err := metrics.New()
 	if err != nil {
 		return nil, errs.Wrap(StartFailed, "new", err, "metrics")
@@ -135,6 +147,7 @@
 		timers:   timer.New(),
 		metrics:  instruments,
 
+		dialServer:       platform.DialServer,
 		evacuationOrders: make(chan struct{}, 1),
 		self: view.NewMember(view.Member{
 			VM:       s.Name,
@@ -145,15 +158,20 @@
 			FanOut:   fanOut(s.Limits),
 		}),
 	}
+	for _, option := range options {
+		option(g)
+	}
 	g.serverLog = newLimitedLog(serverLogBurst)
 	g.serverEndLog = newLimitedLog(serverEndLogBurst)
 	g.limitLog = newLimitedLog(serverLogBurst)
+	g.pathLog = newLimitedLog(serverLogBurst)
 	g.catalog.Store(catalog.Empty())
 	g.store = platform.NewStore(s.Store.Address, instruments.PlatformCall)
 	g.peerClient = peer.NewClient(nil, peer.WithCallCounter(instruments.PeerCall),
 		peer.WithKnownValues(func(key string) (mirror.Item, bool) { return g.mirror.Get(key) }))
 	g.registry = registry.New(g.timers)
-	g.backends = platform.NewBackendClient()
+	g.dialer = tunnel.NewDialer(g.dialServer, g.timers, tunnel.WithObserver(instruments.ServerDialed), tunnel.WithPathObserver(g.recordPath))
+	g.backends = platform.NewBackendClient(platform.WithDialer(g.dialer.DialContext))
 	g.balancer = route.NewBalancer(s.DataHall, instruments.BreakerOpened, route.WithPublisher(func(s share.Record, prefillMillis float64) { g.exchange.Publish(s, prefillMillis) }))
 	g.membership = newMembership(g)
 	g.detector = suspect.New(g.timers)
@@ -204,6 +222,8 @@
 			func() float64 { return float64(g.warmUps.CountWarmingUp()) }),
 		g.metrics.Gauge("violettally_limited_servers", "Servers that name a request limit, as far as this node knows.",
 			func() float64 { return float64(g.throttle.CountLimited()) }),
+		g.metrics.Gauge("violettally_unreachable_servers", "Servers that this node does not reach by itself.",
+			func() float64 { return float64(g.dialer.CountLost()) }),
 	)
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -29,6 +29,7 @@
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/suspect"
 	"github.com/violettally/violettally/throttle"
+	"github.com/violettally/violettally/tunnel"
 	"github.com/violettally/violettally/usage"
 )
 
@@ -59,6 +60,7 @@
 	serverOrders    metric.Int64Counter
 	limitChanges    metric.Int64Counter
 	limitedSends    metric.Int64Counter
+	serverDials     metric.Int64Counter
 
 	escalations metric.Int64Counter
 	resumes     metric.Int64Counter
@@ -114,6 +116,7 @@
 		{&m.serverOrders, "violettally_server_orders", "Orders of backend servers, by result."},
 		{&m.limitChanges, "violettally_server_limits", "Changes of the request limits that backend servers name, by change and source."},
 		{&m.limitedSends, "violettally_limited_sends", "Requests sent to backend servers that name a request limit."},
+		{&m.serverDials, "violettally_server_connections", "Connections to backend servers that were to be opened, by outcome."},
 		{&m.breakersOpened, "violettally_breakers_opened", "Backend servers taken out after failures."},
 	}
 	for _, c := range counters {
@@ -246,6 +249,11 @@
 	add(m.limitChanges, 1, attribute.String("change", c.Kind()), attribute.String("source", c.Source.String()))
 }
 
+// ServerDialed counts a connection to a backend server that was to be opened, by its outcome.
+func (m *Metrics) ServerDialed(o tunnel.Outcome) {
+	add(m.serverDials, 1, attribute.String("outcome", o.String()))
+}
+
 // BreakerOpened counts a server whose circuit breaker opened.
 func (m *Metrics) BreakerOpened(server string) {
 	add(m.breakersOpened, 1, attribute.String("server", server))
--- a/node/node.go
+++ b/node/node.go
@@ -49,6 +49,7 @@
 	"github.com/violettally/violettally/session"
 	"github.com/violettally/violettally/settings"
 	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/tunnel"
 	"github.com/violettally/violettally/view"
 )
 
@@ -83,6 +84,8 @@
 	closer      *ledger.Closer
 	responses   *answer.Store
 	decisions   *decision.Log
+	dialServer  tunnel.DialFunc
+	dialer      *tunnel.Dialer
 	limiter     *limit.Limiter
 	grantor     *limit.Grantor
 	picker      *rollout.Picker
@@ -105,8 +108,16 @@
 	configured chan struct{}
 }
 
+// Option configures a Node in New.
+type Option func(*Node)
+
+// WithServerDialer sets the function that opens connections to backend servers, in place of TCP.
+func WithServerDialer(dial tunnel.DialFunc) Option {
+	return func(n *Node) { n.dialServer = dial }
+}
+
 // New returns a node that is not running yet.
-func New(s *settings.Settings) (*Node, error) {
+func New(s *settings.Settings, options ...Option) (*Node, error) {
 	tlsConfig, err := peer.TLSConfig(s.Peer)
 	if err != nil {
 		return nil, errs.Wrap(StartFailed, "new", err, "peer TLS")
@@ -121,6 +132,7 @@
 		metrics:    instruments,
 		snapshot:   config.Empty(),
 		configured: make(chan struct{}),
+		dialServer: engine.DialServer,
 		self: view.NewMember(view.Member{
 			VM:       s.Name,
 			Region:   s.Region,
@@ -129,6 +141,9 @@
 			Peer:     s.Peer.Address(),
 		}),
 	}
+	for _, option := range options {
+		option(n)
+	}
 	n.holder = claim.Holder{ID: n.self.ID, Peer: n.self.Peer}
 	n.initMembership(peer.NewClient(tlsConfig, peer.WithCallCounter(instruments.PeerCall)))
 	n.initClaims()
@@ -203,7 +218,8 @@
 	n.driver = rollout.NewDriver(docsync.Rollouts, n.replicator, collector{n}, n.leases, func() []config.Model { return n.Config().Models() }, n.timers)
 	n.limits = newServerLimits(n)
 	n.viewManager.Subscribe(n.limits.setView)
-	engines := engine.New(engine.WithMaxResponseBytes(s.Bounds.ResponseBytes), engine.WithLimitObserver(n.limits.observe))
+	n.dialer = tunnel.NewDialer(n.dialServer, n.timers, tunnel.WithObserver(n.metrics.ServerDialed), tunnel.WithPathObserver(recordPath))
+	engines := engine.New(engine.WithDialer(n.dialer.DialContext), engine.WithMaxResponseBytes(s.Bounds.ResponseBytes), engine.WithLimitObserver(n.limits.observe))
 	chooser := route.New(n.self.ID,
 		route.WithLeaving(n.vms.Leaving),
 		route.WithNodes(n.viewNodes),
@@ -272,6 +288,7 @@
 		{"violettally_claim_bytes", "Bytes of the claims that this node remembers.", func() float64 { _, bytes := n.replica.Usage(); return float64(bytes) }},
 		{"violettally_bills_pending", "Bills that wait for their fold.", func() float64 { return float64(n.journal.Pending()) }},
 		{"violettally_limited_servers", "Servers that name a request limit, as far as this node knows.", func() float64 { return float64(n.limits.limiter.CountLimited()) }},
+		{"violettally_unreachable_servers", "Servers that this node does not reach by itself.", func() float64 { return float64(n.dialer.CountLost()) }},
 		{"violettally_admission_running", "Requests that this node has let in to pools.", func() float64 { running, _ := n.backends.load(); return float64(running) }},
 		{"violettally_admission_waiting", "Requests that wait for a pool.", func() float64 { _, waiting := n.backends.load(); return float64(waiting) }},
 		{"violettally_requests_running", "Requests under way.", func() float64 { return float64(n.responses.Running()) }},
