--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -9,6 +9,10 @@
 //	p.Set(faultproxy.Pass)
 //	p.BlackholeOpen()
 //	p.Close()
+//
+//	l := faultproxy.NewLink()
+//	conn, err := l.DialContext(ctx, "tcp", target)
+//	l.Set(faultproxy.LinkSilent)
 package faultproxy
 
 import (
