tunnel: servers are reached through another node where this one does not reach them

Cause: a node's own connections were its only way to a server, so a node without one could serve nothing, whatever others reached.

Change: package tunnel opens a connection by the first of several ways that works: directly, and through another node (the carrier) once the direct way has failed or taken 200 ms; at once where a server is known to be lost, or two are and none has been reached since. The direct way is then tried once a second. A way that brings nothing for 400 ms while data is awaited is checked by a new connection; idle connections that were silent are closed once another way is found to work. Bytes go over drpc streams. Which server a request is sent to, how often and how long stays with the node that took it, so nothing changes in attempts, budgets, limits, deadlines and cancellation. On both interfaces.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -108,6 +108,9 @@
 	return c
 }
 
+// CloseIdle closes the idle connections to all servers.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
 // Complete sends a chat completion to an engine.
 func (c *Client) Complete(ctx context.Context, server config.Server, call dispatch.EngineCall) (dispatch.EngineStream, error) {
 	body, err := engineBody(call)
--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -19,6 +19,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"net"
 	"os"
 	"sync"
@@ -420,30 +421,15 @@
 		x, ran := c.node.FindResponse(attempt)
 		return x, x != nil, ran, nil
 	}
-	// The stream outlives this call, which only waits for the first message.
-	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	timer := time.AfterFunc(attachTimeout, cancel)
-	key := c.connKey(h.Peer)
-	stream, err := c.pool.Get(streamCtx, key, c.dial).NewStream(streamCtx, callAttach, codec{})
+	ctx, cancelOpen := context.WithTimeout(ctx, attachTimeout)
+	defer cancelOpen()
+	stream, first, cancel, err := openStream[attemptRequest, attachMessage](ctx, c, h.Peer, callAttach, attemptRequest{Attempt: attempt, Holder: h.ID})
 	if err != nil {
-		cancel()
-		return nil, false, false, errs.Wrap(Unreachable, callAttach, err, "peer %s", h.Peer)
+		return nil, false, false, err
 	}
-	first, err := receiveFirst(stream, attemptRequest{Attempt: attempt, Holder: h.ID})
-	if !timer.Stop() {
-		c.retireConns(key)
-		if err == nil {
-			err = context.DeadlineExceeded
-		}
-	}
-	if err != nil || !first.Found {
+	if !first.Found {
 		cancel()
 		stream.Close()
-	}
-	switch {
-	case err != nil:
-		return nil, false, false, errs.Wrap(Unreachable, callAttach, err, "peer %s", h.Peer)
-	case !first.Found:
 		return nil, false, first.Ran, nil
 	}
 	// The first message is applied before returning, so that a caller which only
@@ -458,13 +444,33 @@
 	return x, true, true, nil
 }
 
-func receiveFirst(stream drpc.Stream, r attemptRequest) (attachMessage, error) {
-	var message attachMessage
-	if err := stream.MsgSend(&r, codec{}); err != nil {
-		return message, err
+// openStream starts a call that goes on after its first reply, which it returns. The context
+// bounds only the wait for that reply; cancel ends the call.
+func openStream[Request, Reply any](ctx context.Context, c *Client, address, call string, in Request) (stream drpc.Stream, first Reply, cancel context.CancelFunc, err error) {
+	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	detach := context.AfterFunc(ctx, cancel)
+	key := c.connKey(address)
+	stream, err = c.pool.Get(streamCtx, key, c.dial).NewStream(streamCtx, call, codec{})
+	if err == nil {
+		err = stream.MsgSend(&in, codec{})
+	}
+	if err == nil {
+		err = stream.MsgRecv(&first, codec{})
+	}
+	if !detach() && err == nil {
+		err = ctx.Err()
+	}
+	if err == nil {
+		return stream, first, cancel, nil
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.retireConns(key)
+	}
+	cancel()
+	if stream != nil {
+		_ = stream.Close()
 	}
-	err := stream.MsgRecv(&message, codec{})
-	return message, err
+	return nil, first, nil, errs.Wrap(Unreachable, call, err, "peer %s", address)
 }
 
 // copyResponse copies a response until it ends or the stream from its holder
--- a/adapter/peer/declaration_test.go
+++ b/adapter/peer/declaration_test.go
@@ -61,7 +61,7 @@
 		go upstream.Run(ctx)
 		l := newLink(linkBytesPerSecond)
 		defer l.Close()
-		go func() { _ = peer.NewGatewayServer(mirrorGateway{upstream}).Serve(ctx, l, nil) }()
+		go func() { _ = peer.NewGatewayServer(mirrorGateway{m: upstream}).Serve(ctx, l, nil) }()
 		var nodes []*mirror.Mirror
 		for range followers {
 			var m *mirror.Mirror
@@ -210,7 +210,10 @@
 }
 
 // mirrorGateway is a gateway that serves a mirror.
-type mirrorGateway struct{ m *mirror.Mirror }
+type mirrorGateway struct {
+	noCarrier
+	m *mirror.Mirror
+}
 
 func (g mirrorGateway) Await(ctx context.Context, revision int64, wait time.Duration) mirror.Batch {
 	return g.m.Await(ctx, revision, wait)
--- a/adapter/peer/delta_test.go
+++ b/adapter/peer/delta_test.go
@@ -77,7 +77,7 @@
 }
 
 // fakeGateway is a gateway with a declaration that has grown.
-type fakeGateway struct{}
+type fakeGateway struct{ noCarrier }
 
 func (*fakeGateway) Await(context.Context, int64, time.Duration) mirror.Batch {
 	return mirror.Batch{Items: []mirror.Item{{Key: "a", Value: declaration(200), Revision: 9}}, Revision: 9}
--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -63,6 +64,8 @@
 	// Knows reports whether this node has all changes after a revision, so that a peer needs
 	// no snapshot.
 	Knows(after int64) bool
+	// Carry opens a connection to a backend server for a peer.
+	Carry(ctx context.Context, server string) (net.Conn, error)
 	// FanOut is the number of nodes that this one can pass its copy on to.
 	FanOut() int
 }
@@ -77,6 +80,7 @@
 			return g.Exchange(m), nil
 		}),
 		callCounts: countsHandler(g.Counts),
+		callTunnel: tunnelHandler(g.Carry),
 		callActivity: unaryHandler(func(_ context.Context, r activityRequest) (Activity, error) {
 			return g.Activity(r.FromWindow), nil
 		}),
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -40,6 +40,7 @@
 	FindResponse(attempt string) (x *answer.Response, ran bool)
 	CancelAttempt(attempt string) bool
 	Explain(requestID string) (decision.Summary, bool)
+	Carry(ctx context.Context, server string) (net.Conn, error)
 }
 
 // Server serves the calls of other nodes.
@@ -97,6 +98,7 @@
 			return summary, nil
 		}),
 		callAttach: s.attach,
+		callTunnel: tunnelHandler(node.Carry),
 	}
 	return s
 }
--- a/adapter/peer/silent_test.go
+++ b/adapter/peer/silent_test.go
@@ -18,7 +18,10 @@
 )
 
 // blockingGateway replies to Follow calls once all calls of a group have arrived.
-type blockingGateway struct{ arrivals sync.WaitGroup }
+type blockingGateway struct {
+	noCarrier
+	arrivals sync.WaitGroup
+}
 
 func (g *blockingGateway) Previous(string) (mirror.Item, bool) { return mirror.Item{}, false }
 func (g *blockingGateway) Await(context.Context, int64, time.Duration) mirror.Batch {
--- /dev/null
+++ b/adapter/peer/tunnel_test.go
@@ -0,0 +1,138 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/adapter/peer"
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/tunnel"
+)
+
+// noCarrier carries no connections.
+type noCarrier struct{}
+
+func (noCarrier) Carry(context.Context, string) (net.Conn, error) {
+	return nil, errors.New("carries nothing")
+}
+
+// carryingGateway carries connections to whatever dial opens.
+type carryingGateway struct {
+	*fakeGateway
+	dial func() (net.Conn, error)
+}
+
+func (g carryingGateway) Carry(context.Context, string) (net.Conn, error) { return g.dial() }
+
+// startCarrier serves a gateway that carries connections, and returns a client and its address.
+func startCarrier(t *testing.T, dial func() (net.Conn, error)) (*peer.Client, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := peer.NewGatewayServer(carryingGateway{dial: dial})
+	go func() { _ = server.Serve(t.Context(), l, nil) }()
+	client := peer.NewClient(nil)
+	t.Cleanup(func() { _ = client.Close() })
+	return client, l.Addr().String()
+}
+
+// listenServer returns a function that connects to a server, and the server's connections.
+func listenServer(t *testing.T) (func() (net.Conn, error), <-chan *net.TCPConn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	accepted := make(chan *net.TCPConn, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c.(*net.TCPConn)
+		}
+	}()
+	return func() (net.Conn, error) { return net.Dial("tcp", l.Addr().String()) }, accepted
+}
+
+// TestTunnelCarriesBytes checks that a tunnel passes on all bytes and the server's end.
+func TestTunnelCarriesBytes(t *testing.T) {
+	t.Parallel()
+	dial, accepted := listenServer(t)
+	client, carrier := startCarrier(t, dial)
+	conn, err := client.OpenTunnel(t.Context(), carrier, "server")
+	must.NoError(t, err)
+	server := <-accepted
+	long := strings.Repeat("0123456789", 10_000)
+	go func() {
+		_, _ = io.WriteString(conn, long)
+		_, _ = io.WriteString(server, long)
+		_ = server.CloseWrite()
+	}()
+	received := make([]byte, len(long))
+	_, err = io.ReadFull(server, received)
+	must.NoError(t, err)
+	must.True(t, string(received) == long)
+	answer, err := io.ReadAll(conn)
+	must.NoError(t, err)
+	must.True(t, string(answer) == long)
+	must.NoError(t, conn.Close())
+}
+
+// TestTunnelResetIsNoEnd checks that a server's reset does not look like the end of its response.
+func TestTunnelResetIsNoEnd(t *testing.T) {
+	t.Parallel()
+	dial, accepted := listenServer(t)
+	client, carrier := startCarrier(t, dial)
+	conn, err := client.OpenTunnel(t.Context(), carrier, "server")
+	must.NoError(t, err)
+	server := <-accepted
+	must.NoError(t, server.SetLinger(0))
+	must.NoError(t, server.Close())
+	_, err = io.ReadAll(conn)
+	must.Error(t, err)
+}
+
+// TestTunnelCloseReachesServer checks that the server learns when the client's node closes a tunnel,
+// and that the peer connection can be used again.
+func TestTunnelCloseReachesServer(t *testing.T) {
+	t.Parallel()
+	dial, accepted := listenServer(t)
+	client, carrier := startCarrier(t, dial)
+	for range 3 {
+		conn, err := client.OpenTunnel(t.Context(), carrier, "server")
+		must.NoError(t, err)
+		server := <-accepted
+		must.NoError(t, conn.Close())
+		_, err = server.Read(make([]byte, 1))
+		must.Error(t, err)
+	}
+}
+
+// TestTunnelRefusals checks that the client learns why a carrier opens no connection.
+func TestTunnelRefusals(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []*errorx.Type{tunnel.CutOff, tunnel.Busy, tunnel.UnknownServer, tunnel.Unreachable} {
+		client, carrier := startCarrier(t, func() (net.Conn, error) { return nil, errs.New(kind, "carry", "test") })
+		_, err := client.OpenTunnel(t.Context(), carrier, "server")
+		must.True(t, errorx.IsOfType(err, kind), must.Sprint(kind, err))
+	}
+}
+
+// TestTunnelOpenTimeout checks that a carrier that does not answer is left in time.
+func TestTunnelOpenTimeout(t *testing.T) {
+	t.Parallel()
+	hold := make(chan struct{})
+	defer close(hold)
+	client, carrier := startCarrier(t, func() (net.Conn, error) { <-hold; return nil, io.EOF })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client.OpenTunnel(ctx, carrier, "server")
+	must.True(t, errorx.IsOfType(err, peer.Unreachable), must.Sprint(err))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -99,6 +100,7 @@
 	throttle      *throttle.Limiter
 	dialServer    tunnel.DialFunc
 	dialer        *tunnel.Dialer
+	carrier       *tunnel.Carrier
 	backends      *platform.BackendClient
 	balancer      *route.Balancer
 	picker        *rollout.Picker
@@ -170,8 +172,7 @@
 	g.peerClient = peer.NewClient(nil, peer.WithCallCounter(instruments.PeerCall),
 		peer.WithKnownValues(func(key string) (mirror.Item, bool) { return g.mirror.Get(key) }))
 	g.registry = registry.New(g.timers)
-	g.dialer = tunnel.NewDialer(g.dialServer, g.timers, tunnel.WithObserver(instruments.ServerDialed), tunnel.WithPathObserver(g.recordPath))
-	g.backends = platform.NewBackendClient(platform.WithDialer(g.dialer.DialContext))
+	g.initConnections()
 	g.balancer = route.NewBalancer(s.DataHall, instruments.BreakerOpened, route.WithPublisher(func(s share.Record, prefillMillis float64) { g.exchange.Publish(s, prefillMillis) }))
 	g.membership = newMembership(g)
 	g.detector = suspect.New(g.timers)
@@ -205,6 +206,17 @@
 	return max(minFanOut, min(maxFanOut, int(l.LinkMbps/mbpsPerFollower)))
 }
 
+// initConnections creates what opens connections to servers, for this gateway and for others.
+func (g *Gateway) initConnections() {
+	g.dialer = tunnel.NewDialer(g.dialServer, g.timers,
+		tunnel.WithPeers(g.self, tunnelPeers{g}),
+		tunnel.WithIdleCloser(func(drop func(net.Conn) bool) { g.backends.CloseIdleIf(drop) }),
+		tunnel.WithObserver(g.metrics.ServerDialed),
+		tunnel.WithPathObserver(g.recordPath))
+	g.backends = platform.NewBackendClient(platform.WithDialer(g.dialer.DialContext))
+	g.carrier = tunnel.NewCarrier(g.dialer, g.registry.HasAddress, func() bool { return !g.leaving.Load() })
+}
+
 // registerGauges registers gauges for the state of this gateway's copy of the store.
 func (g *Gateway) registerGauges() error {
 	return errors.Join(
@@ -224,6 +236,10 @@
 			func() float64 { return float64(g.throttle.CountLimited()) }),
 		g.metrics.Gauge("violettally_unreachable_servers", "Servers that this node does not reach by itself.",
 			func() float64 { return float64(g.dialer.CountLost()) }),
+		g.metrics.Gauge("violettally_tunnels", "Open connections to servers through other nodes.",
+			func() float64 { return float64(g.dialer.CountTunnels()) }),
+		g.metrics.Gauge("violettally_carried_tunnels", "Open connections to servers that this node carries for others.",
+			func() float64 { return float64(g.carrier.CountCarried()) }),
 	)
 }
 
@@ -288,7 +304,7 @@
 	for _, e := range endpoints {
 		go func() { failed <- e.serve(workCtx, e.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.maintain, g.runRoster} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.dialer.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.maintain, g.runRoster} {
 		go run(workCtx)
 	}
 	if g.duties != nil {
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -56,7 +56,12 @@
 	if typed == nil {
 		return ""
 	}
-	name := typed.Type().FullName()
+	return TypeKind(typed.Type())
+}
+
+// TypeKind returns the name of an errorx type without its namespace.
+func TypeKind(t *errorx.Type) string {
+	name := t.FullName()
 	return name[strings.LastIndexByte(name, '.')+1:]
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -116,7 +116,7 @@
 		{&m.serverOrders, "violettally_server_orders", "Orders of backend servers, by result."},
 		{&m.limitChanges, "violettally_server_limits", "Changes of the request limits that backend servers name, by change and source."},
 		{&m.limitedSends, "violettally_limited_sends", "Requests sent to backend servers that name a request limit."},
-		{&m.serverDials, "violettally_server_connections", "Connections to backend servers that were to be opened, by outcome."},
+		{&m.serverDials, "violettally_server_connections", "Connections to backend servers that were to be opened, by way and outcome."},
 		{&m.breakersOpened, "violettally_breakers_opened", "Backend servers taken out after failures."},
 	}
 	for _, c := range counters {
@@ -249,9 +249,9 @@
 	add(m.limitChanges, 1, attribute.String("change", c.Kind()), attribute.String("source", c.Source.String()))
 }
 
-// ServerDialed counts a connection to a backend server that was to be opened, by its outcome.
-func (m *Metrics) ServerDialed(o tunnel.Outcome) {
-	add(m.serverDials, 1, attribute.String("outcome", o.String()))
+// ServerDialed counts a connection to a backend server that was to be opened, by its way and outcome.
+func (m *Metrics) ServerDialed(w tunnel.Way, o tunnel.Outcome) {
+	add(m.serverDials, 1, attribute.String("way", w.String()), attribute.String("outcome", o.String()))
 }
 
 // BreakerOpened counts a server whose circuit breaker opened.
--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,8 @@
 	decisions   *decision.Log
 	dialServer  tunnel.DialFunc
 	dialer      *tunnel.Dialer
+	carrier     *tunnel.Carrier
+	engines     *engine.Client
 	limiter     *limit.Limiter
 	grantor     *limit.Grantor
 	picker      *rollout.Picker
@@ -218,15 +220,15 @@
 	n.driver = rollout.NewDriver(docsync.Rollouts, n.replicator, collector{n}, n.leases, func() []config.Model { return n.Config().Models() }, n.timers)
 	n.limits = newServerLimits(n)
 	n.viewManager.Subscribe(n.limits.setView)
-	n.dialer = tunnel.NewDialer(n.dialServer, n.timers, tunnel.WithObserver(n.metrics.ServerDialed), tunnel.WithPathObserver(recordPath))
-	engines := engine.New(engine.WithDialer(n.dialer.DialContext), engine.WithMaxResponseBytes(s.Bounds.ResponseBytes), engine.WithLimitObserver(n.limits.observe))
+	n.initConnections()
+	n.engines = engine.New(engine.WithDialer(n.dialer.DialContext), engine.WithMaxResponseBytes(s.Bounds.ResponseBytes), engine.WithLimitObserver(n.limits.observe))
 	chooser := route.New(n.self.ID,
 		route.WithLeaving(n.vms.Leaving),
 		route.WithNodes(n.viewNodes),
 		route.WithBreakerCounter(n.metrics.BreakerOpened),
 		route.WithThrottle(n.limits),
 	)
-	n.backends = newBackends(n, engines, chooser)
+	n.backends = newBackends(n, n.engines, chooser)
 	n.placer = placement.New(n.backends, n.leases, n.Config, n.versionShare, n.timers)
 	n.dispatch = dispatch.New(dispatch.Options{
 		Self:            n.holder,
@@ -242,8 +244,8 @@
 		Queues:          n.backends,
 		Chooser:         chooser,
 		Budgets:         retry.New(),
-		Engines:         engines,
-		Services:        engines,
+		Engines:         n.engines,
+		Services:        n.engines,
 		Rater:           rating.New(s.Platform.Rating),
 		Bills:           n.biller,
 		Records:         n.decisions,
@@ -289,6 +291,8 @@
 		{"violettally_bills_pending", "Bills that wait for their fold.", func() float64 { return float64(n.journal.Pending()) }},
 		{"violettally_limited_servers", "Servers that name a request limit, as far as this node knows.", func() float64 { return float64(n.limits.limiter.CountLimited()) }},
 		{"violettally_unreachable_servers", "Servers that this node does not reach by itself.", func() float64 { return float64(n.dialer.CountLost()) }},
+		{"violettally_tunnels", "Open connections to servers through other nodes.", func() float64 { return float64(n.dialer.CountTunnels()) }},
+		{"violettally_carried_tunnels", "Open connections to servers that this node carries for others.", func() float64 { return float64(n.carrier.CountCarried()) }},
 		{"violettally_admission_running", "Requests that this node has let in to pools.", func() float64 { running, _ := n.backends.load(); return float64(running) }},
 		{"violettally_admission_waiting", "Requests that wait for a pool.", func() float64 { _, waiting := n.backends.load(); return float64(waiting) }},
 		{"violettally_requests_running", "Requests under way.", func() float64 { return float64(n.responses.Running()) }},
@@ -396,7 +400,7 @@
 	var tasks sync.WaitGroup
 	for _, run := range []func(context.Context){
 		n.vms.Run, n.replicator.Run, n.prober.Run, n.viewManager.Run, n.replica.Run, n.journal.Run, n.closer.Run, n.billTracker.Run,
-		n.responses.Run, n.limiter.Run, n.leases.Run, n.driver.Run, n.placer.Run, n.backends.Run, n.limits.run, n.takeOverOrphans,
+		n.responses.Run, n.limiter.Run, n.leases.Run, n.driver.Run, n.placer.Run, n.backends.Run, n.limits.run, n.dialer.Run, n.takeOverOrphans,
 		func(ctx context.Context) { stall.Watch(ctx, n.timers, stall.Log) },
 	} {
 		tasks.Go(func() { run(ctx) })
--- a/node/paths.go
+++ b/node/paths.go
@@ -1,10 +1,59 @@
 package node
 
 import (
+	"context"
 	"log/slog"
+	"net"
+	"net/url"
+	"slices"
 
+	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/member"
 	"github.com/violettally/violettally/tunnel"
+	"github.com/violettally/violettally/view"
 )
 
+// initConnections creates what opens connections to servers, for this node and for others.
+func (n *Node) initConnections() {
+	n.dialer = tunnel.NewDialer(n.dialServer, n.timers,
+		tunnel.WithPeers(n.self, tunnelPeers{n}),
+		tunnel.WithIdleCloser(func(func(net.Conn) bool) { n.engines.CloseIdle() }),
+		tunnel.WithObserver(n.metrics.ServerDialed),
+		tunnel.WithPathObserver(recordPath))
+	n.carrier = tunnel.NewCarrier(n.dialer, n.hasServerAt, func() bool { return !n.prober.Leaving() })
+}
+
 // recordPath logs a change of what this node reaches.
 func recordPath(e tunnel.Event) { slog.Info(tunnel.LogMessage, e.LogArgs()...) }
+
+// hasServerAt reports whether a server that is declared has the given address.
+func (n *Node) hasServerAt(address string) bool {
+	snapshot := n.Config()
+	return slices.ContainsFunc(snapshot.Pools(), func(p config.Pool) bool {
+		return slices.ContainsFunc(snapshot.Servers(p.Name), func(s config.Server) bool {
+			u, err := url.Parse(s.URL)
+			return err == nil && u.Host == address
+		})
+	})
+}
+
+// Carry opens a connection to a backend server for another node.
+func (p peerNode) Carry(ctx context.Context, server string) (net.Conn, error) {
+	return p.n.carrier.Carry(ctx, server)
+}
+
+// tunnelPeers gives the dialer access to the other nodes.
+type tunnelPeers struct{ n *Node }
+
+// Others returns the other nodes that respond and are not leaving.
+func (p tunnelPeers) Others() []view.Member {
+	return slices.DeleteFunc(p.n.prober.Alive(), func(m view.Member) bool {
+		status, _ := p.n.prober.Status(m.ID)
+		return status == member.StatusLeaving
+	})
+}
+
+// OpenTunnel opens a connection to a server through another node.
+func (p tunnelPeers) OpenTunnel(ctx context.Context, carrier, server string) (net.Conn, error) {
+	return p.n.client.OpenTunnel(ctx, carrier, server)
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -207,6 +207,19 @@
 	return incarnations
 }
 
+// HasAddress reports whether a server that is known has the given address, whether or not it may
+// get new requests.
+func (r *Registry) HasAddress(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.servers {
+		if s.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Known returns the servers of a service whose entries are valid, including those that are
 // leaving and those in evacuated data halls.
 func (r *Registry) Known(service string) []*Server {
--- a/tunnel/paths.go
+++ b/tunnel/paths.go
@@ -13,6 +13,8 @@
 	cutOffServers = 2
 	// lostMemory is how long a server counts as lost after the last failure to reach it.
 	lostMemory = 10 * time.Second
+	// retryInterval is the time between two direct connections to a server that is lost.
+	retryInterval = time.Second
 )
 
 // paths is what this node knows of its own ways to the servers. It is safe for concurrent use.
@@ -31,8 +33,9 @@
 
 // lostPath is the way to a server that is not reached.
 type lostPath struct {
-	// failedAt is when the server was last found not to be reached.
-	failedAt time.Time
+	// failedAt is when the server was last found not to be reached, triedAt when this node last
+	// began to connect to it.
+	failedAt, triedAt time.Time
 }
 
 func newPaths(timers *timer.Service) *paths {
@@ -54,15 +57,15 @@
 	}
 }
 
-// recordLost records that a server was not reached.
-func (p *paths) recordLost(server string, cause error) {
+// recordLost records that a server was not reached, and reports whether this node is cut off.
+func (p *paths) recordLost(server string, cause error) (cutOff bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.timers.Steady()
 	p.forget(now)
 	known := p.lost[server]
 	if known == nil {
-		known = &lostPath{}
+		known = &lostPath{triedAt: now}
 		p.lost[server] = known
 		p.onChange(Event{Change: ChangeLost, Server: server, Lost: len(p.lost), Cause: cause})
 	}
@@ -71,6 +74,7 @@
 		p.cutOff = true
 		p.onChange(Event{Change: ChangeCutOff, Server: server, Lost: len(p.lost), Cause: cause})
 	}
+	return p.cutOff
 }
 
 // lostSince returns the number of servers that were not reached after a time. The caller holds mu.
@@ -96,6 +100,36 @@
 	}
 }
 
+// state is what is known of the way to one server.
+type state struct {
+	// lost means that the server is not reached, cutOff that no server is.
+	lost, cutOff bool
+	// retry means that it is time to try the direct way again.
+	retry bool
+}
+
+// state returns what is known of the way to a server.
+func (p *paths) state(server string) state {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.timers.Steady()
+	p.forget(now)
+	l := p.lost[server]
+	if l == nil {
+		return state{cutOff: p.cutOff, retry: true}
+	}
+	return state{lost: true, cutOff: p.cutOff, retry: now.Sub(l.triedAt) >= retryInterval}
+}
+
+// recordTry records that this node begins to connect to a server.
+func (p *paths) recordTry(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.lost[server]; l != nil {
+		l.triedAt = p.timers.Steady()
+	}
+}
+
 // countLost returns the number of servers that are not reached.
 func (p *paths) countLost() int {
 	p.mu.Lock()
--- /dev/null
+++ b/tunnel/silence.go
@@ -0,0 +1,116 @@
+package tunnel
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+const (
+	// checkInterval is the time between two looks for ways that are silent.
+	checkInterval = 200 * time.Millisecond
+	// silentAfter is how long a way must have brought nothing, while data is awaited, to be
+	// checked. It may also be that the server is busy, which a new connection tells.
+	silentAfter = 400 * time.Millisecond
+	// recheckInterval is the least time between two checks of a way.
+	recheckInterval = time.Second
+	// maxChecks is the number of ways that are checked at once.
+	maxChecks = 4
+	// checkTimeout bounds opening a tunnel to check its carrier.
+	checkTimeout = time.Second
+)
+
+// way is a way from this node to a server. The carrier is empty for the direct one.
+type way struct{ server, carrier string }
+
+// silence is what the open connections of one way have brought.
+type silence struct {
+	// lastRead is when any of them last received data or was opened, waitingSince since when one
+	// of them awaits data; zero if none does.
+	lastRead, waitingSince time.Time
+}
+
+// Run checks the ways that are silent, until the context ends.
+func (d *Dialer) Run(ctx context.Context) {
+	d.timers.Every(ctx, checkInterval, func() {
+		for _, w := range d.silentWays() {
+			go d.check(ctx, w)
+		}
+		d.dropCarriers()
+	})
+}
+
+// silentWays returns the ways that are due for a check.
+func (d *Dialer) silentWays() []way {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for w, at := range d.checks {
+		if now.Sub(at) >= recheckInterval {
+			delete(d.checks, w)
+		}
+	}
+	var due []way
+	for w, s := range d.silences() {
+		if _, checked := d.checks[w]; checked || len(due) == maxChecks {
+			continue
+		}
+		if !s.waitingSince.IsZero() && !s.lastRead.After(s.waitingSince) && now.Sub(s.waitingSince) >= silentAfter {
+			d.checks[w] = now
+			due = append(due, w)
+		}
+	}
+	return due
+}
+
+// silences returns what the open connections of each way have brought. The caller holds mu.
+func (d *Dialer) silences() map[way]silence {
+	ways := make(map[way]silence)
+	for c := range d.open {
+		lastRead, waitingSince := c.times()
+		w := way{c.server, c.carrier}
+		s := ways[w]
+		if lastRead.After(s.lastRead) {
+			s.lastRead = lastRead
+		}
+		if !waitingSince.IsZero() && (s.waitingSince.IsZero() || waitingSince.Before(s.waitingSince)) {
+			s.waitingSince = waitingSince
+		}
+		ways[w] = s
+	}
+	return ways
+}
+
+// check opens a new connection by a way, and closes it.
+func (d *Dialer) check(ctx context.Context, w way) {
+	if w.carrier == "" {
+		if conn, err := d.DialContext(ctx, "tcp", w.server); err == nil {
+			_ = conn.Close()
+		}
+		return
+	}
+	since := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	conn, err := d.carriers.peers.OpenTunnel(ctx, w.carrier, w.server)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	d.closeIdle(func(conn net.Conn) bool {
+		c, ok := conn.(*Conn)
+		return ok && c.carrier == w.carrier && c.server == w.server && c.silentSince(since)
+	})
+}
+
+// dropCarriers closes the idle tunnels through nodes that leave or are gone.
+func (d *Dialer) dropCarriers() {
+	if d.CountTunnels() == 0 {
+		return
+	}
+	listed := d.carriers.retain()
+	d.closeIdle(func(conn net.Conn) bool {
+		c, ok := conn.(*Conn)
+		return ok && c.carrier != "" && !listed[c.carrier]
+	})
+}
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -1,13 +1,89 @@
-// Package tunnel opens this node's connections to backend servers and keeps track of which
-// servers it reaches.
+// Package tunnel opens this node's connections to backend servers: directly, or through another
+// node where this one does not reach the server.
+//
+// A node may lose its way to some or all servers while clients, the platform and the other nodes
+// still reach it. It notices when a connection is not established at once, or when nothing comes
+// back on those that are open. It then has another node, the carrier, open a connection to the
+// server and pass the bytes on. Such a tunnel is a connection like any other to what uses it:
+// which server a request is sent to, how often, and when it is given up stay decisions of the
+// node that took it from its client. Closing either end closes the other; a tunnel that breaks
+// looks like a connection that was reset.
+//
+// A carrier opens direct connections only, so tunnels are never chained, and it connects to known
+// servers only. One that reaches no server itself says so at once, and another one is asked.
+//
+// A server may be silent for a second and go on. Nothing that is under way is ended for that: what
+// is silent is not used for further requests once another way to the server was found to work.
 //
 // # Usage
 //
-//	d := tunnel.NewDialer(dial, timers, tunnel.WithObserver(count), tunnel.WithPathObserver(log))
+//	d := tunnel.NewDialer(dial, timers, tunnel.WithPeers(self, peers), tunnel.WithIdleCloser(closeIdle))
+//	go d.Run(ctx)
 //	conn, err := d.DialContext(ctx, "tcp", server.Address)
+//
+// For the tunnels of other nodes:
+//
+//	c := tunnel.NewCarrier(d, isKnownServer, mayCarry)
+//	conn, err := c.Carry(ctx, address)
 package tunnel
 
-//go:generate go tool enumer -type=Outcome,Change -trimprefix=Outcome,Change -transform=snake -output=tunnel_enumer.go
+import (
+	"slices"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/violettally/violettally/internal/errs"
+)
+
+//go:generate go tool enumer -type=Outcome,Change,Way -trimprefix=Outcome,Change,Way -transform=snake -output=tunnel_enumer.go
+
+var (
+	namespace = errs.Namespace("tunnel")
+
+	// NotReached means that a server was reached neither directly nor through another node.
+	NotReached = namespace.NewType("not_reached")
+	// CutOff means that a carrier reaches no server itself.
+	CutOff = namespace.NewType("cut_off")
+	// Busy means that a carrier takes no more tunnels: it has enough, or it is about to end.
+	Busy = namespace.NewType("busy")
+	// UnknownServer means that a carrier knows no server at an address.
+	UnknownServer = namespace.NewType("unknown_server")
+	// Unreachable means that a carrier reaches other servers, but not this one.
+	Unreachable = namespace.NewType("unreachable")
+)
+
+// RefusalError returns the error of a carrier that refused a tunnel, by the kind that
+// [errs.Kind] returned for it there.
+func RefusalError(kind, carrier string) error {
+	refusal := Unreachable
+	for _, t := range refusals {
+		if errs.TypeKind(t) == kind {
+			refusal = t
+		}
+	}
+	return errs.New(refusal, "open", "carrier %s", carrier)
+}
+
+// refusals are the errors of a carrier that refuses a tunnel.
+var refusals = []*errorx.Type{CutOff, Busy, UnknownServer, Unreachable}
+
+// isRefusal reports whether an error is that of a carrier that refused a tunnel.
+func isRefusal(err error) bool {
+	return slices.ContainsFunc(refusals, func(t *errorx.Type) bool { return errorx.IsOfType(err, t) })
+}
+
+// Way is how a connection reaches a server.
+type Way int
+
+// The ways.
+const (
+	// WayDirect: from this node.
+	WayDirect Way = iota
+	// WayTunnel: through another node.
+	WayTunnel
+	// WayCarried: from this node, for another one.
+	WayCarried
+)
 
 // Outcome is the result of opening a connection to a server.
 type Outcome int
@@ -15,7 +91,8 @@
 // The outcomes.
 const (
 	OutcomeConnected Outcome = iota
-	// OutcomeRefused: the server's VM, or something on the way, refused or reset the connection.
+	// OutcomeRefused: the server's VM, or something on the way, refused or reset the connection, or
+	// the carrier refused the tunnel.
 	OutcomeRefused
 	// OutcomeTimedOut: nothing came back in time.
 	OutcomeTimedOut
