--- a/internal/limitrule/limitrule.go
+++ b/internal/limitrule/limitrule.go
@@ -22,3 +22,7 @@
 // Allowed returns the number of requests that a server may get in a Window if it names a limit, in
 // requests a second.
 func Allowed(perSecond float64) float64 { return factor*perSecond*Window.Seconds() + slack }
+
+// AllowedFalls returns how often the servers of a service may end, in one time in which they name
+// rejection limits, because they had to reject too many requests.
+func AllowedFalls(servers int) float64 { return 2 + float64(servers)/10 }
