--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"time"
@@ -69,10 +70,7 @@
 		if x.suspected() && !x.takeProbe(ctx) {
 			return x.deliver(refusalf(ReasonSuspected, 0, "servers ended while they ran this request, content %016x; it is sent to no other one", x.contentDigest()))
 		}
-		assignment, version, refusal := x.choose(ctx)
-		if refusal != nil && x.awaitServers(ctx) {
-			assignment, version, refusal = x.choose(ctx)
-		}
+		assignment, version, refusal := x.choosePatiently(ctx)
 		if refusal != nil {
 			return x.deliver(refusal)
 		}
@@ -158,5 +156,10 @@
 	x.record.End(outcome)
 }
 
+// objective returns the latency objective of the route.
+func (x *exchange) objective() time.Duration {
+	return cmp.Or(max(0, x.route.Objective), defaultObjective)
+}
+
 // elapsed returns the time since the request arrived.
 func (x *exchange) elapsed() time.Duration { return time.Since(x.request.Arrived) }
--- a/relay/recovery.go
+++ b/relay/recovery.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/violettally/violettally/route"
 )
 
 const (
@@ -14,8 +16,38 @@
 	serversWaitShare = 1.0 / 3
 	// serversCheckInterval is the time between two looks for servers.
 	serversCheckInterval = 30 * time.Millisecond
+	// placeWaitShare is the share of the route's objective for which a request waits for a place at
+	// servers that have few: places become free with every response, and the client would come
+	// back to ask for one. placeCheckInterval is the time between two looks for one.
+	placeWaitShare     = 0.2
+	placeCheckInterval = 60 * time.Millisecond
 )
 
+// choosePatiently is choose, but waits for a moment for servers that are likely to have room soon.
+func (x *exchange) choosePatiently(ctx context.Context) (*route.Assignment, string, *Refusal) {
+	assignment, version, refusal := x.choose(ctx)
+	if refusal != nil && x.awaitServers(ctx) {
+		assignment, version, refusal = x.choose(ctx)
+	}
+	begun := time.Now()
+	for x.mayAwaitPlace(ctx, refusal) {
+		sleep(ctx, placeCheckInterval)
+		assignment, version, refusal = x.choose(ctx)
+	}
+	if waited := time.Since(begun); waited >= placeCheckInterval {
+		x.record.AddStep("place", "waited %d ms for a place at servers of %s", waited.Milliseconds(), x.service)
+	}
+	return assignment, version, refusal
+}
+
+// mayAwaitPlace reports whether a request that was refused for want of a place may wait for one.
+func (x *exchange) mayAwaitPlace(ctx context.Context, refusal *Refusal) bool {
+	if refusal == nil || refusal.reason != ReasonRejectionLimit || ctx.Err() != nil {
+		return false
+	}
+	return x.elapsed() < time.Duration(placeWaitShare*float64(x.objective()))
+}
+
 // awaitServers holds a request while its service has no known server although there may be
 // running ones, whose entries have expired in an outage of the store. A refusal would cost the
 // client one of few attempts, and all clients would come back at once. It reports whether the
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -75,10 +75,7 @@
 
 // firstByteTimeout returns how long an attempt waits for its first byte.
 func (x *exchange) firstByteTimeout(assignment *route.Assignment) time.Duration {
-	objective := x.route.Objective
-	if objective <= 0 {
-		objective = defaultObjective
-	}
+	objective := x.objective()
 	minWait := time.Duration(minFirstByteShare * float64(objective))
 	maxWait := max(time.Duration(maxFirstByteShare*float64(objective)), maxExpectedFactor*assignment.ExpectedLatency())
 	if assignment.LateAfter() == 0 {
