--- a/command/command.go
+++ b/command/command.go
@@ -15,6 +15,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/gateway"
 	"github.com/violettally/violettally/node"
 	"github.com/violettally/violettally/settings"
 )
@@ -101,8 +102,16 @@
 	return "Exit codes: 0 success, 1 failure, 2 usage error or invalid file, 3 conflict with another apply, 4 outcome unknown."
 }
 
+// Option configures Main.
+type Option func(*runner)
+
+// WithGatewayOptions sets options of the gateway that is run.
+func WithGatewayOptions(options ...gateway.Option) Option {
+	return func(r *runner) { r.gatewayOptions = options }
+}
+
 // Main parses args, runs one command and returns its exit code.
-func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer, options ...Option) int {
 	var parsed arguments
 	parser, err := arg.NewParser(arg.Config{Program: "violettally", Out: stdout}, &parsed)
 	if err != nil {
@@ -119,6 +128,9 @@
 		return ExitUsage
 	}
 	r := &runner{stdin: stdin, stdout: stdout, stderr: stderr}
+	for _, option := range options {
+		option(r)
+	}
 	return r.run(parsed, parser)
 }
 
@@ -126,6 +138,7 @@
 type runner struct {
 	stdin          io.Reader
 	stdout, stderr io.Writer
+	gatewayOptions []gateway.Option
 }
 
 func (r *runner) run(args arguments, parser *arg.Parser) int {
--- a/command/gateway.go
+++ b/command/gateway.go
@@ -38,7 +38,7 @@
 	defer out.Close()
 	slog.SetDefault(slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: &level})).With("vm", s.Name))
 	slog.Info("starting", "version", version(), "settings", args.Settings)
-	g, err := gateway.New(s)
+	g, err := gateway.New(s, r.gatewayOptions...)
 	if err != nil {
 		slog.Error("gateway failed to start", "error", err)
 		return ExitFailure
