relay, adapter/engine: decisions tell who carried a connection; unreached is not run

A decision whose server was reached through another node has the step "tunnel" with that node's address. Found on reading; not seen in a run.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -29,12 +29,15 @@
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/dispatch"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/placement"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/throttle"
+	"github.com/violettally/violettally/tunnel"
 )
 
 const (
@@ -193,8 +196,7 @@
 	response, err := c.http.Do(request)
 	if err != nil {
 		kind := dispatch.Failed
-		var opErr *net.OpError
-		if errors.As(err, &opErr) && opErr.Op == "dial" {
+		if isDialError(err) {
 			kind = dispatch.NotRun
 		}
 		return nil, errs.Wrap(kind, "send", err, "server %s", server.Name)
@@ -210,6 +212,16 @@
 	return response, nil
 }
 
+// isDialError reports whether no connection was made.
+func isDialError(err error) bool {
+	var opErr *net.OpError
+	if errors.As(err, &opErr) && opErr.Op == "dial" {
+		return true
+	}
+	var notReached *errorx.Error
+	return errors.As(err, &notReached) && notReached.IsOfType(tunnel.NotReached)
+}
+
 // observeLimits tells of the limits that a response names. One that is no number of zero or more
 // says nothing.
 func (c *Client) observeLimits(response *http.Response, server config.Server) {
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -11,10 +11,10 @@
 // not exceed them, however many they are. A node that begins to give out the places of a server
 // while others have been using them waits until these have told it.
 //
-// A request that gets no place is sent to another server, or refused at once. What servers can
-// reject is left for what places don't cover: requests of nodes that have not heard of a limit yet,
-// and those that a server still runs after they were given up. The place of a request that was
-// rejected is not used for a while, so each of these causes one rejection a second at most.
+// A request that gets no place is sent to another server. What servers can reject is left for what
+// places don't cover: requests of nodes that have not heard of a limit yet, and those that a server
+// still runs after they were given up. The place of a request that was rejected is not used for a
+// while, so that each of these causes few rejections.
 //
 // # Usage
 //
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -184,6 +184,7 @@
 func (a response) Declined() bool                  { return false }
 func (a response) Confidence() (float64, bool)     { return 0, false }
 func (a response) Load() (route.Load, bool)        { return route.Load{}, false }
+func (a response) Carrier() string                 { return "" }
 func (a response) RequestLimit() (float64, bool)   { return 0, false }
 func (a response) RejectionLimit() (float64, bool) { return 0, false }
 func (a response) RetryAfter() time.Duration       { return 0 }
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -63,6 +63,9 @@
 	x.reportProgress(assignment, sent, resp)
 	x.record.AddStep("head", "after %d ms, expected %d, of it %d waiting; confidence %s of %s",
 		time.Since(sent).Milliseconds(), assignment.ExpectedLatency().Milliseconds(), assignment.ExpectedWait().Milliseconds(), formatConfidence(resp), x.model())
+	if carrier := resp.Carrier(); carrier != "" {
+		x.record.AddStep("tunnel", "%s was reached through the node at %s", assignment.Server().ID, carrier)
+	}
 	x.headerReceived = time.Now()
 	assignment.RecordResponseStart()
 	assignment.RecordResult(isServerError(resp))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -131,6 +131,8 @@
 	// [throttle.Unlimited] if it names none; false if the response does not tell.
 	RejectionLimit() (perSecond float64, ok bool)
 	RetryAfter() time.Duration
+	// Carrier is the address of the node that carries the connection of this response; "" for none.
+	Carrier() string
 	// ConnOpened is when the connection of this response was opened.
 	ConnOpened() time.Time
 	Body() io.Reader
