--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -36,6 +36,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -69,6 +70,8 @@
 	mu sync.Mutex
 	// rooms holds this node's room at servers, by hash of the incarnation.
 	rooms map[uint64]*roomOf
+	// denied holds until when servers that had no place are not asked for one again.
+	denied map[uint64]time.Time
 }
 
 // roomOf is the room at a server.
@@ -87,7 +90,7 @@
 
 // New returns a limiter of the node with the given roster. It knows no limits.
 func New(roster *owner.Roster, timers *timer.Service, coordinators Coordinators, options ...Option) *Limiter {
-	l := &Limiter{timers: timers, coordinators: coordinators, node: roster.NodeHash(), rooms: make(map[uint64]*roomOf)}
+	l := &Limiter{timers: timers, coordinators: coordinators, node: roster.NodeHash(), rooms: make(map[uint64]*roomOf), denied: make(map[uint64]time.Time)}
 	for _, option := range options {
 		option(l)
 	}
@@ -119,12 +122,16 @@
 // Filter returns the servers that may have a place for a request of this node. It does not modify
 // the given list.
 func (l *Limiter) Filter(servers []*registry.Server) []*registry.Server {
-	if l.limits.CountLimited() == 0 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.denied) == 0 {
 		return servers
 	}
+	now := l.timers.Steady()
+	maps.DeleteFunc(l.denied, func(_ uint64, until time.Time) bool { return !now.Before(until) })
 	allowed := make([]*registry.Server, 0, len(servers))
 	for _, s := range servers {
-		if l.Allows(*s) {
+		if _, denied := l.denied[s.Hash()]; !denied {
 			allowed = append(allowed, s)
 		}
 	}
@@ -133,13 +140,10 @@
 
 // Allows reports whether a server may have a place for a request of this node.
 func (l *Limiter) Allows(s registry.Server) bool {
-	if l.Limit(s) == Unlimited {
-		return true
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r, now := l.limitedRoom(s), l.timers.Steady()
-	return r.hasPlace(now) || !now.Before(r.deniedUntil)
+	until, denied := l.denied[s.Hash()]
+	return !denied || !l.timers.Steady().Before(until)
 }
 
 // Take takes a place for a request, until Release, and asks for one if this node has none. It
@@ -215,7 +219,7 @@
 		r.granted, r.grantedUntil = grant.Places, now.Add(holdTime)
 	}
 	if want > 0 && !r.hasPlace(now) {
-		r.deniedUntil = now.Add(denialTime)
+		l.denied[ask.Server] = now.Add(denialTime)
 	}
 }
 
@@ -224,7 +228,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Steady()
-	if want > 0 && (r.hasPlace(now) || now.Before(r.deniedUntil)) {
+	if want > 0 && (r.hasPlace(now) || now.Before(l.denied[r.server.Hash()])) {
 		return Ask{}, false // the request that this one waited for has settled it
 	}
 	r.askedAt = now
--- a/rejection/room.go
+++ b/rejection/room.go
@@ -33,8 +33,7 @@
 	grantedUntil      time.Time
 	// limitedSince is since when the server is known to name a limit; zero if it names none.
 	limitedSince time.Time
-	// deniedUntil is until when the server is not asked for.
-	deniedUntil     time.Time
+	// askedAt is when this node last asked for places, usedAt when it last used the server.
 	askedAt, usedAt time.Time
 }
 
