--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -9,7 +9,8 @@
 // node asks for a place before it sends a request, gives it back afterwards, and tells from time to
 // time how many it uses. So the places are used wherever the demand is, and all nodes together do
 // not exceed them, however many they are. A node that begins to give out the places of a server
-// while others have been using them waits until these have told it.
+// while others have been using them waits until these have told it. A node that gets no answer may
+// have one request at a server, if that has a slot for each node.
 //
 // A request that gets no place is sent to another server. What servers can reject is left for what
 // places don't cover: requests of nodes that have not heard of a limit yet, and those that a server
@@ -64,8 +65,8 @@
 	limits       *throttle.Limiter
 	limitOptions []throttle.Option
 	coordinators Coordinators
+	roster       *owner.Roster
 	timers       *timer.Service
-	node         uint64
 
 	mu sync.Mutex
 	// rooms holds this node's room at servers, by hash of the incarnation.
@@ -90,7 +91,7 @@
 
 // New returns a limiter of the node with the given roster. It knows no limits.
 func New(roster *owner.Roster, timers *timer.Service, coordinators Coordinators, options ...Option) *Limiter {
-	l := &Limiter{timers: timers, coordinators: coordinators, node: roster.NodeHash(), rooms: make(map[uint64]*roomOf), denied: make(map[uint64]time.Time)}
+	l := &Limiter{timers: timers, coordinators: coordinators, roster: roster, rooms: make(map[uint64]*roomOf), denied: make(map[uint64]time.Time)}
 	for _, option := range options {
 		option(l)
 	}
@@ -215,8 +216,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Steady()
-	if err == nil {
+	switch {
+	case err == nil:
 		r.granted, r.grantedUntil = grant.Places, now.Add(holdTime)
+	case want > 0 && l.roster.Count() <= r.slots:
+		r.granted, r.grantedUntil = max(r.granted, 1), now.Add(holdTime)
 	}
 	if want > 0 && !r.hasPlace(now) {
 		l.denied[ask.Server] = now.Add(denialTime)
@@ -233,7 +237,7 @@
 	}
 	r.askedAt = now
 	r.granted = r.inflight // what is not in use is given back
-	return Ask{Server: r.server.Hash(), Node: l.node, Slots: r.slots, InUse: r.inflight, Want: want, New: now.Sub(r.limitedSince) < settleTime}, true
+	return Ask{Server: r.server.Hash(), Node: l.roster.NodeHash(), Slots: r.slots, InUse: r.inflight, Want: want, New: now.Sub(r.limitedSince) < settleTime}, true
 }
 
 // Run asks for the places that are in use again and again until the context ends.
