adapter/peer: a server that has ended its response still gets the rest of the request

Cause: the carrier closed its connection as soon as the server had ended its side, whatever the client's node still had to send; a direct connection lets both sides end apart. Change: the carrier waits for the client's end, too. Test: TestTunnelServerEndsFirst; all tunnel tests five times with the race detector.

relay: only places that are denied count towards the bound on tries; a used-up share of a request limit lets another server be chosen, as before places. tunnel: a server and its carrier are a target, way is the kind alone.

--- a/adapter/peer/tunnel.go
+++ b/adapter/peer/tunnel.go
@@ -78,11 +78,17 @@
 		if err := stream.MsgSend(&tunnelReply{}, codec{}); err != nil {
 			return err
 		}
+		received := make(chan struct{})
 		go func() {
+			defer close(received)
 			defer conn.Close()
 			receiveFrames(stream, conn)
 		}()
-		return sendFrames(stream, conn)
+		if err := sendFrames(stream, conn); err != nil {
+			return err
+		}
+		<-received // a server that has ended its response may still read the request
+		return nil
 	}
 }
 
--- a/adapter/peer/tunnel_test.go
+++ b/adapter/peer/tunnel_test.go
@@ -88,6 +88,25 @@
 	must.NoError(t, conn.Close())
 }
 
+// TestTunnelServerEndsFirst checks that a server which has ended its side still gets all bytes.
+func TestTunnelServerEndsFirst(t *testing.T) {
+	t.Parallel()
+	dial, accepted := listenServer(t)
+	client, carrier := startCarrier(t, dial)
+	conn, err := client.OpenTunnel(t.Context(), carrier, "server")
+	must.NoError(t, err)
+	server := <-accepted
+	must.NoError(t, server.CloseWrite())
+	_, err = io.ReadAll(conn)
+	must.NoError(t, err)
+	_, err = io.WriteString(conn, "the rest")
+	must.NoError(t, err)
+	received := make([]byte, len("the rest"))
+	_, err = io.ReadFull(server, received)
+	must.NoError(t, err)
+	must.NoError(t, conn.Close())
+}
+
 // TestTunnelResetIsNoEnd checks that a server's reset does not look like the end of its response.
 func TestTunnelResetIsNoEnd(t *testing.T) {
 	t.Parallel()
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -110,8 +110,8 @@
 	return assignment, version, nil
 }
 
-// maxTakes is how many servers are chosen for one attempt that turn out to take no request now.
-const maxTakes = 4
+// maxDenials is how many servers are asked for a place for one attempt.
+const maxDenials = 4
 
 // errNoPlace means that servers which have few places had none.
 var errNoPlace = errors.New("no server had a place")
@@ -119,15 +119,22 @@
 // assign assigns the next attempt to a server. Other requests may use up the limit of a server
 // between its choice and the assignment; another one is then chosen.
 func (x *exchange) assign(ctx context.Context) (*route.Assignment, string, error) {
-	for range maxTakes {
+	for denied := 0; denied < maxDenials; {
 		servers, version := x.servers()
 		assignment, err := x.relay.Balancer.Choose(x.task(servers))
 		if err != nil {
 			return nil, "", err
 		}
-		if server := assignment.Server(); x.relay.take(ctx, server) {
+		server := assignment.Server()
+		hasPlace := x.relay.Rejections.Take(ctx, server)
+		if hasPlace && x.relay.WarmUps.Take(server) && x.relay.Throttle.Take(server) {
 			return assignment, version, nil
 		}
+		if hasPlace {
+			x.relay.Rejections.Release(server)
+		} else {
+			denied++
+		}
 		assignment.End(route.OutcomeNeutral)
 	}
 	return nil, "", errNoPlace
@@ -177,18 +184,6 @@
 	return r.Rejections.Filter(r.Throttle.Filter(r.WarmUps.Filter(servers)))
 }
 
-// take counts a request to a server for its limits. It returns false if one of them is used up.
-func (r *Relay) take(ctx context.Context, server registry.Server) bool {
-	if !r.Rejections.Take(ctx, server) {
-		return false
-	}
-	if r.WarmUps.Take(server) && r.Throttle.Take(server) {
-		return true
-	}
-	r.Rejections.Release(server)
-	return false
-}
-
 func (x *exchange) chooseVersion(servers []*registry.Server) ([]*registry.Server, string) {
 	return x.relay.Versions.Choose(x.service, x.request.hashKey(), x.version, servers)
 }
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -31,8 +31,8 @@
 	// open holds the open connections, tunnels is the number of those that are tunnels.
 	open    map[*Conn]struct{}
 	tunnels int
-	// checks holds when a silent way was last checked.
-	checks map[way]time.Time
+	// checks holds when silent targets were last checked.
+	checks map[target]time.Time
 }
 
 // Option configures a Dialer in NewDialer.
@@ -71,7 +71,7 @@
 		observe:   func(Way, Outcome) {},
 		closeIdle: func(func(net.Conn) bool) {},
 		open:      make(map[*Conn]struct{}),
-		checks:    make(map[way]time.Time),
+		checks:    make(map[target]time.Time),
 	}
 	for _, option := range options {
 		option(d)
--- a/tunnel/silence.go
+++ b/tunnel/silence.go
@@ -20,10 +20,10 @@
 	checkTimeout = time.Second
 )
 
-// way is a way from this node to a server. The carrier is empty for the direct one.
-type way struct{ server, carrier string }
+// target is a server, and the carrier through which connections reach it; "" for none.
+type target struct{ server, carrier string }
 
-// silence is what the open connections of one way have brought.
+// silence is what the open connections to one target have brought.
 type silence struct {
 	// lastRead is when any of them last received data or was opened, waitingSince since when one
 	// of them awaits data; zero if none does.
@@ -33,58 +33,58 @@
 // Run checks the ways that are silent, until the context ends.
 func (d *Dialer) Run(ctx context.Context) {
 	d.timers.Every(ctx, checkInterval, func() {
-		for _, w := range d.silentWays() {
-			go d.check(ctx, w)
+		for _, t := range d.silentTargets() {
+			go d.check(ctx, t)
 		}
 		d.dropCarriers()
 	})
 }
 
-// silentWays returns the ways that are due for a check.
-func (d *Dialer) silentWays() []way {
+// silentTargets returns the targets whose ways are due for a check.
+func (d *Dialer) silentTargets() []target {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for w, at := range d.checks {
+	for t, at := range d.checks {
 		if now.Sub(at) >= recheckInterval {
-			delete(d.checks, w)
+			delete(d.checks, t)
 		}
 	}
-	var due []way
-	for w, s := range d.silences() {
-		if _, checked := d.checks[w]; checked || len(due) == maxChecks {
+	var due []target
+	for t, s := range d.silences() {
+		if _, checked := d.checks[t]; checked || len(due) == maxChecks {
 			continue
 		}
 		if !s.waitingSince.IsZero() && !s.lastRead.After(s.waitingSince) && now.Sub(s.waitingSince) >= silentAfter {
-			d.checks[w] = now
-			due = append(due, w)
+			d.checks[t] = now
+			due = append(due, t)
 		}
 	}
 	return due
 }
 
-// silences returns what the open connections of each way have brought. The caller holds mu.
-func (d *Dialer) silences() map[way]silence {
-	ways := make(map[way]silence)
+// silences returns what the open connections to each target have brought. The caller holds mu.
+func (d *Dialer) silences() map[target]silence {
+	byTarget := make(map[target]silence)
 	for c := range d.open {
 		lastRead, waitingSince := c.times()
-		w := way{c.server, c.carrier}
-		s := ways[w]
+		t := target{c.server, c.carrier}
+		s := byTarget[t]
 		if lastRead.After(s.lastRead) {
 			s.lastRead = lastRead
 		}
 		if !waitingSince.IsZero() && (s.waitingSince.IsZero() || waitingSince.Before(s.waitingSince)) {
 			s.waitingSince = waitingSince
 		}
-		ways[w] = s
+		byTarget[t] = s
 	}
-	return ways
+	return byTarget
 }
 
-// check opens a new connection by a way, and closes it.
-func (d *Dialer) check(ctx context.Context, w way) {
-	if w.carrier == "" {
-		if conn, err := d.DialContext(ctx, "tcp", w.server); err == nil {
+// check opens a new connection to a target, and closes it.
+func (d *Dialer) check(ctx context.Context, t target) {
+	if t.carrier == "" {
+		if conn, err := d.DialContext(ctx, "tcp", t.server); err == nil {
 			_ = conn.Close()
 		}
 		return
@@ -92,14 +92,14 @@
 	since := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	conn, err := d.carriers.peers.OpenTunnel(ctx, w.carrier, w.server)
+	conn, err := d.carriers.peers.OpenTunnel(ctx, t.carrier, t.server)
 	if err == nil {
 		_ = conn.Close()
 		return
 	}
 	d.closeIdle(func(conn net.Conn) bool {
 		c, ok := conn.(*Conn)
-		return ok && c.carrier == w.carrier && c.server == w.server && c.silentSince(since)
+		return ok && c.carrier == t.carrier && c.server == t.server && c.silentSince(since)
 	})
 }
 
