--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,8 +6,9 @@
 // that outlives its process. On the request path it calls neither other gateways nor
 // the store, unless a refused request is due for a probe (package suspect), a backend
 // server is reached through another gateway only (package tunnel), or a server has few
-// places, which another gateway gives out (package rejection). In the background, gateways exchange records of the requests that they have sent to
-// backend servers (package share).
+// places, which another gateway gives out (package rejection). In the background,
+// gateways exchange records of the requests that they have sent to backend servers
+// (package share).
 //
 // # Usage
 //
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -233,32 +233,44 @@
 func (r *Roster) Rank(dataHall string, hash uint64) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	local := r.self.DataHall == dataHall
-	own := rendezvous.Score(hash, r.NodeHash())
+	own := placeOf(r.self.DataHall, r.NodeHash(), dataHall, hash)
 	rank := 0
 	for _, o := range r.others {
-		otherLocal := o.dataHall == dataHall
-		if otherLocal != local {
-			if otherLocal {
-				rank++
-			}
-			continue
-		}
-		if rendezvous.Score(hash, o.hash) > own {
+		if placeOf(o.dataHall, o.hash, dataHall, hash).before(own) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// place is what decides on a node's place in the ranking of a server's owners.
+type place struct {
+	// local means that the node is in the server's data hall.
+	local bool
+	score uint64
+}
+
+// placeOf returns the place of a node for a server, by their data halls and hashes.
+func placeOf(nodeHall string, node uint64, serverHall string, server uint64) place {
+	return place{nodeHall == serverHall, rendezvous.Score(server, node)}
+}
+
+// before reports whether a node comes before another one.
+func (p place) before(other place) bool {
+	if p.local != other.local {
+		return p.local
+	}
+	return p.score > other.score
+}
+
 // First returns the node that comes first as owner of a server, which is in the given data hall and
 // has the given hash: the one of rank 0 by the list of the given node and the others.
 func First(self view.Member, others []view.Member, dataHall string, hash uint64) view.Member {
-	first, firstLocal, firstScore := self, self.DataHall == dataHall, rendezvous.Score(hash, rendezvous.Hash(self.VM))
+	first := self
+	firstPlace := placeOf(self.DataHall, rendezvous.Hash(self.VM), dataHall, hash)
 	for _, m := range others {
-		local, score := m.DataHall == dataHall, rendezvous.Score(hash, rendezvous.Hash(m.VM))
-		if local == firstLocal && score > firstScore || local && !firstLocal {
-			first, firstLocal, firstScore = m, local, score
+		if p := placeOf(m.DataHall, rendezvous.Hash(m.VM), dataHall, hash); p.before(firstPlace) {
+			first, firstPlace = m, p
 		}
 	}
 	return first
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -70,17 +70,11 @@
 
 	mu sync.Mutex
 	// rooms holds this node's room at servers, by hash of the incarnation.
-	rooms map[uint64]*roomOf
+	rooms map[uint64]*room
 	// denied holds until when servers that had no place are not asked for one again.
 	denied map[uint64]time.Time
 }
 
-// roomOf is the room at a server.
-type roomOf struct {
-	room
-	server registry.Server
-}
-
 // Option configures a Limiter in New.
 type Option func(*Limiter)
 
@@ -91,7 +85,7 @@
 
 // New returns a limiter of the node with the given roster. It knows no limits.
 func New(roster *owner.Roster, timers *timer.Service, coordinators Coordinators, options ...Option) *Limiter {
-	l := &Limiter{timers: timers, coordinators: coordinators, roster: roster, rooms: make(map[uint64]*roomOf), denied: make(map[uint64]time.Time)}
+	l := &Limiter{timers: timers, coordinators: coordinators, roster: roster, rooms: make(map[uint64]*room), denied: make(map[uint64]time.Time)}
 	for _, option := range options {
 		option(l)
 	}
@@ -228,7 +222,7 @@
 }
 
 // nextAsk returns what to ask for; false if nothing is to be asked any more.
-func (l *Limiter) nextAsk(r *roomOf, want int) (Ask, bool) {
+func (l *Limiter) nextAsk(r *room, want int) (Ask, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Steady()
@@ -268,12 +262,11 @@
 }
 
 // room returns this node's room at a server. The caller holds mu.
-func (l *Limiter) room(s registry.Server) *roomOf {
+func (l *Limiter) room(s registry.Server) *room {
 	hash := s.Hash()
 	r := l.rooms[hash]
 	if r == nil {
-		r = &roomOf{server: s}
-		r.slots = s.Slots
+		r = &room{server: s, slots: s.Slots}
 		l.rooms[hash] = r
 	}
 	r.usedAt = time.Now()
@@ -281,7 +274,7 @@
 }
 
 // limitedRoom returns this node's room at a server that names a limit. The caller holds mu.
-func (l *Limiter) limitedRoom(s registry.Server) *roomOf {
+func (l *Limiter) limitedRoom(s registry.Server) *room {
 	r := l.room(s)
 	if r.limitedSince.IsZero() {
 		r.limitedSince = l.timers.Steady()
--- a/rejection/room.go
+++ b/rejection/room.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/violettally/violettally/registry"
 )
 
 const (
@@ -20,6 +22,7 @@
 
 // room is this node's room at one server.
 type room struct {
+	server registry.Server
 	// asking is held while this node asks for places.
 	asking sync.Mutex
 
