route, node: on the own interface too, the place of a rejected request rests

What callers saw: an engine that can reject 2 requests a second and has 2 of its 16 slots taken by others rejected 15 in a second; a real one would have ended, with all that ran there.

Cause: an attempt gave its place back at once whatever its outcome, so a place that something else has was given out again and again. The gateway let such a place rest for 2 s, the node's path did not.

Change: an attempt that was declined ends with Reject, as on the platform. A resumed stream still gives back one place for each request that it took.

--- a/node/server_limits.go
+++ b/node/server_limits.go
@@ -105,6 +105,9 @@
 // Release records that a request is not at a server of a pool any more.
 func (l *serverLimits) Release(pool string, s config.Server) { l.rejections.Release(target(pool, s)) }
 
+// Reject is Release for a request that the server has declined to run.
+func (l *serverLimits) Reject(pool string, s config.Server) { l.rejections.Reject(target(pool, s)) }
+
 // RequestLimit records the request limit that a server's response names.
 func (l *serverLimits) RequestLimit(s config.Server, perSecond float64) {
 	l.limiter.Observe(target("", s), perSecond)
--- a/route/route.go
+++ b/route/route.go
@@ -149,6 +149,8 @@
 	Take(pool string, s config.Server) bool
 	// Release records that a request that was counted is not at the server any more.
 	Release(pool string, s config.Server)
+	// Reject is Release for a request that the server has declined to run.
+	Reject(pool string, s config.Server)
 }
 
 // noThrottle limits no server.
@@ -157,6 +159,7 @@
 func (noThrottle) Allows(string, config.Server) bool { return true }
 func (noThrottle) Take(string, config.Server) bool   { return true }
 func (noThrottle) Release(string, config.Server)     {}
+func (noThrottle) Reject(string, config.Server)      {}
 
 // WithThrottle sets what limits the requests to servers that name a limit.
 func WithThrottle(t Throttle) Option { return func(c *Chooser) { c.throttle = t } }
@@ -239,7 +242,12 @@
 // counts.
 func (a *Attempt) End(outcome Outcome, took time.Duration) {
 	a.endOnce.Do(func() {
-		for range 1 + a.repeats.Load() {
+		for range a.repeats.Load() {
+			a.chooser.throttle.Release(a.pool, a.server)
+		}
+		if outcome == OutcomeDeclined {
+			a.chooser.throttle.Reject(a.pool, a.server)
+		} else {
 			a.chooser.throttle.Release(a.pool, a.server)
 		}
 		a.chooser.end(a, outcome, took)
--- a/route/throttle_test.go
+++ b/route/throttle_test.go
@@ -22,6 +22,7 @@
 }
 
 func (requestsLeft) Release(string, config.Server) {}
+func (requestsLeft) Reject(string, config.Server)  {}
 
 // TestChooserThrottle checks that a server gets no more requests than it may, those that resume a
 // stream included, and that a pool whose servers get none now is told from one without servers.
