route: failures of requests sent before a breaker opened don't keep it open longer

Cause: each failure after the third doubled the time for which a server's breaker stays open, 0.5 s up to 15 s, also that of a request sent long before. Six requests under way at a server that fail at one moment opened it for 4 s, eight for 15 s, at every server at once.

Change: while a breaker is open only its probe counts. Package route has one breaker for both interfaces.

Ruled out: that the tunnels were late (the refusals are 'none of 3 servers can take the request', with none tried).

--- a/route/assignment.go
+++ b/route/assignment.go
@@ -168,7 +168,7 @@
 	case OutcomeOK:
 		s.breaker.succeed()
 	case OutcomeFailed:
-		if s.breaker.fail(time.Now()) {
+		if s.breaker.fail(time.Now(), a.sentAt) {
 			b.onBreakerOpen(a.server.ID)
 		}
 	default:
--- a/route/breaker.go
+++ b/route/breaker.go
@@ -11,7 +11,8 @@
 
 // breaker is a circuit breaker for one server. It opens after consecutive
 // failures. After openDuration it admits one probe request at a time; a success
-// closes it, a failure doubles openDuration up to maxOpenDuration.
+// closes it, a failed probe doubles openDuration up to maxOpenDuration. Other
+// failures while it is open are of requests sent before, whose number says nothing.
 type breaker struct {
 	failures     int
 	openDuration time.Duration
@@ -36,8 +37,12 @@
 
 func (b *breaker) neutral() { b.probing = false }
 
-// fail records a failure. It reports whether that opened a closed breaker.
-func (b *breaker) fail(now time.Time) bool {
+// fail records the failure of a request sent at the given time. It reports whether
+// that opened a closed breaker.
+func (b *breaker) fail(now, sentAt time.Time) bool {
+	if b.open() && !sentAt.After(b.openUntil) {
+		return false
+	}
 	b.failures++
 	b.probing = false
 	if !b.open() {
--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/route"
 )
 
@@ -349,6 +350,48 @@
 	})
 }
 
+// TestManyFailuresAtOnce checks that a server at which many requests fail at once is tried again as
+// soon as one at which few do.
+func TestManyFailuresAtOnce(t *testing.T) {
+	const underWay = 24
+	server := registry.Server{ID: "s"}
+	balancer, chooser := balancer(), route.New("n")
+	tests := map[string]func() (fail func(), err error){
+		"balancer": func() (func(), error) {
+			a, err := balancer.Choose(route.Task{Servers: []*registry.Server{&server}})
+			return func() { a.End(route.OutcomeFailed) }, err
+		},
+		"chooser": func() (func(), error) {
+			a, err := chooser.Choose(route.Request{Pool: "p", Servers: testServers()[:1]})
+			return func() { a.End(route.OutcomeFailed, time.Millisecond) }, err
+		},
+	}
+	for name, choose := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var failures []func()
+				for range underWay {
+					fail, err := choose()
+					must.NoError(t, err)
+					failures = append(failures, fail)
+				}
+				for _, fail := range failures {
+					fail()
+				}
+				_, err := choose()
+				must.Error(t, err)
+				time.Sleep(600 * time.Millisecond)
+				fail, err := choose()
+				must.NoError(t, err)
+				fail()
+				time.Sleep(600 * time.Millisecond)
+				_, err = choose()
+				must.Error(t, err, must.Sprint("a failed probe doubles the time"))
+			})
+		})
+	}
+}
+
 // TestSubsets checks the subsets of 480 nodes over 2,800 servers: each server is
 // used by four nodes, and removing one changes no assignment of the others.
 func TestSubsets(t *testing.T) {
--- a/route/route.go
+++ b/route/route.go
@@ -217,6 +217,7 @@
 	server  config.Server
 	state   *chooserServer
 	prefix  uint64
+	sentAt  time.Time
 	// slowdown is the expected ratio of the request's time to its time on an
 	// idle server.
 	slowdown float64
@@ -294,7 +295,7 @@
 	best.state.inflight++
 	best.state.lastUsed = now
 	best.state.breaker.begin(now)
-	return &Attempt{chooser: c, pool: r.Pool, server: best.server, state: best.state, prefix: r.Prefix, slowdown: slowdown}
+	return &Attempt{chooser: c, pool: r.Pool, server: best.server, state: best.state, prefix: r.Prefix, sentAt: now, slowdown: slowdown}
 }
 
 // bestOf returns the server of a few candidates at which a request is expected to take least
@@ -448,7 +449,7 @@
 		s.breaker.succeed()
 		s.rememberPrefix(a.prefix, now)
 	case OutcomeFailed:
-		if s.breaker.fail(now) {
+		if s.breaker.fail(now, a.sentAt) {
 			c.onBreakerOpen(a.server.Name)
 		}
 	case OutcomeDeclined:
