tunnel, relay, dispatch: a node without any way to servers doesn't take that for their failure

Change: a carrier that did not answer is still asked if there is no other. A node that reaches no server, and has asked a node that did not answer, ends the attempt as NoWay, which says nothing of the server; if an asked one says that it does not reach the server, it is the server's failure as before. No request is sent to a further server once its time is over (before: 'send, -32 ms left', a failure of that server).

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -196,7 +196,10 @@
 	response, err := c.http.Do(request)
 	if err != nil {
 		kind := dispatch.Failed
-		if isDialError(err) {
+		switch {
+		case tunnel.IsNoWay(err):
+			kind = dispatch.NoWay
+		case isDialError(err):
 			kind = dispatch.NotRun
 		}
 		return nil, errs.Wrap(kind, "send", err, "server %s", server.Name)
--- a/dispatch/backend.go
+++ b/dispatch/backend.go
@@ -13,6 +13,8 @@
 	// NotRun means that the request did not run on the server: the server said so, or it is
 	// known from the connection.
 	NotRun = namespace.NewType("not_run")
+	// NoWay is NotRun because this node had no way to any server, which says nothing of the server.
+	NoWay = NotRun.NewSubtype("no_way")
 	// Failed means that the request may have run and that there is no complete response.
 	Failed = namespace.NewType("failed")
 	// TooLarge means that a response exceeds its size limit.
@@ -41,7 +43,7 @@
 	Close()
 }
 
-// Engines calls the model engines. Errors are NotRun or Failed.
+// Engines calls the model engines. Errors are NotRun, NoWay or Failed.
 type Engines interface {
 	Complete(ctx context.Context, server config.Server, call EngineCall) (EngineStream, error)
 	// Resume continues a stream after the given number of parts.
@@ -65,7 +67,7 @@
 	Body        []byte
 }
 
-// Services calls the plain services. Errors are NotRun, Failed or TooLarge.
+// Services calls the plain services. Errors are NotRun, NoWay, Failed or TooLarge.
 type Services interface {
 	Call(ctx context.Context, server config.Server, call ServiceCall) (ServiceResponse, error)
 }
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -105,7 +105,7 @@
 		return route.OutcomeOK
 	case errorx.IsOfType(err, NotRun) && errs.Is(err, ErrDeclined):
 		return route.OutcomeDeclined
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), errorx.IsOfType(err, NoWay):
 		return route.OutcomeNeutral
 	default:
 		return route.OutcomeFailed
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -86,6 +86,9 @@
 			return x.deliver(refusal)
 		}
 		x.relay.StoreView.AwaitRefresh(ctx)
+		if ctx.Err() != nil {
+			return x.deliver(x.endedRefusal(ctx, f))
+		}
 	}
 }
 
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -153,7 +153,7 @@
 		return &failure{reason: ReasonOvertaken, budgetTaken: true, cause: err.Error()}
 	}
 	outcome := route.OutcomeFailed
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) || errorx.IsOfType(err, NoWay) {
 		outcome = route.OutcomeNeutral
 	}
 	assignment.End(outcome)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,6 +55,8 @@
 	// NotRun means that a server has not run the request and will not: it said so, or no byte
 	// of the request reached it.
 	NotRun = namespace.NewType("not_run")
+	// NoWay is NotRun because this node had no way to any server, which says nothing of the server.
+	NoWay = NotRun.NewSubtype("no_way")
 	// StaleChoice means that nothing was sent, because the choice of the server was out of date
 	// by then.
 	StaleChoice = namespace.NewType("overtaken")
@@ -140,7 +142,7 @@
 	Close()
 }
 
-// Backends sends requests to backend servers. Errors are NotRun, StaleChoice or Failed.
+// Backends sends requests to backend servers. Errors are NotRun, NoWay, StaleChoice or Failed.
 type Backends interface {
 	Send(ctx context.Context, server registry.Server, call Call) (Response, error)
 }
--- a/tunnel/carriers.go
+++ b/tunnel/carriers.go
@@ -40,24 +40,37 @@
 	mu sync.Mutex
 	// working holds the carriers that opened a tunnel last, the latest first.
 	working []view.Member
-	// avoidedUntil holds those that failed, by peer address.
-	avoidedUntil map[string]time.Time
+	// avoided holds those that failed, by peer address.
+	avoided map[string]avoidance
+}
+
+// avoidance is how long a carrier that failed is avoided.
+type avoidance struct {
+	until time.Time
+	// silent means that it did not answer, so that it is asked if there is no other.
+	silent bool
 }
 
 // choose returns a carrier that is not among the given ones: one that has worked, or else one of
 // this node's data hall if none was tried, or else one of another, since all of a hall may be cut
-// off.
+// off. One that did not answer lately comes last.
 func (c *carriers) choose(tried []string) (view.Member, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.timers.Steady()
 	usable := func(m view.Member) bool {
-		return !slices.Contains(tried, m.Peer) && now.After(c.avoidedUntil[m.Peer])
+		return !slices.Contains(tried, m.Peer) && now.After(c.avoided[m.Peer].until)
+	}
+	silent := func(m view.Member) bool {
+		return !slices.Contains(tried, m.Peer) && c.avoided[m.Peer].silent
 	}
 	local, remote := c.draw(c.working, usable)
 	if local.Peer == "" && remote.Peer == "" {
 		local, remote = c.draw(c.peers.Others(), usable)
 	}
+	if local.Peer == "" && remote.Peer == "" {
+		local, remote = c.draw(c.peers.Others(), silent)
+	}
 	first, second := local, remote
 	if len(tried) > 0 {
 		first, second = remote, local
@@ -97,10 +110,10 @@
 	same := func(m view.Member) bool { return m.Peer == carrier.Peer }
 	c.working = slices.DeleteFunc(c.working, same)
 	if err != nil {
-		c.avoidedUntil[carrier.Peer] = c.timers.Steady().Add(avoidTime)
+		c.avoided[carrier.Peer] = avoidance{until: c.timers.Steady().Add(avoidTime), silent: !isRefusal(err)}
 		return
 	}
-	delete(c.avoidedUntil, carrier.Peer)
+	delete(c.avoided, carrier.Peer)
 	c.working = slices.Insert(c.working, 0, carrier)
 	c.working = c.working[:min(len(c.working), maxWorking)]
 }
@@ -116,9 +129,9 @@
 	}
 	c.working = slices.DeleteFunc(c.working, func(m view.Member) bool { return !listed[m.Peer] })
 	now := c.timers.Steady()
-	for address, until := range c.avoidedUntil {
-		if now.After(until) {
-			delete(c.avoidedUntil, address)
+	for address, a := range c.avoided {
+		if now.After(a.until) {
+			delete(c.avoided, address)
 		}
 	}
 	return listed
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -52,7 +52,7 @@
 // WithPeers sets the node and what opens connections through others.
 func WithPeers(self view.Member, peers Peers) Option {
 	return func(d *Dialer) {
-		d.carriers = &carriers{peers: peers, self: self, timers: d.timers, avoidedUntil: make(map[string]time.Time)}
+		d.carriers = &carriers{peers: peers, self: self, timers: d.timers, avoided: make(map[string]avoidance)}
 	}
 }
 
@@ -85,7 +85,11 @@
 	r := newRace(d, network, address)
 	conn, carrier, err := r.run(ctx)
 	if err != nil {
-		return nil, errs.Wrap(NotReached, "dial", err, "server %s", address)
+		kind := NotReached
+		if r.unanswered() && d.paths.state(address).cutOff {
+			kind = NoWay
+		}
+		return nil, errs.Wrap(kind, "dial", err, "server %s", address)
 	}
 	return d.track(conn, address, carrier), nil
 }
--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -42,7 +42,9 @@
 	// asked holds the peer addresses of the carriers that were asked.
 	asked       []string
 	unreachable int
-	errors      []error
+	// answered is the number of carriers that have answered.
+	answered int
+	errors   []error
 }
 
 // attempt is the result of one way.
@@ -150,8 +152,15 @@
 	if errorx.IsOfType(a.err, Unreachable) {
 		r.unreachable++
 	}
+	if isRefusal(a.err) {
+		r.answered++
+	}
 }
 
+// unanswered reports whether a carrier that was asked has not answered, and none has said that the
+// server is not reached.
+func (r *race) unanswered() bool { return r.answered < len(r.asked) && r.unreachable == 0 }
+
 // won returns the connection that was opened first. If it is a tunnel while the direct way has long
 // been tried, the server counts as lost.
 func (r *race) won(a attempt) (net.Conn, string, error) {
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -28,6 +28,7 @@
 package tunnel
 
 import (
+	"errors"
 	"slices"
 
 	"github.com/joomcode/errorx"
@@ -42,6 +43,9 @@
 
 	// NotReached means that a server was reached neither directly nor through another node.
 	NotReached = namespace.NewType("not_reached")
+	// NoWay is NotReached at a node that reaches no server, if another node that it asked did not
+	// answer. It says nothing of the server.
+	NoWay = NotReached.NewSubtype("no_way")
 	// CutOff means that a carrier reaches no server itself.
 	CutOff = namespace.NewType("cut_off")
 	// Busy means that a carrier takes no more tunnels: it has enough, or it is about to end.
@@ -67,6 +71,12 @@
 // refusals are the errors of a carrier that refuses a tunnel.
 var refusals = []*errorx.Type{CutOff, Busy, UnknownServer, Unreachable}
 
+// IsNoWay reports whether NoWay is among an error and its causes.
+func IsNoWay(err error) bool {
+	var typed *errorx.Error
+	return errors.As(err, &typed) && typed.IsOfType(NoWay)
+}
+
 // isRefusal reports whether an error is that of a carrier that refused a tunnel.
 func isRefusal(err error) bool {
 	return slices.ContainsFunc(refusals, func(t *errorx.Type) bool { return errorx.IsOfType(err, t) })
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -217,6 +219,42 @@
 	})
 }
 
+// TestCutOffNodeWithoutAnswers checks that a node which reaches no server does not take a failure for
+// one of the server unless another node says so, and that one that did not answer is asked again at
+// once if there is no other.
+func TestCutOffNodeWithoutAnswers(t *testing.T) {
+	tests := []struct {
+		name              string
+		carrier           reply
+		noWay, askedAgain bool
+	}{
+		{"no answer", silent, true, true},
+		{"broken", reply{err: errors.New("reset")}, true, true},
+		{"cut off as well", cutOff, false, false},
+		{"server not reached there", unreachable, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &network{direct: refused, carriers: map[string]reply{"a": tt.carrier}, nodes: []view.Member{node("hall-2", "a")}}
+				d := dialerOf(t, n)
+				for _, server := range []string{"one", "two"} {
+					_, _, err := connect(t.Context(), d, server)
+					must.Error(t, err)
+				}
+				_, _, err := connect(t.Context(), d, "one")
+				must.True(t, errorx.IsOfType(err, tunnel.NotReached))
+				must.Eq(t, tt.noWay, tunnel.IsNoWay(fmt.Errorf("send: %w", err)))
+				n.mu.Lock()
+				n.carriers["a"] = fast
+				n.mu.Unlock()
+				_, _, err = connect(t.Context(), d, "one")
+				must.Eq(t, tt.askedAgain, err == nil, must.Sprint(err))
+			})
+		})
+	}
+}
+
 // TestSilentIdleConnectionsAreClosed checks that idle connections which are silent are closed once
 // the server is found to be reached by another way only, and not because a server is late.
 func TestSilentIdleConnectionsAreClosed(t *testing.T) {
