gateway, tunnel: a loss at a server that only this node does not reach is no crash of the server

What callers saw: beside 32 busy processes a gateway whose connections were reset at the cut stored a verdict that a popular request crashes servers; for 7 s all nodes refused its 110 copies as 'suspected' (502, not to be sent again).

Losses at three servers, 50 ms apart, make a verdict, which is in force everywhere.

Change: before a loss is recorded and published, one connection is opened to the server, one check at a time for each. If it comes about through another node alone, or nobody answers a node that reaches no server, the loss is dropped (suspect event own_way_lost). A server that crashed refuses it at once, and two nodes say so; the next attempt waits for 60 ms anyway.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,6 +118,7 @@
 	membership    *membership
 	exchange      *share.Exchange
 	detector      *suspect.Detector
+	lossChecks    lossChecks
 	verdictSyncer *suspect.Syncer
 
 	relay     *relay.Relay
--- a/internal/faultproxy/link.go
+++ b/internal/faultproxy/link.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// ResetTo resets the open connections to an address.
+func (l *Link) ResetTo(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if c.RemoteAddr().String() == address {
+			c.reset()
+		}
+	}
+}
+
 // state returns the mode and the channel that is closed when it changes.
 func (l *Link) state() (LinkMode, <-chan struct{}) {
 	l.mu.Lock()
--- a/suspect/event.go
+++ b/suspect/event.go
@@ -18,4 +18,6 @@
 	// longer refused.
 	EventVerdict
 	EventWithdrawn
+	// EventOwnWayLost: a loss was dropped, since this node has lost its way to the server.
+	EventOwnWayLost
 )
