--- a/internal/recoverrule/recoverrule.go
+++ b/internal/cutoffrule/cutoffrule.go
@@ -1,12 +1,12 @@
-// Package recoverrule is the agreed bound on how much worse callers may be served at nodes that
+// Package cutoffrule is the agreed bound on how much worse callers may be served at nodes that
 // are cut off from all servers, for tests.
 //
 // # Usage
 //
-//	if err := recoverrule.Check(cutOff, others); err != nil {
+//	if err := cutoffrule.Check(cutOff, others); err != nil {
 //		t.Error(err)
 //	}
-package recoverrule
+package cutoffrule
 
 import (
 	"fmt"
--- a/internal/limitrule/limitrule.go
+++ b/internal/limitrule/limitrule.go
@@ -23,6 +23,6 @@
 // requests a second.
 func Allowed(perSecond float64) float64 { return factor*perSecond*Window.Seconds() + slack }
 
-// AllowedFalls returns how often the servers of a service may end, in one time in which they name
+// AllowedCrashes returns how often the servers of a service may end, in one time in which they name
 // rejection limits, because they had to reject too many requests.
-func AllowedFalls(servers int) float64 { return 2 + float64(servers)/10 }
+func AllowedCrashes(servers int) float64 { return 2 + float64(servers)/10 }
--- a/internal/standin/crowded.go
+++ b/internal/standin/crowded.go
@@ -26,7 +26,7 @@
 	downUntil  time.Time
 	rejections []time.Time
 	served     int
-	falls      int
+	crashes    int
 }
 
 // CrowdedSpec describes a Crowded server.
@@ -50,10 +50,10 @@
 }
 
 // Counts returns how many requests were served, and how often the server ended, so far.
-func (c *Crowded) Counts() (served, falls int) {
+func (c *Crowded) Counts() (served, crashes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.served, c.falls
+	return c.served, c.crashes
 }
 
 // ServeHTTP runs one request, or rejects it if there is no place.
@@ -143,7 +143,7 @@
 	if float64(len(c.rejections)) <= c.spec.RejectionLimit {
 		return
 	}
-	c.falls++
+	c.crashes++
 	c.rejections = nil
 	c.downUntil = now.Add(c.spec.DownTime)
 	close(c.ended)
