--- a/adapter/peer/tunnel_test.go
+++ b/adapter/peer/tunnel_test.go
@@ -64,14 +64,19 @@
 	return func() (net.Conn, error) { return net.Dial("tcp", l.Addr().String()) }, accepted
 }
 
-// TestTunnelCarriesBytes checks that a tunnel passes on all bytes and the server's end.
-func TestTunnelCarriesBytes(t *testing.T) {
-	t.Parallel()
+// openTunnel opens a tunnel and returns its ends.
+func openTunnel(t *testing.T) (conn net.Conn, server *net.TCPConn) {
 	dial, accepted := listenServer(t)
 	client, carrier := startCarrier(t, dial)
 	conn, err := client.OpenTunnel(t.Context(), carrier, "server")
 	must.NoError(t, err)
-	server := <-accepted
+	return conn, <-accepted
+}
+
+// TestTunnelCarriesBytes checks that a tunnel passes on all bytes and the server's end.
+func TestTunnelCarriesBytes(t *testing.T) {
+	t.Parallel()
+	conn, server := openTunnel(t)
 	long := strings.Repeat("0123456789", 10_000)
 	go func() {
 		_, _ = io.WriteString(conn, long)
@@ -79,7 +84,7 @@
 		_ = server.CloseWrite()
 	}()
 	received := make([]byte, len(long))
-	_, err = io.ReadFull(server, received)
+	_, err := io.ReadFull(server, received)
 	must.NoError(t, err)
 	must.True(t, string(received) == long)
 	answer, err := io.ReadAll(conn)
@@ -91,13 +96,9 @@
 // TestTunnelServerEndsFirst checks that a server which has ended its side still gets all bytes.
 func TestTunnelServerEndsFirst(t *testing.T) {
 	t.Parallel()
-	dial, accepted := listenServer(t)
-	client, carrier := startCarrier(t, dial)
-	conn, err := client.OpenTunnel(t.Context(), carrier, "server")
-	must.NoError(t, err)
-	server := <-accepted
+	conn, server := openTunnel(t)
 	must.NoError(t, server.CloseWrite())
-	_, err = io.ReadAll(conn)
+	_, err := io.ReadAll(conn)
 	must.NoError(t, err)
 	_, err = io.WriteString(conn, "the rest")
 	must.NoError(t, err)
@@ -110,14 +111,10 @@
 // TestTunnelResetIsNoEnd checks that a server's reset does not look like the end of its response.
 func TestTunnelResetIsNoEnd(t *testing.T) {
 	t.Parallel()
-	dial, accepted := listenServer(t)
-	client, carrier := startCarrier(t, dial)
-	conn, err := client.OpenTunnel(t.Context(), carrier, "server")
-	must.NoError(t, err)
-	server := <-accepted
+	conn, server := openTunnel(t)
 	must.NoError(t, server.SetLinger(0))
 	must.NoError(t, server.Close())
-	_, err = io.ReadAll(conn)
+	_, err := io.ReadAll(conn)
 	must.Error(t, err)
 }
 
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/violettally/violettally/registry"
@@ -36,52 +35,21 @@
 // loss to the other gateways, since the client may send its retry to one of them. Nothing is
 // recorded if it turns out that this gateway has lost its way to the server.
 func (s relaySuspects) ReportLost(digest uint64, server registry.Server) {
-	if !s.g.lossChecks.add(server.Address, pendingLoss{digest, server.Incarnation().Hash(), s.g.timers.Steady()}) {
-		return
+	if s.g.lossChecks.add(server, digest, s.g.timers.Steady()) {
+		go s.g.checkLosses(server)
 	}
-	go func() {
-		lostWay := s.g.dialer.HasLostWay(context.Background(), server.Address)
-		for _, l := range s.g.lossChecks.take(server.Address) {
-			if lostWay {
-				s.g.metrics.SuspectEvent(suspect.EventOwnWayLost)
-				continue
-			}
-			s.g.recordLoss(l.digest, l.server, s.g.timers.Steady().Sub(l.at))
-		}
-	}()
 }
 
-// pendingLoss is a request that was lost at a server, to which the way is being checked.
-type pendingLoss struct {
-	digest, server uint64
-	at             time.Time
-}
-
-// lossChecks holds the losses whose servers are being checked, by the server's address. Its zero
-// value is ready to use.
-type lossChecks struct {
-	mu      sync.Mutex
-	pending map[string][]pendingLoss
-}
-
-// add adds a loss. It returns true if the server is to be checked.
-func (c *lossChecks) add(address string, l pendingLoss) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pending == nil {
-		c.pending = make(map[string][]pendingLoss)
+// checkLosses checks the way to a server, and records the losses there that were waiting for it.
+func (g *Gateway) checkLosses(server registry.Server) {
+	lostWay := g.dialer.HasLostWay(context.Background(), server.Address)
+	for _, l := range g.lossChecks.take(server) {
+		if lostWay {
+			g.metrics.SuspectEvent(suspect.EventOwnWayLost)
+			continue
+		}
+		g.recordLoss(l.digest, server.Incarnation().Hash(), g.timers.Steady().Sub(l.at))
 	}
-	c.pending[address] = append(c.pending[address], l)
-	return len(c.pending[address]) == 1
-}
-
-// take removes and returns the losses at a server.
-func (c *lossChecks) take(address string) []pendingLoss {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	losses := c.pending[address]
-	delete(c.pending, address)
-	return losses
 }
 
 // recordLoss records that a request of this gateway was lost at a server, the given time
