--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -29,8 +29,6 @@
 	"strings"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/dispatch"
 	"github.com/violettally/violettally/internal/errs"
@@ -197,7 +195,7 @@
 	if err != nil {
 		kind := dispatch.Failed
 		switch {
-		case tunnel.IsNoWay(err):
+		case errs.IsOfType(err, tunnel.NoWay):
 			kind = dispatch.NoWay
 		case isDialError(err):
 			kind = dispatch.NotRun
@@ -218,11 +216,7 @@
 // isDialError reports whether no connection was made.
 func isDialError(err error) bool {
 	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
-		return true
-	}
-	var notReached *errorx.Error
-	return errors.As(err, &notReached) && notReached.IsOfType(tunnel.NotReached)
+	return errors.As(err, &opErr) && opErr.Op == "dial" || errs.IsOfType(err, tunnel.NotReached)
 }
 
 // observeLimits tells of the limits that a response names. One that is no number of zero or more
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -65,6 +65,13 @@
 	return name[strings.LastIndexByte(name, '.')+1:]
 }
 
+// IsOfType reports whether the first errorx error that err wraps is of a type. Unlike
+// errorx.IsOfType, it also looks behind errors of other packages.
+func IsOfType(err error, t *errorx.Type) bool {
+	var typed *errorx.Error
+	return errors.As(err, &typed) && typed.IsOfType(t)
+}
+
 // Is reports whether target is err or one of its causes. Unlike errors.Is, it
 // also follows the causes of errorx errors.
 func Is(err, target error) bool {
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -28,7 +28,6 @@
 package tunnel
 
 import (
-	"errors"
 	"slices"
 
 	"github.com/joomcode/errorx"
@@ -71,12 +70,6 @@
 // refusals are the errors of a carrier that refuses a tunnel.
 var refusals = []*errorx.Type{CutOff, Busy, UnknownServer, Unreachable}
 
-// IsNoWay reports whether NoWay is among an error and its causes.
-func IsNoWay(err error) bool {
-	var typed *errorx.Error
-	return errors.As(err, &typed) && typed.IsOfType(NoWay)
-}
-
 // isRefusal reports whether an error is that of a carrier that refused a tunnel.
 func isRefusal(err error) bool {
 	return slices.ContainsFunc(refusals, func(t *errorx.Type) bool { return errorx.IsOfType(err, t) })
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -244,7 +244,7 @@
 				}
 				_, _, err := connect(t.Context(), d, "one")
 				must.True(t, errorx.IsOfType(err, tunnel.NotReached))
-				must.Eq(t, tt.noWay, tunnel.IsNoWay(fmt.Errorf("send: %w", err)))
+				must.Eq(t, tt.noWay, errs.IsOfType(fmt.Errorf("send: %w", err), tunnel.NoWay))
 				n.mu.Lock()
 				n.carriers["a"] = fast
 				n.mu.Unlock()
