relay: a lost step names the prompt's shared parts

Evidence: go test ./relay passes; the parts show in the decision records of TestPromptPartCrashesServers.

--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,7 +51,16 @@
 		return
 	}
 	x.relay.Suspects.ReportLost(x.contentDigest(), assignment.Server().Incarnation().Hash())
-	x.record.AddStep("lost", "at %s; content %016x, lost at %d servers", assignment.Server().ID, x.contentDigest(), x.relay.Suspects.LossCount(x.contentDigest()))
+	x.record.AddStep("lost", "at %s; content %016x, lost at %d servers; prompt parts %s", assignment.Server().ID, x.contentDigest(), x.relay.Suspects.LossCount(x.contentDigest()), formatSharedParts(x.request.Prompt))
+}
+
+// formatSharedParts formats the parts of a prompt that other prompts may share.
+func formatSharedParts(p Prompt) string {
+	var ids []string
+	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
 }
 
 // delayAfterLoss is the delay between a lost attempt and the next one. Servers that crash in
