--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,7 +185,7 @@
 	g.initLimits()
 	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers, mirror.WithEvents(instruments.MirrorEvent))
 	g.membership.synced = g.mirror.Synced()
-	g.verdictSyncer = suspect.NewSyncer(g.detector, g.store, g.mirror, g.membership.countAllPeers, g.timers)
+	g.verdictSyncer = suspect.NewSyncer(g.detector, g.store, g.mirror, g.membership.countAllPeers, g.timers, g.applyChange)
 	g.initRollouts()
 	g.duties = newDuties(g)
 	g.subscribe()
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/share"
 	"github.com/violettally/violettally/suspect"
 )
@@ -17,82 +18,97 @@
 // Empty reports whether there is no evidence against any request.
 func (s relaySuspects) Empty() bool { return s.g.detector.Empty() }
 
-// Refuses reports whether a request is refused.
-func (s relaySuspects) Refuses(digest uint64) bool { return s.g.detector.Refuses(digest) }
+// Refused returns those of a request's features for which it is refused.
+func (s relaySuspects) Refused(f suspect.Features) suspect.Features { return s.g.detector.Refused(f) }
 
-// AllowProbe reports whether this gateway is to probe a refused request now: to send it to a
-// server once more, to see whether it still crashes servers.
-func (s relaySuspects) AllowProbe(ctx context.Context, digest uint64) bool {
-	return s.g.verdictSyncer.Probe(ctx, digest)
+// Await returns at once.
+func (s relaySuspects) Await(context.Context, suspect.Features) {}
+
+// AllowProbe reports whether this gateway is to probe verdicts now: to send a request that is
+// refused for all of the given features, to see whether it still crashes servers.
+func (s relaySuspects) AllowProbe(ctx context.Context, refused suspect.Features) bool {
+	for _, f := range refused {
+		if !s.g.verdictSyncer.Probe(ctx, f) {
+			return false
+		}
+	}
+	return true
 }
 
-// LossCount returns the number of servers at which a request was lost and that are not known
-// to be still running.
-func (s relaySuspects) LossCount(digest uint64) int { return s.g.detector.LossCount(digest) }
+// LossCounts returns for each feature how many requests with it were lost.
+func (s relaySuspects) LossCounts(f suspect.Features) []int { return s.g.detector.LossCounts(f) }
+
+// ReportLost records that the connection to a server ended without a response to a request.
+func (s relaySuspects) ReportLost(f suspect.Features, server registry.Server) {
+	s.g.recordLoss(suspect.Loss{Features: f, Server: server.Incarnation().Hash(), Own: true})
+}
 
-// ReportLost records that a server ended without responding to a request, and publishes the
-// loss to the other gateways, since the client may send its retry to one of them.
-func (s relaySuspects) ReportLost(digest, server uint64) { s.g.recordLoss(digest, server, 0) }
+// ReportUnframed reports an answer that ended with its connection. It matters only if the server is
+// found to have crashed.
+func (s relaySuspects) ReportUnframed(f suspect.Features, server registry.Server, _ time.Time) {
+	s.ReportAbandoned(f, server.Incarnation().Hash())
+}
 
-// recordLoss records that a request of this gateway was lost at a server, the given time
-// ago.
-func (g *Gateway) recordLoss(digest, server uint64, ago time.Duration) {
-	finding, withdrawn := g.detector.RecordLoss(digest, server, ago)
-	if finding == suspect.FindingKnown {
+// recordLoss records a loss of this gateway, and publishes it to the others, since clients may send
+// the next such request to one of them.
+func (g *Gateway) recordLoss(l suspect.Loss) {
+	change, isNew := g.detector.RecordLoss(l)
+	if !isNew {
 		return
 	}
 	g.metrics.SuspectEvent(suspect.EventLost)
-	if !g.exchange.PublishLoss(server, digest, g.detector.LossCount(digest) > 1) {
+	l.Answered = g.detector.AnsweredLately(l.Features)
+	if !g.exchange.PublishLoss(l, g.detector.Repeated(l.Features)) {
 		g.metrics.SuspectEvent(suspect.EventNotPublished)
 	}
-	g.handleFinding(digest, finding, true)
-	g.recordWithdrawn(withdrawn)
-	g.recordAbandonedLosses(server, ago)
+	g.applyChange(change)
+	g.recordAbandonedLosses(l.Server, l.Ago)
 }
 
 // recordAbandonedLosses records as lost the requests whose attempts at a server this gateway
 // had abandoned just before the server crashed, the given time ago.
 func (g *Gateway) recordAbandonedLosses(server uint64, ago time.Duration) {
-	for _, digest := range g.detector.TakeAbandoned(server, ago) {
-		g.recordLoss(digest, server, ago)
+	for _, f := range g.detector.TakeAbandoned(server, ago) {
+		g.recordLoss(suspect.Loss{Features: f, Server: server, Ago: ago, Own: true})
 	}
 }
 
 // ReportAbandoned records an attempt that this gateway has abandoned at a server.
-func (s relaySuspects) ReportAbandoned(digest, server uint64) {
-	if s.g.detector.RecordAbandoned(digest, server) {
-		s.g.recordLoss(digest, server, 0)
+func (s relaySuspects) ReportAbandoned(f suspect.Features, server uint64) {
+	if s.g.detector.RecordAbandoned(f, server) {
+		s.g.recordLoss(suspect.Loss{Features: f, Server: server, Own: true})
 	}
 }
 
-// ReportAnswered clears a request that a server has responded to, and publishes that to the
-// other gateways if there was evidence against the request.
-func (s relaySuspects) ReportAnswered(digest uint64) {
-	lossCount := s.g.detector.LossCount(digest)
-	cleared := s.g.detector.RecordAnswer(digest)
-	if cleared == suspect.ClearedNothing {
-		return
-	}
-	s.g.exchange.PublishAnswer(digest, lossCount > 1 || cleared == suspect.ClearedVerdict)
-	if cleared == suspect.ClearedVerdict {
-		s.g.recordWithdrawn([]uint64{digest})
+// ReportAnswered clears a request that a server has answered.
+func (s relaySuspects) ReportAnswered(f suspect.Features, begun time.Time) {
+	s.g.recordAnswer(f, time.Since(begun))
+}
+
+// recordAnswer records an answer that this gateway got, and publishes it to the others if there was
+// evidence against the request.
+func (g *Gateway) recordAnswer(f suspect.Features, begunAgo time.Duration) {
+	answer := g.detector.RecordAnswer(f, begunAgo)
+	if len(answer.Cleared) > 0 {
+		g.exchange.PublishAnswer(answer.Cleared, answer.Ago, answer.Repeated)
 	}
+	g.applyChange(answer.Change)
 }
 
 // ReportProgress records that a server has just sent data in response to a request sent at the
 // given time, on a connection opened at the given time. Earlier losses at that server are
 // dropped if this shows that it kept running.
 func (s relaySuspects) ReportProgress(server uint64, sent, opened time.Time) {
-	s.g.recordWithdrawn(s.g.detector.ServerResponded(server, time.Since(sent), time.Since(opened)))
+	s.g.applyChange(s.g.detector.ServerResponded(server, time.Since(sent), time.Since(opened)))
 }
 
 // handleRecord handles a record that another gateway has published.
 func (g *Gateway) handleRecord(r share.Record) {
 	switch {
-	case r.LostDigest != 0:
+	case len(r.Lost) > 0:
 		g.handlePeerLoss(r)
-	case r.AnsweredDigest != 0:
-		g.detector.RecordAnswer(r.AnsweredDigest)
+	case len(r.Answered) > 0:
+		g.applyChange(g.detector.RecordPeerAnswer(r.Answered, r.Age()))
 	case r.Told != share.ToldNothing:
 		g.handleTold(r)
 	default:
@@ -100,38 +116,47 @@
 	}
 }
 
-// handlePeerLoss handles the loss of a request that another gateway has published.
+// handlePeerLoss handles a loss that another gateway has published.
 func (g *Gateway) handlePeerLoss(r share.Record) {
-	finding, withdrawn := g.detector.RecordLoss(r.LostDigest, r.Server, r.Age())
-	if finding == suspect.FindingKnown {
+	change, isNew := g.detector.RecordLoss(suspect.Loss{Features: r.Lost, Server: r.Server, Ago: r.Age(), Answered: r.Answered})
+	if !isNew {
 		return
 	}
 	g.metrics.SuspectEvent(suspect.EventReceived)
-	g.handleFinding(r.LostDigest, finding, false)
-	g.recordWithdrawn(withdrawn)
+	g.applyChange(change)
 	g.recordAbandonedLosses(r.Server, r.Age())
 }
 
-// handleFinding acts on a new verdict: it cancels the attempts with that content that have
-// no response yet, and schedules the write of the verdict to the store. Own reports whether
-// the loss was this gateway's.
-func (g *Gateway) handleFinding(digest uint64, finding suspect.Finding, own bool) {
-	if finding != suspect.FindingVerdict {
-		return
+// applyChange acts on what new evidence has changed: it cancels the attempts that have no response
+// yet of requests that are refused from now on, and schedules the writes of verdicts to the store.
+func (g *Gateway) applyChange(change suspect.Change) {
+	for _, f := range change.Refused {
+		g.beginVerdict(f)
+	}
+	for _, f := range change.Withdrawn {
+		g.metrics.SuspectEvent(suspect.EventWithdrawn)
+		slog.Warn("requests are no longer refused", "feature", f.String())
+		g.verdictSyncer.ScheduleWrite(f, true)
+	}
+	for _, f := range change.Contested {
+		g.metrics.SuspectEvent(suspect.EventContested)
+		slog.Warn("a stored verdict is wrong: such a request was answered here since", "feature", f.String())
+		g.verdictSyncer.ScheduleWrite(f, true)
 	}
-	g.metrics.SuspectEvent(suspect.EventVerdict)
-	slog.Warn("refusing a request that crashes servers", "content", suspect.FormatDigest(digest), "servers", g.detector.LossCount(digest), "own", own)
-	g.relay.CancelPending(digest)
-	g.verdictSyncer.ScheduleWrite(digest, own)
 }
 
-// recordWithdrawn records requests that are no longer refused.
-func (g *Gateway) recordWithdrawn(digests []uint64) {
-	for _, digest := range digests {
-		g.metrics.SuspectEvent(suspect.EventWithdrawn)
-		slog.Warn("request is no longer refused", "content", suspect.FormatDigest(digest))
-		g.verdictSyncer.ScheduleWrite(digest, true)
+// beginVerdict acts on a new verdict.
+func (g *Gateway) beginVerdict(f suspect.Feature) {
+	event, kind := suspect.EventPartVerdict, "prompt part"
+	if g.detector.IsContent(f) {
+		event, kind = suspect.EventVerdict, "content"
 	}
+	own := g.detector.HasOwnLoss(f)
+	g.metrics.SuspectEvent(event)
+	slog.Warn("refusing requests that crash servers", "feature", f.String(), "kind", kind,
+		"lost", g.detector.LossCounts(suspect.Features{f})[0], "own", own)
+	g.relay.CancelPending(f)
+	g.verdictSyncer.ScheduleWrite(f, own)
 }
 
 // reviewInterval is how often the losses are checked against the servers that are still
@@ -157,6 +182,6 @@
 		for incarnation := range g.registry.Incarnations() {
 			running[incarnation.Hash()] = true
 		}
-		g.recordWithdrawn(g.detector.Review(running))
+		g.applyChange(g.detector.Review(running))
 	})
 }
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -23,6 +23,7 @@
 	override BackendResponse
 	quota    *Quota
 	requests []BackendRequest
+	crashed  bool
 }
 
 // BackendRequest is a request that a backend received.
@@ -50,6 +51,8 @@
 	Declined bool
 	// Reset aborts the connection without a response.
 	Reset bool
+	// Crash does the same, and from then on to every request, as for a server that has crashed.
+	Crash bool
 	// WrongAttemptID sends the response with the attempt ID of another request.
 	WrongAttemptID bool
 	// Confidence is sent in the header X-Confidence; zero for none.
@@ -111,6 +114,9 @@
 	if err != nil {
 		return
 	}
+	if b.hasCrashed() {
+		panic(http.ErrAbortHandler)
+	}
 	if expected := r.Header.Get("X-Expect-Runner"); expected != "" && expected != b.id {
 		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -119,6 +125,20 @@
 	b.respond(w, r, b.record(BackendRequest{At: time.Now(), Method: r.Method, URI: r.RequestURI, Header: r.Header.Clone(), Body: string(body)}))
 }
 
+func (b *Backend) hasCrashed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crashed
+}
+
+// crash makes the backend abort this request and all later ones.
+func (b *Backend) crash() {
+	b.mu.Lock()
+	b.crashed = true
+	b.mu.Unlock()
+	panic(http.ErrAbortHandler)
+}
+
 // record stores a request and returns the response to send.
 func (b *Backend) record(request BackendRequest) BackendResponse {
 	b.mu.Lock()
@@ -140,6 +160,9 @@
 			return
 		}
 	}
+	if response.Crash {
+		b.crash()
+	}
 	if response.Reset {
 		panic(http.ErrAbortHandler)
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/suspect"
 )
 
 // maxSends bounds how often one request is offered to servers, including those that decline it.
@@ -49,8 +50,8 @@
 	silentSince time.Time
 	// firstByte is the time from arrival to the first byte for the client; zero until then.
 	firstByte time.Duration
-	// digest identifies the content that servers get; zero until computed.
-	digest uint64
+	// featureCache holds the request's features; nil until computed.
+	featureCache suspect.Features
 	// counted means that the request is counted in the usage of its client account.
 	counted bool
 	// probeSent means that the refused request was sent once more as a probe.
@@ -67,8 +68,8 @@
 		return x.shutdownRefusal("the answer would not be whole before its end")
 	}
 	for {
-		if x.suspected() && !x.takeProbe(ctx) {
-			return x.deliver(refusalf(ReasonSuspected, 0, "servers ended while they ran this request, content %016x; it is sent to no other one", x.contentDigest()))
+		if refused := x.suspected(ctx); len(refused) > 0 && !x.takeProbe(ctx, refused) {
+			return x.deliver(x.suspectedRefusal(refused))
 		}
 		assignment, version, refusal := x.choosePatiently(ctx)
 		if refusal != nil {
@@ -116,6 +117,7 @@
 	if limit := x.relay.Rejections.Limit(server); !math.IsInf(limit, 1) {
 		x.record.AddStep("limit", "%s can reject %g requests a second", server.ID, limit)
 	}
+	features := x.features()
 	sent := time.Now()
 	removePending := x.relay.pending.add(x.request, cancel)
 	wd := x.startWatchdog(assignment, cancel)
@@ -134,7 +136,10 @@
 		SilentSince: x.silentSince,
 		// The choice may become stale while a connection is dialed or this process is not
 		// scheduled.
-		Stale: func() bool { return x.relay.StoreView.NeedsRefresh() || !x.relay.Servers.Usable(server.Incarnation()) },
+		Stale: func() bool {
+			suspected := !x.probeSent && len(x.relay.Suspects.Refused(features)) > 0
+			return suspected || x.relay.StoreView.NeedsRefresh() || !x.relay.Servers.Usable(server.Incarnation())
+		},
 	})
 	removePending()
 	if x.observeServer(server, resp) {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -65,16 +65,18 @@
 func (x *exchange) forwardStream(ctx context.Context, assignment *route.Assignment, sent time.Time, resp Response, wd *watchdog) *failure {
 	events := newEvents(resp.Body())
 	lastReport := sent
+	begun := !x.fromFirstEvent
 	for {
 		wd.reset(time.Duration(maxPauseFactor * float64(x.route.MaxPause)))
 		event, err := events.next()
 		wd.stop() // a slow client says nothing about the server
-		if errors.Is(err, io.EOF) {
-			break
+		if errors.Is(err, io.EOF) && (begun || resp.Framed()) {
+			break // a connection that closes before the first event ends no whole stream
 		}
 		if err != nil {
 			return x.interrupted(ctx, assignment, err)
 		}
+		begun = true
 		assignment.RecordProgress()
 		if time.Since(lastReport) > progressInterval {
 			lastReport = time.Now()
@@ -106,7 +108,7 @@
 // complete ends an attempt whose whole response has been forwarded.
 func (x *exchange) complete(assignment *route.Assignment, resp Response) {
 	assignment.End(route.OutcomeOK)
-	x.reportAnswered()
+	x.reportEnd(assignment, resp)
 	if resp.Status() == http.StatusOK {
 		x.learnDuration(x.relay.durations.learn)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,7 @@
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/suspect"
 )
 
 var (
@@ -137,6 +138,9 @@
 	Carrier() string
 	// ConnOpened is when the connection of this response was opened.
 	ConnOpened() time.Time
+	// Framed reports whether the end of the body is told by a length or by chunks, rather than by that
+	// of the connection.
+	Framed() bool
 	Body() io.Reader
 	// Close cancels the request at the server if it is still running there.
 	Close()
@@ -287,18 +291,26 @@
 type Suspects interface {
 	// Empty reports whether no request is suspected.
 	Empty() bool
-	Refuses(digest uint64) bool
-	// AllowProbe reports whether a refused request is to be sent once more as a probe, to find out
-	// whether it still makes servers crash.
-	AllowProbe(ctx context.Context, digest uint64) bool
+	// Refused returns those of a request's features for which it must not be sent.
+	Refused(f suspect.Features) suspect.Features
+	// Await waits while it is being found out whether the servers have crashed that left requests with
+	// these features without a response, so that the request may soon be refused.
+	Await(ctx context.Context, f suspect.Features)
+	// AllowProbe reports whether a request that is refused for the given features is to be sent as a
+	// probe, to find out whether it still makes servers crash.
+	AllowProbe(ctx context.Context, refused suspect.Features) bool
 	// ReportLost reports that a server ended without responding to the request.
-	ReportLost(digest, server uint64)
+	ReportLost(f suspect.Features, server registry.Server)
 	// ReportAbandoned reports that an attempt was given up while the server may still run the
 	// request.
-	ReportAbandoned(digest, server uint64)
-	// LossCount returns the number of servers at which the request was lost.
-	LossCount(digest uint64) int
-	ReportAnswered(digest uint64)
+	ReportAbandoned(f suspect.Features, server uint64)
+	// LossCounts returns for each feature how many requests with it were lost.
+	LossCounts(f suspect.Features) []int
+	// ReportAnswered reports a whole answer, which began at the given time.
+	ReportAnswered(f suspect.Features, begun time.Time)
+	// ReportUnframed reports an answer that ended with its connection, so that it is whole only if the
+	// server has not crashed.
+	ReportUnframed(f suspect.Features, server registry.Server, begun time.Time)
 	// ReportProgress reports that a server has just sent part of its response to a request that
 	// was sent at the given time, on a connection that was opened at the given time.
 	ReportProgress(server uint64, sent, opened time.Time)
--- a/share/share.go
+++ b/share/share.go
@@ -1,7 +1,7 @@
 // Package share exchanges between the nodes of a deployment which requests each of them has
 // sent to the backend servers, so that each node knows the queues of the servers and the
-// contents of the engines' caches. It also passes on which requests were lost at a server, and
-// the limits that servers name.
+// contents of the engines' caches. It also passes on which requests were lost at a server that
+// crashed, which were answered since, and the limits that servers name.
 //
 // Each node publishes records of its own requests to an [Exchange], except for those with
 // too little work: short work is over before other nodes learn of it, and the minimum rises
@@ -27,6 +27,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,7 @@
 
 	"github.com/violettally/violettally/internal/rendezvous"
 	"github.com/violettally/violettally/prefix"
+	"github.com/violettally/violettally/suspect"
 	"github.com/violettally/violettally/timer"
 	"github.com/violettally/violettally/view"
 )
@@ -49,6 +51,11 @@
 	lossesPerSecond = 10
 	// lossBurst is the number of requests of one node that one server may be running.
 	lossBurst = 20
+	// answerInterval is the least time between two answers with the same features that are passed
+	// on: after a crash, every node may have such an answer.
+	answerInterval = 250 * time.Millisecond
+	// maxToldAnswers bounds the features for which the last answer passed on is kept.
+	maxToldAnswers = 1024
 )
 
 // Record is one request that was sent to a backend server, or the loss of one, or the
@@ -67,12 +74,12 @@
 	WorkMillis float32
 	// AgeMillis is how long ago the request was sent, in milliseconds.
 	AgeMillis uint32
-	// LostDigest is the digest of a request that the server left without a response; zero
-	// if the record is no loss.
-	LostDigest uint64
-	// AnsweredDigest is the digest of a request that was answered after it had been lost;
-	// zero if the record is no such answer.
-	AnsweredDigest uint64
+	// Lost holds the features of a request that the server left without a response when it
+	// crashed; none if the record is no loss.
+	Lost suspect.Features
+	// Answered holds, of a loss, those features with which there were answers before. Without a
+	// loss, it holds features that an answer clears of the losses until the record's age.
+	Answered suspect.Features
 	// Told is the limit that the record tells of, if any, and PerSecond what the server names, in
 	// requests a second from all nodes together; +Inf for none.
 	Told      Told
@@ -152,11 +159,27 @@
 	// latestSequence is, by node, the latest sequence number received.
 	latestSequence map[uint64]uint64
 	// peers are by address.
-	peers  map[string]*peer
-	budget budget
-	// losses limits the published losses and answers, repeatedLosses those of requests that
-	// were lost more than once.
-	losses, repeatedLosses *rate.Limiter
+	peers           map[string]*peer
+	budget          budget
+	losses, answers lossLimiter
+	// toldAnswers holds the time until which the answer that was passed on last clears a feature.
+	toldAnswers map[suspect.Feature]time.Time
+}
+
+// lossLimiter limits what a node publishes of lost requests, and separately of those that were
+// lost repeatedly, since these are the evidence that matters.
+type lossLimiter struct{ first, repeated *rate.Limiter }
+
+func newLossLimiter() lossLimiter {
+	return lossLimiter{first: rate.NewLimiter(lossesPerSecond, lossBurst), repeated: rate.NewLimiter(lossesPerSecond, lossBurst)}
+}
+
+// allows reports whether one more record may be published, and counts it if so.
+func (l lossLimiter) allows(repeated bool, now time.Time) bool {
+	if repeated {
+		return l.repeated.AllowN(now, 1)
+	}
+	return l.first.AllowN(now, 1)
 }
 
 // peer holds how far this node and a peer have received each other's logs.
@@ -184,8 +207,9 @@
 		entries:        make([]entry, 0, logSize),
 		latestSequence: make(map[uint64]uint64),
 		peers:          make(map[string]*peer),
-		losses:         rate.NewLimiter(lossesPerSecond, lossBurst),
-		repeatedLosses: rate.NewLimiter(lossesPerSecond, lossBurst),
+		losses:         newLossLimiter(),
+		answers:        newLossLimiter(),
+		toldAnswers:    make(map[suspect.Feature]time.Time),
 	}
 }
 
@@ -199,51 +223,67 @@
 	if !x.budget.allows(max(float64(r.WorkMillis), prefillWeight*prefillMillis), nodes, x.timers.Now()) {
 		return
 	}
-	x.addOwn(r)
-}
-
-// PublishLoss publishes that a server left a request without a response. Losses do not use
-// up the budget of other records but have a rate limit of their own, since a server that
-// crashes causes many. Requests that were lost repeatedly have a separate limit, since they
-// are the evidence that matters. It reports whether the loss was published.
-func (x *Exchange) PublishLoss(server, digest uint64, repeated bool) bool {
-	return x.publishLimited(Record{Server: server, LostDigest: digest}, repeated)
+	x.addOwn(r, x.timers.Now())
 }
 
-// PublishAnswer publishes that a request was answered after it had been lost, once or
-// repeatedly. The rate limits of PublishLoss apply.
-func (x *Exchange) PublishAnswer(digest uint64, repeated bool) bool {
-	return x.publishLimited(Record{AnsweredDigest: digest}, repeated)
-}
-
-// PublishLimit publishes a limit that a server names, in requests a second; +Inf for none. The
-// caller bounds how often.
-func (x *Exchange) PublishLimit(server uint64, told Told, perSecond float64) {
+// PublishLoss publishes a loss of this node. Losses do not use up the budget of other records but
+// have a rate limit of their own, since a server that crashes causes many. Requests that were lost
+// repeatedly have a separate limit. It reports whether the loss was published.
+func (x *Exchange) PublishLoss(l suspect.Loss, repeated bool) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.addOwn(Record{Server: server, Told: told, PerSecond: float32(perSecond)})
+	now := x.timers.Now()
+	if !x.losses.allows(repeated, now) {
+		return false
+	}
+	x.addOwn(Record{Server: l.Server, Lost: l.Features, Answered: l.Answered}, now.Add(-l.Ago))
+	return true
 }
 
-// publishLimited publishes a loss or an answer, within its rate limit.
-func (x *Exchange) publishLimited(r Record, repeated bool) bool {
+// PublishAnswer publishes that a request with the given features was answered, which clears them of
+// the losses, once or repeatedly, until the given time ago. Nothing is published if that was
+// already, for a similar time.
+func (x *Exchange) PublishAnswer(answered suspect.Features, ago time.Duration, repeated bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	limiter := x.losses
-	if repeated {
-		limiter = x.repeatedLosses
+	now := x.timers.Now()
+	if until := now.Add(-ago); x.isNews(answered, until) && x.answers.allows(repeated, now) {
+		x.addOwn(Record{Answered: answered}, until)
 	}
-	if !limiter.AllowN(x.timers.Now(), 1) {
+}
+
+// isNews reports whether an answer is to be passed on, and if so, records that it is. The caller
+// holds mu.
+func (x *Exchange) isNews(answered suspect.Features, until time.Time) bool {
+	told := func(f suspect.Feature) bool { return until.Sub(x.toldAnswers[f]) < answerInterval }
+	if !slices.ContainsFunc(answered, func(f suspect.Feature) bool { return !told(f) }) {
 		return false
 	}
-	x.addOwn(r)
+	if len(x.toldAnswers) > maxToldAnswers {
+		clear(x.toldAnswers)
+	}
+	for _, f := range answered {
+		if !told(f) {
+			x.toldAnswers[f] = until
+		}
+	}
 	return true
 }
 
-// addOwn appends a record of this node to the log. The caller holds mu.
-func (x *Exchange) addOwn(r Record) {
+// PublishLimit publishes a limit that a server names, in requests a second; +Inf for none. The
+// caller bounds how often.
+func (x *Exchange) PublishLimit(server uint64, told Told, perSecond float64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.addOwn(Record{Server: server, Told: told, PerSecond: float32(perSecond)}, x.timers.Now())
+}
+
+// addOwn appends a record of this node, of what happened at the given time, to the log. The caller
+// holds mu.
+func (x *Exchange) addOwn(r Record, at time.Time) {
 	x.latestSequence[x.node]++
 	r.Sequence = x.latestSequence[x.node]
-	x.add(entry{node: x.node, hall: x.hall, receivedFrom: x.node, sentAt: x.timers.Now(), record: r})
+	x.add(entry{node: x.node, hall: x.hall, receivedFrom: x.node, sentAt: at, record: r})
 }
 
 // Handle receives a peer's records and returns those that the peer has not received.
@@ -283,7 +323,10 @@
 		return false
 	}
 	x.latestSequence[batch.Node] = r.Sequence
-	x.add(entry{node: batch.Node, hall: batch.Hall, receivedFrom: from, sentAt: now.Add(-r.Age()), record: r})
+	sentAt := now.Add(-r.Age())
+	if len(r.Lost) > 0 || len(r.Answered) == 0 || x.isNews(r.Answered, sentAt) {
+		x.add(entry{node: batch.Node, hall: batch.Hall, receivedFrom: from, sentAt: sentAt, record: r})
+	}
 	return true
 }
 
--- a/suspect/answers.go
+++ b/suspect/answers.go
@@ -1,35 +1,66 @@
 package suspect
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// maxAnswers bounds the answered requests that are kept to some 200 kB. The oldest one is
-// dropped first.
-const maxAnswers = 4096
+const (
+	// maxAnswers bounds the answered features that one log keeps to some 300 kB. The oldest one is
+	// dropped first.
+	maxAnswers = 4096
+	// answerRateWindow is the time over which the rate of answers is averaged.
+	answerRateWindow = 30 * time.Second
+)
 
-// answerLog holds the requests that were answered last.
+// answerLog holds the features of the requests that were answered last.
 type answerLog struct {
-	answeredAt map[uint64]time.Time
-	// ring holds the digests in the order of their first answers; oldest is the index that
-	// is overwritten next.
-	ring   []uint64
+	records map[Feature]answerRecord
+	// ring holds the features in the order of their first answers; oldest is the index that is
+	// overwritten next.
+	ring   []Feature
 	oldest int
 }
 
+// answerRecord is what an answerLog holds of one feature.
+type answerRecord struct {
+	// begun is when the last of the answers had begun.
+	begun time.Time
+	// count is the number of answers, those before updatedAt reduced by their age.
+	count     float64
+	updatedAt time.Time
+}
+
 func newAnswerLog() *answerLog {
-	return &answerLog{answeredAt: make(map[uint64]time.Time, maxAnswers), ring: make([]uint64, maxAnswers)}
+	return &answerLog{records: make(map[Feature]answerRecord, maxAnswers), ring: make([]Feature, maxAnswers)}
 }
 
 // add records an answer.
-func (a *answerLog) add(digest uint64, at time.Time) {
-	if _, known := a.answeredAt[digest]; !known {
-		delete(a.answeredAt, a.ring[a.oldest])
-		a.ring[a.oldest] = digest
+func (a *answerLog) add(f Feature, begun, now time.Time) {
+	r, known := a.records[f]
+	if !known {
+		delete(a.records, a.ring[a.oldest])
+		a.ring[a.oldest] = f
 		a.oldest = (a.oldest + 1) % len(a.ring)
 	}
-	a.answeredAt[digest] = at
+	if begun.After(r.begun) {
+		r.begun = begun
+	}
+	r.count, r.updatedAt = r.remaining(now)+1, now
+	a.records[f] = r
+}
+
+// remaining returns the number of answers reduced by their age.
+func (r answerRecord) remaining(now time.Time) float64 {
+	return r.count * math.Exp(-float64(now.Sub(r.updatedAt))/float64(answerRateWindow))
+}
+
+// begunSince reports whether an answer with the feature has begun after the given time.
+func (a *answerLog) begunSince(f Feature, earliest time.Time) bool {
+	return a.records[f].begun.After(earliest)
 }
 
-// answeredSince reports whether the request was answered after the given time.
-func (a *answerLog) answeredSince(digest uint64, earliest time.Time) bool {
-	return a.answeredAt[digest].After(earliest)
+// perSecond returns the rate of answers with a feature over the last answerRateWindow or so.
+func (a *answerLog) perSecond(f Feature, now time.Time) float64 {
+	return a.records[f].remaining(now) / answerRateWindow.Seconds()
 }
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -1,48 +1,52 @@
 // Package suspect detects requests that crash backend servers, so that they can be
 // refused. A server that crashes drops all requests that it runs, and each client that
-// gets no response retries: one request that crashes its server takes down one server
-// after another, and each time fails the other requests there.
+// gets no response retries: requests that crash their servers take down one server
+// after another, and each time fail the other requests there.
 //
-// The evidence consists of losses: requests that a server left without a response,
-// recorded by request and by incarnation of the server, and collected from all nodes.
-// Each crash loses many requests. The cause is the one that was present at every crash,
-// so a loss counts against a request only if no other request that was lost at the same
-// server was lost at more servers. Servers that crash within [IncidentWindow], such as
-// those of a rack or of a data hall, count as one incident, however many of them ran the
-// request. A server that still runs has not crashed, so losses there, for example by a
-// reset connection, are dropped: it is known to run when it responds to a request that
-// was sent later, or when its entry stays in the store. A response to the request clears
-// it, and a request that got a response before needs more evidence.
+// What makes a server crash is a [Feature] of the request: its content, or a part of its
+// prompt that other requests have as well, however little else they have in common. The
+// content is known by what servers receive, since a client retries under a new request ID.
 //
-// With enough evidence there is a verdict: the request is refused. All nodes learn of a
-// verdict, and it outlasts their processes, since the caller stores it (see [Syncer]).
-// From time to time a probe sends the request once more, since the verdict may be wrong or
-// the servers' software may have been fixed.
+// The evidence consists of losses: requests that a server left without a response when it
+// crashed, recorded by their features and by incarnation of the server, and collected from
+// all nodes. Each crash loses many requests, which share features with yet more. The cause
+// is what was present at every crash and was never answered, so a loss counts against a
+// feature only
+//   - until a request with it is answered, by an answer that began after the crash;
+//   - if no other feature of a request that was lost at the same server explains the crash
+//     better: one that was lost at more servers, or that was not answered lately while this one
+//     was, or, if both are equal, that fewer requests have (the content, or a later part).
 //
-// A request is identified by a digest of what servers receive, since a client retries
-// under a new request ID, and two clients may send the same request. The digest reveals
-// nothing of the text.
+// Servers that crash within [IncidentWindow], such as those of a rack or of a data hall,
+// count as one incident. Features that were answered lately need more incidents than others.
+//
+// A server that still runs has not crashed. Before a node records a loss, it asks the server
+// (see [Detector.AddUnconfirmed]), and recorded losses are dropped when the server is found to
+// run later: it responds to a request that was sent later, or its entry stays in the store.
+//
+// With enough evidence there is a verdict: requests with the feature are refused. All nodes learn
+// of a verdict, and it outlasts their processes, since the caller stores it (see [Syncer]).
+// A few times a probe sends one such request, since the verdict may be wrong or the servers'
+// software may have been fixed.
 //
 // # Usage
 //
 //	detector := suspect.New(timers)
-//	digest := suspect.Digest(path, body, length)
-//	if detector.Refuses(digest) {
-//		return … // it has run, and is not sent again
+//	features := suspect.NewFeatures(path, body, length, sharedParts)
+//	if len(detector.Refused(features)) > 0 {
+//		return … // it is not sent to any server
 //	}
-//	finding, withdrawn := detector.RecordLoss(digest, server.Incarnation().Hash(), 0) // here, or received from a peer
-//	if finding == suspect.FindingVerdict {
+//	change, isNew := detector.RecordLoss(suspect.Loss{…}) // here, or received from a peer
+//	for _, f := range change.Refused {
 //		… // write the verdict to the store
 //	}
-//	… // withdrawn are no longer refused
-//	detector.RecordAnswer(digest)
+//	… // requests with change.Withdrawn are no longer refused
+//	detector.RecordAnswer(features, begunAgo)
 //	detector.ServerResponded(server.Incarnation().Hash(), sentAgo, openedAgo)
 //	detector.Review(running) // periodically, with the servers that run
 package suspect
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
 	"maps"
 	"slices"
 	"sync"
@@ -52,212 +56,318 @@
 )
 
 const (
-	// incidentsToRefuse is the number of incidents that lead to a verdict. One server
-	// may crash for any reason, and two may do so one after the other.
-	incidentsToRefuse = 3
-	// incidentsIfAnswered is the same for a request that servers have answered.
-	incidentsIfAnswered = 4
-	// IncidentWindow is the time within which crashes count as one incident. Crashes
-	// with a common cause are detected within a few milliseconds, and their reported
-	// times are off by the network delay between two nodes.
-	IncidentWindow = 50 * time.Millisecond
 	// confirmTimeout is how long a server counts as crashed because of a lost response
 	// alone. The entry of a crashed server is removed, or registered anew, after 2.5 to
 	// 3.5 s; with 3 s, a request that had crashed three servers was sent again.
 	confirmTimeout = 6 * time.Second
-	// minRestartTime is the shortest time from a crash until the server is back: it
+	// MinRestartTime is the shortest time from a crash until the server is back: it
 	// loads its models first.
-	minRestartTime = 2 * time.Second
+	MinRestartTime = 2 * time.Second
 	// maxTransitTime is how long data that a server sent before its crash may be in
 	// transit.
 	maxTransitTime = 200 * time.Millisecond
-	// abandonWindow is how long before a server's crash an attempt may have been
-	// abandoned there and still count as a loss: an engine that crashes under a request
-	// does so soon after its response has begun, and that beginning may be the reason
-	// why the attempt was abandoned.
-	abandonWindow = 200 * time.Millisecond
-	// maxAbandoned bounds the number of abandoned attempts that are kept for this.
-	maxAbandoned = 512
-	// Retention is how long losses, and verdicts that are not probed, are kept. A fix
+	// answerSlack is how long after its beginning an answer clears its request of losses: a part that
+	// crashes servers from some moment on is still answered by those that had begun.
+	answerSlack = 500 * time.Millisecond
+	// Retention is how long losses, and verdicts of requests that are not sent, are kept. A fix
 	// of the servers' software is deployed by a rollout, which takes about as long.
 	Retention = 10 * time.Minute
-	// maxLosses bounds the losses that are kept to some 200 kB, whatever clients send.
-	// The oldest one is dropped first.
-	maxLosses = 4096
 )
 
-// Digest identifies a request by what servers receive of it: its path, and the beginning
-// and the length of its body. Two requests of one length that differ only after a long
-// beginning count as one.
-func Digest(path string, body []byte, length int64) uint64 {
-	hash := sha256.New()
-	hash.Write([]byte(path))
-	hash.Write([]byte{0})
-	hash.Write(binary.BigEndian.AppendUint64(nil, uint64(length)))
-	hash.Write(body)
-	return max(1, binary.BigEndian.Uint64(hash.Sum(nil)))
+// Change is what new evidence changed.
+type Change struct {
+	// Refused are the features whose requests are refused from now on, Withdrawn those whose
+	// requests no longer are.
+	Refused, Withdrawn []Feature
+	// Contested are those with a verdict of another node that this one has not applied, since it
+	// has an answer that began after the losses.
+	Contested []Feature
 }
 
-// loss is one request that was lost at one incarnation of a server.
-type loss struct {
-	digest, server uint64
-	at             time.Time
-	// crashed is set once the server was found not to be running after the loss.
-	crashed bool
+// Loss is a request that a server left without a response when it crashed.
+type Loss struct {
+	Features Features
+	// Server is the hash of the server's incarnation.
+	Server uint64
+	// Ago is how long ago that was.
+	Ago time.Duration
+	// Own means that this node had sent the request.
+	Own bool
+	// Answered are those of the features with which the node that had sent it knows of answers.
+	Answered Features
 }
 
-// Finding is the result of recording a loss.
-type Finding int
-
-const (
-	// FindingKnown: the loss was recorded already.
-	FindingKnown Finding = iota
-	// FindingNew: the loss is new and leads to no new verdict.
-	FindingNew
-	// FindingVerdict: the request is refused from now on.
-	FindingVerdict
-)
-
 // Detector holds the losses and verdicts that one node has recorded. It is safe for concurrent
 // use.
 type Detector struct {
-	timers *timer.Service
+	timers    *timer.Service
+	startedAt time.Time
 
-	mu sync.Mutex
-	// losses are in the order in which they were recorded.
-	losses []loss
+	mu       sync.Mutex
+	evidence *evidence
 	// abandoned are the latest abandoned attempts, in order.
-	abandoned []loss
-	answered  *answerLog
-	verdicts  map[uint64]*verdict
+	abandoned []abandonment
+	// unconfirmed holds, by server, ends of attempts at servers that may still run.
+	unconfirmed map[uint64][]unconfirmed
+	// answeredContents and answeredParts hold the features of answered requests.
+	answeredContents, answeredParts *answerLog
+	verdicts                        map[Feature]*verdict
 	// staleAt is when the copy of the servers' entries was last too old to rely on.
 	staleAt time.Time
-	// withdrawnAt holds, by digest, when a verdict was last withdrawn here.
-	withdrawnAt map[uint64]time.Time
+	// withdrawnAt holds when a verdict was last withdrawn here.
+	withdrawnAt map[Feature]time.Time
 }
 
 // New returns a detector without evidence.
 func New(timers *timer.Service) *Detector {
-	return &Detector{timers: timers, answered: newAnswerLog(), verdicts: make(map[uint64]*verdict), withdrawnAt: make(map[uint64]time.Time)}
+	return &Detector{
+		timers:           timers,
+		startedAt:        timers.Steady(),
+		evidence:         newEvidence(),
+		unconfirmed:      make(map[uint64][]unconfirmed),
+		answeredContents: newAnswerLog(),
+		answeredParts:    newAnswerLog(),
+		verdicts:         make(map[Feature]*verdict),
+		withdrawnAt:      make(map[Feature]time.Time),
+	}
 }
 
 // Empty reports whether there is no evidence and no verdict against any request, so that
-// the caller can skip computing digests.
+// the caller can skip computing features.
 func (d *Detector) Empty() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.losses) == 0 && len(d.verdicts) == 0
+	return len(d.evidence.losses) == 0 && len(d.verdicts) == 0 && len(d.unconfirmed) == 0
 }
 
-// RecordLoss records that a server left a request without a response, the given time ago.
-// It also returns the requests that are no longer refused because this one was lost at
-// the same servers and at further ones.
-func (d *Detector) RecordLoss(digest, server uint64, ago time.Duration) (Finding, []uint64) {
+// RecordLoss records a loss, and reports whether it is new. What happened before this node started
+// is left out: it doesn't know which requests were answered since.
+func (d *Detector) RecordLoss(l Loss) (change Change, isNew bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var others []uint64
-	for _, l := range d.losses {
-		switch {
-		case l.server != server:
-		case l.digest == digest:
-			return FindingKnown, nil
-		default:
-			others = append(others, l.digest)
+	at := d.timers.Steady().Add(-l.Ago)
+	if len(l.Features) == 0 || at.Before(d.startedAt) || d.evidence.has(l.Features.content(), l.Server) {
+		return Change{}, false
+	}
+	for _, f := range l.Answered {
+		if !d.answeredLately(f) {
+			d.answeredParts.add(f, at.Add(-answerSlack), at)
 		}
 	}
-	if len(d.losses) >= maxLosses {
-		oldest := d.losses[0].digest
-		d.losses = d.losses[1:]
-		d.expireLoss(oldest)
+	dropped := d.evidence.add(&loss{features: l.Features, server: l.Server, at: at, own: l.Own})
+	if dropped != nil {
+		d.expire(dropped)
 	}
-	d.losses = append(d.losses, loss{digest: digest, server: server, at: d.timers.Steady().Add(-ago)})
-	return d.evaluate(digest), d.withdraw(others)
+	return d.review(append(d.refusedAt(l.Server), l.Features...)), true
 }
 
-// evaluate returns what a new loss of a request leads to. The caller holds mu.
-func (d *Detector) evaluate(digest uint64) Finding {
-	if !d.enoughEvidence(digest) {
-		return FindingNew
+// refusedAt returns the refused features of the requests that were lost at a server, which another
+// loss there may explain. The caller holds mu.
+func (d *Detector) refusedAt(server uint64) Features {
+	if len(d.verdicts) == 0 {
+		return nil
 	}
-	now := d.timers.Steady()
-	v := d.verdicts[digest]
-	if v == nil {
-		d.verdicts[digest] = &verdict{lastProbe: now, provenAt: now}
-		return FindingVerdict
+	return slices.DeleteFunc(featuresOf(d.evidence.atServer[server]), func(f Feature) bool { return d.verdicts[f] == nil })
+}
+
+// HasOwnLoss reports whether a loss counts against a feature that was this node's own.
+func (d *Detector) HasOwnLoss(f Feature) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.evidence.against[f], func(l *loss) bool { return l.own })
+}
+
+// IsContent reports whether a feature is known to be the content of a request.
+func (d *Detector) IsContent(f Feature) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.evidence.against[f], func(l *loss) bool { return l.features.content() == f })
+}
+
+// review compares verdicts on features with the evidence, and begins and ends them accordingly.
+// The caller holds mu.
+func (d *Detector) review(features Features) Change {
+	var change Change
+	for _, f := range features {
+		v, proven := d.verdicts[f], d.enoughEvidence(f)
+		now := d.timers.Steady()
+		switch {
+		case proven && v == nil:
+			d.verdicts[f] = &verdict{lastProbe: now, renewedAt: now, provenAt: now}
+			change.Refused = append(change.Refused, f)
+		case proven && v.provenAt.IsZero():
+			v.provenAt = now
+		case !proven && v != nil && !v.provenAt.IsZero():
+			d.endVerdict(f)
+			change.Withdrawn = append(change.Withdrawn, f)
+		}
 	}
-	if v.provenAt.IsZero() {
-		v.provenAt = now
+	change.Withdrawn = append(change.Withdrawn, d.reviewOthers(change.Refused)...)
+	return change
+}
+
+// reviewOthers ends the verdicts that new ones explain, and returns them. The caller holds mu.
+func (d *Detector) reviewOthers(refused []Feature) []Feature {
+	var withdrawn []Feature
+	for _, f := range refused {
+		for _, c := range crashesOf(d.evidence.against[f]) {
+			for _, other := range d.refusedAt(c.losses[0].server) {
+				if v := d.verdicts[other]; other != f && !v.provenAt.IsZero() && !d.enoughEvidence(other) {
+					d.endVerdict(other)
+					withdrawn = append(withdrawn, other)
+				}
+			}
+		}
 	}
-	return FindingNew
+	return withdrawn
 }
 
-// LossCount returns the number of servers at which the request was lost and that are not known
-// to have kept running.
-func (d *Detector) LossCount(digest uint64) int {
+// LossCounts returns, for each feature, the number of requests with it that were lost at servers
+// that are not known to have kept running, and were not answered since.
+func (d *Detector) LossCounts(features Features) []int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	count := 0
-	for _, l := range d.losses {
-		if l.digest == digest {
-			count++
-		}
+	counts := make([]int, len(features))
+	for i, f := range features {
+		counts[i] = len(d.evidence.against[f])
 	}
-	return count
+	return counts
 }
 
-// Clearance is what a response to a request cleared.
-type Clearance int
+// AnsweredLately returns those of a request's features with which this node knows of answers.
+func (d *Detector) AnsweredLately(features Features) Features {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(features), func(f Feature) bool { return !d.answeredLately(f) })
+}
 
-const (
-	// ClearedNothing: there was no evidence against the request.
-	ClearedNothing Clearance = iota
-	// ClearedLosses: the request had losses but was not refused.
-	ClearedLosses
-	// ClearedVerdict: the request was refused.
-	ClearedVerdict
-)
+// Repeated reports whether a request was lost repeatedly, or requests with which it shares what was
+// not answered lately. Such losses are the evidence that matters.
+func (d *Detector) Repeated(features Features) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(features, func(f Feature) bool {
+		return len(d.evidence.against[f]) > 1 && (f == features.content() || !d.answeredLately(f))
+	})
+}
 
-// RecordAnswer records that a server has answered a request, which clears it.
-func (d *Detector) RecordAnswer(digest uint64) Clearance {
+// answeredLately reports whether requests with a feature were answered lately. The caller holds mu.
+func (d *Detector) answeredLately(f Feature) bool {
+	return d.answeredSince(f, d.timers.Steady().Add(-Retention))
+}
+
+// answeredSince reports whether an answer to a request with a feature has begun since a time. The
+// caller holds mu.
+func (d *Detector) answeredSince(f Feature, earliest time.Time) bool {
+	return d.answeredContents.begunSince(f, earliest) || d.answeredParts.begunSince(f, earliest)
+}
+
+// Answer is what an answer to a request cleared.
+type Answer struct {
+	Change
+	// Cleared are those of its features against which there was evidence, or a verdict.
+	Cleared Features
+	// Ago is how long ago the losses were up to which the answer clears them.
+	Ago time.Duration
+	// Repeated means that one of them had several losses, or a verdict.
+	Repeated bool
+}
+
+// RecordAnswer records that a server has just answered a request of this node, by an answer that
+// began the given time ago. That clears the request's features of the losses until shortly after
+// that.
+func (d *Detector) RecordAnswer(features Features, begunAgo time.Duration) Answer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.answered.add(digest, d.timers.Steady())
-	return d.clearRequest(digest)
+	now := d.timers.Steady()
+	begun := now.Add(-begunAgo)
+	for _, f := range features[:len(features)-1] {
+		d.answeredParts.add(f, begun, now)
+	}
+	d.answeredContents.add(features.content(), begun, now)
+	ago := max(0, begunAgo-answerSlack)
+	answer := d.clear(features, begun, begun.Add(begunAgo-ago))
+	answer.Ago = ago
+	return answer
 }
 
-// clearRequest drops the losses of a request and its verdict. The caller holds mu.
-func (d *Detector) clearRequest(digest uint64) Clearance {
-	lost := d.dropLosses(func(l loss) bool { return l.digest == digest })
-	switch {
-	case d.verdicts[digest] != nil:
-		d.endVerdict(digest)
-		return ClearedVerdict
-	case len(lost) > 0:
-		return ClearedLosses
+// RecordPeerAnswer records which features an answer of another node has cleared of the losses until
+// the given time ago.
+func (d *Detector) RecordPeerAnswer(cleared Features, ago time.Duration) Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.timers.Steady()
+	until := now.Add(-ago)
+	begun := until.Add(-answerSlack)
+	for _, f := range cleared {
+		d.answeredParts.add(f, begun, now)
+	}
+	return d.clear(cleared, begun, until).Change
+}
+
+// clear clears features of the losses until a time, by an answer that began at the given one. The
+// caller holds mu.
+func (d *Detector) clear(features Features, begun, until time.Time) Answer {
+	var answer Answer
+	var affected Features
+	for _, f := range features {
+		cleared := d.evidence.clear(f, until)
+		ended := d.endIfAnswered(f, begun)
+		if ended {
+			answer.Withdrawn = append(answer.Withdrawn, f)
+		}
+		if ended || len(cleared) > 0 {
+			answer.Cleared = append(answer.Cleared, f)
+		}
+		answer.Repeated = answer.Repeated || ended || len(cleared) > 1
+		affected = append(affected, featuresOf(cleared)...)
+	}
+	change := d.review(affected)
+	answer.Refused = change.Refused
+	answer.Withdrawn = append(answer.Withdrawn, change.Withdrawn...)
+	return answer
+}
+
+// endIfAnswered ends a verdict for which this node has no evidence of its own, if an answer began
+// after what it relies on. The caller holds mu.
+func (d *Detector) endIfAnswered(f Feature, begun time.Time) bool {
+	v := d.verdicts[f]
+	if v == nil || !v.provenAt.IsZero() || !begun.After(v.evidenceBefore()) {
+		return false
 	}
-	return ClearedNothing
+	d.endVerdict(f)
+	return true
 }
 
 // ServerResponded records that data has just arrived from a server, in response to a
 // request sent sentAgo ago, on a connection opened openedAgo ago. It drops the earlier
 // losses at this server that were no crash: a server that restarts under the same address,
-// and perhaps the same ID, takes a while to come back and has new connections. It returns
-// the requests that are no longer refused as a result.
-func (d *Detector) ServerResponded(server uint64, sentAgo, openedAgo time.Duration) []uint64 {
+// and perhaps the same ID, takes a while to come back and has new connections.
+func (d *Detector) ServerResponded(server uint64, sentAgo, openedAgo time.Duration) Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.timers.Steady()
-	return d.withdraw(d.dropLosses(func(l loss) bool {
-		if l.server != server || l.crashed {
+	return d.drop(find(d.evidence.atServer[server], func(l *loss) bool {
+		if l.crashed {
 			return false
 		}
 		ago := now.Sub(l.at)
 		sentLater := sentAgo <= ago
 		openedBefore := ago < openedAgo
-		return sentLater && (openedBefore || ago < minRestartTime) || openedBefore && ago > maxTransitTime
+		return sentLater && (openedBefore || ago < MinRestartTime) || openedBefore && ago > maxTransitTime
 	}))
 }
 
+// drop drops losses that were no crashes. The caller holds mu.
+func (d *Detector) drop(losses []*loss) Change {
+	if len(losses) == 0 {
+		return Change{}
+	}
+	features := featuresOf(losses)
+	d.evidence.remove(losses...)
+	return d.review(features)
+}
+
 // MarkRegistryStale records that the copy of the servers' entries is out of date: the
 // entries of servers that have crashed may remain for a while after it is current again.
 func (d *Detector) MarkRegistryStale() {
@@ -267,132 +377,42 @@
 }
 
 // Review drops the losses at servers that kept running, and expired losses. Running holds
-// the incarnations that are known to run. It returns the requests that are no longer
-// refused because their servers kept running.
-func (d *Detector) Review(running map[uint64]bool) []uint64 {
+// the incarnations that are known to run.
+func (d *Detector) Review(running map[uint64]bool) Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.dropExpired()
 	now := d.timers.Steady()
-	survived := d.dropLosses(func(l loss) bool {
+	survived := find(d.evidence.losses, func(l *loss) bool {
 		observed := min(now.Sub(l.at), now.Sub(d.staleAt))
 		return !l.crashed && running[l.server] && observed >= confirmTimeout
 	})
-	for i, l := range d.losses {
-		d.losses[i].crashed = l.crashed || !running[l.server]
+	for _, l := range d.evidence.losses {
+		l.crashed = l.crashed || !running[l.server]
 	}
-	return d.withdraw(survived)
+	return d.drop(survived)
 }
 
 // dropExpired drops expired losses and records of withdrawals. The caller holds mu.
 func (d *Detector) dropExpired() {
 	now := d.timers.Steady()
-	maps.DeleteFunc(d.withdrawnAt, func(_ uint64, at time.Time) bool { return now.Sub(at) >= withdrawalDelay })
-	for _, digest := range d.dropLosses(func(l loss) bool { return now.Sub(l.at) >= Retention }) {
-		d.expireLoss(digest)
-	}
-}
-
-// withdraw ends the verdicts on those requests for which this node had enough evidence
-// and no longer has, and returns these requests. The caller holds mu.
-func (d *Detector) withdraw(digests []uint64) []uint64 {
-	var withdrawn []uint64
-	for _, digest := range digests {
-		if v := d.verdicts[digest]; v != nil && !v.provenAt.IsZero() && !d.enoughEvidence(digest) {
-			d.endVerdict(digest)
-			withdrawn = append(withdrawn, digest)
-		}
-	}
-	return withdrawn
-}
-
-// expireLoss is called after an old loss of a request was dropped: a verdict that is not
-// in the store ends with its evidence. The caller holds mu.
-func (d *Detector) expireLoss(digest uint64) {
-	v := d.verdicts[digest]
-	if v == nil || v.provenAt.IsZero() || d.enoughEvidence(digest) {
-		return
-	}
-	v.provenAt = time.Time{}
-	if !v.stored {
-		delete(d.verdicts, digest)
-	}
-}
-
-// enoughEvidence reports whether the evidence against a request suffices for a verdict.
-// The caller holds mu.
-func (d *Detector) enoughEvidence(digest uint64) bool {
-	needed := incidentsToRefuse
-	if d.answered.answeredSince(digest, d.timers.Steady().Add(-Retention)) {
-		needed = incidentsIfAnswered
-	}
-	return d.incidents(digest) >= needed
+	maps.DeleteFunc(d.withdrawnAt, func(_ Feature, at time.Time) bool { return now.Sub(at) >= withdrawalDelay })
+	expired := find(d.evidence.losses, func(l *loss) bool { return now.Sub(l.at) >= Retention })
+	d.evidence.remove(expired...)
+	d.expire(expired...)
 }
 
-// incidents counts the incidents of a request: the crashes at which it was lost, but no
-// request that was lost at more servers, with those within IncidentWindow counted as
-// one. The caller holds mu.
-func (d *Detector) incidents(digest uint64) int {
-	crashes := make(map[uint64]time.Time)
-	for _, l := range d.losses {
-		if l.digest == digest {
-			crashes[l.server] = l.at
-		}
-	}
-	if len(crashes) < incidentsToRefuse {
-		return len(crashes) // no more incidents than crashes
-	}
-	counts := d.crashCounts(digest, crashes)
-	for _, l := range d.losses {
-		if counts[l.digest] > counts[digest] {
-			delete(crashes, l.server)
+// expire is called after old losses were dropped: a verdict that is not in the store ends with its
+// evidence. The caller holds mu.
+func (d *Detector) expire(losses ...*loss) {
+	for _, f := range featuresOf(losses) {
+		v := d.verdicts[f]
+		if v == nil || v.provenAt.IsZero() || d.enoughEvidence(f) {
+			continue
 		}
-	}
-	count, start := 0, time.Time{}
-	for _, at := range slices.SortedFunc(maps.Values(crashes), time.Time.Compare) {
-		if count == 0 || at.Sub(start) > IncidentWindow {
-			count, start = count+1, at
+		v.provenAt = time.Time{}
+		if !v.stored {
+			delete(d.verdicts, f)
 		}
 	}
-	return count
-}
-
-// crashCounts returns at how many servers a request was lost, and the same for each request
-// that was lost at one of the given servers. Losses after the request was refused are left
-// out: it wasn't sent any more, so they say nothing about it. The caller holds mu.
-func (d *Detector) crashCounts(digest uint64, servers map[uint64]time.Time) map[uint64]int {
-	refusedAt := d.timers.Steady()
-	if v := d.verdicts[digest]; v != nil && !v.provenAt.IsZero() {
-		refusedAt = v.provenAt
-	}
-	counts := make(map[uint64]int)
-	for _, l := range d.losses {
-		if _, shared := servers[l.server]; shared {
-			counts[l.digest] = 0
-		}
-	}
-	for _, l := range d.losses {
-		if _, shared := counts[l.digest]; shared && !l.at.After(refusedAt) {
-			counts[l.digest]++
-		}
-	}
-	return counts
-}
-
-// dropLosses drops the unwanted losses and returns their requests. It is called for each
-// response, so it copies the list only if there is something to drop. The caller holds mu.
-func (d *Detector) dropLosses(unwanted func(loss) bool) []uint64 {
-	if !slices.ContainsFunc(d.losses, unwanted) {
-		return nil
-	}
-	var digests []uint64
-	d.losses = slices.DeleteFunc(slices.Clone(d.losses), func(l loss) bool {
-		dropped := unwanted(l)
-		if dropped {
-			digests = append(digests, l.digest)
-		}
-		return dropped
-	})
-	slices.Sort(digests)
-	return slices.Compact(digests)
 }
--- a/suspect/syncer.go
+++ b/suspect/syncer.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"strconv"
@@ -16,19 +15,23 @@
 	"github.com/violettally/violettally/timer"
 )
 
-// KeyPrefix starts the keys of the stored verdicts; the formatted digest of the request
-// follows.
+// KeyPrefix starts the keys of the stored verdicts; the formatted feature follows.
 const KeyPrefix = "suspects/"
 
 const (
 	// maxEntries bounds the entries in the store, whatever clients send. Further
 	// verdicts are kept by the nodes alone.
 	maxEntries = 64
+	// maxContentEntries is the number of entries after which no verdict on a content is
+	// written, so that there is room for those on parts, which concern more requests.
+	maxContentEntries = 48
 	// writeInterval is how often the syncer looks for verdicts to write.
 	writeInterval = 250 * time.Millisecond
-	// localWriteDelay is how long a verdict must hold before the node that saw the last
-	// loss writes it: servers that kept running are recognized within that time.
+	// localWriteDelay is how long a verdict must hold before a node writes it that has lost
+	// such a request itself: answers that clear it come within that time.
 	localWriteDelay = 500 * time.Millisecond
+	// localWriteJitter is the maximum random delay that is added on these nodes.
+	localWriteJitter = 300 * time.Millisecond
 	// remoteWriteDelay is the minimum delay on the other nodes, and on all nodes after
 	// a failed call: by then they have learned of an entry that was written.
 	remoteWriteDelay = 2 * time.Second
@@ -41,15 +44,11 @@
 	probeTimeout = 300 * time.Millisecond
 )
 
-// FormatDigest formats a digest as log lines, decisions and keys of the store show it.
-func FormatDigest(digest uint64) string { return fmt.Sprintf("%016x", digest) }
-
 // entry is the stored form of a verdict. Its fields are exported for the codec.
 type entry struct {
 	// Refused is false once the verdict has been withdrawn.
 	Refused bool `json:"refused"`
-	// Probes is how often the refused request was sent to see whether servers still
-	// crash under it.
+	// Probes is how often a refused request was sent to see whether servers still crash.
 	Probes int `json:"tests"`
 }
 
@@ -77,22 +76,24 @@
 	local     Mirror
 	nodeCount func() int
 	timers    *timer.Service
+	onChange  func(Change)
 
 	mu sync.Mutex
-	// stored holds the digests of the requests that have an entry in the store.
-	stored map[uint64]bool
-	// due holds, by digest, when an entry is to be written.
-	due map[uint64]time.Time
+	// stored holds the features that have an entry in the store.
+	stored map[Feature]bool
+	// due holds when entries are to be written.
+	due map[Feature]time.Time
 	// scheduled wakes Run.
 	scheduled chan struct{}
 }
 
 // NewSyncer returns a syncer between a detector and a store. NodeCount returns how many
-// nodes write to the store.
-func NewSyncer(detector *Detector, store Store, local Mirror, nodeCount func() int, timers *timer.Service) *Syncer {
+// nodes write to the store. OnChange is called with what entries of the store have changed, other
+// than the verdicts that they hold themselves.
+func NewSyncer(detector *Detector, store Store, local Mirror, nodeCount func() int, timers *timer.Service, onChange func(Change)) *Syncer {
 	return &Syncer{
-		detector: detector, store: store, local: local, nodeCount: nodeCount, timers: timers,
-		stored: make(map[uint64]bool), due: make(map[uint64]time.Time), scheduled: make(chan struct{}, 1),
+		detector: detector, store: store, local: local, nodeCount: nodeCount, timers: timers, onChange: onChange,
+		stored: make(map[Feature]bool), due: make(map[Feature]time.Time), scheduled: make(chan struct{}, 1),
 	}
 }
 
@@ -131,14 +132,14 @@
 
 // writeDue writes the verdicts that are due.
 func (s *Syncer) writeDue(ctx context.Context) {
-	for _, digest := range s.takeDue() {
-		err := s.write(ctx, digest)
+	for _, f := range s.takeDue() {
+		err := s.write(ctx, f)
 		switch {
 		case errors.Is(err, errConflict):
-			s.scheduleIn(digest, remoteWriteDelay)
+			s.scheduleIn(f, remoteWriteDelay)
 		case err != nil:
-			slog.Debug("failed to store verdict; retrying", "content", FormatDigest(digest), "error", err)
-			s.ScheduleWrite(digest, false)
+			slog.Debug("failed to store verdict; retrying", "feature", f.String(), "error", err)
+			s.ScheduleWrite(f, false)
 		}
 	}
 }
@@ -146,31 +147,33 @@
 // Apply applies a change of an entry in the store.
 func (s *Syncer) Apply(c mirror.Change) {
 	name := strings.TrimPrefix(c.Key, KeyPrefix)
-	digest, err := strconv.ParseUint(name, 16, 64)
-	if err != nil || name != FormatDigest(digest) {
+	number, err := strconv.ParseUint(name, 16, 64)
+	f := Feature(number)
+	if err != nil || name != f.String() {
 		slog.Error("invalid key of a stored verdict", "key", c.Key, "error", err)
 		return
 	}
 	if c.Deleted {
-		s.setStored(digest, false)
-		if s.detector.ApplyExpired(digest) {
-			s.ScheduleWrite(digest, false)
+		s.setStored(f, false)
+		if s.detector.ApplyExpired(f) {
+			s.ScheduleWrite(f, false)
 		}
-		slog.Info("stored verdict expired", "content", FormatDigest(digest), "revision", c.Revision)
+		slog.Info("stored verdict expired", "feature", f.String(), "revision", c.Revision)
 		return
 	}
-	s.setStored(digest, true)
+	s.setStored(f, true)
 	e, err := decodeEntry(c.Item)
 	if err != nil {
 		slog.Error("cannot decode stored verdict", "key", c.Key, "revision", c.Revision, "error", err)
 		return
 	}
-	if e.Refused {
-		s.detector.ApplyStored(digest, e.Probes)
-	} else {
-		s.detector.ApplyWithdrawn(digest)
+	switch {
+	case !e.Refused:
+		s.onChange(s.detector.ApplyWithdrawn(f))
+	case s.detector.ApplyStored(f, e.Probes):
+		s.onChange(Change{Contested: []Feature{f}})
 	}
-	slog.Info("stored verdict changed", "content", FormatDigest(digest), "refused", e.Refused, "tests", e.Probes, "revision", c.Revision)
+	slog.Info("stored verdict changed", "feature", f.String(), "refused", e.Refused, "tests", e.Probes, "revision", c.Revision)
 }
 
 func decodeEntry(item mirror.Item) (e entry, err error) {
@@ -179,32 +182,32 @@
 }
 
 // setStored records whether the store holds an entry.
-func (s *Syncer) setStored(digest uint64, stored bool) {
+func (s *Syncer) setStored(f Feature, stored bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if stored {
-		s.stored[digest] = true
+		s.stored[f] = true
 	} else {
-		delete(s.stored, digest)
+		delete(s.stored, f)
 	}
 }
 
 // ScheduleWrite schedules the write of a verdict that was reached or withdrawn on this
-// node. Local says that this node has seen the cause itself, rather than learned of it from
-// another node.
-func (s *Syncer) ScheduleWrite(digest uint64, local bool) {
+// node. Local says that this node has seen some of the cause itself, rather than learned all of it
+// from other nodes.
+func (s *Syncer) ScheduleWrite(f Feature, local bool) {
 	if local {
-		s.scheduleIn(digest, localWriteDelay)
+		s.scheduleIn(f, localWriteDelay+rand.N(localWriteJitter))
 		return
 	}
-	s.scheduleIn(digest, remoteWriteDelay+rand.N(time.Duration(max(1, s.nodeCount()))*writeJitterPerNode))
+	s.scheduleIn(f, remoteWriteDelay+rand.N(time.Duration(max(1, s.nodeCount()))*writeJitterPerNode))
 }
 
 // scheduleIn schedules the write of an entry after a delay.
-func (s *Syncer) scheduleIn(digest uint64, wait time.Duration) {
+func (s *Syncer) scheduleIn(f Feature, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.due[digest] = s.timers.Steady().Add(wait)
+	s.due[f] = s.timers.Steady().Add(wait)
 	select {
 	case s.scheduled <- struct{}{}:
 	default: // Run is woken already
@@ -212,25 +215,25 @@
 }
 
 // takeDue removes and returns the requests whose entries are due.
-func (s *Syncer) takeDue() []uint64 {
+func (s *Syncer) takeDue() []Feature {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var digests []uint64
-	for digest, at := range s.due {
+	var features []Feature
+	for f, at := range s.due {
 		if !s.timers.Steady().Before(at) {
-			digests = append(digests, digest)
-			delete(s.due, digest)
+			features = append(features, f)
+			delete(s.due, f)
 		}
 	}
-	return digests
+	return features
 }
 
 // write writes this node's state of a request, unless the store already holds the same.
-func (s *Syncer) write(ctx context.Context, digest uint64) error {
-	item, found := s.local.Get(KeyPrefix + FormatDigest(digest))
+func (s *Syncer) write(ctx context.Context, f Feature) error {
+	item, found := s.local.Get(KeyPrefix + f.String())
 	stored, _ := decodeEntry(item) // an entry that cannot be decoded is overwritten
-	refused := s.detector.Refuses(digest)
-	if stored.Refused == refused || !found && s.full() {
+	refused := s.detector.Refuses(f)
+	if stored.Refused == refused || !found && !s.mayAdd(f) {
 		return nil
 	}
 	lease := item.Lease
@@ -240,7 +243,7 @@
 			return err
 		}
 	}
-	ok, err := s.swap(ctx, digest, entry{Refused: refused, Probes: stored.Probes}, item.Revision, lease)
+	ok, err := s.swap(ctx, f, entry{Refused: refused, Probes: stored.Probes}, item.Revision, lease)
 	if err == nil && !ok {
 		err = errConflict
 	}
@@ -250,43 +253,52 @@
 // errConflict says that another node wrote the entry first. This node will learn of that.
 var errConflict = errors.New("entry was changed by another node")
 
-// full reports whether the store holds the maximum number of entries.
-func (s *Syncer) full() bool {
+// mayAdd reports whether the store gets an entry for a feature.
+func (s *Syncer) mayAdd(f Feature) bool {
+	if s.detector.Redundant(f) {
+		return false
+	}
+	limit := maxEntries
+	if s.detector.IsContent(f) {
+		limit = maxContentEntries
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.stored) >= maxEntries
+	return len(s.stored) < limit
 }
 
 // swap writes an entry if it still has the expected revision.
-func (s *Syncer) swap(ctx context.Context, digest uint64, e entry, expected, lease int64) (bool, error) {
+func (s *Syncer) swap(ctx context.Context, f Feature, e entry, expected, lease int64) (bool, error) {
 	value, err := json.Marshal(e)
 	if err != nil {
 		return false, err
 	}
-	_, ok, err := s.store.SwapLeased(ctx, KeyPrefix+FormatDigest(digest), value, expected, lease)
+	_, ok, err := s.store.SwapLeased(ctx, KeyPrefix+f.String(), value, expected, lease)
 	return ok, err
 }
 
-// Probe reports whether this node must send a refused request once more now. When a probe is
-// due, one node only gets true: the one whose write to the store succeeds. The other nodes
-// learn of the probe by that write. A probe also renews the entry's lease.
-func (s *Syncer) Probe(ctx context.Context, digest uint64) bool {
-	item, found := s.local.Get(KeyPrefix + FormatDigest(digest))
+// Probe reports whether this node must now send a request that is refused for a feature. When a
+// probe is due, one node only gets true: the one whose write to the store succeeds. The other nodes
+// learn of the probe by that write. While requests are refused, the entry's lease is renewed.
+func (s *Syncer) Probe(ctx context.Context, f Feature) bool {
+	item, found := s.local.Get(KeyPrefix + f.String())
 	if !found {
 		return false
 	}
-	probes, due := s.detector.ProbeDue(digest)
+	if s.detector.RenewalDue(f) {
+		go s.renew(context.WithoutCancel(ctx), item.Lease)
+	}
+	probes, due := s.detector.ProbeDue(f)
 	stored, err := decodeEntry(item)
 	if !due || err != nil || stored.Probes != probes-1 {
 		return false
 	}
 	swapCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if ok, err := s.swap(swapCtx, digest, entry{Refused: true, Probes: probes}, item.Revision, item.Lease); err != nil || !ok {
+	if ok, err := s.swap(swapCtx, f, entry{Refused: true, Probes: probes}, item.Revision, item.Lease); err != nil || !ok {
 		return false
 	}
-	s.detector.ApplyStored(digest, probes)
-	go s.renew(context.WithoutCancel(ctx), item.Lease)
+	s.detector.ApplyStored(f, probes)
 	return true
 }
 
--- a/suspect/verdict.go
+++ b/suspect/verdict.go
@@ -1,26 +1,36 @@
 package suspect
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// initialProbeDelay is the time from a verdict to its first probe. Each failed probe
-	// doubles the delay, so that a request that was refused by mistake is soon served
-	// again, and one that still crashes its server crashes few of them.
+	// multiplies the delay by probeDelayFactor, so that requests that were refused by mistake are
+	// soon served again, and those that still crash servers crash few of them.
 	initialProbeDelay = time.Minute
-	// maxProbeDelay bounds the delay to less than Retention, so that a probe comes
-	// before the verdict expires.
-	maxProbeDelay = 8 * time.Minute
+	probeDelayFactor  = 8
+	// maxProbeDelay bounds the delay.
+	maxProbeDelay = 24 * time.Hour
+	// renewalInterval is the time after which the lease of a verdict is renewed while requests
+	// are refused.
+	renewalInterval = Retention / 2
 	// withdrawalDelay is how long it may take until the store reports a withdrawal.
 	withdrawalDelay = 10 * time.Second
 )
 
-// verdict says that a request is refused.
+// verdict says that requests with a feature are refused.
 type verdict struct {
-	// lastProbe is when the request was last probed, or when this node learned of the
+	// lastProbe is when such a request was last sent as a probe, or when this node learned of the
 	// verdict if that was later.
 	lastProbe time.Time
+	// renewedAt is when the entry in the store was last written or renewed, as far as known.
+	renewedAt time.Time
 	// provenAt is when this node had enough evidence of its own; zero if it has not.
 	provenAt time.Time
+	// learnedAt is when the store reported the verdict; zero if it has not.
+	learnedAt time.Time
 	// stored is whether the store holds the verdict.
 	stored bool
 	// probes is the number of probes since the verdict.
@@ -31,25 +41,51 @@
 func (v *verdict) probeDelay() time.Duration {
 	delay := initialProbeDelay
 	for range v.probes {
-		delay = min(2*delay, maxProbeDelay)
+		delay = min(probeDelayFactor*delay, maxProbeDelay)
 	}
 	return delay
 }
 
-// Refuses reports whether a request must not be sent to any server.
-func (d *Detector) Refuses(digest uint64) bool {
+// evidenceBefore returns a time before which all losses had occurred that led to a verdict of
+// another node: it was written that much later at least.
+func (v *verdict) evidenceBefore() time.Time { return v.learnedAt.Add(-localWriteDelay) }
+
+// Refused returns those of a request's features for which it must not be sent to any server.
+func (d *Detector) Refused(features Features) Features {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.verdicts[digest] != nil
+	var refused Features
+	for _, f := range features {
+		if d.verdicts[f] != nil {
+			refused = append(refused, f)
+		}
+	}
+	return refused
+}
+
+// Refuses reports whether requests with a feature are refused.
+func (d *Detector) Refuses(f Feature) bool { return len(d.Refused(Features{f})) > 0 }
+
+// Redundant reports whether a feature is a content all of whose requests are refused for a part of
+// their prompts.
+func (d *Detector) Redundant(f Feature) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	refusedForPart := func(l *loss) bool {
+		parts := l.features[:len(l.features)-1]
+		return f == l.features.content() && slices.ContainsFunc(parts, func(part Feature) bool { return d.verdicts[part] != nil })
+	}
+	losses := d.evidence.against[f]
+	return len(losses) > 0 && len(find(losses, refusedForPart)) == len(losses)
 }
 
-// ProbeDue reports whether it is time to probe a verdict by sending the request once more.
+// ProbeDue reports whether it is time to probe a verdict by sending a request once more.
 // It returns true to one caller only, until the next delay has passed. The caller stores
 // the returned number of probes before it sends the request.
-func (d *Detector) ProbeDue(digest uint64) (probes int, due bool) {
+func (d *Detector) ProbeDue(f Feature) (probes int, due bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	v := d.verdicts[digest]
+	v := d.verdicts[f]
 	if v == nil || d.timers.Steady().Sub(v.lastProbe) < v.probeDelay() {
 		return 0, false
 	}
@@ -57,54 +93,78 @@
 	return v.probes + 1, true
 }
 
+// RenewalDue reports whether it is time to renew the entry of a verdict in the store. It returns
+// true to one caller only, until renewalInterval has passed.
+func (d *Detector) RenewalDue(f Feature) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v, now := d.verdicts[f], d.timers.Steady()
+	if v == nil || !v.stored || now.Sub(v.renewedAt) < renewalInterval {
+		return false
+	}
+	v.renewedAt = now
+	return true
+}
+
 // endVerdict removes a verdict and records when. The caller holds mu.
-func (d *Detector) endVerdict(digest uint64) {
-	delete(d.verdicts, digest)
-	d.withdrawnAt[digest] = d.timers.Steady()
+func (d *Detector) endVerdict(f Feature) {
+	delete(d.verdicts, f)
+	d.withdrawnAt[f] = d.timers.Steady()
 }
 
-// ApplyStored applies a stored entry that refuses a request and counts its probes. It
-// is called when the store reports the entry, and after writing it. Shortly after a
-// withdrawal on this node such an entry is outdated, or soon will be, and is ignored.
-func (d *Detector) ApplyStored(digest uint64, probes int) {
+// ApplyStored applies a stored entry that refuses requests with a feature and counts its probes.
+// It is called when the store reports the entry, and after writing it. Shortly after a withdrawal
+// on this node such an entry is outdated, or soon will be, and is ignored. It returns true if an
+// answer has begun here since the losses that the entry relies on, so that the entry must be
+// withdrawn.
+func (d *Detector) ApplyStored(f Feature, probes int) (contested bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	v := d.verdicts[digest]
-	if at, ok := d.withdrawnAt[digest]; v == nil && ok && d.timers.Steady().Sub(at) < withdrawalDelay {
-		return
+	v, now := d.verdicts[f], d.timers.Steady()
+	if at, ok := d.withdrawnAt[f]; v == nil && ok && now.Sub(at) < withdrawalDelay {
+		return false
 	}
 	if v == nil {
-		v = &verdict{lastProbe: d.timers.Steady()}
-		d.verdicts[digest] = v
+		v = &verdict{lastProbe: now, learnedAt: now}
+		if d.answeredSince(f, v.evidenceBefore()) {
+			d.withdrawnAt[f] = now
+			return true
+		}
+		d.verdicts[f] = v
 	}
-	v.stored = true
+	v.stored, v.renewedAt = true, now
 	if probes > v.probes {
-		v.probes, v.lastProbe = probes, d.timers.Steady()
+		v.probes, v.lastProbe = probes, now
 	}
+	return false
 }
 
-// ApplyWithdrawn applies a stored withdrawal: the request has been answered, or its
-// servers kept running. It reports whether the request was refused here.
-func (d *Detector) ApplyWithdrawn(digest uint64) bool {
+// ApplyWithdrawn applies a stored withdrawal: a request has been answered, or the servers kept
+// running.
+func (d *Detector) ApplyWithdrawn(f Feature) Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.clearRequest(digest) == ClearedVerdict
+	cleared := d.evidence.clear(f, d.timers.Steady())
+	if d.verdicts[f] != nil {
+		d.endVerdict(f)
+	}
+	return d.review(featuresOf(cleared))
 }
 
 // ApplyExpired applies the removal of a verdict from the store. The verdict stays while
 // this node has the evidence for it, since entries expire early during an outage of the
 // store. It reports whether the verdict stays.
-func (d *Detector) ApplyExpired(digest uint64) bool {
+func (d *Detector) ApplyExpired(f Feature) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.dropExpired()
-	v := d.verdicts[digest]
+	v := d.verdicts[f]
 	if v == nil {
 		return false
 	}
 	v.stored = false
 	if v.provenAt.IsZero() {
-		delete(d.verdicts, digest)
+		delete(d.verdicts, f)
 		return false
 	}
 	return true
