suspect: what always goes with a part that crashes servers is not refused for it

Cause: a part that is lost with the crashing one and once or twice beside another crash has the more losses; answers that take long come too late to show that their parts are answered.

Change: an earlier part is explained by a later one of the same prompt unless it was lost twice without it and without a refused part; a part never answered is not explained by one that is; refused parts explain the crashes of answered ones. A stream that has gone on for a second counts as a sign that its parts are answered (it clears them of nothing). A refused part that was answered lately is probed after 5 s, not a minute.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -85,6 +85,9 @@
 	s.g.recordAnswer(f, time.Since(begun))
 }
 
+// ReportSurvival records that a server has been answering a request for a while.
+func (s relaySuspects) ReportSurvival(f suspect.Features) { s.g.detector.RecordSurvival(f) }
+
 // recordAnswer records an answer that this gateway got, and publishes it to the others if there was
 // evidence against the request.
 func (g *Gateway) recordAnswer(f suspect.Features, begunAgo time.Duration) {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/suspect"
 )
 
 const (
@@ -65,7 +66,7 @@
 func (x *exchange) forwardStream(ctx context.Context, assignment *route.Assignment, sent time.Time, resp Response, wd *watchdog) *failure {
 	events := newEvents(resp.Body())
 	lastReport := sent
-	begun := !x.fromFirstEvent
+	begun, survived := !x.fromFirstEvent, false
 	for {
 		wd.reset(time.Duration(maxPauseFactor * float64(x.route.MaxPause)))
 		event, err := events.next()
@@ -82,6 +83,10 @@
 			lastReport = time.Now()
 			x.reportProgress(assignment, sent, resp)
 		}
+		if !survived && time.Since(x.headerReceived) > suspect.SurvivalTime {
+			survived = true
+			x.relay.Suspects.ReportSurvival(x.features())
+		}
 		x.startResponse(resp)
 		if x.writer.Write(event.raw) != nil {
 			return x.clientDisconnected(assignment)
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -91,6 +91,7 @@
 func (noSuspects) LossCounts(suspect.Features) []int                           { return nil }
 func (noSuspects) ReportAnswered(suspect.Features, time.Time)                  {}
 func (noSuspects) ReportUnframed(suspect.Features, registry.Server, time.Time) {}
+func (noSuspects) ReportSurvival(suspect.Features)                             {}
 func (noSuspects) ReportProgress(uint64, time.Time, time.Time)                 {}
 
 // freshView is a store view that is always current.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -308,6 +308,8 @@
 	LossCounts(f suspect.Features) []int
 	// ReportAnswered reports a whole answer, which began at the given time.
 	ReportAnswered(f suspect.Features, begun time.Time)
+	// ReportSurvival reports that a server has been answering the request for suspect.SurvivalTime.
+	ReportSurvival(f suspect.Features)
 	// ReportUnframed reports an answer that ended with its connection, so that it is whole only if the
 	// server has not crashed.
 	ReportUnframed(f suspect.Features, server registry.Server, begun time.Time)
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -77,6 +77,7 @@
 	s.Detector.RecordAnswer(f, time.Since(begun))
 }
 func (s sharedSuspects) ReportUnframed(suspect.Features, registry.Server, time.Time) {}
+func (s sharedSuspects) ReportSurvival(f suspect.Features)                           { s.Detector.RecordSurvival(f) }
 func (s sharedSuspects) ReportProgress(server uint64, sent, opened time.Time) {
 	s.Detector.ServerResponded(server, time.Since(sent), time.Since(opened))
 }
--- a/suspect/answers.go
+++ b/suspect/answers.go
@@ -24,9 +24,10 @@
 
 // answerRecord is what an answerLog holds of one feature.
 type answerRecord struct {
-	// begun is when the last of the answers had begun.
+	// begun is when the last of the whole answers had begun.
 	begun time.Time
-	// count is the number of answers, those before updatedAt reduced by their age.
+	// count is the number of answers, also of those that are not whole yet, those before updatedAt
+	// reduced by their age.
 	count     float64
 	updatedAt time.Time
 }
@@ -35,17 +36,23 @@
 	return &answerLog{records: make(map[Feature]answerRecord, maxAnswers), ring: make([]Feature, maxAnswers)}
 }
 
-// add records an answer.
+// add records a whole answer.
 func (a *answerLog) add(f Feature, begun, now time.Time) {
+	a.count(f, now)
+	if r := a.records[f]; begun.After(r.begun) {
+		r.begun = begun
+		a.records[f] = r
+	}
+}
+
+// count counts an answer that need not be whole yet.
+func (a *answerLog) count(f Feature, now time.Time) {
 	r, known := a.records[f]
 	if !known {
 		delete(a.records, a.ring[a.oldest])
 		a.ring[a.oldest] = f
 		a.oldest = (a.oldest + 1) % len(a.ring)
 	}
-	if begun.After(r.begun) {
-		r.begun = begun
-	}
 	r.count, r.updatedAt = r.remaining(now)+1, now
 	a.records[f] = r
 }
@@ -55,7 +62,12 @@
 	return r.count * math.Exp(-float64(now.Sub(r.updatedAt))/float64(answerRateWindow))
 }
 
-// begunSince reports whether an answer with the feature has begun after the given time.
+// countedSince reports whether an answer with the feature was counted after the given time.
+func (a *answerLog) countedSince(f Feature, earliest time.Time) bool {
+	return a.records[f].updatedAt.After(earliest)
+}
+
+// begunSince reports whether a whole answer with the feature has begun after the given time.
 func (a *answerLog) begunSince(f Feature, earliest time.Time) bool {
 	return a.records[f].begun.After(earliest)
 }
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -146,7 +147,9 @@
 	for _, c := range byServer {
 		crashes = append(crashes, *c)
 	}
-	slices.SortFunc(crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+	slices.SortFunc(crashes, func(a, b crash) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.losses[0].server, b.losses[0].server))
+	})
 	return crashes
 }
 
--- a/suspect/judge.go
+++ b/suspect/judge.go
@@ -20,6 +20,9 @@
 	// they would soon be as many.
 	incidentsIfPartAnswered = 5
 	secondsPerAnswer        = 2.0
+	// incidentsApart is the number of incidents that distinguish a part from a more specific one that
+	// often follows it.
+	incidentsApart = 2
 	// maxIncidents bounds the incidents that are needed.
 	maxIncidents = 16
 	// maxIncidentsPerRequest is the number of incidents in which the losses of one request count
@@ -102,8 +105,7 @@
 }
 
 // explains reports whether a feature of a lost request is the more likely cause of the crash than
-// the given one, which may be a feature of the same request. Of two parts of one prompt that are
-// equally likely, that is the more specific one, which fewer sound requests have.
+// the given one, which may be a feature of the same request.
 func (j judgment) explains(l *loss, other, f Feature) bool {
 	against := j.detector.evidence.against[other]
 	if len(against) < incidentsToRefuse || !slices.Contains(against, l) {
@@ -111,20 +113,21 @@
 	}
 	isPart := other != l.features.content()
 	isRefusedPart := isPart && j.detector.verdicts[other] != nil
-	own := slices.Index(l.features, f)
-	isMoreSpecific := isPart && own >= 0 && slices.Index(l.features, other) > own
+	own, index := slices.Index(l.features, f), slices.Index(l.features, other)
 	difference := j.margin(other) - j.margin(f)
 	switch {
-	case isRefusedPart && (isMoreSpecific || own < 0 && j.isMoreSuspect(other, f) && j.crashesWithout(other, f)):
+	case own >= 0 && isPart && index > own && (isRefusedPart || !j.standsApart(f, other)):
+		return true
+	case own > index && j.margin(f) >= 0 && !j.standsApart(other, f):
+		return false
+	case own < 0 && isRefusedPart && j.isMoreSuspect(other, f) && j.countWithout(other, f) > 0:
 		return true
 	case j.margin(f) >= 0 && j.isMoreSuspect(f, other):
 		return false
-	case difference != 0:
-		return difference > 0
-	case own < 0:
+	case difference == 0 && own < 0:
 		return isRefusedPart && j.detector.verdicts[f] == nil
 	}
-	return isMoreSpecific
+	return difference > 0
 }
 
 // isMoreSuspect reports whether no request with a feature was answered lately, but some with another.
@@ -132,10 +135,25 @@
 	return !j.detector.answeredLately(f) && j.detector.answeredLately(other)
 }
 
-// crashesWithout reports whether servers crashed at which requests with a feature were lost and none
-// with another.
-func (j judgment) crashesWithout(f, other Feature) bool {
-	return slices.ContainsFunc(j.detector.evidence.against[f], func(l *loss) bool {
-		return !slices.ContainsFunc(j.detector.evidence.atServer[l.server], func(at *loss) bool { return slices.Contains(at.features, other) })
+// standsApart reports whether a part that is often followed by a more specific one was lost without
+// it repeatedly. Otherwise the more specific one, which fewer sound requests have, is the cause.
+func (j judgment) standsApart(f, moreSpecific Feature) bool {
+	return j.countWithout(f, moreSpecific) >= incidentsApart
+}
+
+// countWithout returns the number of incidents in which requests with a feature were lost, and none
+// with another, nor with a part that is refused.
+func (j judgment) countWithout(f, other Feature) int {
+	return countIncidents(f, find(j.detector.evidence.against[f], func(l *loss) bool {
+		return !slices.ContainsFunc(j.detector.evidence.atServer[l.server], func(at *loss) bool {
+			return slices.Contains(at.features, other) || j.hasRefusedPart(at, f)
+		})
+	}))
+}
+
+// hasRefusedPart reports whether a lost request is refused for a part of its prompt other than f.
+func (j judgment) hasRefusedPart(l *loss, f Feature) bool {
+	return slices.ContainsFunc(l.features[:len(l.features)-1], func(part Feature) bool {
+		return part != f && j.detector.verdicts[part] != nil
 	})
 }
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -253,11 +253,12 @@
 
 // answeredLately reports whether requests with a feature were answered lately. The caller holds mu.
 func (d *Detector) answeredLately(f Feature) bool {
-	return d.answeredSince(f, d.timers.Steady().Add(-Retention))
+	earliest := d.timers.Steady().Add(-Retention)
+	return d.answeredContents.countedSince(f, earliest) || d.answeredParts.countedSince(f, earliest)
 }
 
-// answeredSince reports whether an answer to a request with a feature has begun since a time. The
-// caller holds mu.
+// answeredSince reports whether a whole answer to a request with a feature has begun since a time.
+// The caller holds mu.
 func (d *Detector) answeredSince(f Feature, earliest time.Time) bool {
 	return d.answeredContents.begunSince(f, earliest) || d.answeredParts.begunSince(f, earliest)
 }
@@ -291,6 +292,20 @@
 	return answer
 }
 
+// SurvivalTime is how long after its beginning an answer shows that requests with the parts of its
+// prompt are usually answered. It clears them of nothing before it is whole.
+const SurvivalTime = time.Second
+
+// RecordSurvival records that a server has been answering a request of this node for SurvivalTime.
+func (d *Detector) RecordSurvival(features Features) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.timers.Steady()
+	for _, f := range features[:len(features)-1] {
+		d.answeredParts.count(f, now)
+	}
+}
+
 // RecordPeerAnswer records which features an answer of another node has cleared of the losses until
 // the given time ago.
 func (d *Detector) RecordPeerAnswer(cleared Features, ago time.Duration) Change {
--- a/suspect/verdict.go
+++ b/suspect/verdict.go
@@ -11,6 +11,9 @@
 	// soon served again, and those that still crash servers crash few of them.
 	initialProbeDelay = time.Minute
 	probeDelayFactor  = 8
+	// popularProbeDelay is the initial delay for a part with which requests were answered until
+	// lately: a wrong verdict concerns many of them.
+	popularProbeDelay = 5 * time.Second
 	// maxProbeDelay bounds the delay.
 	maxProbeDelay = 24 * time.Hour
 	// renewalInterval is the time after which the lease of a verdict is renewed while requests
@@ -37,9 +40,9 @@
 	probes int
 }
 
-// probeDelay returns the time from lastProbe to the next probe.
-func (v *verdict) probeDelay() time.Duration {
-	delay := initialProbeDelay
+// probeDelay returns the time from lastProbe to the next probe, given the initial delay.
+func (v *verdict) probeDelay(initial time.Duration) time.Duration {
+	delay := initial
 	for range v.probes {
 		delay = min(probeDelayFactor*delay, maxProbeDelay)
 	}
@@ -85,11 +88,15 @@
 func (d *Detector) ProbeDue(f Feature) (probes int, due bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	v := d.verdicts[f]
-	if v == nil || d.timers.Steady().Sub(v.lastProbe) < v.probeDelay() {
+	v, now := d.verdicts[f], d.timers.Steady()
+	initial := initialProbeDelay
+	if d.answeredParts.countedSince(f, now.Add(-Retention)) {
+		initial = popularProbeDelay
+	}
+	if v == nil || now.Sub(v.lastProbe) < v.probeDelay(initial) {
 		return 0, false
 	}
-	v.lastProbe = d.timers.Steady()
+	v.lastProbe = now
 	return v.probes + 1, true
 }
 
