gateway, platform: a server that still responds has not crashed

What callers saw: a request whose connections to several servers are reset one after another, at a gateway that has lost its way, was refused as one that crashes servers (502 for 200), until a server answered something later or for 6 s. With evidence by part that would have hit whatever shares a part.

Cause, of the incident's class: evidence made up where a connection ends and nothing is known of the server.

Change: before a loss counts, the gateway asks the server, by the ways that its requests take, with a request for a server that doesn't exist. Any response (421) shows that it runs, and the loss is dropped (survived); no response within 0.3 s, or a refused connection, is a crash; a gateway without any way says nothing. Meanwhile a request that shares a feature with three losses waits, 0.4 s at most, so nothing crashes for the sake of the check. An answer that ends with its connection, while there is evidence, counts as an answer if the server responds, and as a loss if not.

Evidence: platform/e2e TestResetConnectionsMakeNoSuspect failed always and passes (in the list until now). TestPromptPartCrashesServers passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,6 +118,7 @@
 	membership    *membership
 	exchange      *share.Exchange
 	detector      *suspect.Detector
+	serverChecks  serverChecks
 	verdictSyncer *suspect.Syncer
 
 	relay     *relay.Relay
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/violettally/violettally/registry"
@@ -21,8 +22,24 @@
 // Refused returns those of a request's features for which it is refused.
 func (s relaySuspects) Refused(f suspect.Features) suspect.Features { return s.g.detector.Refused(f) }
 
-// Await returns at once.
-func (s relaySuspects) Await(context.Context, suspect.Features) {}
+// maxVerdictWait bounds how long a request waits for checks of servers. One check has ended by then.
+const maxVerdictWait = 400 * time.Millisecond
+
+// Await waits while servers are being checked whose crashes may lead to a verdict on the request.
+func (s relaySuspects) Await(ctx context.Context, f suspect.Features) {
+	ctx, cancel := context.WithTimeout(ctx, maxVerdictWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		checked := s.g.serverChecks.next()
+		if !s.g.detector.AwaitsVerdict(f) {
+			return
+		}
+		select {
+		case <-checked:
+		case <-ctx.Done():
+		}
+	}
+}
 
 // AllowProbe reports whether this gateway is to probe verdicts now: to send a request that is
 // refused for all of the given features, to see whether it still crashes servers.
@@ -38,15 +55,54 @@
 // LossCounts returns for each feature how many requests with it were lost.
 func (s relaySuspects) LossCounts(f suspect.Features) []int { return s.g.detector.LossCounts(f) }
 
-// ReportLost records that the connection to a server ended without a response to a request.
+// ReportLost reports that the connection to a server ended without a response to a request. It
+// counts as a loss unless the server turns out to be running.
 func (s relaySuspects) ReportLost(f suspect.Features, server registry.Server) {
-	s.g.recordLoss(suspect.Loss{Features: f, Server: server.Incarnation().Hash(), Own: true})
+	s.g.checkServer(server, suspect.Ending{Features: f})
 }
 
-// ReportUnframed reports an answer that ended with its connection. It matters only if the server is
-// found to have crashed.
-func (s relaySuspects) ReportUnframed(f suspect.Features, server registry.Server, _ time.Time) {
-	s.ReportAbandoned(f, server.Incarnation().Hash())
+// ReportUnframed reports an answer that ended with its connection. It counts as one only if the
+// server turns out to be running, and as a loss otherwise. While there is no evidence against any
+// request, it matters only if the server is found to have crashed.
+func (s relaySuspects) ReportUnframed(f suspect.Features, server registry.Server, begun time.Time) {
+	if s.g.detector.Empty() {
+		s.ReportAbandoned(f, server.Incarnation().Hash())
+		return
+	}
+	s.g.checkServer(server, suspect.Ending{Features: f, Answered: true, Begun: time.Since(begun)})
+}
+
+// checkServer finds out whether a server still runs at which an attempt has ended.
+func (g *Gateway) checkServer(server registry.Server, e suspect.Ending) {
+	hash := server.Incarnation().Hash()
+	if !g.detector.AddUnconfirmed(hash, e) {
+		return // the running check goes on with it
+	}
+	go func() {
+		for count := g.detector.CountUnconfirmed(hash); count > 0; {
+			running, err := g.backends.Responds(context.Background(), server.Address)
+			var endings []suspect.Ending
+			endings, count = g.detector.TakeUnconfirmed(hash, count)
+			for _, e := range endings {
+				g.resolveEnding(hash, e, running, err == nil)
+			}
+			g.serverChecks.done()
+		}
+	}()
+}
+
+// resolveEnding records the end of an attempt at a server that was found to run or to have crashed.
+// Nothing is recorded if this gateway has lost its way to the servers and cannot know.
+func (g *Gateway) resolveEnding(server uint64, e suspect.Ending, running, known bool) {
+	switch {
+	case running && e.Ended >= suspect.MinRestartTime, !known:
+	case running && e.Answered:
+		g.recordAnswer(e.Features, e.Begun)
+	case running:
+		g.metrics.SuspectEvent(suspect.EventSurvived)
+	default:
+		g.recordLoss(suspect.Loss{Features: e.Features, Server: server, Ago: e.Ended, Own: true})
+	}
 }
 
 // recordLoss records a loss of this gateway, and publishes it to the others, since clients may send
@@ -162,6 +218,32 @@
 	g.verdictSyncer.ScheduleWrite(f, own)
 }
 
+// serverChecks tells when a check of a server has ended. Its zero value is ready to use.
+type serverChecks struct {
+	mu    sync.Mutex
+	ended chan struct{}
+}
+
+// next returns a channel that is closed when the next check ends.
+func (c *serverChecks) next() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended == nil {
+		c.ended = make(chan struct{})
+	}
+	return c.ended
+}
+
+// done tells that a check has ended.
+func (c *serverChecks) done() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended != nil {
+		close(c.ended)
+		c.ended = nil
+	}
+}
+
 // reviewInterval is how often the losses are checked against the servers that are still
 // running.
 const reviewInterval = 500 * time.Millisecond
