--- a/suspect/judge.go
+++ b/suspect/judge.go
@@ -48,7 +48,7 @@
 	explained := make(map[uint64]bool)
 	for _, l := range losses {
 		if _, known := explained[l.server]; !known {
-			explained[l.server] = j.explainedWithout(f, l.server)
+			explained[l.server] = j.explainedByOther(f, l.server)
 		}
 	}
 	unexplained := find(losses, func(l *loss) bool { return !explained[l.server] })
@@ -91,9 +91,9 @@
 	return j.margins[f]
 }
 
-// explainedWithout reports whether another feature of a request that was lost at a server is the
+// explainedByOther reports whether another feature of a request that was lost at a server is the
 // more likely cause of its crash than the given one.
-func (j judgment) explainedWithout(f Feature, server uint64) bool {
+func (j judgment) explainedByOther(f Feature, server uint64) bool {
 	for _, l := range j.detector.evidence.atServer[server] {
 		for _, other := range l.features {
 			if other != f && j.explains(l, other, f) {
