suspect, gateway: the rate of answers counts from a node's start; losses at servers not seen yet count again

The rate of a part's answers was taken over 30 s however long the node had run, so a popular part needed no more incidents than a rare one. And the rule of dropped losses of the crashing part at servers that the node had not seen respond, while other nodes' losses there counted against the popular one: it is taken back.

Change: the rate counts from the start of the node, and a second's worth of answers (two before, of a rate that was too low) adds to what a part needs.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,6 @@
 	exchange      *share.Exchange
 	detector      *suspect.Detector
 	serverChecks  serverChecks
-	knownServers  *knownServers
 	verdictSyncer *suspect.Syncer
 
 	relay     *relay.Relay
@@ -183,7 +182,6 @@
 	g.balancer = route.NewBalancer(s.DataHall, instruments.BreakerOpened, route.WithPublisher(func(s share.Record, prefillMillis float64) { g.exchange.Publish(s, prefillMillis) }))
 	g.membership = newMembership(g)
 	g.detector = suspect.New(g.timers)
-	g.knownServers = newKnownServers()
 	g.exchange = share.NewExchange(g.self, g, g.peerClient, g.timers, g.handleRecord)
 	g.initLimits()
 	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers, mirror.WithEvents(instruments.MirrorEvent))
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -58,10 +58,6 @@
 // ReportLost reports that the connection to a server ended without a response to a request. It
 // counts as a loss unless the server turns out to be running.
 func (s relaySuspects) ReportLost(f suspect.Features, server registry.Server) {
-	if !s.g.knownServers.has(server.Incarnation().Hash()) {
-		s.g.metrics.SuspectEvent(suspect.EventUnknownServer)
-		return
-	}
 	s.g.checkServer(server, suspect.Ending{Features: f})
 }
 
@@ -162,7 +158,6 @@
 // given time, on a connection opened at the given time. Earlier losses at that server are
 // dropped if this shows that it kept running.
 func (s relaySuspects) ReportProgress(server uint64, sent, opened time.Time) {
-	s.g.knownServers.add(server)
 	s.g.applyChange(s.g.detector.ServerResponded(server, time.Since(sent), time.Since(opened)))
 }
 
@@ -223,44 +218,6 @@
 	g.verdictSyncer.ScheduleWrite(f, own)
 }
 
-// staleEntryTime is how long after the start of this gateway the entries of servers may still be there
-// that had crashed before.
-const staleEntryTime = 4 * time.Second
-
-// knownServers holds which servers are known to have run since this gateway started. What ends a
-// request at another one may be that the server had crashed before.
-type knownServers struct {
-	startedAt time.Time
-
-	mu sync.Mutex
-	// responded holds the servers that have responded within staleEntryTime.
-	responded map[uint64]bool
-}
-
-func newKnownServers() *knownServers {
-	return &knownServers{startedAt: time.Now(), responded: make(map[uint64]bool)}
-}
-
-// add records a response of a server.
-func (k *knownServers) add(server uint64) {
-	if time.Since(k.startedAt) >= staleEntryTime {
-		return
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.responded[server] = true
-}
-
-// has reports whether a server with an entry has run since this gateway started.
-func (k *knownServers) has(server uint64) bool {
-	if time.Since(k.startedAt) >= staleEntryTime {
-		return true
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.responded[server]
-}
-
 // serverChecks tells when a check of a server has ended. Its zero value is ready to use.
 type serverChecks struct {
 	mu    sync.Mutex
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -112,7 +112,9 @@
 // reportProgress reports that part of the response to a request sent at the given time has
 // arrived.
 func (x *exchange) reportProgress(assignment *route.Assignment, sent time.Time, resp Response) {
-	x.relay.Suspects.ReportProgress(assignment.Server().Incarnation().Hash(), sent, resp.ConnOpened())
+	if !x.relay.Suspects.Empty() {
+		x.relay.Suspects.ReportProgress(assignment.Server().Incarnation().Hash(), sent, resp.ConnOpened())
+	}
 }
 
 // reportEnd reports that a server has completed its response. Only a success shows that it ran the
--- a/suspect/answers.go
+++ b/suspect/answers.go
@@ -12,6 +12,8 @@
 	maxAnswers = 4096
 	// answerRateWindow is the time over which the rate of answers is averaged.
 	answerRateWindow = 30 * time.Second
+	// minAnswerRateWindow is the same for a node that has just started.
+	minAnswerRateWindow = time.Second
 	// answerSlack is how long after its beginning an answer clears its request of losses: a part that
 	// crashes servers from some moment on is still answered by those that had begun.
 	answerSlack = 500 * time.Millisecond
@@ -128,6 +130,7 @@
 
 // answerLog holds the features of the requests that were answered last.
 type answerLog struct {
+	begun   time.Time
 	records map[Feature]answerRecord
 	// ring holds the features in the order of their first answers; oldest is the index that is
 	// overwritten next.
@@ -145,8 +148,8 @@
 	updatedAt time.Time
 }
 
-func newAnswerLog() *answerLog {
-	return &answerLog{records: make(map[Feature]answerRecord, maxAnswers), ring: make([]Feature, maxAnswers)}
+func newAnswerLog(now time.Time) *answerLog {
+	return &answerLog{begun: now, records: make(map[Feature]answerRecord, maxAnswers), ring: make([]Feature, maxAnswers)}
 }
 
 // add records a whole answer.
@@ -185,7 +188,9 @@
 	return a.records[f].begun.After(earliest)
 }
 
-// perSecond returns the rate of answers with a feature over the last answerRateWindow or so.
+// perSecond returns the rate of answers with a feature over the last answerRateWindow or so, or since
+// the log was begun.
 func (a *answerLog) perSecond(f Feature, now time.Time) float64 {
-	return a.records[f].remaining(now) / answerRateWindow.Seconds()
+	window := min(answerRateWindow, max(minAnswerRateWindow, now.Sub(a.begun)))
+	return a.records[f].remaining(now) / window.Seconds()
 }
--- a/suspect/event.go
+++ b/suspect/event.go
@@ -11,9 +11,6 @@
 	EventLost Event = iota
 	// EventSurvived: a server left a request of this node without a response, and still runs.
 	EventSurvived
-	// EventUnknownServer: a server left a request of this node without a response, and may have
-	// crashed before this node started.
-	EventUnknownServer
 	// EventNotPublished: such a loss was not published to other nodes, because of the
 	// rate limit.
 	EventNotPublished // untold
--- a/suspect/judge.go
+++ b/suspect/judge.go
@@ -19,7 +19,7 @@
 	// some requests with a popular part run wherever a server crashes, and if it did crash servers,
 	// they would soon be as many.
 	incidentsIfPartAnswered = 5
-	secondsPerAnswer        = 2.0
+	secondsPerAnswer        = 1.0
 	// incidentsApart is the number of incidents that distinguish a part from a more specific one that
 	// often follows it.
 	incidentsApart = 2
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -122,8 +122,8 @@
 		startedAt:        timers.Steady(),
 		evidence:         newEvidence(),
 		unconfirmed:      make(map[uint64][]unconfirmed),
-		answeredContents: newAnswerLog(),
-		answeredParts:    newAnswerLog(),
+		answeredContents: newAnswerLog(timers.Steady()),
+		answeredParts:    newAnswerLog(timers.Steady()),
 		verdicts:         make(map[Feature]*verdict),
 		withdrawnAt:      make(map[Feature]time.Time),
 	}
--- a/suspect/suspect_enumer.go
+++ b/suspect/suspect_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _EventName = "lostsurvivedunknown_serveruntoldheardverdictpart_verdictwithdrawncontested"
+const _EventName = "lostsurviveduntoldheardverdictpart_verdictwithdrawncontested"
 
-var _EventIndex = [...]uint8{0, 4, 12, 26, 32, 37, 44, 56, 65, 74}
+var _EventIndex = [...]uint8{0, 4, 12, 18, 23, 30, 42, 51, 60}
 
-const _EventLowerName = "lostsurvivedunknown_serveruntoldheardverdictpart_verdictwithdrawncontested"
+const _EventLowerName = "lostsurviveduntoldheardverdictpart_verdictwithdrawncontested"
 
 func (i Event) String() string {
 	if i < 0 || i >= Event(len(_EventIndex)-1) {
@@ -26,51 +26,47 @@
 	var x [1]struct{}
 	_ = x[EventLost-(0)]
 	_ = x[EventSurvived-(1)]
-	_ = x[EventUnknownServer-(2)]
-	_ = x[EventNotPublished-(3)]
-	_ = x[EventReceived-(4)]
-	_ = x[EventVerdict-(5)]
-	_ = x[EventPartVerdict-(6)]
-	_ = x[EventWithdrawn-(7)]
-	_ = x[EventContested-(8)]
+	_ = x[EventNotPublished-(2)]
+	_ = x[EventReceived-(3)]
+	_ = x[EventVerdict-(4)]
+	_ = x[EventPartVerdict-(5)]
+	_ = x[EventWithdrawn-(6)]
+	_ = x[EventContested-(7)]
 }
 
-var _EventValues = []Event{EventLost, EventSurvived, EventUnknownServer, EventNotPublished, EventReceived, EventVerdict, EventPartVerdict, EventWithdrawn, EventContested}
+var _EventValues = []Event{EventLost, EventSurvived, EventNotPublished, EventReceived, EventVerdict, EventPartVerdict, EventWithdrawn, EventContested}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName[0:4]:   EventLost,
 	_EventName[4:12]:  EventSurvived,
-	_EventName[12:26]: EventUnknownServer,
-	_EventName[26:32]: EventNotPublished,
-	_EventName[32:37]: EventReceived,
-	_EventName[37:44]: EventVerdict,
-	_EventName[44:56]: EventPartVerdict,
-	_EventName[56:65]: EventWithdrawn,
-	_EventName[65:74]: EventContested,
+	_EventName[12:18]: EventNotPublished,
+	_EventName[18:23]: EventReceived,
+	_EventName[23:30]: EventVerdict,
+	_EventName[30:42]: EventPartVerdict,
+	_EventName[42:51]: EventWithdrawn,
+	_EventName[51:60]: EventContested,
 }
 
 var _EventLowerNameToValueMap = map[string]Event{
 	_EventLowerName[0:4]:   EventLost,
 	_EventLowerName[4:12]:  EventSurvived,
-	_EventLowerName[12:26]: EventUnknownServer,
-	_EventLowerName[26:32]: EventNotPublished,
-	_EventLowerName[32:37]: EventReceived,
-	_EventLowerName[37:44]: EventVerdict,
-	_EventLowerName[44:56]: EventPartVerdict,
-	_EventLowerName[56:65]: EventWithdrawn,
-	_EventLowerName[65:74]: EventContested,
+	_EventLowerName[12:18]: EventNotPublished,
+	_EventLowerName[18:23]: EventReceived,
+	_EventLowerName[23:30]: EventVerdict,
+	_EventLowerName[30:42]: EventPartVerdict,
+	_EventLowerName[42:51]: EventWithdrawn,
+	_EventLowerName[51:60]: EventContested,
 }
 
 var _EventNames = []string{
 	_EventName[0:4],
 	_EventName[4:12],
-	_EventName[12:26],
-	_EventName[26:32],
-	_EventName[32:37],
-	_EventName[37:44],
-	_EventName[44:56],
-	_EventName[56:65],
-	_EventName[65:74],
+	_EventName[12:18],
+	_EventName[18:23],
+	_EventName[23:30],
+	_EventName[30:42],
+	_EventName[42:51],
+	_EventName[51:60],
 }
 
 // EventString retrieves an enum value from the enum constants string name.
