--- a/suspect/answers.go
+++ b/suspect/answers.go
@@ -60,7 +60,7 @@
 	defer d.mu.Unlock()
 	now := d.timers.Steady()
 	begun := now.Add(-begunAgo)
-	for _, f := range features[:len(features)-1] {
+	for _, f := range features.parts() {
 		d.answeredParts.add(f, begun, now)
 	}
 	d.answeredContents.add(features.content(), begun, now)
@@ -75,7 +75,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.timers.Steady()
-	for _, f := range features[:len(features)-1] {
+	for _, f := range features.parts() {
 		d.answeredParts.count(f, now)
 	}
 }
@@ -98,7 +98,7 @@
 // caller holds mu.
 func (d *Detector) clear(features Features, begun, until time.Time) Answer {
 	var answer Answer
-	var affected Features
+	var affected []*loss
 	for _, f := range features {
 		cleared := d.evidence.clear(f, until)
 		ended := d.endIfAnswered(f, begun)
@@ -109,9 +109,9 @@
 			answer.Cleared = append(answer.Cleared, f)
 		}
 		answer.Repeated = answer.Repeated || ended || len(cleared) > 1
-		affected = append(affected, featuresOf(cleared)...)
+		affected = append(affected, cleared...)
 	}
-	change := d.review(affected)
+	change := d.review(featuresOf(affected))
 	answer.Refused = change.Refused
 	answer.Withdrawn = append(answer.Withdrawn, change.Withdrawn...)
 	return answer
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -41,6 +41,9 @@
 	return slices.ContainsFunc(e.atServer[server], func(l *loss) bool { return l.features.content() == content })
 }
 
+// isContent reports whether a feature, against which losses count, is the content of a request.
+func (e *evidence) isContent(f Feature) bool { return e.against[f][0].features.content() == f }
+
 // add records a loss. If there are too many, it drops the oldest one and returns it.
 func (e *evidence) add(l *loss) (dropped *loss) {
 	if len(e.losses) >= maxLosses {
--- a/suspect/feature.go
+++ b/suspect/feature.go
@@ -59,5 +59,8 @@
 	return Feature(max(1, binary.BigEndian.Uint64(hash[:])))
 }
 
+// parts returns the features of the parts of the request's prompt.
+func (f Features) parts() Features { return f[:len(f)-1] }
+
 // content returns the feature of the request's content.
 func (f Features) content() Feature { return f[len(f)-1] }
--- a/suspect/judge.go
+++ b/suspect/judge.go
@@ -15,11 +15,11 @@
 	// crash for other reasons.
 	incidentsOfPart = 4
 	// incidentsIfPartAnswered is the same for a part with which requests were answered, and
-	// secondsPerAnswer the time for whose usual number of answers as many more incidents are needed:
-	// some requests with a popular part run wherever a server crashes, and if it did crash servers,
-	// they would soon be as many.
+	// incidentsPerAnswerRate is how many more are needed for each answer a second: some requests with
+	// a popular part run wherever a server crashes, and if it did crash servers, they would soon be as
+	// many.
 	incidentsIfPartAnswered = 5
-	secondsPerAnswer        = 1.0
+	incidentsPerAnswerRate  = 1.0
 	// incidentsApart is the number of incidents that distinguish a part from a more specific one that
 	// often follows it.
 	incidentsApart = 2
@@ -58,7 +58,7 @@
 // incidentsNeeded returns the number of incidents that lead to a verdict on a feature, against which
 // losses count. The caller holds mu.
 func (d *Detector) incidentsNeeded(f Feature) int {
-	isContent, answered := d.evidence.against[f][0].features.content() == f, d.answeredLately(f)
+	isContent, answered := d.evidence.isContent(f), d.answeredLately(f)
 	switch {
 	case isContent && !answered:
 		return incidentsToRefuse
@@ -67,7 +67,7 @@
 	case !answered:
 		return incidentsOfPart
 	}
-	more := int(secondsPerAnswer * d.answeredParts.perSecond(f, d.timers.Steady()))
+	more := int(incidentsPerAnswerRate * d.answeredParts.perSecond(f, d.timers.Steady()))
 	return min(maxIncidents, incidentsIfPartAnswered+more)
 }
 
@@ -147,14 +147,7 @@
 func (j judgment) countWithout(f, other Feature) int {
 	return countIncidents(f, find(j.detector.evidence.against[f], func(l *loss) bool {
 		return !slices.ContainsFunc(j.detector.evidence.atServer[l.server], func(at *loss) bool {
-			return slices.Contains(at.features, other) || j.hasRefusedPart(at, f)
+			return slices.Contains(at.features, other) || j.detector.hasRefusedPart(at, f)
 		})
 	}))
 }
-
-// hasRefusedPart reports whether a lost request is refused for a part of its prompt other than f.
-func (j judgment) hasRefusedPart(l *loss, f Feature) bool {
-	return slices.ContainsFunc(l.features[:len(l.features)-1], func(part Feature) bool {
-		return part != f && j.detector.verdicts[part] != nil
-	})
-}
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -178,11 +178,11 @@
 func (d *Detector) IsContent(f Feature) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.ContainsFunc(d.evidence.against[f], func(l *loss) bool { return l.features.content() == f })
+	return len(d.evidence.against[f]) > 0 && d.evidence.isContent(f)
 }
 
-// review compares verdicts on features with the evidence, and begins and ends them accordingly, those
-// on later and so more specific features first. The caller holds mu.
+// review compares verdicts on features with the evidence, and begins and ends them accordingly, the
+// last feature first: of one request that is the most specific one. The caller holds mu.
 func (d *Detector) review(features Features) Change {
 	var begun, ended []Feature
 	for _, f := range slices.Backward(features) {
@@ -213,7 +213,7 @@
 	for _, f := range begun {
 		for _, c := range crashesOf(d.evidence.against[f]) {
 			for _, other := range d.refusedAt(c.losses[0].server) {
-				if v := d.verdicts[other]; other != f && !v.provenAt.IsZero() && !d.enoughEvidence(other) {
+				if other != f && d.hasLostProof(other) {
 					d.endVerdict(other)
 					ended = append(ended, other)
 				}
@@ -223,6 +223,13 @@
 	return ended
 }
 
+// hasLostProof reports whether this node had enough evidence for a verdict on a feature and no longer
+// has. The caller holds mu.
+func (d *Detector) hasLostProof(f Feature) bool {
+	v := d.verdicts[f]
+	return v != nil && !v.provenAt.IsZero() && !d.enoughEvidence(f)
+}
+
 // LossCounts returns, for each feature, the number of requests with it that were lost at servers
 // that are not known to have kept running, and were not answered since.
 func (d *Detector) LossCounts(features Features) []int {
@@ -312,10 +319,10 @@
 // evidence. The caller holds mu.
 func (d *Detector) expire(losses ...*loss) {
 	for _, f := range featuresOf(losses) {
-		v := d.verdicts[f]
-		if v == nil || v.provenAt.IsZero() || d.enoughEvidence(f) {
+		if !d.hasLostProof(f) {
 			continue
 		}
+		v := d.verdicts[f]
 		v.provenAt = time.Time{}
 		if !v.stored {
 			delete(d.verdicts, f)
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -15,6 +15,15 @@
 	"github.com/violettally/violettally/timer"
 )
 
+// withDetector runs a test with a detector, in a time bubble of its own.
+func withDetector(t *testing.T, run func(t *testing.T, d *suspect.Detector)) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		run(t, suspect.New(timers))
+	})
+}
+
 // content returns the features of a request without prompt parts.
 func content(n uint64) suspect.Features { return suspect.Features{suspect.Feature(n)} }
 
@@ -58,10 +67,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				timers := timer.New()
-				defer timers.Close()
-				d := suspect.New(timers)
+			withDetector(t, func(t *testing.T, d *suspect.Detector) {
 				for _, e := range tt.events {
 					if e.server == 0 {
 						d.RecordAnswer(content(e.digest), 0)
@@ -85,10 +91,7 @@
 // TestSimultaneousCrashes guards against refusing a popular request because copies of it ran
 // at several servers that crashed together, such as those of one rack.
 func TestSimultaneousCrashes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timers := timer.New()
-		defer timers.Close()
-		d := suspect.New(timers)
+	withDetector(t, func(t *testing.T, d *suspect.Detector) {
 		server := uint64(0)
 		for incident := range 3 {
 			must.False(t, d.Refuses(1), must.Sprintf("after %d incidents", incident))
@@ -106,10 +109,7 @@
 // TestAnsweredBefore guards against refusing a request that servers have answered, after
 // three servers that ran it crashed for other reasons.
 func TestAnsweredBefore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timers := timer.New()
-		defer timers.Close()
-		d := suspect.New(timers)
+	withDetector(t, func(t *testing.T, d *suspect.Detector) {
 		d.RecordAnswer(content(1), 0)
 		for server := range uint64(4) {
 			must.False(t, d.Refuses(1), must.Sprintf("%d servers crashed", server))
@@ -123,10 +123,7 @@
 // TestLossesOutOfOrder: the losses of a request that crashes its servers become known after
 // those of another request that was lost with it, which must then no longer be refused.
 func TestLossesOutOfOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timers := timer.New()
-		defer timers.Close()
-		d := suspect.New(timers)
+	withDetector(t, func(t *testing.T, d *suspect.Detector) {
 		time.Sleep(time.Second) // what happened before the start is left out
 		const step = 100 * time.Millisecond
 		for server := range uint64(3) {
@@ -161,10 +158,7 @@
 		{"abandoned long after the crash", 5 * time.Second, 0, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				timers := timer.New()
-				defer timers.Close()
-				d := suspect.New(timers)
+			withDetector(t, func(t *testing.T, d *suspect.Detector) {
 				counts := false
 				abandon := func() { counts = d.RecordAbandoned(content(1), 10) }
 				crash := func() {
@@ -190,10 +184,7 @@
 // TestRestart: a server that was found not to be running counts as crashed, even if its ID is
 // registered again.
 func TestRestart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timers := timer.New()
-		defer timers.Close()
-		d := suspect.New(timers)
+	withDetector(t, func(t *testing.T, d *suspect.Detector) {
 		for server := range uint64(3) {
 			lose(d, 1, server, 0)
 			time.Sleep(time.Second)
@@ -208,10 +199,7 @@
 // TestStaleEntriesAfterOutage: the entries of servers that crashed during an outage of the
 // store are still there when it is back. They must not withdraw the verdict.
 func TestStaleEntriesAfterOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timers := timer.New()
-		defer timers.Close()
-		d := suspect.New(timers)
+	withDetector(t, func(t *testing.T, d *suspect.Detector) {
 		running := make(map[uint64]bool)
 		for server := range uint64(3) {
 			lose(d, 1, server, 0)
@@ -245,10 +233,7 @@
 		{"at an unknown time", time.Second, math.MaxInt64, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				timers := timer.New()
-				defer timers.Close()
-				d := suspect.New(timers)
+			withDetector(t, func(t *testing.T, d *suspect.Detector) {
 				for server := range uint64(3) {
 					time.Sleep(time.Second)
 					lose(d, 1, server, 0)
@@ -264,10 +249,7 @@
 // TestMemoryBounded: a client sends many different requests that crash servers. What is kept
 // stays bounded, and the latest requests are refused.
 func TestMemoryBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timers := timer.New()
-		defer timers.Close()
-		d := suspect.New(timers)
+	withDetector(t, func(t *testing.T, d *suspect.Detector) {
 		const requests = 6_000 // 18,000 losses
 		for digest := range uint64(requests) {
 			for server := range uint64(3) {
@@ -446,10 +428,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				timers := timer.New()
-				defer timers.Close()
-				d := suspect.New(timers)
+			withDetector(t, func(t *testing.T, d *suspect.Detector) {
 				var all suspect.Features
 				for _, s := range tt.steps {
 					time.Sleep(time.Second)
@@ -471,10 +450,7 @@
 // TestAnswerThatBeganBefore: a part that crashes servers from some moment on still gets answers that
 // had begun before, which must not clear it of the crashes since.
 func TestAnswerThatBeganBefore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timers := timer.New()
-		defer timers.Close()
-		d := suspect.New(timers)
+	withDetector(t, func(t *testing.T, d *suspect.Detector) {
 		began := time.Now()
 		for server := range uint64(8) {
 			time.Sleep(time.Second)
@@ -488,10 +464,7 @@
 // TestLossesBeforeStart: a node that starts hears of losses, but not which of the requests' parts
 // were answered since.
 func TestLossesBeforeStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timers := timer.New()
-		defer timers.Close()
-		d := suspect.New(timers)
+	withDetector(t, func(t *testing.T, d *suspect.Detector) {
 		time.Sleep(time.Second)
 		for server := range uint64(8) {
 			l := suspect.Loss{Features: suspect.Features{1, suspect.Feature(100 + server)}, Server: server, Ago: time.Minute - time.Duration(server)*time.Second}
@@ -511,10 +484,7 @@
 		contested bool
 	}{{"answer since", 100 * time.Millisecond, true}, {"answer before", time.Second, false}} {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				timers := timer.New()
-				defer timers.Close()
-				d := suspect.New(timers)
+			withDetector(t, func(t *testing.T, d *suspect.Detector) {
 				time.Sleep(time.Minute)
 				d.RecordAnswer(suspect.Features{1, 100}, tt.begun)
 				must.Eq(t, tt.contested, d.ApplyStored(1, 0))
@@ -527,10 +497,7 @@
 // TestAwaitsVerdict: requests wait only while it is being found out whether servers have crashed at
 // which enough requests with one of their features were lost.
 func TestAwaitsVerdict(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		timers := timer.New()
-		defer timers.Close()
-		d := suspect.New(timers)
+	withDetector(t, func(t *testing.T, d *suspect.Detector) {
 		waiting := suspect.Features{1, 200}
 		for server := range uint64(3) {
 			must.False(t, d.AwaitsVerdict(waiting))
--- a/suspect/syncer.go
+++ b/suspect/syncer.go
@@ -67,9 +67,9 @@
 }
 
 // Syncer synchronizes a detector's verdicts with the store, since a verdict has to outlast
-// the processes: otherwise three more servers would crash each time that all nodes are
-// lost. Each entry is written once, by the node that saw the last loss, or by another one
-// if that node doesn't, and expires with a lease. Syncer is safe for concurrent use.
+// the processes: otherwise further servers would crash each time that all nodes are
+// lost. Each entry is written once, by a node that has lost such a request, or by another one
+// if none of them does, and expires with a lease. Syncer is safe for concurrent use.
 type Syncer struct {
 	detector  *Detector
 	store     Store
@@ -214,7 +214,7 @@
 	}
 }
 
-// takeDue removes and returns the requests whose entries are due.
+// takeDue removes and returns the features whose entries are due.
 func (s *Syncer) takeDue() []Feature {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -228,7 +228,7 @@
 	return features
 }
 
-// write writes this node's state of a request, unless the store already holds the same.
+// write writes this node's verdict on a feature, or that it has none, unless the store already holds the same.
 func (s *Syncer) write(ctx context.Context, f Feature) error {
 	item, found := s.local.Get(KeyPrefix + f.String())
 	stored, _ := decodeEntry(item) // an entry that cannot be decoded is overwritten
--- a/suspect/verdict.go
+++ b/suspect/verdict.go
@@ -74,12 +74,19 @@
 func (d *Detector) Redundant(f Feature) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	refusedForPart := func(l *loss) bool {
-		parts := l.features[:len(l.features)-1]
-		return f == l.features.content() && slices.ContainsFunc(parts, func(part Feature) bool { return d.verdicts[part] != nil })
-	}
 	losses := d.evidence.against[f]
-	return len(losses) > 0 && len(find(losses, refusedForPart)) == len(losses)
+	if len(losses) == 0 || !d.evidence.isContent(f) {
+		return false
+	}
+	return !slices.ContainsFunc(losses, func(l *loss) bool { return !d.hasRefusedPart(l, f) })
+}
+
+// hasRefusedPart reports whether a lost request is refused for a part of its prompt other than f. The
+// caller holds mu.
+func (d *Detector) hasRefusedPart(l *loss, f Feature) bool {
+	return slices.ContainsFunc(l.features.parts(), func(part Feature) bool {
+		return part != f && d.verdicts[part] != nil
+	})
 }
 
 // ProbeDue reports whether it is time to probe a verdict by sending a request once more.
