notice, relay: the decision record tells what an answer says of its server

What servers say of themselves is decoded in one place now (package notice, for the platform and for engines), and a step `notice` tells that a server leaves or wants rest for so long. Nothing is decided by it yet.

--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
@@ -89,17 +90,23 @@
 	return nil
 }
 
-// observeServer records what a response tells of its server's limits, and reports whether the server
-// has rejected the request for want of room.
+// observeServer records what a response says of its server, and reports whether the server has
+// rejected the request for want of room.
 func (x *exchange) observeServer(server registry.Server, resp Response) (rejected bool) {
 	if resp == nil {
 		return false
 	}
-	if perSecond, ok := resp.RequestLimit(); ok {
-		x.relay.Throttle.Observe(server, perSecond)
-	}
-	if perSecond, ok := resp.RejectionLimit(); ok {
-		x.relay.Rejections.Observe(server, perSecond)
+	for _, n := range resp.Notices() {
+		switch n.Kind {
+		case notice.KindRequestLimit:
+			x.relay.Throttle.Observe(server, n.Value)
+		case notice.KindRejectionLimit:
+			x.relay.Rejections.Observe(server, n.Value)
+		case notice.KindLeaving, notice.KindRest:
+			if !n.IsAbsent() {
+				x.record.AddStep("notice", "%s says %s", server.ID, n)
+			}
+		}
 	}
 	if load, ok := resp.Load(); ok {
 		x.relay.Rejections.ObserveSlots(server, load.Slots)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,6 +43,7 @@
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/prefix"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rollout"
@@ -127,12 +128,8 @@
 	// Confidence is the model's confidence in its answer, 0 to 100; false if it gives none.
 	Confidence() (float64, bool)
 	Load() (route.Load, bool)
-	// RequestLimit is the number of requests a second that the server takes from all nodes
-	// together, [throttle.Unlimited] if it names none; false if the response does not tell.
-	RequestLimit() (perSecond float64, ok bool)
-	// RejectionLimit is the number of requests a second that the server can reject,
-	// [throttle.Unlimited] if it names none; false if the response does not tell.
-	RejectionLimit() (perSecond float64, ok bool)
+	// Notices is what the response says of its server.
+	Notices() []notice.Notice
 	RetryAfter() time.Duration
 	// Carrier is the address of the node that carries the connection of this response; "" for none.
 	Carrier() string
--- a/relay/throttle_test.go
+++ b/relay/throttle_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/relay"
 )
@@ -47,7 +48,9 @@
 // limitedResponse names a limit.
 type limitedResponse struct{ response }
 
-func (limitedResponse) RequestLimit() (float64, bool) { return 2.5, true }
+func (limitedResponse) Notices() []notice.Notice {
+	return []notice.Notice{{Kind: notice.KindRequestLimit, Value: 2.5}}
+}
 
 // limitedBackends name a limit in all their responses.
 type limitedBackends struct{ sends int }
