--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -59,6 +59,10 @@
 	Confidence int
 	// RequestLimit is sent in the header Server-Limit; zero for none.
 	RequestLimit float64
+	// Leaving says by the header Server-Leaving that the backend is about to end.
+	Leaving bool
+	// RetryAfter is sent in the header Retry-After; "" for none.
+	RetryAfter string
 	// Hold delays the response until Hold is closed or the client disconnects.
 	Hold chan struct{}
 }
@@ -183,6 +187,12 @@
 	if response.RequestLimit != 0 {
 		h.Set("Server-Limit", strconv.FormatFloat(response.RequestLimit, 'f', -1, 64))
 	}
+	if response.Leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	if response.RetryAfter != "" {
+		h.Set("Retry-After", response.RetryAfter)
+	}
 	if response.Events > 0 {
 		b.stream(w, r, response)
 		return
