--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -32,9 +32,9 @@
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/dispatch"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/placement"
 	"github.com/violettally/violettally/route"
-	"github.com/violettally/violettally/throttle"
 	"github.com/violettally/violettally/tunnel"
 )
 
@@ -53,10 +53,15 @@
 	// rejectionLimitHeader is the number of requests a second that a server can reject for want of
 	// room before it ends, from all nodes together.
 	rejectionLimitHeader = "X-Rejection-Limit"
+	// leavingHeader says that a server is about to end and takes no new requests.
+	leavingHeader = "X-Leaving"
 	// maxEventBytes is the largest size of a line of a server-sent event.
 	maxEventBytes = 1 << 20
 )
 
+// noticeHeaders are the headers in which servers say something of themselves.
+var noticeHeaders = notice.Headers{RequestLimit: requestLimitHeader, RejectionLimit: rejectionLimitHeader, Leaving: leavingHeader}
+
 // Client is a client of backend servers. It is safe for concurrent use.
 type Client struct {
 	http             *http.Client
@@ -71,13 +76,10 @@
 // WithMaxResponseBytes sets the largest size of a response; the default is 1 MiB.
 func WithMaxResponseBytes(n int64) Option { return func(c *Client) { c.maxResponseBytes = n } }
 
-// Observer learns what the responses of servers tell of their limits.
+// Observer learns what the responses of servers say of the servers.
 type Observer interface {
-	// RequestLimit is called with the request limit that a response names, in requests a second;
-	// [throttle.Unlimited] for none.
-	RequestLimit(server config.Server, perSecond float64)
-	// RejectionLimit is the same for the number of requests that the server can reject.
-	RejectionLimit(server config.Server, perSecond float64)
+	// Noticed is called with what a response says of its server.
+	Noticed(server config.Server, notices []notice.Notice)
 	// Rejected is called if a server has rejected a request for want of room.
 	Rejected(server config.Server)
 }
@@ -85,11 +87,10 @@
 // noObserver learns nothing.
 type noObserver struct{}
 
-func (noObserver) RequestLimit(config.Server, float64)   {}
-func (noObserver) RejectionLimit(config.Server, float64) {}
-func (noObserver) Rejected(config.Server)                {}
+func (noObserver) Noticed(config.Server, []notice.Notice) {}
+func (noObserver) Rejected(config.Server)                 {}
 
-// WithObserver sets what learns of the servers' limits.
+// WithObserver sets what learns what servers say of themselves.
 func WithObserver(o Observer) Option { return func(c *Client) { c.observer = o } }
 
 // WithDialer sets the function that opens connections to servers, in place of [DialServer].
@@ -202,7 +203,7 @@
 		}
 		return nil, errs.Wrap(kind, "send", err, "server %s", server.Name)
 	}
-	c.observeLimits(response, server)
+	c.observer.Noticed(server, noticeHeaders.Decode(response))
 	if response.Header.Get(notRunHeader) != "" {
 		defer response.Body.Close()
 		if response.StatusCode == http.StatusServiceUnavailable {
@@ -219,25 +220,6 @@
 	return errors.As(err, &opErr) && opErr.Op == "dial" || errs.IsOfType(err, tunnel.NotReached)
 }
 
-// observeLimits tells of the limits that a response names. One that is no number of zero or more
-// says nothing.
-func (c *Client) observeLimits(response *http.Response, server config.Server) {
-	if perSecond, ok := parseLimit(response.Header.Get(requestLimitHeader)); ok {
-		c.observer.RequestLimit(server, perSecond)
-	}
-	if perSecond, ok := parseLimit(response.Header.Get(rejectionLimitHeader)); ok {
-		c.observer.RejectionLimit(server, perSecond)
-	}
-}
-
-// parseLimit parses a header that names a limit; an empty one names none.
-func parseLimit(value string) (perSecond float64, ok bool) {
-	if value == "" {
-		return throttle.Unlimited, true
-	}
-	return throttle.Parse(value)
-}
-
 func (c *Client) newStream(response *http.Response, streamed bool) *stream {
 	s := &stream{response: response, id: response.Header.Get(streamHeader), remaining: c.maxResponseBytes}
 	if streamed && response.StatusCode < http.StatusMultipleChoices {
@@ -359,7 +341,7 @@
 		return route.Report{}, err
 	}
 	defer response.Body.Close()
-	c.observeLimits(response, server)
+	c.observer.Noticed(server, noticeHeaders.Decode(response))
 	var in struct {
 		Running   int      `json:"running"`
 		Waiting   int      `json:"waiting"`
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/violettally/violettally/lease"
 	"github.com/violettally/violettally/metrics"
 	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/platform"
 	"github.com/violettally/violettally/registry"
@@ -100,6 +101,7 @@
 	registry      *registry.Registry
 	roster        *owner.Roster
 	warmUps       *warmup.Limiter
+	notices       *notice.Board
 	throttle      *throttle.Limiter
 	rejections    *rejection.Limiter
 	places        *rejection.Places
@@ -125,9 +127,9 @@
 	decisions *decision.Log
 	frontend  *platform.Frontend
 	// serverLog is for the log lines about servers that register, serverEndLog for the others,
-	// limitLog for those about the limits that servers name, pathLog for those about the ways to
+	// noticeLog for those about the limits that servers name, pathLog for those about the ways to
 	// them.
-	serverLog, serverEndLog, limitLog, pathLog *limitedLog
+	serverLog, serverEndLog, noticeLog, pathLog *limitedLog
 	// serversGone means that there may be state of servers that are gone.
 	serversGone atomic.Bool
 	// evacuationOrders wakes watchEvacuations.
@@ -171,7 +173,7 @@
 	}
 	g.serverLog = newLimitedLog(serverLogBurst)
 	g.serverEndLog = newLimitedLog(serverEndLogBurst)
-	g.limitLog = newLimitedLog(serverLogBurst)
+	g.noticeLog = newLimitedLog(serverLogBurst)
 	g.pathLog = newLimitedLog(serverLogBurst)
 	g.catalog.Store(catalog.Empty())
 	g.store = platform.NewStore(s.Store.Address, instruments.PlatformCall)
@@ -237,9 +239,9 @@
 		g.metrics.Gauge("violettally_servers_warming_up", "Servers that are warming up and were considered for a request of this node.",
 			func() float64 { return float64(g.warmUps.CountWarmingUp()) }),
 		g.metrics.Gauge("violettally_limited_servers", "Servers that name a request limit, as far as this node knows.",
-			func() float64 { return float64(g.throttle.CountLimited()) }),
+			func() float64 { return float64(g.notices.Count(notice.KindRequestLimit)) }),
 		g.metrics.Gauge("violettally_rejection_limited_servers", "Servers that name a rejection limit, as far as this node knows.",
-			func() float64 { return float64(g.rejections.CountLimited()) }),
+			func() float64 { return float64(g.notices.Count(notice.KindRejectionLimit)) }),
 		g.metrics.Gauge("violettally_unreachable_servers", "Servers that this node does not reach by itself.",
 			func() float64 { return float64(g.dialer.CountLost()) }),
 		g.metrics.Gauge("violettally_tunnels", "Open connections to servers through other nodes.",
@@ -266,6 +268,7 @@
 		Catalog:    g.Catalog,
 		Servers:    g.registry,
 		WarmUps:    g.warmUps,
+		Notices:    g.notices,
 		Throttle:   g.throttle,
 		Rejections: g.rejections,
 		StoreView:  g.mirror,
--- a/gateway/server_limits.go
+++ b/gateway/server_limits.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rejection"
-	"github.com/violettally/violettally/share"
 	"github.com/violettally/violettally/throttle"
 	"github.com/violettally/violettally/view"
 	"github.com/violettally/violettally/warmup"
@@ -35,42 +35,23 @@
 	return g.Catalog().Version() == 0 || slices.ContainsFunc(g.Catalog().Services(), func(s catalog.Service) bool { return s.WarmUpRate > 0 })
 }
 
-// recordServerLimit logs and counts a change of the request limit that a server names.
-func (g *Gateway) recordServerLimit(c throttle.Change) {
-	g.metrics.ServerLimitChanged(c)
-	g.limitLog.info(throttle.LogMessage, c.LogArgs()...)
-}
-
-// recordRejectionLimit logs and counts a change of the rejection limit that a server names.
-func (g *Gateway) recordRejectionLimit(c throttle.Change) {
-	g.metrics.RejectionLimitChanged(c)
-	g.limitLog.info(rejection.LogMessage, c.LogArgs()...)
+// recordNotice logs and counts a change of what a server says of itself.
+func (g *Gateway) recordNotice(c notice.Change) {
+	g.metrics.NoticeChanged(c)
+	g.noticeLog.info(c.LogMessage(), c.LogArgs()...)
 }
 
 // initLimits creates what keeps this gateway to the limits of servers.
 func (g *Gateway) initLimits() {
-	publishLimit := func(told share.Told) throttle.Option {
-		return throttle.WithReporter(func(server uint64, perSecond float64) { g.exchange.PublishLimit(server, told, perSecond) })
-	}
 	g.roster = owner.NewRoster(g.self, listedNodes{g}, g.timers)
 	g.warmUps = warmup.New(g.roster, g.warmUpLimit, g.timers)
-	g.throttle = throttle.New(g.roster, g.timers, throttle.WithObserver(g.recordServerLimit), publishLimit(share.ToldRequestLimit))
-	g.rejections = rejection.New(g.roster, g.timers, coordinators{g},
-		rejection.WithLimits(throttle.WithObserver(g.recordRejectionLimit), publishLimit(share.ToldRejectionLimit)))
+	publish := func(server uint64, n notice.Notice) { g.exchange.PublishNotice(server, n) }
+	g.notices = notice.New(g.roster, g.timers, notice.WithObserver(g.recordNotice), notice.WithReporter(publish))
+	g.throttle = throttle.New(g.notices, g.roster, g.timers)
+	g.rejections = rejection.New(g.notices, g.roster, g.timers, coordinators{g})
 	g.places = rejection.NewPlaces(g.timers)
 }
 
-// handleTold handles a limit of a server that another gateway has published.
-func (g *Gateway) handleTold(r share.Record) {
-	switch r.Told {
-	case share.ToldRequestLimit:
-		g.throttle.ObserveReport(r.Server, float64(r.PerSecond), r.Age())
-	case share.ToldRejectionLimit:
-		g.rejections.ObserveReport(r.Server, float64(r.PerSecond), r.Age())
-	case share.ToldNothing:
-	}
-}
-
 // AskPlace gives another gateway places at a server.
 func (g *Gateway) AskPlace(a rejection.Ask) rejection.Grant { return g.places.Ask(a) }
 
@@ -90,7 +71,7 @@
 // shared.
 func (g *Gateway) runRoster(ctx context.Context) {
 	g.roster.Run(ctx, func() bool {
-		return g.hasWarmUpLimits() || g.throttle.CountLimited() > 0 || g.rejections.CountLimited() > 0
+		return g.hasWarmUpLimits() || g.notices.Count(notice.KindRequestLimit) > 0 || g.notices.Count(notice.KindRejectionLimit) > 0
 	})
 }
 
--- a/gateway/subscribe.go
+++ b/gateway/subscribe.go
@@ -115,7 +115,7 @@
 		if g.serversGone.Swap(false) {
 			g.balancer.Retain(g.registry.Incarnations())
 		}
-		for _, l := range []*limitedLog{g.serverLog, g.serverEndLog, g.limitLog, g.pathLog, g.membership.log} {
+		for _, l := range []*limitedLog{g.serverLog, g.serverEndLog, g.noticeLog, g.pathLog, g.membership.log} {
 			l.refill(l.burst / logRefillShare)
 		}
 	})
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/share"
 	"github.com/violettally/violettally/suspect"
@@ -168,8 +169,8 @@
 		g.handlePeerLoss(r)
 	case len(r.Answered) > 0:
 		g.applyChange(g.detector.RecordPeerAnswer(r.Answered, r.Age()))
-	case r.Told != share.ToldNothing:
-		g.handleTold(r)
+	case r.Notice != notice.KindNone:
+		g.notices.ObserveReport(r.Server, r.ServerNotice(), r.Age())
 	default:
 		g.balancer.ObserveSend(r)
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -27,8 +27,8 @@
 	"github.com/violettally/violettally/ledger"
 	"github.com/violettally/violettally/member"
 	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/suspect"
-	"github.com/violettally/violettally/throttle"
 	"github.com/violettally/violettally/tunnel"
 	"github.com/violettally/violettally/usage"
 )
@@ -63,6 +63,7 @@
 	serverDials     metric.Int64Counter
 
 	rejectionLimitChanges metric.Int64Counter
+	leavings, rests       metric.Int64Counter
 	serverRejections      metric.Int64Counter
 
 	escalations metric.Int64Counter
@@ -120,6 +121,8 @@
 		{&m.limitChanges, "violettally_server_limits", "Changes of the request limits that backend servers name, by change and source."},
 		{&m.limitedSends, "violettally_limited_sends", "Requests sent to backend servers that name a request limit."},
 		{&m.rejectionLimitChanges, "violettally_rejection_limits", "Changes of the rejection limits that backend servers name, by change and source."},
+		{&m.leavings, "violettally_server_leavings", "Backend servers whose answers say that they leave, by change and source."},
+		{&m.rests, "violettally_server_rests", "Rests that backend servers want of this node, by change and source."},
 		{&m.serverRejections, "violettally_server_rejections", "Requests that backend servers with a rejection limit rejected."},
 		{&m.serverDials, "violettally_server_connections", "Connections to backend servers that were to be opened, by way and outcome."},
 		{&m.breakersOpened, "violettally_breakers_opened", "Backend servers taken out after failures."},
@@ -249,9 +252,17 @@
 	add(m.serverOrders, 1, attribute.String("result", result))
 }
 
-// ServerLimitChanged counts a change of the request limit that a backend server names.
-func (m *Metrics) ServerLimitChanged(c throttle.Change) {
-	add(m.limitChanges, 1, attribute.String("change", c.Kind()), attribute.String("source", c.Source.String()))
+// NoticeChanged counts a change of what a backend server says of itself.
+func (m *Metrics) NoticeChanged(c notice.Change) {
+	counters := map[notice.Kind]metric.Int64Counter{
+		notice.KindRequestLimit:   m.limitChanges,
+		notice.KindRejectionLimit: m.rejectionLimitChanges,
+		notice.KindLeaving:        m.leavings,
+		notice.KindRest:           m.rests,
+	}
+	if counter, ok := counters[c.Kind]; ok {
+		add(counter, 1, attribute.String("change", c.Name()), attribute.String("source", c.Source.String()))
+	}
 }
 
 // ServerDialed counts a connection to a backend server that was to be opened, by its way and outcome.
@@ -259,11 +270,6 @@
 	add(m.serverDials, 1, attribute.String("way", w.String()), attribute.String("outcome", o.String()))
 }
 
-// RejectionLimitChanged counts a change of the rejection limit that a backend server names.
-func (m *Metrics) RejectionLimitChanged(c throttle.Change) {
-	add(m.rejectionLimitChanges, 1, attribute.String("change", c.Kind()), attribute.String("source", c.Source.String()))
-}
-
 // ServerRejected counts a request that a server with a rejection limit rejected.
 func (m *Metrics) ServerRejected() { add(m.serverRejections, 1) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -42,6 +42,7 @@
 	"github.com/violettally/violettally/limit"
 	"github.com/violettally/violettally/member"
 	"github.com/violettally/violettally/metrics"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/placement"
 	"github.com/violettally/violettally/retry"
 	"github.com/violettally/violettally/rollout"
@@ -289,8 +290,8 @@
 		{"violettally_claims", "Claims that this node remembers.", func() float64 { entries, _ := n.replica.Usage(); return float64(entries) }},
 		{"violettally_claim_bytes", "Bytes of the claims that this node remembers.", func() float64 { _, bytes := n.replica.Usage(); return float64(bytes) }},
 		{"violettally_bills_pending", "Bills that wait for their fold.", func() float64 { return float64(n.journal.Pending()) }},
-		{"violettally_limited_servers", "Servers that name a request limit, as far as this node knows.", func() float64 { return float64(n.limits.limiter.CountLimited()) }},
-		{"violettally_rejection_limited_servers", "Servers that name a rejection limit, as far as this node knows.", func() float64 { return float64(n.limits.rejections.CountLimited()) }},
+		{"violettally_limited_servers", "Servers that name a request limit, as far as this node knows.", func() float64 { return float64(n.limits.notices.Count(notice.KindRequestLimit)) }},
+		{"violettally_rejection_limited_servers", "Servers that name a rejection limit, as far as this node knows.", func() float64 { return float64(n.limits.notices.Count(notice.KindRejectionLimit)) }},
 		{"violettally_unreachable_servers", "Servers that this node does not reach by itself.", func() float64 { return float64(n.dialer.CountLost()) }},
 		{"violettally_tunnels", "Open connections to servers through other nodes.", func() float64 { return float64(n.dialer.CountTunnels()) }},
 		{"violettally_carried_tunnels", "Open connections to servers that this node carries for others.", func() float64 { return float64(n.carrier.CountCarried()) }},
--- a/node/server_limits.go
+++ b/node/server_limits.go
@@ -8,6 +8,7 @@
 
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rejection"
@@ -19,6 +20,7 @@
 // serverLimits keeps this node to its shares of the limits that backend servers name.
 type serverLimits struct {
 	n          *Node
+	notices    *notice.Board
 	limiter    *throttle.Limiter
 	rejections *rejection.Limiter
 	places     *rejection.Places
@@ -31,8 +33,9 @@
 	l := &serverLimits{n: n}
 	l.others.Store(&[]view.Member{})
 	l.roster = owner.NewRoster(rankedMember(n.self), l, n.timers)
-	l.limiter = throttle.New(l.roster, n.timers, throttle.WithObserver(l.recordChange), throttle.WithUsers(l.users))
-	l.rejections = rejection.New(l.roster, n.timers, l, rejection.WithLimits(throttle.WithObserver(l.recordRejectionChange)))
+	l.notices = notice.New(l.roster, n.timers, notice.WithObserver(l.recordChange))
+	l.limiter = throttle.New(l.notices, l.roster, n.timers, throttle.WithUsers(l.users))
+	l.rejections = rejection.New(l.notices, l.roster, n.timers, l)
 	l.places = rejection.NewPlaces(n.timers)
 	return l
 }
@@ -43,7 +46,9 @@
 
 // run keeps the list of nodes up to date until the context ends.
 func (l *serverLimits) run(ctx context.Context) {
-	l.roster.Run(ctx, func() bool { return l.limiter.CountLimited() > 0 || l.rejections.CountLimited() > 0 })
+	l.roster.Run(ctx, func() bool {
+		return l.notices.Count(notice.KindRequestLimit) > 0 || l.notices.Count(notice.KindRejectionLimit) > 0
+	})
 }
 
 // setView stores the members of a new view.
@@ -108,14 +113,9 @@
 // Reject is Release for a request that the server has declined to run.
 func (l *serverLimits) Reject(pool string, s config.Server) { l.rejections.Reject(target(pool, s)) }
 
-// RequestLimit records the request limit that a server's response names.
-func (l *serverLimits) RequestLimit(s config.Server, perSecond float64) {
-	l.limiter.Observe(target("", s), perSecond)
-}
-
-// RejectionLimit records the rejection limit that a server's response names.
-func (l *serverLimits) RejectionLimit(s config.Server, perSecond float64) {
-	l.rejections.Observe(target("", s), perSecond)
+// Noticed records what a server's response says of it.
+func (l *serverLimits) Noticed(s config.Server, notices []notice.Notice) {
+	l.notices.Observe(target("", s), notices)
 }
 
 // Ask asks the first owner of a server for places.
@@ -132,19 +132,13 @@
 
 // Rejected records that a server has rejected a request.
 func (l *serverLimits) Rejected(s config.Server) {
-	if l.rejections.Limit(target("", s)) != rejection.Unlimited {
+	if server := target("", s); l.notices.State(&server).RejectionLimit != notice.Unlimited {
 		l.n.metrics.ServerRejected()
 	}
 }
 
-// recordRejectionChange logs and counts a change of a server's rejection limit.
-func (l *serverLimits) recordRejectionChange(c throttle.Change) {
-	l.n.metrics.RejectionLimitChanged(c)
-	slog.Info(rejection.LogMessage, c.LogArgs()...)
-}
-
-// recordChange logs and counts a change of a server's limit.
-func (l *serverLimits) recordChange(c throttle.Change) {
-	l.n.metrics.ServerLimitChanged(c)
-	slog.Info(throttle.LogMessage, c.LogArgs()...)
+// recordChange logs and counts a change of what a server says of itself.
+func (l *serverLimits) recordChange(c notice.Change) {
+	l.n.metrics.NoticeChanged(c)
+	slog.Info(c.LogMessage(), c.LogArgs()...)
 }
--- /dev/null
+++ b/notice/change.go
@@ -0,0 +1,84 @@
+package notice
+
+import (
+	"strconv"
+	"time"
+)
+
+// changeFactor is the ratio from which on a limit that differs from the one before counts as changed.
+const changeFactor = 1.1
+
+// Source tells from where a change is known.
+type Source int
+
+// The sources.
+const (
+	// SourceAnswer: an answer of the server.
+	SourceAnswer Source = iota
+	// SourceReport: a report of another node.
+	SourceReport
+	// SourceExpiry: nobody has confirmed the notice for a while.
+	SourceExpiry
+)
+
+// Change is a change of what is known of a server.
+type Change struct {
+	// Server is the server's ID; "" if it is known from reports only. Hash is that of its
+	// incarnation.
+	Server string
+	Hash   uint64
+	Kind   Kind
+	// Before and Value are those of the notices before and since.
+	Before, Value float64
+	Source        Source
+	// Age is how long ago the server said so.
+	Age time.Duration
+}
+
+// matters reports whether the change is more than a small one of a limit.
+func (c Change) matters() bool {
+	if c.Kind.isLimit() {
+		return differ(c.Before, c.Value, changeFactor)
+	}
+	return c.Before != c.Value
+}
+
+// Name returns the change's name for logs and metrics.
+func (c Change) Name() string {
+	switch c.Kind.Absent() {
+	case c.Value:
+		return "ended"
+	case c.Before:
+		return "named"
+	default:
+		return "changed"
+	}
+}
+
+// LogMessage returns the message of the log line on the change.
+func (c Change) LogMessage() string {
+	switch c.Kind {
+	case KindRequestLimit:
+		return "server's request limit"
+	case KindRejectionLimit:
+		return "server's rejection limit"
+	case KindLeaving:
+		return "server leaves"
+	default:
+		return "server wants rest"
+	}
+}
+
+// LogArgs returns what the log line tells.
+func (c Change) LogArgs() []any {
+	args := []any{"server", c.Server, "incarnation", strconv.FormatUint(c.Hash, 16), "change", c.Name(), "source", c.Source.String(),
+		"age_ms", c.Age.Milliseconds()}
+	switch {
+	case c.Value == c.Kind.Absent():
+	case c.Kind.isLimit():
+		args = append(args, "per_second", c.Value)
+	case c.Kind == KindRest:
+		args = append(args, "rest_s", c.Value)
+	}
+	return args
+}
--- a/notice/headers.go
+++ b/notice/headers.go
@@ -39,12 +39,15 @@
 	if leaving {
 		value = 1
 	}
-	notices = append(notices, Notice{KindLeaving, value})
-	if response.StatusCode == http.StatusServiceUnavailable {
-		rest := ParseRest(response.Header.Values("Retry-After"), answeredAt(response.Header))
-		notices = append(notices, Notice{KindRest, rest.Seconds()})
+	return append(notices, Notice{KindLeaving, value}, Notice{KindRest, restOf(response).Seconds()})
+}
+
+// restOf returns how long a server wants rest: only one that is unavailable does.
+func restOf(response *http.Response) time.Duration {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return 0
 	}
-	return notices
+	return ParseRest(response.Header.Values("Retry-After"), answeredAt(response.Header))
 }
 
 // answeredAt returns the time of day at which a server says that it answered, by its own clock; this
--- a/notice/headers_test.go
+++ b/notice/headers_test.go
@@ -100,10 +100,12 @@
 		value, ok := decode(http.StatusServiceUnavailable, h, notice.KindRest)
 		must.True(t, ok, must.Sprint(tt.name))
 		must.Eq(t, tt.seconds, value, must.Sprint(tt.name))
-		for _, status := range []int{200, 421, 429, 500} {
-			_, ok := decode(status, h, notice.KindRest)
-			must.False(t, ok, must.Sprint(tt.name, status))
+		for _, status := range []int{200, 429, 500} {
+			value, ok := decode(status, h, notice.KindRest)
+			must.True(t, ok && value == 0, must.Sprint(tt.name, status))
 		}
+		_, ok = decode(http.StatusMisdirectedRequest, h, notice.KindRest)
+		must.False(t, ok, must.Sprint(tt.name))
 	}
 }
 
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -3,14 +3,21 @@
 // reject.
 //
 // What a server says of itself is the latest news of it. The platform's store and other nodes may
-// know the same later, or not at all while they are out of reach.
+// know the same later, or not at all while they are out of reach. A [Board] keeps it by incarnation
+// of the server, with its source and age; older news changes nothing.
+//
+// Nodes learn of it from answers to their own requests, and, where it concerns all nodes, from the
+// reports of others. A node that hears something again and again reports it again. A limit that
+// nobody has confirmed for a while is forgotten, at each node at another time, so that the first one
+// learns of it again by its next answer and tells the others.
 //
 // # Usage
 //
+//	b := notice.New(roster, timers, notice.WithReporter(sendToOtherNodes))
 //	headers := notice.Headers{RequestLimit: "X-Request-Limit", RejectionLimit: "X-Rejection-Limit", Leaving: "X-Leaving"}
-//	for _, n := range headers.Decode(response) {
-//		… n.Kind, n.Value …
-//	}
+//	b.Observe(server, headers.Decode(response))  // for each answer
+//	b.ObserveReport(hash, notice, age)           // for each report of another node
+//	… b.State(server) …
 package notice
 
 import (
@@ -18,7 +25,7 @@
 	"math"
 )
 
-//go:generate go tool enumer -type=Kind -trimprefix=Kind -transform=snake -output=notice_enumer.go
+//go:generate go tool enumer -type=Kind,Source -trimprefix=Kind,Source -transform=snake -output=notice_enumer.go
 
 // Kind is what a notice is about. The numbers are part of the messages between nodes.
 type Kind uint8
@@ -36,6 +43,15 @@
 	KindRest
 )
 
+const kindCount = int(KindRest) + 1
+
+// isLimit reports whether notices of this kind name a number of requests a second.
+func (k Kind) isLimit() bool { return k == KindRequestLimit || k == KindRejectionLimit }
+
+// isShared reports whether notices of this kind concern all nodes, rather than the one that was
+// answered.
+func (k Kind) isShared() bool { return k.isLimit() }
+
 // Unlimited is the value of a limit of a server that names none.
 var Unlimited = math.Inf(1)
 
@@ -49,7 +65,7 @@
 
 // Absent is the value of a notice of this kind in an answer that says nothing of it.
 func (k Kind) Absent() float64 {
-	if k == KindRequestLimit || k == KindRejectionLimit {
+	if k.isLimit() {
 		return Unlimited
 	}
 	return 0
--- /dev/null
+++ b/notice/record.go
@@ -0,0 +1,65 @@
+package notice
+
+import "time"
+
+const (
+	// minTrust is how long a limit that nobody confirms holds at least; at most twice as long.
+	minTrust = 30 * time.Second
+	// endedTrust is how long it is known that a limit has ended, so that older reports of other
+	// nodes don't renew it.
+	endedTrust = 10 * time.Second
+)
+
+// record is what is known of one server.
+type record struct {
+	// id is the server's ID; "" if it is known from reports only.
+	id string
+	// position, from 0 to 1, spreads over the nodes what each of them does after a time, so that
+	// the first one tells the others.
+	position float64
+	facts    [kindCount]fact
+}
+
+// fact is what is known of one kind.
+type fact struct {
+	// value is that of the last notice; Kind.Absent if there was none or it has ended.
+	value float64
+	// heardAt is when the server last said so, or first that it has ended; reportedAt is when a
+	// node last reported it.
+	heardAt, reportedAt time.Time
+}
+
+func newRecord(position float64) *record {
+	r := &record{position: position}
+	for k := range r.facts {
+		r.facts[k].value = Kind(k).Absent()
+	}
+	return r
+}
+
+// present reports whether a fact of the given kind holds.
+func (f *fact) present(k Kind) bool { return f.value != k.Absent() }
+
+// isEmpty reports whether nothing is known of the server.
+func (r *record) isEmpty() bool {
+	for _, f := range r.facts {
+		if !f.heardAt.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// spread returns the time after which this node does what the nodes do one after the other, from
+// least to twice as much.
+func (r *record) spread(least time.Duration) time.Duration {
+	return least + time.Duration(r.position*float64(least))
+}
+
+// trust returns how long what was heard holds if nobody confirms it.
+func (r *record) trust(k Kind) time.Duration {
+	if !r.facts[k].present(k) {
+		return endedTrust
+	}
+	return r.spread(minTrust)
+}
--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -14,10 +14,10 @@
 
 	"github.com/violettally/violettally/internal/limitrule"
 	"github.com/violettally/violettally/internal/nodelist"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rejection"
-	"github.com/violettally/violettally/throttle"
 	"github.com/violettally/violettally/timer"
 	"github.com/violettally/violettally/view"
 )
@@ -117,7 +117,7 @@
 	*nodelist.Node
 	c       *cluster
 	roster  *owner.Roster
-	limiter *rejection.Limiter
+	limiter *limiter
 	places  *rejection.Places
 	// startedAt is when the process started.
 	startedAt time.Time
@@ -133,10 +133,10 @@
 }
 
 // report tells the other nodes of a limit.
-func (n *node) report(server uint64, perSecond float64) {
+func (n *node) report(server uint64, said notice.Notice) {
 	for _, other := range n.c.nodes {
 		if other != n {
-			n.c.after(time.Duration(rand.Float64()*float64(newsTime)), func() { other.limiter.ObserveReport(server, perSecond, 0) })
+			n.c.after(time.Duration(rand.Float64()*float64(newsTime)), func() { other.limiter.board.ObserveReport(server, said, 0) })
 		}
 	}
 }
@@ -147,7 +147,7 @@
 	defer n.c.mu.Unlock()
 	n.startedAt = time.Now()
 	n.roster = owner.NewRoster(n.Self(), n.Node, n.c.timers)
-	n.limiter = rejection.New(n.roster, n.c.timers, n, rejection.WithLimits(throttle.WithReporter(n.report)))
+	n.limiter = newLimiter(n.roster, n.c.timers, n, notice.WithReporter(n.report))
 	n.places = rejection.NewPlaces(n.c.timers)
 	go n.limiter.Run(n.c.ctx)
 }
@@ -230,7 +230,7 @@
 // request is a request at a server.
 type request struct {
 	node    *node
-	limiter *rejection.Limiter
+	limiter *limiter
 	server  *server
 	ended   bool
 }
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -1,8 +1,8 @@
 // Package rejection keeps nodes from sending servers more requests than these have room for.
 //
 // Some servers end under overload: they say in their answers how many requests a second they can
-// reject for want of room, from all nodes together, and end if they must reject more. All that runs
-// there is then lost. Nodes learn of this rejection limit as of a request limit (package throttle).
+// reject for want of room, from all nodes together, and end if they must reject more (package
+// notice). All that runs there is then lost.
 //
 // From then on a request needs a place at such a server, one for each that it runs at once. The
 // places of a server are given out by one node, its first owner (package owner), from memory: a
@@ -19,7 +19,7 @@
 //
 // # Usage
 //
-//	l := rejection.New(roster, timers, coordinators)
+//	l := rejection.New(board, roster, timers, coordinators)
 //	go l.Run(ctx)
 //	servers = l.Filter(servers)
 //	… choose one of them …
@@ -27,7 +27,7 @@
 //		… choose again …
 //	}
 //	defer l.Release(server) // or l.Reject(server)
-//	l.Observe(server, perSecond)   // for each answer
+//	board.Observe(server, notices) // for each answer
 //	l.ObserveSlots(server, slots)  // for each answer that tells them
 //
 // For the requests of other nodes:
@@ -41,18 +41,12 @@
 	"sync"
 	"time"
 
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
-	"github.com/violettally/violettally/throttle"
 	"github.com/violettally/violettally/timer"
 )
 
-// Unlimited is the limit of a server that names none.
-var Unlimited = throttle.Unlimited
-
-// LogMessage is the message of log lines on changes of a rejection limit.
-const LogMessage = "server's rejection limit"
-
 // Coordinators asks the nodes that give out places.
 type Coordinators interface {
 	// Ask asks the first owner of a server.
@@ -61,9 +55,7 @@
 
 // Limiter keeps one node to its places at servers. It is safe for concurrent use.
 type Limiter struct {
-	// limits is what is known of the rejection limits.
-	limits       *throttle.Limiter
-	limitOptions []throttle.Option
+	board        *notice.Board
 	coordinators Coordinators
 	roster       *owner.Roster
 	timers       *timer.Service
@@ -75,30 +67,10 @@
 	denied map[uint64]time.Time
 }
 
-// Option configures a Limiter in New.
-type Option func(*Limiter)
-
-// WithLimits sets how rejection limits become known to this node and others.
-func WithLimits(options ...throttle.Option) Option {
-	return func(l *Limiter) { l.limitOptions = options }
-}
-
-// New returns a limiter of the node with the given roster. It knows no limits.
-func New(roster *owner.Roster, timers *timer.Service, coordinators Coordinators, options ...Option) *Limiter {
-	l := &Limiter{timers: timers, coordinators: coordinators, roster: roster, rooms: make(map[uint64]*room), denied: make(map[uint64]time.Time)}
-	for _, option := range options {
-		option(l)
-	}
-	l.limits = throttle.New(roster, timers, l.limitOptions...)
-	return l
-}
-
-// Observe records the rejection limit that a server's answer names; Unlimited for none.
-func (l *Limiter) Observe(s registry.Server, perSecond float64) { l.limits.Observe(s, perSecond) }
-
-// ObserveReport records another node's report of a limit, which is so old.
-func (l *Limiter) ObserveReport(server uint64, perSecond float64, age time.Duration) {
-	l.limits.ObserveReport(server, perSecond, age)
+// New returns a limiter of the node with the given roster, which knows the limits of servers from the
+// board.
+func New(board *notice.Board, roster *owner.Roster, timers *timer.Service, coordinators Coordinators) *Limiter {
+	return &Limiter{board: board, timers: timers, coordinators: coordinators, roster: roster, rooms: make(map[uint64]*room), denied: make(map[uint64]time.Time)}
 }
 
 // ObserveSlots records how many requests a server says that it runs at once.
@@ -108,11 +80,10 @@
 	l.room(s).slots = slots
 }
 
-// Limit returns the known limit of a server in rejections a second; Unlimited for none.
-func (l *Limiter) Limit(s registry.Server) float64 { return l.limits.Limit(s) }
-
-// CountLimited returns the number of servers with a known limit.
-func (l *Limiter) CountLimited() int { return l.limits.CountLimited() }
+// limited reports whether a server is known to name a rejection limit.
+func (l *Limiter) limited(s *registry.Server) bool {
+	return l.board.Count(notice.KindRejectionLimit) > 0 && l.board.State(s).RejectionLimit != notice.Unlimited
+}
 
 // Filter returns the servers that may have a place for a request of this node. It does not modify
 // the given list.
@@ -145,7 +116,7 @@
 // returns false, and takes nothing, if there is none. Requests to servers without a limit count as
 // well, since a server may name one while they run.
 func (l *Limiter) Take(ctx context.Context, s registry.Server) bool {
-	if l.Limit(s) == Unlimited {
+	if !l.limited(&s) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		r := l.room(s)
@@ -174,7 +145,7 @@
 
 // Release gives back the place of a request that is not at the server any more.
 func (l *Limiter) Release(s registry.Server) {
-	limited := l.Limit(s) != Unlimited
+	limited := l.limited(&s)
 	l.mu.Lock()
 	r := l.room(s)
 	r.inflight = max(0, r.inflight-1)
@@ -246,6 +217,7 @@
 // due returns the limited servers whose places are to be asked for again, and drops what is not
 // used.
 func (l *Limiter) due() []registry.Server {
+	l.board.Clean()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Steady()
@@ -254,7 +226,7 @@
 		switch {
 		case r.inflight == 0 && time.Since(r.usedAt) >= roomMemory:
 			delete(l.rooms, hash)
-		case r.isDue(now) && l.limits.Limit(r.server) != Unlimited:
+		case r.isDue(now) && l.limited(&r.server):
 			due = append(due, r.server)
 		}
 	}
--- a/rejection/rejection_test.go
+++ b/rejection/rejection_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/internal/nodelist"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rejection"
@@ -46,10 +47,26 @@
 	}
 }
 
+// limiter is a limiter with the board that it knows limits from.
+type limiter struct {
+	*rejection.Limiter
+	board *notice.Board
+}
+
+func newLimiter(roster *owner.Roster, timers *timer.Service, c rejection.Coordinators, options ...notice.Option) *limiter {
+	board := notice.New(roster, timers, options...)
+	return &limiter{rejection.New(board, roster, timers, c), board}
+}
+
+// Observe records an answer that names a limit.
+func (l *limiter) Observe(s registry.Server, perSecond float64) {
+	l.board.Observe(s, []notice.Notice{{Kind: notice.KindRejectionLimit, Value: perSecond}})
+}
+
 // limiterOf returns the limiter of a node.
-func limiterOf(vm string, timers *timer.Service, c *coordinator) *rejection.Limiter {
+func limiterOf(vm string, timers *timer.Service, c *coordinator) *limiter {
 	node := (&nodelist.List{}).Add(view.Member{VM: vm})
-	return rejection.New(owner.NewRoster(node.Self(), node, timers), timers, c)
+	return newLimiter(owner.NewRoster(node.Self(), node, timers), timers, c)
 }
 
 // TestPlaces checks that two nodes get no more places than a server has, that a place can be used
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -3,11 +3,11 @@
 import (
 	"cmp"
 	"context"
-	"math"
 	"time"
 
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/suspect"
@@ -110,12 +110,13 @@
 	x.record.AddStep("send", "to %s in %s, model %s, %d of %d tokens held, after event %q, %d ms left, by revision %d, %d ms old",
 		server.ID, server.DataHall, x.model(), assignment.CachedTokens(), x.request.Prompt.Tokens, x.lastEventID, time.Until(x.deadline).Milliseconds(),
 		x.relay.StoreView.Revision(), age.Milliseconds())
-	if limit := x.relay.Throttle.Limit(server); !math.IsInf(limit, 1) {
-		x.record.AddStep("limit", "%s takes %g requests a second from all nodes", server.ID, limit)
+	said := x.relay.Notices.State(&server)
+	if said.RequestLimit != notice.Unlimited {
+		x.record.AddStep("limit", "%s takes %g requests a second from all nodes", server.ID, said.RequestLimit)
 		x.relay.Counters.SentLimited()
 	}
-	if limit := x.relay.Rejections.Limit(server); !math.IsInf(limit, 1) {
-		x.record.AddStep("limit", "%s can reject %g requests a second", server.ID, limit)
+	if said.RejectionLimit != notice.Unlimited {
+		x.record.AddStep("limit", "%s can reject %g requests a second", server.ID, said.RejectionLimit)
 	}
 	features := x.features()
 	sent := time.Now()
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -21,7 +21,6 @@
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/suspect"
-	"github.com/violettally/violettally/throttle"
 )
 
 // serve handles one request on a resumable route with a new relay.
@@ -59,6 +58,7 @@
 	options.Catalog = func() *catalog.Catalog { return c }
 	options.Servers = cmp.Or[relay.Servers](options.Servers, threeServers{})
 	options.WarmUps = cmp.Or[relay.WarmUps](options.WarmUps, allWarm{})
+	options.Notices = cmp.Or[relay.Notices](options.Notices, noNotices{})
 	options.Throttle = cmp.Or[relay.Throttle](options.Throttle, noLimits{})
 	options.Rejections = cmp.Or[relay.Rejections](options.Rejections, noRejectionLimits{})
 	options.Budgets = cmp.Or[relay.Budgets](options.Budgets, unlimitedBudget{})
@@ -124,6 +124,14 @@
 func (allWarm) Take(registry.Server) bool                      { return true }
 func (allWarm) UntilWarm([]*registry.Server) time.Duration     { return 0 }
 
+// noNotices knows nothing that servers say.
+type noNotices struct{}
+
+func (noNotices) Observe(registry.Server, []notice.Notice) {}
+func (noNotices) State(*registry.Server) notice.State {
+	return notice.State{RequestLimit: notice.Unlimited, RejectionLimit: notice.Unlimited}
+}
+
 // noLimits knows no server that names a limit.
 type noLimits struct{}
 
@@ -131,8 +139,6 @@
 func (noLimits) Take(registry.Server) bool                      { return true }
 func (noLimits) Scarce([]*registry.Server) bool                 { return false }
 func (noLimits) Wait([]*registry.Server) time.Duration          { return 0 }
-func (noLimits) Observe(registry.Server, float64)               {}
-func (noLimits) Limit(registry.Server) float64                  { return throttle.Unlimited }
 
 // noRejectionLimits gives every request a place.
 type noRejectionLimits struct{}
@@ -141,9 +147,7 @@
 func (noRejectionLimits) Take(context.Context, registry.Server) bool     { return true }
 func (noRejectionLimits) Release(registry.Server)                        {}
 func (noRejectionLimits) Reject(registry.Server)                         {}
-func (noRejectionLimits) Observe(registry.Server, float64)               {}
 func (noRejectionLimits) ObserveSlots(registry.Server, int)              {}
-func (noRejectionLimits) Limit(registry.Server) float64                  { return throttle.Unlimited }
 
 // noRollout lets every server get every request.
 type noRollout struct{}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -96,16 +95,11 @@
 	if resp == nil {
 		return false
 	}
-	for _, n := range resp.Notices() {
-		switch n.Kind {
-		case notice.KindRequestLimit:
-			x.relay.Throttle.Observe(server, n.Value)
-		case notice.KindRejectionLimit:
-			x.relay.Rejections.Observe(server, n.Value)
-		case notice.KindLeaving, notice.KindRest:
-			if !n.IsAbsent() {
-				x.record.AddStep("notice", "%s says %s", server.ID, n)
-			}
+	notices := resp.Notices()
+	x.relay.Notices.Observe(server, notices)
+	for _, n := range notices {
+		if !n.IsAbsent() {
+			x.record.AddStep("notice", "%s says %s", server.ID, n)
 		}
 	}
 	if load, ok := resp.Load(); ok {
@@ -114,7 +108,7 @@
 	if !resp.Declined() || resp.Status() != http.StatusServiceUnavailable {
 		return false
 	}
-	if !math.IsInf(x.relay.Rejections.Limit(server), 1) {
+	if x.relay.Notices.State(&server).RejectionLimit != notice.Unlimited {
 		x.relay.Counters.ServerRejected()
 	}
 	return true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -173,6 +173,12 @@
 	HasEvacuated(service string) bool
 }
 
+// Notices holds what servers say of themselves in their responses.
+type Notices interface {
+	Observe(s registry.Server, notices []notice.Notice)
+	State(s *registry.Server) notice.State
+}
+
 // WarmUps limits the requests to servers that are warming up. All nodes share these limits.
 type WarmUps interface {
 	// Filter returns those of the servers that this node may send a request now.
@@ -195,10 +201,6 @@
 	Wait(servers []*registry.Server) time.Duration
 	// Scarce reports whether all of the servers name limits and may take few requests now.
 	Scarce(servers []*registry.Server) bool
-	// Observe records the limit that a server's response names, in requests a second.
-	Observe(s registry.Server, perSecond float64)
-	// Limit returns the known limit of a server, [throttle.Unlimited] for none.
-	Limit(s registry.Server) float64
 }
 
 // Rejections limits the requests to servers that end if they must reject too many. All nodes share
@@ -212,12 +214,8 @@
 	Release(s registry.Server)
 	// Reject is Release for a request that the server has rejected for want of room.
 	Reject(s registry.Server)
-	// Observe records the limit that a server's response names, in rejections a second.
-	Observe(s registry.Server, perSecond float64)
 	// ObserveSlots records how many requests a server says that it runs at once.
 	ObserveSlots(s registry.Server, slots int)
-	// Limit returns the known limit of a server, [throttle.Unlimited] for none.
-	Limit(s registry.Server) float64
 }
 
 // StoreView describes how current this process's copy of the platform's store is. Servers are
@@ -328,6 +326,7 @@
 	// Catalog returns the declaration in force.
 	Catalog    func() *catalog.Catalog
 	Servers    Servers
+	Notices    Notices
 	WarmUps    WarmUps
 	Throttle   Throttle
 	Rejections Rejections
--- a/relay/throttle_test.go
+++ b/relay/throttle_test.go
@@ -18,6 +18,7 @@
 // limitedServers are servers that take a number of requests from this node in all.
 type limitedServers struct {
 	noLimits
+	noNotices
 	left     int
 	observed []float64
 }
@@ -39,8 +40,10 @@
 
 func (l *limitedServers) Wait([]*registry.Server) time.Duration { return 700 * time.Millisecond }
 
-func (l *limitedServers) Observe(_ registry.Server, perSecond float64) {
-	l.observed = append(l.observed, perSecond)
+func (l *limitedServers) Observe(_ registry.Server, notices []notice.Notice) {
+	for _, n := range notices {
+		l.observed = append(l.observed, n.Value)
+	}
 }
 
 func (l *limitedServers) UntilWarm([]*registry.Server) time.Duration { return time.Second }
@@ -75,7 +78,7 @@
 		limits := &limitedServers{left: tt.left}
 		backends := &limitedBackends{}
 		got := &recorder{}
-		serve(t, catalog.Route{Kind: catalog.KindRepeatable, Attempts: 3, Timeout: time.Second}, relay.Options{Throttle: limits, Backends: backends},
+		serve(t, catalog.Route{Kind: catalog.KindRepeatable, Attempts: 3, Timeout: time.Second}, relay.Options{Notices: limits, Throttle: limits, Backends: backends},
 			relay.Request{Body: emptyBody(t)}, got)
 		must.Eq(t, tt.sends, backends.sends)
 		must.Eq(t, tt.sends, len(limits.observed))
--- a/share/share.go
+++ b/share/share.go
@@ -1,7 +1,7 @@
 // Package share exchanges between the nodes of a deployment which requests each of them has
 // sent to the backend servers, so that each node knows the queues of the servers and the
 // contents of the engines' caches. It also passes on which requests were lost at a server that
-// crashed, which were answered since, and the limits that servers name.
+// crashed, which were answered since, and what servers say of themselves.
 //
 // Each node publishes records of its own requests to an [Exchange], except for those with
 // too little work: short work is over before other nodes learn of it, and the minimum rises
@@ -34,6 +34,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/violettally/violettally/internal/rendezvous"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/prefix"
 	"github.com/violettally/violettally/suspect"
 	"github.com/violettally/violettally/timer"
@@ -59,7 +60,7 @@
 )
 
 // Record is one request that was sent to a backend server, or the loss of one, or the
-// answer to one that had been lost, or a limit that a server names. The fields are exported for
+// answer to one that had been lost, or what a server says of itself. The fields are exported for
 // the codecs.
 type Record struct {
 	_ struct{} `cbor:",toarray"`
@@ -80,23 +81,16 @@
 	// Answered holds, of a loss, those features with which there were answers before. Without a
 	// loss, it holds features that an answer clears of the losses until the record's age.
 	Answered suspect.Features
-	// Told is the limit that the record tells of, if any, and PerSecond what the server names, in
-	// requests a second from all nodes together; +Inf for none.
-	Told      Told
-	PerSecond float32
+	// Notice is the kind of what the server says of itself, if the record tells of that, and Value
+	// that of the notice.
+	Notice notice.Kind
+	Value  float32
 }
 
-// Told is a limit of a server.
-type Told uint8
-
-// The limits that a record may tell of.
-const (
-	ToldNothing Told = iota
-	// ToldRequestLimit: how many requests the server takes.
-	ToldRequestLimit
-	// ToldRejectionLimit: how many requests the server can reject.
-	ToldRejectionLimit
-)
+// ServerNotice returns what the record tells that the server says of itself.
+func (r Record) ServerNotice() notice.Notice {
+	return notice.Notice{Kind: r.Notice, Value: float64(r.Value)}
+}
 
 // Age returns how long ago the request was sent.
 func (r Record) Age() time.Duration { return time.Duration(r.AgeMillis) * time.Millisecond }
@@ -270,12 +264,11 @@
 	return true
 }
 
-// PublishLimit publishes a limit that a server names, in requests a second; +Inf for none. The
-// caller bounds how often.
-func (x *Exchange) PublishLimit(server uint64, told Told, perSecond float64) {
+// PublishNotice publishes what a server says of itself. The caller bounds how often.
+func (x *Exchange) PublishNotice(server uint64, n notice.Notice) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.addOwn(Record{Server: server, Told: told, PerSecond: float32(perSecond)}, x.timers.Now())
+	x.addOwn(Record{Server: server, Notice: n.Kind, Value: float32(n.Value)}, x.timers.Now())
 }
 
 // addOwn appends a record of this node, of what happened at the given time, to the log. The caller
--- a/throttle/bench_test.go
+++ b/throttle/bench_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"testing"
 
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
-	"github.com/violettally/violettally/throttle"
 	"github.com/violettally/violettally/timer"
 	"github.com/violettally/violettally/view"
 )
@@ -21,13 +21,13 @@
 
 // newLargeDeployment returns the limiter of one of 984 nodes, and 10,000 servers of which one in
 // ten names a limit.
-func newLargeDeployment() (*throttle.Limiter, []*registry.Server) {
+func newLargeDeployment() (*limiter, []*registry.Server) {
 	var list largeList
 	for i := range 983 {
 		list.others = append(list.others, view.Member{VM: fmt.Sprint("n-", i), DataHall: fmt.Sprint(i % 5)})
 	}
 	timers := timer.New()
-	l := throttle.New(owner.NewRoster(view.Member{VM: "n", DataHall: "0"}, list, timers), timers)
+	l := newLimiter(owner.NewRoster(view.Member{VM: "n", DataHall: "0"}, list, timers), timers)
 	registered := registry.New(timers)
 	for i := range 10_000 {
 		registered.Put(registry.Server{ID: fmt.Sprint("s-", i), Service: "s", DataHall: fmt.Sprint(i % 5)})
@@ -63,6 +63,6 @@
 	l, servers := newLargeDeployment()
 	b.ReportAllocs()
 	for b.Loop() {
-		l.Observe(*servers[1], throttle.Unlimited)
+		l.Observe(*servers[1], notice.Unlimited)
 	}
 }
--- a/throttle/cluster_test.go
+++ b/throttle/cluster_test.go
@@ -14,9 +14,9 @@
 	"github.com/violettally/violettally/internal/nodelist"
 	"github.com/violettally/violettally/internal/slidingwindow"
 	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
-	"github.com/violettally/violettally/throttle"
 	"github.com/violettally/violettally/timer"
 	"github.com/violettally/violettally/view"
 )
@@ -85,7 +85,7 @@
 		s.checkRate(t, "after all were restarted")
 	}
 	for _, s := range c.servers {
-		s.limit = throttle.Unlimited
+		s.limit = notice.Unlimited
 	}
 	c.run(3*settled, nil)
 	for _, n := range c.nodes {
@@ -130,7 +130,7 @@
 	*nodelist.Node
 	c       *cluster
 	roster  *owner.Roster
-	limiter *throttle.Limiter
+	limiter *limiter
 	running bool
 	// toldAt is when the node first passed on an answer of each server that named a limit.
 	toldAt map[*server]time.Time
@@ -141,7 +141,7 @@
 func newCluster(nodes int, step time.Duration, seed uint64) *cluster {
 	c := &cluster{random: rand.New(rand.NewPCG(seed, 0)), timers: timer.New(), step: step}
 	for i := range 7 {
-		s := &server{Server: registry.Server{ID: fmt.Sprint("s-", i), Service: "s", DataHall: fmt.Sprint(i % (halls + 1))}, limit: throttle.Unlimited}
+		s := &server{Server: registry.Server{ID: fmt.Sprint("s-", i), Service: "s", DataHall: fmt.Sprint(i % (halls + 1))}, limit: notice.Unlimited}
 		c.servers = append(c.servers, s)
 		c.list = append(c.list, &s.Server)
 	}
@@ -155,7 +155,7 @@
 
 func (n *node) start() {
 	n.roster = owner.NewRoster(n.Self(), n, n.c.timers)
-	n.limiter = throttle.New(n.roster, n.c.timers, throttle.WithReporter(n.report))
+	n.limiter = newLimiter(n.roster, n.c.timers, notice.WithReporter(n.report))
 	n.running, n.disturbedAt = true, time.Now()
 	n.toldAt = make(map[*server]time.Time)
 	n.Mend()
@@ -163,14 +163,14 @@
 }
 
 // report tells the other nodes, which learn of it at different times or not at all.
-func (n *node) report(server uint64, perSecond float64) {
+func (n *node) report(server uint64, said notice.Notice) {
 	heard := time.Now()
 	for _, other := range n.c.nodes {
 		if other == n || n.c.random.IntN(20) == 0 {
 			continue
 		}
 		limiter := other.limiter
-		n.c.after(time.Duration(n.c.random.Float64()*float64(newsTime)), func() { limiter.ObserveReport(server, perSecond, time.Since(heard)) })
+		n.c.after(time.Duration(n.c.random.Float64()*float64(newsTime)), func() { limiter.ObserveReport(server, said.Value, time.Since(heard)) })
 	}
 }
 
@@ -222,7 +222,7 @@
 		limiter := n.limiter
 		n.c.after(answerTime, func() {
 			limiter.Observe(target.Server, target.limit)
-			if _, ok := n.toldAt[target]; !ok && target.limit != throttle.Unlimited && limiter == n.limiter {
+			if _, ok := n.toldAt[target]; !ok && target.limit != notice.Unlimited && limiter == n.limiter {
 				n.toldAt[target] = time.Now()
 			}
 		})
--- a/throttle/shares.go
+++ b/throttle/shares.go
@@ -5,42 +5,85 @@
 	"slices"
 	"time"
 
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
 )
 
-// burstTime is the time whose requests an owner may send at once.
-const burstTime = 500 * time.Millisecond
+const (
+	// burstTime is the time whose requests an owner may send at once.
+	burstTime = 500 * time.Millisecond
+	// usageMemory is how long it is known what this node has sent a server, which exceeds the
+	// window of every share.
+	usageMemory = 10 * time.Second
+)
+
+// usage is how this node uses one server that names a limit.
+type usage struct {
+	// share is this node's part of a limit of perSecond by the list of nodes of a generation.
+	share      share
+	perSecond  float64
+	generation uint64
+	// sent holds the times of the requests that this node has sent within the share's window.
+	sent   []time.Time
+	usedAt time.Time
+}
+
+// share is a node's part of a limit: burst requests in each window; none if burst is zero.
+type share struct {
+	burst  int
+	window time.Duration
+}
+
+// usage returns how this node uses a server. The caller holds mu.
+func (l *Limiter) usage(s *registry.Server) *usage {
+	hash := s.Hash()
+	u := l.usages[hash]
+	if u == nil {
+		u = &usage{}
+		l.usages[hash] = u
+	}
+	u.usedAt = l.refreshedAt
+	return u
+}
+
+// dropUnused forgets what was not used for a while. The caller holds mu.
+func (l *Limiter) dropUnused(now time.Time) {
+	for hash, u := range l.usages {
+		if now.Sub(u.usedAt) >= usageMemory {
+			delete(l.usages, hash)
+		}
+	}
+}
 
 // wait returns the time until a server may get a request from this node, or, if this node has no
 // share of its limit, in which the server takes one from another node. The caller holds mu.
 func (l *Limiter) wait(s *registry.Server, now time.Time) time.Duration {
-	m := l.limit(s)
-	if m == nil {
+	state := l.board.State(s)
+	if state.RequestLimit == notice.Unlimited {
 		return 0
 	}
-	share := l.shareOf(m, s)
+	share := l.shareOf(s, state)
 	if share.burst == 0 {
-		return time.Duration(float64(time.Second) / m.rate())
+		return time.Duration(float64(time.Second) / servedRate(state))
 	}
-	m.sent = slices.DeleteFunc(m.sent, func(at time.Time) bool { return now.Sub(at) >= share.window })
-	if len(m.sent) < share.burst {
+	u := l.usage(s)
+	u.sent = slices.DeleteFunc(u.sent, func(at time.Time) bool { return now.Sub(at) >= share.window })
+	if len(u.sent) < share.burst {
 		return 0
 	}
-	return m.sent[len(m.sent)-share.burst].Add(share.window).Sub(now)
+	return u.sent[len(u.sent)-share.burst].Add(share.window).Sub(now)
 }
 
-// shareOf returns this node's share of a server's limit. The caller holds mu.
-func (l *Limiter) shareOf(m *limit, s *registry.Server) share {
-	if !m.shareKnown {
-		m.share, m.shareKnown = l.newShare(m.rate(), s), true
-	}
-	return m.share
-}
+// servedRate returns the number of requests a second that a server gets which names a limit.
+func servedRate(state notice.State) float64 { return max(state.RequestLimit, minPerSecond) }
 
-// share is a node's part of a limit: burst requests in each window; none if burst is zero.
-type share struct {
-	burst  int
-	window time.Duration
+// shareOf returns this node's share of the limit that a server names. The caller holds mu.
+func (l *Limiter) shareOf(s *registry.Server, state notice.State) share {
+	u := l.usage(s)
+	if perSecond := servedRate(state); u.perSecond != perSecond || u.generation != l.rosterGeneration {
+		u.share, u.perSecond, u.generation = l.newShare(perSecond, s), perSecond, l.rosterGeneration
+	}
+	return u.share
 }
 
 // newShare computes this node's share of a number of requests a second.
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
-	"github.com/violettally/violettally/throttle"
 	"github.com/violettally/violettally/timer"
 	"github.com/violettally/violettally/view"
 )
@@ -22,7 +22,7 @@
 func (listedAlone) Age() time.Duration    { return 0 }
 
 // alone runs a test of the limiter of the only node, which may own servers.
-func alone(t *testing.T, test func(t *testing.T, l *throttle.Limiter, changes *[]throttle.Change)) {
+func alone(t *testing.T, test func(t *testing.T, l *limiter, changes *[]notice.Change)) {
 	synctest.Test(t, func(t *testing.T) {
 		timers := timer.New()
 		defer timers.Close()
@@ -31,26 +31,26 @@
 			roster.Refresh()
 			time.Sleep(owner.RefreshInterval)
 		}
-		var changes []throttle.Change
-		test(t, throttle.New(roster, timers, throttle.WithObserver(func(c throttle.Change) { changes = append(changes, c) })), &changes)
+		var changes []notice.Change
+		test(t, newLimiter(roster, timers, notice.WithObserver(func(c notice.Change) { changes = append(changes, c) })), &changes)
 	})
 }
 
 // TestObserve checks that changes of a server's limit are told once, and hold for one incarnation.
 func TestObserve(t *testing.T) {
-	alone(t, func(t *testing.T, l *throttle.Limiter, changes *[]throttle.Change) {
+	alone(t, func(t *testing.T, l *limiter, changes *[]notice.Change) {
 		first, restarted := registry.Server{ID: "a", Born: 1}, registry.Server{ID: "a", Born: 2}
 		kinds := []string{}
-		for _, perSecond := range []float64{throttle.Unlimited, 2, 2.1, 5, 0, 0, throttle.Unlimited, throttle.Unlimited, 1e300} {
+		for _, perSecond := range []float64{notice.Unlimited, 2, 2.1, 5, 0, 0, notice.Unlimited, notice.Unlimited, 1e300} {
 			l.Observe(first, perSecond)
 			if perSecond < 1e300 {
 				must.Eq(t, perSecond, l.Limit(first))
 			}
-			must.Eq(t, throttle.Unlimited, l.Limit(restarted))
+			must.Eq(t, notice.Unlimited, l.Limit(restarted))
 		}
 		for _, c := range *changes {
 			must.Eq(t, "a", c.Server)
-			kinds = append(kinds, c.Kind())
+			kinds = append(kinds, c.Name())
 		}
 		must.Eq(t, []string{"named", "changed", "changed", "ended"}, kinds)
 		must.Eq(t, 0, l.CountLimited())
@@ -60,7 +60,7 @@
 // TestReports checks that a report of another node counts unless this node has heard the server
 // say something else since.
 func TestReports(t *testing.T) {
-	alone(t, func(t *testing.T, l *throttle.Limiter, changes *[]throttle.Change) {
+	alone(t, func(t *testing.T, l *limiter, changes *[]notice.Change) {
 		s := registry.Server{ID: "a"}
 		l.ObserveReport(s.Hash(), 3, time.Second)
 		must.Eq(t, 3, l.Limit(s))
@@ -68,9 +68,9 @@
 		l.ObserveReport(s.Hash(), 3, time.Second)
 		must.Eq(t, 5, l.Limit(s))
 		time.Sleep(time.Second)
-		l.Observe(s, throttle.Unlimited)
+		l.Observe(s, notice.Unlimited)
 		l.ObserveReport(s.Hash(), 5, 500*time.Millisecond)
-		must.Eq(t, throttle.Unlimited, l.Limit(s))
+		must.Eq(t, notice.Unlimited, l.Limit(s))
 		time.Sleep(time.Second)
 		l.ObserveReport(s.Hash(), 4, 0)
 		must.Eq(t, 4, l.Limit(s))
@@ -79,7 +79,7 @@
 
 // TestRoundedReport checks that a report that is rounded changes nothing.
 func TestRoundedReport(t *testing.T) {
-	alone(t, func(t *testing.T, l *throttle.Limiter, changes *[]throttle.Change) {
+	alone(t, func(t *testing.T, l *limiter, changes *[]notice.Change) {
 		s := registry.Server{ID: "a"}
 		l.Observe(s, 2.7)
 		time.Sleep(time.Second)
@@ -91,7 +91,7 @@
 // TestExpiry checks that a limit that nobody confirms is forgotten, so that the server is asked
 // again.
 func TestExpiry(t *testing.T) {
-	alone(t, func(t *testing.T, l *throttle.Limiter, changes *[]throttle.Change) {
+	alone(t, func(t *testing.T, l *limiter, changes *[]notice.Change) {
 		s := registry.Server{ID: "a"}
 		l.Observe(s, 0)
 		servers := []*registry.Server{&s}
@@ -104,8 +104,8 @@
 			time.Sleep(time.Second)
 			l.Filter(servers)
 		}
-		must.Eq(t, throttle.Unlimited, l.Limit(s))
-		must.Eq(t, throttle.SourceExpiry, (*changes)[1].Source)
+		must.Eq(t, notice.Unlimited, l.Limit(s))
+		must.Eq(t, notice.SourceExpiry, (*changes)[1].Source)
 	})
 }
 
@@ -125,7 +125,7 @@
 		{1e6, 1000, 1000}, // as many as are tried
 	}
 	for _, tt := range tests {
-		alone(t, func(t *testing.T, l *throttle.Limiter, changes *[]throttle.Change) {
+		alone(t, func(t *testing.T, l *limiter, changes *[]notice.Change) {
 			s := registry.Server{ID: "a"}
 			l.Observe(s, tt.perSecond)
 			sent := 0
@@ -143,7 +143,7 @@
 // TestFilter checks that the servers of a list that may not get a request now are left out, that
 // the list itself stays as it is, and that Wait tells when one may.
 func TestFilter(t *testing.T) {
-	alone(t, func(t *testing.T, l *throttle.Limiter, changes *[]throttle.Change) {
+	alone(t, func(t *testing.T, l *limiter, changes *[]notice.Change) {
 		a, b, c := &registry.Server{ID: "a"}, &registry.Server{ID: "b"}, &registry.Server{ID: "c"}
 		all := []*registry.Server{a, b, c}
 		must.Eq(t, all, l.Filter(all))
@@ -160,7 +160,7 @@
 		must.Eq(t, 500*time.Millisecond, l.Wait([]*registry.Server{a, c}))
 		time.Sleep(500 * time.Millisecond)
 		must.Eq(t, []*registry.Server{b, c}, l.Filter(all))
-		l.Observe(*a, throttle.Unlimited)
+		l.Observe(*a, notice.Unlimited)
 		must.Eq(t, all, l.Filter(all))
 	})
 }
@@ -168,7 +168,7 @@
 // TestScarce checks that requests are scarce once all servers name limits and half of the shares
 // are used up.
 func TestScarce(t *testing.T) {
-	alone(t, func(t *testing.T, l *throttle.Limiter, changes *[]throttle.Change) {
+	alone(t, func(t *testing.T, l *limiter, changes *[]notice.Change) {
 		a, b := &registry.Server{ID: "a"}, &registry.Server{ID: "b"}
 		all := []*registry.Server{a, b}
 		must.False(t, l.Scarce(all))
