--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/violettally/violettally/autoscale"
 	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/rejection"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/share"
@@ -79,7 +80,9 @@
 	// no snapshot.
 	Knows(after int64) bool
 	// Carry opens a connection to a backend server for a peer.
-	Carry(ctx context.Context, server string) (net.Conn, error)
+	Carry(ctx context.Context, server, opener string) (net.Conn, error)
+	// ObserveNotice records what a server has said of itself to the node at the other end of a tunnel.
+	ObserveNotice(r notice.Report)
 	// AskPlace gives a peer places at a server.
 	AskPlace(a rejection.Ask) rejection.Grant
 	// FanOut is the number of nodes that this one can pass its copy on to.
@@ -97,6 +100,7 @@
 		}),
 		callCounts: countsHandler(g.Counts),
 		callTunnel: tunnelHandler(g.Carry),
+		callNotice: noticeHandler(g.ObserveNotice),
 		callPlace:  placeHandler(g.AskPlace),
 		callActivity: unaryHandler(func(_ context.Context, r activityRequest) (Activity, error) {
 			return g.Activity(r.FromWindow), nil
--- a/adapter/peer/server.go
+++ b/adapter/peer/server.go
@@ -21,6 +21,7 @@
 	"github.com/violettally/violettally/ledger"
 	"github.com/violettally/violettally/limit"
 	"github.com/violettally/violettally/member"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/rejection"
 	"github.com/violettally/violettally/rollout"
 )
@@ -41,7 +42,8 @@
 	FindResponse(attempt string) (x *answer.Response, ran bool)
 	CancelAttempt(attempt string) bool
 	Explain(requestID string) (decision.Summary, bool)
-	Carry(ctx context.Context, server string) (net.Conn, error)
+	Carry(ctx context.Context, server, opener string) (net.Conn, error)
+	ObserveNotice(r notice.Report)
 	AskPlace(a rejection.Ask) rejection.Grant
 }
 
@@ -101,6 +103,7 @@
 		}),
 		callAttach: s.attach,
 		callTunnel: tunnelHandler(node.Carry),
+		callNotice: noticeHandler(node.ObserveNotice),
 		callPlace:  placeHandler(node.AskPlace),
 	}
 	return s
--- a/adapter/peer/tunnel.go
+++ b/adapter/peer/tunnel.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/tunnel"
 )
 
@@ -21,6 +22,8 @@
 // tunnelRequest asks for a connection to the server at an address.
 type tunnelRequest struct {
 	Server string `cbor:"1,keyasint"`
+	// From is the peer address of the node that asks; earlier versions don't send it.
+	From string `cbor:"2,keyasint,omitempty"`
 }
 
 // tunnelReply tells whether the connection is open.
@@ -29,8 +32,27 @@
 	Refusal string `cbor:"1,keyasint,omitempty"`
 }
 
-// CarryFunc opens a connection to a backend server for another node.
-type CarryFunc func(ctx context.Context, server string) (net.Conn, error)
+// CarryFunc opens a connection to a backend server for the node with a peer address, "" if that is not
+// known.
+type CarryFunc func(ctx context.Context, server, opener string) (net.Conn, error)
+
+// callNotice tells the node at the other end of a tunnel what a server has just said of itself
+// (package notice).
+const callNotice = "notice"
+
+// noticeHandler returns the handler of callNotice.
+func noticeHandler(observe func(notice.Report)) func(drpc.Stream) error {
+	return unaryHandler(func(_ context.Context, r notice.Report) (empty, error) {
+		observe(r)
+		return empty{}, nil
+	})
+}
+
+// TellNotice tells the node at an address what a server has just said of itself.
+func (c *Client) TellNotice(ctx context.Context, address string, r notice.Report) error {
+	_, err := invoke[notice.Report, empty](ctx, c, address, callNotice, r)
+	return err
+}
 
 // maxFrameBytes is the largest number of bytes that one frame carries.
 const maxFrameBytes = 16 << 10
@@ -70,7 +92,7 @@
 		if err := stream.MsgRecv(&r, codec{}); err != nil {
 			return err
 		}
-		conn, err := carry(stream.Context(), r.Server)
+		conn, err := carry(stream.Context(), r.Server, r.From)
 		if err != nil {
 			return stream.MsgSend(&tunnelReply{Refusal: errs.Kind(err)}, codec{})
 		}
@@ -124,9 +146,10 @@
 	}
 }
 
-// OpenTunnel opens a connection to a backend server through the node at an address.
-func (c *Client) OpenTunnel(ctx context.Context, address, server string) (net.Conn, error) {
-	stream, reply, cancel, err := openStream[tunnelRequest, tunnelReply](ctx, c, address, callTunnel, tunnelRequest{Server: server})
+// OpenTunnel opens a connection to a backend server through the node at an address, for this node,
+// whose own peer address is from.
+func (c *Client) OpenTunnel(ctx context.Context, address, server, from string) (net.Conn, error) {
+	stream, reply, cancel, err := openStream[tunnelRequest, tunnelReply](ctx, c, address, callTunnel, tunnelRequest{Server: server, From: from})
 	if err != nil {
 		return nil, err
 	}
--- a/adapter/peer/tunnel_bench_test.go
+++ b/adapter/peer/tunnel_bench_test.go
@@ -37,7 +37,7 @@
 func BenchmarkOpenTunnel(b *testing.B) {
 	client, carrier := startEcho(b)
 	for b.Loop() {
-		conn, err := client.OpenTunnel(b.Context(), carrier, "server")
+		conn, err := client.OpenTunnel(b.Context(), carrier, "server", "self")
 		must.NoError(b, err)
 		must.NoError(b, conn.Close())
 	}
@@ -46,7 +46,7 @@
 // BenchmarkTunnel sends an event of 130 bytes through a tunnel and back.
 func BenchmarkTunnel(b *testing.B) {
 	client, carrier := startEcho(b)
-	conn, err := client.OpenTunnel(b.Context(), carrier, "server")
+	conn, err := client.OpenTunnel(b.Context(), carrier, "server", "self")
 	must.NoError(b, err)
 	event := make([]byte, 130)
 	for b.Loop() {
--- a/adapter/peer/tunnel_test.go
+++ b/adapter/peer/tunnel_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/violettally/violettally/adapter/peer"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/rejection"
 	"github.com/violettally/violettally/tunnel"
 )
@@ -21,11 +22,12 @@
 // noCarrier carries no connections and gives out no places.
 type noCarrier struct{}
 
-func (noCarrier) Carry(context.Context, string) (net.Conn, error) {
+func (noCarrier) Carry(context.Context, string, string) (net.Conn, error) {
 	return nil, errors.New("carries nothing")
 }
 
 func (noCarrier) AskPlace(rejection.Ask) rejection.Grant { return rejection.Grant{} }
+func (noCarrier) ObserveNotice(notice.Report)            {}
 
 // carryingGateway carries connections to whatever dial opens.
 type carryingGateway struct {
@@ -33,7 +35,7 @@
 	dial func() (net.Conn, error)
 }
 
-func (g carryingGateway) Carry(context.Context, string) (net.Conn, error) { return g.dial() }
+func (g carryingGateway) Carry(context.Context, string, string) (net.Conn, error) { return g.dial() }
 
 // startCarrier serves a gateway that carries connections, and returns a client and its address.
 func startCarrier(t *testing.T, dial func() (net.Conn, error)) (*peer.Client, string) {
@@ -68,7 +70,7 @@
 func openTunnel(t *testing.T) (conn net.Conn, server *net.TCPConn) {
 	dial, accepted := listenServer(t)
 	client, carrier := startCarrier(t, dial)
-	conn, err := client.OpenTunnel(t.Context(), carrier, "server")
+	conn, err := client.OpenTunnel(t.Context(), carrier, "server", "self")
 	must.NoError(t, err)
 	return conn, <-accepted
 }
@@ -125,7 +127,7 @@
 	dial, accepted := listenServer(t)
 	client, carrier := startCarrier(t, dial)
 	for range 3 {
-		conn, err := client.OpenTunnel(t.Context(), carrier, "server")
+		conn, err := client.OpenTunnel(t.Context(), carrier, "server", "self")
 		must.NoError(t, err)
 		server := <-accepted
 		must.NoError(t, conn.Close())
@@ -139,7 +141,7 @@
 	t.Parallel()
 	for _, kind := range []*errorx.Type{tunnel.CutOff, tunnel.Busy, tunnel.UnknownServer, tunnel.Unreachable} {
 		client, carrier := startCarrier(t, func() (net.Conn, error) { return nil, errs.New(kind, "carry", "test") })
-		_, err := client.OpenTunnel(t.Context(), carrier, "server")
+		_, err := client.OpenTunnel(t.Context(), carrier, "server", "self")
 		must.True(t, errorx.IsOfType(err, kind), must.Sprint(kind, err))
 	}
 }
@@ -152,6 +154,6 @@
 	client, carrier := startCarrier(t, func() (net.Conn, error) { <-hold; return nil, io.EOF })
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err := client.OpenTunnel(ctx, carrier, "server")
+	_, err := client.OpenTunnel(ctx, carrier, "server", "self")
 	must.True(t, errorx.IsOfType(err, peer.Unreachable), must.Sprint(err))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,7 +220,7 @@
 		tunnel.WithObserver(g.metrics.ServerDialed),
 		tunnel.WithPathObserver(g.recordPath))
 	g.backends = platform.NewBackendClient(platform.WithDialer(g.dialer.DialContext))
-	g.carrier = tunnel.NewCarrier(g.dialer, g.registry.HasAddress, func() bool { return !g.leaving.Load() })
+	g.carrier = tunnel.NewCarrier(g.dialer, g.hasServerAt, func() bool { return !g.leaving.Load() }, tunnel.WithWithheld(g.isWithheldAt))
 }
 
 // registerGauges registers gauges for the state of this gateway's copy of the store.
@@ -242,6 +242,8 @@
 			func() float64 { return float64(g.notices.Count(notice.KindRequestLimit)) }),
 		g.metrics.Gauge("violettally_rejection_limited_servers", "Servers that name a rejection limit, as far as this node knows.",
 			func() float64 { return float64(g.notices.Count(notice.KindRejectionLimit)) }),
+		g.metrics.Gauge("violettally_leaving_servers", "Servers whose answers say that they leave, as far as this node knows.",
+			func() float64 { return float64(g.notices.Count(notice.KindLeaving)) }),
 		g.metrics.Gauge("violettally_unreachable_servers", "Servers that this node does not reach by itself.",
 			func() float64 { return float64(g.dialer.CountLost()) }),
 		g.metrics.Gauge("violettally_tunnels", "Open connections to servers through other nodes.",
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"time"
 
+	"github.com/violettally/violettally/notice"
+	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/tunnel"
 	"github.com/violettally/violettally/view"
 )
@@ -11,9 +15,40 @@
 // recordPath logs a change of what this gateway reaches.
 func (g *Gateway) recordPath(e tunnel.Event) { g.pathLog.info(tunnel.LogMessage, e.LogArgs()...) }
 
+// hasServerAt reports whether a known server has the given address.
+func (g *Gateway) hasServerAt(address string) bool { return len(g.registry.AtAddress(address)) > 0 }
+
+// isWithheldAt reports whether no server with the given address wants requests of this gateway now.
+func (g *Gateway) isWithheldAt(address string) bool {
+	return !slices.ContainsFunc(g.registry.AtAddress(address), func(s registry.Server) bool { return !g.throttle.Withheld(s) })
+}
+
 // Carry opens a connection to a backend server for another gateway.
-func (g *Gateway) Carry(ctx context.Context, server string) (net.Conn, error) {
-	return g.carrier.Carry(ctx, server)
+func (g *Gateway) Carry(ctx context.Context, server, opener string) (net.Conn, error) {
+	return g.carrier.Carry(ctx, server, opener)
+}
+
+// ObserveNotice records what a server has said of itself to the gateway at the other end of a tunnel.
+func (g *Gateway) ObserveNotice(r notice.Report) { g.notices.ObserveTunnel(r) }
+
+// tellTimeout bounds telling the other end of a tunnel what a server has said.
+const tellTimeout = time.Second
+
+// noticeTunnels tells the other ends of tunnels what servers say of themselves.
+type noticeTunnels struct{ g *Gateway }
+
+// Openers returns the peer addresses of the gateways for which this one carries connections to a server.
+func (t noticeTunnels) Openers(server string) []string { return t.g.carrier.Openers(server) }
+
+// Tell tells a gateway what a server has just said.
+func (t noticeTunnels) Tell(node string, r notice.Report) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+		defer cancel()
+		if err := t.g.peerClient.TellNotice(ctx, node, r); err != nil {
+			t.g.noticeLog.info("notice not told", "peer", node, "kind", r.Kind.String(), "error", err.Error())
+		}
+	}()
 }
 
 // tunnelPeers gives the dialer access to the other gateways.
@@ -24,5 +59,5 @@
 
 // OpenTunnel opens a connection to a server through another gateway.
 func (p tunnelPeers) OpenTunnel(ctx context.Context, carrier, server string) (net.Conn, error) {
-	return p.g.peerClient.OpenTunnel(ctx, carrier, server)
+	return p.g.peerClient.OpenTunnel(ctx, carrier, server, p.g.self.Peer)
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -81,7 +81,8 @@
 	}
 	go func() {
 		for count := g.detector.CountUnconfirmed(hash); count > 0; {
-			running, err := g.backends.Responds(context.Background(), server.Address)
+			running, answer, err := g.backends.Responds(context.Background(), server.Address)
+			g.notices.Observe(server, answer)
 			var endings []suspect.Ending
 			endings, count = g.detector.TakeUnconfirmed(hash, count)
 			for _, e := range endings {
--- a/node/node.go
+++ b/node/node.go
@@ -291,6 +291,7 @@
 		{"violettally_claim_bytes", "Bytes of the claims that this node remembers.", func() float64 { _, bytes := n.replica.Usage(); return float64(bytes) }},
 		{"violettally_bills_pending", "Bills that wait for their fold.", func() float64 { return float64(n.journal.Pending()) }},
 		{"violettally_limited_servers", "Servers that name a request limit, as far as this node knows.", func() float64 { return float64(n.limits.notices.Count(notice.KindRequestLimit)) }},
+		{"violettally_leaving_servers", "Servers whose answers say that they leave, as far as this node knows.", func() float64 { return float64(n.limits.notices.Count(notice.KindLeaving)) }},
 		{"violettally_rejection_limited_servers", "Servers that name a rejection limit, as far as this node knows.", func() float64 { return float64(n.limits.notices.Count(notice.KindRejectionLimit)) }},
 		{"violettally_unreachable_servers", "Servers that this node does not reach by itself.", func() float64 { return float64(n.dialer.CountLost()) }},
 		{"violettally_tunnels", "Open connections to servers through other nodes.", func() float64 { return float64(n.dialer.CountTunnels()) }},
--- a/node/paths.go
+++ b/node/paths.go
@@ -9,6 +9,7 @@
 
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/member"
+	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/tunnel"
 	"github.com/violettally/violettally/view"
 )
@@ -38,10 +39,13 @@
 }
 
 // Carry opens a connection to a backend server for another node.
-func (p peerNode) Carry(ctx context.Context, server string) (net.Conn, error) {
-	return p.n.carrier.Carry(ctx, server)
+func (p peerNode) Carry(ctx context.Context, server, opener string) (net.Conn, error) {
+	return p.n.carrier.Carry(ctx, server, opener)
 }
 
+// ObserveNotice records what a server has said of itself to the node at the other end of a tunnel.
+func (p peerNode) ObserveNotice(r notice.Report) { p.n.limits.notices.ObserveTunnel(r) }
+
 // tunnelPeers gives the dialer access to the other nodes.
 type tunnelPeers struct{ n *Node }
 
@@ -55,5 +59,5 @@
 
 // OpenTunnel opens a connection to a server through another node.
 func (p tunnelPeers) OpenTunnel(ctx context.Context, carrier, server string) (net.Conn, error) {
-	return p.n.client.OpenTunnel(ctx, carrier, server)
+	return p.n.client.OpenTunnel(ctx, carrier, server, p.n.self.Peer)
 }
--- a/node/server_limits.go
+++ b/node/server_limits.go
@@ -115,7 +115,7 @@
 
 // Noticed records what a server's response says of it.
 func (l *serverLimits) Noticed(s config.Server, notices []notice.Notice) {
-	l.notices.Observe(target("", s), notices)
+	l.notices.Observe(target("", s), notice.Answer{Notices: notices})
 }
 
 // Ask asks the first owner of a server for places.
--- a/notice/board.go
+++ b/notice/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -34,22 +35,45 @@
 	return func(b *Board) { b.report = report }
 }
 
+// Tunnels are the connections to servers that pass through two nodes. To the server, the requests of
+// both come from the one that carries the connection.
+type Tunnels interface {
+	// Openers returns the peer addresses of the nodes for which this one carries connections to the
+	// server at an address.
+	Openers(server string) []string
+	// Tell tells a node what a server has just said. It does not wait for the node.
+	Tell(node string, r Report)
+}
+
+// noTunnels is a node without tunnels.
+type noTunnels struct{}
+
+func (noTunnels) Openers(string) []string { return nil }
+func (noTunnels) Tell(string, Report)     {}
+
+// WithTunnels sets the tunnels of this node, whose other ends are told at once what concerns them.
+func WithTunnels(t Tunnels) Option {
+	return func(b *Board) { b.tunnels = t }
+}
+
 // Board holds what one node knows of what servers say of themselves. It is safe for concurrent use.
 type Board struct {
 	roster   *owner.Roster
 	timers   *timer.Service
 	onChange func(Change)
 	report   func(server uint64, n Notice)
+	tunnels  Tunnels
 
 	mu sync.Mutex
 	// records holds what is known, by hash of the server's incarnation.
 	records map[uint64]*record
-	// counts holds the number of servers of which a notice is known, by its kind.
-	counts [kindCount]int
 	// version changes with the records.
 	version   uint64
 	cleanedAt time.Time
 	reports   *rate.Limiter
+
+	// counts holds the number of servers of which a notice is known, by its kind.
+	counts [kindCount]atomic.Int64
 }
 
 // New returns a board of the node with the given roster. It knows nothing of any server.
@@ -59,6 +83,7 @@
 		timers:   timers,
 		onChange: func(Change) {},
 		report:   func(uint64, Notice) {},
+		tunnels:  noTunnels{},
 		records:  make(map[uint64]*record),
 		reports:  rate.NewLimiter(0, reportBurst),
 	}
@@ -72,6 +97,8 @@
 type State struct {
 	// RequestLimit and RejectionLimit are in requests a second; Unlimited for none.
 	RequestLimit, RejectionLimit float64
+	// Leaving means that the server is about to end.
+	Leaving bool
 }
 
 // unknown is the state of a server that has said nothing.
@@ -85,15 +112,15 @@
 	if r == nil {
 		return unknown
 	}
-	return State{RequestLimit: r.facts[KindRequestLimit].value, RejectionLimit: r.facts[KindRejectionLimit].value}
+	return State{
+		RequestLimit:   r.facts[KindRequestLimit].value,
+		RejectionLimit: r.facts[KindRejectionLimit].value,
+		Leaving:        r.facts[KindLeaving].present(KindLeaving),
+	}
 }
 
 // Count returns the number of servers of which a notice of a kind is known.
-func (b *Board) Count(k Kind) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.counts[k]
-}
+func (b *Board) Count(k Kind) int { return int(b.counts[k].Load()) }
 
 // Version returns a number that changes when a state does.
 func (b *Board) Version() uint64 {
@@ -102,39 +129,96 @@
 	return b.version
 }
 
+// Answer is one answer of a server.
+type Answer struct {
+	// Notices is what it says of the server.
+	Notices []Notice
+	// SentAgo is how long ago the request was sent.
+	SentAgo time.Duration
+	// Carrier is the peer address of the node through which the answer came; "" for none.
+	Carrier string
+}
+
 // Observe records what an answer of a server says of it.
-func (b *Board) Observe(s registry.Server, notices []Notice) {
-	for _, n := range notices {
-		if hash := s.Hash(); b.recordAnswer(hash, s.ID, n) {
-			b.report(hash, n)
+func (b *Board) Observe(s registry.Server, a Answer) {
+	for _, n := range a.Notices {
+		changed, report := b.recordAnswer(s.Hash(), s.ID, n, a.SentAgo)
+		if report {
+			b.report(s.Hash(), n)
+		}
+		if changed && n.concernsTunnels() {
+			b.tellTunnels(s, n, a.Carrier)
 		}
 	}
 }
 
-// recordAnswer records what an answer says, and reports whether that is to be reported to the other
-// nodes.
-func (b *Board) recordAnswer(hash uint64, id string, n Notice) (report bool) {
+// tellTunnels tells the nodes at the other ends of the tunnels to a server what it has just said.
+func (b *Board) tellTunnels(s registry.Server, n Notice, carrier string) {
+	nodes := b.tunnels.Openers(s.Address)
+	if carrier != "" {
+		nodes = append(nodes, carrier)
+	}
+	for _, node := range nodes {
+		b.tunnels.Tell(node, Report{Server: s.Hash(), Kind: n.Kind, Value: n.Value})
+	}
+}
+
+// recordAnswer records what an answer says, and reports whether what is known has changed, and
+// whether it is to be reported to the other nodes.
+func (b *Board) recordAnswer(hash uint64, id string, n Notice, sentAgo time.Duration) (changed, report bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if n.IsAbsent() && b.records[hash] == nil {
-		return false
+		return false, false
 	}
 	now := b.timers.Steady()
-	changed := b.set(hash, id, n, now, SourceAnswer)
-	return b.isReportDue(hash, n.Kind, changed, now)
+	if n.Kind == KindLeaving && n.IsAbsent() && !b.isSilenceNews(hash, now.Add(-sentAgo)) {
+		return false, false
+	}
+	changed = b.set(hash, id, n, now, SourceAnswer)
+	return changed, b.isReportDue(hash, n.Kind, changed, now)
+}
+
+// isSilenceNews reports whether an answer that does not say that the server leaves, to a request sent
+// at the given time, is later than those that did: answers may pass each other. The caller holds mu.
+func (b *Board) isSilenceNews(hash uint64, sentAt time.Time) bool {
+	r := b.records[hash]
+	return r != nil && sentAt.After(r.facts[KindLeaving].heardAt)
 }
 
 // ObserveReport records a report of another node, which has heard the server with the given hash say
-// so long ago what the notice tells.
+// so long ago what the notice tells. Whether a server that leaves stays after all is known by its own
+// answers alone.
 func (b *Board) ObserveReport(hash uint64, n Notice, age time.Duration) {
-	if !n.Kind.isShared() {
-		return // of a later version
+	if !n.Kind.isShared() || n.Kind == KindLeaving && n.IsAbsent() {
+		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.set(hash, "", n, b.timers.Steady().Add(-age), SourceReport)
 }
 
+// Report is what one end of a tunnel to a server tells the other. It is exported for the codecs.
+type Report struct {
+	// Server is the hash of the server's incarnation.
+	Server uint64  `cbor:"1,keyasint"`
+	Kind   Kind    `cbor:"2,keyasint"`
+	Value  float64 `cbor:"3,keyasint"`
+	// Age is how long ago the server said so.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// ObserveTunnel records what the node at the other end of a tunnel has heard a server say.
+func (b *Board) ObserveTunnel(r Report) {
+	n := Notice{r.Kind, r.Value}
+	if !n.concernsTunnels() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.set(r.Server, "", n, b.timers.Steady().Add(-r.Age), SourceTunnel)
+}
+
 // set stores a notice that was heard at the given time, unless a later one is known. It reports
 // whether what is known has changed. The ID may be "". The caller holds mu.
 func (b *Board) set(hash uint64, id string, n Notice, heardAt time.Time, source Source) (changed bool) {
@@ -156,7 +240,7 @@
 	if heardAt.Before(f.heardAt) {
 		return false
 	}
-	if source == SourceReport {
+	if source != SourceAnswer {
 		f.reportedAt = b.timers.Steady()
 	}
 	if n.IsAbsent() && !f.present(n.Kind) {
@@ -165,9 +249,7 @@
 	f.heardAt = heardAt
 	c := Change{Server: r.id, Hash: hash, Kind: n.Kind, Before: f.value, Value: n.Value, Source: source, Age: b.timers.Steady().Sub(heardAt)}
 	if differ(n.Value, f.value, sameFactor) {
-		f.value = n.Value
-		b.version++
-		b.count()
+		b.replace(f, n.Kind, n.Value)
 	}
 	if changed = c.matters(); changed {
 		b.onChange(c)
@@ -193,7 +275,6 @@
 			delete(b.records, hash)
 		}
 	}
-	b.count()
 }
 
 // expire forgets the facts of a record that have expired. The caller holds mu.
@@ -204,22 +285,23 @@
 			continue
 		}
 		before := *f
-		*f = fact{value: kind.Absent()}
-		b.version++
+		b.replace(f, kind, kind.Absent())
+		f.heardAt, f.reportedAt = time.Time{}, time.Time{}
 		if before.present(kind) {
 			b.onChange(Change{Server: r.id, Hash: hash, Kind: kind, Before: before.value, Value: kind.Absent(), Source: SourceExpiry, Age: now.Sub(before.heardAt)})
 		}
 	}
 }
 
-// count updates the numbers of servers of which notices are known. The caller holds mu.
-func (b *Board) count() {
-	b.counts = [kindCount]int{}
-	for _, r := range b.records {
-		for k := range r.facts {
-			if kind := Kind(k); r.facts[k].present(kind) {
-				b.counts[kind]++
-			}
-		}
+// replace sets the value of a fact. The caller holds mu.
+func (b *Board) replace(f *fact, k Kind, value float64) {
+	wasPresent := f.present(k)
+	f.value = value
+	b.version++
+	switch isPresent := f.present(k); {
+	case isPresent && !wasPresent:
+		b.counts[k].Add(1)
+	case wasPresent && !isPresent:
+		b.counts[k].Add(-1)
 	}
 }
--- a/notice/change.go
+++ b/notice/change.go
@@ -17,6 +17,8 @@
 	SourceAnswer Source = iota
 	// SourceReport: a report of another node.
 	SourceReport
+	// SourceTunnel: the node at the other end of a tunnel to the server.
+	SourceTunnel
 	// SourceExpiry: nobody has confirmed the notice for a while.
 	SourceExpiry
 )
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -15,8 +15,8 @@
 //
 //	b := notice.New(roster, timers, notice.WithReporter(sendToOtherNodes))
 //	headers := notice.Headers{RequestLimit: "X-Request-Limit", RejectionLimit: "X-Rejection-Limit", Leaving: "X-Leaving"}
-//	b.Observe(server, headers.Decode(response))  // for each answer
-//	b.ObserveReport(hash, notice, age)           // for each report of another node
+//	b.Observe(server, notice.Answer{Notices: headers.Decode(response), SentAgo: …})  // for each answer
+//	b.ObserveReport(hash, notice, age)  // for each report of another node
 //	… b.State(server) …
 package notice
 
@@ -50,7 +50,13 @@
 
 // isShared reports whether notices of this kind concern all nodes, rather than the one that was
 // answered.
-func (k Kind) isShared() bool { return k.isLimit() }
+func (k Kind) isShared() bool { return k.isLimit() || k == KindLeaving }
+
+// concernsTunnels reports whether both ends of a tunnel are to know the notice at once: to the server,
+// their requests come from one node.
+func (n Notice) concernsTunnels() bool {
+	return (n.Kind == KindLeaving || n.Kind == KindRest) && !n.IsAbsent()
+}
 
 // Unlimited is the value of a limit of a server that names none.
 var Unlimited = math.Inf(1)
--- a/notice/notice_enumer.go
+++ b/notice/notice_enumer.go
@@ -92,11 +92,11 @@
 	return false
 }
 
-const _SourceName = "answerreportexpiry"
+const _SourceName = "answerreporttunnelexpiry"
 
-var _SourceIndex = [...]uint8{0, 6, 12, 18}
+var _SourceIndex = [...]uint8{0, 6, 12, 18, 24}
 
-const _SourceLowerName = "answerreportexpiry"
+const _SourceLowerName = "answerreporttunnelexpiry"
 
 func (i Source) String() string {
 	if i < 0 || i >= Source(len(_SourceIndex)-1) {
@@ -111,27 +111,31 @@
 	var x [1]struct{}
 	_ = x[SourceAnswer-(0)]
 	_ = x[SourceReport-(1)]
-	_ = x[SourceExpiry-(2)]
+	_ = x[SourceTunnel-(2)]
+	_ = x[SourceExpiry-(3)]
 }
 
-var _SourceValues = []Source{SourceAnswer, SourceReport, SourceExpiry}
+var _SourceValues = []Source{SourceAnswer, SourceReport, SourceTunnel, SourceExpiry}
 
 var _SourceNameToValueMap = map[string]Source{
 	_SourceName[0:6]:   SourceAnswer,
 	_SourceName[6:12]:  SourceReport,
-	_SourceName[12:18]: SourceExpiry,
+	_SourceName[12:18]: SourceTunnel,
+	_SourceName[18:24]: SourceExpiry,
 }
 
 var _SourceLowerNameToValueMap = map[string]Source{
 	_SourceLowerName[0:6]:   SourceAnswer,
 	_SourceLowerName[6:12]:  SourceReport,
-	_SourceLowerName[12:18]: SourceExpiry,
+	_SourceLowerName[12:18]: SourceTunnel,
+	_SourceLowerName[18:24]: SourceExpiry,
 }
 
 var _SourceNames = []string{
 	_SourceName[0:6],
 	_SourceName[6:12],
 	_SourceName[12:18],
+	_SourceName[18:24],
 }
 
 // SourceString retrieves an enum value from the enum constants string name.
--- a/notice/record.go
+++ b/notice/record.go
@@ -8,6 +8,9 @@
 	// endedTrust is how long it is known that a limit has ended, so that older reports of other
 	// nodes don't renew it.
 	endedTrust = 10 * time.Second
+	// leavingTrust is how long it is known that a server leaves. The entry of one that has ended may
+	// stay in this node's copy of the store for as long as the store is away.
+	leavingTrust = time.Hour
 )
 
 // record is what is known of one server.
@@ -58,8 +61,12 @@
 
 // trust returns how long what was heard holds if nobody confirms it.
 func (r *record) trust(k Kind) time.Duration {
-	if !r.facts[k].present(k) {
+	switch {
+	case !r.facts[k].present(k):
 		return endedTrust
+	case k == KindLeaving:
+		return leavingTrust
+	default:
+		return r.spread(minTrust)
 	}
-	return r.spread(minTrust)
 }
--- a/notice/report.go
+++ b/notice/report.go
@@ -33,6 +33,9 @@
 		return false
 	}
 	f := &r.facts[k]
+	if k == KindLeaving && !f.present(k) {
+		return false
+	}
 	if f.heardAt.IsZero() || (!changed && now.Sub(f.reportedAt) < r.reportInterval(k)) {
 		return false
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -207,17 +207,18 @@
 	return incarnations
 }
 
-// HasAddress reports whether a server that is known has the given address, whether or not it may
-// get new requests.
-func (r *Registry) HasAddress(address string) bool {
+// AtAddress returns the known servers with the given address, whether or not they may get new
+// requests.
+func (r *Registry) AtAddress(address string) []Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var servers []Server
 	for _, s := range r.servers {
 		if s.Address == address {
-			return true
+			servers = append(servers, s)
 		}
 	}
-	return false
+	return servers
 }
 
 // Known returns the servers of a service whose entries are valid, including those that are
--- a/rejection/rejection_test.go
+++ b/rejection/rejection_test.go
@@ -60,7 +60,7 @@
 
 // Observe records an answer that names a limit.
 func (l *limiter) Observe(s registry.Server, perSecond float64) {
-	l.board.Observe(s, []notice.Notice{{Kind: notice.KindRejectionLimit, Value: perSecond}})
+	l.board.Observe(s, notice.Answer{Notices: []notice.Notice{{Kind: notice.KindRejectionLimit, Value: perSecond}}})
 }
 
 // limiterOf returns the limiter of a node.
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -10,6 +10,7 @@
 	"github.com/violettally/violettally/internal/rendezvous"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/throttle"
 )
 
 // pickService distributes a route's requests over its services by weight. All requests of a
@@ -154,8 +155,7 @@
 		retryAfter := min(maxRetryAfter, max(retrySoon, x.relay.WarmUps.UntilWarm(untried)))
 		return refusalf(ReasonWarmingUp, retryAfter, "service %s: %d servers are warming up and get no more requests now, %d tried", x.service, len(untried), len(x.tried))
 	case len(warm) > 0 && len(unthrottled) == 0:
-		retryAfter := min(maxRetryAfter, max(retrySoon, x.relay.Throttle.Wait(warm)))
-		return refusalf(ReasonServerLimit, retryAfter, "service %s: %d servers name limits and get no more requests from this node now, %d tried", x.service, len(warm), len(x.tried))
+		return x.withheldRefusal(warm)
 	}
 	if len(unthrottled) > 0 && (errors.Is(err, errNoPlace) || len(x.relay.Rejections.Filter(unthrottled)) == 0) {
 		return refusalf(ReasonRejectionLimit, retrySoon, "service %s: %d servers can reject few requests and had no place, %d tried", x.service, len(unthrottled), len(x.tried))
@@ -163,6 +163,16 @@
 	return refusalf(ReasonNoServer, retrySoon, "service %s, %d known, %d tried: %v", x.service, len(known), len(x.tried), err)
 }
 
+// withheldRefusal returns the refusal of a request that no server takes now, by what they say.
+func (x *exchange) withheldRefusal(servers []*registry.Server) *Refusal {
+	wait, cause := x.relay.Throttle.Wait(servers)
+	if cause == throttle.CauseLeaving {
+		return refusalf(ReasonServersLeaving, retryAfterOutage, "service %s: %d servers say that they leave, %d tried", x.service, len(servers), len(x.tried))
+	}
+	retryAfter := min(maxRetryAfter, max(retrySoon, wait))
+	return refusalf(ReasonServerLimit, retryAfter, "service %s: %d servers name limits and get no more requests from this node now, %d tried", x.service, len(servers), len(x.tried))
+}
+
 // servers returns the candidates for the next attempt, and the version under which it is
 // counted. The version is chosen first, so that a session keeps it while servers get few requests;
 // if none of its servers may get one, any version is better than no response.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -139,11 +139,11 @@
 		// scheduled.
 		Stale: func() bool {
 			suspected := !x.probeSent && len(x.relay.Suspects.Refused(features)) > 0
-			return suspected || x.relay.StoreView.NeedsRefresh() || !x.relay.Servers.Usable(server.Incarnation())
+			return suspected || x.relay.StoreView.NeedsRefresh() || !x.relay.Servers.Usable(server.Incarnation()) || x.relay.Throttle.Withheld(server)
 		},
 	})
 	removePending()
-	if x.observeServer(server, resp) {
+	if x.observeServer(server, sent, resp) {
 		release = x.relay.Rejections.Reject
 	}
 	x.recordVersionSample(ctx, assignment, version, resp, time.Since(sent))
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/suspect"
+	"github.com/violettally/violettally/throttle"
 )
 
 // serve handles one request on a resumable route with a new relay.
@@ -127,7 +128,7 @@
 // noNotices knows nothing that servers say.
 type noNotices struct{}
 
-func (noNotices) Observe(registry.Server, []notice.Notice) {}
+func (noNotices) Observe(registry.Server, notice.Answer) {}
 func (noNotices) State(*registry.Server) notice.State {
 	return notice.State{RequestLimit: notice.Unlimited, RejectionLimit: notice.Unlimited}
 }
@@ -138,7 +139,10 @@
 func (noLimits) Filter(s []*registry.Server) []*registry.Server { return s }
 func (noLimits) Take(registry.Server) bool                      { return true }
 func (noLimits) Scarce([]*registry.Server) bool                 { return false }
-func (noLimits) Wait([]*registry.Server) time.Duration          { return 0 }
+func (noLimits) Withheld(registry.Server) bool                  { return false }
+func (noLimits) Wait([]*registry.Server) (time.Duration, throttle.Cause) {
+	return 0, throttle.CauseNone
+}
 
 // noRejectionLimits gives every request a place.
 type noRejectionLimits struct{}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -91,13 +91,13 @@
 
 // observeServer records what a response says of its server, and reports whether the server has
 // rejected the request for want of room.
-func (x *exchange) observeServer(server registry.Server, resp Response) (rejected bool) {
+func (x *exchange) observeServer(server registry.Server, sent time.Time, resp Response) (rejected bool) {
 	if resp == nil {
 		return false
 	}
-	notices := resp.Notices()
-	x.relay.Notices.Observe(server, notices)
-	for _, n := range notices {
+	answer := notice.Answer{Notices: resp.Notices(), SentAgo: time.Since(sent), Carrier: resp.Carrier()}
+	x.relay.Notices.Observe(server, answer)
+	for _, n := range answer.Notices {
 		if !n.IsAbsent() {
 			x.record.AddStep("notice", "%s says %s", server.ID, n)
 		}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -32,6 +32,8 @@
 	// ReasonServerLimit: all servers of the service name limits and get no more requests from this
 	// node now.
 	ReasonServerLimit
+	// ReasonServersLeaving: all servers of the service say that they are about to end.
+	ReasonServersLeaving
 	// ReasonRejectionLimit: all servers of the service are full, and end if they must reject more
 	// requests.
 	ReasonRejectionLimit
@@ -62,7 +64,7 @@
 	// their remaining time.
 	retrySoon = 300 * time.Millisecond
 	// retryAfterOutage is used by a node without a declaration, and while all servers of a
-	// service are in evacuated data halls. Both last for seconds, since a node loads the
+	// service leave or are in evacuated data halls. These last for seconds, since a node loads the
 	// declaration within some 20 ms of its start unless the store is down, and clients make
 	// few attempts.
 	retryAfterOutage = 2 * time.Second
@@ -85,6 +87,7 @@
 	ReasonEvacuated:       http.StatusServiceUnavailable,
 	ReasonWarmingUp:       http.StatusServiceUnavailable,
 	ReasonServerLimit:     http.StatusServiceUnavailable,
+	ReasonServersLeaving:  http.StatusServiceUnavailable,
 	ReasonRejectionLimit:  http.StatusServiceUnavailable,
 	ReasonDeclined:        http.StatusServiceUnavailable,
 	ReasonUnreachable:     http.StatusServiceUnavailable,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,6 +49,7 @@
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/suspect"
+	"github.com/violettally/violettally/throttle"
 )
 
 var (
@@ -175,7 +176,7 @@
 
 // Notices holds what servers say of themselves in their responses.
 type Notices interface {
-	Observe(s registry.Server, notices []notice.Notice)
+	Observe(s registry.Server, a notice.Answer)
 	State(s *registry.Server) notice.State
 }
 
@@ -190,15 +191,18 @@
 	UntilWarm(servers []*registry.Server) time.Duration
 }
 
-// Throttle limits the requests to servers that name a limit. All nodes share these limits.
+// Throttle keeps to what servers say of the requests that they take. All nodes share their limits.
 type Throttle interface {
 	// Filter returns those of the servers that this node may send a request now.
 	Filter(servers []*registry.Server) []*registry.Server
 	// Take counts a request to a server. It returns false, and counts nothing, if the server
 	// may not get one from this node now.
 	Take(s registry.Server) bool
-	// Wait returns the time until one of the servers may get a request, from any node.
-	Wait(servers []*registry.Server) time.Duration
+	// Withheld reports whether a server wants no requests now.
+	Withheld(s registry.Server) bool
+	// Wait returns the time until one of the servers may get a request, from any node, and why none
+	// may before.
+	Wait(servers []*registry.Server) (time.Duration, throttle.Cause)
 	// Scarce reports whether all of the servers name limits and may take few requests now.
 	Scarce(servers []*registry.Server) bool
 }
--- a/relay/relay_enumer.go
+++ b/relay/relay_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_upserver_limitrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
+const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_upserver_limitservers_leavingrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
-var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 87, 97, 109, 124, 132, 143, 156, 163, 171, 178, 185, 194, 203}
+var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 87, 97, 109, 124, 139, 147, 158, 171, 178, 186, 193, 200, 209, 218}
 
-const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_upserver_limitrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
+const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_upserver_limitservers_leavingrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -34,19 +34,20 @@
 	_ = x[ReasonEvacuated-(7)]
 	_ = x[ReasonWarmingUp-(8)]
 	_ = x[ReasonServerLimit-(9)]
-	_ = x[ReasonRejectionLimit-(10)]
-	_ = x[ReasonDeclined-(11)]
-	_ = x[ReasonUnreachable-(12)]
-	_ = x[ReasonServerFailed-(13)]
-	_ = x[ReasonStalled-(14)]
-	_ = x[ReasonDeadline-(15)]
-	_ = x[ReasonLeaving-(16)]
-	_ = x[ReasonStopped-(17)]
-	_ = x[ReasonSuspected-(18)]
-	_ = x[ReasonOvertaken-(19)]
+	_ = x[ReasonServersLeaving-(10)]
+	_ = x[ReasonRejectionLimit-(11)]
+	_ = x[ReasonDeclined-(12)]
+	_ = x[ReasonUnreachable-(13)]
+	_ = x[ReasonServerFailed-(14)]
+	_ = x[ReasonStalled-(15)]
+	_ = x[ReasonDeadline-(16)]
+	_ = x[ReasonLeaving-(17)]
+	_ = x[ReasonStopped-(18)]
+	_ = x[ReasonSuspected-(19)]
+	_ = x[ReasonOvertaken-(20)]
 }
 
-var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonEvacuated, ReasonWarmingUp, ReasonServerLimit, ReasonRejectionLimit, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
+var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonEvacuated, ReasonWarmingUp, ReasonServerLimit, ReasonServersLeaving, ReasonRejectionLimit, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:16]:    ReasonNoConfiguration,
@@ -59,16 +60,17 @@
 	_ReasonName[78:87]:   ReasonEvacuated,
 	_ReasonName[87:97]:   ReasonWarmingUp,
 	_ReasonName[97:109]:  ReasonServerLimit,
-	_ReasonName[109:124]: ReasonRejectionLimit,
-	_ReasonName[124:132]: ReasonDeclined,
-	_ReasonName[132:143]: ReasonUnreachable,
-	_ReasonName[143:156]: ReasonServerFailed,
-	_ReasonName[156:163]: ReasonStalled,
-	_ReasonName[163:171]: ReasonDeadline,
-	_ReasonName[171:178]: ReasonLeaving,
-	_ReasonName[178:185]: ReasonStopped,
-	_ReasonName[185:194]: ReasonSuspected,
-	_ReasonName[194:203]: ReasonOvertaken,
+	_ReasonName[109:124]: ReasonServersLeaving,
+	_ReasonName[124:139]: ReasonRejectionLimit,
+	_ReasonName[139:147]: ReasonDeclined,
+	_ReasonName[147:158]: ReasonUnreachable,
+	_ReasonName[158:171]: ReasonServerFailed,
+	_ReasonName[171:178]: ReasonStalled,
+	_ReasonName[178:186]: ReasonDeadline,
+	_ReasonName[186:193]: ReasonLeaving,
+	_ReasonName[193:200]: ReasonStopped,
+	_ReasonName[200:209]: ReasonSuspected,
+	_ReasonName[209:218]: ReasonOvertaken,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -82,16 +84,17 @@
 	_ReasonLowerName[78:87]:   ReasonEvacuated,
 	_ReasonLowerName[87:97]:   ReasonWarmingUp,
 	_ReasonLowerName[97:109]:  ReasonServerLimit,
-	_ReasonLowerName[109:124]: ReasonRejectionLimit,
-	_ReasonLowerName[124:132]: ReasonDeclined,
-	_ReasonLowerName[132:143]: ReasonUnreachable,
-	_ReasonLowerName[143:156]: ReasonServerFailed,
-	_ReasonLowerName[156:163]: ReasonStalled,
-	_ReasonLowerName[163:171]: ReasonDeadline,
-	_ReasonLowerName[171:178]: ReasonLeaving,
-	_ReasonLowerName[178:185]: ReasonStopped,
-	_ReasonLowerName[185:194]: ReasonSuspected,
-	_ReasonLowerName[194:203]: ReasonOvertaken,
+	_ReasonLowerName[109:124]: ReasonServersLeaving,
+	_ReasonLowerName[124:139]: ReasonRejectionLimit,
+	_ReasonLowerName[139:147]: ReasonDeclined,
+	_ReasonLowerName[147:158]: ReasonUnreachable,
+	_ReasonLowerName[158:171]: ReasonServerFailed,
+	_ReasonLowerName[171:178]: ReasonStalled,
+	_ReasonLowerName[178:186]: ReasonDeadline,
+	_ReasonLowerName[186:193]: ReasonLeaving,
+	_ReasonLowerName[193:200]: ReasonStopped,
+	_ReasonLowerName[200:209]: ReasonSuspected,
+	_ReasonLowerName[209:218]: ReasonOvertaken,
 }
 
 var _ReasonNames = []string{
@@ -106,15 +109,16 @@
 	_ReasonName[87:97],
 	_ReasonName[97:109],
 	_ReasonName[109:124],
-	_ReasonName[124:132],
-	_ReasonName[132:143],
-	_ReasonName[143:156],
-	_ReasonName[156:163],
-	_ReasonName[163:171],
+	_ReasonName[124:139],
+	_ReasonName[139:147],
+	_ReasonName[147:158],
+	_ReasonName[158:171],
 	_ReasonName[171:178],
-	_ReasonName[178:185],
-	_ReasonName[185:194],
-	_ReasonName[194:203],
+	_ReasonName[178:186],
+	_ReasonName[186:193],
+	_ReasonName[193:200],
+	_ReasonName[200:209],
+	_ReasonName[209:218],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/relay/stale_choice_test.go
+++ b/relay/stale_choice_test.go
@@ -29,6 +29,7 @@
 	}{
 		{"no change", nil, func(*leavingServers) {}, []string{"a"}},
 		{"server leaves", nil, func(l *leavingServers) { l.departed = "a" }, []string{"b"}},
+		{"an answer says that the server leaves", nil, func(l *leavingServers) { l.withheld = "a" }, []string{"b"}},
 		{"view becomes stale", nil, func(l *leavingServers) { l.stale = true }, []string{"a"}},
 		{"view was stale before", func(l *leavingServers) { l.stale, l.nextDeparted = true, "a" }, func(*leavingServers) {}, []string{"b"}},
 		{"view becomes stale, refresh shows the server as gone", nil, func(l *leavingServers) { l.stale, l.nextDeparted = true, "a" }, []string{"b"}},
@@ -40,7 +41,7 @@
 				tt.before(l)
 			}
 			got := &recorder{}
-			serve(t, catalog.Route{Kind: catalog.KindOnce, Attempts: 1, Timeout: time.Second}, relay.Options{Servers: l, StoreView: l, Backends: l, Budgets: noRetryBudget{}},
+			serve(t, catalog.Route{Kind: catalog.KindOnce, Attempts: 1, Timeout: time.Second}, relay.Options{Servers: l, Throttle: l, StoreView: l, Backends: l, Budgets: noRetryBudget{}},
 				relay.Request{Body: emptyBody(t)}, got)
 			must.Eq(t, 200, got.status, must.Sprint(got.refusal))
 			must.Eq(t, tt.sent, l.sent)
@@ -51,18 +52,21 @@
 // leavingServers are two servers and the store view of them.
 type leavingServers struct {
 	freshView
+	noLimits
 	beforeFirstByte func(l *leavingServers)
 	calls           int
 	// departed is the server that has left, nextDeparted the one that the next refresh shows as gone.
 	departed, nextDeparted string
-	stale                  bool
-	sent                   []string
+	// withheld is the server that says in an answer that it wants no requests.
+	withheld string
+	stale    bool
+	sent     []string
 }
 
 func (l *leavingServers) Servers(string) []*registry.Server {
 	var left []*registry.Server
 	for _, id := range []string{"a", "b"} {
-		if id != l.departed {
+		if id != l.departed && id != l.withheld {
 			left = append(left, &registry.Server{ID: id})
 		}
 	}
@@ -93,3 +97,5 @@
 	l.sent = append(l.sent, s.ID)
 	return response{200, strings.NewReader("")}, nil
 }
+
+func (l *leavingServers) Withheld(s registry.Server) bool { return s.ID == l.withheld }
--- a/relay/throttle_test.go
+++ b/relay/throttle_test.go
@@ -13,6 +13,7 @@
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/relay"
+	"github.com/violettally/violettally/throttle"
 )
 
 // limitedServers are servers that take a number of requests from this node in all.
@@ -38,10 +39,12 @@
 	return true
 }
 
-func (l *limitedServers) Wait([]*registry.Server) time.Duration { return 700 * time.Millisecond }
+func (l *limitedServers) Wait([]*registry.Server) (time.Duration, throttle.Cause) {
+	return 700 * time.Millisecond, throttle.CauseLimit
+}
 
-func (l *limitedServers) Observe(_ registry.Server, notices []notice.Notice) {
-	for _, n := range notices {
+func (l *limitedServers) Observe(_ registry.Server, a notice.Answer) {
+	for _, n := range a.Notices {
 		l.observed = append(l.observed, n.Value)
 	}
 }
--- a/throttle/harness_test.go
+++ b/throttle/harness_test.go
@@ -23,7 +23,7 @@
 
 // Observe records an answer that names a limit.
 func (l *limiter) Observe(s registry.Server, perSecond float64) {
-	l.board.Observe(s, []notice.Notice{{Kind: notice.KindRequestLimit, Value: perSecond}})
+	l.board.Observe(s, notice.Answer{Notices: []notice.Notice{{Kind: notice.KindRequestLimit, Value: perSecond}}})
 }
 
 // ObserveReport records another node's report of a limit.
--- a/throttle/shares.go
+++ b/throttle/shares.go
@@ -55,13 +55,32 @@
 	}
 }
 
-// wait returns the time until a server may get a request from this node, or, if this node has no
-// share of its limit, in which the server takes one from another node. The caller holds mu.
-func (l *Limiter) wait(s *registry.Server, now time.Time) time.Duration {
+// isFree reports whether this node may send a server a request now. The caller holds mu.
+func (l *Limiter) isFree(s *registry.Server, now time.Time) bool {
+	wait, _ := l.wait(s, now)
+	return wait == 0
+}
+
+// wait returns the time until a server may get a request, and why it may not before. The caller
+// holds mu.
+func (l *Limiter) wait(s *registry.Server, now time.Time) (time.Duration, Cause) {
 	state := l.board.State(s)
+	if state.Leaving {
+		return forever, CauseLeaving
+	}
 	if state.RequestLimit == notice.Unlimited {
-		return 0
+		return 0, CauseNone
 	}
+	if wait := l.waitForShare(s, state, now); wait > 0 {
+		return wait, CauseLimit
+	}
+	return 0, CauseNone
+}
+
+// waitForShare returns the time until a server that names a limit may get a request from this node,
+// or, if this node has no share of the limit, in which the server takes one from another node. The
+// caller holds mu.
+func (l *Limiter) waitForShare(s *registry.Server, state notice.State, now time.Time) time.Duration {
 	share := l.shareOf(s, state)
 	if share.burst == 0 {
 		return time.Duration(float64(time.Second) / servedRate(state))
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -1,7 +1,8 @@
-// Package throttle keeps nodes to the request limits that backend servers name.
+// Package throttle keeps nodes to what backend servers say of the requests that they take (package
+// notice): a server that leaves gets none, and one that names a limit no more than that allows.
 //
 // A server in need says in its answers how many requests a second it takes from all nodes
-// together (package notice). The limit holds for one incarnation of the server, until an answer
+// together. The limit holds for one incarnation of the server, until an answer
 // names another one or none. Each whole request a second is the share of one owner of the server
 // (package owner): a limit of five is shared by the five nodes that come first, and all nodes share
 // one that exceeds their number. Only owners send such a server requests, each as many as its
@@ -19,7 +20,8 @@
 //	if !l.Take(server) {
 //		… choose again …
 //	}
-//	board.Observe(server, notices)  // for each answer
+//	… just before the first byte is sent: l.Withheld(server) …
+//	board.Observe(server, answer)  // for each answer
 package throttle
 
 import (
@@ -33,6 +35,23 @@
 	"github.com/violettally/violettally/timer"
 )
 
+//go:generate go tool enumer -type=Cause -trimprefix=Cause -transform=snake -output=throttle_enumer.go
+
+// Cause tells why a server gets no request now.
+type Cause int
+
+// The causes.
+const (
+	CauseNone Cause = iota
+	// CauseLimit: this node has used up its share of the server's request limit, or has none.
+	CauseLimit
+	// CauseLeaving: the server is about to end.
+	CauseLeaving
+)
+
+// forever is how long a server that leaves gets no request.
+const forever = time.Duration(math.MaxInt64)
+
 // minPerSecond is the least number of requests a second that a server gets: what it says of its
 // limit is known by its answers only.
 const minPerSecond = 0.2
@@ -92,15 +111,19 @@
 	now := l.timers.Steady()
 	l.refresh(now)
 	selection := l.selections.Get(servers, l.version, now, l.use)
-	return selection.Servers(func(s *registry.Server) bool { return l.wait(s, now) == 0 })
+	return selection.Servers(func(s *registry.Server) bool { return l.isFree(s, now) })
 }
 
 // idle reports whether every server may get any number of requests.
-func (l *Limiter) idle() bool { return l.board.Count(notice.KindRequestLimit) == 0 }
+func (l *Limiter) idle() bool {
+	return l.board.Count(notice.KindRequestLimit) == 0 && l.board.Count(notice.KindLeaving) == 0
+}
 
 // use returns how this node uses a server. The caller holds mu.
 func (l *Limiter) use(s *registry.Server) (registry.Use, time.Time) {
 	switch state := l.board.State(s); {
+	case state.Leaving:
+		return registry.UseNone, time.Time{}
 	case state.RequestLimit == notice.Unlimited:
 		return registry.UseFree, time.Time{}
 	case l.shareOf(s, state).burst > 0:
@@ -139,29 +162,36 @@
 	}
 	now := l.timers.Steady()
 	l.refresh(now)
-	return l.wait(s, now) == 0
+	return l.isFree(s, now)
 }
 
+// Withheld reports whether a server wants no requests at all now. Unlike Allows, it does not count
+// what this node has sent, so it also tells of a request that was taken and not sent yet.
+func (l *Limiter) Withheld(s registry.Server) bool { return l.board.State(&s).Leaving }
+
 // Wait returns the least time until one of the servers, of which there must be one, may get a
-// request, from this node or another: zero if one may get one from this node now.
-func (l *Limiter) Wait(servers []*registry.Server) time.Duration {
+// request, from this node or another, and why it may not before: zero and CauseNone if one may get
+// one from this node now.
+func (l *Limiter) Wait(servers []*registry.Server) (time.Duration, Cause) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Steady()
 	l.refresh(now)
-	least := time.Duration(math.MaxInt64)
-	for _, s := range servers {
-		least = min(least, l.wait(s, now))
+	least, cause := l.wait(servers[0], now)
+	for _, s := range servers[1:] {
+		if wait, c := l.wait(s, now); wait < least {
+			least, cause = wait, c
+		}
 	}
-	return least
+	return least, cause
 }
 
-// Scarce reports whether all of the servers name limits, and at least half of this node's shares
-// of them are used up.
+// Scarce reports whether all of the servers that stay name limits, and at least half of this node's
+// shares of them are used up.
 func (l *Limiter) Scarce(servers []*registry.Server) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.board.Count(notice.KindRequestLimit) < len(servers) || len(servers) == 0 {
+	if l.board.Count(notice.KindRequestLimit) == 0 || l.board.Count(notice.KindRequestLimit)+l.board.Count(notice.KindLeaving) < len(servers) {
 		return false
 	}
 	now := l.timers.Steady()
@@ -169,6 +199,9 @@
 	shares, usedUp := 0, 0
 	for _, s := range servers {
 		state := l.board.State(s)
+		if state.Leaving {
+			continue
+		}
 		if state.RequestLimit == notice.Unlimited {
 			return false
 		}
@@ -176,11 +209,11 @@
 			continue
 		}
 		shares++
-		if l.wait(s, now) > 0 {
+		if !l.isFree(s, now) {
 			usedUp++
 		}
 	}
-	return 2*usedUp >= shares
+	return len(servers) > 0 && 2*usedUp >= shares
 }
 
 // refresh takes changes of the list of nodes and of what servers say into account. The caller holds
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -10,6 +10,7 @@
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/throttle"
 	"github.com/violettally/violettally/timer"
 	"github.com/violettally/violettally/view"
 )
@@ -156,8 +157,12 @@
 		must.True(t, l.Take(*c))
 		must.Eq(t, []*registry.Server{b}, l.Filter(all))
 		must.Eq(t, []*registry.Server{a, b, c}, all)
-		must.Eq(t, 0, l.Wait(all))
-		must.Eq(t, 500*time.Millisecond, l.Wait([]*registry.Server{a, c}))
+		wait, cause := l.Wait(all)
+		must.Eq(t, 0, wait)
+		must.Eq(t, throttle.CauseNone, cause)
+		wait, cause = l.Wait([]*registry.Server{a, c})
+		must.Eq(t, 500*time.Millisecond, wait)
+		must.Eq(t, throttle.CauseLimit, cause)
 		time.Sleep(500 * time.Millisecond)
 		must.Eq(t, []*registry.Server{b, c}, l.Filter(all))
 		l.Observe(*a, notice.Unlimited)
@@ -182,3 +187,32 @@
 		must.False(t, l.Scarce(nil))
 	})
 }
+
+// TestServersThatLeave checks that a server that leaves gets no requests, also one that was taken
+// before and not sent, and that nothing is awaited if all leave.
+func TestServersThatLeave(t *testing.T) {
+	alone(t, func(t *testing.T, l *limiter, changes *[]notice.Change) {
+		a, b, c := &registry.Server{ID: "a"}, &registry.Server{ID: "b"}, &registry.Server{ID: "c"}
+		all := []*registry.Server{a, b, c}
+		leaves := notice.Answer{Notices: []notice.Notice{{Kind: notice.KindLeaving, Value: 1}}}
+		must.Eq(t, all, l.Filter(all))
+		must.True(t, l.Take(*a))
+		must.False(t, l.Withheld(*a))
+		l.board.Observe(*a, leaves)
+		must.True(t, l.Withheld(*a))
+		must.False(t, l.Allows(*a))
+		must.False(t, l.Take(*a))
+		must.Eq(t, []*registry.Server{b, c}, l.Filter(all))
+		l.Observe(*b, 1)
+		must.True(t, l.Take(*b))
+		l.board.Observe(*c, leaves)
+		wait, cause := l.Wait(all)
+		must.Eq(t, time.Second, wait)
+		must.Eq(t, throttle.CauseLimit, cause)
+		must.True(t, l.Scarce(all))
+		l.board.Observe(*b, leaves)
+		_, cause = l.Wait(all)
+		must.Eq(t, throttle.CauseLeaving, cause)
+		must.SliceEmpty(t, l.Filter(all))
+	})
+}
--- a/tunnel/carriers.go
+++ b/tunnel/carriers.go
@@ -104,7 +104,7 @@
 func (c *carriers) record(carrier view.Member, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if errorx.IsOfType(err, Unreachable) || errorx.IsOfType(err, UnknownServer) {
+	if errorx.IsOfType(err, Unreachable) || errorx.IsOfType(err, UnknownServer) || errorx.IsOfType(err, Withheld) {
 		return // says nothing of other servers
 	}
 	same := func(m view.Member) bool { return m.Peer == carrier.Peer }
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -24,7 +24,7 @@
 // For the tunnels of other nodes:
 //
 //	c := tunnel.NewCarrier(d, isKnownServer, mayCarry)
-//	conn, err := c.Carry(ctx, address)
+//	conn, err := c.Carry(ctx, address, opener)
 package tunnel
 
 import (
@@ -51,6 +51,8 @@
 	Busy = namespace.NewType("busy")
 	// UnknownServer means that a carrier knows no server at an address.
 	UnknownServer = namespace.NewType("unknown_server")
+	// Withheld means that a server wants no requests of a carrier now.
+	Withheld = namespace.NewType("withheld")
 	// Unreachable means that a carrier reaches other servers, but not this one.
 	Unreachable = namespace.NewType("unreachable")
 )
@@ -68,7 +70,7 @@
 }
 
 // refusals are the errors of a carrier that refuses a tunnel.
-var refusals = []*errorx.Type{CutOff, Busy, UnknownServer, Unreachable}
+var refusals = []*errorx.Type{CutOff, Busy, UnknownServer, Withheld, Unreachable}
 
 // isRefusal reports whether an error is that of a carrier that refused a tunnel.
 func isRefusal(err error) bool {
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -321,7 +321,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				n := &network{direct: tt.direct}
 				c := tunnel.NewCarrier(dialerOf(t, n), func(s string) bool { return s == "known" }, func() bool { return !tt.leaving })
-				conn, err := c.Carry(t.Context(), tt.server)
+				conn, err := c.Carry(t.Context(), tt.server, "n-2")
 				_, tunnels := n.counts()
 				must.Zero(t, tunnels, must.Sprint("tunnels are not chained"))
 				if tt.kind != nil {
@@ -347,7 +347,7 @@
 		var err error
 		for open := 0; err == nil; open++ {
 			must.Less(t, 2000, open)
-			_, err = c.Carry(t.Context(), "server")
+			_, err = c.Carry(t.Context(), "server", "n-2")
 		}
 		must.True(t, errorx.IsOfType(err, tunnel.Busy))
 	})
