throttle, relay, notice: a server that asks for rest gets none of this node's requests for so long

What callers saw: requests went first to servers that turn all away, at 15 requests in 3 s of rest at one server (incident; 8 to 11 from one node, 2 allowed), each a lost try out of the budget for repeats; such a server looks idle, so it drew more than before (4 to 11 a second, 2 to 4 before). With all servers resting, callers were told 0.3 s.

Cause: Retry-After of a server was used for the refusal of that one request only.

It concerns the node that was answered, so the other nodes are not told; the other end of a tunnel is, since to the server both are one. Choices leave the server out, and a request that waits for a connection goes elsewhere. The rest ends at each node up to a quarter later (5 s at most), then one request goes there, and one more each half second, until one sent since is answered otherwise. If all servers rest: 503 servers_resting at once, Retry-After as long as the shortest rest, plus up to a second by the request's ID, so that those refused together don't come back together. It is not cut to 2 s any more.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -244,6 +244,8 @@
 			func() float64 { return float64(g.notices.Count(notice.KindRejectionLimit)) }),
 		g.metrics.Gauge("violettally_leaving_servers", "Servers whose answers say that they leave, as far as this node knows.",
 			func() float64 { return float64(g.notices.Count(notice.KindLeaving)) }),
+		g.metrics.Gauge("violettally_resting_servers", "Servers that have wanted rest of this node and have not answered a request since.",
+			func() float64 { return float64(g.notices.Count(notice.KindRest)) }),
 		g.metrics.Gauge("violettally_unreachable_servers", "Servers that this node does not reach by itself.",
 			func() float64 { return float64(g.dialer.CountLost()) }),
 		g.metrics.Gauge("violettally_tunnels", "Open connections to servers through other nodes.",
--- a/notice/board.go
+++ b/notice/board.go
@@ -99,6 +99,9 @@
 	RequestLimit, RejectionLimit float64
 	// Leaving means that the server is about to end.
 	Leaving bool
+	// RestUntil is until when, by [timer.Service.Steady], the server wants no requests of this node; it
+	// stays set until the server has answered a request since. Zero for no rest.
+	RestUntil time.Time
 }
 
 // unknown is the state of a server that has said nothing.
@@ -116,6 +119,7 @@
 		RequestLimit:   r.facts[KindRequestLimit].value,
 		RejectionLimit: r.facts[KindRejectionLimit].value,
 		Leaving:        r.facts[KindLeaving].present(KindLeaving),
+		RestUntil:      r.restUntil,
 	}
 }
 
@@ -137,11 +141,17 @@
 	SentAgo time.Duration
 	// Carrier is the peer address of the node through which the answer came; "" for none.
 	Carrier string
+	// Probe means that the request was none that the server runs, so that the answer does not show
+	// whether it takes some again.
+	Probe bool
 }
 
 // Observe records what an answer of a server says of it.
 func (b *Board) Observe(s registry.Server, a Answer) {
 	for _, n := range a.Notices {
+		if a.Probe && n.Kind == KindRest && n.IsAbsent() {
+			continue
+		}
 		changed, report := b.recordAnswer(s.Hash(), s.ID, n, a.SentAgo)
 		if report {
 			b.report(s.Hash(), n)
@@ -172,18 +182,28 @@
 		return false, false
 	}
 	now := b.timers.Steady()
-	if n.Kind == KindLeaving && n.IsAbsent() && !b.isSilenceNews(hash, now.Add(-sentAgo)) {
+	if n.IsAbsent() && !b.isSilenceNews(hash, n.Kind, now.Add(-sentAgo)) {
 		return false, false
 	}
 	changed = b.set(hash, id, n, now, SourceAnswer)
 	return changed, b.isReportDue(hash, n.Kind, changed, now)
 }
 
-// isSilenceNews reports whether an answer that does not say that the server leaves, to a request sent
-// at the given time, is later than those that did: answers may pass each other. The caller holds mu.
-func (b *Board) isSilenceNews(hash uint64, sentAt time.Time) bool {
+// isSilenceNews reports whether an answer that says nothing of a kind, to a request sent at the given
+// time, takes back what is known: whether it is later than the answers that said that the server
+// leaves, since answers may pass each other, or than the end of the rest. The caller holds mu.
+func (b *Board) isSilenceNews(hash uint64, k Kind, sentAt time.Time) bool {
 	r := b.records[hash]
-	return r != nil && sentAt.After(r.facts[KindLeaving].heardAt)
+	switch {
+	case r == nil:
+		return false
+	case k == KindLeaving:
+		return sentAt.After(r.facts[k].heardAt)
+	case k == KindRest:
+		return !sentAt.Before(r.restUntil)
+	default:
+		return true
+	}
 }
 
 // ObserveReport records a report of another node, which has heard the server with the given hash say
@@ -237,7 +257,11 @@
 		r.id = id
 	}
 	f := &r.facts[n.Kind]
-	if heardAt.Before(f.heardAt) {
+	if n.Kind == KindRest {
+		if !r.extendRest(n, heardAt) {
+			return false
+		}
+	} else if heardAt.Before(f.heardAt) {
 		return false
 	}
 	if source != SourceAnswer {
@@ -248,7 +272,7 @@
 	}
 	f.heardAt = heardAt
 	c := Change{Server: r.id, Hash: hash, Kind: n.Kind, Before: f.value, Value: n.Value, Source: source, Age: b.timers.Steady().Sub(heardAt)}
-	if differ(n.Value, f.value, sameFactor) {
+	if differ(n.Value, f.value, sameFactor) || n.Kind == KindRest {
 		b.replace(f, n.Kind, n.Value)
 	}
 	if changed = c.matters(); changed {
@@ -287,6 +311,9 @@
 		before := *f
 		b.replace(f, kind, kind.Absent())
 		f.heardAt, f.reportedAt = time.Time{}, time.Time{}
+		if kind == KindRest {
+			r.restUntil = time.Time{}
+		}
 		if before.present(kind) {
 			b.onChange(Change{Server: r.id, Hash: hash, Kind: kind, Before: before.value, Value: kind.Absent(), Source: SourceExpiry, Age: now.Sub(before.heardAt)})
 		}
--- a/notice/board_test.go
+++ b/notice/board_test.go
@@ -1,6 +1,7 @@
 package notice_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +158,73 @@
 		must.SliceEmpty(t, b.told)
 	})
 }
+
+// TestRest checks until when a server wants rest: no answer within that time shortens it, and after it
+// the server counts as resting until it has answered a request that was sent since.
+func TestRest(t *testing.T) {
+	withBoard(t, func(t *testing.T, b *testBoard) {
+		began := time.Now()
+		until := func() time.Duration { return b.State(&server).RestUntil.Sub(began).Round(time.Millisecond) }
+		b.Observe(server, answers(notice.KindRest, 0, 0))
+		must.True(t, b.State(&server).RestUntil.IsZero())
+		b.Observe(server, answers(notice.KindRest, 3, 0))
+		first := until()
+		must.Between(t, 3*time.Second, first, 3750*time.Millisecond)
+		must.True(t, b.State(&restarted).RestUntil.IsZero())
+		time.Sleep(time.Second)
+		b.Observe(server, answers(notice.KindRest, 1, 0))
+		b.Observe(server, answers(notice.KindRest, 0, 0))
+		must.Eq(t, first, until(), must.Sprint("a shorter rest, and an answer without one"))
+		b.ObserveTunnel(notice.Report{Server: server.Hash(), Kind: notice.KindRest, Value: 6, Age: 2 * time.Second})
+		must.Between(t, 5*time.Second, until(), 6500*time.Millisecond)
+		time.Sleep(until())
+		must.False(t, b.State(&server).RestUntil.IsZero())
+		b.Observe(server, notice.Answer{Notices: []notice.Notice{{Kind: notice.KindRest}}, Probe: true})
+		must.False(t, b.State(&server).RestUntil.IsZero(), must.Sprint("an answer to a check"))
+		b.Observe(server, answers(notice.KindRest, 0, 10*time.Second))
+		must.False(t, b.State(&server).RestUntil.IsZero(), must.Sprint("an answer to a request before the rest"))
+		b.Observe(server, answers(notice.KindRest, 0, 0))
+		must.True(t, b.State(&server).RestUntil.IsZero())
+		must.Eq(t, 0, b.Count(notice.KindRest))
+		must.SliceEmpty(t, b.reported, must.Sprint("a rest is between a server and one node"))
+	})
+}
+
+// TestLongRest checks that a rest of any length is kept to, and that it is forgotten after a while if
+// the server gets no request after it.
+func TestLongRest(t *testing.T) {
+	for _, rest := range []time.Duration{50 * time.Millisecond, time.Minute, 20 * time.Hour} {
+		withBoard(t, func(t *testing.T, b *testBoard) {
+			b.Observe(server, answers(notice.KindRest, rest.Seconds(), 0))
+			time.Sleep(rest - time.Millisecond)
+			b.Clean()
+			must.True(t, b.State(&server).RestUntil.After(time.Now()))
+			time.Sleep(rest/4 + 31*time.Second)
+			b.Clean()
+			must.True(t, b.State(&server).RestUntil.IsZero())
+			must.Eq(t, 0, b.Count(notice.KindRest))
+		})
+	}
+}
+
+// TestRestsEndApart checks that the rests of nodes which a server turned away together end at different
+// times.
+func TestRestsEndApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		began := time.Now()
+		tenths := make(map[int]int)
+		for i := range 984 {
+			node := (&nodelist.List{}).Add(view.Member{ID: fmt.Sprint("n-", i), VM: fmt.Sprint("n-", i)})
+			b := notice.New(owner.NewRoster(node.Self(), node, timers), timers)
+			b.Observe(server, answers(notice.KindRest, 4, 0))
+			until := b.State(&server).RestUntil.Sub(began)
+			must.Between(t, 4*time.Second, until, 5*time.Second)
+			tenths[int((until-4*time.Second)/(100*time.Millisecond))]++
+		}
+		for tenth, nodes := range tenths {
+			must.Less(t, 984/5, nodes, must.Sprint("nodes that come back in the tenth ", tenth))
+		}
+	})
+}
--- a/notice/change.go
+++ b/notice/change.go
@@ -37,12 +37,13 @@
 	Age time.Duration
 }
 
-// matters reports whether the change is more than a small one of a limit.
+// matters reports whether the change is more than a small one of a limit. A rest begins anew with each
+// answer that asks for one.
 func (c Change) matters() bool {
 	if c.Kind.isLimit() {
 		return differ(c.Before, c.Value, changeFactor)
 	}
-	return c.Before != c.Value
+	return c.Before != c.Value || c.Kind == KindRest
 }
 
 // Name returns the change's name for logs and metrics.
--- a/notice/record.go
+++ b/notice/record.go
@@ -11,6 +11,12 @@
 	// leavingTrust is how long it is known that a server leaves. The entry of one that has ended may
 	// stay in this node's copy of the store for as long as the store is away.
 	leavingTrust = time.Hour
+	// restMemory is how long it is known that a server has wanted rest, if it gets no request after it.
+	restMemory = 30 * time.Second
+	// restSpread is the share of a rest by which the nodes' rests are longer at most, up to
+	// maxRestSpread, so that those that were turned away together don't come back together.
+	restSpread    = 0.25
+	maxRestSpread = 5 * time.Second
 )
 
 // record is what is known of one server.
@@ -21,6 +27,8 @@
 	// the first one tells the others.
 	position float64
 	facts    [kindCount]fact
+	// restUntil is until when the server wants rest; zero if it wants none, or has answered since.
+	restUntil time.Time
 }
 
 // fact is what is known of one kind.
@@ -66,7 +74,27 @@
 		return endedTrust
 	case k == KindLeaving:
 		return leavingTrust
+	case k == KindRest:
+		return r.restUntil.Sub(r.facts[k].heardAt) + restMemory
 	default:
 		return r.spread(minTrust)
 	}
 }
+
+// extendRest records that the server has wanted rest from the given time on, or, for an absent notice,
+// that its rest has ended. It returns false, and records nothing, if it has wanted rest for longer
+// before: each of its answers holds.
+func (r *record) extendRest(n Notice, heardAt time.Time) bool {
+	if n.IsAbsent() {
+		r.restUntil = time.Time{}
+		return true
+	}
+	rest := time.Duration(n.Value * float64(time.Second))
+	rest += time.Duration(r.position * float64(min(maxRestSpread, time.Duration(restSpread*float64(rest)))))
+	until := heardAt.Add(rest)
+	if !until.After(r.restUntil) {
+		return false
+	}
+	r.restUntil = until
+	return true
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
@@ -166,13 +167,23 @@
 // withheldRefusal returns the refusal of a request that no server takes now, by what they say.
 func (x *exchange) withheldRefusal(servers []*registry.Server) *Refusal {
 	wait, cause := x.relay.Throttle.Wait(servers)
-	if cause == throttle.CauseLeaving {
+	switch cause {
+	case throttle.CauseLeaving:
 		return refusalf(ReasonServersLeaving, retryAfterOutage, "service %s: %d servers say that they leave, %d tried", x.service, len(servers), len(x.tried))
+	case throttle.CauseRest:
+		return refusalf(ReasonServersResting, x.afterRest(wait), "service %s: %d servers want rest, the first for %d ms, %d tried", x.service, len(servers), wait.Milliseconds(), len(x.tried))
 	}
 	retryAfter := min(maxRetryAfter, max(retrySoon, wait))
 	return refusalf(ReasonServerLimit, retryAfter, "service %s: %d servers name limits and get no more requests from this node now, %d tried", x.service, len(servers), len(x.tried))
 }
 
+// afterRest returns when the client is to come back if the first server has had its rest after a time.
+// Clients that were refused together don't come back together.
+func (x *exchange) afterRest(rest time.Duration) time.Duration {
+	position := rendezvous.Position(rendezvous.Hash(x.request.ID))
+	return max(retrySoon, rest) + time.Duration(position*float64(min(rest, maxReturnSpread)))
+}
+
 // servers returns the candidates for the next attempt, and the version under which it is
 // counted. The version is chosen first, so that a session keeps it while servers get few requests;
 // if none of its servers may get one, any version is better than no response.
--- a/relay/failure.go
+++ b/relay/failure.go
@@ -75,6 +75,9 @@
 	if f.ran || x.runs > 0 {
 		return refusalf(ReasonServerFailed, 0, "no answer: %s", f.cause)
 	}
+	if servers := x.relay.Servers.Servers(x.service); f.reason == ReasonDeclined && len(servers) > 0 && len(x.relay.Throttle.Filter(servers)) == 0 {
+		return x.withheldRefusal(servers)
+	}
 	retryAfter := min(maxRetryAfter, max(retrySoon, f.retryAfter))
 	return refusalf(f.reason, retryAfter, "no server took the request: %s", f.cause)
 }
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -32,6 +32,8 @@
 	// ReasonServerLimit: all servers of the service name limits and get no more requests from this
 	// node now.
 	ReasonServerLimit
+	// ReasonServersResting: all servers of the service want no requests of this node now.
+	ReasonServersResting
 	// ReasonServersLeaving: all servers of the service say that they are about to end.
 	ReasonServersLeaving
 	// ReasonRejectionLimit: all servers of the service are full, and end if they must reject more
@@ -70,8 +72,10 @@
 	retryAfterOutage = 2 * time.Second
 	// retryElsewhere is used by a draining node: any other node can take the request now.
 	retryElsewhere = 10 * time.Millisecond
-	// maxRetryAfter bounds the delay that a server asks for.
+	// maxRetryAfter bounds the delay after what may pass sooner than it seems.
 	maxRetryAfter = 2 * time.Second
+	// maxReturnSpread is the time over which clients that were refused while servers rest come back.
+	maxReturnSpread = time.Second
 )
 
 // statuses maps reasons to HTTP statuses. 503 guarantees that the request has not run and will
@@ -87,6 +91,7 @@
 	ReasonEvacuated:       http.StatusServiceUnavailable,
 	ReasonWarmingUp:       http.StatusServiceUnavailable,
 	ReasonServerLimit:     http.StatusServiceUnavailable,
+	ReasonServersResting:  http.StatusServiceUnavailable,
 	ReasonServersLeaving:  http.StatusServiceUnavailable,
 	ReasonRejectionLimit:  http.StatusServiceUnavailable,
 	ReasonDeclined:        http.StatusServiceUnavailable,
--- a/relay/relay_enumer.go
+++ b/relay/relay_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_upserver_limitservers_leavingrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
+const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_upserver_limitservers_restingservers_leavingrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
-var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 87, 97, 109, 124, 139, 147, 158, 171, 178, 186, 193, 200, 209, 218}
+var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 87, 97, 109, 124, 139, 154, 162, 173, 186, 193, 201, 208, 215, 224, 233}
 
-const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_upserver_limitservers_leavingrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
+const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_upserver_limitservers_restingservers_leavingrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -34,20 +34,21 @@
 	_ = x[ReasonEvacuated-(7)]
 	_ = x[ReasonWarmingUp-(8)]
 	_ = x[ReasonServerLimit-(9)]
-	_ = x[ReasonServersLeaving-(10)]
-	_ = x[ReasonRejectionLimit-(11)]
-	_ = x[ReasonDeclined-(12)]
-	_ = x[ReasonUnreachable-(13)]
-	_ = x[ReasonServerFailed-(14)]
-	_ = x[ReasonStalled-(15)]
-	_ = x[ReasonDeadline-(16)]
-	_ = x[ReasonLeaving-(17)]
-	_ = x[ReasonStopped-(18)]
-	_ = x[ReasonSuspected-(19)]
-	_ = x[ReasonOvertaken-(20)]
+	_ = x[ReasonServersResting-(10)]
+	_ = x[ReasonServersLeaving-(11)]
+	_ = x[ReasonRejectionLimit-(12)]
+	_ = x[ReasonDeclined-(13)]
+	_ = x[ReasonUnreachable-(14)]
+	_ = x[ReasonServerFailed-(15)]
+	_ = x[ReasonStalled-(16)]
+	_ = x[ReasonDeadline-(17)]
+	_ = x[ReasonLeaving-(18)]
+	_ = x[ReasonStopped-(19)]
+	_ = x[ReasonSuspected-(20)]
+	_ = x[ReasonOvertaken-(21)]
 }
 
-var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonEvacuated, ReasonWarmingUp, ReasonServerLimit, ReasonServersLeaving, ReasonRejectionLimit, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
+var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonEvacuated, ReasonWarmingUp, ReasonServerLimit, ReasonServersResting, ReasonServersLeaving, ReasonRejectionLimit, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:16]:    ReasonNoConfiguration,
@@ -60,17 +61,18 @@
 	_ReasonName[78:87]:   ReasonEvacuated,
 	_ReasonName[87:97]:   ReasonWarmingUp,
 	_ReasonName[97:109]:  ReasonServerLimit,
-	_ReasonName[109:124]: ReasonServersLeaving,
-	_ReasonName[124:139]: ReasonRejectionLimit,
-	_ReasonName[139:147]: ReasonDeclined,
-	_ReasonName[147:158]: ReasonUnreachable,
-	_ReasonName[158:171]: ReasonServerFailed,
-	_ReasonName[171:178]: ReasonStalled,
-	_ReasonName[178:186]: ReasonDeadline,
-	_ReasonName[186:193]: ReasonLeaving,
-	_ReasonName[193:200]: ReasonStopped,
-	_ReasonName[200:209]: ReasonSuspected,
-	_ReasonName[209:218]: ReasonOvertaken,
+	_ReasonName[109:124]: ReasonServersResting,
+	_ReasonName[124:139]: ReasonServersLeaving,
+	_ReasonName[139:154]: ReasonRejectionLimit,
+	_ReasonName[154:162]: ReasonDeclined,
+	_ReasonName[162:173]: ReasonUnreachable,
+	_ReasonName[173:186]: ReasonServerFailed,
+	_ReasonName[186:193]: ReasonStalled,
+	_ReasonName[193:201]: ReasonDeadline,
+	_ReasonName[201:208]: ReasonLeaving,
+	_ReasonName[208:215]: ReasonStopped,
+	_ReasonName[215:224]: ReasonSuspected,
+	_ReasonName[224:233]: ReasonOvertaken,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -84,17 +86,18 @@
 	_ReasonLowerName[78:87]:   ReasonEvacuated,
 	_ReasonLowerName[87:97]:   ReasonWarmingUp,
 	_ReasonLowerName[97:109]:  ReasonServerLimit,
-	_ReasonLowerName[109:124]: ReasonServersLeaving,
-	_ReasonLowerName[124:139]: ReasonRejectionLimit,
-	_ReasonLowerName[139:147]: ReasonDeclined,
-	_ReasonLowerName[147:158]: ReasonUnreachable,
-	_ReasonLowerName[158:171]: ReasonServerFailed,
-	_ReasonLowerName[171:178]: ReasonStalled,
-	_ReasonLowerName[178:186]: ReasonDeadline,
-	_ReasonLowerName[186:193]: ReasonLeaving,
-	_ReasonLowerName[193:200]: ReasonStopped,
-	_ReasonLowerName[200:209]: ReasonSuspected,
-	_ReasonLowerName[209:218]: ReasonOvertaken,
+	_ReasonLowerName[109:124]: ReasonServersResting,
+	_ReasonLowerName[124:139]: ReasonServersLeaving,
+	_ReasonLowerName[139:154]: ReasonRejectionLimit,
+	_ReasonLowerName[154:162]: ReasonDeclined,
+	_ReasonLowerName[162:173]: ReasonUnreachable,
+	_ReasonLowerName[173:186]: ReasonServerFailed,
+	_ReasonLowerName[186:193]: ReasonStalled,
+	_ReasonLowerName[193:201]: ReasonDeadline,
+	_ReasonLowerName[201:208]: ReasonLeaving,
+	_ReasonLowerName[208:215]: ReasonStopped,
+	_ReasonLowerName[215:224]: ReasonSuspected,
+	_ReasonLowerName[224:233]: ReasonOvertaken,
 }
 
 var _ReasonNames = []string{
@@ -110,15 +113,16 @@
 	_ReasonName[97:109],
 	_ReasonName[109:124],
 	_ReasonName[124:139],
-	_ReasonName[139:147],
-	_ReasonName[147:158],
-	_ReasonName[158:171],
-	_ReasonName[171:178],
-	_ReasonName[178:186],
+	_ReasonName[139:154],
+	_ReasonName[154:162],
+	_ReasonName[162:173],
+	_ReasonName[173:186],
 	_ReasonName[186:193],
-	_ReasonName[193:200],
-	_ReasonName[200:209],
-	_ReasonName[209:218],
+	_ReasonName[193:201],
+	_ReasonName[201:208],
+	_ReasonName[208:215],
+	_ReasonName[215:224],
+	_ReasonName[224:233],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/throttle/shares.go
+++ b/throttle/shares.go
@@ -15,6 +15,9 @@
 	// usageMemory is how long it is known what this node has sent a server, which exceeds the
 	// window of every share.
 	usageMemory = 10 * time.Second
+	// probeInterval is the time between two requests to a server whose rest is over, until it has
+	// answered one of them.
+	probeInterval = 500 * time.Millisecond
 )
 
 // usage is how this node uses one server that names a limit.
@@ -24,8 +27,10 @@
 	perSecond  float64
 	generation uint64
 	// sent holds the times of the requests that this node has sent within the share's window.
-	sent   []time.Time
-	usedAt time.Time
+	sent []time.Time
+	// probedAt is when the last request was sent after a rest that the server has not answered yet.
+	probedAt time.Time
+	usedAt   time.Time
 }
 
 // share is a node's part of a limit: burst requests in each window; none if burst is zero.
@@ -68,19 +73,36 @@
 	if state.Leaving {
 		return forever, CauseLeaving
 	}
-	if state.RequestLimit == notice.Unlimited {
+	rest, share := l.waitForRest(s, state, now), l.waitForShare(s, state, now)
+	switch {
+	case rest > 0 && rest >= share:
+		return rest, CauseRest
+	case share > 0:
+		return share, CauseLimit
+	default:
 		return 0, CauseNone
 	}
-	if wait := l.waitForShare(s, state, now); wait > 0 {
-		return wait, CauseLimit
+}
+
+// waitForRest returns the time until a server that has wanted rest may get a request from this node.
+// The caller holds mu.
+func (l *Limiter) waitForRest(s *registry.Server, state notice.State, now time.Time) time.Duration {
+	if state.RestUntil.IsZero() {
+		return 0
+	}
+	if rest := state.RestUntil.Sub(now); rest > 0 {
+		return rest
 	}
-	return 0, CauseNone
+	return max(0, l.usage(s).probedAt.Add(probeInterval).Sub(now))
 }
 
 // waitForShare returns the time until a server that names a limit may get a request from this node,
 // or, if this node has no share of the limit, in which the server takes one from another node. The
 // caller holds mu.
 func (l *Limiter) waitForShare(s *registry.Server, state notice.State, now time.Time) time.Duration {
+	if state.RequestLimit == notice.Unlimited {
+		return 0
+	}
 	share := l.shareOf(s, state)
 	if share.burst == 0 {
 		return time.Duration(float64(time.Second) / servedRate(state))
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -1,5 +1,9 @@
 // Package throttle keeps nodes to what backend servers say of the requests that they take (package
-// notice): a server that leaves gets none, and one that names a limit no more than that allows.
+// notice): a server that leaves gets none, one that wants rest gets none of the node that it told so for
+// that time, and one that names a limit no more than that allows.
+//
+// After a rest a node sends one request at first, and then a few a second until the server has
+// answered one without wanting rest again: those that were held off don't all come at once.
 //
 // A server in need says in its answers how many requests a second it takes from all nodes
 // together. The limit holds for one incarnation of the server, until an answer
@@ -45,6 +49,8 @@
 	CauseNone Cause = iota
 	// CauseLimit: this node has used up its share of the server's request limit, or has none.
 	CauseLimit
+	// CauseRest: the server wants rest, or has wanted it until just now and is being probed.
+	CauseRest
 	// CauseLeaving: the server is about to end.
 	CauseLeaving
 )
@@ -116,7 +122,7 @@
 
 // idle reports whether every server may get any number of requests.
 func (l *Limiter) idle() bool {
-	return l.board.Count(notice.KindRequestLimit) == 0 && l.board.Count(notice.KindLeaving) == 0
+	return l.board.Count(notice.KindRequestLimit) == 0 && l.board.Count(notice.KindLeaving) == 0 && l.board.Count(notice.KindRest) == 0
 }
 
 // use returns how this node uses a server. The caller holds mu.
@@ -124,6 +130,8 @@
 	switch state := l.board.State(s); {
 	case state.Leaving:
 		return registry.UseNone, time.Time{}
+	case !state.RestUntil.IsZero():
+		return registry.UseRestricted, time.Time{}
 	case state.RequestLimit == notice.Unlimited:
 		return registry.UseFree, time.Time{}
 	case l.shareOf(s, state).burst > 0:
@@ -148,10 +156,17 @@
 	if !l.allows(&s) {
 		return false
 	}
-	if !l.idle() && l.board.State(&s).RequestLimit != notice.Unlimited {
+	if l.idle() {
+		return true
+	}
+	state := l.board.State(&s)
+	if state.RequestLimit != notice.Unlimited {
 		u := l.usage(&s)
 		u.sent = append(u.sent, l.refreshedAt)
 	}
+	if !state.RestUntil.IsZero() {
+		l.usage(&s).probedAt = l.refreshedAt
+	}
 	return true
 }
 
@@ -167,7 +182,13 @@
 
 // Withheld reports whether a server wants no requests at all now. Unlike Allows, it does not count
 // what this node has sent, so it also tells of a request that was taken and not sent yet.
-func (l *Limiter) Withheld(s registry.Server) bool { return l.board.State(&s).Leaving }
+func (l *Limiter) Withheld(s registry.Server) bool {
+	if l.board.Count(notice.KindLeaving) == 0 && l.board.Count(notice.KindRest) == 0 {
+		return false
+	}
+	state := l.board.State(&s)
+	return state.Leaving || l.timers.Steady().Before(state.RestUntil)
+}
 
 // Wait returns the least time until one of the servers, of which there must be one, may get a
 // request, from this node or another, and why it may not before: zero and CauseNone if one may get
--- a/throttle/throttle_enumer.go
+++ b/throttle/throttle_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "nonelimitleaving"
+const _CauseName = "nonelimitrestleaving"
 
-var _CauseIndex = [...]uint8{0, 4, 9, 16}
+var _CauseIndex = [...]uint8{0, 4, 9, 13, 20}
 
-const _CauseLowerName = "nonelimitleaving"
+const _CauseLowerName = "nonelimitrestleaving"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -26,27 +26,31 @@
 	var x [1]struct{}
 	_ = x[CauseNone-(0)]
 	_ = x[CauseLimit-(1)]
-	_ = x[CauseLeaving-(2)]
+	_ = x[CauseRest-(2)]
+	_ = x[CauseLeaving-(3)]
 }
 
-var _CauseValues = []Cause{CauseNone, CauseLimit, CauseLeaving}
+var _CauseValues = []Cause{CauseNone, CauseLimit, CauseRest, CauseLeaving}
 
 var _CauseNameToValueMap = map[string]Cause{
-	_CauseName[0:4]:  CauseNone,
-	_CauseName[4:9]:  CauseLimit,
-	_CauseName[9:16]: CauseLeaving,
+	_CauseName[0:4]:   CauseNone,
+	_CauseName[4:9]:   CauseLimit,
+	_CauseName[9:13]:  CauseRest,
+	_CauseName[13:20]: CauseLeaving,
 }
 
 var _CauseLowerNameToValueMap = map[string]Cause{
-	_CauseLowerName[0:4]:  CauseNone,
-	_CauseLowerName[4:9]:  CauseLimit,
-	_CauseLowerName[9:16]: CauseLeaving,
+	_CauseLowerName[0:4]:   CauseNone,
+	_CauseLowerName[4:9]:   CauseLimit,
+	_CauseLowerName[9:13]:  CauseRest,
+	_CauseLowerName[13:20]: CauseLeaving,
 }
 
 var _CauseNames = []string{
 	_CauseName[0:4],
 	_CauseName[4:9],
-	_CauseName[9:16],
+	_CauseName[9:13],
+	_CauseName[13:20],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -216,3 +216,61 @@
 		must.SliceEmpty(t, l.Filter(all))
 	})
 }
+
+// rests returns an answer of a server that wants rest for some seconds, none for zero.
+func rests(seconds float64) notice.Answer {
+	return notice.Answer{Notices: []notice.Notice{{Kind: notice.KindRest, Value: seconds}}}
+}
+
+// TestServersThatWantRest checks that a server that wants rest gets no requests for that time, then few
+// until it has answered one, and that this goes with a limit that it names.
+func TestServersThatWantRest(t *testing.T) {
+	alone(t, func(t *testing.T, l *limiter, changes *[]notice.Change) {
+		a, b := &registry.Server{ID: "a"}, &registry.Server{ID: "b"}
+		all := []*registry.Server{a, b}
+		l.board.Observe(*a, rests(3))
+		must.True(t, l.Withheld(*a))
+		must.False(t, l.Take(*a))
+		must.Eq(t, []*registry.Server{b}, l.Filter(all))
+		l.board.Observe(*b, rests(10))
+		must.SliceEmpty(t, l.Filter(all))
+		wait, cause := l.Wait(all)
+		must.Between(t, 3*time.Second, wait, 3750*time.Millisecond)
+		must.Eq(t, throttle.CauseRest, cause)
+		time.Sleep(wait)
+		must.Eq(t, []*registry.Server{a}, l.Filter(all))
+		must.False(t, l.Withheld(*a))
+		must.True(t, l.Take(*a))
+		must.False(t, l.Withheld(*a), must.Sprint("the request that was taken may be sent"))
+		must.False(t, l.Take(*a), must.Sprint("before the first is answered"))
+		_, cause = l.Wait(all)
+		must.Eq(t, throttle.CauseRest, cause)
+		time.Sleep(500 * time.Millisecond)
+		must.True(t, l.Take(*a), must.Sprint("the first was not answered"))
+		l.board.Observe(*a, rests(0))
+		for range 5 {
+			must.True(t, l.Take(*a))
+		}
+		l.Observe(*a, 1)
+		must.True(t, l.Take(*a))
+		must.False(t, l.Take(*a))
+		_, cause = l.Wait(all)
+		must.Eq(t, throttle.CauseLimit, cause)
+	})
+}
+
+// TestRestAgainAndAgain checks how many requests a server gets that wants rest whenever it gets one.
+func TestRestAgainAndAgain(t *testing.T) {
+	alone(t, func(t *testing.T, l *limiter, changes *[]notice.Change) {
+		s := registry.Server{ID: "a"}
+		sent := 0
+		for range 3000 {
+			if l.Take(s) {
+				sent++
+				l.board.Observe(s, rests(3))
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		must.Between(t, 7, sent, 10, must.Sprint("requests in 30 s"))
+	})
+}
