node, route, dispatch, adapter/engine: what servers say of leaving and rest, on the product's own interface

The engine adapter decodes X-Leaving in all responses, load reports included, and Retry-After of 503, and tells when the request was sent and through which node it went. Nodes keep to both as the gateway does: choices leave the server out, load is not asked for within a rest, both ends of a tunnel know, and a request that no server takes is refused as servers_resting or servers_leaving with when to come back.

A server's word goes before what the node concludes: one that had turned a request away counted as leaving or failed (no_server, 1 s).

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -24,6 +24,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -79,7 +80,7 @@
 // Observer learns what the responses of servers say of the servers.
 type Observer interface {
 	// Noticed is called with what a response says of its server.
-	Noticed(server config.Server, notices []notice.Notice)
+	Noticed(server config.Server, answer notice.Answer)
 	// Rejected is called if a server has rejected a request for want of room.
 	Rejected(server config.Server)
 }
@@ -87,8 +88,8 @@
 // noObserver learns nothing.
 type noObserver struct{}
 
-func (noObserver) Noticed(config.Server, []notice.Notice) {}
-func (noObserver) Rejected(config.Server)                 {}
+func (noObserver) Noticed(config.Server, notice.Answer) {}
+func (noObserver) Rejected(config.Server)               {}
 
 // WithObserver sets what learns what servers say of themselves.
 func WithObserver(o Observer) Option { return func(c *Client) { c.observer = o } }
@@ -192,7 +193,7 @@
 
 // send sends a request and classifies its errors by whether it may have run.
 func (c *Client) send(request *http.Request, server config.Server) (*http.Response, error) {
-	response, err := c.http.Do(request)
+	response, answer, err := c.do(request)
 	if err != nil {
 		kind := dispatch.Failed
 		switch {
@@ -203,7 +204,7 @@
 		}
 		return nil, errs.Wrap(kind, "send", err, "server %s", server.Name)
 	}
-	c.observer.Noticed(server, noticeHeaders.Decode(response))
+	c.observer.Noticed(server, answer)
 	if response.Header.Get(notRunHeader) != "" {
 		defer response.Body.Close()
 		if response.StatusCode == http.StatusServiceUnavailable {
@@ -214,6 +215,22 @@
 	return response, nil
 }
 
+// do sends a request, and also returns what the response says of its server.
+func (c *Client) do(request *http.Request) (*http.Response, notice.Answer, error) {
+	began := time.Now()
+	carrier := ""
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*tunnel.Conn); ok {
+			carrier = conn.Carrier()
+		}
+	}}
+	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, notice.Answer{}, err
+	}
+	return response, notice.Answer{Notices: noticeHeaders.Decode(response), SentAgo: time.Since(began), Carrier: carrier}, nil
+}
+
 // isDialError reports whether no connection was made.
 func isDialError(err error) bool {
 	var opErr *net.OpError
@@ -336,12 +353,13 @@
 	if err != nil {
 		return route.Report{}, err
 	}
-	response, err := c.http.Do(request)
+	response, answer, err := c.do(request)
 	if err != nil {
 		return route.Report{}, err
 	}
 	defer response.Body.Close()
-	c.observer.Noticed(server, noticeHeaders.Decode(response))
+	answer.Probe = true
+	c.observer.Noticed(server, answer)
 	var in struct {
 		Running   int      `json:"running"`
 		Waiting   int      `json:"waiting"`
--- a/dispatch/chat.go
+++ b/dispatch/chat.go
@@ -222,8 +222,8 @@
 		if refusal.reason == ReasonCancelled {
 			m.billPartial(refusal)
 		}
-		if (refusal.reason == ReasonNoServer || refusal.reason == ReasonServerLimit) && last != nil {
-			return nil, last
+		if refusal.noServerLeft() {
+			return nil, refusal.orLast(last)
 		}
 		if refusal.reason != ReasonServerFailed {
 			return nil, refusal
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -187,6 +187,8 @@
 const (
 	// retryAfterShort is the Retry-After for faults that pass within seconds.
 	retryAfterShort = time.Second
+	// retryAfterLeaving is that while all servers leave: others have to be started first.
+	retryAfterLeaving = 2 * time.Second
 	// retryAfterLong is the Retry-After where an operator or a rollout has to act.
 	retryAfterLong = 10 * time.Second
 	// maxAttempts bounds the attempts of one ID, the first one included.
--- a/dispatch/dispatch_enumer.go
+++ b/dispatch/dispatch_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_limitserver_failedclaim_unreachableclaim_busyclaim_memoryoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
+const _ReasonName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_limitservers_restingservers_leavingserver_failedclaim_unreachableclaim_busyclaim_memoryoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
 
-var _ReasonIndex = [...]uint16{0, 15, 32, 42, 59, 76, 87, 99, 109, 117, 126, 138, 151, 168, 178, 190, 205, 223, 232, 248, 255, 263, 272, 289, 303, 319, 326, 340}
+var _ReasonIndex = [...]uint16{0, 15, 32, 42, 59, 76, 87, 99, 109, 117, 126, 138, 153, 168, 181, 198, 208, 220, 235, 253, 262, 278, 285, 293, 302, 319, 333, 349, 356, 370}
 
-const _ReasonLowerName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_limitserver_failedclaim_unreachableclaim_busyclaim_memoryoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
+const _ReasonLowerName = "model_not_foundversion_withdrawnno_versionservice_not_foundcall_not_declaredkey_missingrate_limitedoverloadeddeadlineno_serverserver_limitservers_restingservers_leavingserver_failedclaim_unreachableclaim_busyclaim_memoryoutcome_unknownholder_unreachableid_reusedno_configurationcut_offdrainingcancelledrequest_not_foundanswer_expiredanswer_too_largeinvalidbody_too_large"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -35,25 +35,27 @@
 	_ = x[ReasonDeadline-(8)]
 	_ = x[ReasonNoServer-(9)]
 	_ = x[ReasonServerLimit-(10)]
-	_ = x[ReasonServerFailed-(11)]
-	_ = x[ReasonClaimUnreachable-(12)]
-	_ = x[ReasonClaimBusy-(13)]
-	_ = x[ReasonClaimMemory-(14)]
-	_ = x[ReasonOutcomeUnknown-(15)]
-	_ = x[ReasonHolderUnreachable-(16)]
-	_ = x[ReasonIDReused-(17)]
-	_ = x[ReasonNoConfiguration-(18)]
-	_ = x[ReasonCutOff-(19)]
-	_ = x[ReasonDraining-(20)]
-	_ = x[ReasonCancelled-(21)]
-	_ = x[ReasonRequestNotFound-(22)]
-	_ = x[ReasonAnswerExpired-(23)]
-	_ = x[ReasonAnswerTooLarge-(24)]
-	_ = x[ReasonInvalid-(25)]
-	_ = x[ReasonBodyTooLarge-(26)]
+	_ = x[ReasonServersResting-(11)]
+	_ = x[ReasonServersLeaving-(12)]
+	_ = x[ReasonServerFailed-(13)]
+	_ = x[ReasonClaimUnreachable-(14)]
+	_ = x[ReasonClaimBusy-(15)]
+	_ = x[ReasonClaimMemory-(16)]
+	_ = x[ReasonOutcomeUnknown-(17)]
+	_ = x[ReasonHolderUnreachable-(18)]
+	_ = x[ReasonIDReused-(19)]
+	_ = x[ReasonNoConfiguration-(20)]
+	_ = x[ReasonCutOff-(21)]
+	_ = x[ReasonDraining-(22)]
+	_ = x[ReasonCancelled-(23)]
+	_ = x[ReasonRequestNotFound-(24)]
+	_ = x[ReasonAnswerExpired-(25)]
+	_ = x[ReasonAnswerTooLarge-(26)]
+	_ = x[ReasonInvalid-(27)]
+	_ = x[ReasonBodyTooLarge-(28)]
 }
 
-var _ReasonValues = []Reason{ReasonModelNotFound, ReasonVersionWithdrawn, ReasonNoVersion, ReasonServiceNotFound, ReasonCallNotDeclared, ReasonKeyMissing, ReasonRateLimited, ReasonOverloaded, ReasonDeadline, ReasonNoServer, ReasonServerLimit, ReasonServerFailed, ReasonClaimUnreachable, ReasonClaimBusy, ReasonClaimMemory, ReasonOutcomeUnknown, ReasonHolderUnreachable, ReasonIDReused, ReasonNoConfiguration, ReasonCutOff, ReasonDraining, ReasonCancelled, ReasonRequestNotFound, ReasonAnswerExpired, ReasonAnswerTooLarge, ReasonInvalid, ReasonBodyTooLarge}
+var _ReasonValues = []Reason{ReasonModelNotFound, ReasonVersionWithdrawn, ReasonNoVersion, ReasonServiceNotFound, ReasonCallNotDeclared, ReasonKeyMissing, ReasonRateLimited, ReasonOverloaded, ReasonDeadline, ReasonNoServer, ReasonServerLimit, ReasonServersResting, ReasonServersLeaving, ReasonServerFailed, ReasonClaimUnreachable, ReasonClaimBusy, ReasonClaimMemory, ReasonOutcomeUnknown, ReasonHolderUnreachable, ReasonIDReused, ReasonNoConfiguration, ReasonCutOff, ReasonDraining, ReasonCancelled, ReasonRequestNotFound, ReasonAnswerExpired, ReasonAnswerTooLarge, ReasonInvalid, ReasonBodyTooLarge}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:15]:    ReasonModelNotFound,
@@ -67,22 +69,24 @@
 	_ReasonName[109:117]: ReasonDeadline,
 	_ReasonName[117:126]: ReasonNoServer,
 	_ReasonName[126:138]: ReasonServerLimit,
-	_ReasonName[138:151]: ReasonServerFailed,
-	_ReasonName[151:168]: ReasonClaimUnreachable,
-	_ReasonName[168:178]: ReasonClaimBusy,
-	_ReasonName[178:190]: ReasonClaimMemory,
-	_ReasonName[190:205]: ReasonOutcomeUnknown,
-	_ReasonName[205:223]: ReasonHolderUnreachable,
-	_ReasonName[223:232]: ReasonIDReused,
-	_ReasonName[232:248]: ReasonNoConfiguration,
-	_ReasonName[248:255]: ReasonCutOff,
-	_ReasonName[255:263]: ReasonDraining,
-	_ReasonName[263:272]: ReasonCancelled,
-	_ReasonName[272:289]: ReasonRequestNotFound,
-	_ReasonName[289:303]: ReasonAnswerExpired,
-	_ReasonName[303:319]: ReasonAnswerTooLarge,
-	_ReasonName[319:326]: ReasonInvalid,
-	_ReasonName[326:340]: ReasonBodyTooLarge,
+	_ReasonName[138:153]: ReasonServersResting,
+	_ReasonName[153:168]: ReasonServersLeaving,
+	_ReasonName[168:181]: ReasonServerFailed,
+	_ReasonName[181:198]: ReasonClaimUnreachable,
+	_ReasonName[198:208]: ReasonClaimBusy,
+	_ReasonName[208:220]: ReasonClaimMemory,
+	_ReasonName[220:235]: ReasonOutcomeUnknown,
+	_ReasonName[235:253]: ReasonHolderUnreachable,
+	_ReasonName[253:262]: ReasonIDReused,
+	_ReasonName[262:278]: ReasonNoConfiguration,
+	_ReasonName[278:285]: ReasonCutOff,
+	_ReasonName[285:293]: ReasonDraining,
+	_ReasonName[293:302]: ReasonCancelled,
+	_ReasonName[302:319]: ReasonRequestNotFound,
+	_ReasonName[319:333]: ReasonAnswerExpired,
+	_ReasonName[333:349]: ReasonAnswerTooLarge,
+	_ReasonName[349:356]: ReasonInvalid,
+	_ReasonName[356:370]: ReasonBodyTooLarge,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -97,22 +101,24 @@
 	_ReasonLowerName[109:117]: ReasonDeadline,
 	_ReasonLowerName[117:126]: ReasonNoServer,
 	_ReasonLowerName[126:138]: ReasonServerLimit,
-	_ReasonLowerName[138:151]: ReasonServerFailed,
-	_ReasonLowerName[151:168]: ReasonClaimUnreachable,
-	_ReasonLowerName[168:178]: ReasonClaimBusy,
-	_ReasonLowerName[178:190]: ReasonClaimMemory,
-	_ReasonLowerName[190:205]: ReasonOutcomeUnknown,
-	_ReasonLowerName[205:223]: ReasonHolderUnreachable,
-	_ReasonLowerName[223:232]: ReasonIDReused,
-	_ReasonLowerName[232:248]: ReasonNoConfiguration,
-	_ReasonLowerName[248:255]: ReasonCutOff,
-	_ReasonLowerName[255:263]: ReasonDraining,
-	_ReasonLowerName[263:272]: ReasonCancelled,
-	_ReasonLowerName[272:289]: ReasonRequestNotFound,
-	_ReasonLowerName[289:303]: ReasonAnswerExpired,
-	_ReasonLowerName[303:319]: ReasonAnswerTooLarge,
-	_ReasonLowerName[319:326]: ReasonInvalid,
-	_ReasonLowerName[326:340]: ReasonBodyTooLarge,
+	_ReasonLowerName[138:153]: ReasonServersResting,
+	_ReasonLowerName[153:168]: ReasonServersLeaving,
+	_ReasonLowerName[168:181]: ReasonServerFailed,
+	_ReasonLowerName[181:198]: ReasonClaimUnreachable,
+	_ReasonLowerName[198:208]: ReasonClaimBusy,
+	_ReasonLowerName[208:220]: ReasonClaimMemory,
+	_ReasonLowerName[220:235]: ReasonOutcomeUnknown,
+	_ReasonLowerName[235:253]: ReasonHolderUnreachable,
+	_ReasonLowerName[253:262]: ReasonIDReused,
+	_ReasonLowerName[262:278]: ReasonNoConfiguration,
+	_ReasonLowerName[278:285]: ReasonCutOff,
+	_ReasonLowerName[285:293]: ReasonDraining,
+	_ReasonLowerName[293:302]: ReasonCancelled,
+	_ReasonLowerName[302:319]: ReasonRequestNotFound,
+	_ReasonLowerName[319:333]: ReasonAnswerExpired,
+	_ReasonLowerName[333:349]: ReasonAnswerTooLarge,
+	_ReasonLowerName[349:356]: ReasonInvalid,
+	_ReasonLowerName[356:370]: ReasonBodyTooLarge,
 }
 
 var _ReasonNames = []string{
@@ -127,22 +133,24 @@
 	_ReasonName[109:117],
 	_ReasonName[117:126],
 	_ReasonName[126:138],
-	_ReasonName[138:151],
-	_ReasonName[151:168],
-	_ReasonName[168:178],
-	_ReasonName[178:190],
-	_ReasonName[190:205],
-	_ReasonName[205:223],
-	_ReasonName[223:232],
-	_ReasonName[232:248],
-	_ReasonName[248:255],
-	_ReasonName[255:263],
-	_ReasonName[263:272],
-	_ReasonName[272:289],
-	_ReasonName[289:303],
-	_ReasonName[303:319],
-	_ReasonName[319:326],
-	_ReasonName[326:340],
+	_ReasonName[138:153],
+	_ReasonName[153:168],
+	_ReasonName[168:181],
+	_ReasonName[181:198],
+	_ReasonName[198:208],
+	_ReasonName[208:220],
+	_ReasonName[220:235],
+	_ReasonName[235:253],
+	_ReasonName[253:262],
+	_ReasonName[262:278],
+	_ReasonName[278:285],
+	_ReasonName[285:293],
+	_ReasonName[293:302],
+	_ReasonName[302:319],
+	_ReasonName[319:333],
+	_ReasonName[333:349],
+	_ReasonName[349:356],
+	_ReasonName[356:370],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -38,11 +38,8 @@
 	var last *Refusal
 	for {
 		attempt, err := d.Chooser.Choose(route.Request{Pool: pool, Servers: s.Servers(pool), Exclude: tried})
-		if err != nil && last != nil {
-			return last
-		}
 		if err != nil {
-			return noServerRefusal(err)
+			return noServerRefusal(err).orLast(last)
 		}
 		tried[attempt.Server().Name] = true
 		record.SetServer(r.Plain.Service.Name, "", attempt.Server().Name)
@@ -63,7 +60,12 @@
 
 // noServerRefusal returns the refusal of a request for which no server can be chosen.
 func noServerRefusal(err error) *Refusal {
-	if errorx.IsOfType(err, route.Limited) {
+	switch {
+	case errorx.IsOfType(err, route.Resting):
+		return refuse(ReasonServersResting, RanNo, max(retryAfterShort, route.RetryAfter(err)), "%v", err)
+	case errorx.IsOfType(err, route.Leaving):
+		return refuse(ReasonServersLeaving, RanNo, retryAfterLeaving, "%v", err)
+	case errorx.IsOfType(err, route.Limited):
 		return refuse(ReasonServerLimit, RanNo, retryAfterShort, "%v", err)
 	}
 	return refuse(ReasonNoServer, RanNo, retryAfterShort, "%v", err)
--- a/dispatch/refusal.go
+++ b/dispatch/refusal.go
@@ -27,6 +27,10 @@
 	ReasonNoServer
 	// ReasonServerLimit: the servers name request limits and get no more from this node now.
 	ReasonServerLimit
+	// ReasonServersResting: the servers want no requests of this node now.
+	ReasonServersResting
+	// ReasonServersLeaving: the servers say that they are about to end.
+	ReasonServersLeaving
 	ReasonServerFailed
 	ReasonClaimUnreachable
 	ReasonClaimBusy
@@ -129,6 +133,27 @@
 	return &corrected
 }
 
+// noServerLeft reports whether the request was refused because no server takes it now.
+func (r *Refusal) noServerLeft() bool {
+	switch r.reason {
+	case ReasonNoServer, ReasonServerLimit, ReasonServersResting, ReasonServersLeaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// orLast returns the refusal of a request that no server takes any more after the last attempt was
+// refused, nil if there was none: what the servers say tells better when to come back than an attempt
+// that did not run.
+func (r *Refusal) orLast(last *Refusal) *Refusal {
+	said := r.reason == ReasonServersResting || r.reason == ReasonServersLeaving
+	if last == nil || said && last.ran == RanNo {
+		return r
+	}
+	return last
+}
+
 // Failure returns the refusal in its wire form.
 func (r *Refusal) Failure() *answer.Failure {
 	status, ok := statuses[r.reason]
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -60,7 +60,7 @@
 // isTransient reports whether the cause of a refusal is temporary, so that a retry may succeed.
 func isTransient(reason Reason) bool {
 	switch reason {
-	case ReasonOverloaded, ReasonNoServer, ReasonServerLimit, ReasonServerFailed, ReasonClaimUnreachable, ReasonCutOff, ReasonNoVersion:
+	case ReasonOverloaded, ReasonNoServer, ReasonServerLimit, ReasonServersResting, ReasonServersLeaving, ReasonServerFailed, ReasonClaimUnreachable, ReasonCutOff, ReasonNoVersion:
 		return true
 	default:
 		return false
--- a/e2e/rejection_limit_test.go
+++ b/e2e/rejection_limit_test.go
@@ -1,7 +1,6 @@
 package e2e_test
 
 import (
-	"encoding/json"
 	"sync"
 	"testing"
 	"time"
@@ -60,8 +59,7 @@
 	clients.Wait()
 	served := 0
 	for _, address := range f.engineAddrs {
-		var rejected []time.Time
-		must.NoError(f.t, json.Unmarshal(f.get(address, "/rejections"), &rejected))
+		rejected := f.turnedAway(address)
 		most := slidingwindow.Most(slidingwindow.From(rejected, begun.Add(limitrule.AdaptTime)), time.Second)
 		must.LessEq(f.t, perSecond, most, must.Sprint("rejections in a second"))
 		for _, runs := range f.runsByRequestID([]string{address}) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -31,8 +31,12 @@
 	// AbortAfter is the number of tokens after which the connection is aborted; zero
 	// for never.
 	AbortAfter int `json:"die_after"`
-	// Draining is shown in load reports and refuses new requests.
+	// Draining is shown in load reports and in the header X-Leaving of each response, and refuses new
+	// requests.
 	Draining bool `json:"leaving"`
+	// RestSeconds makes each request be turned away, and is sent in the header Retry-After; zero for
+	// none.
+	RestSeconds float64 `json:"rest_s"`
 	// LoadLagMillis is the age of the load that is reported.
 	LoadLagMillis int `json:"load_lag_ms"`
 	// LoadScale falsifies load reports: the reported load is the real one times this,
@@ -85,7 +89,7 @@
 	orders    []Order
 	hits      int
 	misses    int
-	// rejections are the times at which requests were rejected for want of room.
+	// rejections are the times at which requests were rejected for want of room or of rest.
 	rejections []time.Time
 }
 
@@ -169,6 +173,9 @@
 		if limit := e.currentBehaviour().RejectionLimit; limit != 0 {
 			w.Header().Set("X-Rejection-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
 		}
+		if e.currentBehaviour().Draining {
+			w.Header().Set("X-Leaving", "1")
+		}
 		mux.ServeHTTP(w, r)
 	}))
 }
@@ -214,6 +221,10 @@
 		http.Error(w, `{"error":{"message":"engine fault"}}`, http.StatusInternalServerError)
 		return
 	}
+	if b.RestSeconds > 0 {
+		e.turnAway(w, b)
+		return
+	}
 	if e.reject(b) {
 		w.Header().Set("X-Not-Run", "true")
 		http.Error(w, `{"error":{"message":"full"}}`, http.StatusServiceUnavailable)
@@ -234,6 +245,16 @@
 	e.writeCompletion(w, r, s, in, b, 0)
 }
 
+// turnAway turns a request away and asks for rest.
+func (e *Engine) turnAway(w http.ResponseWriter, b Behaviour) {
+	e.mu.Lock()
+	e.rejections = append(e.rejections, time.Now())
+	e.mu.Unlock()
+	w.Header().Set("X-Not-Run", "true")
+	w.Header().Set("Retry-After", strconv.FormatFloat(b.RestSeconds, 'f', -1, 64))
+	http.Error(w, `{"error":{"message":"resting"}}`, http.StatusServiceUnavailable)
+}
+
 // reject reports whether a request is rejected for want of room, and records it if so.
 func (e *Engine) reject(b Behaviour) bool {
 	e.mu.Lock()
--- a/node/backends.go
+++ b/node/backends.go
@@ -101,12 +101,16 @@
 	server config.Server
 }
 
-// polledServers returns the servers that this node sends requests to.
+// polledServers returns the servers that this node sends requests to. One that wants rest is not asked
+// for its load either.
 func (b *backends) polledServers() []poolServer {
 	var servers []poolServer
 	snapshot := b.n.Config()
 	for _, pool := range snapshot.Pools() {
 		for _, server := range b.chooser.Subset(pool.Name, snapshot.Servers(pool.Name)) {
+			if b.n.limits.resting(server) {
+				continue
+			}
 			servers = append(servers, poolServer{pool.Name, server})
 		}
 	}
--- a/node/paths.go
+++ b/node/paths.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/url"
 	"slices"
+	"time"
 
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/member"
@@ -21,7 +22,7 @@
 		tunnel.WithIdleCloser(func(func(net.Conn) bool) { n.engines.CloseIdle() }),
 		tunnel.WithObserver(n.metrics.ServerDialed),
 		tunnel.WithPathObserver(recordPath))
-	n.carrier = tunnel.NewCarrier(n.dialer, n.hasServerAt, func() bool { return !n.prober.Leaving() })
+	n.carrier = tunnel.NewCarrier(n.dialer, n.hasServerAt, func() bool { return !n.prober.Leaving() }, tunnel.WithWithheld(n.isWithheldAt))
 }
 
 // recordPath logs a change of what this node reaches.
@@ -29,15 +30,31 @@
 
 // hasServerAt reports whether a server that is declared has the given address.
 func (n *Node) hasServerAt(address string) bool {
+	return n.hasServer(func(s config.Server) bool { return addressOf(s) == address })
+}
+
+// isWithheldAt reports whether the server at an address wants no requests of this node now.
+func (n *Node) isWithheldAt(address string) bool {
+	return n.hasServer(func(s config.Server) bool { return addressOf(s) == address && n.limits.withheld(s) })
+}
+
+// hasServer reports whether a server for which matches returns true is declared.
+func (n *Node) hasServer(matches func(config.Server) bool) bool {
 	snapshot := n.Config()
 	return slices.ContainsFunc(snapshot.Pools(), func(p config.Pool) bool {
-		return slices.ContainsFunc(snapshot.Servers(p.Name), func(s config.Server) bool {
-			u, err := url.Parse(s.URL)
-			return err == nil && u.Host == address
-		})
+		return slices.ContainsFunc(snapshot.Servers(p.Name), matches)
 	})
 }
 
+// addressOf returns the address of a server; "" if it has none.
+func addressOf(s config.Server) string {
+	u, err := url.Parse(s.URL)
+	if err != nil {
+		return ""
+	}
+	return u.Host
+}
+
 // Carry opens a connection to a backend server for another node.
 func (p peerNode) Carry(ctx context.Context, server, opener string) (net.Conn, error) {
 	return p.n.carrier.Carry(ctx, server, opener)
@@ -46,6 +63,26 @@
 // ObserveNotice records what a server has said of itself to the node at the other end of a tunnel.
 func (p peerNode) ObserveNotice(r notice.Report) { p.n.limits.notices.ObserveTunnel(r) }
 
+// tellTimeout bounds telling the other end of a tunnel what a server has said.
+const tellTimeout = time.Second
+
+// noticeTunnels tells the other ends of tunnels what servers say of themselves.
+type noticeTunnels struct{ n *Node }
+
+// Openers returns the peer addresses of the nodes for which this one carries connections to a server.
+func (t noticeTunnels) Openers(server string) []string { return t.n.carrier.Openers(server) }
+
+// Tell tells a node what a server has just said.
+func (t noticeTunnels) Tell(node string, r notice.Report) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+		defer cancel()
+		if err := t.n.client.TellNotice(ctx, node, r); err != nil {
+			slog.Info("notice not told", "peer", node, "kind", r.Kind.String(), "error", err.Error())
+		}
+	}()
+}
+
 // tunnelPeers gives the dialer access to the other nodes.
 type tunnelPeers struct{ n *Node }
 
--- a/node/server_limits.go
+++ b/node/server_limits.go
@@ -33,7 +33,7 @@
 	l := &serverLimits{n: n}
 	l.others.Store(&[]view.Member{})
 	l.roster = owner.NewRoster(rankedMember(n.self), l, n.timers)
-	l.notices = notice.New(l.roster, n.timers, notice.WithObserver(l.recordChange))
+	l.notices = notice.New(l.roster, n.timers, notice.WithObserver(l.recordChange), notice.WithTunnels(noticeTunnels{n}))
 	l.limiter = throttle.New(l.notices, l.roster, n.timers, throttle.WithUsers(l.users))
 	l.rejections = rejection.New(l.notices, l.roster, n.timers, l)
 	l.places = rejection.NewPlaces(n.timers)
@@ -94,6 +94,22 @@
 	return l.limiter.Allows(server) && l.rejections.Allows(server)
 }
 
+// Wait returns the time until a server of a pool that is not allowed a request may get one, and why it
+// may not before.
+func (l *serverLimits) Wait(pool string, s config.Server) (time.Duration, throttle.Cause) {
+	server := target(pool, s)
+	return l.limiter.Wait([]*registry.Server{&server})
+}
+
+// resting reports whether a server wants rest now.
+func (l *serverLimits) resting(s config.Server) bool {
+	server := target("", s)
+	return l.n.timers.Steady().Before(l.notices.State(&server).RestUntil)
+}
+
+// withheld reports whether a server wants no requests now.
+func (l *serverLimits) withheld(s config.Server) bool { return l.limiter.Withheld(target("", s)) }
+
 // Take counts a request to a server of a pool, unless this node may not send it now.
 func (l *serverLimits) Take(pool string, s config.Server) bool {
 	server := target(pool, s)
@@ -114,8 +130,10 @@
 func (l *serverLimits) Reject(pool string, s config.Server) { l.rejections.Reject(target(pool, s)) }
 
 // Noticed records what a server's response says of it.
-func (l *serverLimits) Noticed(s config.Server, notices []notice.Notice) {
-	l.notices.Observe(target("", s), notice.Answer{Notices: notices})
+func (l *serverLimits) Noticed(s config.Server, answer notice.Answer) {
+	server := target("", s)
+	server.Address = addressOf(s)
+	l.notices.Observe(server, answer)
 }
 
 // Ask asks the first owner of a server for places.
--- a/route/route.go
+++ b/route/route.go
@@ -46,8 +46,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/throttle"
 )
 
 //go:generate go tool enumer -type=Outcome -trimprefix=Outcome -transform=snake -output=route_enumer.go
@@ -60,8 +63,21 @@
 	// Limited is the error type for a request that servers could take if that did not exceed
 	// their limits.
 	Limited = namespace.NewType("limited")
+	// Resting and Leaving are Limited where all of them want rest, or leave (see [RetryAfter]).
+	Resting = Limited.NewSubtype("resting")
+	Leaving = Limited.NewSubtype("leaving")
 )
 
+var retryAfterProperty = errorx.RegisterProperty("retry_after")
+
+// RetryAfter returns when the first server may take a request, as far as a Limited error tells; zero
+// otherwise.
+func RetryAfter(err error) time.Duration {
+	value, _ := errorx.ExtractProperty(err, retryAfterProperty)
+	wait, _ := value.(time.Duration)
+	return wait
+}
+
 // Outcome is the result of a request as it counts for the server.
 type Outcome int
 
@@ -140,10 +156,13 @@
 	return func(c *Chooser) { c.onBreakerOpen = count }
 }
 
-// Throttle limits the requests to servers that name a limit.
+// Throttle keeps to what servers say of the requests that they take.
 type Throttle interface {
 	// Allows reports whether this node may send a server of a pool a request now.
 	Allows(pool string, s config.Server) bool
+	// Wait returns the time until a server that is not allowed a request may get one, and why it may
+	// not before.
+	Wait(pool string, s config.Server) (time.Duration, throttle.Cause)
 	// Take counts a request to a server. It returns false, and counts nothing, if the server may
 	// not get one from this node now.
 	Take(pool string, s config.Server) bool
@@ -157,11 +176,14 @@
 type noThrottle struct{}
 
 func (noThrottle) Allows(string, config.Server) bool { return true }
-func (noThrottle) Take(string, config.Server) bool   { return true }
-func (noThrottle) Release(string, config.Server)     {}
-func (noThrottle) Reject(string, config.Server)      {}
+func (noThrottle) Wait(string, config.Server) (time.Duration, throttle.Cause) {
+	return 0, throttle.CauseNone
+}
+func (noThrottle) Take(string, config.Server) bool { return true }
+func (noThrottle) Release(string, config.Server)   {}
+func (noThrottle) Reject(string, config.Server)    {}
 
-// WithThrottle sets what limits the requests to servers that name a limit.
+// WithThrottle sets what keeps to what servers say of the requests that they take.
 func WithThrottle(t Throttle) Option { return func(c *Chooser) { c.throttle = t } }
 
 // Chooser balances the requests of one node by load reports that it is given
@@ -278,8 +300,8 @@
 	now := time.Now()
 	usable, limited := c.usable(r, now)
 	switch {
-	case len(usable) == 0 && limited > 0:
-		return usableServer{}, 0, errs.New(Limited, "choose", "%d servers of pool %s name limits and get no more requests from this node now", limited, r.Pool)
+	case len(usable) == 0 && len(limited) > 0:
+		return usableServer{}, 0, c.limitedError(r.Pool, limited)
 	case len(usable) == 0:
 		return usableServer{}, 0, errs.New(NoServer, "choose", "pool %s has no server for %s", r.Pool, r.EngineModel)
 	}
@@ -287,6 +309,26 @@
 	return best, slowdown, nil
 }
 
+// limitedError returns the error of a request that servers do not take now, by what they say.
+func (c *Chooser) limitedError(pool string, servers []config.Server) error {
+	least, cause := c.throttle.Wait(pool, servers[0])
+	for _, s := range servers[1:] {
+		if wait, other := c.throttle.Wait(pool, s); wait < least {
+			least, cause = wait, other
+		}
+	}
+	var err error
+	switch cause {
+	case throttle.CauseLeaving:
+		return errs.New(Leaving, "choose", "%d servers of pool %s say that they leave", len(servers), pool)
+	case throttle.CauseRest:
+		err = errs.New(Resting, "choose", "%d servers of pool %s want rest", len(servers), pool)
+	default:
+		err = errs.New(Limited, "choose", "%d servers of pool %s name limits and get no more requests from this node now", len(servers), pool)
+	}
+	return errorx.Cast(err).WithProperty(retryAfterProperty, least)
+}
+
 // begin counts a request as in flight at a server.
 func (c *Chooser) begin(r Request, best usableServer, slowdown float64) *Attempt {
 	c.mu.Lock()
@@ -330,9 +372,9 @@
 }
 
 // usable returns the servers of this node's subset that can take the request, or
-// those of the whole pool if the subset has none. Limited is the number of servers that could if
-// that did not exceed their limits.
-func (c *Chooser) usable(r Request, now time.Time) (usable []usableServer, limited int) {
+// those of the whole pool if the subset has none. Limited holds the servers that could if they
+// took requests of this node now.
+func (c *Chooser) usable(r Request, now time.Time) (usable []usableServer, limited []config.Server) {
 	usable, limited = c.filter(r, c.subset(r.Pool, r.Servers), now)
 	if len(usable) == 0 {
 		usable, limited = c.filter(r, r.Servers, now)
@@ -340,16 +382,16 @@
 	return usable, limited
 }
 
-func (c *Chooser) filter(r Request, servers []config.Server, now time.Time) (usable []usableServer, limited int) {
+func (c *Chooser) filter(r Request, servers []config.Server, now time.Time) (usable []usableServer, limited []config.Server) {
 	usable = make([]usableServer, 0, len(servers))
 	for _, candidate := range servers {
 		s := c.server(serverKey(r.Pool, candidate.Name))
 		switch {
-		case r.Exclude[candidate.Name], c.leaving(candidate.Name), s.report.Leaving:
+		case r.Exclude[candidate.Name], c.leaving(candidate.Name):
 		case !serves(s.report.Models, r.EngineModel):
-		case !s.breaker.allows(now):
-		case !c.throttle.Allows(r.Pool, candidate):
-			limited++
+		case !c.throttle.Allows(r.Pool, candidate): // its own word goes before what is concluded here
+			limited = append(limited, candidate)
+		case s.report.Leaving, !s.breaker.allows(now):
 		default:
 			usable = append(usable, usableServer{candidate, s})
 		}
--- a/route/throttle_test.go
+++ b/route/throttle_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/route"
+	"github.com/violettally/violettally/throttle"
 )
 
 // requestsLeft limits the requests to each server, by name.
@@ -21,6 +22,10 @@
 	return l[s.Name] >= 0
 }
 
+func (l requestsLeft) Wait(string, config.Server) (time.Duration, throttle.Cause) {
+	return 700 * time.Millisecond, throttle.CauseLimit
+}
+
 func (requestsLeft) Release(string, config.Server) {}
 func (requestsLeft) Reject(string, config.Server)  {}
 
@@ -44,6 +49,7 @@
 	must.Eq(t, 4, sent["a"]+sent["b"])
 	_, err := c.Choose(r)
 	must.True(t, errorx.IsOfType(err, route.Limited), must.Sprint(err))
+	must.Eq(t, 700*time.Millisecond, route.RetryAfter(err))
 	_, err = c.Choose(route.Request{Pool: "p"})
 	must.True(t, errorx.IsOfType(err, route.NoServer), must.Sprint(err))
 }
