--- a/throttle/bench_test.go
+++ b/throttle/bench_test.go
@@ -66,3 +66,17 @@
 		l.Observe(*servers[1], notice.Unlimited)
 	}
 }
+
+// BenchmarkFilterNotices measures the filter of a list of which one server in ten leaves and one in ten
+// wants rest.
+func BenchmarkFilterNotices(b *testing.B) {
+	l, servers := newLargeDeployment()
+	for i := 1; i < len(servers); i += 10 {
+		l.board.Observe(*servers[i], rests(3600))
+		l.board.Observe(*servers[i+1], notice.Answer{Notices: []notice.Notice{{Kind: notice.KindLeaving, Value: 1}}})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Filter(servers)
+	}
+}
