notice, adapter/peer, relay: tunnels and expiry in files of their own; when to come back counts servers that were tried

The gateway and the node each told the other ends of tunnels with the same lines: one NoticeTunnels now. A request that a full server had turned away while the others rest was told the length of the others' rest; the full one may take it sooner: 0.3 s (relay TestRetryAfterRest). A rest that a node tells another is bounded as one from an answer.

--- a/adapter/peer/tunnel.go
+++ b/adapter/peer/tunnel.go
@@ -11,7 +11,6 @@
 	"storj.io/drpc"
 
 	"github.com/violettally/violettally/internal/errs"
-	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/tunnel"
 )
 
@@ -36,24 +35,6 @@
 // known.
 type CarryFunc func(ctx context.Context, server, opener string) (net.Conn, error)
 
-// callNotice tells the node at the other end of a tunnel what a server has just said of itself
-// (package notice).
-const callNotice = "notice"
-
-// noticeHandler returns the handler of callNotice.
-func noticeHandler(observe func(notice.Report)) func(drpc.Stream) error {
-	return unaryHandler(func(_ context.Context, r notice.Report) (empty, error) {
-		observe(r)
-		return empty{}, nil
-	})
-}
-
-// TellNotice tells the node at an address what a server has just said of itself.
-func (c *Client) TellNotice(ctx context.Context, address string, r notice.Report) error {
-	_, err := invoke[notice.Report, empty](ctx, c, address, callNotice, r)
-	return err
-}
-
 // maxFrameBytes is the largest number of bytes that one frame carries.
 const maxFrameBytes = 16 << 10
 
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -4,8 +4,8 @@
 	"context"
 	"net"
 	"slices"
-	"time"
 
+	"github.com/violettally/violettally/adapter/peer"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/tunnel"
@@ -31,24 +31,12 @@
 // ObserveNotice records what a server has said of itself to the gateway at the other end of a tunnel.
 func (g *Gateway) ObserveNotice(r notice.Report) { g.notices.ObserveTunnel(r) }
 
-// tellTimeout bounds telling the other end of a tunnel what a server has said.
-const tellTimeout = time.Second
-
-// noticeTunnels tells the other ends of tunnels what servers say of themselves.
-type noticeTunnels struct{ g *Gateway }
-
-// Openers returns the peer addresses of the gateways for which this one carries connections to a server.
-func (t noticeTunnels) Openers(server string) []string { return t.g.carrier.Openers(server) }
-
-// Tell tells a gateway what a server has just said.
-func (t noticeTunnels) Tell(node string, r notice.Report) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
-		defer cancel()
-		if err := t.g.peerClient.TellNotice(ctx, node, r); err != nil {
-			t.g.noticeLog.info("notice not told", "peer", node, "kind", r.Kind.String(), "error", err.Error())
-		}
-	}()
+// noticeTunnels returns what tells the other ends of tunnels what servers say of themselves.
+func (g *Gateway) noticeTunnels() notice.Tunnels {
+	openers := func(server string) []string { return g.carrier.Openers(server) }
+	return peer.NewNoticeTunnels(g.peerClient, openers, func(node string, r notice.Report, err error) {
+		g.noticeLog.info(peer.NotToldMessage, peer.NotToldArgs(node, r, err)...)
+	})
 }
 
 // tunnelPeers gives the dialer access to the other gateways.
--- a/gateway/server_limits.go
+++ b/gateway/server_limits.go
@@ -47,7 +47,7 @@
 	g.warmUps = warmup.New(g.roster, g.warmUpLimit, g.timers)
 	publish := func(server uint64, n notice.Notice) { g.exchange.PublishNotice(server, n) }
 	g.notices = notice.New(g.roster, g.timers, notice.WithObserver(g.recordNotice), notice.WithReporter(publish),
-		notice.WithTunnels(noticeTunnels{g}))
+		notice.WithTunnels(g.noticeTunnels()))
 	g.throttle = throttle.New(g.notices, g.roster, g.timers)
 	g.rejections = rejection.New(g.notices, g.roster, g.timers, coordinators{g})
 	g.places = rejection.NewPlaces(g.timers)
--- a/node/paths.go
+++ b/node/paths.go
@@ -6,8 +6,8 @@
 	"net"
 	"net/url"
 	"slices"
-	"time"
 
+	"github.com/violettally/violettally/adapter/peer"
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/member"
 	"github.com/violettally/violettally/notice"
@@ -63,24 +63,12 @@
 // ObserveNotice records what a server has said of itself to the node at the other end of a tunnel.
 func (p peerNode) ObserveNotice(r notice.Report) { p.n.limits.notices.ObserveTunnel(r) }
 
-// tellTimeout bounds telling the other end of a tunnel what a server has said.
-const tellTimeout = time.Second
-
-// noticeTunnels tells the other ends of tunnels what servers say of themselves.
-type noticeTunnels struct{ n *Node }
-
-// Openers returns the peer addresses of the nodes for which this one carries connections to a server.
-func (t noticeTunnels) Openers(server string) []string { return t.n.carrier.Openers(server) }
-
-// Tell tells a node what a server has just said.
-func (t noticeTunnels) Tell(node string, r notice.Report) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
-		defer cancel()
-		if err := t.n.client.TellNotice(ctx, node, r); err != nil {
-			slog.Info("notice not told", "peer", node, "kind", r.Kind.String(), "error", err.Error())
-		}
-	}()
+// noticeTunnels returns what tells the other ends of tunnels what servers say of themselves.
+func (n *Node) noticeTunnels() notice.Tunnels {
+	openers := func(server string) []string { return n.carrier.Openers(server) }
+	return peer.NewNoticeTunnels(n.client, openers, func(node string, r notice.Report, err error) {
+		slog.Info(peer.NotToldMessage, peer.NotToldArgs(node, r, err)...)
+	})
 }
 
 // tunnelPeers gives the dialer access to the other nodes.
--- a/node/server_limits.go
+++ b/node/server_limits.go
@@ -33,7 +33,7 @@
 	l := &serverLimits{n: n}
 	l.others.Store(&[]view.Member{})
 	l.roster = owner.NewRoster(rankedMember(n.self), l, n.timers)
-	l.notices = notice.New(l.roster, n.timers, notice.WithObserver(l.recordChange), notice.WithTunnels(noticeTunnels{n}))
+	l.notices = notice.New(l.roster, n.timers, notice.WithObserver(l.recordChange), notice.WithTunnels(n.noticeTunnels()))
 	l.limiter = throttle.New(l.notices, l.roster, n.timers, throttle.WithUsers(l.users))
 	l.rejections = rejection.New(l.notices, l.roster, n.timers, l)
 	l.places = rejection.NewPlaces(n.timers)
--- a/notice/board.go
+++ b/notice/board.go
@@ -17,8 +17,6 @@
 	maxPerSecond = 1e5
 	// sameFactor is the ratio up to which two values count as the same: reports are rounded.
 	sameFactor = 1.0001
-	// cleanInterval is the time between two looks for what has expired.
-	cleanInterval = owner.RefreshInterval
 )
 
 // Option configures a Board in New.
@@ -35,27 +33,6 @@
 	return func(b *Board) { b.report = report }
 }
 
-// Tunnels are the connections to servers that pass through two nodes. To the server, the requests of
-// both come from the one that carries the connection.
-type Tunnels interface {
-	// Openers returns the peer addresses of the nodes for which this one carries connections to the
-	// server at an address.
-	Openers(server string) []string
-	// Tell tells a node what a server has just said. It does not wait for the node.
-	Tell(node string, r Report)
-}
-
-// noTunnels is a node without tunnels.
-type noTunnels struct{}
-
-func (noTunnels) Openers(string) []string { return nil }
-func (noTunnels) Tell(string, Report)     {}
-
-// WithTunnels sets the tunnels of this node, whose other ends are told at once what concerns them.
-func WithTunnels(t Tunnels) Option {
-	return func(b *Board) { b.tunnels = t }
-}
-
 // Board holds what one node knows of what servers say of themselves. It is safe for concurrent use.
 type Board struct {
 	roster   *owner.Roster
@@ -162,17 +139,6 @@
 	}
 }
 
-// tellTunnels tells the nodes at the other ends of the tunnels to a server what it has just said.
-func (b *Board) tellTunnels(s registry.Server, n Notice, carrier string) {
-	nodes := b.tunnels.Openers(s.Address)
-	if carrier != "" {
-		nodes = append(nodes, carrier)
-	}
-	for _, node := range nodes {
-		b.tunnels.Tell(node, Report{Server: s.Hash(), Kind: n.Kind, Value: n.Value})
-	}
-}
-
 // recordAnswer records what an answer says, and reports whether what is known has changed, and
 // whether it is to be reported to the other nodes.
 func (b *Board) recordAnswer(hash uint64, id string, n Notice, sentAgo time.Duration) (changed, report bool) {
@@ -218,27 +184,6 @@
 	b.set(hash, "", n, b.timers.Steady().Add(-age), SourceReport)
 }
 
-// Report is what one end of a tunnel to a server tells the other. It is exported for the codecs.
-type Report struct {
-	// Server is the hash of the server's incarnation.
-	Server uint64  `cbor:"1,keyasint"`
-	Kind   Kind    `cbor:"2,keyasint"`
-	Value  float64 `cbor:"3,keyasint"`
-	// Age is how long ago the server said so.
-	Age time.Duration `cbor:"4,keyasint,omitempty"`
-}
-
-// ObserveTunnel records what the node at the other end of a tunnel has heard a server say.
-func (b *Board) ObserveTunnel(r Report) {
-	n := Notice{r.Kind, r.Value}
-	if !n.concernsTunnels() {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.set(r.Server, "", n, b.timers.Steady().Add(-r.Age), SourceTunnel)
-}
-
 // set stores a notice that was heard at the given time, unless a later one is known. It reports
 // whether what is known has changed. The ID may be "". The caller holds mu.
 func (b *Board) set(hash uint64, id string, n Notice, heardAt time.Time, source Source) (changed bool) {
@@ -284,42 +229,6 @@
 // differ reports whether two values differ by more than a factor.
 func differ(a, b, factor float64) bool { return max(a, b) > factor*min(a, b) }
 
-// Clean drops what nobody has confirmed for a while. What uses the board calls it from time to time.
-func (b *Board) Clean() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.timers.Steady()
-	if now.Sub(b.cleanedAt) < cleanInterval {
-		return
-	}
-	b.cleanedAt = now
-	for hash, r := range b.records {
-		b.expire(hash, r, now)
-		if r.isEmpty() {
-			delete(b.records, hash)
-		}
-	}
-}
-
-// expire forgets the facts of a record that have expired. The caller holds mu.
-func (b *Board) expire(hash uint64, r *record, now time.Time) {
-	for k := range r.facts {
-		kind, f := Kind(k), &r.facts[k]
-		if f.heardAt.IsZero() || now.Sub(f.heardAt) < r.trust(kind) {
-			continue
-		}
-		before := *f
-		b.replace(f, kind, kind.Absent())
-		f.heardAt, f.reportedAt = time.Time{}, time.Time{}
-		if kind == KindRest {
-			r.restUntil = time.Time{}
-		}
-		if before.present(kind) {
-			b.onChange(Change{Server: r.id, Hash: hash, Kind: kind, Before: before.value, Value: kind.Absent(), Source: SourceExpiry, Age: now.Sub(before.heardAt)})
-		}
-	}
-}
-
 // replace sets the value of a fact. The caller holds mu.
 func (b *Board) replace(f *fact, k Kind, value float64) {
 	wasPresent := f.present(k)
--- a/notice/record.go
+++ b/notice/record.go
@@ -89,7 +89,7 @@
 		r.restUntil = time.Time{}
 		return true
 	}
-	rest := time.Duration(n.Value * float64(time.Second))
+	rest := time.Duration(min(n.Value, maxRest.Seconds()) * float64(time.Second))
 	rest += time.Duration(r.position * float64(min(maxRestSpread, time.Duration(restSpread*float64(rest)))))
 	until := heardAt.Add(rest)
 	if !until.After(r.restUntil) {
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -164,14 +164,17 @@
 	return refusalf(ReasonNoServer, retrySoon, "service %s, %d known, %d tried: %v", x.service, len(known), len(x.tried), err)
 }
 
-// withheldRefusal returns the refusal of a request that no server takes now, by what they say.
+// withheldRefusal returns the refusal of a request that the given servers, those that it might go to, do
+// not take now, by what they say. The client may come back sooner to one that was tried.
 func (x *exchange) withheldRefusal(servers []*registry.Server) *Refusal {
 	wait, cause := x.relay.Throttle.Wait(servers)
+	soonest, _ := x.relay.Throttle.Wait(x.relay.Servers.Servers(x.service))
 	switch cause {
 	case throttle.CauseLeaving:
-		return refusalf(ReasonServersLeaving, retryAfterOutage, "service %s: %d servers say that they leave, %d tried", x.service, len(servers), len(x.tried))
+		retryAfter := min(retryAfterOutage, max(retrySoon, soonest))
+		return refusalf(ReasonServersLeaving, retryAfter, "service %s: %d servers say that they leave, %d tried", x.service, len(servers), len(x.tried))
 	case throttle.CauseRest:
-		return refusalf(ReasonServersResting, x.afterRest(wait), "service %s: %d servers want rest, the first for %d ms, %d tried", x.service, len(servers), wait.Milliseconds(), len(x.tried))
+		return refusalf(ReasonServersResting, x.afterRest(soonest), "service %s: %d servers want rest, the first for %d ms, %d tried", x.service, len(servers), wait.Milliseconds(), len(x.tried))
 	}
 	retryAfter := min(maxRetryAfter, max(retrySoon, wait))
 	return refusalf(ReasonServerLimit, retryAfter, "service %s: %d servers name limits and get no more requests from this node now, %d tried", x.service, len(servers), len(x.tried))
--- a/relay/throttle_test.go
+++ b/relay/throttle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -180,3 +181,35 @@
 	l.taken = time.Now()
 	return true
 }
+
+// restingServers are the first of three servers, which want rest for 5 s.
+type restingServers struct {
+	noLimits
+	resting int
+}
+
+func (r restingServers) wantsRest(s *registry.Server) bool { return int(s.ID[0]-'a') < r.resting }
+
+func (r restingServers) Filter(servers []*registry.Server) []*registry.Server {
+	return slices.DeleteFunc(slices.Clone(servers), r.wantsRest)
+}
+
+func (r restingServers) Wait(servers []*registry.Server) (time.Duration, throttle.Cause) {
+	if len(r.Filter(servers)) > 0 {
+		return 0, throttle.CauseNone
+	}
+	return 5 * time.Second, throttle.CauseRest
+}
+
+// TestRetryAfterRest checks that a request which no server takes is refused with the time until one may,
+// which is longer than after other refusals if all want rest, and short if one was tried that wants none.
+func TestRetryAfterRest(t *testing.T) {
+	for resting, most := range map[int]time.Duration{3: 6 * time.Second, 2: 300 * time.Millisecond} {
+		got := &recorder{}
+		serve(t, catalog.Route{Kind: catalog.KindOnce, Attempts: 1, Timeout: time.Second},
+			relay.Options{Throttle: restingServers{resting: resting}, Backends: decliningBackends{}}, relay.Request{Body: emptyBody(t)}, got)
+		must.Eq(t, relay.ReasonServersResting, got.refusal.Reason())
+		must.Eq(t, 503, got.refusal.Status())
+		must.Between(t, most-time.Second, got.refusal.RetryAfter(), most)
+	}
+}
