throttle, relay: no server left while a refusal is worded is no panic

Found on reading: the time until any server of the service takes a request is looked up once more for Retry-After, and Wait took a first server for granted; with all entries gone in between it would have ended the process. An empty list waits for ever now (TestServersThatLeave has the case, which panicked before); Retry-After is the lesser of both looks.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -169,6 +169,7 @@
 func (x *exchange) withheldRefusal(servers []*registry.Server) *Refusal {
 	wait, cause := x.relay.Throttle.Wait(servers)
 	soonest, _ := x.relay.Throttle.Wait(x.relay.Servers.Servers(x.service))
+	soonest = min(wait, soonest) // the list may have changed since
 	switch cause {
 	case throttle.CauseLeaving:
 		retryAfter := min(retryAfterOutage, max(retrySoon, soonest))
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -190,16 +190,16 @@
 	return state.Leaving || l.timers.Steady().Before(state.RestUntil)
 }
 
-// Wait returns the least time until one of the servers, of which there must be one, may get a
-// request, from this node or another, and why it may not before: zero and CauseNone if one may get
-// one from this node now.
+// Wait returns the least time until one of the servers may get a request, from this node or another,
+// and why it may not before: zero and CauseNone if one may get one from this node now, a time that
+// never ends if there is none or all leave.
 func (l *Limiter) Wait(servers []*registry.Server) (time.Duration, Cause) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Steady()
 	l.refresh(now)
-	least, cause := l.wait(servers[0], now)
-	for _, s := range servers[1:] {
+	least, cause := forever, CauseLeaving
+	for _, s := range servers {
 		if wait, c := l.wait(s, now); wait < least {
 			least, cause = wait, c
 		}
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -211,8 +211,11 @@
 		must.Eq(t, throttle.CauseLimit, cause)
 		must.True(t, l.Scarce(all))
 		l.board.Observe(*b, leaves)
-		_, cause = l.Wait(all)
-		must.Eq(t, throttle.CauseLeaving, cause)
+		for _, servers := range [][]*registry.Server{all, nil} {
+			wait, cause = l.Wait(servers)
+			must.Greater(t, 24*time.Hour, wait)
+			must.Eq(t, throttle.CauseLeaving, cause)
+		}
 		must.SliceEmpty(t, l.Filter(all))
 	})
 }
