e2e: TestEngineThatWantsRest makes each node ask the engine that wants rest

Each node chose the other engine first and stayed with it, as one request after the other does. The other engine leaves now until each node has asked the first one; at least one request of each node must have been turned away (one of all before), and all that was checked is checked as before.

--- a/e2e/notice_test.go
+++ b/e2e/notice_test.go
@@ -22,13 +22,23 @@
 		allowedInRest = 2
 	)
 	f := newFleet(t, fleetSpec{halls: 3, nodesPerHall: 1, engines: 2, plainServices: 1, engineArgs: []string{"--token-ms", "1"}})
+	// Each node asks the engine that wants rest while the other one leaves, and not before.
+	f.setBehaviour(f.engineAddrs[1], map[string]any{"leaving": true})
+	f.waitFor("all nodes to know", f.allKnowLeavingServer)
 	f.setBehaviour(f.engineAddrs[0], map[string]any{"rest_s": rest.Seconds()})
 	began := time.Now()
+	for _, n := range f.nodes {
+		f.chat(n, "small", "what is due")
+	}
+	f.setBehaviour(f.engineAddrs[1], map[string]any{"leaving": false})
+	for _, n := range f.nodes {
+		f.waitFor("the other engine to be used", func() bool { return f.chat(n, "small", "what is due").complete() })
+	}
 	for _, r := range f.chatFor(2 * rest) {
 		must.True(t, r.complete(), must.Sprint(r.status, r.body, r.err))
 	}
 	turnedAway := f.turnedAway(f.engineAddrs[0])
-	must.Positive(t, len(turnedAway))
+	must.GreaterEq(t, len(f.nodes), len(turnedAway))
 	rests := int(time.Since(began)/rest) + 1
 	must.LessEq(t, len(f.nodes)*(1+allowedInRest)*rests, len(turnedAway), must.Sprint("requests turned away in ", rests, " rests"))
 
@@ -61,9 +71,7 @@
 		return count
 	}
 	f.setBehaviour(f.engineAddrs[0], map[string]any{"leaving": true})
-	f.waitFor("all nodes to know", func() bool {
-		return !slices.ContainsFunc(f.nodes, func(n *node) bool { return !knowsLeavingServer.Match(f.get(n.operatorAddr, "/metrics")) })
-	})
+	f.waitFor("all nodes to know", f.allKnowLeavingServer)
 	before := runs()
 	for _, n := range f.nodes {
 		for range 20 {
@@ -82,6 +90,11 @@
 // knowsLeavingServer matches the metrics of a node that knows one server that leaves.
 var knowsLeavingServer = regexp.MustCompile(`(?m)^violettally_leaving_servers(\{.*\})? 1$`)
 
+// allKnowLeavingServer reports whether all nodes know one server that leaves.
+func (f *fleet) allKnowLeavingServer() bool {
+	return !slices.ContainsFunc(f.nodes, func(n *node) bool { return !knowsLeavingServer.Match(f.get(n.operatorAddr, "/metrics")) })
+}
+
 // turnedAway returns when an engine turned requests away.
 func (f *fleet) turnedAway(address string) []time.Time {
 	var times []time.Time
