--- a/admit/admit.go
+++ b/admit/admit.go
@@ -14,7 +14,7 @@
 //
 //	release, err := queue.Acquire(ctx, admit.Request{Account: "dispatch", …})
 //	if err != nil {
-//		return err // Late, Full or GivenUp; see RetryAfter
+//		return err // Late, Full or GivenUp; see errs.RetryAfter
 //	}
 //	defer release()
 package admit
@@ -43,16 +43,6 @@
 	GivenUp = namespace.NewType("given_up")
 )
 
-var retryAfterProperty = errorx.RegisterProperty("retry_after")
-
-// RetryAfter returns how long to wait before a refused request is retried. It is
-// zero for errors other than Late and Full.
-func RetryAfter(err error) time.Duration {
-	value, _ := errorx.ExtractProperty(err, retryAfterProperty)
-	wait, _ := value.(time.Duration)
-	return wait
-}
-
 const (
 	// patientMinShare is the guaranteed share of the capacity for requests of
 	// patient priority.
@@ -189,7 +179,7 @@
 
 func newRefusal(kind *errorx.Type, wait time.Duration, format string, args ...any) error {
 	err := errorx.Cast(errs.New(kind, "acquire", format, args...))
-	return err.WithProperty(retryAfterProperty, max(minRetryAfter, wait))
+	return errs.WithRetryAfter(err, max(minRetryAfter, wait))
 }
 
 // expectedWait estimates how long a new request will wait. It is the smaller of the
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/violettally/violettally/admit"
 	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/internal/errs"
 )
 
 // testLoad is a stream of equal requests of one account.
@@ -110,6 +111,6 @@
 		_, err := q.Acquire(t.Context(), admit.Request{Account: "b", Deadline: time.Now().Add(500 * time.Millisecond)})
 		must.True(t, errorx.IsOfType(err, admit.Late), must.Sprint(err))
 		must.Eq(t, 0, time.Since(start))
-		must.Greater(t, 500*time.Millisecond, admit.RetryAfter(err))
+		must.Greater(t, 500*time.Millisecond, errs.RetryAfter(err))
 	})
 }
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -62,7 +62,7 @@
 func noServerRefusal(err error) *Refusal {
 	switch {
 	case errorx.IsOfType(err, route.Resting):
-		return refuse(ReasonServersResting, RanNo, max(retryAfterShort, route.RetryAfter(err)), "%v", err)
+		return refuse(ReasonServersResting, RanNo, max(retryAfterShort, errs.RetryAfter(err)), "%v", err)
 	case errorx.IsOfType(err, route.Leaving):
 		return refuse(ReasonServersLeaving, RanNo, retryAfterLeaving, "%v", err)
 	case errorx.IsOfType(err, route.Limited):
@@ -155,9 +155,9 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		return nil, refuse(ReasonCancelled, RanNo, 0, "the request was cancelled while it waited")
 	case errorx.IsOfType(err, admit.Full):
-		return nil, refuse(ReasonOverloaded, RanNo, admit.RetryAfter(err), "%v", err)
+		return nil, refuse(ReasonOverloaded, RanNo, errs.RetryAfter(err), "%v", err)
 	case errorx.IsOfType(err, admit.Late):
-		return nil, refuse(ReasonDeadline, RanNo, admit.RetryAfter(err), "%v", err)
+		return nil, refuse(ReasonDeadline, RanNo, errs.RetryAfter(err), "%v", err)
 	default:
 		return nil, refuse(ReasonDeadline, RanNo, retryAfterShort, "%v", err)
 	}
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -18,11 +18,15 @@
 import (
 	"errors"
 	"strings"
+	"time"
 
 	"github.com/joomcode/errorx"
 )
 
-var opProperty = errorx.RegisterPrintableProperty("op")
+var (
+	opProperty         = errorx.RegisterPrintableProperty("op")
+	retryAfterProperty = errorx.RegisterProperty("retry_after")
+)
 
 // Namespace returns the errorx namespace for a package's errors. They carry no
 // stack trace: the operation already says where an error comes from, and an
@@ -49,6 +53,18 @@
 	return name
 }
 
+// WithRetryAfter adds to an errorx error how long to wait before what was refused is tried again.
+func WithRetryAfter(err error, wait time.Duration) error {
+	return errorx.Cast(err).WithProperty(retryAfterProperty, wait)
+}
+
+// RetryAfter returns what [WithRetryAfter] added to an error, or zero.
+func RetryAfter(err error) time.Duration {
+	value, _ := errorx.ExtractProperty(err, retryAfterProperty)
+	wait, _ := value.(time.Duration)
+	return wait
+}
+
 // Kind returns the errorx type name of an error, without its namespace, as logs
 // and metrics show it. It returns "" if err is not an errorx error.
 func Kind(err error) string {
--- a/notice/board.go
+++ b/notice/board.go
@@ -144,34 +144,18 @@
 func (b *Board) recordAnswer(hash uint64, id string, n Notice, sentAgo time.Duration) (changed, report bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n.IsAbsent() && b.records[hash] == nil {
+	r := b.records[hash]
+	if n.IsAbsent() && r == nil {
 		return false, false
 	}
 	now := b.timers.Steady()
-	if n.IsAbsent() && !b.isSilenceNews(hash, n.Kind, now.Add(-sentAgo)) {
+	if n.IsAbsent() && !r.isTakenBack(n.Kind, now.Add(-sentAgo)) {
 		return false, false
 	}
 	changed = b.set(hash, id, n, now, SourceAnswer)
 	return changed, b.isReportDue(hash, n.Kind, changed, now)
 }
 
-// isSilenceNews reports whether an answer that says nothing of a kind, to a request sent at the given
-// time, takes back what is known: whether it is later than the answers that said that the server
-// leaves, since answers may pass each other, or than the end of the rest. The caller holds mu.
-func (b *Board) isSilenceNews(hash uint64, k Kind, sentAt time.Time) bool {
-	r := b.records[hash]
-	switch {
-	case r == nil:
-		return false
-	case k == KindLeaving:
-		return sentAt.After(r.facts[k].heardAt)
-	case k == KindRest:
-		return !sentAt.Before(r.restUntil)
-	default:
-		return true
-	}
-}
-
 // ObserveReport records a report of another node, which has heard the server with the given hash say
 // so long ago what the notice tells. Whether a server that leaves stays after all is known by its own
 // answers alone.
--- a/notice/headers.go
+++ b/notice/headers.go
@@ -21,7 +21,7 @@
 // answer with status 421 comes from whatever server is at the address now; if that one leaves, the
 // one that was asked for is gone or leaves itself, and nothing else in such an answer is about it.
 func (h Headers) Decode(response *http.Response) []Notice {
-	leaving := ParseLeaving(response.Header.Values(h.Leaving))
+	leaving := parseLeaving(response.Header.Values(h.Leaving))
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		if leaving {
 			return []Notice{{KindLeaving, 1}}
@@ -29,10 +29,10 @@
 		return nil
 	}
 	notices := make([]Notice, 0, 4)
-	if perSecond, ok := parseLimits(response.Header.Values(h.RequestLimit)); ok {
+	if perSecond, ok := parseLimit(response.Header.Values(h.RequestLimit)); ok {
 		notices = append(notices, Notice{KindRequestLimit, perSecond})
 	}
-	if perSecond, ok := parseLimits(response.Header.Values(h.RejectionLimit)); ok {
+	if perSecond, ok := parseLimit(response.Header.Values(h.RejectionLimit)); ok {
 		notices = append(notices, Notice{KindRejectionLimit, perSecond})
 	}
 	value := KindLeaving.Absent()
@@ -59,23 +59,18 @@
 	return time.Now()
 }
 
-// parseLimits parses the values of a header that names a limit; none of them names none.
-func parseLimits(values []string) (perSecond float64, ok bool) {
+// parseLimit parses the values of a header that names a limit, the first of which counts: a number of
+// requests a second, zero or more. It returns false for anything else; no value names no limit.
+func parseLimit(values []string) (perSecond float64, ok bool) {
 	if len(values) == 0 {
 		return Unlimited, true
 	}
-	return ParseLimit(strings.TrimSpace(values[0]))
-}
-
-// ParseLimit parses a limit as a server names it: a number of requests a second, zero or more. It
-// returns false for anything else.
-func ParseLimit(value string) (perSecond float64, ok bool) {
-	perSecond, err := strconv.ParseFloat(value, 64)
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
 	return perSecond, err == nil && perSecond >= 0
 }
 
-// ParseLeaving parses the values of the header by which a server says that it leaves.
-func ParseLeaving(values []string) bool {
+// parseLeaving parses the values of the header by which a server says that it leaves.
+func parseLeaving(values []string) bool {
 	for _, value := range values {
 		if leaves, err := strconv.ParseBool(strings.TrimSpace(value)); err == nil && leaves {
 			return true
--- a/notice/record.go
+++ b/notice/record.go
@@ -98,3 +98,17 @@
 	r.restUntil = until
 	return true
 }
+
+// isTakenBack reports whether an answer that says nothing of a kind, to a request sent at the given time,
+// takes back what is known: whether the request is later than the answers that said that the server
+// leaves, since answers may pass each other, or than the end of the rest.
+func (r *record) isTakenBack(k Kind, sentAt time.Time) bool {
+	switch k {
+	case KindLeaving:
+		return sentAt.After(r.facts[k].heardAt)
+	case KindRest:
+		return !sentAt.Before(r.restUntil)
+	default:
+		return true
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -46,8 +46,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/throttle"
@@ -63,21 +61,12 @@
 	// Limited is the error type for a request that servers could take if that did not exceed
 	// their limits.
 	Limited = namespace.NewType("limited")
-	// Resting and Leaving are Limited where all of them want rest, or leave (see [RetryAfter]).
+	// Resting and Leaving are Limited where all of them want rest, or leave ([errs.RetryAfter] tells when the
+	// first may take a request).
 	Resting = Limited.NewSubtype("resting")
 	Leaving = Limited.NewSubtype("leaving")
 )
 
-var retryAfterProperty = errorx.RegisterProperty("retry_after")
-
-// RetryAfter returns when the first server may take a request, as far as a Limited error tells; zero
-// otherwise.
-func RetryAfter(err error) time.Duration {
-	value, _ := errorx.ExtractProperty(err, retryAfterProperty)
-	wait, _ := value.(time.Duration)
-	return wait
-}
-
 // Outcome is the result of a request as it counts for the server.
 type Outcome int
 
@@ -326,7 +315,7 @@
 	default:
 		err = errs.New(Limited, "choose", "%d servers of pool %s name limits and get no more requests from this node now", len(servers), pool)
 	}
-	return errorx.Cast(err).WithProperty(retryAfterProperty, least)
+	return errs.WithRetryAfter(err, least)
 }
 
 // begin counts a request as in flight at a server.
--- a/route/throttle_test.go
+++ b/route/throttle_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/throttle"
 )
@@ -49,7 +50,7 @@
 	must.Eq(t, 4, sent["a"]+sent["b"])
 	_, err := c.Choose(r)
 	must.True(t, errorx.IsOfType(err, route.Limited), must.Sprint(err))
-	must.Eq(t, 700*time.Millisecond, route.RetryAfter(err))
+	must.Eq(t, 700*time.Millisecond, errs.RetryAfter(err))
 	_, err = c.Choose(route.Request{Pool: "p"})
 	must.True(t, errorx.IsOfType(err, route.NoServer), must.Sprint(err))
 }
