mirror: a node that starts logs how far each read of the store came, and where its copy is from

What callers saw: nothing new; no logic is changed. The logs of a fleet that did not come back had one line for each node ("store is unreachable"), the same for a full link, a rate that was exceeded and a node that did not run. Each read at a start now logs its part, keys, bytes, time and error, and counts as read_failed if it failed; the list of sources and a copy taken from one are logged too: 3 to 5 lines a start.

--- a/mirror/event.go
+++ b/mirror/event.go
@@ -27,6 +27,9 @@
 	EventOutage
 	// EventStalled is a call during which this process did not run.
 	EventStalled
+	// EventReadFailed is a read of the store by a node that starts to which the store did not
+	// respond in full.
+	EventReadFailed
 )
 
 // Option configures a Mirror.
--- /dev/null
+++ b/mirror/fleet_test.go
@@ -0,0 +1,558 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/progress"
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/tree"
+	"github.com/violettally/violettally/view"
+)
+
+// recoverTime is the shortest time that deployments agree on after which a fleet that was lost
+// serves again.
+const recoverTime = 12 * time.Second
+
+// The fleet's store and its nodes, as the largest deployment declares them.
+const (
+	fleetHalls = 5
+	// storeAnswer is the time of an answer, storeReads and storeWrites are calls a second.
+	storeAnswer = 4 * time.Millisecond
+	storeReads  = 16_000
+	storeWrites = 3_200
+	// Links are in bytes a second.
+	storeLink     = 1000e6 / 8
+	largeNodeLink = 200e6 / 8
+	smallNodeLink = 20e6 / 8
+	// window is how much of a response may be under way on one connection.
+	window = 64 << 10
+	// A page holds 200 keys, which take 400 bytes each on the wire and 230 as values. One item of
+	// the model stands for keysPerItem keys.
+	pageBytes, pageValueBytes = 80_000, 46_000
+	pageItems                 = 20
+	keysPerItem               = 10
+	changeBytes               = 400
+	// snapshotBytes is the size of a packed snapshot, packedBytes that of a packed key.
+	snapshotBytes, packedBytes = 190_000, 17
+	// startValueBytes is the size of the values at which ReadStart stops.
+	startValueBytes = 128 << 10
+	// firstLarge nodes of each data hall have large links.
+	firstLarge = 10
+)
+
+// storeCallTimeouts are those of a call to the store that does not wait for changes.
+var storeCallTimeouts = progress.Timeouts{FirstByte: time.Second, Idle: time.Second, Total: 3 * time.Second}
+
+// capacity is a link that sends in the order of writing.
+type capacity struct {
+	perSecond float64
+
+	mu     sync.Mutex
+	idleAt time.Time
+}
+
+// occupy returns when the link will have sent n more bytes.
+func (c *capacity) occupy(n int) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := time.Now(); c.idleAt.Before(now) {
+		c.idleAt = now
+	}
+	c.idleAt = c.idleAt.Add(time.Duration(float64(n) / c.perSecond * float64(time.Second)))
+	return c.idleAt
+}
+
+// transfer sends a response over links. What is under way when the call ends is lost, and has
+// occupied the links all the same.
+func transfer(ctx context.Context, n int, links ...*capacity) error {
+	for sent := 0; sent < n; sent += window {
+		var at time.Time
+		for _, l := range links {
+			if t := l.occupy(min(window, n-sent)); t.After(at) {
+				at = t
+			}
+		}
+		select {
+		case <-time.After(time.Until(at)):
+			progress.Report(ctx)
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+// fleetStore is a store with the rates and the link of a real one.
+type fleetStore struct {
+	link capacity
+
+	mu       sync.Mutex
+	revision int64
+	items    map[string]mirror.Item
+	history  []mirror.Item
+	// keptAfter is the revision after which the history is kept.
+	keptAfter int64
+	changed   chan struct{}
+	// answer is the time of an answer. mode says how calls of a node fail.
+	answer time.Duration
+	mode   func(node int) storeMode
+	// second counts the calls of the present second.
+	second        time.Time
+	reads, writes int
+	// wholes counts reads of the rest of a snapshot.
+	wholes int
+}
+
+// storeMode says how a store treats a call.
+type storeMode int
+
+const (
+	storeWell storeMode = iota
+	storeSilent
+	storeRefuses
+)
+
+func newFleetStore(keys int) *fleetStore {
+	s := &fleetStore{link: capacity{perSecond: storeLink}, items: make(map[string]mirror.Item), changed: make(chan struct{}), answer: storeAnswer}
+	s.mode = func(int) storeMode { return storeWell }
+	for i := range keys / keysPerItem {
+		s.put(fmt.Sprintf("servers/%05d", i), false)
+	}
+	return s
+}
+
+// put writes or deletes a key.
+func (s *fleetStore) put(key string, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	item := mirror.Item{Key: key, Revision: s.revision, Deleted: deleted}
+	s.history = append(s.history, item)
+	if s.items[key] = item; deleted {
+		delete(s.items, key)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+var errRefused = errors.New("refused")
+
+// begin begins a call: it waits for the answer, unless the store is silent or refuses it.
+func (s *fleetStore) begin(ctx context.Context, node int, reads, writes int) error {
+	s.mu.Lock()
+	if now := time.Now().Truncate(time.Second); now.After(s.second) {
+		s.second, s.reads, s.writes = now, 0, 0
+	}
+	s.reads += reads
+	s.writes += writes
+	mode, answer := s.mode(node), s.answer
+	if s.reads > storeReads || s.writes > storeWrites {
+		mode = storeRefuses
+	}
+	s.mu.Unlock()
+	switch mode {
+	case storeSilent:
+		<-ctx.Done()
+		return context.Cause(ctx)
+	case storeRefuses:
+		return errRefused
+	}
+	select {
+	case <-time.After(answer):
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// page reads up to a page of items after a key.
+func (s *fleetStore) page(ctx context.Context, n *fleetNode, after string, fresh int) (items []mirror.Item, revision int64, more bool, err error) {
+	ctx, cancel := progress.WithTimeout(ctx, storeCallTimeouts)
+	defer cancel()
+	if err := s.begin(ctx, n.index, fresh, 0); err != nil {
+		return nil, 0, false, err
+	}
+	if err := transfer(ctx, pageBytes, &s.link, &n.link); err != nil {
+		return nil, 0, false, err
+	}
+	time.Sleep(n.cpu(5 * time.Millisecond))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, item := range s.items {
+		if key > after {
+			items = append(items, item)
+		}
+	}
+	slices.SortFunc(items, func(a, b mirror.Item) int { return compareKeys(a.Key, b.Key) })
+	more = len(items) > pageItems
+	return items[:min(pageItems, len(items))], s.revision, more, nil
+}
+
+func compareKeys(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// nodeStore is the store as one node reaches it.
+type nodeStore struct {
+	*fleetStore
+	n *fleetNode
+}
+
+// readPages reads the pages after those of a batch, until their values have a size.
+func (s nodeStore) readPages(ctx context.Context, b *mirror.Batch, fresh, bytes int) (more bool, err error) {
+	after := ""
+	if len(b.Items) > 0 {
+		after = b.Items[len(b.Items)-1].Key
+	}
+	for read := 0; ; {
+		items, revision, more, err := s.page(ctx, s.n, after, fresh)
+		if err != nil {
+			return false, err
+		}
+		if b.Revision == 0 {
+			b.Revision = revision
+		}
+		b.Items = append(b.Items, items...)
+		if read += pageValueBytes; !more || read >= bytes {
+			return more, nil
+		}
+		after = items[len(items)-1].Key
+	}
+}
+
+func (s nodeStore) ReadAll(ctx context.Context) (mirror.Batch, error) {
+	b := mirror.Batch{Snapshot: true}
+	_, err := s.readPages(ctx, &b, 1, 1<<30)
+	return b, err
+}
+
+func (s nodeStore) ReadStart(ctx context.Context) (b mirror.Batch, more bool, err error) {
+	b.Snapshot = true
+	more, err = s.readPages(ctx, &b, 0, startValueBytes)
+	return b, more, err
+}
+
+func (s nodeStore) ReadRest(ctx context.Context, start mirror.Batch) (mirror.Batch, error) {
+	s.mu.Lock()
+	s.wholes++
+	s.mu.Unlock()
+	_, err := s.readPages(ctx, &start, 0, 1<<30)
+	return start, err
+}
+
+func (s nodeStore) Follow(ctx context.Context, after int64, wait time.Duration) (mirror.Batch, error) {
+	if err := s.begin(ctx, s.n.index, 1, 0); err != nil {
+		return mirror.Batch{}, err
+	}
+	s.mu.Lock()
+	revision, changed := s.revision, s.changed
+	s.mu.Unlock()
+	if revision <= after && wait > 0 {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return mirror.Batch{}, context.Cause(ctx)
+		}
+	}
+	s.mu.Lock()
+	if after < s.keptAfter {
+		s.mu.Unlock()
+		return mirror.Batch{}, errs.New(mirror.HistoryGone, "follow", "gone")
+	}
+	b := mirror.Batch{Revision: s.revision}
+	for _, item := range s.history {
+		if item.Revision > after {
+			b.Items = append(b.Items, item)
+		}
+	}
+	s.mu.Unlock()
+	return b, transfer(ctx, (1+len(b.Items))*changeBytes, &s.link, &s.n.link)
+}
+
+// fleetNode is a node of the fleet.
+type fleetNode struct {
+	f      *fleet
+	index  int
+	member view.Member
+	large  bool
+	link   capacity
+
+	mu sync.Mutex
+	// m is the mirror of the present process, nil if there is none; stop ends it.
+	m    *mirror.Mirror
+	stop context.CancelFunc
+	// giving is the number of snapshots that are being sent.
+	giving int
+}
+
+// cpu returns how long a small node needs for what takes a whole core that long.
+func (n *fleetNode) cpu(work time.Duration) time.Duration {
+	share := 0.192
+	if n.large {
+		share = 0.8
+	}
+	return time.Duration(float64(work) / share)
+}
+
+// mirror returns the mirror of the present process, nil if there is none.
+func (n *fleetNode) mirror() *mirror.Mirror {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.m
+}
+
+// entryKey is the key of a node's entry.
+func (n *fleetNode) entryKey() string { return "nodes/" + n.member.DataHall + "/" + n.member.VM }
+
+// fleet is all nodes in all data halls.
+type fleet struct {
+	t      *testing.T
+	timers *timer.Service
+	store  *fleetStore
+	nodes  []*fleetNode
+	byPeer map[string]*fleetNode
+	random *rand.Rand
+}
+
+// newFleet returns a fleet none of whose nodes runs, before a store with the keys of its servers.
+func newFleet(t *testing.T, size int) *fleet {
+	_, timers := newEnv(t)
+	f := &fleet{t: t, timers: timers, store: newFleetStore(11 * size), byPeer: make(map[string]*fleetNode), random: rand.New(rand.NewPCG(uint64(size), 0))}
+	for i := range size {
+		vm := fmt.Sprintf("vm-%04d", i)
+		n := &fleetNode{f: f, index: i, large: i/fleetHalls < firstLarge, link: capacity{perSecond: smallNodeLink}}
+		n.member = view.Member{VM: vm, Peer: vm, DataHall: fmt.Sprint("hall-", i%fleetHalls), FanOut: 8}
+		if n.large {
+			n.link.perSecond, n.member.FanOut = largeNodeLink, 24
+		}
+		f.nodes, f.byPeer[vm] = append(f.nodes, n), n
+	}
+	return f
+}
+
+// startAll starts the processes of nodes within 0.3 s of each other.
+func (f *fleet) startAll(nodes []*fleetNode) {
+	for _, n := range nodes {
+		go func(delay time.Duration) {
+			time.Sleep(delay)
+			f.start(n)
+		}(time.Duration(f.random.Int64N(int64(300 * time.Millisecond))))
+	}
+	time.Sleep(300 * time.Millisecond)
+}
+
+// start starts a node's process.
+func (f *fleet) start(n *fleetNode) {
+	ctx, stop := context.WithCancel(f.t.Context())
+	m := mirror.New(nodeStore{f.store, n}, fleetPeers{n}, f.timers)
+	n.mu.Lock()
+	n.m, n.stop, n.giving = m, stop, 0
+	n.mu.Unlock()
+	go m.Run(ctx)
+	go f.register(ctx, n, m)
+}
+
+// register writes a node's entry once it has a copy of the store.
+func (f *fleet) register(ctx context.Context, n *fleetNode, m *mirror.Mirror) {
+	select {
+	case <-m.Synced():
+	case <-time.After(5 * time.Second):
+	case <-ctx.Done():
+		return
+	}
+	if _, ok := m.Get(n.entryKey()); ok {
+		return // its lease is renewed
+	}
+	for f.store.begin(ctx, n.index, 0, 2) != nil {
+		time.Sleep(time.Second)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	f.store.put(n.entryKey(), false)
+}
+
+// kill ends the processes of nodes.
+func (f *fleet) kill(nodes []*fleetNode) {
+	for _, n := range nodes {
+		n.mu.Lock()
+		if n.m != nil {
+			n.stop()
+		}
+		n.m = nil
+		n.mu.Unlock()
+	}
+}
+
+// close ends all processes and waits until their calls have ended.
+func (f *fleet) close() {
+	f.kill(f.nodes)
+	advance(time.Minute)
+}
+
+// withoutCopy returns how many nodes do not know all servers.
+func (f *fleet) withoutCopy() int {
+	f.store.mu.Lock()
+	servers := len(f.store.items)
+	f.store.mu.Unlock()
+	count := 0
+	for _, n := range f.nodes {
+		if m := n.mirror(); m == nil || m.Delivered() == 0 || len(under(m, "servers/")) < min(servers, len(f.nodes)) {
+			count++
+		}
+	}
+	return count
+}
+
+// recover waits until all nodes have a copy, and returns how long that took, or the limit.
+func (f *fleet) recover(limit time.Duration) time.Duration {
+	begun := time.Now()
+	for f.withoutCopy() > 0 && time.Since(begun) < limit {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(begun)
+}
+
+// fleetPeers are the other nodes as a node reaches them.
+type fleetPeers struct{ n *fleetNode }
+
+// hall returns the other nodes of the data hall whose entries are known, in random order.
+func (p fleetPeers) hall(known func(key string) bool) []view.Member {
+	var members []view.Member
+	for _, n := range p.n.f.nodes {
+		if n != p.n && n.member.DataHall == p.n.member.DataHall && known(n.entryKey()) {
+			members = append(members, n.member)
+		}
+	}
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members
+}
+
+func addresses(members []view.Member) []string {
+	list := make([]string, len(members))
+	for i, m := range members {
+		list[i] = m.Peer
+	}
+	return list
+}
+
+func (p fleetPeers) knows(key string) bool {
+	m := p.n.mirror()
+	if m == nil {
+		return false
+	}
+	_, ok := m.Get(key)
+	return ok
+}
+
+// Addresses returns the seeds, three nodes of one data hall, until others are known.
+func (p fleetPeers) Addresses() []string {
+	if hall := p.hall(p.knows); len(hall) > 0 {
+		return addresses(hall)
+	}
+	return []string{"vm-0001", "vm-0006", "vm-0011"}
+}
+
+func (p fleetPeers) Upstream() []string {
+	hall := p.hall(p.knows)
+	return addresses(tree.Parents(p.n.member, append(hall, p.n.member)))
+}
+
+func (p fleetPeers) Sources(ctx context.Context) ([]string, time.Duration) {
+	s := p.n.f.store
+	if _, _, _, err := s.page(ctx, p.n, "", 1); err != nil {
+		return nil, 3 * time.Second
+	}
+	hall := p.hall(func(key string) bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_, ok := s.items[key]
+		return ok
+	})
+	slices.SortStableFunc(hall, func(a, b view.Member) int { return b.FanOut - a.FanOut })
+	spread := time.Duration(len(hall)) * 10 * time.Millisecond
+	if len(hall) == 0 {
+		spread = 3 * time.Second
+	}
+	if p.n.large {
+		spread = 200 * time.Millisecond
+	}
+	return addresses(hall), spread
+}
+
+func (p fleetPeers) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
+	giver := p.n.f.byPeer[address]
+	m := giver.mirror()
+	if m == nil {
+		return mirror.Batch{}, errRefused
+	}
+	if !m.Knows(after) {
+		giver.mu.Lock()
+		busy := giver.giving >= giver.member.FanOut/4
+		if !busy {
+			giver.giving++
+		}
+		giver.mu.Unlock()
+		if busy {
+			return mirror.Batch{Busy: true}, nil
+		}
+		defer func() {
+			giver.mu.Lock()
+			defer giver.mu.Unlock()
+			giver.giving--
+		}()
+	}
+	b := m.Await(ctx, after, wait)
+	size := (1 + len(b.Items)) * packedBytes * keysPerItem
+	if b.Snapshot {
+		size = snapshotBytes
+	}
+	if err := transfer(ctx, size, &giver.link, &p.n.link); err != nil {
+		return mirror.Batch{}, err
+	}
+	if b.Snapshot {
+		time.Sleep(p.n.cpu(100 * time.Millisecond))
+	}
+	return b, nil
+}
+
+// TestWholeFleetRestarts: all nodes of a fleet are killed at once and come back together before a
+// store that knows all servers. Each of them read the beginning of the store and the list of its
+// data hall, which filled the store's link; reads were given up for a pause of 0.3 s, and all of
+// them began anew, for ever.
+func TestWholeFleetRestarts(t *testing.T) {
+	for _, size := range []int{100, 300, 984} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, size)
+				defer f.close()
+				for _, n := range f.nodes {
+					f.store.put(n.entryKey(), false)
+				}
+				f.startAll(f.nodes)
+				took := f.recover(recoverTime)
+				t.Logf("all nodes have a copy after %d ms; the store was read %d times", took.Milliseconds(), f.store.wholes)
+				must.Zero(t, f.withoutCopy())
+			})
+		})
+	}
+}
--- a/mirror/mirror_enumer.go
+++ b/mirror/mirror_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _EventName = "looklook_in_vainupstream_silentupstream_oldstore_loststore_backoutagestalled"
+const _EventName = "looklook_in_vainupstream_silentupstream_oldstore_loststore_backoutagestalledread_failed"
 
-var _EventIndex = [...]uint8{0, 4, 16, 31, 43, 53, 63, 69, 76}
+var _EventIndex = [...]uint8{0, 4, 16, 31, 43, 53, 63, 69, 76, 87}
 
-const _EventLowerName = "looklook_in_vainupstream_silentupstream_oldstore_loststore_backoutagestalled"
+const _EventLowerName = "looklook_in_vainupstream_silentupstream_oldstore_loststore_backoutagestalledread_failed"
 
 func (i Event) String() string {
 	if i < 0 || i >= Event(len(_EventIndex)-1) {
@@ -32,9 +32,10 @@
 	_ = x[EventStoreBack-(5)]
 	_ = x[EventOutage-(6)]
 	_ = x[EventStalled-(7)]
+	_ = x[EventReadFailed-(8)]
 }
 
-var _EventValues = []Event{EventPoll, EventPollFailed, EventUpstreamSilent, EventUpstreamStale, EventStoreLost, EventStoreBack, EventOutage, EventStalled}
+var _EventValues = []Event{EventPoll, EventPollFailed, EventUpstreamSilent, EventUpstreamStale, EventStoreLost, EventStoreBack, EventOutage, EventStalled, EventReadFailed}
 
 var _EventNameToValueMap = map[string]Event{
 	_EventName[0:4]:   EventPoll,
@@ -45,6 +46,7 @@
 	_EventName[53:63]: EventStoreBack,
 	_EventName[63:69]: EventOutage,
 	_EventName[69:76]: EventStalled,
+	_EventName[76:87]: EventReadFailed,
 }
 
 var _EventLowerNameToValueMap = map[string]Event{
@@ -56,6 +58,7 @@
 	_EventLowerName[53:63]: EventStoreBack,
 	_EventLowerName[63:69]: EventOutage,
 	_EventLowerName[69:76]: EventStalled,
+	_EventLowerName[76:87]: EventReadFailed,
 }
 
 var _EventNames = []string{
@@ -67,6 +70,7 @@
 	_EventName[53:63],
 	_EventName[63:69],
 	_EventName[69:76],
+	_EventName[76:87],
 }
 
 // EventString retrieves an enum value from the enum constants string name.
--- a/mirror/start.go
+++ b/mirror/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -25,13 +26,14 @@
 // The store's answers may be old, so the changes since follow before the snapshot counts.
 func (m *Mirror) start(ctx context.Context) error {
 	more := false
-	batch, _, err := m.callWithBounds(ctx, readBounds, func(ctx context.Context) (b Batch, err error) {
+	batch, took, err := m.callWithBounds(ctx, readBounds, func(ctx context.Context) (b Batch, err error) {
 		// A node that starts during an outage does not have to wait until the call to the
 		// store times out.
 		go m.queryPeersAfterDelay(ctx)
 		b, more, err = m.store.ReadStart(ctx)
 		return b, err
 	})
+	m.logRead("start", batch, took, err)
 	if err != nil {
 		return err
 	}
@@ -41,7 +43,8 @@
 			return nil
 		}
 		start := batch
-		batch, _, err = m.callWithBounds(ctx, readBounds, func(ctx context.Context) (Batch, error) { return m.store.ReadRest(ctx, start) })
+		batch, took, err = m.callWithBounds(ctx, readBounds, func(ctx context.Context) (Batch, error) { return m.store.ReadRest(ctx, start) })
+		m.logRead("rest", batch, took, err)
 		if err != nil {
 			return err
 		}
@@ -62,16 +65,34 @@
 	return nil
 }
 
+// logRead logs how a read of the store by a node that starts went, and how far it came.
+func (m *Mirror) logRead(part string, b Batch, took time.Duration, err error) {
+	bytes := 0
+	for _, item := range b.Items {
+		bytes += len(item.Value)
+	}
+	result := slog.Any("error", err)
+	if err == nil {
+		result = slog.Int64("revision", b.Revision)
+	} else {
+		m.count(EventReadFailed)
+	}
+	slog.Info("read of the store", "part", part, "keys", len(b.Items), "bytes", bytes, "took_ms", took.Milliseconds(), result)
+}
+
 // copyFromSource takes the copy of another node of the data hall, and reports whether there was
 // one. If no source has a copy, the node waits for a random part of the spread and looks once
 // more, so that of nodes that start together only a few read the store.
 func (m *Mirror) copyFromSource(ctx context.Context) bool {
 	begun := m.timers.Steady()
 	sources, spread := m.peers.Sources(ctx)
+	listed := m.timers.Steady()
+	slog.Info("sources of a copy listed", "count", len(sources), "took_ms", listed.Sub(begun).Milliseconds(), "spread_ms", spread.Milliseconds())
 	for waited := false; ctx.Err() == nil; {
 		known, busy := m.askSources(ctx, sources)
 		switch {
 		case known || m.Revision() > 0:
+			slog.Info("copy taken from a source", "revision", m.Revision(), "took_ms", m.timers.Steady().Sub(listed).Milliseconds())
 			return true
 		case busy && m.timers.Steady().Sub(begun) < startPeerTime:
 			m.pause(ctx, busyPause)
