mirror, platform: a read of the store goes on where it ended, and waits longer

What callers saw: 0 of 11,967 requests served after all of 984 nodes had been killed; no node ever had a copy of the store.

Cause: a read was given up after a pause of 0.3 s, or 2 s without a first byte, and began anew 0.3 s later from the first key. With all nodes reading, pages come further apart than that.

Change: what a read has got is kept, and the next one goes on after it. A read may pause 1 s, twice as long after each that is given up, 8 s at most. A node that starts waits 0.3 to 1.2 s between two tries, half more or less by chance. away_ms counts from the first failure (it was ms).

Evidence: TestReadGoesOn, three cases, failed before (it never had a copy) and passes. That alone does not bring a fleet back: TestWholeFleetRestarts still fails at 984 nodes, each of which reads the whole store.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/platform"
 	"github.com/violettally/violettally/share"
 	"github.com/violettally/violettally/view"
 )
@@ -81,7 +82,7 @@
 // most others first and otherwise in random order. The hall's entries are read from the store
 // each time, since this gateway does not know any others yet.
 func (p mirrorPeers) Sources(ctx context.Context) (addresses []string, spread time.Duration) {
-	items, err := p.g.store.ListPrefix(ctx, hallPrefix(p.g.self.DataHall))
+	items, err := p.g.store.ListPrefix(ctx, hallPrefix(p.g.self.DataHall), platform.FreshRead)
 	if err != nil {
 		slog.Info("gateways of the data hall cannot be listed", "error", err)
 	}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -39,6 +39,10 @@
 	coalesceTimeMax    = 500 * time.Millisecond
 	// readTimeout is how long a snapshot may take until its first bytes arrive.
 	readTimeout = 2 * time.Second
+	// minPatience is how long a read may pause. It doubles, up to maxPatience, with each read that
+	// is given up, since what fills the store's link may be reads that others begin anew.
+	minPatience = time.Second
+	maxPatience = 8 * time.Second
 	// readTotal bounds a snapshot that keeps arriving, page by page: of 20,000 servers it
 	// takes some seconds over a link of 20 Mbit/s.
 	readTotal = 30 * time.Second
@@ -51,8 +55,10 @@
 	// queries peers, too. The store responds with a page in 4 ms.
 	startupPeerDelay = 60 * time.Millisecond
 	// peerInterval is the time between two queries of peers while the store is
-	// unreachable.
-	peerInterval = 300 * time.Millisecond
+	// unreachable. For a node that starts, it doubles up to maxStartPause, since a whole
+	// deployment may do the same.
+	peerInterval  = 300 * time.Millisecond
+	maxStartPause = 1200 * time.Millisecond
 	// peerTimeout is how late a peer may respond, beyond the time that it was asked to
 	// wait, and how long a response that has begun may pause.
 	peerTimeout = 300 * time.Millisecond
@@ -99,8 +105,10 @@
 // followStore makes one round of calls to the store. If it does not respond, peers are
 // queried, which may have newer data.
 func (m *Mirror) followStore(ctx context.Context) {
+	starts := m.Revision() == 0
 	err := m.fetchNext(ctx)
 	if err == nil {
+		m.failedStarts = 0
 		m.pause(ctx, m.coalesce())
 		return
 	}
@@ -109,13 +117,26 @@
 	}
 	m.markStoreUnreachable(err)
 	m.queryPeers(ctx)
-	if len(m.peers.Upstream()) > 0 {
+	switch {
+	case starts:
+		m.pause(ctx, m.startPause())
+	case len(m.peers.Upstream()) > 0:
 		m.pause(ctx, retryPause)
-	} else {
+	default:
 		m.pause(ctx, peerInterval)
 	}
 }
 
+// startPause returns how long a node that starts waits after a failure: longer with each, and
+// not the same for nodes that start together.
+func (m *Mirror) startPause() time.Duration {
+	pause := min(maxStartPause, peerInterval<<m.failedStarts)
+	if pause < maxStartPause {
+		m.failedStarts++
+	}
+	return pause/2 + rand.N(pause)
+}
+
 // followPeer takes one response of an upstream. If a long poll runs out of time, it is
 // repeated once without waiting: the open connection may be dead while a new one works.
 func (m *Mirror) followPeer(ctx context.Context, address string) {
@@ -295,7 +316,8 @@
 
 // readAll reads a snapshot, from which deletions follow as well.
 func (m *Mirror) readAll(ctx context.Context) error {
-	batch, took, err := m.callWithBounds(ctx, readBounds, m.store.ReadAll)
+	batch, took, err := m.callWithBounds(ctx, m.readBounds(), m.store.ReadAll)
+	m.notePatience(err)
 	if err != nil {
 		return err
 	}
@@ -305,8 +327,29 @@
 	return nil
 }
 
-// readBounds are the bounds of reading a snapshot from the store.
-var readBounds = progress.Timeouts{FirstByte: readTimeout, Idle: watchSlack, Total: readTotal}
+// readBounds returns the bounds of reading a snapshot from the store.
+func (m *Mirror) readBounds() progress.Timeouts {
+	patience := m.currentPatience()
+	return progress.Timeouts{FirstByte: max(readTimeout, patience), Idle: patience, Total: readTotal}
+}
+
+// notePatience lets the next read take longer if this one has timed out.
+func (m *Mirror) notePatience(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case err == nil:
+		m.patience = minPatience
+	case errors.Is(err, context.DeadlineExceeded):
+		m.patience = min(maxPatience, 2*m.patience)
+	}
+}
+
+func (m *Mirror) currentPatience() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.patience
+}
 
 // queryPeersAfterDelay queries peers unless a response of the store has begun by then
 // in the current read of the snapshot. Many nodes that start at once share the link of
@@ -378,6 +421,9 @@
 	m.mu.Lock()
 	before := m.unreachable
 	m.unreachable, m.lastFailure = true, m.timers.Steady()
+	if !before {
+		m.unreachableSince = m.lastFailure
+	}
 	m.signalRefresh()
 	revision := m.revision
 	m.mu.Unlock()
@@ -391,12 +437,12 @@
 // responded.
 func (m *Mirror) markStoreReachable() {
 	m.mu.Lock()
-	before := m.unreachable
+	before, away := m.unreachable, m.timers.Steady().Sub(m.unreachableSince)
 	m.unreachable = false
 	m.mu.Unlock()
 	if before {
 		m.count(EventStoreBack)
-		slog.Info("store is reachable again", "away_ms", m.Age().Milliseconds())
+		slog.Info("store is reachable again", "away_ms", away.Milliseconds())
 	}
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -99,7 +99,8 @@
 	// ReadStart returns the beginning of a snapshot, of bounded size, and whether there is
 	// more. It may be some seconds old, and costs less than ReadAll.
 	ReadStart(ctx context.Context) (start Batch, more bool, err error)
-	// ReadRest returns the whole snapshot of which ReadStart has returned the beginning.
+	// ReadRest returns the whole snapshot of which an earlier call has returned the beginning,
+	// which may be empty. If it fails, it returns what has been read by then.
 	ReadRest(ctx context.Context, start Batch) (Batch, error)
 	// Follow returns the changes after a revision as soon as there are any, an empty
 	// batch after wait, or HistoryGone.
@@ -172,7 +173,10 @@
 	notifiedAsOf time.Time
 	// unreachable says that the store did not respond, and that since then neither the
 	// store nor an upstream that reaches it has responded.
-	unreachable bool
+	unreachable      bool
+	unreachableSince time.Time
+	// patience is how long a read of a snapshot from the store may pause.
+	patience time.Duration
 	// lastFailure is when a call to the store last failed. Without a later failure, an
 	// old copy does not mean that the store is down. nextPoll is the earliest time of
 	// the poll after a failed one.
@@ -185,11 +189,14 @@
 
 	// followsStore says that the goroutine of Run follows the store.
 	followsStore atomic.Bool
-	// lastUpstream and skippedUntil are used by the goroutine of Run only. lastUpstream
-	// is the upstream that responded last; skippedUntil holds by address until when an
-	// upstream is skipped.
+	// The following fields are used by the goroutine of Run only. lastUpstream is the
+	// upstream that responded last; skippedUntil holds by address until when an upstream is
+	// skipped.
 	lastUpstream string
 	skippedUntil map[string]time.Time
+	// partial is what was read of the first snapshot. failedStarts counts the starts that failed.
+	partial      Batch
+	failedStarts int
 }
 
 // subscriber receives the changes under a prefix.
@@ -212,6 +219,7 @@
 		refreshed:    make(chan struct{}),
 		pollNow:      make(chan struct{}, 1),
 		skippedUntil: make(map[string]time.Time),
+		patience:     minPatience,
 	}
 	for _, option := range options {
 		option(m)
--- a/mirror/start.go
+++ b/mirror/start.go
@@ -25,30 +25,24 @@
 // a large deployment starts, its nodes would otherwise ask the store for the square of its size.
 // The store's answers may be old, so the changes since follow before the snapshot counts.
 func (m *Mirror) start(ctx context.Context) error {
-	more := false
-	batch, took, err := m.callWithBounds(ctx, readBounds, func(ctx context.Context) (b Batch, err error) {
-		// A node that starts during an outage does not have to wait until the call to the
-		// store times out.
-		go m.queryPeersAfterDelay(ctx)
-		b, more, err = m.store.ReadStart(ctx)
-		return b, err
-	})
-	m.logRead("start", batch, took, err)
-	if err != nil {
-		return err
+	more := m.partial.Revision != 0
+	if !more {
+		var err error
+		if more, err = m.readStart(ctx); err != nil {
+			return err
+		}
 	}
 	m.markStoreReachable()
 	if more {
 		if m.copyFromSource(ctx) {
 			return nil
 		}
-		start := batch
-		batch, took, err = m.callWithBounds(ctx, readBounds, func(ctx context.Context) (Batch, error) { return m.store.ReadRest(ctx, start) })
-		m.logRead("rest", batch, took, err)
-		if err != nil {
+		if err := m.readRest(ctx); err != nil {
 			return err
 		}
 	}
+	batch := m.partial
+	m.partial = Batch{}
 	changes, err := m.watch(ctx, batch.Revision, 0)
 	if errorx.IsOfType(err, HistoryGone) {
 		return m.readAll(ctx)
@@ -65,19 +59,44 @@
 	return nil
 }
 
-// logRead logs how a read of the store by a node that starts went, and how far it came.
-func (m *Mirror) logRead(part string, b Batch, took time.Duration, err error) {
+// readStart reads the first keys of the store, and reports whether there are more.
+func (m *Mirror) readStart(ctx context.Context) (more bool, err error) {
+	m.partial, err = m.read(ctx, "start", func(ctx context.Context) (b Batch, err error) {
+		// A node that starts during an outage does not have to wait until the call to the
+		// store times out.
+		go m.queryPeersAfterDelay(ctx)
+		b, more, err = m.store.ReadStart(ctx)
+		return b, err
+	})
+	return more || m.partial.Revision != 0 && err != nil, err
+}
+
+// readRest reads the keys that readStart has left. What a call that fails has read is kept.
+func (m *Mirror) readRest(ctx context.Context) error {
+	start := m.partial
+	rest, err := m.read(ctx, "rest", func(ctx context.Context) (Batch, error) { return m.store.ReadRest(ctx, start) })
+	if len(rest.Items) >= len(start.Items) {
+		m.partial = rest
+	}
+	return err
+}
+
+// read makes a call that reads the store, and logs how far it came.
+func (m *Mirror) read(ctx context.Context, part string, call func(context.Context) (Batch, error)) (Batch, error) {
+	batch, took, err := m.callWithBounds(ctx, m.readBounds(), call)
+	m.notePatience(err)
 	bytes := 0
-	for _, item := range b.Items {
+	for _, item := range batch.Items {
 		bytes += len(item.Value)
 	}
 	result := slog.Any("error", err)
 	if err == nil {
-		result = slog.Int64("revision", b.Revision)
+		result = slog.Int64("revision", batch.Revision)
 	} else {
 		m.count(EventReadFailed)
 	}
-	slog.Info("read of the store", "part", part, "keys", len(b.Items), "bytes", bytes, "took_ms", took.Milliseconds(), result)
+	slog.Info("read of the store", "part", part, "keys", len(batch.Items), "bytes", bytes, "took_ms", took.Milliseconds(), result)
+	return batch, err
 }
 
 // copyFromSource takes the copy of another node of the data hall, and reports whether there was
