mirror, gateway, adapter/peer: one node of each data hall reads a large store, the others copy it

Cause: each node read the beginning of the store (2 pages, some 480 kB on the wire: 3.8 Gbit of 984, for a link of 1,000 Mbit/s), then the list of its hall, looked twice for nodes that had a copy, before any could have one, and read the whole: the square of the fleet's size, in the same second.

Change: the store has a small key for each data hall that names its reader. A node that starts reads that key first (a tenth of a call, 300 bytes), and takes its copy from the reader, or from a node that has got it there, which a busy one names. If the reader does not help, one node takes its place by compare-and-swap; that one reads the store while the others wait for it. The key has no lease: it is there when all entries have lapsed.

--- a/adapter/peer/client.go
+++ b/adapter/peer/client.go
@@ -138,6 +138,9 @@
 	return func(c *Client) { c.knownValue = known }
 }
 
+// WithAddress sets this node's own address, which peers that pass on their copies are told.
+func WithAddress(address string) Option { return func(c *Client) { c.address = address } }
+
 // WithDialer sets the function that opens connections, in place of TCP.
 func WithDialer(open func(ctx context.Context, address string) (net.Conn, error)) Option {
 	return func(c *Client) { c.dialConn = open }
--- a/adapter/peer/encode.go
+++ b/adapter/peer/encode.go
@@ -30,8 +30,11 @@
 	Waited   time.Duration `cbor:"5,keyasint,omitempty"`
 	// Packed holds the items in place of Items, encoded and compressed together.
 	Packed []byte `cbor:"6,keyasint,omitempty"`
-	// Busy means that this node sends as many snapshots as it can. The reply holds nothing else.
+	// Busy means that this node sends as many snapshots as it can, or reads the store. The reply
+	// has no items.
 	Busy bool `cbor:"7,keyasint,omitempty"`
+	// Holders are peers that have got a snapshot from a busy node.
+	Holders []string `cbor:"8,keyasint,omitempty"`
 }
 
 // followItem is the message for a mirror.Item.
@@ -50,7 +53,7 @@
 // decode returns the reply's batch. Known returns the values that the receiver has,
 // the bases of deltas.
 func (r followReply) decode(known func(key string) (mirror.Item, bool)) (mirror.Batch, error) {
-	b := mirror.Batch{Revision: r.Revision, Snapshot: r.Snapshot, Age: r.Age, Waited: r.Waited, Busy: r.Busy}
+	b := mirror.Batch{Revision: r.Revision, Snapshot: r.Snapshot, Age: r.Age, Waited: r.Waited, Busy: r.Busy, Holders: r.Holders}
 	items := r.Items
 	if len(r.Packed) > 0 {
 		var err error
@@ -127,7 +130,7 @@
 
 // encode returns the reply to a peer's request.
 func (e *batchEncoder) encode(b mirror.Batch, r followRequest) (followReply, error) {
-	reply := followReply{Revision: b.Revision, Snapshot: b.Snapshot, Age: b.Age, Waited: b.Waited}
+	reply := followReply{Revision: b.Revision, Snapshot: b.Snapshot, Age: b.Age, Waited: b.Waited, Busy: b.Busy, Holders: b.Holders}
 	var err error
 	if r.AcceptPacked && len(b.Items) >= minPackedItems {
 		reply.Packed, err = e.pack(b, r)
--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc"
 
 	"github.com/violettally/violettally/autoscale"
+	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/rejection"
@@ -67,32 +68,31 @@
 	// AcceptPacked means that the sender of the request decodes packed items, and replies
 	// that the peer is busy.
 	AcceptPacked bool `cbor:"5,keyasint,omitempty"`
+	// From is the address of the sender of the request; earlier versions do not send it.
+	From string `cbor:"6,keyasint,omitempty"`
 }
 
 // Gateway handles the calls of other gateways.
 type Gateway interface {
-	Await(ctx context.Context, revision int64, wait time.Duration) mirror.Batch
+	// Respond returns the response to a peer that has all changes up to a revision. Sent is
+	// called once it was sent.
+	Respond(ctx context.Context, peer string, after int64, wait time.Duration) (b mirror.Batch, sent func(error))
 	Previous(key string) (mirror.Item, bool)
 	Counts() (node string, counts rollout.Counts)
 	Exchange(m share.Message) share.Reply
 	Activity(fromWindow int64) Activity
-	// Knows reports whether this node has all changes after a revision, so that a peer needs
-	// no snapshot.
-	Knows(after int64) bool
 	// Carry opens a connection to a backend server for a peer.
 	Carry(ctx context.Context, server, opener string) (net.Conn, error)
 	// ObserveNotice records what a server has said of itself to the node at the other end of a tunnel.
 	ObserveNotice(r notice.Report)
 	// AskPlace gives a peer places at a server.
 	AskPlace(a rejection.Ask) rejection.Grant
-	// FanOut is the number of nodes that this one can pass its copy on to.
-	FanOut() int
 }
 
 // NewGatewayServer returns a server for the calls between gateways. It does not serve
 // the calls of [Node].
 func NewGatewayServer(g Gateway) *Server {
-	follow := &followHandler{gateway: g, encoder: newBatchEncoder(g.Previous), snapshots: make(chan struct{}, max(minSnapshots, g.FanOut()/fanOutPerSnapshot))}
+	follow := &followHandler{gateway: g, encoder: newBatchEncoder(g.Previous)}
 	return &Server{handlers: map[string]func(drpc.Stream) error{
 		callFollow: follow.handle,
 		callExchange: unaryHandler(func(_ context.Context, m share.Message) (share.Reply, error) {
@@ -108,42 +108,28 @@
 	}}
 }
 
-const (
-	// A node sends one snapshot at a time for each fanOutPerSnapshot nodes that it can pass
-	// changes on to, and minSnapshots at least. Snapshots of a large deployment take some
-	// hundred kilobytes each; too many at once fill its link and its memory.
-	fanOutPerSnapshot = 4
-	minSnapshots      = 2
-)
-
 // followHandler handles callFollow.
 type followHandler struct {
 	gateway Gateway
 	encoder *batchEncoder
-	// snapshots holds a value for each snapshot that is being sent.
-	snapshots chan struct{}
 }
 
-// handle sends the changes that a peer lacks. Peers that need a snapshot while too many are
-// being sent are told that this node is busy.
+// handle sends the changes that a peer lacks.
 func (h *followHandler) handle(stream drpc.Stream) error {
 	var r followRequest
 	if err := stream.MsgRecv(&r, codec{}); err != nil {
 		return err
 	}
-	if r.AcceptPacked && !h.gateway.Knows(r.After) {
-		select {
-		case h.snapshots <- struct{}{}:
-			defer func() { <-h.snapshots }()
-		default:
-			return stream.MsgSend(&followReply{Busy: true}, codec{})
-		}
+	b, sent := h.gateway.Respond(stream.Context(), r.From, r.After, r.Wait)
+	if b.Busy && !r.AcceptPacked {
+		return errs.New(Unknown, "serve", "busy")
 	}
-	reply, err := h.encoder.encode(h.gateway.Await(stream.Context(), r.After, r.Wait), r)
-	if err != nil {
-		return err
+	reply, err := h.encoder.encode(b, r)
+	if err == nil {
+		err = stream.MsgSend(&reply, codec{})
 	}
-	return stream.MsgSend(&reply, codec{})
+	sent(err)
+	return err
 }
 
 // countsHandler returns the handler of callCounts.
@@ -159,7 +145,7 @@
 // this node's copy changed in the meantime, because another peer updated it, the base
 // of a delta may be missing; then Follow fetches the whole values.
 func (c *Client) Follow(ctx context.Context, address string, after int64, wait time.Duration) (mirror.Batch, error) {
-	request := followRequest{After: after, Wait: wait, AcceptCompressed: true, AcceptDeltas: c.knownValue != nil, AcceptPacked: true}
+	request := followRequest{After: after, Wait: wait, AcceptCompressed: true, AcceptDeltas: c.knownValue != nil, AcceptPacked: true, From: c.address}
 	batch, err := c.follow(ctx, address, request)
 	if errorx.IsOfType(err, UnknownBase) {
 		slog.Info("delta with an unknown base; fetching the whole value", "peer", address, "after", after, "error", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -177,7 +178,7 @@
 	g.pathLog = newLimitedLog(serverLogBurst)
 	g.catalog.Store(catalog.Empty())
 	g.store = platform.NewStore(s.Store.Address, instruments.PlatformCall)
-	g.peerClient = peer.NewClient(nil, peer.WithCallCounter(instruments.PeerCall),
+	g.peerClient = peer.NewClient(nil, peer.WithAddress(g.self.Peer), peer.WithCallCounter(instruments.PeerCall),
 		peer.WithKnownValues(func(key string) (mirror.Item, bool) { return g.mirror.Get(key) }))
 	g.registry = registry.New(g.timers)
 	g.initConnections()
@@ -186,7 +187,7 @@
 	g.detector = suspect.New(g.timers)
 	g.exchange = share.NewExchange(g.self, g, g.peerClient, g.timers, g.handleRecord)
 	g.initLimits()
-	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers, mirror.WithEvents(instruments.MirrorEvent))
+	g.initMirror()
 	g.membership.synced = g.mirror.Synced()
 	g.verdictSyncer = suspect.NewSyncer(g.detector, g.store, g.mirror, g.membership.countAllPeers, g.timers, g.applyChange)
 	g.initRollouts()
@@ -212,6 +213,16 @@
 	return max(minFanOut, min(maxFanOut, int(l.LinkMbps/mbpsPerFollower)))
 }
 
+// initMirror creates the copy of the store.
+func (g *Gateway) initMirror() {
+	delay := readerDelay
+	if g.self.FanOut > minFanOut || slices.Contains(g.settings.Seeds, g.self.Peer) {
+		delay = earlyReaderDelay
+	}
+	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers, mirror.WithEvents(g.metrics.MirrorEvent),
+		mirror.WithFanOut(g.self.FanOut), mirror.WithReaders(hallReader{g}, delay))
+}
+
 // initConnections creates what opens connections to servers, for this gateway and for others.
 func (g *Gateway) initConnections() {
 	g.dialer = tunnel.NewDialer(g.dialServer, g.timers,
@@ -428,22 +439,14 @@
 	}
 }
 
-// Await returns the changes after a revision in this gateway's copy of the store. If
-// there are none, it waits for at most the given time. It serves the peers that follow
-// this copy.
-func (g *Gateway) Await(ctx context.Context, revision int64, wait time.Duration) mirror.Batch {
-	return g.mirror.Await(ctx, revision, wait)
+// Respond returns the response to a peer that follows this gateway's copy of the store.
+func (g *Gateway) Respond(ctx context.Context, peer string, after int64, wait time.Duration) (mirror.Batch, func(error)) {
+	return g.mirror.Respond(ctx, peer, after, wait)
 }
 
 // Previous returns the item that a key had before its last change, if its value was
 // large; the peer server sends large values as deltas from it.
 func (g *Gateway) Previous(key string) (mirror.Item, bool) { return g.mirror.Previous(key) }
 
-// Knows reports whether this gateway's copy of the store has all changes after a revision.
-func (g *Gateway) Knows(after int64) bool { return g.mirror.Knows(after) }
-
-// FanOut returns the number of gateways that this one can pass its copy of the store on to.
-func (g *Gateway) FanOut() int { return g.self.FanOut }
-
 // Counts returns this gateway's ID and its counts for the driver of rollouts.
 func (g *Gateway) Counts() (string, rollout.Counts) { return g.self.ID, g.picker.Counts() }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -67,21 +67,10 @@
 	return addresses
 }
 
-const (
-	// firstSpread is the time within which the gateways of a deployment begin to read the store
-	// that starts for the first time, and spreadPerGateway the same for each gateway of the
-	// data hall that ran before. A gateway has read a large store, and can pass its copy on,
-	// after about a second.
-	firstSpread      = 3 * time.Second
-	spreadPerGateway = 10 * time.Millisecond
-	// earlySpread is the time for gateways that can serve many others, and for seeds.
-	earlySpread = 200 * time.Millisecond
-)
-
 // Sources returns the peer addresses of the gateways of the own data hall, those that can serve
-// most others first and otherwise in random order. The hall's entries are read from the store
-// each time, since this gateway does not know any others yet.
-func (p mirrorPeers) Sources(ctx context.Context) (addresses []string, spread time.Duration) {
+// most others first and otherwise in random order. The hall's entries are read from the store,
+// since this gateway does not know any others yet.
+func (p mirrorPeers) Sources(ctx context.Context) []string {
 	items, err := p.g.store.ListPrefix(ctx, hallPrefix(p.g.self.DataHall), platform.FreshRead)
 	if err != nil {
 		slog.Info("gateways of the data hall cannot be listed", "error", err)
@@ -94,18 +83,11 @@
 	}
 	rand.Shuffle(len(hall), func(i, j int) { hall[i], hall[j] = hall[j], hall[i] })
 	slices.SortStableFunc(hall, func(a, b view.Member) int { return cmp.Compare(b.FanOut, a.FanOut) })
-	for _, m := range hall {
-		addresses = append(addresses, m.Peer)
-	}
-	switch {
-	case p.g.self.FanOut > minFanOut || slices.Contains(p.g.settings.Seeds, p.g.self.Peer):
-		spread = earlySpread
-	case len(hall) == 0:
-		spread = firstSpread
-	default:
-		spread = time.Duration(len(hall)) * spreadPerGateway
+	addresses := make([]string, len(hall))
+	for i, m := range hall {
+		addresses[i] = m.Peer
 	}
-	return addresses, spread
+	return addresses
 }
 
 // Follow requests the changes after a revision from the copy of another gateway.
--- /dev/null
+++ b/gateway/reader.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/violettally/violettally/mirror"
+	"github.com/violettally/violettally/platform"
+)
+
+// readerPrefix is the prefix of the keys that name the reader of each data hall. They are not
+// attached to leases, so that gateways that have all lost their entries find one another.
+const readerPrefix = "readers/"
+
+const (
+	// readerDelay is how long a gateway that starts and finds no reader leaves others to become
+	// it, and earlyReaderDelay the same for one that can serve many others.
+	readerDelay      = 300 * time.Millisecond
+	earlyReaderDelay = 50 * time.Millisecond
+)
+
+// readerEntry is the value of a key that names a reader. Its fields are exported for the codec.
+type readerEntry struct {
+	Peer string `json:"peer"`
+}
+
+// hallReader gives the mirror access to the record of the data hall's reader.
+type hallReader struct{ g *Gateway }
+
+func (h hallReader) key() string { return readerPrefix + h.g.self.DataHall }
+
+// Self returns this gateway's address for peers.
+func (h hallReader) Self() string { return h.g.self.Peer }
+
+// Known returns the reader as of the local copy of the store.
+func (h hallReader) Known() mirror.Reader {
+	item, ok := h.g.mirror.Get(h.key())
+	if !ok {
+		return mirror.Reader{}
+	}
+	return decodeReader(item)
+}
+
+// Current returns the present reader.
+func (h hallReader) Current(ctx context.Context, fresh bool) (mirror.Reader, error) {
+	freshness := platform.RelaxedRead
+	if fresh {
+		freshness = platform.FreshRead
+	}
+	items, err := h.g.store.ListPrefix(ctx, h.key(), freshness)
+	if err != nil {
+		return mirror.Reader{}, err
+	}
+	i := slices.IndexFunc(items, func(item mirror.Item) bool { return item.Key == h.key() })
+	if i < 0 {
+		return mirror.Reader{}, nil
+	}
+	return decodeReader(items[i]), nil
+}
+
+// Appoint makes this gateway the reader in place of another.
+func (h hallReader) Appoint(ctx context.Context, instead mirror.Reader) (bool, error) {
+	data, err := json.Marshal(readerEntry{Peer: h.Self()})
+	if err != nil {
+		return false, err
+	}
+	_, done, err := h.g.store.Swap(ctx, h.key(), data, instead.Revision)
+	return done, err
+}
+
+// decodeReader returns the reader that an item names. One that cannot be decoded names nobody, and
+// can be replaced.
+func decodeReader(item mirror.Item) mirror.Reader {
+	var e readerEntry
+	if err := json.Unmarshal(item.Value, &e); err != nil {
+		slog.Error("invalid entry of the data hall's reader", "key", item.Key, "revision", item.Revision, "error", err)
+	}
+	return mirror.Reader{Address: e.Peer, Revision: item.Revision}
+}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -109,6 +109,7 @@
 	err := m.fetchNext(ctx)
 	if err == nil {
 		m.failedStarts = 0
+		m.keepReader(ctx)
 		m.pause(ctx, m.coalesce())
 		return
 	}
@@ -185,7 +186,12 @@
 // returned batch is an upper bound: the reported age, plus the time of the call without
 // the time that the peer says it waited.
 func (m *Mirror) callPeer(ctx context.Context, address string, wait time.Duration) (Batch, error) {
-	batch, took, err := m.callWithBounds(ctx, longPollBounds(wait, peerTimeout), func(ctx context.Context) (Batch, error) {
+	return m.callPeerWithSlack(ctx, address, wait, peerTimeout)
+}
+
+// callPeerWithSlack is callPeer for a peer that may respond late, or pause, by the slack.
+func (m *Mirror) callPeerWithSlack(ctx context.Context, address string, wait, slack time.Duration) (Batch, error) {
+	batch, took, err := m.callWithBounds(ctx, longPollBounds(wait, slack), func(ctx context.Context) (Batch, error) {
 		return m.peers.Follow(ctx, address, m.Revision(), wait)
 	})
 	batch.Age = min(max(0, batch.Age), maxReportedAge) + max(0, took-batch.Waited)
@@ -370,6 +376,10 @@
 	var calls sync.WaitGroup
 	for _, address := range addresses[:min(peersQueried, len(addresses))] {
 		calls.Go(func() {
+			if m.Revision() == 0 {
+				m.copyFrom(ctx, []string{address})
+				return
+			}
 			batch, err := m.callPeer(ctx, address, 0)
 			if err != nil {
 				slog.Debug("peer did not respond", "peer", address, "error", err)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -81,9 +81,11 @@
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
 	// Waited is how long the sender held the call before it responded.
 	Waited time.Duration `cbor:"5,keyasint,omitempty"`
-	// Busy says that the sender passes its copy on to as many others as it can at present. The
-	// batch is empty then.
+	// Busy says that the sender passes its copy on to as many others as it can at present, or
+	// reads the store. The batch is empty then.
 	Busy bool `cbor:"6,keyasint,omitempty"`
+	// Holders are the addresses of some peers that have got a copy from a busy sender.
+	Holders []string `cbor:"7,keyasint,omitempty"`
 }
 
 // Change is a changed key as subscribers see it: the current item, or one that is
@@ -115,9 +117,8 @@
 	// preferred one first; none if this node has to follow the store.
 	Upstream() []string
 	// Sources returns nodes of this node's data hall that may have a copy, in the order in which
-	// to ask them, and the time within which nodes that start together without any source begin
-	// to read the store.
-	Sources(ctx context.Context) (addresses []string, spread time.Duration)
+	// to ask them.
+	Sources(ctx context.Context) []string
 	// Follow asks a peer for the changes after a revision. The peer holds the call for
 	// up to wait until there are any.
 	Follow(ctx context.Context, address string, after int64, wait time.Duration) (Batch, error)
@@ -138,6 +139,10 @@
 	peers  Peers
 	timers *timer.Service
 	count  func(Event)
+	giver  giver
+	// readers is nil if there is no record of the data hall's reader.
+	readers     Readers
+	readerDelay time.Duration
 
 	// subscribers and onStoreRecovered do not change after Run has begun.
 	subscribers      []subscriber
@@ -187,16 +192,20 @@
 	refreshed chan struct{}
 	pollNow   chan struct{}
 
-	// followsStore says that the goroutine of Run follows the store.
-	followsStore atomic.Bool
+	// followsStore says that the goroutine of Run follows the store, reading that it gets its
+	// first copy for other nodes, too.
+	followsStore, reading atomic.Bool
 	// The following fields are used by the goroutine of Run only. lastUpstream is the
 	// upstream that responded last; skippedUntil holds by address until when an upstream is
 	// skipped.
 	lastUpstream string
 	skippedUntil map[string]time.Time
-	// partial is what was read of the first snapshot. failedStarts counts the starts that failed.
-	partial      Batch
-	failedStarts int
+	// partial is what was read of the first snapshot. failedStarts and failedAppoints count
+	// the starts that failed, and the calls to become the reader of the data hall.
+	partial                      Batch
+	failedStarts, failedAppoints int
+	// readerDue is when this node becomes the reader, zero if it need not.
+	readerDue time.Time
 }
 
 // subscriber receives the changes under a prefix.
@@ -221,6 +230,7 @@
 		skippedUntil: make(map[string]time.Time),
 		patience:     minPatience,
 	}
+	WithFanOut(0)(m)
 	for _, option := range options {
 		option(m)
 	}
@@ -335,6 +345,13 @@
 	}
 }
 
+// keyCount returns the number of keys.
+func (m *Mirror) keyCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.items)
+}
+
 // Knows reports whether this node has all changes after a revision, so that ChangesAfter
 // returns no snapshot.
 func (m *Mirror) Knows(after int64) bool {
--- a/mirror/start.go
+++ b/mirror/start.go
@@ -4,81 +4,91 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
 )
 
 const (
-	// sourcesAsked is how many sources are asked for a copy in one round.
+	// sourcesAsked is how many sources the reader asks for a copy before it reads the store.
 	sourcesAsked = 4
-	// busyPause is the time between two rounds while sources have copies to give but are busy.
-	// A copy of some hundred kilobytes takes about as long over a link of 20 Mbit/s.
+	// busyPause is the mean time between two calls to holders of a copy that are busy. A copy of
+	// some hundred kilobytes takes about as long over a link of 20 Mbit/s.
 	busyPause = 150 * time.Millisecond
-	// startPeerTime is how long a node that starts waits for a copy from busy sources, before it
-	// reads the store after all.
+	// copySlack is how late a node that sends its copy may respond, and how long it may pause. It
+	// sends several at a time.
+	copySlack = time.Second
+	// startPeerTime is how long a node that starts waits for a copy from peers that are busy,
+	// before it looks for another reader.
 	startPeerTime = 6 * time.Second
+	// holdersAsked bounds the holders of a copy that a node keeps in mind.
+	holdersAsked = 16
 )
 
-// start gets the first snapshot. A small one is read from the store. Of a large one only the
-// beginning is, and the whole comes from another node of the data hall, if one has a copy: when
-// a large deployment starts, its nodes would otherwise ask the store for the square of its size.
-// The store's answers may be old, so the changes since follow before the snapshot counts.
+// start gets the first snapshot. A small one is read from the store. Of a large one, one node of
+// the data hall, the reader, reads the whole, and the others get it from that node or from each
+// other: when a large deployment starts, its nodes would otherwise ask the store for the square
+// of its size. What is asked of the store first is therefore who the reader is.
 func (m *Mirror) start(ctx context.Context) error {
+	reader, err := m.lookUpReader(ctx)
+	if err != nil {
+		return err
+	}
+	m.markStoreReachable()
+	if reader.Address != "" {
+		return m.startLarge(ctx, reader)
+	}
 	more := m.partial.Revision != 0
 	if !more {
-		var err error
 		if more, err = m.readStart(ctx); err != nil {
 			return err
 		}
 	}
-	m.markStoreReachable()
-	if more {
-		if m.copyFromSource(ctx) {
-			return nil
-		}
-		if err := m.readRest(ctx); err != nil {
-			return err
-		}
-	}
-	batch := m.partial
-	m.partial = Batch{}
-	changes, err := m.watch(ctx, batch.Revision, 0)
-	if errorx.IsOfType(err, HistoryGone) {
-		return m.readAll(ctx)
+	switch {
+	case !more:
+		return m.takeRead(ctx)
+	case m.readers == nil:
+		return m.readWhole(ctx)
 	}
-	if err != nil {
-		// Without the changes since, the snapshot is as old as any peer's in an outage.
-		batch.Age = maxReportedAge
-		m.accept(batch)
-		return err
+	return m.startLarge(ctx, reader)
+}
+
+// lookUpReader returns the reader of the data hall. A node that starts during an outage does not
+// have to wait until the call to the store times out: peers are asked meanwhile.
+func (m *Mirror) lookUpReader(ctx context.Context) (reader Reader, err error) {
+	if m.readers == nil {
+		return Reader{}, nil
 	}
-	batch.Items = append(batch.Items, changes.Items...)
-	batch.Revision, batch.Age = changes.Revision, changes.Age
-	m.accept(batch)
-	return nil
+	_, _, err = m.callWithBounds(ctx, m.readBounds(), func(ctx context.Context) (Batch, error) {
+		go m.queryPeersAfterDelay(ctx)
+		reader, err = m.readers.Current(ctx, false)
+		return Batch{}, err
+	})
+	return reader, err
 }
 
 // readStart reads the first keys of the store, and reports whether there are more.
 func (m *Mirror) readStart(ctx context.Context) (more bool, err error) {
 	m.partial, err = m.read(ctx, "start", func(ctx context.Context) (b Batch, err error) {
-		// A node that starts during an outage does not have to wait until the call to the
-		// store times out.
 		go m.queryPeersAfterDelay(ctx)
 		b, more, err = m.store.ReadStart(ctx)
 		return b, err
 	})
-	return more || m.partial.Revision != 0 && err != nil, err
+	return more, err
 }
 
-// readRest reads the keys that readStart has left. What a call that fails has read is kept.
-func (m *Mirror) readRest(ctx context.Context) error {
+// readWhole reads the keys that readStart has left. What a call that fails has read is kept.
+func (m *Mirror) readWhole(ctx context.Context) error {
 	start := m.partial
 	rest, err := m.read(ctx, "rest", func(ctx context.Context) (Batch, error) { return m.store.ReadRest(ctx, start) })
 	if len(rest.Items) >= len(start.Items) {
 		m.partial = rest
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	return m.takeRead(ctx)
 }
 
 // read makes a call that reads the store, and logs how far it came.
@@ -99,48 +109,79 @@
 	return batch, err
 }
 
-// copyFromSource takes the copy of another node of the data hall, and reports whether there was
-// one. If no source has a copy, the node waits for a random part of the spread and looks once
-// more, so that of nodes that start together only a few read the store.
-func (m *Mirror) copyFromSource(ctx context.Context) bool {
+// takeRead takes the snapshot that was read. The store's answers may be old, so the changes since
+// follow before the snapshot counts.
+func (m *Mirror) takeRead(ctx context.Context) error {
+	batch := m.partial
+	m.partial = Batch{}
+	changes, err := m.watch(ctx, batch.Revision, 0)
+	if errorx.IsOfType(err, HistoryGone) {
+		return m.readAll(ctx)
+	}
+	if err != nil {
+		// Without the changes since, the snapshot is as old as any peer's in an outage.
+		batch.Age = maxReportedAge
+		m.accept(batch)
+		return err
+	}
+	batch.Items = append(batch.Items, changes.Items...)
+	batch.Revision, batch.Age = changes.Revision, changes.Age
+	m.accept(batch)
+	return nil
+}
+
+// copyFrom takes the copy of a peer, or of one that such a peer has given its copy to, and reports
+// whether one had a copy. Peers that are busy, or that read the store at present, are asked again
+// for some time, and returned if it is over.
+func (m *Mirror) copyFrom(ctx context.Context, holders []string) (busy []string, copied bool) {
 	begun := m.timers.Steady()
-	sources, spread := m.peers.Sources(ctx)
-	listed := m.timers.Steady()
-	slog.Info("sources of a copy listed", "count", len(sources), "took_ms", listed.Sub(begun).Milliseconds(), "spread_ms", spread.Milliseconds())
-	for waited := false; ctx.Err() == nil; {
-		known, busy := m.askSources(ctx, sources)
+	for len(holders) > 0 && ctx.Err() == nil && m.timers.Steady().Sub(begun) < startPeerTime {
+		address := holders[rand.N(len(holders))]
+		batch, err := m.callPeerWithSlack(ctx, address, peerWait, copySlack)
 		switch {
-		case known || m.Revision() > 0:
-			slog.Info("copy taken from a source", "revision", m.Revision(), "took_ms", m.timers.Steady().Sub(listed).Milliseconds())
-			return true
-		case busy && m.timers.Steady().Sub(begun) < startPeerTime:
-			m.pause(ctx, busyPause)
-			next := min(sourcesAsked, len(sources))
-			sources = append(sources[next:], sources[:next]...)
-		case waited || busy:
-			return false
-		default:
-			waited = true
-			m.pause(ctx, max(time.Millisecond, spread/2+rand.N(spread/2+1)))
-			sources, _ = m.peers.Sources(ctx)
+		case m.Revision() > 0:
+			return nil, true // by another way meanwhile
+		case err == nil && batch.Revision > 0:
+			m.accept(batch)
+			m.updateFrom(ctx, address)
+			slog.Info("copy taken from a peer", "peer", address, "revision", m.Revision(), "took_ms", m.timers.Steady().Sub(begun).Milliseconds())
+			return nil, true
+		case err != nil || !batch.Busy:
+			holders = slices.DeleteFunc(holders, func(h string) bool { return h == address })
+			continue
 		}
+		holders = addHolders(holders, batch.Holders)
+		m.pause(ctx, busyPause/2+rand.N(busyPause))
 	}
-	return false
+	return holders, false
 }
 
-// askSources asks some sources for a copy, one after the other. It reports whether one gave its
-// copy, and whether one has a copy but is busy.
-func (m *Mirror) askSources(ctx context.Context, sources []string) (known, busy bool) {
+// addHolders adds the addresses that are not in a list of bounded size.
+func addHolders(holders, named []string) []string {
+	for _, address := range named {
+		if len(holders) < holdersAsked && !slices.Contains(holders, address) {
+			holders = append(holders, address)
+		}
+	}
+	return holders
+}
+
+// updateFrom takes what has changed since the copy was made that a peer has sent.
+func (m *Mirror) updateFrom(ctx context.Context, address string) {
+	if batch, err := m.callPeer(ctx, address, 0); err == nil {
+		m.accept(batch)
+	}
+}
+
+// askSources asks some nodes that may have a copy for it, one after the other, and reports whether
+// one gave it.
+func (m *Mirror) askSources(ctx context.Context, sources []string) bool {
 	for _, address := range sources[:min(sourcesAsked, len(sources))] {
 		batch, err := m.callPeer(ctx, address, 0)
-		switch {
-		case err != nil || batch.Revision == 0 && !batch.Busy:
-		case batch.Busy:
-			busy = true
-		default:
+		if err == nil && batch.Revision > 0 {
 			m.accept(batch)
-			return true, false
+			return true
 		}
 	}
-	return false, busy
+	return m.Revision() > 0
 }
