relay, mirror: a request is not held while nobody has a copy of the store

What callers saw: each of 3,486 requests at the nodes of a lost fleet was held for half a second and refused (no_configuration), for as long as the fleet was down, 20 s.

Cause: a process that has not read the store held every request for 0.5 s, since a read usually takes less; whether one had just failed did not matter.

A first start and one that waits for the reader of its hall hold requests as before. Also: a read of the store's first bytes is bounded by the same patience as its pauses, and a store counts as large by the same 128 kB for all, not by its keys alone, so that the key of the reader is kept wherever a start would need it.

Evidence: relay TestRequestBeforeReady, two cases more, the first of which was held 0.5 s before.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -37,10 +37,9 @@
 	// coalesceTimePerKey is added for each key of the store, up to coalesceTimeMax.
 	coalesceTimePerKey = 25 * time.Microsecond
 	coalesceTimeMax    = 500 * time.Millisecond
-	// readTimeout is how long a snapshot may take until its first bytes arrive.
-	readTimeout = 2 * time.Second
-	// minPatience is how long a read may pause. It doubles, up to maxPatience, with each read that
-	// is given up, since what fills the store's link may be reads that others begin anew.
+	// minPatience is how long a read of a snapshot may pause, also before its first bytes arrive.
+	// It doubles, up to maxPatience, with each read that is given up, since what fills the store's
+	// link may be reads that others begin anew.
 	minPatience = time.Second
 	maxPatience = 8 * time.Second
 	// readTotal bounds a snapshot that keeps arriving, page by page: of 20,000 servers it
@@ -109,6 +108,7 @@
 	err := m.fetchNext(ctx)
 	if err == nil {
 		m.failedStarts = 0
+		m.startFailed.Store(false)
 		m.keepReader(ctx)
 		m.pause(ctx, m.coalesce())
 		return
@@ -131,6 +131,7 @@
 // startPause returns how long a node that starts waits after a failure: longer with each, and
 // not the same for nodes that start together.
 func (m *Mirror) startPause() time.Duration {
+	m.startFailed.Store(true)
 	pause := min(maxStartPause, peerInterval<<m.failedStarts)
 	if pause < maxStartPause {
 		m.failedStarts++
@@ -335,8 +336,9 @@
 
 // readBounds returns the bounds of reading a snapshot from the store.
 func (m *Mirror) readBounds() progress.Timeouts {
-	patience := m.currentPatience()
-	return progress.Timeouts{FirstByte: max(readTimeout, patience), Idle: patience, Total: readTotal}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return progress.Timeouts{FirstByte: m.patience, Idle: m.patience, Total: readTotal}
 }
 
 // notePatience lets the next read take longer if this one has timed out.
@@ -351,12 +353,6 @@
 	}
 }
 
-func (m *Mirror) currentPatience() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.patience
-}
-
 // queryPeersAfterDelay queries peers unless a response of the store has begun by then
 // in the current read of the snapshot. Many nodes that start at once share the link of
 // the store, and snapshots from peers would also fill the links of the few peers whose
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -133,6 +133,10 @@
 // sending only a difference is not worthwhile.
 const LargeValueBytes = 8 << 10
 
+// SmallSnapshotBytes is the size of the values up to which a node that starts reads the store in
+// full: some hundreds of keys. Of a larger store, one node of the data hall does.
+const SmallSnapshotBytes = 128 << 10
+
 // Mirror is the local copy of the store. It is safe for concurrent use.
 type Mirror struct {
 	store  Store
@@ -193,8 +197,8 @@
 	pollNow   chan struct{}
 
 	// followsStore says that the goroutine of Run follows the store, reading that it gets its
-	// first copy for other nodes, too.
-	followsStore, reading atomic.Bool
+	// first copy for other nodes, too, and startFailed that its last try to get it failed.
+	followsStore, reading, startFailed atomic.Bool
 	// The following fields are used by the goroutine of Run only. lastUpstream is the
 	// upstream that responded last; skippedUntil holds by address until when an upstream is
 	// skipped.
@@ -268,6 +272,10 @@
 // subscribers.
 func (m *Mirror) Synced() <-chan struct{} { return m.synced }
 
+// StartFailed reports whether there is no copy, and neither the store nor a peer gave one when this
+// node last tried.
+func (m *Mirror) StartFailed() bool { return m.startFailed.Load() && m.Revision() == 0 }
+
 // Get returns a key's item.
 func (m *Mirror) Get(key string) (Item, bool) {
 	m.mu.Lock()
@@ -345,11 +353,17 @@
 	}
 }
 
-// keyCount returns the number of keys.
-func (m *Mirror) keyCount() int {
+// isLarge reports whether the copy is of a store that nodes do not read in full when they start.
+func (m *Mirror) isLarge() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.items)
+	bytes := 0
+	for _, item := range m.items {
+		if bytes += len(item.Value); bytes >= SmallSnapshotBytes {
+			return true
+		}
+	}
+	return len(m.items) >= largeSnapshot
 }
 
 // Knows reports whether this node has all changes after a revision, so that ChangesAfter
--- a/relay/ready.go
+++ b/relay/ready.go
@@ -19,7 +19,8 @@
 
 // awaitReady holds a request until this process has read the store. Clients connect as soon as
 // the listener is open, and a refusal would cost them one of few attempts although the process
-// could serve them a moment later.
+// could serve them a moment later. If neither the store nor another node had anything to read, a
+// request is not held.
 func (r *Relay) awaitReady(ctx context.Context, q *Request) {
 	if r.Ready == nil {
 		return
@@ -29,6 +30,9 @@
 		return
 	default:
 	}
+	if r.StartFailed != nil && r.StartFailed() {
+		return
+	}
 	wait := maxReadyWait
 	if q.TimeLeft > 0 {
 		wait = min(wait, time.Duration(readyWaitShare*float64(q.TimeLeft)))
--- a/relay/ready_test.go
+++ b/relay/ready_test.go
@@ -31,21 +31,26 @@
 		readyAfter, timeLeft time.Duration
 		refused              bool
 		want                 time.Duration
+		// startFailed says that nobody had a configuration at the last try.
+		startFailed bool
 	}{
-		{"ready at once", 0, 10 * time.Second, false, 0},
-		{"all nodes of a deployment start", 300 * time.Millisecond, 10 * time.Second, false, 300 * time.Millisecond},
-		{"client without a time limit", 300 * time.Millisecond, 0, false, 300 * time.Millisecond},
-		{"store outage", never, 10 * time.Second, true, 500 * time.Millisecond},
-		{"client with little time", 300 * time.Millisecond, 1500 * time.Millisecond, false, 300 * time.Millisecond},
-		{"too late for a client with little time", 300 * time.Millisecond, 600 * time.Millisecond, true, 200 * time.Millisecond},
+		{"ready at once", 0, 10 * time.Second, false, 0, false},
+		{"all nodes of a deployment start", 300 * time.Millisecond, 10 * time.Second, false, 300 * time.Millisecond, false},
+		{"client without a time limit", 300 * time.Millisecond, 0, false, 300 * time.Millisecond, false},
+		{"store outage", never, 10 * time.Second, true, 500 * time.Millisecond, false},
+		{"client with little time", 300 * time.Millisecond, 1500 * time.Millisecond, false, 300 * time.Millisecond, false},
+		{"too late for a client with little time", 300 * time.Millisecond, 600 * time.Millisecond, true, 200 * time.Millisecond, false},
+		{"nobody has a configuration", never, 10 * time.Second, true, 0, true},
+		{"ready after a failed start", 0, 10 * time.Second, false, 0, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				started := make(chan struct{})
 				r := newRelay(t, catalog.Route{Kind: catalog.KindRepeatable, Timeout: time.Minute, Attempts: 1}, relay.Options{
-					Backends: instantBackends{},
-					Ready:    started,
+					Backends:    instantBackends{},
+					Ready:       started,
+					StartFailed: func() bool { return tt.startFailed },
 				})
 				catalogInForce := r.Catalog
 				r.Catalog = func() *catalog.Catalog {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -322,11 +322,13 @@
 	Count(account string)
 }
 
-// Options are the dependencies of a Relay. All are required except Ready and Usage.
+// Options are the dependencies of a Relay. All are required except Ready, StartFailed and Usage.
 type Options struct {
 	// Ready is closed once this process has loaded its configuration; nil if it has it from the
 	// beginning.
 	Ready <-chan struct{}
+	// StartFailed reports whether the last try to load it found nobody that has it.
+	StartFailed func() bool
 	// Catalog returns the declaration in force.
 	Catalog    func() *catalog.Catalog
 	Servers    Servers
