--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -18,7 +18,7 @@
 const (
 	// readerDelay is how long a gateway that starts and finds no reader leaves others to become
 	// it, and earlyReaderDelay the same for one that can serve many others.
-	readerDelay      = 300 * time.Millisecond
+	readerDelay      = 600 * time.Millisecond
 	earlyReaderDelay = 50 * time.Millisecond
 )
 
--- a/mirror/fleet_test.go
+++ b/mirror/fleet_test.go
@@ -30,6 +30,9 @@
 // serves again.
 const recoverTime = 12 * time.Second
 
+// changeTime is the time within which a change is to be in force everywhere.
+const changeTime = 4 * time.Second
+
 // The fleet's store and its nodes, as the largest deployment declares them.
 const (
 	fleetHalls = 5
@@ -55,8 +58,6 @@
 	pageWork = 12 * time.Millisecond
 	// snapshotBytes is the size of a packed snapshot, packedBytes that of a packed key.
 	snapshotBytes, packedBytes = 190_000, 17
-	// startValueBytes is the size of the values at which ReadStart stops.
-	startValueBytes = 128 << 10
 	// firstLarge nodes of each data hall have large links.
 	firstLarge = 10
 )
@@ -70,6 +71,8 @@
 
 	mu     sync.Mutex
 	idleAt time.Time
+	// sent is the number of bytes sent.
+	sent int
 }
 
 // occupy returns when the link will have sent n more bytes.
@@ -79,6 +82,7 @@
 	if now := time.Now(); c.idleAt.Before(now) {
 		c.idleAt = now
 	}
+	c.sent += n
 	c.idleAt = c.idleAt.Add(time.Duration(float64(n) / c.perSecond * float64(time.Second)))
 	return c.idleAt
 }
@@ -123,6 +127,8 @@
 	// second counts the calls of the present second.
 	second        time.Time
 	reads, writes int
+	// calls counts all calls.
+	calls int
 	// wholes counts reads of the rest of a snapshot.
 	wholes int
 }
@@ -153,6 +159,24 @@
 	fault(s)
 }
 
+// resetCounts forgets what has been asked of the store.
+func (s *fleetStore) resetCounts() {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.link.sent, s.calls, s.wholes = 0, 0, 0
+}
+
+// usage returns what has been asked of the store.
+func (s *fleetStore) usage() string {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%d calls to the store, %d of them reads of all keys, %d MB", s.calls, s.wholes, s.link.sent/1_000_000)
+}
+
 // heal ends the store's faults. The caller holds mu.
 func (s *fleetStore) heal() {
 	s.mode, s.answer = storeFails(storeWell, 1), storeAnswer
@@ -207,6 +231,7 @@
 	if now := time.Now().Truncate(time.Second); now.After(s.second) {
 		s.second, s.reads, s.writes = now, 0, 0
 	}
+	s.calls++
 	s.reads += reads
 	s.writes += writes
 	mode, answer := s.mode(node), s.answer
@@ -324,7 +349,7 @@
 
 func (s nodeStore) ReadStart(ctx context.Context) (b mirror.Batch, more bool, err error) {
 	b.Snapshot = true
-	more, err = s.readPages(ctx, &b, 0, startValueBytes)
+	more, err = s.readPages(ctx, &b, 0, mirror.SmallSnapshotBytes)
 	return b, more, err
 }
 
@@ -454,7 +479,7 @@
 // start starts a node's process.
 func (f *fleet) start(n *fleetNode) {
 	ctx, stop := context.WithCancel(f.t.Context())
-	delay := 300 * time.Millisecond
+	delay := 600 * time.Millisecond
 	if n.large {
 		delay = 50 * time.Millisecond
 	}
@@ -515,6 +540,20 @@
 	return count
 }
 
+// withoutDeclaration returns how many nodes do not know the present declaration.
+func (f *fleet) withoutDeclaration() int {
+	f.store.mu.Lock()
+	present := f.store.items[fleetDeclaration].Revision
+	f.store.mu.Unlock()
+	count := 0
+	for _, n := range f.nodes {
+		if item, _ := n.mirror().Get(fleetDeclaration); item.Revision != present {
+			count++
+		}
+	}
+	return count
+}
+
 // recover waits until all nodes have a copy, and returns how long that took, or the limit.
 func (f *fleet) recover(limit time.Duration) time.Duration {
 	begun := time.Now()
@@ -668,15 +707,16 @@
 				}
 				f.startAll(f.nodes)
 				took := f.recover(recoverTime)
-				t.Logf("all nodes have a copy after %d ms; the store was read %d times", took.Milliseconds(), f.store.wholes)
+				t.Logf("all nodes have a copy after %d ms; %s", took.Milliseconds(), f.store.usage())
 				must.Zero(t, f.withoutCopy())
 			})
 		})
 	}
 }
 
-// TestFleetLost: a running fleet is lost in several ways, while the store is well or is not. All
-// nodes have a copy again soon after the fleet and the store are back.
+// TestFleetLost: a running fleet is lost in several ways, while the store is well or is not, and a
+// declaration changes meanwhile. All nodes have a copy again soon after the fleet and the store are
+// back, and the declaration soon after that.
 func TestFleetLost(t *testing.T) {
 	all := func(int) bool { return true }
 	tests := []struct {
@@ -705,7 +745,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					f := newRunningFleet(t, size)
 					defer f.close()
-					reads := f.store.wholes
+					f.store.resetCounts()
 					var lost []*fleetNode
 					for _, n := range f.nodes {
 						if tt.lost(n.index) {
@@ -724,9 +764,12 @@
 						time.AfterFunc(tt.faultTime, func() { f.store.change((*fleetStore).heal) })
 					}
 					f.startAll(lost)
+					time.AfterFunc(time.Second, func() { f.store.put(fleetDeclaration, false) })
 					took := f.recover(tt.faultTime + recoverTime)
-					t.Logf("all nodes have a copy after %d ms; the store was read %d times", took.Milliseconds(), f.store.wholes-reads)
+					t.Logf("all nodes have a copy after %d ms; %s", took.Milliseconds(), f.store.usage())
 					must.Zero(t, f.withoutCopy())
+					advance(changeTime)
+					must.Zero(t, f.withoutDeclaration())
 				})
 			})
 		}
--- a/mirror/reader.go
+++ b/mirror/reader.go
@@ -49,14 +49,11 @@
 // keepReader makes this node the reader of its data hall once it has followed a large store for
 // some time, so that nodes that start find one that has a copy.
 func (m *Mirror) keepReader(ctx context.Context) {
-	if m.readers == nil || m.keyCount() < largeSnapshot {
-		return
-	}
-	now := m.timers.Steady()
-	if len(m.peers.Upstream()) > 0 || m.readers.Known().Address == m.readers.Self() {
+	if m.readers == nil || m.readers.Known().Address == m.readers.Self() || len(m.peers.Upstream()) > 0 || !m.isLarge() {
 		m.readerDue = time.Time{}
 		return
 	}
+	now := m.timers.Steady()
 	if m.readerDue.IsZero() {
 		m.readerDue = now.Add(readerSettleTime)
 	}
