--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -23,7 +23,8 @@
 // Refused returns those of a request's features for which it is refused.
 func (s relaySuspects) Refused(f suspect.Features) suspect.Features { return s.g.detector.Refused(f) }
 
-// maxVerdictWait bounds how long a request waits for checks of servers. One check has ended by then.
+// maxVerdictWait bounds how long a request waits for checks of servers. A check of a server that takes no
+// connection has ended by then.
 const maxVerdictWait = 400 * time.Millisecond
 
 // Await waits while servers are being checked whose crashes may lead to a verdict on the request.
