--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -37,14 +37,6 @@
 	// coalesceTimePerKey is added for each key of the store, up to coalesceTimeMax.
 	coalesceTimePerKey = 25 * time.Microsecond
 	coalesceTimeMax    = 500 * time.Millisecond
-	// minPatience is how long a read of a snapshot may pause, also before its first bytes arrive.
-	// It doubles, up to maxPatience, with each read that is given up, since what fills the store's
-	// link may be reads that others begin anew.
-	minPatience = time.Second
-	maxPatience = 8 * time.Second
-	// readTotal bounds a snapshot that keeps arriving, page by page: of 20,000 servers it
-	// takes some seconds over a link of 20 Mbit/s.
-	readTotal = 30 * time.Second
 	// transferTimeout bounds a response that keeps arriving. A large declaration takes
 	// longer than a call without changes may, and an aborted transfer would be repeated
 	// over the same link. After this time the next upstream is the better choice, since
@@ -321,49 +313,6 @@
 	return batch, err
 }
 
-// readAll reads a snapshot, from which deletions follow as well.
-func (m *Mirror) readAll(ctx context.Context) error {
-	batch, took, err := m.callWithBounds(ctx, m.readBounds(), m.store.ReadAll)
-	m.notePatience(err)
-	if err != nil {
-		return err
-	}
-	batch.Age = took
-	m.markStoreReachable()
-	m.accept(batch)
-	return nil
-}
-
-// readBounds returns the bounds of reading a snapshot from the store.
-func (m *Mirror) readBounds() progress.Timeouts {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return progress.Timeouts{FirstByte: m.patience, Idle: m.patience, Total: readTotal}
-}
-
-// notePatience lets the next read take longer if this one has timed out.
-func (m *Mirror) notePatience(err error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch {
-	case err == nil:
-		m.patience = minPatience
-	case errors.Is(err, context.DeadlineExceeded):
-		m.patience = min(maxPatience, 2*m.patience)
-	}
-}
-
-// queryPeersAfterDelay queries peers unless a response of the store has begun by then
-// in the current read of the snapshot. Many nodes that start at once share the link of
-// the store, and snapshots from peers would also fill the links of the few peers whose
-// addresses a node starts with.
-func (m *Mirror) queryPeersAfterDelay(read context.Context) {
-	m.pause(read, startupPeerDelay)
-	if m.Revision() == 0 && read.Err() == nil && !progress.Started(read) {
-		m.queryPeers(read)
-	}
-}
-
 // queryPeers fetches newer data from the first peers.
 func (m *Mirror) queryPeers(ctx context.Context) {
 	addresses := m.peers.Addresses()
--- a/mirror/give.go
+++ b/mirror/give.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -71,6 +72,100 @@
 	return b, m.giver.endTurn(peer, m.timers.Steady)
 }
 
+// Knows reports whether this node has all changes after a revision, so that ChangesAfter
+// returns no snapshot.
+func (m *Mirror) Knows(after int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return after >= m.revision || after >= m.recentFrom
+}
+
+// Await is ChangesAfter, but first waits until there are changes after the revision,
+// the store has confirmed that there are none, or the time is over. It waits no longer
+// than this package's own calls ask for, so that no peer can hold a call open for as
+// long as it likes.
+func (m *Mirror) Await(ctx context.Context, after int64, wait time.Duration) Batch {
+	begun := m.timers.Steady()
+	m.mu.Lock()
+	known, changed := m.revision, m.changed
+	m.mu.Unlock()
+	if known <= after && wait > 0 {
+		expiry := time.NewTimer(min(wait, peerWait))
+		defer expiry.Stop()
+		select {
+		case <-changed:
+		case <-expiry.C:
+		case <-ctx.Done():
+		}
+	}
+	b := m.ChangesAfter(after)
+	b.Waited = m.timers.Steady().Sub(begun)
+	return b
+}
+
+// ChangesAfter returns the changes after a revision, or a snapshot, as the response to
+// a peer.
+func (m *Mirror) ChangesAfter(after int64) Batch {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := Batch{Revision: m.revision, Age: m.timers.Steady().Sub(m.asOf)}
+	switch {
+	case after >= m.revision:
+	case after >= m.recentFrom:
+		for _, item := range m.recent {
+			if item.Revision > after {
+				b.Items = append(b.Items, item)
+			}
+		}
+	default:
+		return m.snapshotForPeers()
+	}
+	return b
+}
+
+const (
+	// snapshotReuse is how long a large snapshot is given to further peers, which get the later
+	// changes with their next call. When many nodes start at once, it is made and encoded once.
+	snapshotReuse = 2 * time.Second
+	// largeSnapshot is the number of items from which a snapshot is large.
+	largeSnapshot = 1000
+)
+
+// snapshotForPeers returns a snapshot of the copy, which may be up to snapshotReuse old. The
+// caller holds mu.
+func (m *Mirror) snapshotForPeers() Batch {
+	now := m.timers.Steady()
+	reusable := len(m.items) >= largeSnapshot && m.snapshot.Revision >= m.recentFrom && now.Sub(m.snapshotAsOf) <= snapshotReuse
+	if m.revision != m.snapshot.Revision && !reusable {
+		m.snapshot = Batch{Items: slices.Collect(maps.Values(m.items)), Revision: m.revision, Snapshot: true}
+	}
+	if m.revision == m.snapshot.Revision {
+		m.snapshotAsOf = m.asOf
+	}
+	b := m.snapshot
+	b.Age = now.Sub(m.snapshotAsOf)
+	return b
+}
+
+// dropOldSnapshot frees the snapshot for peers if it is not given out any more. The caller holds
+// mu.
+func (m *Mirror) dropOldSnapshot() {
+	if m.timers.Steady().Sub(m.snapshotAsOf) > snapshotReuse {
+		m.snapshot = Batch{}
+	}
+}
+
+// notifyStep is how much more recent a confirmation without changes must be than the
+// last one for waiting peers to get a response.
+const notifyStep = 100 * time.Millisecond
+
+// notifyPeers lets the waiting calls of peers return. The caller holds mu.
+func (m *Mirror) notifyPeers() {
+	m.notifiedAsOf = m.asOf
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // awaitTurn waits for a turn to send a snapshot.
 func (g *giver) awaitTurn(ctx context.Context, wait time.Duration) bool {
 	select {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -32,7 +32,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -301,58 +300,6 @@
 	return m.timers.Steady().Sub(m.deliveredAsOf)
 }
 
-// ChangesAfter returns the changes after a revision, or a snapshot, as the response to
-// a peer.
-func (m *Mirror) ChangesAfter(after int64) Batch {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	b := Batch{Revision: m.revision, Age: m.timers.Steady().Sub(m.asOf)}
-	switch {
-	case after >= m.revision:
-	case after >= m.recentFrom:
-		for _, item := range m.recent {
-			if item.Revision > after {
-				b.Items = append(b.Items, item)
-			}
-		}
-	default:
-		return m.snapshotForPeers()
-	}
-	return b
-}
-
-const (
-	// snapshotReuse is how long a large snapshot is given to further peers, which get the later
-	// changes with their next call. When many nodes start at once, it is made and encoded once.
-	snapshotReuse = 2 * time.Second
-	// largeSnapshot is the number of items from which a snapshot is large.
-	largeSnapshot = 1000
-)
-
-// snapshotForPeers returns a snapshot of the copy, which may be up to snapshotReuse old. The
-// caller holds mu.
-func (m *Mirror) snapshotForPeers() Batch {
-	now := m.timers.Steady()
-	reusable := len(m.items) >= largeSnapshot && m.snapshot.Revision >= m.recentFrom && now.Sub(m.snapshotAsOf) <= snapshotReuse
-	if m.revision != m.snapshot.Revision && !reusable {
-		m.snapshot = Batch{Items: slices.Collect(maps.Values(m.items)), Revision: m.revision, Snapshot: true}
-	}
-	if m.revision == m.snapshot.Revision {
-		m.snapshotAsOf = m.asOf
-	}
-	b := m.snapshot
-	b.Age = now.Sub(m.snapshotAsOf)
-	return b
-}
-
-// dropOldSnapshot frees the snapshot for peers if it is not given out any more. The caller holds
-// mu.
-func (m *Mirror) dropOldSnapshot() {
-	if m.timers.Steady().Sub(m.snapshotAsOf) > snapshotReuse {
-		m.snapshot = Batch{}
-	}
-}
-
 // isLarge reports whether the copy is of a store that nodes do not read in full when they start.
 func (m *Mirror) isLarge() bool {
 	m.mu.Lock()
@@ -366,37 +313,6 @@
 	return len(m.items) >= largeSnapshot
 }
 
-// Knows reports whether this node has all changes after a revision, so that ChangesAfter
-// returns no snapshot.
-func (m *Mirror) Knows(after int64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return after >= m.revision || after >= m.recentFrom
-}
-
-// Await is ChangesAfter, but first waits until there are changes after the revision,
-// the store has confirmed that there are none, or the time is over. It waits no longer
-// than this package's own calls ask for, so that no peer can hold a call open for as
-// long as it likes.
-func (m *Mirror) Await(ctx context.Context, after int64, wait time.Duration) Batch {
-	begun := m.timers.Steady()
-	m.mu.Lock()
-	known, changed := m.revision, m.changed
-	m.mu.Unlock()
-	if known <= after && wait > 0 {
-		expiry := time.NewTimer(min(wait, peerWait))
-		defer expiry.Stop()
-		select {
-		case <-changed:
-		case <-expiry.C:
-		case <-ctx.Done():
-		}
-	}
-	b := m.ChangesAfter(after)
-	b.Waited = m.timers.Steady().Sub(begun)
-	return b
-}
-
 // deliver applies a batch that the store confirmed at the given time, and delivers what
 // changed to subscribers.
 func (m *Mirror) deliver(b Batch, at time.Time) {
@@ -470,17 +386,6 @@
 	return changes
 }
 
-// notifyStep is how much more recent a confirmation without changes must be than the
-// last one for waiting peers to get a response.
-const notifyStep = 100 * time.Millisecond
-
-// notifyPeers lets the waiting calls of peers return. The caller holds mu.
-func (m *Mirror) notifyPeers() {
-	m.notifiedAsOf = m.asOf
-	close(m.changed)
-	m.changed = make(chan struct{})
-}
-
 // impliedDeletions returns deletions for the keys that a snapshot lacks.
 func (m *Mirror) impliedDeletions(b Batch) []Item {
 	present := make(map[string]bool, len(b.Items))
--- a/mirror/start.go
+++ b/mirror/start.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/joomcode/errorx"
+	"github.com/violettally/violettally/internal/progress"
 )
 
 const (
@@ -32,11 +32,10 @@
 // of its size. What is asked of the store first is therefore who the reader is.
 func (m *Mirror) start(ctx context.Context) error {
 	reader, err := m.lookUpReader(ctx)
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	m.markStoreReachable()
-	if reader.Address != "" {
+	case reader.Address != "":
 		return m.startLarge(ctx, reader)
 	}
 	more := m.partial.Revision != 0
@@ -65,69 +64,10 @@
 		reader, err = m.readers.Current(ctx, false)
 		return Batch{}, err
 	})
-	return reader, err
-}
-
-// readStart reads the first keys of the store, and reports whether there are more.
-func (m *Mirror) readStart(ctx context.Context) (more bool, err error) {
-	m.partial, err = m.read(ctx, "start", func(ctx context.Context) (b Batch, err error) {
-		go m.queryPeersAfterDelay(ctx)
-		b, more, err = m.store.ReadStart(ctx)
-		return b, err
-	})
-	return more, err
-}
-
-// readWhole reads the keys that readStart has left. What a call that fails has read is kept.
-func (m *Mirror) readWhole(ctx context.Context) error {
-	start := m.partial
-	rest, err := m.read(ctx, "rest", func(ctx context.Context) (Batch, error) { return m.store.ReadRest(ctx, start) })
-	if len(rest.Items) >= len(start.Items) {
-		m.partial = rest
-	}
-	if err != nil {
-		return err
-	}
-	return m.takeRead(ctx)
-}
-
-// read makes a call that reads the store, and logs how far it came.
-func (m *Mirror) read(ctx context.Context, part string, call func(context.Context) (Batch, error)) (Batch, error) {
-	batch, took, err := m.callWithBounds(ctx, m.readBounds(), call)
-	m.notePatience(err)
-	bytes := 0
-	for _, item := range batch.Items {
-		bytes += len(item.Value)
-	}
-	result := slog.Any("error", err)
 	if err == nil {
-		result = slog.Int64("revision", batch.Revision)
-	} else {
-		m.count(EventReadFailed)
-	}
-	slog.Info("read of the store", "part", part, "keys", len(batch.Items), "bytes", bytes, "took_ms", took.Milliseconds(), result)
-	return batch, err
-}
-
-// takeRead takes the snapshot that was read. The store's answers may be old, so the changes since
-// follow before the snapshot counts.
-func (m *Mirror) takeRead(ctx context.Context) error {
-	batch := m.partial
-	m.partial = Batch{}
-	changes, err := m.watch(ctx, batch.Revision, 0)
-	if errorx.IsOfType(err, HistoryGone) {
-		return m.readAll(ctx)
-	}
-	if err != nil {
-		// Without the changes since, the snapshot is as old as any peer's in an outage.
-		batch.Age = maxReportedAge
-		m.accept(batch)
-		return err
+		m.markStoreReachable()
 	}
-	batch.Items = append(batch.Items, changes.Items...)
-	batch.Revision, batch.Age = changes.Revision, changes.Age
-	m.accept(batch)
-	return nil
+	return reader, err
 }
 
 // copyFrom takes the copy of a peer, or of one that such a peer has given its copy to, and reports
@@ -185,3 +125,14 @@
 	}
 	return m.Revision() > 0
 }
+
+// queryPeersAfterDelay queries peers unless a response of the store has begun by then
+// in the current read of the snapshot. Many nodes that start at once share the link of
+// the store, and snapshots from peers would also fill the links of the few peers whose
+// addresses a node starts with.
+func (m *Mirror) queryPeersAfterDelay(read context.Context) {
+	m.pause(read, startupPeerDelay)
+	if m.Revision() == 0 && read.Err() == nil && !progress.Started(read) {
+		m.queryPeers(read)
+	}
+}
