--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,7 +220,7 @@
 		delay = earlyReaderDelay
 	}
 	g.mirror = mirror.New(g.store, mirrorPeers{g}, g.timers, mirror.WithEvents(g.metrics.MirrorEvent),
-		mirror.WithFanOut(g.self.FanOut), mirror.WithReaders(hallReader{g}, delay))
+		mirror.WithFanOut(g.self.FanOut), mirror.WithHallReaders(readerRecord{g}, delay))
 }
 
 // initConnections creates what opens connections to servers, for this gateway and for others.
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -27,42 +27,42 @@
 	Peer string `json:"peer"`
 }
 
-// hallReader gives the mirror access to the record of the data hall's reader.
-type hallReader struct{ g *Gateway }
+// readerRecord is the record of the data hall's reader, in the store.
+type readerRecord struct{ g *Gateway }
 
-func (h hallReader) key() string { return readerPrefix + h.g.self.DataHall }
+func (h readerRecord) key() string { return readerPrefix + h.g.self.DataHall }
 
 // Self returns this gateway's address for peers.
-func (h hallReader) Self() string { return h.g.self.Peer }
+func (h readerRecord) Self() string { return h.g.self.Peer }
 
 // Known returns the reader as of the local copy of the store.
-func (h hallReader) Known() mirror.Reader {
+func (h readerRecord) Known() mirror.HallReader {
 	item, ok := h.g.mirror.Get(h.key())
 	if !ok {
-		return mirror.Reader{}
+		return mirror.HallReader{}
 	}
 	return decodeReader(item)
 }
 
 // Current returns the present reader.
-func (h hallReader) Current(ctx context.Context, fresh bool) (mirror.Reader, error) {
+func (h readerRecord) Current(ctx context.Context, fresh bool) (mirror.HallReader, error) {
 	freshness := platform.RelaxedRead
 	if fresh {
 		freshness = platform.FreshRead
 	}
 	items, err := h.g.store.ListPrefix(ctx, h.key(), freshness)
 	if err != nil {
-		return mirror.Reader{}, err
+		return mirror.HallReader{}, err
 	}
 	i := slices.IndexFunc(items, func(item mirror.Item) bool { return item.Key == h.key() })
 	if i < 0 {
-		return mirror.Reader{}, nil
+		return mirror.HallReader{}, nil
 	}
 	return decodeReader(items[i]), nil
 }
 
 // Appoint makes this gateway the reader in place of another.
-func (h hallReader) Appoint(ctx context.Context, instead mirror.Reader) (bool, error) {
+func (h readerRecord) Appoint(ctx context.Context, instead mirror.HallReader) (bool, error) {
 	data, err := json.Marshal(readerEntry{Peer: h.Self()})
 	if err != nil {
 		return false, err
@@ -73,10 +73,10 @@
 
 // decodeReader returns the reader that an item names. One that cannot be decoded names nobody, and
 // can be replaced.
-func decodeReader(item mirror.Item) mirror.Reader {
+func decodeReader(item mirror.Item) mirror.HallReader {
 	var e readerEntry
 	if err := json.Unmarshal(item.Value, &e); err != nil {
 		slog.Error("invalid entry of the data hall's reader", "key", item.Key, "revision", item.Revision, "error", err)
 	}
-	return mirror.Reader{Address: e.Peer, Revision: item.Revision}
+	return mirror.HallReader{Address: e.Peer, Revision: item.Revision}
 }
--- a/mirror/fleet_test.go
+++ b/mirror/fleet_test.go
@@ -131,7 +131,7 @@
 	if n.large {
 		delay = largeNodeDelay
 	}
-	m := mirror.New(nodeStore{f.store, n}, fleetPeers{n}, f.timers, mirror.WithFanOut(n.member.FanOut), mirror.WithReaders(fleetReaders{n}, delay))
+	m := mirror.New(nodeStore{f.store, n}, fleetPeers{n}, f.timers, mirror.WithFanOut(n.member.FanOut), mirror.WithHallReaders(fleetReaders{n}, delay))
 	n.mu.Lock()
 	n.m, n.stop = m, stop
 	n.mu.Unlock()
@@ -320,16 +320,16 @@
 
 func (r fleetReaders) Self() string { return r.n.member.Peer }
 
-func (r fleetReaders) Known() mirror.Reader {
+func (r fleetReaders) Known() mirror.HallReader {
 	m := r.n.mirror()
 	if m == nil {
-		return mirror.Reader{}
+		return mirror.HallReader{}
 	}
 	item, _ := m.Get(r.key())
-	return mirror.Reader{Address: string(item.Value), Revision: item.Revision}
+	return mirror.HallReader{Address: string(item.Value), Revision: item.Revision}
 }
 
-func (r fleetReaders) Current(ctx context.Context, fresh bool) (mirror.Reader, error) {
+func (r fleetReaders) Current(ctx context.Context, fresh bool) (mirror.HallReader, error) {
 	ctx, cancel := progress.WithTimeout(ctx, storeCallTimeouts)
 	defer cancel()
 	s, reads := r.n.f.store, 0
@@ -337,15 +337,15 @@
 		reads = 1
 	}
 	if err := s.begin(ctx, r.n.index, reads, 0); err != nil {
-		return mirror.Reader{}, err
+		return mirror.HallReader{}, err
 	}
 	s.mu.Lock()
 	item := s.items[r.key()]
 	s.mu.Unlock()
-	return mirror.Reader{Address: string(item.Value), Revision: item.Revision}, transfer(ctx, readerKeyBytes, &s.link, &r.n.link)
+	return mirror.HallReader{Address: string(item.Value), Revision: item.Revision}, transfer(ctx, readerKeyBytes, &s.link, &r.n.link)
 }
 
-func (r fleetReaders) Appoint(ctx context.Context, instead mirror.Reader) (bool, error) {
+func (r fleetReaders) Appoint(ctx context.Context, instead mirror.HallReader) (bool, error) {
 	ctx, cancel := progress.WithTimeout(ctx, storeCallTimeouts)
 	defer cancel()
 	s := r.n.f.store
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -15,8 +15,12 @@
 // Independently of that, a node polls the store itself as soon as its copy is older
 // than [pollAge]. A node that can reach the store therefore learns of a change within
 // that time and the time of one call. During an outage of the store, polls become rarer
-// and nodes take newer data from any peer. A node that starts asks the store first, and
-// peers soon after.
+// and nodes take newer data from any peer.
+//
+// A node that starts asks the store first, and peers soon after. A small store is read in
+// full. Of a large one, only one node of a data hall, the reader, does that. The others get
+// their copies from the reader and from each other, since hundreds of nodes may start at
+// once.
 //
 // # Usage
 //
@@ -144,7 +148,7 @@
 	count  func(Event)
 	giver  giver
 	// readers is nil if there is no record of the data hall's reader.
-	readers     Readers
+	readers     HallReaders
 	readerDelay time.Duration
 
 	// subscribers and onStoreRecovered do not change after Run has begun.
--- a/mirror/reader.go
+++ b/mirror/reader.go
@@ -7,33 +7,33 @@
 	"time"
 )
 
-// Reader is the node of a data hall that reads a large store, so that the others get their copies
+// HallReader is the node of a data hall that reads a large store, so that the others get their copies
 // from it.
-type Reader struct {
+type HallReader struct {
 	// Address is the node's address for peers, empty if there is no reader.
 	Address string
 	// Revision is the store's revision of the appointment, zero if there was none.
 	Revision int64
 }
 
-// Readers is the store's record of the reader of this node's data hall. The record outlives its
+// HallReaders is the store's record of the reader of this node's data hall. The record outlives its
 // reader: nodes that start together find one another by it.
-type Readers interface {
+type HallReaders interface {
 	// Self returns this node's address for peers.
 	Self() string
 	// Known returns the reader as of the local copy.
-	Known() Reader
+	Known() HallReader
 	// Current returns the present reader. Unless it is to be fresh, the answer may be some seconds
 	// old, and costs less.
-	Current(ctx context.Context, fresh bool) (Reader, error)
+	Current(ctx context.Context, fresh bool) (HallReader, error)
 	// Appoint makes this node the reader in place of another, and reports whether that one was
 	// still the reader.
-	Appoint(ctx context.Context, instead Reader) (bool, error)
+	Appoint(ctx context.Context, instead HallReader) (bool, error)
 }
 
-// WithReaders sets the record of the data hall's reader. Without one, each node reads the store
+// WithHallReaders sets the record of the data hall's reader. Without one, each node reads the store
 // itself. A node that starts and finds no reader leaves others up to delay to become it.
-func WithReaders(r Readers, delay time.Duration) Option {
+func WithHallReaders(r HallReaders, delay time.Duration) Option {
 	return func(m *Mirror) { m.readers, m.readerDelay = r, delay }
 }
 
@@ -67,7 +67,7 @@
 
 // startLarge gets the first copy of a large store: from the reader of the data hall, or from
 // those that have got it from there. If no reader helps, this node becomes it.
-func (m *Mirror) startLarge(ctx context.Context, reader Reader) error {
+func (m *Mirror) startLarge(ctx context.Context, reader HallReader) error {
 	var holders []string
 	for ctx.Err() == nil && reader.Address != m.readers.Self() && m.failedAppoints < maxFailedAppoints {
 		if reader.Address != "" {
@@ -88,7 +88,7 @@
 
 // replaceReader replaces a reader that does not help, unless another node has done so, and returns
 // the present one.
-func (m *Mirror) replaceReader(ctx context.Context, useless Reader) (Reader, error) {
+func (m *Mirror) replaceReader(ctx context.Context, useless HallReader) (HallReader, error) {
 	m.pause(ctx, m.readerDelay/2+rand.N(m.readerDelay/2+1))
 	now, err := m.readers.Current(ctx, true)
 	if err != nil || now != useless {
@@ -97,11 +97,11 @@
 	done, err := m.readers.Appoint(ctx, now)
 	if err != nil {
 		m.failedAppoints++
-		return Reader{}, err
+		return HallReader{}, err
 	}
 	slog.Info("reader of the data hall does not help", "reader", useless.Address, "appointed_instead", done)
 	if done {
-		return Reader{Address: m.readers.Self()}, nil
+		return HallReader{Address: m.readers.Self()}, nil
 	}
 	return m.readers.Current(ctx, true)
 }
--- a/mirror/start.go
+++ b/mirror/start.go
@@ -55,9 +55,9 @@
 
 // lookUpReader returns the reader of the data hall. A node that starts during an outage does not
 // have to wait until the call to the store times out: peers are asked meanwhile.
-func (m *Mirror) lookUpReader(ctx context.Context) (reader Reader, err error) {
+func (m *Mirror) lookUpReader(ctx context.Context) (reader HallReader, err error) {
 	if m.readers == nil {
-		return Reader{}, nil
+		return HallReader{}, nil
 	}
 	_, _, err = m.callWithBounds(ctx, m.readBounds(), func(ctx context.Context) (Batch, error) {
 		go m.queryPeersAfterDelay(ctx)
--- a/mirror/start_test.go
+++ b/mirror/start_test.go
@@ -51,7 +51,7 @@
 // readerRecord is a store's record of the reader of a data hall.
 type readerRecord struct {
 	mu      sync.Mutex
-	current mirror.Reader
+	current mirror.HallReader
 }
 
 // nodeReaders is the record as one node reaches it.
@@ -62,21 +62,21 @@
 
 func (r nodeReaders) Self() string { return r.self }
 
-func (r nodeReaders) Known() mirror.Reader {
+func (r nodeReaders) Known() mirror.HallReader {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.current
 }
 
-func (r nodeReaders) Current(context.Context, bool) (mirror.Reader, error) { return r.Known(), nil }
+func (r nodeReaders) Current(context.Context, bool) (mirror.HallReader, error) { return r.Known(), nil }
 
-func (r nodeReaders) Appoint(_ context.Context, instead mirror.Reader) (bool, error) {
+func (r nodeReaders) Appoint(_ context.Context, instead mirror.HallReader) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.current.Revision != instead.Revision {
 		return false, nil
 	}
-	r.current = mirror.Reader{Address: r.self, Revision: r.current.Revision + 1}
+	r.current = mirror.HallReader{Address: r.self, Revision: r.current.Revision + 1}
 	return true, nil
 }
 
@@ -137,7 +137,7 @@
 
 // start starts a node.
 func (h *startingHall) start(ctx context.Context, i int, timers *timer.Service) {
-	m := mirror.New(h.store, startingPeers{h, i}, timers, mirror.WithReaders(nodeReaders{&h.readers, fmt.Sprint(i)}, 300*time.Millisecond))
+	m := mirror.New(h.store, startingPeers{h, i}, timers, mirror.WithHallReaders(nodeReaders{&h.readers, fmt.Sprint(i)}, 300*time.Millisecond))
 	h.mu.Lock()
 	h.nodes[i] = m
 	h.mu.Unlock()
@@ -197,8 +197,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, timers := newEnv(t)
 				store := newStartingHall(1).store
-				readers := nodeReaders{&readerRecord{current: mirror.Reader{Address: "a", Revision: 1}}, "self"}
-				m := mirror.New(store, badSources{follow}, timers, mirror.WithReaders(readers, 300*time.Millisecond))
+				readers := nodeReaders{&readerRecord{current: mirror.HallReader{Address: "a", Revision: 1}}, "self"}
+				m := mirror.New(store, badSources{follow}, timers, mirror.WithHallReaders(readers, 300*time.Millisecond))
 				go m.Run(ctx)
 				advance(10 * time.Second)
 				must.Eq(t, store.revision, m.Revision())
