mirror: a node that has a copy does not become patient with a silent store

What callers saw: nothing, not landed; found on reading. The first node of a hall, which alone follows the store, would have noticed up to 8 s late that a store which had been silent for long was back.

Change: only a node that starts becomes patient: it begins with a small call of its own bounds, so that it reads from a store that answers.

Evidence: TestStoreBackAfterSilence (20 s of silence, a change at its end, known 2 s later; ten offsets) fails without the change and passes.

--- a/mirror/read.go
+++ b/mirror/read.go
@@ -13,8 +13,9 @@
 
 const (
 	// minPatience is how long a read of a snapshot may pause, also before its first bytes arrive.
-	// It doubles, up to maxPatience, with each read that is given up, since what fills the store's
-	// link may be reads that others begin anew.
+	// At a node that starts it doubles, up to maxPatience, with each read that is given up, since
+	// what fills the store's link may be reads that others begin anew. A node that has a copy stays
+	// impatient, so that it notices soon when a silent store is back.
 	minPatience = time.Second
 	maxPatience = 8 * time.Second
 	// readTotal bounds a snapshot that keeps arriving, page by page: of 20,000 servers it
@@ -104,7 +105,11 @@
 func (m *Mirror) readBounds() progress.Timeouts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return progress.Timeouts{FirstByte: m.patience, Idle: m.patience, Total: readTotal}
+	patience := minPatience
+	if m.revision == 0 {
+		patience = m.patience
+	}
+	return progress.Timeouts{FirstByte: patience, Idle: patience, Total: readTotal}
 }
 
 // notePatience lets the next read take longer if this one has timed out.
--- a/mirror/read_test.go
+++ b/mirror/read_test.go
@@ -75,3 +75,23 @@
 		})
 	}
 }
+
+// TestStoreBackAfterSilence: the first node of a data hall has asked a silent store for long. It
+// must not have become so patient that it learns of the store's return only seconds later.
+func TestStoreBackAfterSilence(t *testing.T) {
+	atOffsets(t, 100*time.Millisecond, func(t *testing.T, after time.Duration) {
+		ctx, timers := newEnv(t)
+		store := newStore()
+		store.put("a", false)
+		m := mirror.New(store, &peers{}, timers)
+		go m.Run(ctx)
+		advance(time.Second)
+		store.set(nil, true, false)
+		advance(20*time.Second + after)
+		store.set(nil, false, false)
+		store.put("b", false)
+		advance(propagationLimit)
+		_, ok := m.Get("b")
+		must.True(t, ok)
+	})
+}
