--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -30,14 +30,14 @@
 // readerRecord is the record of the data hall's reader, in the store.
 type readerRecord struct{ g *Gateway }
 
-func (h readerRecord) key() string { return readerPrefix + h.g.self.DataHall }
+func (r readerRecord) key() string { return readerPrefix + r.g.self.DataHall }
 
 // Self returns this gateway's address for peers.
-func (h readerRecord) Self() string { return h.g.self.Peer }
+func (r readerRecord) Self() string { return r.g.self.Peer }
 
 // Known returns the reader as of the local copy of the store.
-func (h readerRecord) Known() mirror.HallReader {
-	item, ok := h.g.mirror.Get(h.key())
+func (r readerRecord) Known() mirror.HallReader {
+	item, ok := r.g.mirror.Get(r.key())
 	if !ok {
 		return mirror.HallReader{}
 	}
@@ -45,16 +45,16 @@
 }
 
 // Current returns the present reader.
-func (h readerRecord) Current(ctx context.Context, fresh bool) (mirror.HallReader, error) {
+func (r readerRecord) Current(ctx context.Context, fresh bool) (mirror.HallReader, error) {
 	freshness := platform.RelaxedRead
 	if fresh {
 		freshness = platform.FreshRead
 	}
-	items, err := h.g.store.ListPrefix(ctx, h.key(), freshness)
+	items, err := r.g.store.ListPrefix(ctx, r.key(), freshness)
 	if err != nil {
 		return mirror.HallReader{}, err
 	}
-	i := slices.IndexFunc(items, func(item mirror.Item) bool { return item.Key == h.key() })
+	i := slices.IndexFunc(items, func(item mirror.Item) bool { return item.Key == r.key() })
 	if i < 0 {
 		return mirror.HallReader{}, nil
 	}
@@ -62,12 +62,12 @@
 }
 
 // Appoint makes this gateway the reader in place of another.
-func (h readerRecord) Appoint(ctx context.Context, instead mirror.HallReader) (bool, error) {
-	data, err := json.Marshal(readerEntry{Peer: h.Self()})
+func (r readerRecord) Appoint(ctx context.Context, instead mirror.HallReader) (bool, error) {
+	data, err := json.Marshal(readerEntry{Peer: r.Self()})
 	if err != nil {
 		return false, err
 	}
-	_, done, err := h.g.store.Swap(ctx, h.key(), data, instead.Revision)
+	_, done, err := r.g.store.Swap(ctx, r.key(), data, instead.Revision)
 	return done, err
 }
 
