--- a/adapter/peer/pack_test.go
+++ b/adapter/peer/pack_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"fmt"
 	"net"
-	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -16,7 +13,6 @@
 
 	"github.com/violettally/violettally/adapter/peer"
 	"github.com/violettally/violettally/mirror"
-	"github.com/violettally/violettally/timer"
 )
 
 // serverItems returns the entries of a number of servers.
@@ -32,71 +28,18 @@
 	return items
 }
 
-// itemsStore is a store that never changes.
-type itemsStore struct{ items []mirror.Item }
-
-func (s itemsStore) ReadAll(context.Context) (mirror.Batch, error) {
-	return mirror.Batch{Items: s.items, Revision: int64(len(s.items)), Snapshot: true}, nil
-}
-
-func (s itemsStore) ReadStart(ctx context.Context) (mirror.Batch, bool, error) {
-	b, err := s.ReadAll(ctx)
-	return b, false, err
-}
-
-func (s itemsStore) ReadRest(_ context.Context, start mirror.Batch) (mirror.Batch, error) {
-	return start, nil
-}
-
-func (s itemsStore) Follow(ctx context.Context, _ int64, wait time.Duration) (mirror.Batch, error) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
-	return mirror.Batch{Revision: int64(len(s.items))}, nil
-}
-
-// snapshotGateway is a gateway with a copy of the store, which it gives out only after release.
+// snapshotGateway is a gateway that responds to each peer with the same batch.
 type snapshotGateway struct {
-	mirrorGateway
-	release chan struct{}
-
-	mu     sync.Mutex
-	giving int
+	*fakeGateway
+	batch mirror.Batch
+	// peers and sent are the peers that have asked, and whether the response to them was sent.
+	peers chan string
+	sent  chan error
 }
 
-// newSnapshotGateway returns a gateway with a copy of the items.
-func newSnapshotGateway(t *testing.T, items []mirror.Item) *snapshotGateway {
-	ctx, cancel := context.WithCancel(t.Context())
-	timers := timer.New()
-	t.Cleanup(func() {
-		cancel()
-		timers.Close()
-	})
-	m := mirror.New(itemsStore{items}, noPeers{}, timers)
-	go m.Run(ctx)
-	<-m.Synced()
-	return &snapshotGateway{mirrorGateway: mirrorGateway{m: m}, release: make(chan struct{})}
-}
-
-func (g *snapshotGateway) Respond(ctx context.Context, from string, after int64, wait time.Duration) (mirror.Batch, func(error)) {
-	b, sent := g.m.Respond(ctx, from, after, wait)
-	if b.Snapshot {
-		g.mu.Lock()
-		g.giving++
-		g.mu.Unlock()
-		select {
-		case <-g.release:
-		case <-ctx.Done():
-		}
-	}
-	return b, sent
-}
-
-func (g *snapshotGateway) givingCount() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.giving
+func (g *snapshotGateway) Respond(_ context.Context, from string, _ int64, _ time.Duration) (mirror.Batch, func(error)) {
+	g.peers <- from
+	return g.batch, func(err error) { g.sent <- err }
 }
 
 // serveGateway serves a gateway on loopback and returns its address.
@@ -107,60 +50,24 @@
 	return listener.Addr().String()
 }
 
-// TestSnapshotsAtOnce checks that a node sends only a few snapshots at a time, and tells others
-// that it is busy, and who has got one. A node whose 196 followers asked for one at once ran out
-// of memory.
-func TestSnapshotsAtOnce(t *testing.T) {
-	items := serverItems(200)
-	g := newSnapshotGateway(t, items)
-	address := serveGateway(t, g)
-	client := peer.NewClient(nil, peer.WithAddress("holder"))
-	t.Cleanup(func() { _ = client.Close() })
-	results := make(chan mirror.Batch, 2)
-	for range 2 {
-		go func() {
-			b, err := client.Follow(t.Context(), address, 0, 0)
-			if err == nil {
-				results <- b
-			}
-		}()
-	}
-	for g.givingCount() < 2 {
-		time.Sleep(time.Millisecond)
-	}
-	other := peer.NewClient(nil, peer.WithAddress("other"))
-	t.Cleanup(func() { _ = other.Close() })
-	for range 20 {
-		b, err := other.Follow(t.Context(), address, 0, 0)
-		must.NoError(t, err)
-		must.True(t, b.Busy)
-		must.SliceEmpty(t, b.Items)
-		must.SliceEmpty(t, b.Holders)
-	}
-	close(g.release)
-	for range 2 {
-		b := <-results
-		slices.SortFunc(b.Items, func(a, b mirror.Item) int { return cmp.Compare(a.Revision, b.Revision) })
-		must.Eq(t, items, b.Items)
-		must.True(t, b.Snapshot)
-	}
-
-	g.release = make(chan struct{})
-	defer close(g.release)
-	for range 2 {
-		go func() {
-			for b := (mirror.Batch{Busy: true}); b.Busy; {
-				b, _ = client.Follow(t.Context(), address, 0, 0)
-			}
-		}()
-	}
-	for g.givingCount() < 4 {
-		time.Sleep(time.Millisecond)
+// TestSnapshotResponses checks that a peer gets a snapshot, or is told that the node is busy and
+// who has got one, and that the node knows who has asked and that the response was sent.
+func TestSnapshotResponses(t *testing.T) {
+	for name, batch := range map[string]mirror.Batch{
+		"snapshot": {Items: serverItems(200), Revision: 200, Snapshot: true},
+		"busy":     {Busy: true, Holders: []string{"holder-1", "holder-2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &snapshotGateway{batch: batch, peers: make(chan string, 1), sent: make(chan error, 1)}
+			client := peer.NewClient(nil, peer.WithAddress("self"))
+			t.Cleanup(func() { _ = client.Close() })
+			b, err := client.Follow(t.Context(), serveGateway(t, g), 0, 0)
+			must.NoError(t, err)
+			must.Eq(t, batch, b)
+			must.Eq(t, "self", <-g.peers)
+			must.NoError(t, <-g.sent)
+		})
 	}
-	b, err := other.Follow(t.Context(), address, 0, 0)
-	must.NoError(t, err)
-	must.True(t, b.Busy)
-	must.Eq(t, []string{"holder"}, b.Holders)
 }
 
 // TestPackedGarbage checks that packed items that can't be decoded are an error.
--- a/mirror/give_test.go
+++ b/mirror/give_test.go
@@ -11,6 +11,42 @@
 	"github.com/violettally/violettally/mirror"
 )
 
+// TestSnapshotsAtOnce checks that a node sends only a few snapshots at a time, and tells others
+// that it is busy, and who has got one. A node whose 196 followers asked for one at once ran out
+// of memory.
+func TestSnapshotsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, timers := newEnv(t)
+		store := newStore()
+		for i := range 200 {
+			store.put(fmt.Sprint("key-", i), false)
+		}
+		m := mirror.New(store, &peers{}, timers, mirror.WithFanOut(8))
+		go m.Run(ctx)
+		advance(time.Second)
+		give := func(peer string) (sent func(error)) {
+			b, sent := m.Respond(ctx, peer, 0, 0)
+			must.True(t, b.Snapshot)
+			must.Len(t, 200, b.Items)
+			return sent
+		}
+		first, second := give("first"), give("second")
+		for range 20 {
+			b, _ := m.Respond(ctx, "other", 0, 0)
+			must.True(t, b.Busy)
+			must.SliceEmpty(t, b.Items)
+			must.SliceEmpty(t, b.Holders)
+		}
+		first(nil)
+		second(errStore)
+		give("third")
+		give("fourth")
+		b, _ := m.Respond(ctx, "other", 0, 0)
+		must.True(t, b.Busy)
+		must.Eq(t, []string{"first"}, b.Holders)
+	})
+}
+
 // TestTurnOfLostPeerEnds: peers that lose power while they get a snapshot never end their
 // connections. Their turns end all the same, so that others get snapshots.
 func TestTurnOfLostPeerEnds(t *testing.T) {
