--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -30,7 +30,7 @@
 //	go m.Run(ctx)
 //	…
 //	item, ok := m.Get("rollouts")            // from the local copy
-//	batch := m.Await(ctx, revision, wait)    // the response to a peer
+//	batch, sent := m.Respond(ctx, peer, revision, wait) // the response to a peer
 package mirror
 
 import (
--- a/mirror/reader.go
+++ b/mirror/reader.go
@@ -71,7 +71,7 @@
 	var holders []string
 	for ctx.Err() == nil && reader.Address != m.readers.Self() && m.failedAppoints < maxFailedAppoints {
 		if reader.Address != "" {
-			holders = addHolders(holders, []string{reader.Address})
+			holders = addHolders(holders, reader.Address)
 		}
 		var copied bool
 		if holders, copied = m.copyFrom(ctx, holders, peerWait); copied {
--- a/mirror/start.go
+++ b/mirror/start.go
@@ -90,14 +90,14 @@
 			holders = slices.DeleteFunc(holders, func(h string) bool { return h == address })
 			continue
 		}
-		holders = addHolders(holders, batch.Holders)
+		holders = addHolders(holders, batch.Holders...)
 		m.pause(ctx, busyPause/2+rand.N(busyPause))
 	}
 	return holders, false
 }
 
 // addHolders adds the addresses that are not in a list of bounded size.
-func addHolders(holders, named []string) []string {
+func addHolders(holders []string, named ...string) []string {
 	for _, address := range named {
 		if len(holders) < holdersAsked && !slices.Contains(holders, address) {
 			holders = append(holders, address)
