rejection, relay, metrics: a decision tells on what basis a request was sent to a server with a rejection limit

Callers saw servers end under requests that they rejected. Nothing in the logs told why such a request had been sent: because no limit was known, with a place, or because nobody who gives out places answered. The step limit tells the basis now, the step rejected tells it again, the counter violettally_server_rejections has it as an attribute, and a node logs when it begins to give out the places of a server, so that two that do so for one server are seen. No logic changes.

--- a/gateway/server_limits.go
+++ b/gateway/server_limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/violettally/violettally/catalog"
@@ -50,7 +51,9 @@
 		notice.WithTunnels(g.noticeTunnels()))
 	g.throttle = throttle.New(g.notices, g.roster, g.timers)
 	g.rejections = rejection.New(g.notices, g.roster, g.timers, coordinators{g})
-	g.places = rejection.NewPlaces(g.timers)
+	g.places = rejection.NewPlaces(g.timers, rejection.WithBeginObserver(func(server uint64) {
+		g.noticeLog.info("gives out the places of a server", "server", strconv.FormatUint(server, 16))
+	}))
 }
 
 // AskPlace gives another gateway places at a server.
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -7,6 +7,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/violettally/violettally/rejection"
 	"github.com/violettally/violettally/relay"
 )
 
@@ -41,8 +42,11 @@
 // SentLimited counts a request sent to a server that names a request limit.
 func (r RelayCounters) SentLimited() { add(r.m.limitedSends, 1) }
 
-// ServerRejected counts a request that a server with a rejection limit rejected.
-func (r RelayCounters) ServerRejected() { r.m.ServerRejected() }
+// ServerRejected counts a request that a server with a rejection limit rejected, by the basis on which it
+// was sent.
+func (r RelayCounters) ServerRejected(b rejection.Basis) {
+	add(r.m.serverRejections, 1, attribute.String("basis", b.String()))
+}
 
 // Completed counts a response, and records the times to its first part and to its end.
 // The times are not split by status, which would multiply the histograms.
--- a/node/server_limits.go
+++ b/node/server_limits.go
@@ -113,7 +113,7 @@
 // Take counts a request to a server of a pool, unless this node may not send it now.
 func (l *serverLimits) Take(pool string, s config.Server) bool {
 	server := target(pool, s)
-	if !l.rejections.Take(context.Background(), server) {
+	if l.rejections.Take(context.Background(), server) == rejection.BasisNone {
 		return false
 	}
 	if l.limiter.Take(server) {
--- a/rejection/places.go
+++ b/rejection/places.go
@@ -41,7 +41,8 @@
 // Places gives out the places at servers, those of each server by one node. It is safe for
 // concurrent use.
 type Places struct {
-	timers *timer.Service
+	timers  *timer.Service
+	onBegin func(server uint64)
 
 	mu sync.Mutex
 	// servers holds who has places, by hash of the server's incarnation.
@@ -61,9 +62,22 @@
 	until  time.Time
 }
 
+// PlacesOption configures Places in NewPlaces.
+type PlacesOption func(*Places)
+
+// WithBeginObserver sets a function that is called as this node begins to give out the places of a
+// server, with the hash that asks name it by. It must not call the Places.
+func WithBeginObserver(onBegin func(server uint64)) PlacesOption {
+	return func(p *Places) { p.onBegin = onBegin }
+}
+
 // NewPlaces returns a register of places in which none is given out.
-func NewPlaces(timers *timer.Service) *Places {
-	return &Places{timers: timers, servers: make(map[uint64]*holders)}
+func NewPlaces(timers *timer.Service, options ...PlacesOption) *Places {
+	p := &Places{timers: timers, onBegin: func(uint64) {}, servers: make(map[uint64]*holders)}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // Ask gives a node the places that it uses, and as many of those that it wants as are free. While
@@ -78,6 +92,7 @@
 	if h == nil {
 		h = &holders{since: now, byNode: make(map[uint64]holding)}
 		p.servers[a.Server] = h
+		p.onBegin(a.Server)
 	}
 	h.askedAt = now
 	places := a.InUse
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -23,7 +23,7 @@
 //	go l.Run(ctx)
 //	servers = l.Filter(servers)
 //	… choose one of them …
-//	if !l.Take(ctx, server) {
+//	if l.Take(ctx, server) == rejection.BasisNone {
 //		… choose again …
 //	}
 //	defer l.Release(server) // or l.Reject(server)
@@ -113,22 +113,25 @@
 }
 
 // Take takes a place for a request, until Release, and asks for one if this node has none. It
-// returns false, and takes nothing, if there is none. Requests to servers without a limit count as
+// returns BasisNone, and takes nothing, if there is none. Requests to servers without a limit count as
 // well, since a server may name one while they run.
-func (l *Limiter) Take(ctx context.Context, s registry.Server) bool {
+func (l *Limiter) Take(ctx context.Context, s registry.Server) Basis {
 	if !l.limited(&s) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		r := l.room(s)
 		r.inflight++
 		r.limitedSince = time.Time{}
-		return true
+		return BasisUnlimited
 	}
 	if l.takeGranted(s) {
-		return true
+		return BasisHeld
 	}
-	l.ask(ctx, s, 1)
-	return l.takeGranted(s)
+	basis := l.ask(ctx, s, 1)
+	if !l.takeGranted(s) {
+		return BasisNone
+	}
+	return basis
 }
 
 // takeGranted takes a place that this node has. It returns false if it has none.
@@ -164,8 +167,9 @@
 }
 
 // ask asks for as many places as this node uses, and more, and gives back what it does not use. If
-// another request for places of the same server is under way, it waits for it first.
-func (l *Limiter) ask(ctx context.Context, s registry.Server, want int) {
+// another request for places of the same server is under way, it waits for it first. It returns the
+// basis of a place that this node has then.
+func (l *Limiter) ask(ctx context.Context, s registry.Server, want int) Basis {
 	l.mu.Lock()
 	r := l.room(s)
 	l.mu.Unlock()
@@ -173,7 +177,7 @@
 	defer r.asking.Unlock()
 	ask, ok := l.nextAsk(r, want)
 	if !ok {
-		return
+		return BasisHeld
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -181,15 +185,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Steady()
+	basis := BasisGranted
 	switch {
 	case err == nil:
 		r.granted, r.grantedUntil = grant.Places, now.Add(holdTime)
 	case want > 0 && l.roster.Count() <= r.slots:
+		basis = BasisUnanswered
 		r.granted, r.grantedUntil = max(r.granted, 1), now.Add(holdTime)
 	}
 	if want > 0 && !r.hasPlace(now) {
 		l.denied[ask.Server] = now.Add(denialTime)
 	}
+	return basis
 }
 
 // nextAsk returns what to ask for; false if nothing is to be asked any more.
--- a/rejection/rejection_test.go
+++ b/rejection/rejection_test.go
@@ -63,6 +63,11 @@
 	l.board.Observe(s, notice.Answer{Notices: []notice.Notice{{Kind: notice.KindRejectionLimit, Value: perSecond}}})
 }
 
+// Take takes a place, and reports whether there was one.
+func (l *limiter) Take(ctx context.Context, s registry.Server) bool {
+	return l.Limiter.Take(ctx, s) != rejection.BasisNone
+}
+
 // limiterOf returns the limiter of a node.
 func limiterOf(vm string, timers *timer.Service, c *coordinator) *limiter {
 	node := (&nodelist.List{}).Add(view.Member{VM: vm})
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -10,6 +10,7 @@
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/internal/rendezvous"
 	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/rejection"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/throttle"
 )
@@ -128,7 +129,8 @@
 			return nil, "", err
 		}
 		server := assignment.Server()
-		hasPlace := x.relay.Rejections.Take(ctx, server)
+		x.basis = x.relay.Rejections.Take(ctx, server)
+		hasPlace := x.basis != rejection.BasisNone
 		if hasPlace && x.relay.WarmUps.Take(server) && x.relay.Throttle.Take(server) {
 			return assignment, version, nil
 		}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/rejection"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/suspect"
 )
@@ -36,6 +37,8 @@
 	tried map[registry.Incarnation]bool
 	sends int
 	runs  int
+	// basis is why the present server may get the request, if it names a rejection limit.
+	basis rejection.Basis
 	// otherServers is how many servers remained for a further attempt at the last choice.
 	otherServers int
 	// responseStarted means that the client has the response header. lastEventID is the last
@@ -116,7 +119,7 @@
 		x.relay.Counters.SentLimited()
 	}
 	if said.RejectionLimit != notice.Unlimited {
-		x.record.AddStep("limit", "%s can reject %g requests a second", server.ID, said.RejectionLimit)
+		x.record.AddStep("limit", "%s can reject %g requests a second; place: %s", server.ID, said.RejectionLimit, x.basis)
 	}
 	features := x.features()
 	sent := time.Now()
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/violettally/violettally/decision"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/rejection"
 	"github.com/violettally/violettally/relay"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
@@ -148,10 +149,12 @@
 type noRejectionLimits struct{}
 
 func (noRejectionLimits) Filter(s []*registry.Server) []*registry.Server { return s }
-func (noRejectionLimits) Take(context.Context, registry.Server) bool     { return true }
-func (noRejectionLimits) Release(registry.Server)                        {}
-func (noRejectionLimits) Reject(registry.Server)                         {}
-func (noRejectionLimits) ObserveSlots(registry.Server, int)              {}
+func (noRejectionLimits) Take(context.Context, registry.Server) rejection.Basis {
+	return rejection.BasisUnlimited
+}
+func (noRejectionLimits) Release(registry.Server)           {}
+func (noRejectionLimits) Reject(registry.Server)            {}
+func (noRejectionLimits) ObserveSlots(registry.Server, int) {}
 
 // noRollout lets every server get every request.
 type noRollout struct{}
@@ -182,7 +185,7 @@
 func (noCounters) Escalated(string)                                    {}
 func (noCounters) Resumed()                                            {}
 func (noCounters) Sent(time.Duration)                                  {}
-func (noCounters) ServerRejected()                                     {}
+func (noCounters) ServerRejected(rejection.Basis)                      {}
 func (noCounters) SentLimited()                                        {}
 func (noCounters) Completed(string, int, time.Duration, time.Duration) {}
 
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -109,7 +109,8 @@
 		return false
 	}
 	if x.relay.Notices.State(&server).RejectionLimit != notice.Unlimited {
-		x.relay.Counters.ServerRejected()
+		x.relay.Counters.ServerRejected(x.basis)
+		x.record.AddStep("rejected", "by %s, sent on the basis: %s", server.ID, x.basis)
 	}
 	return true
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,6 +46,7 @@
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/prefix"
 	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/rejection"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/suspect"
@@ -212,9 +213,9 @@
 type Rejections interface {
 	// Filter returns those of the servers that this node may send a request now.
 	Filter(servers []*registry.Server) []*registry.Server
-	// Take takes a place at a server for a request, until Release. It returns false, and takes
-	// nothing, if there is none.
-	Take(ctx context.Context, s registry.Server) bool
+	// Take takes a place at a server for a request, until Release. It returns rejection.BasisNone, and
+	// takes nothing, if there is none.
+	Take(ctx context.Context, s registry.Server) rejection.Basis
 	Release(s registry.Server)
 	// Reject is Release for a request that the server has rejected for want of room.
 	Reject(s registry.Server)
@@ -279,8 +280,9 @@
 	// Sent counts a request sent to a server, with the age of the store view by which the
 	// server was chosen.
 	Sent(age time.Duration)
-	// ServerRejected counts a request that a server with a rejection limit rejected.
-	ServerRejected()
+	// ServerRejected counts a request that a server with a rejection limit rejected, by the basis on which
+	// it was sent.
+	ServerRejected(b rejection.Basis)
 	// SentLimited counts a request sent to a server that names a limit.
 	SentLimited()
 	Completed(route string, status int, first, total time.Duration)
