--- a/internal/standin/crowded.go
+++ b/internal/standin/crowded.go
@@ -42,6 +42,8 @@
 	RejectionLimit float64
 	// DownTime is how long it is down if it rejects more.
 	DownTime time.Duration
+	// Restarted is called as the server comes back, as its next incarnation.
+	Restarted func()
 }
 
 // NewCrowded returns a server.
@@ -144,10 +146,23 @@
 		return
 	}
 	c.crashes++
+	c.end()
+}
+
+// Kill ends the server for a while, which Counts does not count.
+func (c *Crowded) Kill() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end()
+}
+
+// end ends the server until it comes back as its next incarnation. The caller holds mu.
+func (c *Crowded) end() {
 	c.rejections = nil
-	c.downUntil = now.Add(c.spec.DownTime)
+	c.downUntil = time.Now().Add(c.spec.DownTime)
 	close(c.ended)
 	c.ended = make(chan struct{})
+	time.AfterFunc(c.spec.DownTime, c.spec.Restarted)
 }
 
 // setHeaders sets what the server says of itself in each response.
--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -97,7 +97,9 @@
 	// events holds what happens later, by Unix time in milliseconds.
 	events map[int64][]func()
 	// begun means that servers let nobody wait any more.
-	begun                     bool
+	begun bool
+	// givenUp is the share of requests that are given up halfway while the server works on.
+	givenUp                   float64
 	mu                        sync.Mutex
 	served, rejected, crashes int
 }
@@ -108,8 +110,9 @@
 	running int
 	// requests holds those that run or wait and others that have ended, waiting those that wait.
 	requests, waiting []*request
-	downUntil         time.Time
-	rejections        []rejected
+	// The server is down until downUntil, and does nothing until silentUntil.
+	downUntil, silentUntil time.Time
+	rejections             []rejected
 }
 
 // node is a node, its limiter, and the places that it gives out.
@@ -121,8 +124,29 @@
 	places  *rejection.Places
 	// startedAt is when the process started.
 	startedAt time.Time
+	// unknown are the nodes that are missing in this one's list; known is the list without them, made
+	// from the list that listed begins.
+	unknown map[string]bool
+	known   []view.Member
+	listed  *view.Member
 }
 
+// Others returns the other nodes that this one knows, the same list until it changes.
+func (n *node) Others() []view.Member {
+	others := n.Node.Others()
+	if len(n.unknown) == 0 || len(others) == 0 {
+		return others
+	}
+	if n.listed != &others[0] {
+		n.listed = &others[0]
+		n.known = slices.DeleteFunc(slices.Clone(others), func(m view.Member) bool { return n.unknown[m.VM] })
+	}
+	return n.known
+}
+
+// forget makes a node miss others in its list, none for nil.
+func (n *node) forget(unknown map[string]bool) { n.unknown, n.listed = unknown, nil }
+
 // Ask asks the first owner of a server.
 func (n *node) Ask(_ context.Context, s registry.Server, a rejection.Ask) (rejection.Grant, error) {
 	n.c.mu.Lock()
@@ -146,7 +170,7 @@
 	n.c.mu.Lock()
 	defer n.c.mu.Unlock()
 	n.startedAt = time.Now()
-	n.roster = owner.NewRoster(n.Self(), n.Node, n.c.timers)
+	n.roster = owner.NewRoster(n.Self(), n, n.c.timers)
 	n.limiter = newLimiter(n.roster, n.c.timers, n, notice.WithReporter(n.report))
 	n.places = rejection.NewPlaces(n.c.timers)
 	go n.limiter.Run(n.c.ctx)
@@ -223,7 +247,7 @@
 	if !n.limiter.Take(c.ctx, s.Server) {
 		return
 	}
-	q := &request{node: n, limiter: n.limiter, server: s}
+	q := &request{node: n, limiter: n.limiter, server: s, incarnation: s.Server}
 	c.after(time.Millisecond, func() { c.arrive(q) })
 }
 
@@ -232,15 +256,20 @@
 	node    *node
 	limiter *limiter
 	server  *server
-	ended   bool
+	// incarnation is the server as it was when the request was sent.
+	incarnation registry.Server
+	// ended means that the server has ended the request, released that its node has.
+	ended, released bool
 }
 
 // arrive lets a server run or reject a request.
 func (c *cluster) arrive(q *request) {
-	s := q.server
+	s, now := q.server, time.Now()
 	switch {
-	case time.Now().Before(s.downUntil):
+	case now.Before(s.downUntil):
 		c.end(q)
+	case now.Before(s.silentUntil):
+		c.after(s.silentUntil.Sub(now), func() { c.arrive(q) })
 	case s.running < s.Slots:
 		c.start(q)
 	case !c.begun:
@@ -249,10 +278,11 @@
 	default:
 		c.reject(q)
 		c.after(time.Millisecond, func() {
-			c.observe(q.node, s)
-			if !q.ended {
-				q.ended = true
-				q.limiter.Reject(s.Server)
+			c.observe(q)
+			q.ended = true
+			if !q.released {
+				q.released = true
+				q.limiter.Reject(q.incarnation)
 			}
 		})
 	}
@@ -265,16 +295,30 @@
 	s.requests = append(s.requests, q)
 	// Work differs by half, up and down.
 	work := time.Duration((0.5 + rand.Float64()) * float64(c.work))
-	c.after(min(work, headTime), func() { c.observe(q.node, s) })
-	c.after(work, func() {
-		if !q.ended {
-			c.served++
-			c.observe(q.node, s)
-			c.end(q)
-			s.running--
-			s.next(c)
-		}
-	})
+	c.after(min(work, headTime), func() { c.observe(q) })
+	c.after(work, func() { c.complete(q) })
+	if rand.Float64() < c.givenUp {
+		c.after(work/2, func() { c.abandon(q) })
+	}
+}
+
+// complete ends a request that has run, once the server is not silent.
+func (c *cluster) complete(q *request) {
+	s := q.server
+	if q.ended {
+		return
+	}
+	if silent := time.Until(s.silentUntil); silent > 0 {
+		c.after(silent, func() { c.complete(q) })
+		return
+	}
+	if !q.released {
+		c.served++
+		c.observe(q)
+	}
+	c.end(q)
+	s.running--
+	s.next(c)
 }
 
 // next starts the requests that wait and have room.
@@ -290,9 +334,18 @@
 
 // end ends a request.
 func (c *cluster) end(q *request) {
-	if !q.ended {
-		q.ended = true
-		q.limiter.Release(q.server.Server)
+	q.ended = true
+	if !q.released {
+		q.released = true
+		q.limiter.Release(q.incarnation)
+	}
+}
+
+// abandon gives a request up while the server works on.
+func (c *cluster) abandon(q *request) {
+	if !q.released {
+		q.released = true
+		q.limiter.Release(q.incarnation)
 	}
 }
 
@@ -305,7 +358,7 @@
 		}
 		for _, q := range s.requests {
 			if q.node == n && !q.ended {
-				q.ended = true
+				q.ended, q.released = true, true
 				if !waiting[q] {
 					s.running--
 				}
@@ -342,14 +395,23 @@
 	if 2*counting > len(s.rejections) {
 		c.crashes++
 	}
+	c.kill(s)
+}
+
+// kill ends a server with all that runs there. It comes back as another incarnation.
+func (c *cluster) kill(s *server) {
 	for _, q := range s.requests {
 		c.end(q)
 	}
-	s.requests, s.waiting, s.rejections, s.running, s.downUntil = nil, nil, nil, 0, now.Add(downTime)
+	s.requests, s.waiting, s.rejections, s.running, s.downUntil = nil, nil, nil, 0, time.Now().Add(downTime)
+	c.after(downTime, func() { s.Born++ })
 }
 
-// observe lets a node learn what a server says of itself.
-func (c *cluster) observe(n *node, s *server) {
-	n.limiter.Observe(s.Server, c.limit)
-	n.limiter.ObserveSlots(s.Server, s.Slots)
+// observe lets the node of a request learn what the server says of itself.
+func (c *cluster) observe(q *request) {
+	if q.released && q.ended || q.incarnation.Born != q.server.Born {
+		return
+	}
+	q.limiter.Observe(q.incarnation, c.limit)
+	q.limiter.ObserveSlots(q.incarnation, q.server.Slots)
 }
--- /dev/null
+++ b/rejection/faults_test.go
@@ -0,0 +1,182 @@
+package rejection_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/internal/limitrule"
+)
+
+const (
+	faultSlots = 6
+	faultWork  = 120 * time.Millisecond
+	// faultTime is how long requests are sent while things go wrong.
+	faultTime = 20 * time.Second
+)
+
+// faultCase is one load on a cluster in which something goes wrong.
+type faultCase struct {
+	nodes         int
+	demand, limit float64
+}
+
+// faultCases returns the loads up to a demand of what the servers can run.
+func faultCases(nodes []int, limits ...float64) []faultCase {
+	var cases []faultCase
+	for _, n := range nodes {
+		for _, demand := range []float64{0.6, 0.9, 1.2, 1.5, 2} {
+			for _, limit := range limits {
+				cases = append(cases, faultCase{n, demand, limit})
+			}
+		}
+	}
+	return cases
+}
+
+// testFaults checks for each case that servers don't end again and again, and that they are used. Plan
+// schedules what goes wrong.
+func testFaults(t *testing.T, cases []faultCase, plan func(c *cluster)) {
+	for _, tt := range cases {
+		t.Run(fmt.Sprintf("%d nodes, demand %g, limit %g", tt.nodes, tt.demand, tt.limit), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				c := newCluster(ctx, tt.nodes, faultSlots, faultWork, tt.limit)
+				defer c.timers.Close()
+				defer synctest.Wait()
+				defer cancel()
+				perSecond := tt.demand * float64(serverCount*faultSlots) / faultWork.Seconds()
+				c.run(perSecond, false, limitrule.AdaptTime)
+				c.begin()
+				plan(c)
+				c.run(perSecond, false, faultTime)
+				possible := min(1, tt.demand) * float64(serverCount*faultSlots) / faultWork.Seconds() * faultTime.Seconds()
+				t.Logf("%d served of %.0f, %d rejected, %d crashes", c.served, possible, c.rejected, c.crashes)
+				must.LessEq(t, limitrule.AllowedCrashes(serverCount), float64(c.crashes), must.Sprint("crashes"))
+				must.GreaterEq(t, possible/2, float64(c.served), must.Sprint("requests served"))
+			})
+		})
+	}
+}
+
+// TestServersEndAgainAfterRestart checks that servers which are lost do not end again and again after
+// they have come back as incarnations that nobody has heard of.
+func TestServersEndAgainAfterRestart(t *testing.T) {
+	testFaults(t, faultCases([]int{6, 61}, 0, 1, 3, 5, 8), func(c *cluster) {
+		for _, s := range c.servers[:2] {
+			c.after(time.Second, func() { c.kill(s) })
+		}
+	})
+}
+
+// TestServersEndAfterReplacement checks that servers do not end which replace all those that named the
+// limit.
+func TestServersEndAfterReplacement(t *testing.T) {
+	testFaults(t, faultCases([]int{61}, 1, 3), func(c *cluster) {
+		for i := range c.servers {
+			c.after(time.Duration(i+1)*time.Second, func() { c.replace(i) })
+		}
+	})
+}
+
+// TestServersEndWhileListsDiffer checks that servers do not end while half of the nodes miss others in
+// their lists, so that two nodes give out the places of one server.
+func TestServersEndWhileListsDiffer(t *testing.T) {
+	testFaults(t, faultCases([]int{61}, 1, 3, 5), func(c *cluster) {
+		unknown := make(map[string]bool)
+		for _, n := range c.nodes {
+			if vm := n.Self().VM; strings.HasSuffix(vm, "1") || strings.HasSuffix(vm, "7") {
+				unknown[vm] = true
+			}
+		}
+		for at := 3 * time.Second; at < faultTime; at += 6 * time.Second {
+			c.after(at, func() { c.forget(unknown) })
+			c.after(at+3*time.Second, func() { c.forget(nil) })
+		}
+	})
+}
+
+// TestServersEndUnderGivenUpRequests checks that servers do not end because they work on requests that
+// their nodes have given up.
+func TestServersEndUnderGivenUpRequests(t *testing.T) {
+	testFaults(t, faultCases([]int{61}, 1, 3), func(c *cluster) { c.givenUp = 0.1 })
+}
+
+// TestServersEndAfterCut checks that servers do not end because nodes are cut off from them and give up
+// what runs there.
+func TestServersEndAfterCut(t *testing.T) {
+	testFaults(t, faultCases([]int{6, 61}, 1, 3), func(c *cluster) {
+		for at := 2 * time.Second; at < faultTime; at += 3 * time.Second {
+			c.after(at, func() { c.cut(c.nodes[:len(c.nodes)/3]) })
+		}
+	})
+}
+
+// TestServersEndAfterSilence checks that servers do not end because they fall silent for a second.
+func TestServersEndAfterSilence(t *testing.T) {
+	testFaults(t, faultCases([]int{61}, 1, 3), func(c *cluster) {
+		for i, s := range c.servers {
+			c.after(time.Duration(i+1)*time.Second, func() { c.silence(s) })
+		}
+	})
+}
+
+// TestServersEndAsNodesStart checks that servers do not end under the requests of nodes that have just
+// started.
+func TestServersEndAsNodesStart(t *testing.T) {
+	testFaults(t, faultCases([]int{61}, 1, 3), func(c *cluster) {
+		for at := time.Second; at < faultTime; at += 3 * time.Second {
+			c.after(at, func() { c.restart(c.nodes[int(at/time.Second)]) })
+		}
+	})
+}
+
+// replace replaces a server by one with another ID; what runs at the old one is ended.
+func (c *cluster) replace(i int) {
+	old := c.servers[i]
+	for _, q := range old.requests {
+		c.end(q)
+	}
+	s := &server{Server: old.Server}
+	s.ID += "-next"
+	c.servers[i] = s
+	c.list = slices.Clone(c.list)
+	c.list[i] = &s.Server
+}
+
+// forget makes half of the nodes miss others in their lists.
+func (c *cluster) forget(unknown map[string]bool) {
+	for _, n := range c.nodes[:len(c.nodes)/2] {
+		n.forget(unknown)
+	}
+}
+
+// stallTime is how long nodes wait for a server that is silent.
+const stallTime = 300 * time.Millisecond
+
+// cut cuts nodes off from the servers for a moment: they give up what runs there, and the servers don't
+// hear of it.
+func (c *cluster) cut(nodes []*node) {
+	for _, s := range c.servers {
+		for _, q := range s.requests {
+			if slices.Contains(nodes, q.node) {
+				c.after(stallTime, func() { c.abandon(q) })
+			}
+		}
+	}
+}
+
+// silence makes a server do nothing for a second. Nodes give up what runs there.
+func (c *cluster) silence(s *server) {
+	s.silentUntil = time.Now().Add(time.Second)
+	for _, q := range s.requests {
+		c.after(stallTime, func() { c.abandon(q) })
+	}
+}
