notice, rejection: a server of which nothing is known names its service's rejection limit

What callers saw: servers that can reject few requests ended again and again, with all that ran there, each time right after they had come back.

Cause: what a server says was kept by incarnation. The platform says it of the servers of a service: all name the limit at the same times. A server that had come back, or was new, was sent to without places until its first answer had gone round.

Change: the board also keeps the limit by service, told to other nodes under the service's hash. It holds for a server that has said nothing itself; its own answer goes first. It ends once an answer names none and no other has named one for 3 s, or when nobody has confirmed it for 30 to 60 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -253,6 +253,8 @@
 			func() float64 { return float64(g.notices.Count(notice.KindRequestLimit)) }),
 		g.metrics.Gauge("violettally_rejection_limited_servers", "Servers that name a rejection limit, as far as this node knows.",
 			func() float64 { return float64(g.notices.Count(notice.KindRejectionLimit)) }),
+		g.metrics.Gauge("violettally_rejection_limited_services", "Services whose servers name rejection limits, as far as this node knows.",
+			func() float64 { return float64(g.notices.Count(notice.KindServiceRejectionLimit)) }),
 		g.metrics.Gauge("violettally_leaving_servers", "Servers whose answers say that they leave, as far as this node knows.",
 			func() float64 { return float64(g.notices.Count(notice.KindLeaving)) }),
 		g.metrics.Gauge("violettally_resting_servers", "Servers that have wanted rest of this node and have not answered a request since.",
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -62,9 +62,10 @@
 	limitedSends    metric.Int64Counter
 	serverDials     metric.Int64Counter
 
-	rejectionLimitChanges metric.Int64Counter
-	leavings, rests       metric.Int64Counter
-	serverRejections      metric.Int64Counter
+	rejectionLimitChanges        metric.Int64Counter
+	serviceRejectionLimitChanges metric.Int64Counter
+	leavings, rests              metric.Int64Counter
+	serverRejections             metric.Int64Counter
 
 	escalations metric.Int64Counter
 	resumes     metric.Int64Counter
@@ -121,6 +122,7 @@
 		{&m.limitChanges, "violettally_server_limits", "Changes of the request limits that backend servers name, by change and source."},
 		{&m.limitedSends, "violettally_limited_sends", "Requests sent to backend servers that name a request limit."},
 		{&m.rejectionLimitChanges, "violettally_rejection_limits", "Changes of the rejection limits that backend servers name, by change and source."},
+		{&m.serviceRejectionLimitChanges, "violettally_service_rejection_limits", "Changes of the rejection limits that servers of a service are known to name, by change and source."},
 		{&m.leavings, "violettally_server_leavings", "Backend servers whose answers say that they leave, by change and source."},
 		{&m.rests, "violettally_server_rests", "Rests that backend servers want of this node, by change and source."},
 		{&m.serverRejections, "violettally_server_rejections", "Requests that backend servers with a rejection limit rejected."},
@@ -255,10 +257,11 @@
 // NoticeChanged counts a change of what a backend server says of itself.
 func (m *Metrics) NoticeChanged(c notice.Change) {
 	counters := map[notice.Kind]metric.Int64Counter{
-		notice.KindRequestLimit:   m.limitChanges,
-		notice.KindRejectionLimit: m.rejectionLimitChanges,
-		notice.KindLeaving:        m.leavings,
-		notice.KindRest:           m.rests,
+		notice.KindRequestLimit:          m.limitChanges,
+		notice.KindRejectionLimit:        m.rejectionLimitChanges,
+		notice.KindServiceRejectionLimit: m.serviceRejectionLimitChanges,
+		notice.KindLeaving:               m.leavings,
+		notice.KindRest:                  m.rests,
 	}
 	if counter, ok := counters[c.Kind]; ok {
 		add(counter, 1, attribute.String("change", c.Name()), attribute.String("source", c.Source.String()))
--- a/node/node.go
+++ b/node/node.go
@@ -294,6 +294,7 @@
 		{"violettally_leaving_servers", "Servers whose answers say that they leave, as far as this node knows.", func() float64 { return float64(n.limits.notices.Count(notice.KindLeaving)) }},
 		{"violettally_resting_servers", "Servers that have wanted rest of this node and have not answered a request since.", func() float64 { return float64(n.limits.notices.Count(notice.KindRest)) }},
 		{"violettally_rejection_limited_servers", "Servers that name a rejection limit, as far as this node knows.", func() float64 { return float64(n.limits.notices.Count(notice.KindRejectionLimit)) }},
+		{"violettally_rejection_limited_services", "Services whose servers name rejection limits, as far as this node knows.", func() float64 { return float64(n.limits.notices.Count(notice.KindServiceRejectionLimit)) }},
 		{"violettally_unreachable_servers", "Servers that this node does not reach by itself.", func() float64 { return float64(n.dialer.CountLost()) }},
 		{"violettally_tunnels", "Open connections to servers through other nodes.", func() float64 { return float64(n.dialer.CountTunnels()) }},
 		{"violettally_carried_tunnels", "Open connections to servers that this node carries for others.", func() float64 { return float64(n.carrier.CountCarried()) }},
--- a/notice/board.go
+++ b/notice/board.go
@@ -74,6 +74,9 @@
 type State struct {
 	// RequestLimit and RejectionLimit are in requests a second; Unlimited for none.
 	RequestLimit, RejectionLimit float64
+	// RejectionLimitSince is since when, by [timer.Service.Steady], it is known that the server, or others
+	// of its service, name a rejection limit; zero for none.
+	RejectionLimitSince time.Time
 	// Leaving means that the server is about to end.
 	Leaving bool
 	// RestUntil is until when, by [timer.Service.Steady], the server wants no requests of this node; it
@@ -89,15 +92,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[s.Hash()]
-	if r == nil {
-		return unknown
-	}
-	return State{
-		RequestLimit:   r.facts[KindRequestLimit].value,
-		RejectionLimit: r.facts[KindRejectionLimit].value,
-		Leaving:        r.facts[KindLeaving].present(KindLeaving),
-		RestUntil:      r.restUntil,
-	}
+	state := unknown
+	if r != nil {
+		state.RequestLimit = r.facts[KindRequestLimit].value
+		state.Leaving = r.facts[KindLeaving].present(KindLeaving)
+		state.RestUntil = r.restUntil
+	}
+	state.RejectionLimit, state.RejectionLimitSince = b.rejectionLimit(s, r)
+	return state
 }
 
 // Count returns the number of servers of which a notice of a kind is known.
@@ -136,6 +138,7 @@
 		if changed && n.concernsTunnels() {
 			b.tellTunnels(s, n, a.Carrier)
 		}
+		b.observeService(s, n, a.SentAgo)
 	}
 }
 
@@ -174,14 +177,10 @@
 	if n.Kind.isLimit() && n.Value >= maxPerSecond {
 		n.Value = Unlimited
 	}
-	r := b.records[hash]
-	if r == nil {
-		if n.IsAbsent() {
-			return false
-		}
-		r = newRecord(b.position(hash))
-		b.records[hash] = r
+	if b.records[hash] == nil && n.IsAbsent() {
+		return false
 	}
+	r := b.record(hash)
 	if id != "" {
 		r.id = id
 	}
@@ -200,6 +199,12 @@
 		return false
 	}
 	f.heardAt = heardAt
+	if !f.present(n.Kind) {
+		f.since = heardAt
+	}
+	if n.Kind == KindServiceRejectionLimit && !n.IsAbsent() {
+		n.Value = min(n.Value, f.value) // some of its servers may name more
+	}
 	c := Change{Server: r.id, Hash: hash, Kind: n.Kind, Before: f.value, Value: n.Value, Source: source, Age: b.timers.Steady().Sub(heardAt)}
 	if differ(n.Value, f.value, sameFactor) || n.Kind == KindRest {
 		b.replace(f, n.Kind, n.Value)
@@ -210,6 +215,16 @@
 	return changed
 }
 
+// record returns the record of a hash. The caller holds mu.
+func (b *Board) record(hash uint64) *record {
+	r := b.records[hash]
+	if r == nil {
+		r = newRecord(b.position(hash))
+		b.records[hash] = r
+	}
+	return r
+}
+
 // differ reports whether two values differ by more than a factor.
 func differ(a, b, factor float64) bool { return max(a, b) > factor*min(a, b) }
 
--- a/notice/board_test.go
+++ b/notice/board_test.go
@@ -21,7 +21,9 @@
 	*notice.Board
 	changes  []notice.Change
 	reported []notice.Notice
-	told     []string
+	// reportedOf holds the hashes of what was reported.
+	reportedOf []uint64
+	told       []string
 	// openers are the nodes for which this one carries connections.
 	openers []string
 }
@@ -41,7 +43,9 @@
 		b := &testBoard{}
 		b.Board = notice.New(owner.NewRoster(node.Self(), node, timers), timers, notice.WithTunnels(b),
 			notice.WithObserver(func(c notice.Change) { b.changes = append(b.changes, c) }),
-			notice.WithReporter(func(_ uint64, n notice.Notice) { b.reported = append(b.reported, n) }))
+			notice.WithReporter(func(hash uint64, n notice.Notice) {
+				b.reported, b.reportedOf = append(b.reported, n), append(b.reportedOf, hash)
+			}))
 		test(t, b)
 	})
 }
--- a/notice/change.go
+++ b/notice/change.go
@@ -25,8 +25,8 @@
 
 // Change is a change of what is known of a server.
 type Change struct {
-	// Server is the server's ID; "" if it is known from reports only. Hash is that of its
-	// incarnation.
+	// Server is the server's ID, or the service's name, if the kind is one of services; "" if it is known
+	// from reports only. Hash is that of the server's incarnation, or of the service.
 	Server string
 	Hash   uint64
 	Kind   Kind
@@ -65,6 +65,8 @@
 		return "server's request limit"
 	case KindRejectionLimit:
 		return "server's rejection limit"
+	case KindServiceRejectionLimit:
+		return "service's rejection limit"
 	case KindLeaving:
 		return "server leaves"
 	default:
@@ -74,7 +76,11 @@
 
 // LogArgs returns what the log line tells.
 func (c Change) LogArgs() []any {
-	args := []any{"server", c.Server, "incarnation", strconv.FormatUint(c.Hash, 16), "change", c.Name(), "source", c.Source.String(),
+	subject, hash := "server", "incarnation"
+	if c.Kind == KindServiceRejectionLimit {
+		subject, hash = "service", "service_hash"
+	}
+	args := []any{subject, c.Server, hash, strconv.FormatUint(c.Hash, 16), "change", c.Name(), "source", c.Source.String(),
 		"age_ms", c.Age.Milliseconds()}
 	switch {
 	case c.Value == c.Kind.Absent():
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -6,6 +6,9 @@
 // know the same later, or not at all while they are out of reach. A [Board] keeps it by incarnation
 // of the server, with its source and age; older news changes nothing.
 //
+// How few requests it can reject is said by all servers of a service at the same times. A server of
+// which nothing is known, since it has just started, counts as saying so as well until its first answer.
+//
 // Nodes learn of it from answers to their own requests, and, where it concerns all nodes, from the
 // reports of others. A node that hears something again and again reports it again. A limit that
 // nobody has confirmed for a while is forgotten, at each node at another time, so that the first one
@@ -41,12 +44,17 @@
 	KindLeaving
 	// KindRest: the server wants no requests of the node that it answered for a while.
 	KindRest
+	// KindServiceRejectionLimit: how many requests a second servers of a service can reject. It is
+	// concluded from notices of KindRejectionLimit and kept by service.
+	KindServiceRejectionLimit
 )
 
-const kindCount = int(KindRest) + 1
+const kindCount = int(KindServiceRejectionLimit) + 1
 
 // isLimit reports whether notices of this kind name a number of requests a second.
-func (k Kind) isLimit() bool { return k == KindRequestLimit || k == KindRejectionLimit }
+func (k Kind) isLimit() bool {
+	return k == KindRequestLimit || k == KindRejectionLimit || k == KindServiceRejectionLimit
+}
 
 // isShared reports whether notices of this kind concern all nodes, rather than the one that was
 // answered.
--- a/notice/notice_enumer.go
+++ b/notice/notice_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "nonerequest_limitrejection_limitleavingrest"
+const _KindName = "nonerequest_limitrejection_limitleavingrestservice_rejection_limit"
 
-var _KindIndex = [...]uint8{0, 4, 17, 32, 39, 43}
+var _KindIndex = [...]uint8{0, 4, 17, 32, 39, 43, 66}
 
-const _KindLowerName = "nonerequest_limitrejection_limitleavingrest"
+const _KindLowerName = "nonerequest_limitrejection_limitleavingrestservice_rejection_limit"
 
 func (i Kind) String() string {
 	if i >= Kind(len(_KindIndex)-1) {
@@ -29,9 +29,10 @@
 	_ = x[KindRejectionLimit-(2)]
 	_ = x[KindLeaving-(3)]
 	_ = x[KindRest-(4)]
+	_ = x[KindServiceRejectionLimit-(5)]
 }
 
-var _KindValues = []Kind{KindNone, KindRequestLimit, KindRejectionLimit, KindLeaving, KindRest}
+var _KindValues = []Kind{KindNone, KindRequestLimit, KindRejectionLimit, KindLeaving, KindRest, KindServiceRejectionLimit}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:4]:   KindNone,
@@ -39,6 +40,7 @@
 	_KindName[17:32]: KindRejectionLimit,
 	_KindName[32:39]: KindLeaving,
 	_KindName[39:43]: KindRest,
+	_KindName[43:66]: KindServiceRejectionLimit,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -47,6 +49,7 @@
 	_KindLowerName[17:32]: KindRejectionLimit,
 	_KindLowerName[32:39]: KindLeaving,
 	_KindLowerName[39:43]: KindRest,
+	_KindLowerName[43:66]: KindServiceRejectionLimit,
 }
 
 var _KindNames = []string{
@@ -55,6 +58,7 @@
 	_KindName[17:32],
 	_KindName[32:39],
 	_KindName[39:43],
+	_KindName[43:66],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/notice/record.go
+++ b/notice/record.go
@@ -38,6 +38,8 @@
 	// heardAt is when the server last said so, or first that it has ended; reportedAt is when a
 	// node last reported it.
 	heardAt, reportedAt time.Time
+	// since is when what holds was first heard.
+	since time.Time
 }
 
 func newRecord(position float64) *record {
@@ -101,13 +103,16 @@
 
 // isTakenBack reports whether an answer that says nothing of a kind, to a request sent at the given time,
 // takes back what is known: whether the request is later than the answers that said that the server
-// leaves, since answers may pass each other, or than the end of the rest.
+// leaves, since answers may pass each other, than the end of the rest, or by serviceEndTime than the last
+// answer of any server of the service that named the limit.
 func (r *record) isTakenBack(k Kind, sentAt time.Time) bool {
 	switch k {
 	case KindLeaving:
 		return sentAt.After(r.facts[k].heardAt)
 	case KindRest:
 		return !sentAt.Before(r.restUntil)
+	case KindServiceRejectionLimit:
+		return sentAt.Sub(r.facts[k].heardAt) >= serviceEndTime
 	default:
 		return true
 	}
