rejection: in the model nodes learn of entries at different times; red

The model told all nodes of a server's next incarnation at one moment: kinder than the platform, where entries spread in some 100 ms.

--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -92,7 +92,6 @@
 	limit   float64
 	work    time.Duration
 	servers []*server
-	list    []*registry.Server
 	nodes   []*node
 	// events holds what happens later, by Unix time in milliseconds.
 	events map[int64][]func()
@@ -129,6 +128,15 @@
 	unknown map[string]bool
 	known   []view.Member
 	listed  *view.Member
+	// entries are the servers as this node knows them, and targets those that they stand for.
+	entries []*registry.Server
+	targets []*server
+}
+
+// update makes a node know an entry of the server at a position.
+func (n *node) update(i int, entry registry.Server, target *server) {
+	n.entries, n.targets = slices.Clone(n.entries), slices.Clone(n.targets)
+	n.entries[i], n.targets[i] = &entry, target
 }
 
 // Others returns the other nodes that this one knows, the same list until it changes.
@@ -181,12 +189,15 @@
 	for i := range serverCount {
 		s := &server{Server: registry.Server{ID: fmt.Sprint("s-", i), Service: "s", DataHall: fmt.Sprint("hall-", i%halls), Slots: slots}}
 		c.servers = append(c.servers, s)
-		c.list = append(c.list, &s.Server)
 	}
 	list := &nodelist.List{}
 	for i := range nodes {
 		n := &node{c: c, Node: list.Add(view.Member{VM: fmt.Sprint("n-", i), DataHall: fmt.Sprint("hall-", i%halls)})}
 		c.nodes = append(c.nodes, n)
+		n.entries, n.targets = make([]*registry.Server, serverCount), make([]*server, serverCount)
+		for i, s := range c.servers {
+			n.update(i, s.Server, s)
+		}
 		n.start()
 		n.SetListed(true)
 	}
@@ -238,16 +249,16 @@
 // send sends a request to a server that may get one, if there is one.
 func (c *cluster) send(n *node) {
 	n.roster.Refresh()
-	allowed := n.limiter.Filter(c.list)
+	allowed := n.limiter.Filter(n.entries)
 	if len(allowed) == 0 {
 		return
 	}
-	index := slices.Index(c.list, allowed[rand.IntN(len(allowed))])
-	s := c.servers[index]
-	if !n.limiter.Take(c.ctx, s.Server) {
+	entry := allowed[rand.IntN(len(allowed))]
+	if !n.limiter.Take(c.ctx, *entry) {
 		return
 	}
-	q := &request{node: n, limiter: n.limiter, server: s, incarnation: s.Server}
+	target := n.targets[slices.Index(n.entries, entry)]
+	q := &request{node: n, limiter: n.limiter, server: target, incarnation: *entry}
 	c.after(time.Millisecond, func() { c.arrive(q) })
 }
 
@@ -256,7 +267,7 @@
 	node    *node
 	limiter *limiter
 	server  *server
-	// incarnation is the server as it was when the request was sent.
+	// incarnation is the server as the node knew it when the request was sent.
 	incarnation registry.Server
 	// ended means that the server has ended the request, released that its node has.
 	ended, released bool
@@ -404,12 +415,23 @@
 		c.end(q)
 	}
 	s.requests, s.waiting, s.rejections, s.running, s.downUntil = nil, nil, nil, 0, time.Now().Add(downTime)
-	c.after(downTime, func() { s.Born++ })
+	c.after(downTime, func() {
+		s.Born++
+		c.announce(s)
+	})
+}
+
+// announce lets the nodes learn of a server's entry, each at another time.
+func (c *cluster) announce(s *server) {
+	i, entry := slices.Index(c.servers, s), s.Server
+	for _, n := range c.nodes {
+		c.after(time.Duration(rand.Float64()*float64(newsTime)), func() { n.update(i, entry, s) })
+	}
 }
 
 // observe lets the node of a request learn what the server says of itself.
 func (c *cluster) observe(q *request) {
-	if q.released && q.ended || q.incarnation.Born != q.server.Born {
+	if q.released && q.ended {
 		return
 	}
 	q.limiter.Observe(q.incarnation, c.limit)
--- a/rejection/faults_test.go
+++ b/rejection/faults_test.go
@@ -138,17 +138,12 @@
 	})
 }
 
-// replace replaces a server by one with another ID; what runs at the old one is ended.
+// replace replaces a server by one with another ID; the old one serves on.
 func (c *cluster) replace(i int) {
-	old := c.servers[i]
-	for _, q := range old.requests {
-		c.end(q)
-	}
-	s := &server{Server: old.Server}
+	s := &server{Server: c.servers[i].Server}
 	s.ID += "-next"
 	c.servers[i] = s
-	c.list = slices.Clone(c.list)
-	c.list[i] = &s.Server
+	c.announce(s)
 }
 
 // forget makes half of the nodes miss others in their lists.
