rejection: a server keeps its places through restarts

What callers saw: a server that had come back ended again.

Cause: places were given out by incarnation. Nodes learn of the next one at different times, and those that knew the entry before got their places from another node than those that knew the next one, each as many as there are slots.

Change: rooms, places and the node that gives them out go by the server's ID; the slots are those of the latest incarnation known.

--- a/gateway/server_limits.go
+++ b/gateway/server_limits.go
@@ -64,7 +64,7 @@
 
 // Ask asks the first owner of a server.
 func (c coordinators) Ask(ctx context.Context, s registry.Server, a rejection.Ask) (rejection.Grant, error) {
-	first := owner.First(c.g.self, c.g.membership.peers(), s.DataHall, s.Hash())
+	first := owner.First(c.g.self, c.g.membership.peers(), s.DataHall, s.IDHash())
 	if first.ID == c.g.self.ID {
 		return c.g.places.Ask(a), nil
 	}
--- a/node/server_limits.go
+++ b/node/server_limits.go
@@ -138,7 +138,7 @@
 
 // Ask asks the first owner of a server for places.
 func (l *serverLimits) Ask(ctx context.Context, s registry.Server, a rejection.Ask) (rejection.Grant, error) {
-	first := owner.First(l.n.self, l.n.prober.Alive(), "", s.Hash())
+	first := owner.First(l.n.self, l.n.prober.Alive(), "", s.IDHash())
 	if first.ID == l.n.self.ID {
 		return l.places.Ask(a), nil
 	}
--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -159,7 +159,7 @@
 func (n *node) Ask(_ context.Context, s registry.Server, a rejection.Ask) (rejection.Grant, error) {
 	n.c.mu.Lock()
 	defer n.c.mu.Unlock()
-	first := owner.First(n.Self(), n.Others(), s.DataHall, s.Hash())
+	first := owner.First(n.Self(), n.Others(), s.DataHall, s.IDHash())
 	i := slices.IndexFunc(n.c.nodes, func(other *node) bool { return other.Self().VM == first.VM })
 	return n.c.nodes[i].places.Ask(a), nil
 }
--- a/rejection/places.go
+++ b/rejection/places.go
@@ -20,7 +20,7 @@
 
 // Ask is a node's request for places at a server. The fields are exported for the codecs.
 type Ask struct {
-	// Server is the hash of the server's incarnation, Node that of the node's ID.
+	// Server is the hash of the server's ID, Node that of the node's ID.
 	Server uint64 `cbor:"1,keyasint"`
 	Node   uint64 `cbor:"2,keyasint"`
 	// Slots is the number of requests that the server runs at once.
@@ -45,7 +45,7 @@
 	onBegin func(server uint64)
 
 	mu sync.Mutex
-	// servers holds who has places, by hash of the server's incarnation.
+	// servers holds who has places, by hash of the server's ID.
 	servers   map[uint64]*holders
 	cleanedAt time.Time
 }
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -61,7 +61,8 @@
 	timers       *timer.Service
 
 	mu sync.Mutex
-	// rooms holds this node's room at servers, by hash of the incarnation.
+	// rooms holds this node's room at servers, by hash of the ID: a server keeps its places through
+	// restarts, of which nodes learn at different times.
 	rooms map[uint64]*room
 	// denied holds until when servers that had no place are not asked for one again.
 	denied map[uint64]time.Time
@@ -102,7 +103,7 @@
 	maps.DeleteFunc(l.denied, func(_ uint64, until time.Time) bool { return !now.Before(until) })
 	allowed := make([]*registry.Server, 0, len(servers))
 	for _, s := range servers {
-		if _, denied := l.denied[s.Hash()]; !denied {
+		if _, denied := l.denied[s.IDHash()]; !denied {
 			allowed = append(allowed, s)
 		}
 	}
@@ -113,7 +114,7 @@
 func (l *Limiter) Allows(s registry.Server) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	until, denied := l.denied[s.Hash()]
+	until, denied := l.denied[s.IDHash()]
 	return !denied || !l.timers.Steady().Before(until)
 }
 
@@ -209,12 +210,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Steady()
-	if want > 0 && (r.hasPlace(now) || now.Before(l.denied[r.server.Hash()])) {
+	if want > 0 && (r.hasPlace(now) || now.Before(l.denied[r.server.IDHash()])) {
 		return Ask{}, false // the request that this one waited for has settled it
 	}
 	r.askedAt = now
 	r.granted = r.inflight // what is not in use is given back
-	return Ask{Server: r.server.Hash(), Node: l.roster.NodeHash(), Slots: r.slots, InUse: r.inflight, Want: want, New: now.Sub(r.limitedSince) < settleTime}, true
+	return Ask{Server: r.server.IDHash(), Node: l.roster.NodeHash(), Slots: r.slots, InUse: r.inflight, Want: want, New: now.Sub(r.limitedSince) < settleTime}, true
 }
 
 // Run asks for the places that are in use again and again until the context ends.
@@ -247,12 +248,15 @@
 
 // room returns this node's room at a server. The caller holds mu.
 func (l *Limiter) room(s registry.Server) *room {
-	hash := s.Hash()
+	hash := s.IDHash()
 	r := l.rooms[hash]
 	if r == nil {
-		r = &room{server: s, slots: s.Slots}
+		r = &room{}
 		l.rooms[hash] = r
 	}
+	if r.server.Incarnation() != s.Incarnation() && r.server.Born <= s.Born {
+		r.server, r.slots = s, s.Slots
+	}
 	r.usedAt = time.Now()
 	return r
 }
