--- a/rejection/faults_test.go
+++ b/rejection/faults_test.go
@@ -17,8 +17,9 @@
 const (
 	faultSlots = 6
 	faultWork  = 120 * time.Millisecond
-	// faultTime is how long requests are sent while things go wrong.
-	faultTime = 20 * time.Second
+	// faultTime is how long requests are sent while things go wrong, longFaultTime where they rarely do.
+	faultTime     = 20 * time.Second
+	longFaultTime = 2 * faultTime
 )
 
 // faultCase is one load on a cluster in which something goes wrong.
@@ -42,7 +43,7 @@
 
 // testFaults checks for each case that servers don't end again and again, and that they are used. Plan
 // schedules what goes wrong.
-func testFaults(t *testing.T, cases []faultCase, plan func(c *cluster)) {
+func testFaults(t *testing.T, cases []faultCase, length time.Duration, plan func(c *cluster)) {
 	for _, tt := range cases {
 		t.Run(fmt.Sprintf("%d nodes, demand %g, limit %g", tt.nodes, tt.demand, tt.limit), func(t *testing.T) {
 			t.Parallel()
@@ -56,8 +57,8 @@
 				c.run(perSecond, false, limitrule.AdaptTime)
 				c.begin()
 				plan(c)
-				c.run(perSecond, false, faultTime)
-				possible := min(1, tt.demand) * float64(serverCount*faultSlots) / faultWork.Seconds() * faultTime.Seconds()
+				c.run(perSecond, false, length)
+				possible := min(1, tt.demand) * float64(serverCount*faultSlots) / faultWork.Seconds() * length.Seconds()
 				t.Logf("%d served of %.0f, %d rejected, %d crashes", c.served, possible, c.rejected, c.crashes)
 				must.LessEq(t, limitrule.AllowedCrashes(serverCount), float64(c.crashes), must.Sprint("crashes"))
 				must.GreaterEq(t, possible/2, float64(c.served), must.Sprint("requests served"))
@@ -69,7 +70,7 @@
 // TestServersEndAgainAfterRestart checks that servers which are lost do not end again and again after
 // they have come back as incarnations that nobody has heard of.
 func TestServersEndAgainAfterRestart(t *testing.T) {
-	testFaults(t, faultCases([]int{6, 61}, 0, 1, 3, 5, 8), func(c *cluster) {
+	testFaults(t, faultCases([]int{6, 61}, 0, 1, 3, 5, 8), faultTime, func(c *cluster) {
 		for _, s := range c.servers[:2] {
 			c.after(time.Second, func() { c.kill(s) })
 		}
@@ -79,7 +80,7 @@
 // TestServersEndAfterReplacement checks that servers do not end which replace all those that named the
 // limit.
 func TestServersEndAfterReplacement(t *testing.T) {
-	testFaults(t, faultCases([]int{61}, 1, 3), func(c *cluster) {
+	testFaults(t, faultCases([]int{61}, 1, 3), faultTime, func(c *cluster) {
 		for i := range c.servers {
 			c.after(time.Duration(i+1)*time.Second, func() { c.replace(i) })
 		}
@@ -89,14 +90,14 @@
 // TestServersEndWhileListsDiffer checks that servers do not end while half of the nodes miss others in
 // their lists, so that two nodes give out the places of one server.
 func TestServersEndWhileListsDiffer(t *testing.T) {
-	testFaults(t, faultCases([]int{61}, 1, 3, 5), func(c *cluster) {
+	testFaults(t, faultCases([]int{61}, 1, 3, 5), longFaultTime, func(c *cluster) {
 		unknown := make(map[string]bool)
 		for _, n := range c.nodes {
 			if vm := n.Self().VM; strings.HasSuffix(vm, "1") || strings.HasSuffix(vm, "7") {
 				unknown[vm] = true
 			}
 		}
-		for at := 3 * time.Second; at < faultTime; at += 6 * time.Second {
+		for at := 3 * time.Second; at < longFaultTime; at += 6 * time.Second {
 			c.after(at, func() { c.forget(unknown) })
 			c.after(at+3*time.Second, func() { c.forget(nil) })
 		}
@@ -106,13 +107,13 @@
 // TestServersEndUnderGivenUpRequests checks that servers do not end because they work on requests that
 // their nodes have given up.
 func TestServersEndUnderGivenUpRequests(t *testing.T) {
-	testFaults(t, faultCases([]int{61}, 1, 3), func(c *cluster) { c.givenUp = 0.1 })
+	testFaults(t, faultCases([]int{61}, 1, 3), faultTime, func(c *cluster) { c.givenUp = 0.1 })
 }
 
 // TestServersEndAfterCut checks that servers do not end because nodes are cut off from them and give up
 // what runs there.
 func TestServersEndAfterCut(t *testing.T) {
-	testFaults(t, faultCases([]int{6, 61}, 1, 3), func(c *cluster) {
+	testFaults(t, faultCases([]int{6, 61}, 1, 3), faultTime, func(c *cluster) {
 		for at := 2 * time.Second; at < faultTime; at += 3 * time.Second {
 			c.after(at, func() { c.cut(c.nodes[:len(c.nodes)/3]) })
 		}
@@ -121,7 +122,7 @@
 
 // TestServersEndAfterSilence checks that servers do not end because they fall silent for a second.
 func TestServersEndAfterSilence(t *testing.T) {
-	testFaults(t, faultCases([]int{61}, 1, 3), func(c *cluster) {
+	testFaults(t, faultCases([]int{61}, 1, 3), faultTime, func(c *cluster) {
 		for i, s := range c.servers {
 			c.after(time.Duration(i+1)*time.Second, func() { c.silence(s) })
 		}
@@ -131,7 +132,7 @@
 // TestServersEndAsNodesStart checks that servers do not end under the requests of nodes that have just
 // started.
 func TestServersEndAsNodesStart(t *testing.T) {
-	testFaults(t, faultCases([]int{61}, 1, 3), func(c *cluster) {
+	testFaults(t, faultCases([]int{61}, 1, 3), faultTime, func(c *cluster) {
 		for at := time.Second; at < faultTime; at += 3 * time.Second {
 			c.after(at, func() { c.restart(c.nodes[int(at/time.Second)]) })
 		}
