rejection, owner: two nodes keep the places of a server, and both must give one

What callers saw: servers that can reject few requests ended at loads that they can run, with nobody killed.

Cause: the first owner alone gave out the places. While nodes know different lists of nodes (a start, a stop, a node that does not reach the store), two nodes are the first owner, and each gives out all of the server's slots. A new owner waited for 2 s before it gave any, unless the asker called the limit new, which it did for each incarnation.

Change: the first two owners keep the places. A node asks the first one, then the second one for what the first one gives; it has what both give. An owner that may not know what others use says so (it has just started, the list has just changed, or it is none of the two by its own list), and the other one's word goes alone: so places outlive the first owner, and a server that is new while the list is settled gets requests at once.

TestPlacesOutliveFirstOwner, TestPlacesOfDifferentOwners, TestLeading, TestSettledList are new.

--- a/gateway/server_limits.go
+++ b/gateway/server_limits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
@@ -51,7 +52,7 @@
 		notice.WithTunnels(g.noticeTunnels()))
 	g.throttle = throttle.New(g.notices, g.roster, g.timers)
 	g.rejections = rejection.New(g.notices, g.roster, g.timers, coordinators{g})
-	g.places = rejection.NewPlaces(g.timers, rejection.WithBeginObserver(func(server uint64) {
+	g.places = rejection.NewPlaces(g.roster, g.timers, rejection.WithBeginObserver(func(server uint64) {
 		g.noticeLog.info("gives out the places of a server", "server", strconv.FormatUint(server, 16))
 	}))
 }
@@ -62,13 +63,16 @@
 // coordinators gives the limiter access to the gateways that give out places.
 type coordinators struct{ g *Gateway }
 
-// Ask asks the first owner of a server.
-func (c coordinators) Ask(ctx context.Context, s registry.Server, a rejection.Ask) (rejection.Grant, error) {
-	first := owner.First(c.g.self, c.g.membership.peers(), s.DataHall, s.IDHash())
-	if first.ID == c.g.self.ID {
+// Ask asks the owner of a server that has the given rank.
+func (c coordinators) Ask(ctx context.Context, s registry.Server, rank int, a rejection.Ask) (rejection.Grant, error) {
+	owners := owner.Leading(c.g.self, c.g.membership.peers(), s.DataHall, s.IDHash(), rank+1)
+	switch {
+	case len(owners) <= rank:
+		return rejection.Grant{}, errs.New(rejection.NoOwner, "ask", "%d gateways", len(owners))
+	case owners[rank].ID == c.g.self.ID:
 		return c.g.places.Ask(a), nil
 	}
-	return c.g.peerClient.AskPlace(ctx, first.Peer, a)
+	return c.g.peerClient.AskPlace(ctx, owners[rank].Peer, a)
 }
 
 // runRoster keeps the list of gateways up to date by which servers that get few requests are
--- a/node/server_limits.go
+++ b/node/server_limits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/violettally/violettally/config"
+	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/owner"
@@ -36,13 +37,13 @@
 	l.notices = notice.New(l.roster, n.timers, notice.WithObserver(l.recordChange), notice.WithTunnels(n.noticeTunnels()))
 	l.limiter = throttle.New(l.notices, l.roster, n.timers, throttle.WithUsers(l.users))
 	l.rejections = rejection.New(l.notices, l.roster, n.timers, l)
-	l.places = rejection.NewPlaces(n.timers)
+	l.places = rejection.NewPlaces(l.roster, n.timers)
 	return l
 }
 
 // rankedMember returns a member as package owner ranks it: by its ID and without regard to its
 // data hall, as package route assigns servers to nodes, so that owners use the servers they own.
-func rankedMember(m view.Member) view.Member { return view.Member{VM: m.ID} }
+func rankedMember(m view.Member) view.Member { return view.Member{VM: m.ID, Peer: m.Peer} }
 
 // run keeps the list of nodes up to date until the context ends.
 func (l *serverLimits) run(ctx context.Context) {
@@ -136,13 +137,23 @@
 	l.notices.Observe(server, answer)
 }
 
-// Ask asks the first owner of a server for places.
-func (l *serverLimits) Ask(ctx context.Context, s registry.Server, a rejection.Ask) (rejection.Grant, error) {
-	first := owner.First(l.n.self, l.n.prober.Alive(), "", s.IDHash())
-	if first.ID == l.n.self.ID {
+// Ask asks the owner of a server that has the given rank for places.
+func (l *serverLimits) Ask(ctx context.Context, s registry.Server, rank int, a rejection.Ask) (rejection.Grant, error) {
+	self := rankedMember(l.n.self)
+	var others []view.Member
+	for _, m := range l.n.prober.Alive() {
+		if m.ID != l.n.self.ID {
+			others = append(others, rankedMember(m))
+		}
+	}
+	owners := owner.Leading(self, others, s.DataHall, s.IDHash(), rank+1)
+	switch {
+	case len(owners) <= rank:
+		return rejection.Grant{}, errs.New(rejection.NoOwner, "ask", "%d nodes", len(owners))
+	case owners[rank].VM == self.VM:
 		return l.places.Ask(a), nil
 	}
-	return l.n.client.AskPlace(ctx, first.Peer, a)
+	return l.n.client.AskPlace(ctx, owners[rank].Peer, a)
 }
 
 // AskPlace gives another node places at a server.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -22,6 +22,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,20 +85,23 @@
 	// hasGone means that others may hold nodes that are not listed any more.
 	hasGone    bool
 	generation uint64
+	// changedAt is when a node last came to the list or left it.
+	changedAt time.Time
 }
 
 // otherNode is another node that may own servers.
 type otherNode struct {
 	hash     uint64
 	dataHall string
-	// listed means that the node is in the present list; else lastSeen is when it was last.
-	listed   bool
-	lastSeen time.Time
+	// listed means that the node is in the present list; else lastSeen is when it was last. WasListed
+	// means that it was in the list before.
+	listed, wasListed bool
+	lastSeen          time.Time
 }
 
 // NewRoster returns the roster of a node.
 func NewRoster(self view.Member, nodes Nodes, timers *timer.Service) *Roster {
-	return &Roster{self: self, nodes: nodes, timers: timers, others: make(map[string]otherNode), generation: 1}
+	return &Roster{self: self, nodes: nodes, timers: timers, others: make(map[string]otherNode), generation: 1, changedAt: timers.Steady()}
 }
 
 // Run keeps the list of nodes up to date until the context ends. While busy returns false, the
@@ -153,11 +157,13 @@
 		return r.removeGone(now)
 	}
 	// Those that are not listed any more were listed until the last look.
+	left := 0
 	for vm, o := range r.others {
-		if o.listed {
+		if o.wasListed = o.listed; o.listed {
+			left++
 			o.listed, o.lastSeen = false, r.listedAt
-			r.others[vm] = o
 		}
+		r.others[vm] = o
 	}
 	r.hasGone = true
 	r.listFirst, r.listCount, r.listedAt = nil, len(others), now
@@ -170,9 +176,17 @@
 			changed = true
 			known = otherNode{hash: rendezvous.Hash(m.VM), dataHall: m.DataHall}
 		}
+		if known.wasListed {
+			left--
+		} else {
+			r.changedAt = now
+		}
 		known.listed = true
 		r.others[m.VM] = known
 	}
+	if left > 0 {
+		r.changedAt = now
+	}
 	return r.removeGone(now) || changed
 }
 
@@ -196,6 +210,13 @@
 	return changed
 }
 
+// Settled reports whether no node has come to the list or left it for a time, as far as this node knows.
+func (r *Roster) Settled(d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.timers.Steady().Sub(r.changedAt) >= d
+}
+
 // Listed reports whether this node may own servers, as far as it knows.
 func (r *Roster) Listed() bool {
 	r.mu.Lock()
@@ -263,15 +284,25 @@
 	return p.score > other.score
 }
 
-// First returns the node that comes first as owner of a server, which is in the given data hall and
-// has the given hash: the one of rank 0 by the list of the given node and the others.
-func First(self view.Member, others []view.Member, dataHall string, hash uint64) view.Member {
-	first := self
-	firstPlace := placeOf(self.DataHall, rendezvous.Hash(self.VM), dataHall, hash)
-	for _, m := range others {
-		if p := placeOf(m.DataHall, rendezvous.Hash(m.VM), dataHall, hash); p.before(firstPlace) {
-			first, firstPlace = m, p
+// Leading returns the nodes that come first as owners of a server, which is in the given data hall and has
+// the given hash: up to count of them by the list of the given node and the others, that of rank 0 first.
+func Leading(self view.Member, others []view.Member, dataHall string, hash uint64, count int) []view.Member {
+	leading := make([]view.Member, 0, count+1)
+	places := make([]place, 0, count+1)
+	add := func(m view.Member) {
+		p := placeOf(m.DataHall, rendezvous.Hash(m.VM), dataHall, hash)
+		i := len(places)
+		for i > 0 && p.before(places[i-1]) {
+			i--
+		}
+		if i < count {
+			leading, places = slices.Insert(leading, i, m), slices.Insert(places, i, p)
+			leading, places = leading[:min(count, len(leading))], places[:min(count, len(places))]
 		}
 	}
-	return first
+	add(self)
+	for _, m := range others {
+		add(m)
+	}
+	return leading
 }
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -87,3 +87,56 @@
 		must.Eq(t, 1, r.Count())
 	})
 }
+
+// TestLeading checks that the nodes which come first are those of the first ranks, by every node's list.
+func TestLeading(t *testing.T) {
+	var nodes []view.Member
+	for i := range 9 {
+		nodes = append(nodes, view.Member{VM: fmt.Sprint("n-", i), DataHall: fmt.Sprint("hall-", i%3)})
+	}
+	timers := timer.New()
+	defer timers.Close()
+	for server := range 100 {
+		hash, hall := rendezvous.Hash(fmt.Sprint("s-", server)), fmt.Sprint("hall-", server%4)
+		for i, self := range nodes {
+			others := slices.Delete(slices.Clone(nodes), i, i+1)
+			r := owner.NewRoster(self, &list{listed: true, others: others}, timers)
+			r.Refresh()
+			leading := owner.Leading(self, others, hall, hash, 3)
+			must.Eq(t, owner.Leading(nodes[0], nodes[1:], hall, hash, 3), leading)
+			must.Len(t, 3, leading)
+			if rank := r.Rank(hall, hash); rank < len(leading) {
+				must.Eq(t, self, leading[rank])
+			}
+		}
+	}
+	must.Eq(t, nodes[:1], owner.Leading(nodes[0], nil, "hall-0", 7, 3))
+}
+
+// TestSettledList checks that a list is settled once nobody has come or left for a while.
+func TestSettledList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		nodes := &list{listed: true}
+		r := owner.NewRoster(view.Member{VM: "n"}, nodes, timers)
+		change := func(others ...view.Member) {
+			nodes.others = others
+			time.Sleep(owner.RefreshInterval)
+			r.Refresh()
+		}
+		settled := func() bool { return r.Settled(time.Second) }
+		must.False(t, settled(), must.Sprint("just started"))
+		change(view.Member{VM: "a"}, view.Member{VM: "b"})
+		time.Sleep(time.Second)
+		must.True(t, settled())
+		change(view.Member{VM: "b"}, view.Member{VM: "a"})
+		must.True(t, settled(), must.Sprint("the same nodes"))
+		change(view.Member{VM: "a"})
+		must.False(t, settled(), must.Sprint("one has left"))
+		time.Sleep(time.Second)
+		must.True(t, settled())
+		change(view.Member{VM: "a"}, view.Member{VM: "b"})
+		must.False(t, settled(), must.Sprint("one has come back"))
+	})
+}
--- /dev/null
+++ b/rejection/ask_test.go
@@ -0,0 +1,110 @@
+package rejection_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/internal/nodelist"
+	"github.com/violettally/violettally/owner"
+	"github.com/violettally/violettally/registry"
+	"github.com/violettally/violettally/rejection"
+	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/view"
+)
+
+// ownerPair is the two owners of a server, each of which may be down.
+type ownerPair struct {
+	places [2]*rejection.Places
+	down   [2]bool
+	asks   [2]int
+}
+
+func (p *ownerPair) Ask(_ context.Context, _ registry.Server, rank int, a rejection.Ask) (rejection.Grant, error) {
+	if p.down[rank] {
+		return rejection.Grant{}, errors.New("down")
+	}
+	p.asks[rank]++
+	return p.places[rank].Ask(a), nil
+}
+
+// start starts the process of an owner, which knows nothing.
+func (p *ownerPair) start(rank int, timers *timer.Service) { p.places[rank] = newPlaces(timers) }
+
+// withOwners runs a test with two owners that know all places, and two nodes that know of a limit.
+func withOwners(t *testing.T, test func(t *testing.T, p *ownerPair, a, b *limiter, timers *timer.Service)) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		defer synctest.Wait()
+		p := &ownerPair{}
+		p.start(0, timers)
+		p.start(1, timers)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var limiters []*limiter
+		for _, vm := range []string{"a", "b"} {
+			node := (&nodelist.List{}).Add(view.Member{VM: vm})
+			l := newLimiter(owner.NewRoster(node.Self(), node, timers), timers, p)
+			l.Observe(pairServer, 1)
+			go l.Run(ctx)
+			limiters = append(limiters, l)
+		}
+		time.Sleep(5 * time.Second)
+		test(t, p, limiters[0], limiters[1], timers)
+	})
+}
+
+// pairServer is the server of these tests. One slot is enough: a second place is one too many.
+var pairServer = registry.Server{ID: "s", Slots: 1}
+
+// TestPlacesOutliveFirstOwner checks that the second owner of a server gives out its places, and knows
+// which are in use, as soon as the first one does not answer or has just started.
+func TestPlacesOutliveFirstOwner(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		withOwners(t, func(t *testing.T, p *ownerPair, a, b *limiter, timers *timer.Service) {
+			must.True(t, a.Take(t.Context(), pairServer))
+			p.down[0] = !restarted
+			if restarted {
+				p.start(0, timers)
+			}
+			must.False(t, b.Take(t.Context(), pairServer))
+			a.Release(pairServer)
+			time.Sleep(100 * time.Millisecond)
+			must.True(t, b.Take(t.Context(), pairServer))
+			must.False(t, a.Take(t.Context(), pairServer))
+		})
+	}
+}
+
+// TestPlacesOfDifferentOwners checks that a place which only one of two owners gives is not used, and is
+// given back.
+func TestPlacesOfDifferentOwners(t *testing.T) {
+	withOwners(t, func(t *testing.T, p *ownerPair, a, b *limiter, timers *timer.Service) {
+		must.True(t, a.Take(t.Context(), pairServer))
+		p.start(0, timers) // it has not heard of the place, though it has known its list for long
+		time.Sleep(time.Second)
+		for range 20 {
+			must.False(t, b.Take(t.Context(), pairServer))
+			time.Sleep(100 * time.Millisecond)
+		}
+		a.Release(pairServer)
+		time.Sleep(100 * time.Millisecond)
+		must.True(t, b.Take(t.Context(), pairServer))
+	})
+}
+
+// TestOneOwnerIsAskedWhereNothingIsFree checks that a request for a place that the first owner denies costs
+// one call.
+func TestOneOwnerIsAskedWhereNothingIsFree(t *testing.T) {
+	withOwners(t, func(t *testing.T, p *ownerPair, a, b *limiter, _ *timer.Service) {
+		must.True(t, a.Take(t.Context(), pairServer))
+		p.asks = [2]int{}
+		must.False(t, b.Take(t.Context(), pairServer))
+		must.Eq(t, [2]int{1, 0}, p.asks)
+	})
+}
--- a/rejection/bench_test.go
+++ b/rejection/bench_test.go
@@ -16,7 +16,7 @@
 func BenchmarkFilter(b *testing.B) {
 	timers := timer.New()
 	defer timers.Close()
-	l := limiterOf("a", timers, &coordinator{places: rejection.NewPlaces(timers)})
+	l := limiterOf("a", timers, &coordinator{places: newPlaces(timers)})
 	var servers []*registry.Server
 	for i := range manyServers {
 		servers = append(servers, &registry.Server{ID: fmt.Sprint("s-", i), Slots: 1})
@@ -37,7 +37,7 @@
 func BenchmarkTake(b *testing.B) {
 	timers := timer.New()
 	defer timers.Close()
-	l := limiterOf("a", timers, &coordinator{places: rejection.NewPlaces(timers)})
+	l := limiterOf("a", timers, &coordinator{places: newPlaces(timers)})
 	s := registry.Server{ID: "s", Slots: 32}
 	for b.Loop() {
 		l.Take(b.Context(), s)
@@ -49,7 +49,7 @@
 func BenchmarkAsk(b *testing.B) {
 	timers := timer.New()
 	defer timers.Close()
-	p := rejection.NewPlaces(timers)
+	p := newPlaces(timers)
 	for i := range 32 {
 		p.Ask(rejection.Ask{Server: 1, Node: uint64(i + 10), Slots: 64, InUse: 1})
 	}
--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -155,12 +156,15 @@
 // forget makes a node miss others in its list, none for nil.
 func (n *node) forget(unknown map[string]bool) { n.unknown, n.listed = unknown, nil }
 
-// Ask asks the first owner of a server.
-func (n *node) Ask(_ context.Context, s registry.Server, a rejection.Ask) (rejection.Grant, error) {
+// Ask asks the owner of a server that has the given rank.
+func (n *node) Ask(_ context.Context, s registry.Server, rank int, a rejection.Ask) (rejection.Grant, error) {
 	n.c.mu.Lock()
 	defer n.c.mu.Unlock()
-	first := owner.First(n.Self(), n.Others(), s.DataHall, s.IDHash())
-	i := slices.IndexFunc(n.c.nodes, func(other *node) bool { return other.Self().VM == first.VM })
+	owners := owner.Leading(n.Self(), n.Others(), s.DataHall, s.IDHash(), rank+1)
+	if len(owners) <= rank {
+		return rejection.Grant{}, errors.New("no owner")
+	}
+	i := slices.IndexFunc(n.c.nodes, func(other *node) bool { return other.Self().VM == owners[rank].VM })
 	return n.c.nodes[i].places.Ask(a), nil
 }
 
@@ -180,7 +184,7 @@
 	n.startedAt = time.Now()
 	n.roster = owner.NewRoster(n.Self(), n, n.c.timers)
 	n.limiter = newLimiter(n.roster, n.c.timers, n, notice.WithReporter(n.report))
-	n.places = rejection.NewPlaces(n.c.timers)
+	n.places = rejection.NewPlaces(n.roster, n.c.timers)
 	go n.limiter.Run(n.c.ctx)
 }
 
--- a/rejection/places.go
+++ b/rejection/places.go
@@ -4,10 +4,14 @@
 	"sync"
 	"time"
 
+	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/timer"
 )
 
 const (
+	// coordinatorCount is the number of nodes that keep the places of a server.
+	coordinatorCount = 2
 	// holdTime is how long a node holds places without asking again.
 	holdTime = 5 * time.Second
 	// settleTime is how long a node that begins to give out the places of a server does not know
@@ -18,6 +22,13 @@
 	placesMemory = 3 * holdTime
 )
 
+var (
+	namespace = errs.Namespace("rejection")
+
+	// NoOwner means that there are too few nodes for a server to have an owner of the wanted rank.
+	NoOwner = namespace.NewType("no_owner")
+)
+
 // Ask is a node's request for places at a server. The fields are exported for the codecs.
 type Ask struct {
 	// Server is the hash of the server's ID, Node that of the node's ID.
@@ -30,18 +41,24 @@
 	Want  int `cbor:"5,keyasint"`
 	// New means that the node has heard of the server's limit only just now.
 	New bool `cbor:"6,keyasint,omitempty"`
+	// DataHall is the server's.
+	DataHall string `cbor:"7,keyasint,omitempty"`
 }
 
-// Grant is the answer to an Ask: the number of places that the node has now. It is exported for the
-// codecs.
+// Grant is the answer to an Ask. The fields are exported for the codecs.
 type Grant struct {
+	// Places is the number of places that the node has now.
 	Places int `cbor:"1,keyasint"`
+	// Unsettled means that the node which answers may not know yet what others use, so that it gave no
+	// further places.
+	Unsettled bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Places gives out the places at servers, those of each server by one node. It is safe for
 // concurrent use.
 type Places struct {
 	timers  *timer.Service
+	roster  *owner.Roster
 	onBegin func(server uint64)
 
 	mu sync.Mutex
@@ -52,8 +69,9 @@
 
 // holders are the nodes that have places at one server.
 type holders struct {
-	since, askedAt time.Time
-	byNode         map[uint64]holding
+	// settledAt is from when on it is known what all nodes use.
+	settledAt, askedAt time.Time
+	byNode             map[uint64]holding
 }
 
 // holding is what one node has until a time.
@@ -71,9 +89,9 @@
 	return func(p *Places) { p.onBegin = onBegin }
 }
 
-// NewPlaces returns a register of places in which none is given out.
-func NewPlaces(timers *timer.Service, options ...PlacesOption) *Places {
-	p := &Places{timers: timers, onBegin: func(uint64) {}, servers: make(map[uint64]*holders)}
+// NewPlaces returns the register of places of the node with the given roster, in which none is given out.
+func NewPlaces(roster *owner.Roster, timers *timer.Service, options ...PlacesOption) *Places {
+	p := &Places{timers: timers, roster: roster, onBegin: func(uint64) {}, servers: make(map[uint64]*holders)}
 	for _, option := range options {
 		option(p)
 	}
@@ -84,19 +102,20 @@
 // it may not be known which are, it gives further ones only if the limit is new, since the server
 // does not reject requests yet.
 func (p *Places) Ask(a Ask) Grant {
+	p.roster.Refresh()
+	isLeading := p.roster.Rank(a.DataHall, a.Server) < coordinatorCount
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.timers.Steady()
 	p.clean(now)
 	h := p.servers[a.Server]
 	if h == nil {
-		h = &holders{since: now, byNode: make(map[uint64]holding)}
-		p.servers[a.Server] = h
-		p.onBegin(a.Server)
+		h = p.begin(a.Server, now)
 	}
 	h.askedAt = now
 	places := a.InUse
-	if a.New || now.Sub(h.since) >= settleTime {
+	settled := a.New || isLeading && !now.Before(h.settledAt)
+	if settled {
 		free := a.Slots - a.InUse - h.placesOfOthers(a.Node, now)
 		places += max(0, min(a.Want, free))
 	}
@@ -104,7 +123,19 @@
 	if places == 0 {
 		delete(h.byNode, a.Node)
 	}
-	return Grant{Places: places}
+	return Grant{Places: places, Unsettled: !settled}
+}
+
+// begin begins to give out the places of a server. Nobody has them yet if this node would have given them
+// out before, too: if the list of nodes has not changed lately. The caller holds mu.
+func (p *Places) begin(server uint64, now time.Time) *holders {
+	h := &holders{settledAt: now, byNode: make(map[uint64]holding)}
+	if !p.roster.Settled(settleTime) {
+		h.settledAt = now.Add(settleTime)
+	}
+	p.servers[server] = h
+	p.onBegin(server)
+	return h
 }
 
 // placesOfOthers returns the number of places that other nodes have.
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -5,12 +5,16 @@
 // notice). All that runs there is then lost.
 //
 // From then on a request needs a place at such a server, one for each that it runs at once. The
-// places of a server are given out by one node, its first owner (package owner), from memory: a
-// node asks for a place before it sends a request, gives it back afterwards, and tells from time to
+// places of a server are kept by two nodes, its first two owners (package owner), in memory: a
+// node asks them for a place before it sends a request, gives it back afterwards, and tells from time to
 // time how many it uses. So the places are used wherever the demand is, and all nodes together do
-// not exceed them, however many they are. A node that begins to give out the places of a server
-// while others have been using them waits until these have told it. A node that gets no answer may
-// have one request at a server, if that has a slot for each node.
+// not exceed them, however many they are.
+//
+// A place is one that both owners give. Where nodes know different lists of nodes, those that ask
+// different first owners mostly share one of the two. An owner that may not know yet what others use, since
+// it has just started or the list has just changed, says so, and the other one's word goes alone; if neither
+// knows, they wait until the nodes have told them. A node that gets no answer may have one request at a
+// server, if that has a slot for each node.
 //
 // A request that gets no place is sent to another server. What servers can reject is left for what
 // places don't cover: requests of nodes that have not heard of a limit yet, and those that a server
@@ -49,8 +53,8 @@
 
 // Coordinators asks the nodes that give out places.
 type Coordinators interface {
-	// Ask asks the first owner of a server.
-	Ask(ctx context.Context, s registry.Server, a Ask) (Grant, error)
+	// Ask asks the owner of a server that has the given rank, from 0.
+	Ask(ctx context.Context, s registry.Server, rank int, a Ask) (Grant, error)
 }
 
 // Limiter keeps one node to its places at servers. It is safe for concurrent use.
@@ -125,9 +129,7 @@
 	if !l.limited(&s) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		r := l.room(s)
-		r.inflight++
-		r.limitedSince = time.Time{}
+		l.room(s).inflight++
 		return BasisUnlimited
 	}
 	if l.takeGranted(s) {
@@ -144,7 +146,7 @@
 func (l *Limiter) takeGranted(s registry.Server) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.limitedRoom(s)
+	r := l.room(s)
 	if !r.hasPlace(l.timers.Steady()) {
 		return false
 	}
@@ -172,52 +174,6 @@
 	time.AfterFunc(rejectedTime, func() { l.Release(s) })
 }
 
-// ask asks for as many places as this node uses, and more, and gives back what it does not use. If
-// another request for places of the same server is under way, it waits for it first. It returns the
-// basis of a place that this node has then.
-func (l *Limiter) ask(ctx context.Context, s registry.Server, want int) Basis {
-	l.mu.Lock()
-	r := l.room(s)
-	l.mu.Unlock()
-	r.asking.Lock()
-	defer r.asking.Unlock()
-	ask, ok := l.nextAsk(r, want)
-	if !ok {
-		return BasisHeld
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	grant, err := l.coordinators.Ask(ctx, s, ask)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.timers.Steady()
-	basis := BasisGranted
-	switch {
-	case err == nil:
-		r.granted, r.grantedUntil = grant.Places, now.Add(holdTime)
-	case want > 0 && l.roster.Count() <= r.slots:
-		basis = BasisUnanswered
-		r.granted, r.grantedUntil = max(r.granted, 1), now.Add(holdTime)
-	}
-	if want > 0 && !r.hasPlace(now) {
-		l.denied[ask.Server] = now.Add(denialTime)
-	}
-	return basis
-}
-
-// nextAsk returns what to ask for; false if nothing is to be asked any more.
-func (l *Limiter) nextAsk(r *room, want int) (Ask, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.timers.Steady()
-	if want > 0 && (r.hasPlace(now) || now.Before(l.denied[r.server.IDHash()])) {
-		return Ask{}, false // the request that this one waited for has settled it
-	}
-	r.askedAt = now
-	r.granted = r.inflight // what is not in use is given back
-	return Ask{Server: r.server.IDHash(), Node: l.roster.NodeHash(), Slots: r.slots, InUse: r.inflight, Want: want, New: now.Sub(r.limitedSince) < settleTime}, true
-}
-
 // Run asks for the places that are in use again and again until the context ends.
 func (l *Limiter) Run(ctx context.Context) {
 	l.timers.Every(ctx, renewInterval/2, func() {
@@ -260,12 +216,3 @@
 	r.usedAt = time.Now()
 	return r
 }
-
-// limitedRoom returns this node's room at a server that names a limit. The caller holds mu.
-func (l *Limiter) limitedRoom(s registry.Server) *room {
-	r := l.room(s)
-	if r.limitedSince.IsZero() {
-		r.limitedSince = l.timers.Steady()
-	}
-	return r
-}
--- a/rejection/rejection_test.go
+++ b/rejection/rejection_test.go
@@ -27,11 +27,11 @@
 	asks   int
 }
 
-func (c *coordinator) Ask(_ context.Context, _ registry.Server, a rejection.Ask) (rejection.Grant, error) {
+func (c *coordinator) Ask(_ context.Context, _ registry.Server, rank int, a rejection.Ask) (rejection.Grant, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asks++
-	if c.down {
+	if c.down || rank > 0 {
 		return rejection.Grant{}, errors.New("down")
 	}
 	return c.places.Ask(a), nil
@@ -63,6 +63,12 @@
 	l.board.Observe(s, notice.Answer{Notices: []notice.Notice{{Kind: notice.KindRejectionLimit, Value: perSecond}}})
 }
 
+// newPlaces returns the places of a node that has just started, alone.
+func newPlaces(timers *timer.Service) *rejection.Places {
+	node := (&nodelist.List{}).Add(view.Member{VM: "c"})
+	return rejection.NewPlaces(owner.NewRoster(node.Self(), node, timers), timers)
+}
+
 // Take takes a place, and reports whether there was one.
 func (l *limiter) Take(ctx context.Context, s registry.Server) bool {
 	return l.Limiter.Take(ctx, s) != rejection.BasisNone
@@ -81,7 +87,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		timers := timer.New()
 		defer timers.Close()
-		c := &coordinator{places: rejection.NewPlaces(timers)}
+		c := &coordinator{places: newPlaces(timers)}
 		a, b := limiterOf("a", timers, c), limiterOf("b", timers, c)
 		s := registry.Server{ID: "s", Slots: 3}
 		for range 5 {
@@ -115,7 +121,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		timers := timer.New()
 		defer timers.Close()
-		c := &coordinator{places: rejection.NewPlaces(timers)}
+		c := &coordinator{places: newPlaces(timers)}
 		l := limiterOf("a", timers, c)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -124,7 +130,7 @@
 		l.Observe(s, 1)
 		must.True(t, l.Take(t.Context(), s))
 		time.Sleep(3 * time.Second)
-		c.set(rejection.NewPlaces(timers))
+		c.set(newPlaces(timers))
 		must.False(t, l.Take(t.Context(), s))
 		time.Sleep(4 * time.Second)
 		must.True(t, l.Take(t.Context(), s))
@@ -147,7 +153,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		timers := timer.New()
 		defer timers.Close()
-		p := rejection.NewPlaces(timers)
+		p := newPlaces(timers)
 		ask := rejection.Ask{Server: 1, Node: 1, Slots: 2, Want: 2, New: true}
 		must.Eq(t, 2, p.Ask(ask).Places)
 		ask.Node = 2
--- a/rejection/room.go
+++ b/rejection/room.go
@@ -10,8 +10,6 @@
 const (
 	// renewInterval is the time between two requests for places that are in use.
 	renewInterval = holdTime / 4
-	// askTimeout bounds a request for a place.
-	askTimeout = 100 * time.Millisecond
 	// denialTime is how long a server that had no place is not asked for one again.
 	denialTime = 50 * time.Millisecond
 	// rejectedTime is how long a place is not used whose request was rejected.
@@ -34,8 +32,10 @@
 	// has until grantedUntil.
 	inflight, granted int
 	grantedUntil      time.Time
-	// limitedSince is since when the server is known to name a limit; zero if it names none.
-	limitedSince time.Time
+	// told is the number of places that this node has as far as the nodes that keep them know.
+	told int
+	// unansweredAt is when the first owner last did not answer.
+	unansweredAt time.Time
 	// askedAt is when this node last asked for places, usedAt when it last used the server.
 	askedAt, usedAt time.Time
 }
