--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -110,8 +110,8 @@
 	running int
 	// requests holds those that run or wait and others that have ended, waiting those that wait.
 	requests, waiting []*request
-	// The server is down until downUntil, and does nothing until silentUntil.
-	downUntil, silentUntil time.Time
+	// The server is down until downUntil, and does nothing from silentSince to silentUntil.
+	downUntil, silentSince, silentUntil time.Time
 	rejections             []rejected
 }
 
@@ -324,7 +324,7 @@
 		return
 	}
 	if silent := time.Until(s.silentUntil); silent > 0 {
-		c.after(silent, func() { c.complete(q) })
+		c.after(silent+time.Since(s.silentSince), func() { c.complete(q) })
 		return
 	}
 	if !q.released {
--- a/rejection/faults_test.go
+++ b/rejection/faults_test.go
@@ -157,13 +157,13 @@
 // stallTime is how long nodes wait for a server that is silent.
 const stallTime = 300 * time.Millisecond
 
-// cut cuts nodes off from the servers for a moment: they give up what runs there, and the servers don't
+// cut resets the connections of nodes to the servers: they give up what runs there, and the servers don't
 // hear of it.
 func (c *cluster) cut(nodes []*node) {
 	for _, s := range c.servers {
 		for _, q := range s.requests {
 			if slices.Contains(nodes, q.node) {
-				c.after(stallTime, func() { c.abandon(q) })
+				c.abandon(q)
 			}
 		}
 	}
@@ -171,7 +171,7 @@
 
 // silence makes a server do nothing for a second. Nodes give up what runs there.
 func (c *cluster) silence(s *server) {
-	s.silentUntil = time.Now().Add(time.Second)
+	s.silentSince, s.silentUntil = time.Now(), time.Now().Add(time.Second)
 	for _, q := range s.requests {
 		c.after(stallTime, func() { c.abandon(q) })
 	}
