rejection, relay: a request that was given up keeps its place while the server may still run it

What callers saw: servers that can reject few requests ended after a second of silence, when nodes lost their connections to them, or when clients left.

Cause: a request that a node gave up gave its place back at once. The server, which learns of it late or not at all, still ran it, and rejected the one that had the place next.

Requests that were answered, rejected or never sent give theirs back as before.

--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -112,7 +112,7 @@
 	requests, waiting []*request
 	// The server is down until downUntil, and does nothing from silentSince to silentUntil.
 	downUntil, silentSince, silentUntil time.Time
-	rejections             []rejected
+	rejections                          []rejected
 }
 
 // node is a node, its limiter, and the places that it gives out.
@@ -262,7 +262,7 @@
 		return
 	}
 	target := n.targets[slices.Index(n.entries, entry)]
-	q := &request{node: n, limiter: n.limiter, server: target, incarnation: *entry}
+	q := &request{node: n, limiter: n.limiter, server: target, incarnation: *entry, sent: time.Now()}
 	c.after(time.Millisecond, func() { c.arrive(q) })
 }
 
@@ -273,6 +273,7 @@
 	server  *server
 	// incarnation is the server as the node knew it when the request was sent.
 	incarnation registry.Server
+	sent        time.Time
 	// ended means that the server has ended the request, released that its node has.
 	ended, released bool
 }
@@ -360,8 +361,17 @@
 func (c *cluster) abandon(q *request) {
 	if !q.released {
 		q.released = true
-		q.limiter.Release(q.incarnation)
+		q.limiter.Abandon(q.incarnation, c.mayRunFor(time.Since(q.sent)))
+	}
+}
+
+// mayRunFor returns how long a server may still run a request that was sent so long ago, as package relay
+// estimates it.
+func (c *cluster) mayRunFor(elapsed time.Duration) time.Duration {
+	if rest := 2*c.work - elapsed; rest > 0 {
+		return rest
 	}
+	return 2 * time.Second
 }
 
 // restart kills and starts a node's process; its requests end with their connections.
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -16,10 +16,10 @@
 // knows, they wait until the nodes have told them. A node that gets no answer may have one request at a
 // server, if that has a slot for each node.
 //
-// A request that gets no place is sent to another server. What servers can reject is left for what
-// places don't cover: requests of nodes that have not heard of a limit yet, and those that a server
-// still runs after they were given up. The place of a request that was rejected is not used for a
-// while, so that each of these causes few rejections.
+// A request that gets no place is sent to another server. A request that was given up keeps its place for
+// as long as the server may still run it. What servers can reject is left for what places don't cover, such
+// as requests of nodes that have not heard of a limit yet. The place of a request that was rejected is not
+// used for a while, so that each of these causes few rejections.
 //
 // # Usage
 //
@@ -30,7 +30,7 @@
 //	if l.Take(ctx, server) == rejection.BasisNone {
 //		… choose again …
 //	}
-//	defer l.Release(server) // or l.Reject(server)
+//	defer l.Release(server) // or l.Reject(server), l.Abandon(server, …)
 //	board.Observe(server, notices) // for each answer
 //	l.ObserveSlots(server, slots)  // for each answer that tells them
 //
@@ -169,11 +169,16 @@
 }
 
 // Reject is Release for a request that the server has rejected. The place is not used for a while:
-// another request has it, of which the node that gives out the places does not know.
+// another request has it, of which the nodes that keep the places do not know.
 func (l *Limiter) Reject(s registry.Server) {
 	time.AfterFunc(rejectedTime, func() { l.Release(s) })
 }
 
+// Abandon is Release for a request that was given up, which the server may run for so long still.
+func (l *Limiter) Abandon(s registry.Server, stillRuns time.Duration) {
+	time.AfterFunc(min(stillRuns, maxAbandonedTime), func() { l.Release(s) })
+}
+
 // Run asks for the places that are in use again and again until the context ends.
 func (l *Limiter) Run(ctx context.Context) {
 	l.timers.Every(ctx, renewInterval/2, func() {
--- a/rejection/room.go
+++ b/rejection/room.go
@@ -14,6 +14,9 @@
 	denialTime = 50 * time.Millisecond
 	// rejectedTime is how long a place is not used whose request was rejected.
 	rejectedTime = 2 * time.Second
+	// maxAbandonedTime bounds how long a place is not used whose request was given up: most servers end it
+	// once its connection is closed.
+	maxAbandonedTime = 2 * time.Second
 	// roomMemory is how long what is known of an unused server is kept.
 	roomMemory = 10 * time.Second
 )
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -37,6 +37,8 @@
 	tried map[registry.Incarnation]bool
 	sends int
 	runs  int
+	// abandoned means that the present server may still run the request although it was given up.
+	abandoned bool
 	// basis is why the present server may get the request, if it names a rejection limit.
 	basis rejection.Basis
 	// otherServers is how many servers remained for a further attempt at the last choice.
@@ -102,8 +104,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	server := assignment.Server()
-	release := x.relay.Rejections.Release
-	defer func() { release(server) }()
+	rejected := false
+	x.abandoned = false
+	sent := time.Now()
+	defer func() { x.releasePlace(assignment, sent, rejected) }()
 	x.relay.Versions.Begin(x.service, version, x.request.hashKey())
 	defer x.relay.Versions.End(x.service, version, x.request.hashKey())
 	x.sends++
@@ -122,7 +126,7 @@
 		x.record.AddStep("limit", "%s can reject %g requests a second; place: %s", server.ID, said.RejectionLimit, x.basis)
 	}
 	features := x.features()
-	sent := time.Now()
+	sent = time.Now()
 	removePending := x.relay.pending.add(x.request, cancel)
 	wd := x.startWatchdog(assignment, cancel)
 	defer wd.stop()
@@ -146,9 +150,7 @@
 		},
 	})
 	removePending()
-	if x.observeServer(server, sent, resp) {
-		release = x.relay.Rejections.Reject
-	}
+	rejected = x.observeServer(server, sent, resp)
 	x.recordVersionSample(ctx, assignment, version, resp, time.Since(sent))
 	f := x.checkHeader(ctx, assignment, sent, resp, err)
 	if resp != nil {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -149,6 +149,7 @@
 type noRejectionLimits struct{}
 
 func (noRejectionLimits) Filter(s []*registry.Server) []*registry.Server { return s }
+func (noRejectionLimits) Abandon(registry.Server, time.Duration)         {}
 func (noRejectionLimits) Take(context.Context, registry.Server) rejection.Basis {
 	return rejection.BasisUnlimited
 }
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -146,6 +146,7 @@
 	}
 	if canceledAsSuspected(ctx) {
 		assignment.End(route.OutcomeNeutral)
+		x.abandoned = true
 		x.runs++
 		return &failure{reason: ReasonSuspected, ran: true, budgetTaken: true, cause: errSuspected.Error()}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -219,6 +219,8 @@
 	Release(s registry.Server)
 	// Reject is Release for a request that the server has rejected for want of room.
 	Reject(s registry.Server)
+	// Abandon is Release for a request that was given up, which the server may run for so long still.
+	Abandon(s registry.Server, stillRuns time.Duration)
 	// ObserveSlots records how many requests a server says that it runs at once.
 	ObserveSlots(s registry.Server, slots int)
 }
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -83,6 +83,7 @@
 // this node or the client ended the attempt, nothing is reported, since the server may be
 // healthy.
 func (x *exchange) reportLost(ctx context.Context, assignment *route.Assignment) {
+	x.abandoned = true
 	if ctx.Err() != nil || x.request.Body.Err() != nil {
 		return
 	}
@@ -106,6 +107,7 @@
 // reportAbandoned reports that this attempt was given up while the server may still run the
 // request.
 func (x *exchange) reportAbandoned(assignment *route.Assignment) {
+	x.abandoned = true
 	x.relay.Suspects.ReportAbandoned(x.features(), assignment.Server().Incarnation().Hash())
 }
 
