notice, gateway, adapter/peer: a gateway that starts learns from others what servers say

What callers saw: a node that had just started sent requests without places to servers that can reject few, until its first answers; at a limit of 1 a second that ended servers.

Cause: what servers say was in the memory of the processes. Other nodes tell it again only every 10 to 20 s, and their logs of records keep it for a moment.

Change: once a gateway has read the store, it asks two others at the same time what they know that concerns all nodes (100 ms at most, 500 notices at most, those of services first, each with its ages); requests that are held at the start wait for it. Rests, which concern one node, are not told.

TestRejectionsOfAllNodes now restarts a node at limit 1 as well and begins at 0 rejections but for one node alone. The model let the process of a killed node go on to renew its places, under which the new one's were forgotten; that is mended in it.

--- a/adapter/peer/gateway.go
+++ b/adapter/peer/gateway.go
@@ -85,6 +85,8 @@
 	Carry(ctx context.Context, server, opener string) (net.Conn, error)
 	// ObserveNotice records what a server has said of itself to the node at the other end of a tunnel.
 	ObserveNotice(r notice.Report)
+	// KnownNotices returns what this gateway knows that servers say of themselves.
+	KnownNotices() []notice.Report
 	// AskPlace gives a peer places at a server.
 	AskPlace(a rejection.Ask) rejection.Grant
 }
@@ -98,10 +100,11 @@
 		callExchange: unaryHandler(func(_ context.Context, m share.Message) (share.Reply, error) {
 			return g.Exchange(m), nil
 		}),
-		callCounts: countsHandler(g.Counts),
-		callTunnel: tunnelHandler(g.Carry),
-		callNotice: noticeHandler(g.ObserveNotice),
-		callPlace:  placeHandler(g.AskPlace),
+		callCounts:       countsHandler(g.Counts),
+		callTunnel:       tunnelHandler(g.Carry),
+		callNotice:       noticeHandler(g.ObserveNotice),
+		callPlace:        placeHandler(g.AskPlace),
+		callKnownNotices: knownNoticesHandler(g.KnownNotices),
 		callActivity: unaryHandler(func(_ context.Context, r activityRequest) (Activity, error) {
 			return g.Activity(r.FromWindow), nil
 		}),
--- a/adapter/peer/notice.go
+++ b/adapter/peer/notice.go
@@ -30,6 +30,19 @@
 	return err
 }
 
+// callKnownNotices fetches what a node knows that servers say of themselves.
+const callKnownNotices = "known-notices"
+
+// knownNoticesHandler returns the handler of callKnownNotices.
+func knownNoticesHandler(known func() []notice.Report) func(drpc.Stream) error {
+	return unaryHandler(func(context.Context, empty) ([]notice.Report, error) { return known(), nil })
+}
+
+// KnownNotices fetches what a gateway knows that servers say of themselves.
+func (c *Client) KnownNotices(ctx context.Context, address string) ([]notice.Report, error) {
+	return invoke[empty, []notice.Report](ctx, c, address, callKnownNotices, empty{})
+}
+
 // NoticeTunnels tells the nodes at the other ends of tunnels what servers say of themselves. It
 // implements [notice.Tunnels].
 type NoticeTunnels struct {
--- a/adapter/peer/tunnel_test.go
+++ b/adapter/peer/tunnel_test.go
@@ -26,6 +26,7 @@
 	return nil, errors.New("carries nothing")
 }
 
+func (noCarrier) KnownNotices() []notice.Report          { return nil }
 func (noCarrier) AskPlace(rejection.Ask) rejection.Grant { return rejection.Grant{} }
 func (noCarrier) ObserveNotice(notice.Report)            {}
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,16 +95,18 @@
 	settings *settings.Gateway
 	self     view.Member
 
-	timers        *timer.Service
-	metrics       *metrics.Metrics
-	store         *platform.Store
-	mirror        *mirror.Mirror
-	registry      *registry.Registry
-	roster        *owner.Roster
-	warmUps       *warmup.Limiter
-	notices       *notice.Board
-	throttle      *throttle.Limiter
-	rejections    *rejection.Limiter
+	timers     *timer.Service
+	metrics    *metrics.Metrics
+	store      *platform.Store
+	mirror     *mirror.Mirror
+	registry   *registry.Registry
+	roster     *owner.Roster
+	warmUps    *warmup.Limiter
+	notices    *notice.Board
+	throttle   *throttle.Limiter
+	rejections *rejection.Limiter
+	// started is closed once this gateway has read the store and heard what servers say of themselves.
+	started       chan struct{}
 	places        *rejection.Places
 	dialServer    tunnel.DialFunc
 	dialer        *tunnel.Dialer
@@ -160,6 +162,7 @@
 
 		dialServer:       platform.DialServer,
 		evacuationOrders: make(chan struct{}, 1),
+		started:          make(chan struct{}),
 		self: view.NewMember(view.Member{
 			VM:       s.Name,
 			Region:   s.Region,
@@ -281,7 +284,7 @@
 func (g *Gateway) initRelay() {
 	g.decisions = decision.New(g.self.ID)
 	options := relay.Options{
-		Ready:       g.mirror.Synced(),
+		Ready:       g.started,
 		StartFailed: g.mirror.StartFailed,
 		Catalog:     g.Catalog,
 		Servers:     g.registry,
@@ -332,7 +335,7 @@
 	for _, e := range endpoints {
 		go func() { failed <- e.serve(workCtx, e.listener) }()
 	}
-	for _, run := range []func(context.Context){g.mirror.Run, g.membership.run, g.exchange.Run, g.dialer.Run, g.rejections.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.maintain, g.runRoster} {
+	for _, run := range []func(context.Context){g.mirror.Run, g.start, g.membership.run, g.exchange.Run, g.dialer.Run, g.rejections.Run, g.driver.Run, g.reviewSuspects, g.verdictSyncer.Run, g.watchStalls, g.watchEvacuations, g.maintain, g.runRoster} {
 		go run(workCtx)
 	}
 	if g.duties != nil {
--- a/gateway/server_limits.go
+++ b/gateway/server_limits.go
@@ -57,6 +57,9 @@
 	}))
 }
 
+// KnownNotices returns what this gateway knows that servers say of themselves.
+func (g *Gateway) KnownNotices() []notice.Report { return g.notices.Known() }
+
 // AskPlace gives another gateway places at a server.
 func (g *Gateway) AskPlace(a rejection.Ask) rejection.Grant { return g.places.Ask(a) }
 
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -12,7 +12,7 @@
 // Nodes learn of it from answers to their own requests, and, where it concerns all nodes, from the
 // reports of others. A node that hears something again and again reports it again. A limit that
 // nobody has confirmed for a while is forgotten, at each node at another time, so that the first one
-// learns of it again by its next answer and tells the others.
+// learns of it again by its next answer and tells the others. A node that starts learns what another one knows.
 //
 // # Usage
 //
@@ -20,6 +20,7 @@
 //	headers := notice.Headers{RequestLimit: "X-Request-Limit", RejectionLimit: "X-Rejection-Limit", Leaving: "X-Leaving"}
 //	b.Observe(server, notice.Answer{Notices: headers.Decode(response), SentAgo: …})  // for each answer
 //	b.ObserveReport(hash, notice, age)  // for each report of another node
+//	b.Learn(known)                      // at the start, what another node's Known returned
 //	… b.State(server) …
 package notice
 
--- a/notice/service_test.go
+++ b/notice/service_test.go
@@ -6,12 +6,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/violettally/violettally/internal/nodelist"
 	"github.com/violettally/violettally/notice"
-	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/timer"
-	"github.com/violettally/violettally/view"
 )
 
 // ofService returns a server of the service that these tests are about.
@@ -81,8 +78,7 @@
 	withBoard(t, func(t *testing.T, b *testBoard) {
 		timers := timer.New()
 		defer timers.Close()
-		node := (&nodelist.List{}).Add(view.Member{VM: "other"})
-		other := &testBoard{Board: notice.New(owner.NewRoster(node.Self(), node, timers), timers)}
+		other := newNode(timers)
 		tell := func() {
 			for i, n := range b.reported {
 				other.ObserveReport(b.reportedOf[i], n, 0)
--- a/notice/tunnels.go
+++ b/notice/tunnels.go
@@ -27,14 +27,16 @@
 	return func(b *Board) { b.tunnels = t }
 }
 
-// Report is what one end of a tunnel to a server tells the other. It is exported for the codecs.
+// Report is what one node tells another of a server: the other end of a tunnel, or a node that has just
+// started. It is exported for the codecs.
 type Report struct {
-	// Server is the hash of the server's incarnation.
+	// Server is the hash of the server's incarnation, or of a service.
 	Server uint64  `cbor:"1,keyasint"`
 	Kind   Kind    `cbor:"2,keyasint"`
 	Value  float64 `cbor:"3,keyasint"`
-	// Age is how long ago the server said so.
-	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// Age is how long ago the server said so, FirstAge how long ago it first did, if that is told.
+	Age      time.Duration `cbor:"4,keyasint,omitempty"`
+	FirstAge time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // tellTunnels tells the nodes at the other ends of the tunnels to a server what it has just said.
--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -70,9 +70,7 @@
 					c.run(perSecond, tt.uneven, limitrule.AdaptTime)
 					c.begin()
 					c.run(perSecond, tt.uneven, testTime/2)
-					if limit > 1 { // a node that knows of no limit yet costs a rejection
-						c.restart(c.nodes[0])
-					}
+					c.restart(c.nodes[0])
 					c.run(perSecond, tt.uneven, testTime/2)
 					time.Sleep(2 * tt.work)
 					possible := min(1, tt.demand) * float64(serverCount*tt.slots) / tt.work.Seconds() * testTime.Seconds()
@@ -122,8 +120,9 @@
 	roster  *owner.Roster
 	limiter *limiter
 	places  *rejection.Places
-	// startedAt is when the process started.
+	// startedAt is when the process started; kill ends it.
 	startedAt time.Time
+	kill      context.CancelFunc
 	// unknown are the nodes that are missing in this one's list; known is the list without them, made
 	// from the list that listed begins.
 	unknown map[string]bool
@@ -185,7 +184,17 @@
 	n.roster = owner.NewRoster(n.Self(), n, n.c.timers)
 	n.limiter = newLimiter(n.roster, n.c.timers, n, notice.WithReporter(n.report))
 	n.places = rejection.NewPlaces(n.roster, n.c.timers)
-	go n.limiter.Run(n.c.ctx)
+	for range 2 {
+		if other := n.c.nodes[rand.IntN(len(n.c.nodes))]; other != n && other.limiter != nil {
+			n.limiter.board.Learn(other.limiter.board.Known())
+		}
+	}
+	if n.kill != nil {
+		n.kill()
+	}
+	var ctx context.Context
+	ctx, n.kill = context.WithCancel(n.c.ctx)
+	go n.limiter.Run(ctx)
 }
 
 func newCluster(ctx context.Context, nodes, slots int, work time.Duration, limit float64) *cluster {
