--- a/node/server_limits.go
+++ b/node/server_limits.go
@@ -130,6 +130,11 @@
 // Reject is Release for a request that the server has declined to run.
 func (l *serverLimits) Reject(pool string, s config.Server) { l.rejections.Reject(target(pool, s)) }
 
+// Abandon is Release for a request that the server may still run, for about so long.
+func (l *serverLimits) Abandon(pool string, s config.Server, stillRuns time.Duration) {
+	l.rejections.Abandon(target(pool, s), stillRuns)
+}
+
 // Noticed records what a server's response says of it.
 func (l *serverLimits) Noticed(s config.Server, answer notice.Answer) {
 	server := target("", s)
--- a/route/route.go
+++ b/route/route.go
@@ -159,6 +159,8 @@
 	Release(pool string, s config.Server)
 	// Reject is Release for a request that the server has declined to run.
 	Reject(pool string, s config.Server)
+	// Abandon is Release for a request that the server may still run, for about so long.
+	Abandon(pool string, s config.Server, stillRuns time.Duration)
 }
 
 // noThrottle limits no server.
@@ -168,9 +170,10 @@
 func (noThrottle) Wait(string, config.Server) (time.Duration, throttle.Cause) {
 	return 0, throttle.CauseNone
 }
-func (noThrottle) Take(string, config.Server) bool { return true }
-func (noThrottle) Release(string, config.Server)   {}
-func (noThrottle) Reject(string, config.Server)    {}
+func (noThrottle) Take(string, config.Server) bool              { return true }
+func (noThrottle) Release(string, config.Server)                {}
+func (noThrottle) Abandon(string, config.Server, time.Duration) {}
+func (noThrottle) Reject(string, config.Server)                 {}
 
 // WithThrottle sets what keeps to what servers say of the requests that they take.
 func WithThrottle(t Throttle) Option { return func(c *Chooser) { c.throttle = t } }
@@ -257,10 +260,13 @@
 		for range a.repeats.Load() {
 			a.chooser.throttle.Release(a.pool, a.server)
 		}
-		if outcome == OutcomeDeclined {
-			a.chooser.throttle.Reject(a.pool, a.server)
-		} else {
+		switch outcome {
+		case OutcomeOK:
 			a.chooser.throttle.Release(a.pool, a.server)
+		case OutcomeDeclined:
+			a.chooser.throttle.Reject(a.pool, a.server)
+		default: // the server may need as long again as it has had
+			a.chooser.throttle.Abandon(a.pool, a.server, took)
 		}
 		a.chooser.end(a, outcome, took)
 	})
--- a/route/throttle_test.go
+++ b/route/throttle_test.go
@@ -30,6 +30,35 @@
 func (requestsLeft) Release(string, config.Server) {}
 func (requestsLeft) Reject(string, config.Server)  {}
 
+func (requestsLeft) Abandon(string, config.Server, time.Duration) {}
+
+// recordedPlaces records how the places of requests are given back.
+type recordedPlaces struct {
+	requestsLeft
+	back *[]string
+}
+
+func (p recordedPlaces) Release(string, config.Server) { *p.back = append(*p.back, "released") }
+func (p recordedPlaces) Reject(string, config.Server)  { *p.back = append(*p.back, "rejected") }
+
+func (p recordedPlaces) Abandon(_ string, _ config.Server, stillRuns time.Duration) {
+	*p.back = append(*p.back, "abandoned for "+stillRuns.String())
+}
+
+// TestPlaceOfGivenUpRequest checks that the place of a request that was not answered is kept while the
+// server may still run it.
+func TestPlaceOfGivenUpRequest(t *testing.T) {
+	var back []string
+	r := route.Request{Pool: "p", Servers: []config.Server{{Name: "a", Slots: 1}}}
+	for _, outcome := range []route.Outcome{route.OutcomeOK, route.OutcomeDeclined, route.OutcomeNeutral, route.OutcomeFailed} {
+		c := route.New("n", route.WithThrottle(recordedPlaces{requestsLeft{"a": 1}, &back}))
+		attempt, err := c.Choose(r)
+		must.NoError(t, err)
+		attempt.End(outcome, time.Second)
+	}
+	must.Eq(t, []string{"released", "rejected", "abandoned for 1s", "abandoned for 1s"}, back)
+}
+
 // TestChooserThrottle checks that a server gets no more requests than it may, those that resume a
 // stream included, and that a pool whose servers get none now is told from one without servers.
 func TestChooserThrottle(t *testing.T) {
