rejection: an owner that was none for a while does not know what is in use

Found on reading. A node keeps the places of a server for 15 s after the last request for one. If others became its owners meanwhile and left again, its register was old, and it called it sure. Now it is sure again 2 s after a gap in which those that use places would have asked, unless nobody has come to the list of nodes or left it lately: then none were in use. TestPlacesOfReturnedOwner fails before.

--- a/rejection/bench_test.go
+++ b/rejection/bench_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"testing"
 
+	"github.com/violettally/violettally/internal/nodelist"
+	"github.com/violettally/violettally/owner"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rejection"
 	"github.com/violettally/violettally/timer"
+	"github.com/violettally/violettally/view"
 )
 
 // manyServers is the size of the largest deployment.
@@ -49,7 +52,13 @@
 func BenchmarkAsk(b *testing.B) {
 	timers := timer.New()
 	defer timers.Close()
-	p := newPlaces(timers)
+	list := &nodelist.List{}
+	self := list.Add(view.Member{VM: "n"})
+	for i := range 983 {
+		list.Add(view.Member{VM: fmt.Sprint("n-", i)}).SetListed(true)
+	}
+	self.SetListed(true)
+	p := rejection.NewPlaces(owner.NewRoster(self.Self(), self, timers), timers)
 	for i := range 32 {
 		p.Ask(rejection.Ask{Server: 1, Node: uint64(i + 10), Slots: 64, InUse: 1})
 	}
--- a/rejection/places.go
+++ b/rejection/places.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// coordinatorCount is the number of nodes that keep the places of a server.
-	coordinatorCount = 2
+	// ownerCount is the number of nodes that keep the places of a server.
+	ownerCount = 2
 	// holdTime is how long a node holds places without asking again.
 	holdTime = 5 * time.Second
 	// settleTime is how long a node that begins to give out the places of a server does not know
@@ -54,8 +54,7 @@
 	Unsettled bool `cbor:"2,keyasint,omitempty"`
 }
 
-// Places gives out the places at servers, those of each server by one node. It is safe for
-// concurrent use.
+// Places keeps the places of servers at one of their owners. It is safe for concurrent use.
 type Places struct {
 	timers  *timer.Service
 	roster  *owner.Roster
@@ -71,7 +70,10 @@
 type holders struct {
 	// settledAt is from when on it is known what all nodes use.
 	settledAt, askedAt time.Time
-	byNode             map[uint64]holding
+	// isOwner means that this node is an owner of the server by the list of nodes of a generation.
+	isOwner    bool
+	generation uint64
+	byNode     map[uint64]holding
 }
 
 // holding is what one node has until a time.
@@ -103,18 +105,14 @@
 // does not reject requests yet.
 func (p *Places) Ask(a Ask) Grant {
 	p.roster.Refresh()
-	isLeading := p.roster.Rank(a.DataHall, a.Server) < coordinatorCount
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.timers.Steady()
 	p.clean(now)
-	h := p.servers[a.Server]
-	if h == nil {
-		h = p.begin(a.Server, now)
-	}
+	h := p.holdersOf(a.Server, now)
 	h.askedAt = now
 	places := a.InUse
-	settled := a.New || isLeading && !now.Before(h.settledAt)
+	settled := a.New || p.isOwner(a, h) && !now.Before(h.settledAt)
 	if settled {
 		free := a.Slots - a.InUse - h.placesOfOthers(a.Node, now)
 		places += max(0, min(a.Want, free))
@@ -126,18 +124,35 @@
 	return Grant{Places: places, Unsettled: !settled}
 }
 
-// begin begins to give out the places of a server. Nobody has them yet if this node would have given them
-// out before, too: if the list of nodes has not changed lately. The caller holds mu.
-func (p *Places) begin(server uint64, now time.Time) *holders {
-	h := &holders{settledAt: now, byNode: make(map[uint64]holding)}
-	if !p.roster.Settled(settleTime) {
-		h.settledAt = now.Add(settleTime)
+// holdersOf returns the nodes that have places at a server. If nobody has asked for so long that those that
+// use places would have, either none are in use, or others have been asked: which it was is known if the list
+// of nodes has not changed lately. The caller holds mu.
+func (p *Places) holdersOf(server uint64, now time.Time) *holders {
+	h := p.servers[server]
+	if h == nil {
+		h = &holders{byNode: make(map[uint64]holding)}
+		p.servers[server] = h
+		p.onBegin(server)
+	}
+	if now.Sub(h.askedAt) >= settleTime {
+		h.settledAt = now
+		if !p.roster.Settled(settleTime) {
+			h.settledAt = now.Add(settleTime)
+		}
 	}
-	p.servers[server] = h
-	p.onBegin(server)
 	return h
 }
 
+// isOwner reports whether this node is one of the owners of a server by its own list of nodes. The caller
+// holds mu.
+func (p *Places) isOwner(a Ask, h *holders) bool {
+	if generation := p.roster.Generation(); h.generation != generation {
+		h.generation = generation
+		h.isOwner = p.roster.Rank(a.DataHall, a.Server) < ownerCount
+	}
+	return h.isOwner
+}
+
 // placesOfOthers returns the number of places that other nodes have.
 func (h *holders) placesOfOthers(node uint64, now time.Time) int {
 	count := 0
--- a/rejection/rejection_test.go
+++ b/rejection/rejection_test.go
@@ -69,6 +69,35 @@
 	return rejection.NewPlaces(owner.NewRoster(node.Self(), node, timers), timers)
 }
 
+// TestPlacesOfReturnedOwner checks that a node which was no owner of a server for a while gives out none of
+// its places until it has heard what is in use.
+func TestPlacesOfReturnedOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		list := &nodelist.List{}
+		self, other := list.Add(view.Member{VM: "c"}), list.Add(view.Member{VM: "d"})
+		self.SetListed(true)
+		p := rejection.NewPlaces(owner.NewRoster(self.Self(), self, timers), timers)
+		ask := rejection.Ask{Server: 1, Node: 1, Slots: 2, Want: 1}
+		must.True(t, p.Ask(ask).Unsettled)
+		time.Sleep(2 * time.Second)
+		must.Eq(t, rejection.Grant{Places: 1}, p.Ask(ask))
+		time.Sleep(10 * time.Second)
+		must.Eq(t, rejection.Grant{Places: 1}, p.Ask(ask), must.Sprint("nobody asked, and nobody came or left"))
+		other.SetListed(true)
+		time.Sleep(time.Second)
+		p.Ask(rejection.Ask{Server: 2, Node: 1, Slots: 2})
+		time.Sleep(10 * time.Second)
+		other.SetListed(false)
+		must.True(t, p.Ask(ask).Unsettled, must.Sprint("others may have been asked"))
+		time.Sleep(time.Second)
+		must.True(t, p.Ask(ask).Unsettled)
+		time.Sleep(time.Second)
+		must.Eq(t, rejection.Grant{Places: 1}, p.Ask(ask))
+	})
+}
+
 // Take takes a place, and reports whether there was one.
 func (l *limiter) Take(ctx context.Context, s registry.Server) bool {
 	return l.Limiter.Take(ctx, s) != rejection.BasisNone
