--- a/owner/owner.go
+++ b/owner/owner.go
@@ -159,7 +159,8 @@
 	// Those that are not listed any more were listed until the last look.
 	left := 0
 	for vm, o := range r.others {
-		if o.wasListed = o.listed; o.listed {
+		o.wasListed = o.listed
+		if o.listed {
 			left++
 			o.listed, o.lastSeen = false, r.listedAt
 		}
--- a/rejection/ask.go
+++ b/rejection/ask.go
@@ -52,7 +52,7 @@
 		r.granted, r.grantedUntil, r.told = places, now.Add(holdTime), places
 		if first.gives(places) || second.gives(places) {
 			r.told = max(first.grant.Places, second.grant.Places)
-			go l.ask(context.Background(), s, 0) // one had none: gives the other one's back
+			go l.ask(context.Background(), s, 0) // gives back what only one of them gives
 		}
 	case want > 0 && l.roster.Count() <= r.slots:
 		basis = BasisUnanswered
@@ -123,7 +123,7 @@
 }
 
 // combine returns the number of places that a node has by the answers of both owners: those that both
-// give, or that the one gives which is sure. It returns false if nobody answered.
+// give, or, if only one answer is binding, those that it gives. It returns false if nobody answered.
 func combine(a Ask, first, second answer) (places int, answered bool) {
 	switch {
 	case first.isBinding() && second.isBinding():
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -51,7 +51,7 @@
 	"github.com/violettally/violettally/timer"
 )
 
-// Coordinators asks the nodes that give out places.
+// Coordinators asks the nodes that keep the places of servers.
 type Coordinators interface {
 	// Ask asks the owner of a server that has the given rank, from 0.
 	Ask(ctx context.Context, s registry.Server, rank int, a Ask) (Grant, error)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -104,10 +104,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	server := assignment.Server()
-	rejected := false
 	x.abandoned = false
-	sent := time.Now()
-	defer func() { x.releasePlace(assignment, sent, rejected) }()
+	rejected, begun := false, time.Now()
+	defer func() { x.releasePlace(assignment, begun, rejected) }()
 	x.relay.Versions.Begin(x.service, version, x.request.hashKey())
 	defer x.relay.Versions.End(x.service, version, x.request.hashKey())
 	x.sends++
@@ -126,7 +125,7 @@
 		x.record.AddStep("limit", "%s can reject %g requests a second; place: %s", server.ID, said.RejectionLimit, x.basis)
 	}
 	features := x.features()
-	sent = time.Now()
+	sent := time.Now()
 	removePending := x.relay.pending.add(x.request, cancel)
 	wd := x.startWatchdog(assignment, cancel)
 	defer wd.stop()
