--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -97,7 +97,9 @@
 	// begun means that servers let nobody wait any more.
 	begun bool
 	// givenUp is the share of requests that are given up halfway while the server works on.
-	givenUp                   float64
+	givenUp float64
+	// burst is how many times the usual requests clients send.
+	burst                     float64
 	mu                        sync.Mutex
 	served, rejected, crashes int
 }
@@ -198,7 +200,7 @@
 }
 
 func newCluster(ctx context.Context, nodes, slots int, work time.Duration, limit float64) *cluster {
-	c := &cluster{ctx: ctx, timers: timer.New(), events: make(map[int64][]func()), limit: limit, work: work}
+	c := &cluster{ctx: ctx, timers: timer.New(), events: make(map[int64][]func()), limit: limit, work: work, burst: 1}
 	for i := range serverCount {
 		s := &server{Server: registry.Server{ID: fmt.Sprint("s-", i), Service: "s", DataHall: fmt.Sprint("hall-", i%halls), Slots: slots}}
 		c.servers = append(c.servers, s)
@@ -244,7 +246,7 @@
 		}
 		for !next.After(time.Now()) {
 			c.send(c.drawNode(uneven))
-			next = next.Add(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)))
+			next = next.Add(time.Duration(rand.ExpFloat64() / (c.burst * perSecond) * float64(time.Second)))
 		}
 		time.Sleep(time.Millisecond)
 	}
--- a/rejection/faults_test.go
+++ b/rejection/faults_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/internal/limitrule"
+	"github.com/violettally/violettally/notice"
 )
 
 const (
@@ -139,6 +140,40 @@
 	})
 }
 
+// TestServersEndAfterHallIsLost checks that servers do not end after all nodes and servers of a data hall
+// were lost at once and came back.
+func TestServersEndAfterHallIsLost(t *testing.T) {
+	testFaults(t, faultCases([]int{6, 61}, 1, 3), faultTime, func(c *cluster) {
+		c.after(2*time.Second, func() {
+			for i, s := range c.servers {
+				if i%halls == 0 {
+					c.kill(s)
+				}
+			}
+			for i, n := range c.nodes {
+				if i%halls == 0 {
+					c.restart(n)
+				}
+			}
+		})
+	})
+}
+
+// TestServersEndAsLimitsComeAndGo checks that servers do not end while they name limits again and again, amid
+// bursts of requests.
+func TestServersEndAsLimitsComeAndGo(t *testing.T) {
+	testFaults(t, faultCases([]int{6, 61}, 0, 1, 3), faultTime, func(c *cluster) {
+		limit := c.limit
+		for at := 2 * time.Second; at < faultTime; at += 8 * time.Second {
+			c.after(at, func() { c.burst = 3 })
+			c.after(at+time.Second, func() { c.burst = 1 })
+			c.after(at+2*time.Second, func() { c.limit, c.begun = notice.Unlimited, false })
+			c.after(at+4*time.Second, func() { c.limit, c.burst = limit, 2 })
+			c.after(at+4*time.Second+limitrule.AdaptTime, func() { c.begun, c.burst = true, 1 })
+		}
+	})
+}
+
 // replace replaces a server by one with another ID; the old one serves on.
 func (c *cluster) replace(i int) {
 	s := &server{Server: c.servers[i].Server}
