--- a/rejection/faults_test.go
+++ b/rejection/faults_test.go
@@ -154,7 +154,7 @@
 func TestServersEndAsNodesStart(t *testing.T) {
 	testFaults(t, faultTime, func(c *cluster) {
 		for at := time.Second; at < faultTime; at += 3 * time.Second {
-			c.after(at, func() { c.restart(c.nodes[int(at/time.Second)]) })
+			c.after(at, func() { c.restart(c.nodes[int(at/time.Second)%len(c.nodes)]) })
 		}
 	})
 }
