--- a/gateway/server_limits.go
+++ b/gateway/server_limits.go
@@ -82,7 +82,7 @@
 // shared.
 func (g *Gateway) runRoster(ctx context.Context) {
 	g.roster.Run(ctx, func() bool {
-		return g.hasWarmUpLimits() || g.notices.Count(notice.KindRequestLimit) > 0 || g.notices.Count(notice.KindRejectionLimit) > 0 || g.notices.Count(notice.KindServiceRejectionLimit) > 0
+		return g.hasWarmUpLimits() || g.notices.Count(notice.KindRequestLimit) > 0 || g.notices.NamesRejectionLimits()
 	})
 }
 
--- a/node/server_limits.go
+++ b/node/server_limits.go
@@ -48,7 +48,7 @@
 // run keeps the list of nodes up to date until the context ends.
 func (l *serverLimits) run(ctx context.Context) {
 	l.roster.Run(ctx, func() bool {
-		return l.notices.Count(notice.KindRequestLimit) > 0 || l.notices.Count(notice.KindRejectionLimit) > 0 || l.notices.Count(notice.KindServiceRejectionLimit) > 0
+		return l.notices.Count(notice.KindRequestLimit) > 0 || l.notices.NamesRejectionLimits()
 	})
 }
 
--- a/notice/service.go
+++ b/notice/service.go
@@ -49,6 +49,11 @@
 	}
 }
 
+// NamesRejectionLimits reports whether any server or service is known to name a rejection limit.
+func (b *Board) NamesRejectionLimits() bool {
+	return b.Count(KindRejectionLimit) > 0 || b.Count(KindServiceRejectionLimit) > 0
+}
+
 // serviceLimit returns the rejection limit that servers of a service name; nil for none. The caller holds
 // mu.
 func (b *Board) serviceLimit(service string) *fact {
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -87,12 +87,7 @@
 
 // limited reports whether a server is known to name a rejection limit.
 func (l *Limiter) limited(s *registry.Server) bool {
-	return l.namesLimits() && l.board.State(s).RejectionLimit != notice.Unlimited
-}
-
-// namesLimits reports whether any server or service is known to name a rejection limit.
-func (l *Limiter) namesLimits() bool {
-	return l.board.Count(notice.KindRejectionLimit) > 0 || l.board.Count(notice.KindServiceRejectionLimit) > 0
+	return l.board.NamesRejectionLimits() && l.board.State(s).RejectionLimit != notice.Unlimited
 }
 
 // Filter returns the servers that may have a place for a request of this node. It does not modify
