--- a/throttle/cluster_test.go
+++ b/throttle/cluster_test.go
@@ -29,10 +29,12 @@
 	// excusedFor how long before it the node must have run undisturbed.
 	toldFor    = 500 * time.Millisecond
 	excusedFor = 3 * time.Second
-	// answerTime is how long a server takes to answer, newsTime the longest time that a report
-	// takes from one node to another.
+	// answerTime is how long a server takes to answer, half of it until it writes what it says of
+	// itself; newsTime is the longest time that a report takes from one node to another, and
+	// entryTime the longest until a node knows that a server has started again.
 	answerTime = 60 * time.Millisecond
 	newsTime   = 400 * time.Millisecond
+	entryTime  = time.Second
 )
 
 // TestLimitOfAllNodes checks that servers get no more requests than the limits that they name
@@ -60,7 +62,7 @@
 }
 
 func testCluster(t *testing.T, nodes int, step time.Duration, seed uint64) {
-	c := newCluster(nodes, step, seed)
+	c := newCluster(nodes, 7, step, seed)
 	defer c.timers.Close()
 	c.run(settled, nil) // nobody has named a limit
 	for i, s := range c.servers {
@@ -99,25 +101,30 @@
 	timers   *timer.Service
 	step     time.Duration
 	servers  []*server
-	list     []*registry.Server
 	nodeList nodelist.List
 	nodes    []*node
+	// demand is the number of requests a second that clients send, to all servers alike; zero for as
+	// many as the nodes may pass on.
+	demand float64
 	// events are answers and reports under way.
 	events []event
 }
 
-// event is something that happens at a time.
+// event is something that happens at a time, or later if its node stands still then.
 type event struct {
-	at time.Time
-	do func()
+	at   time.Time
+	node *node
+	do   func()
 }
 
 // server is a backend server that may name a limit.
 type server struct {
+	// Server is the entry of the present incarnation.
 	registry.Server
 	limit float64
-	// arrivals holds the requests that count for the rule.
+	// arrivals holds the requests that count for the rule, served is how many there were of all.
 	arrivals []time.Time
+	served   int
 }
 
 // checkRate checks the rule on all windows.
@@ -132,21 +139,28 @@
 	roster  *owner.Roster
 	limiter *limiter
 	running bool
+	// entries are the servers as this node knows them.
+	entries []*registry.Server
+	// stillUntil is until when the node does nothing and reads nothing.
+	stillUntil time.Time
 	// toldAt is when the node first passed on an answer of each server that named a limit.
 	toldAt map[*server]time.Time
 	// disturbedAt is when the node was last started, or its link to the store cut or mended.
 	disturbedAt time.Time
 }
 
-func newCluster(nodes int, step time.Duration, seed uint64) *cluster {
+func newCluster(nodes, servers int, step time.Duration, seed uint64) *cluster {
 	c := &cluster{random: rand.New(rand.NewPCG(seed, 0)), timers: timer.New(), step: step}
-	for i := range 7 {
+	for i := range servers {
 		s := &server{Server: registry.Server{ID: fmt.Sprint("s-", i), Service: "s", DataHall: fmt.Sprint(i % (halls + 1))}, limit: notice.Unlimited}
 		c.servers = append(c.servers, s)
-		c.list = append(c.list, &s.Server)
 	}
 	for i := range nodes {
 		n := &node{Node: c.nodeList.Add(view.Member{VM: fmt.Sprint("n-", i), DataHall: fmt.Sprint(i % halls)}), c: c}
+		for _, s := range c.servers {
+			entry := s.Server
+			n.entries = append(n.entries, &entry)
+		}
 		c.nodes = append(c.nodes, n)
 		n.start()
 	}
@@ -162,36 +176,41 @@
 	n.SetListed(true)
 }
 
-// report tells the other nodes, which learn of it at different times or not at all.
+// report tells the other nodes, which learn of it at different times or not at all. They know how long the
+// report waited here, and not how long it was under way.
 func (n *node) report(server uint64, said notice.Notice) {
-	heard := time.Now()
 	for _, other := range n.c.nodes {
 		if other == n || n.c.random.IntN(20) == 0 {
 			continue
 		}
 		limiter := other.limiter
-		n.c.after(time.Duration(n.c.random.Float64()*float64(newsTime)), func() { limiter.ObserveReport(server, said.Value, time.Since(heard)) })
+		waited := time.Duration(n.c.random.Float64() * float64(newsTime/2))
+		underWay := time.Duration(n.c.random.Float64() * float64(newsTime/2))
+		n.c.after(waited+underWay, other, func() { limiter.ObserveReport(server, said.Value, waited) })
 	}
 }
 
-func (c *cluster) after(d time.Duration, do func()) {
-	c.events = append(c.events, event{time.Now().Add(d), do})
+func (c *cluster) after(d time.Duration, n *node, do func()) {
+	c.events = append(c.events, event{time.Now().Add(d), n, do})
 }
 
-// happen does what is due.
+// happen does what is due, in any order: a node reads its connections one beside the other.
 func (c *cluster) happen() {
-	events := c.events
-	c.events = nil
-	for _, e := range events {
-		if time.Now().Before(e.at) {
-			c.events = append(c.events, e)
-		} else {
-			e.do()
+	var due []event
+	c.events = slices.DeleteFunc(c.events, func(e event) bool {
+		waits := time.Now().Before(e.at) || e.node.standsStill()
+		if !waits {
+			due = append(due, e)
 		}
+		return !waits
+	})
+	c.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, e := range due {
+		e.do()
 	}
 }
 
-// run lets all nodes send as much as they may for a time.
+// run lets all nodes send as much as they may for a time, or as much as clients ask for.
 func (c *cluster) run(d time.Duration, disturb func()) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(c.step) {
 		if disturb != nil && c.random.IntN(int(100*time.Millisecond/c.step)+1) == 0 {
@@ -199,40 +218,81 @@
 		}
 		c.happen()
 		for _, n := range c.nodes {
-			if n.running {
-				n.SetLag(time.Duration(c.random.Float64() * float64(mirror.MaxStaleness)))
-				n.roster.Refresh()
-				n.send()
+			if !n.running || n.standsStill() {
+				continue
+			}
+			n.SetLag(time.Duration(c.random.Float64() * float64(mirror.MaxStaleness)))
+			n.roster.Refresh()
+			if c.demand == 0 {
+				n.sendAll()
 			}
 		}
+		c.sendDemand()
 	}
 }
 
-// send sends one request to each server that may get one.
-func (n *node) send() {
-	for _, s := range n.limiter.Filter(n.c.list) {
-		if !n.limiter.Take(*s) {
+// sendDemand sends what clients ask for in a step, to random nodes.
+func (c *cluster) sendDemand() {
+	requests := c.demand * c.step.Seconds()
+	for ; requests > c.random.Float64(); requests-- {
+		n := c.nodes[c.random.IntN(len(c.nodes))]
+		if !n.running || n.standsStill() {
 			continue
 		}
-		target := n.c.servers[slices.Index(n.c.list, s)]
-		now := time.Now()
-		if told, ok := n.toldAt[target]; ok && now.Sub(told) >= toldFor && now.Sub(n.disturbedAt) >= excusedFor {
-			target.arrivals = append(target.arrivals, now)
+		if free := n.limiter.Filter(n.entries); len(free) > 0 {
+			n.send(free[c.random.IntN(len(free))])
 		}
-		limiter := n.limiter
-		n.c.after(answerTime, func() {
-			limiter.Observe(target.Server, target.limit)
-			if _, ok := n.toldAt[target]; !ok && target.limit != notice.Unlimited && limiter == n.limiter {
+	}
+}
+
+// sendAll sends one request to each server that may get one.
+func (n *node) sendAll() {
+	for _, s := range n.limiter.Filter(n.entries) {
+		n.send(s)
+	}
+}
+
+// send sends one request to a server, if that may get one.
+func (n *node) send(s *registry.Server) {
+	if !n.limiter.Take(*s) {
+		return
+	}
+	target := n.c.servers[slices.Index(n.entries, s)]
+	sent, limiter := time.Now(), n.limiter
+	target.served++
+	if told, ok := n.toldAt[target]; ok && sent.Sub(told) >= toldFor && sent.Sub(n.disturbedAt) >= excusedFor {
+		target.arrivals = append(target.arrivals, sent)
+	}
+	n.c.after(answerTime/2, nil, func() {
+		said := target.limit
+		n.c.after(answerTime/2, n, func() {
+			limiter.ObserveAnswer(*s, said, time.Since(sent))
+			if _, ok := n.toldAt[target]; !ok && said != notice.Unlimited && limiter == n.limiter {
 				n.toldAt[target] = time.Now()
 			}
 		})
+	})
+}
+
+// standsStill reports whether the node does nothing now. Nothing else than a node ever stands still.
+func (n *node) standsStill() bool { return n != nil && time.Now().Before(n.stillUntil) }
+
+// startAgain makes a server its next incarnation, of which nodes learn at different times.
+func (c *cluster) startAgain(s *server) {
+	s.Server = registry.Server{ID: s.ID, Born: s.Born + 1, Service: s.Service, DataHall: s.DataHall}
+	for _, n := range c.nodes {
+		entry := s.Server
+		c.after(time.Duration(c.random.Float64()*float64(entryTime)), n, func() {
+			n.entries = slices.Clone(n.entries)
+			n.entries[slices.Index(c.servers, s)] = &entry
+		})
 	}
 }
 
 // clear forgets the requests so far.
 func (c *cluster) clear() {
 	for _, s := range c.servers {
-		s.arrivals = nil
+		s.arrivals, s.served = nil, 0
 	}
 }
 
--- a/throttle/harness_test.go
+++ b/throttle/harness_test.go
@@ -21,9 +21,12 @@
 	return &limiter{throttle.New(board, roster, timers), board}
 }
 
-// Observe records an answer that names a limit.
-func (l *limiter) Observe(s registry.Server, perSecond float64) {
-	l.board.Observe(s, notice.Answer{Notices: []notice.Notice{{Kind: notice.KindRequestLimit, Value: perSecond}}})
+// Observe records an answer that names a limit, to a request that has just been sent.
+func (l *limiter) Observe(s registry.Server, perSecond float64) { l.ObserveAnswer(s, perSecond, 0) }
+
+// ObserveAnswer records an answer that names a limit, to a request that was sent so long ago.
+func (l *limiter) ObserveAnswer(s registry.Server, perSecond float64, sentAgo time.Duration) {
+	l.board.Observe(s, notice.Answer{Notices: []notice.Notice{{Kind: notice.KindRequestLimit, Value: perSecond}}, SentAgo: sentAgo})
 }
 
 // ObserveReport records another node's report of a limit.
