--- a/notice/board.go
+++ b/notice/board.go
@@ -152,10 +152,11 @@
 		return false, false
 	}
 	now := b.timers.Steady()
-	if n.IsAbsent() && !r.isTakenBack(n.Kind, now.Add(-sentAgo)) {
+	said := span{from: now.Add(-sentAgo), to: now}
+	if n.IsAbsent() && !r.isTakenBack(n.Kind, said.from) {
 		return false, false
 	}
-	changed = b.set(hash, id, n, now, SourceAnswer)
+	changed = b.set(hash, id, n, said, SourceAnswer)
 	return changed, b.isReportDue(hash, n.Kind, changed, now)
 }
 
@@ -168,12 +169,13 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.set(hash, "", n, b.timers.Steady().Add(-age), SourceReport)
+	heardAt := b.timers.Steady().Add(-age)
+	b.set(hash, "", n, span{from: heardAt, to: heardAt}, SourceReport)
 }
 
-// set stores a notice that was heard at the given time, unless a later one is known. It reports
+// set stores a notice that a server said at the given time, unless a later one is known. It reports
 // whether what is known has changed. The ID may be "". The caller holds mu.
-func (b *Board) set(hash uint64, id string, n Notice, heardAt time.Time, source Source) (changed bool) {
+func (b *Board) set(hash uint64, id string, n Notice, said span, source Source) (changed bool) {
 	if n.Kind.isLimit() && n.Value >= maxPerSecond {
 		n.Value = Unlimited
 	}
@@ -185,6 +187,7 @@
 		r.id = id
 	}
 	f := &r.facts[n.Kind]
+	heardAt := said.to
 	if n.Kind == KindRest {
 		if !r.extendRest(n, heardAt) {
 			return false
@@ -205,7 +208,7 @@
 	if n.Kind == KindServiceRejectionLimit && !n.IsAbsent() {
 		n.Value = min(n.Value, f.value) // some of its servers may name more
 	}
-	c := Change{Server: r.id, Hash: hash, Kind: n.Kind, Before: f.value, Value: n.Value, Source: source, Age: b.timers.Steady().Sub(heardAt)}
+	c := Change{Server: r.id, Hash: hash, Kind: n.Kind, Before: f.value, Value: n.Value, Source: source, Age: b.timers.Steady().Sub(heardAt), Doubt: said.doubt()}
 	if differ(n.Value, f.value, sameFactor) || n.Kind == KindRest {
 		b.replace(f, n.Kind, n.Value)
 	}
--- a/notice/change.go
+++ b/notice/change.go
@@ -33,8 +33,8 @@
 	// Before and Value are those of the notices before and since.
 	Before, Value float64
 	Source        Source
-	// Age is how long ago the server said so.
-	Age time.Duration
+	// Age is how long ago the server said so at least, Doubt how much longer ago it may have been.
+	Age, Doubt time.Duration
 }
 
 // matters reports whether the change is more than a small one of a limit. A rest begins anew with each
@@ -81,7 +81,7 @@
 		subject, hash = "service", "service_hash"
 	}
 	args := []any{subject, c.Server, hash, strconv.FormatUint(c.Hash, 16), "change", c.Name(), "source", c.Source.String(),
-		"age_ms", c.Age.Milliseconds()}
+		"age_ms", c.Age.Milliseconds(), "doubt_ms", c.Doubt.Milliseconds()}
 	switch {
 	case c.Value == c.Kind.Absent():
 	case c.Kind.isLimit():
--- a/notice/known.go
+++ b/notice/known.go
@@ -45,7 +45,8 @@
 			continue
 		}
 		now := b.timers.Steady()
-		b.set(r.Server, "", Notice{r.Kind, r.Value}, now.Add(-r.Age), SourceReport)
+		heardAt := now.Add(-r.Age)
+		b.set(r.Server, "", Notice{r.Kind, r.Value}, span{heardAt, heardAt}, SourceReport)
 		if f := &b.record(r.Server).facts[r.Kind]; f.present(r.Kind) && now.Add(-r.FirstAge).Before(f.since) {
 			f.since = now.Add(-r.FirstAge)
 		}
--- a/notice/record.go
+++ b/notice/record.go
@@ -19,6 +19,13 @@
 	maxRestSpread = 5 * time.Second
 )
 
+// span is the time in which a server said something: not before from, and not after to. A request is
+// sent, answered and read; only the first and the last of these times are known.
+type span struct{ from, to time.Time }
+
+// doubt returns by how much it is not known when it was.
+func (s span) doubt() time.Duration { return s.to.Sub(s.from) }
+
 // record is what is known of one server.
 type record struct {
 	// id is the server's ID; "" if it is known from reports only.
--- a/notice/tunnels.go
+++ b/notice/tunnels.go
@@ -58,5 +58,6 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.set(r.Server, "", n, b.timers.Steady().Add(-r.Age), SourceTunnel)
+	heardAt := b.timers.Steady().Add(-r.Age)
+	b.set(r.Server, "", n, span{heardAt, heardAt}, SourceTunnel)
 }
