--- a/notice/board.go
+++ b/notice/board.go
@@ -27,9 +27,9 @@
 	return func(b *Board) { b.onChange = onChange }
 }
 
-// WithReporter sets a function that reports to the other nodes what a server says of itself. Server
-// is the hash of its incarnation.
-func WithReporter(report func(server uint64, n Notice)) Option {
+// WithReporter sets a function that reports to the other nodes what is said about a subject (see
+// [Report]).
+func WithReporter(report func(subject uint64, n Notice)) Option {
 	return func(b *Board) { b.report = report }
 }
 
@@ -38,11 +38,11 @@
 	roster   *owner.Roster
 	timers   *timer.Service
 	onChange func(Change)
-	report   func(server uint64, n Notice)
+	report   func(subject uint64, n Notice)
 	tunnels  Tunnels
 
 	mu sync.Mutex
-	// records holds what is known, by hash of the server's incarnation.
+	// records holds what is known, by the hash of what it is about.
 	records map[uint64]*record
 	// version changes with the records.
 	version   uint64
@@ -91,10 +91,12 @@
 func (b *Board) State(s *registry.Server) State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.records[s.Hash()]
 	state := unknown
-	if r != nil {
+	if r := b.records[KindRequestLimit.subject(s)]; r != nil {
 		state.RequestLimit = r.facts[KindRequestLimit].value
+	}
+	r := b.records[s.Hash()]
+	if r != nil {
 		state.Leaving = r.facts[KindLeaving].present(KindLeaving)
 		state.RestUntil = r.restUntil
 	}
@@ -131,9 +133,10 @@
 		if a.Probe && n.Kind == KindRest && n.IsAbsent() {
 			continue
 		}
-		changed, report := b.recordAnswer(s.Hash(), s.ID, n, a.SentAgo)
+		subject := n.Kind.subject(&s)
+		changed, report := b.recordAnswer(subject, s.ID, n, a.SentAgo)
 		if report {
-			b.report(s.Hash(), n)
+			b.report(subject, n)
 		}
 		if changed && n.concernsTunnels() {
 			b.tellTunnels(s, n, a.Carrier)
@@ -160,8 +163,8 @@
 	return changed, b.isReportDue(hash, n.Kind, changed, now)
 }
 
-// ObserveReport records a report of another node, which has heard the server with the given hash say
-// so long ago what the notice tells. Whether a server that leaves stays after all is known by its own
+// ObserveReport records a report of another node, which has heard so long ago what the notice tells about
+// the subject with the given hash. Whether a server that leaves stays after all is known by its own
 // answers alone.
 func (b *Board) ObserveReport(hash uint64, n Notice, age time.Duration) {
 	if !n.Kind.isShared() || n.Kind == KindLeaving && n.IsAbsent() {
--- a/notice/change.go
+++ b/notice/change.go
@@ -26,7 +26,8 @@
 // Change is a change of what is known of a server.
 type Change struct {
 	// Server is the server's ID, or the service's name, if the kind is one of services; "" if it is known
-	// from reports only. Hash is that of the server's incarnation, or of the service.
+	// from reports only. Hash is that of the server's incarnation, of its ID for a request limit, or of
+	// the service.
 	Server string
 	Hash   uint64
 	Kind   Kind
@@ -77,8 +78,11 @@
 // LogArgs returns what the log line tells.
 func (c Change) LogArgs() []any {
 	subject, hash := "server", "incarnation"
-	if c.Kind == KindServiceRejectionLimit {
+	switch c.Kind {
+	case KindServiceRejectionLimit:
 		subject, hash = "service", "service_hash"
+	case KindRequestLimit:
+		hash = "server_hash"
 	}
 	args := []any{subject, c.Server, hash, strconv.FormatUint(c.Hash, 16), "change", c.Name(), "source", c.Source.String(),
 		"age_ms", c.Age.Milliseconds(), "doubt_ms", c.Doubt.Milliseconds()}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -3,8 +3,10 @@
 // reject.
 //
 // What a server says of itself is the latest news of it. The platform's store and other nodes may
-// know the same later, or not at all while they are out of reach. A [Board] keeps it by incarnation
-// of the server, with its source and age; older news changes nothing.
+// know the same later, or not at all while they are out of reach. A [Board] keeps it with its
+// source and age; older news changes nothing. That a server leaves or wants rest is about one
+// incarnation of it, how many requests it takes about the server: the limit holds until the next
+// incarnation has answered.
 //
 // How few requests it can reject is said by all servers of a service at the same times. A server of
 // which nothing is known, since it has just started, counts as saying so as well until its first answer.
@@ -27,6 +29,8 @@
 import (
 	"fmt"
 	"math"
+
+	"github.com/violettally/violettally/registry"
 )
 
 //go:generate go tool enumer -type=Kind,Source -trimprefix=Kind,Source -transform=snake -output=notice_enumer.go
@@ -61,6 +65,16 @@
 // answered.
 func (k Kind) isShared() bool { return k.isLimit() || k == KindLeaving }
 
+// subject returns the hash of what a notice of this kind is about. A server that names a request limit goes on
+// to be in need after a restart, so that its next incarnation counts as naming the limit until it answers;
+// what else it says is about the incarnation that said it.
+func (k Kind) subject(s *registry.Server) uint64 {
+	if k == KindRequestLimit {
+		return s.IDHash()
+	}
+	return s.Hash()
+}
+
 // concernsTunnels reports whether both ends of a tunnel are to know the notice at once: to the server,
 // their requests come from one node.
 func (n Notice) concernsTunnels() bool {
--- a/notice/tunnels.go
+++ b/notice/tunnels.go
@@ -30,7 +30,8 @@
 // Report is what one node tells another of a server: the other end of a tunnel, or a node that has just
 // started. It is exported for the codecs.
 type Report struct {
-	// Server is the hash of the server's incarnation, or of a service.
+	// Server is the hash of what is reported: of the server's incarnation, of its ID for a request limit,
+	// or of a service.
 	Server uint64  `cbor:"1,keyasint"`
 	Kind   Kind    `cbor:"2,keyasint"`
 	Value  float64 `cbor:"3,keyasint"`
--- a/share/share.go
+++ b/share/share.go
@@ -67,7 +67,7 @@
 	// Sequence numbers the records of one node.
 	Sequence uint64
 	// Server is the hash of the server's incarnation: what was sent to one incarnation says
-	// nothing about the next.
+	// nothing about the next. For a notice, it is the hash of what that is about (notice.Report).
 	Server uint64
 	// Prompt is the part of the prompt that other requests share.
 	Prompt prefix.Chain
--- a/throttle/shares.go
+++ b/throttle/shares.go
@@ -41,7 +41,7 @@
 
 // usage returns how this node uses a server. The caller holds mu.
 func (l *Limiter) usage(s *registry.Server) *usage {
-	hash := s.Hash()
+	hash := s.IDHash()
 	u := l.usages[hash]
 	if u == nil {
 		u = &usage{}
@@ -130,7 +130,7 @@
 // newShare computes this node's share of a number of requests a second.
 func (l *Limiter) newShare(perSecond float64, s *registry.Server) share {
 	owners := max(1, min(math.Floor(perSecond), float64(l.users(s.Service))))
-	if !l.roster.Listed() || float64(l.roster.Rank(s.DataHall, s.Hash())) >= owners {
+	if !l.roster.Listed() || float64(l.roster.Rank(s.DataHall, s.IDHash())) >= owners {
 		return share{}
 	}
 	ownPerSecond := perSecond / owners
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -6,11 +6,13 @@
 // answered one without wanting rest again: those that were held off don't all come at once.
 //
 // A server in need says in its answers how many requests a second it takes from all nodes
-// together. The limit holds for one incarnation of the server, until an answer
-// names another one or none. Each whole request a second is the share of one owner of the server
-// (package owner): a limit of five is shared by the five nodes that come first, and all nodes share
-// one that exceeds their number. Only owners send such a server requests, each as many as its
-// share allows. No request waits for another node.
+// together. The limit holds until an answer names another one or none. Each whole request a second is
+// the share of one owner of the server (package owner): a limit of five is shared by the five nodes that
+// come first, and all nodes share one that exceeds their number. Only owners send such a server requests,
+// each as many as its share allows. No request waits for another node.
+//
+// The limit, its owners and what they have sent are the server's, not one incarnation's: a server that
+// starts again gets no more requests than before until its first answer tells otherwise.
 //
 // A share holds while the list of nodes may be out of date, as in an outage of the platform's
 // store: servers in need go on to get what they can take. As the list changes, two nodes may hold
@@ -80,7 +82,7 @@
 	users  func(service string) int
 
 	mu sync.Mutex
-	// usages holds how this node uses servers that name limits, by hash of the incarnation.
+	// usages holds how this node uses servers that name limits, by hash of the server's ID.
 	usages map[uint64]*usage
 	// version changes with what servers say and with the list of nodes; boardVersion and
 	// rosterGeneration are what it was last changed for.
