--- a/gateway/server_limits.go
+++ b/gateway/server_limits.go
@@ -47,7 +47,7 @@
 func (g *Gateway) initLimits() {
 	g.roster = owner.NewRoster(g.self, listedNodes{g}, g.timers)
 	g.warmUps = warmup.New(g.roster, g.warmUpLimit, g.timers)
-	publish := func(server uint64, n notice.Notice) { g.exchange.PublishNotice(server, n) }
+	publish := func(r notice.Report) { g.exchange.PublishNotice(r) }
 	g.notices = notice.New(g.roster, g.timers, notice.WithObserver(g.recordNotice), notice.WithReporter(publish),
 		notice.WithTunnels(g.noticeTunnels()))
 	g.throttle = throttle.New(g.notices, g.roster, g.timers)
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -34,12 +34,13 @@
 	var asking sync.WaitGroup
 	for _, address := range addresses[:min(noticeSources, len(addresses))] {
 		asking.Go(func() {
+			began := g.timers.Steady()
 			known, err := g.peerClient.KnownNotices(ctx, address)
 			if err != nil {
 				slog.Info("what servers say of themselves not learned", "peer", address, "error", err.Error())
 				return
 			}
-			g.notices.Learn(known)
+			g.notices.Learn(known, g.timers.Steady().Sub(began))
 			slog.Info("what servers say of themselves learned", "peer", address, "notices", len(known))
 		})
 	}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -172,7 +172,7 @@
 	case len(r.Answered) > 0:
 		g.applyChange(g.detector.RecordPeerAnswer(r.Answered, r.Age()))
 	case r.Notice != notice.KindNone:
-		g.notices.ObserveReport(r.Server, r.ServerNotice(), r.Age())
+		g.notices.ObserveReport(r.Report())
 	default:
 		g.balancer.ObserveSend(r)
 	}
--- a/notice/board.go
+++ b/notice/board.go
@@ -27,9 +27,8 @@
 	return func(b *Board) { b.onChange = onChange }
 }
 
-// WithReporter sets a function that reports to the other nodes what is said about a subject (see
-// [Report]).
-func WithReporter(report func(subject uint64, n Notice)) Option {
+// WithReporter sets a function that reports to the other nodes what a server says.
+func WithReporter(report func(Report)) Option {
 	return func(b *Board) { b.report = report }
 }
 
@@ -38,7 +37,7 @@
 	roster   *owner.Roster
 	timers   *timer.Service
 	onChange func(Change)
-	report   func(subject uint64, n Notice)
+	report   func(Report)
 	tunnels  Tunnels
 
 	mu sync.Mutex
@@ -59,7 +58,7 @@
 		roster:   roster,
 		timers:   timers,
 		onChange: func(Change) {},
-		report:   func(uint64, Notice) {},
+		report:   func(Report) {},
 		tunnels:  noTunnels{},
 		records:  make(map[uint64]*record),
 		reports:  rate.NewLimiter(0, reportBurst),
@@ -136,7 +135,7 @@
 		subject := n.Kind.subject(&s)
 		changed, report := b.recordAnswer(subject, s.ID, n, a.SentAgo)
 		if report {
-			b.report(subject, n)
+			b.report(Report{Server: subject, Kind: n.Kind, Value: n.Value, Doubt: a.SentAgo})
 		}
 		if changed && n.concernsTunnels() {
 			b.tellTunnels(s, n, a.Carrier)
@@ -155,25 +154,24 @@
 		return false, false
 	}
 	now := b.timers.Steady()
-	said := span{from: now.Add(-sentAgo), to: now}
-	if n.IsAbsent() && !r.isTakenBack(n.Kind, said.from) {
+	said := newSpan(now, 0, sentAgo)
+	if r != nil && !r.admits(n, said) {
 		return false, false
 	}
 	changed = b.set(hash, id, n, said, SourceAnswer)
 	return changed, b.isReportDue(hash, n.Kind, changed, now)
 }
 
-// ObserveReport records a report of another node, which has heard so long ago what the notice tells about
-// the subject with the given hash. Whether a server that leaves stays after all is known by its own
+// ObserveReport records a report of another node. Whether a server that leaves stays after all is known by its own
 // answers alone.
-func (b *Board) ObserveReport(hash uint64, n Notice, age time.Duration) {
+func (b *Board) ObserveReport(r Report) {
+	n := Notice{r.Kind, r.Value}
 	if !n.Kind.isShared() || n.Kind == KindLeaving && n.IsAbsent() {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	heardAt := b.timers.Steady().Add(-age)
-	b.set(hash, "", n, span{from: heardAt, to: heardAt}, SourceReport)
+	b.set(r.Server, "", n, newSpan(b.timers.Steady(), r.Age, r.Doubt), SourceReport)
 }
 
 // set stores a notice that a server said at the given time, unless a later one is known. It reports
@@ -190,12 +188,10 @@
 		r.id = id
 	}
 	f := &r.facts[n.Kind]
-	heardAt := said.to
-	if n.Kind == KindRest {
-		if !r.extendRest(n, heardAt) {
-			return false
-		}
-	} else if heardAt.Before(f.heardAt) {
+	if !r.admits(n, said) {
+		return false
+	}
+	if n.Kind == KindRest && !r.extendRest(n, said.to) {
 		return false
 	}
 	if source != SourceAnswer {
@@ -204,15 +200,17 @@
 	if n.IsAbsent() && !f.present(n.Kind) {
 		return false
 	}
-	f.heardAt = heardAt
 	if !f.present(n.Kind) {
-		f.since = heardAt
+		f.since = said.to
 	}
-	if n.Kind == KindServiceRejectionLimit && !n.IsAbsent() {
-		n.Value = min(n.Value, f.value) // some of its servers may name more
+	if f.holds(n) {
+		f.confirm(said)
+		n.Value = f.value
+	} else {
+		f.said = said
 	}
-	c := Change{Server: r.id, Hash: hash, Kind: n.Kind, Before: f.value, Value: n.Value, Source: source, Age: b.timers.Steady().Sub(heardAt), Doubt: said.doubt()}
-	if differ(n.Value, f.value, sameFactor) || n.Kind == KindRest {
+	c := Change{Server: r.id, Hash: hash, Kind: n.Kind, Before: f.value, Value: n.Value, Source: source, Age: b.timers.Steady().Sub(said.to), Doubt: said.doubt()}
+	if n.Value != f.value || n.Kind == KindRest {
 		b.replace(f, n.Kind, n.Value)
 	}
 	if changed = c.matters(); changed {
--- a/notice/board_test.go
+++ b/notice/board_test.go
@@ -43,8 +43,8 @@
 		b := &testBoard{}
 		b.Board = notice.New(owner.NewRoster(node.Self(), node, timers), timers, notice.WithTunnels(b),
 			notice.WithObserver(func(c notice.Change) { b.changes = append(b.changes, c) }),
-			notice.WithReporter(func(hash uint64, n notice.Notice) {
-				b.reported, b.reportedOf = append(b.reported, n), append(b.reportedOf, hash)
+			notice.WithReporter(func(r notice.Report) {
+				b.reported, b.reportedOf = append(b.reported, notice.Notice{Kind: r.Kind, Value: r.Value}), append(b.reportedOf, r.Server)
 			}))
 		test(t, b)
 	})
@@ -53,6 +53,16 @@
 // server is the server of these tests, restarted its next incarnation.
 var server, restarted = registry.Server{ID: "s", Born: 1}, registry.Server{ID: "s", Born: 2}
 
+// reports returns a report of another node that a server said something so long ago, or longer ago by the doubt
+// at most. The server's limits are known by its ID.
+func reports(s registry.Server, k notice.Kind, value float64, age, doubt time.Duration) notice.Report {
+	hash := s.Hash()
+	if k == notice.KindRequestLimit {
+		hash = s.IDHash()
+	}
+	return notice.Report{Server: hash, Kind: k, Value: value, Age: age, Doubt: doubt}
+}
+
 // answers returns an answer with one notice, to a request sent so long ago.
 func answers(k notice.Kind, value float64, sentAgo time.Duration) notice.Answer {
 	return notice.Answer{Notices: []notice.Notice{{Kind: k, Value: value}}, SentAgo: sentAgo}
@@ -74,14 +84,14 @@
 		time.Sleep(time.Second)
 		b.Observe(server, answers(notice.KindLeaving, 0, 2*time.Second))
 		must.True(t, b.State(&server).Leaving, must.Sprint("an answer to an earlier request"))
-		b.ObserveReport(server.Hash(), notice.Notice{Kind: notice.KindLeaving}, 0)
+		b.ObserveReport(reports(server, notice.KindLeaving, 0, 0, 0))
 		must.True(t, b.State(&server).Leaving, must.Sprint("another node's report"))
 		time.Sleep(10 * time.Minute)
 		b.Clean()
 		must.True(t, b.State(&server).Leaving, must.Sprint("nothing was heard for a while"))
 		b.Observe(server, answers(notice.KindLeaving, 0, 500*time.Millisecond))
 		must.False(t, b.State(&server).Leaving, must.Sprint("an answer to a later request"))
-		b.ObserveReport(server.Hash(), notice.Notice{Kind: notice.KindLeaving, Value: 1}, time.Second)
+		b.ObserveReport(reports(server, notice.KindLeaving, 1, time.Second, 0))
 		must.False(t, b.State(&server).Leaving, must.Sprint("an older report"))
 		must.Eq(t, 0, b.Count(notice.KindLeaving))
 		names := []string{}
@@ -111,7 +121,7 @@
 			b.Observe(server, answers(notice.KindLeaving, 1, 0))
 		}
 		must.Eq(t, []notice.Notice{{Kind: notice.KindLeaving, Value: 1}}, b.reported)
-		b.ObserveReport(restarted.Hash(), notice.Notice{Kind: notice.KindLeaving, Value: 1}, time.Second)
+		b.ObserveReport(reports(restarted, notice.KindLeaving, 1, time.Second, 0))
 		must.True(t, b.State(&restarted).Leaving)
 		b.Observe(restarted, answers(notice.KindLeaving, 1, 0))
 		must.Len(t, 1, b.reported)
--- a/notice/expiry.go
+++ b/notice/expiry.go
@@ -30,17 +30,17 @@
 func (b *Board) expire(hash uint64, r *record, now time.Time) {
 	for k := range r.facts {
 		kind, f := Kind(k), &r.facts[k]
-		if f.heardAt.IsZero() || now.Sub(f.heardAt) < r.trust(kind) {
+		if !f.isKnown() || now.Sub(f.said.to) < r.trust(kind) {
 			continue
 		}
 		before := *f
 		b.replace(f, kind, kind.Absent())
-		f.heardAt, f.reportedAt = time.Time{}, time.Time{}
+		f.said, f.reportedAt = span{}, time.Time{}
 		if kind == KindRest {
 			r.restUntil = time.Time{}
 		}
 		if before.present(kind) {
-			b.onChange(Change{Server: r.id, Hash: hash, Kind: kind, Before: before.value, Value: kind.Absent(), Source: SourceExpiry, Age: now.Sub(before.heardAt)})
+			b.onChange(Change{Server: r.id, Hash: hash, Kind: kind, Before: before.value, Value: kind.Absent(), Source: SourceExpiry, Age: now.Sub(before.said.to), Doubt: before.said.doubt()})
 		}
 	}
 }
--- a/notice/known.go
+++ b/notice/known.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // maxKnown bounds what one node tells another that has just started, some 15 kB.
@@ -19,7 +20,7 @@
 		for k := range r.facts {
 			kind, f := Kind(k), &r.facts[k]
 			if kind.isShared() && f.present(kind) {
-				known = append(known, Report{Server: hash, Kind: kind, Value: f.value, Age: now.Sub(f.heardAt), FirstAge: now.Sub(f.since)})
+				known = append(known, Report{Server: hash, Kind: kind, Value: f.value, Age: now.Sub(f.said.to), FirstAge: now.Sub(f.since), Doubt: f.said.doubt()})
 			}
 		}
 	}
@@ -36,8 +37,8 @@
 	return known[:min(len(known), maxKnown)]
 }
 
-// Learn records what another node knows, when this one has just started.
-func (b *Board) Learn(known []Report) {
+// Learn records what another node knows, when this one has just started. To learn it took the given time.
+func (b *Board) Learn(known []Report, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range known {
@@ -45,8 +46,7 @@
 			continue
 		}
 		now := b.timers.Steady()
-		heardAt := now.Add(-r.Age)
-		b.set(r.Server, "", Notice{r.Kind, r.Value}, span{heardAt, heardAt}, SourceReport)
+		b.set(r.Server, "", Notice{r.Kind, r.Value}, newSpan(now, r.Age, r.Doubt+took), SourceReport)
 		if f := &b.record(r.Server).facts[r.Kind]; f.present(r.Kind) && now.Add(-r.FirstAge).Before(f.since) {
 			f.since = now.Add(-r.FirstAge)
 		}
--- a/notice/known_test.go
+++ b/notice/known_test.go
@@ -37,7 +37,7 @@
 		time.Sleep(time.Second)
 
 		started := newNode(timers)
-		started.Learn(b.Known())
+		started.Learn(b.Known(), 0)
 		added := ofService("v", 1)
 		must.Eq(t, 3, rejectionLimit(started, limited))
 		must.Eq(t, 3, rejectionLimit(started, added))
@@ -46,7 +46,7 @@
 		must.True(t, started.State(&resting).RestUntil.IsZero())
 
 		started.Observe(limited, answers(notice.KindRejectionLimit, notice.Unlimited, 0))
-		started.Learn(b.Known())
+		started.Learn(b.Known(), 0)
 		must.Eq(t, notice.Unlimited, rejectionLimit(started, limited), must.Sprint("a later answer"))
 	})
 }
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -16,19 +16,24 @@
 // nobody has confirmed for a while is forgotten, at each node at another time, so that the first one
 // learns of it again by its next answer and tells the others. A node that starts learns what another one knows.
 //
+// Of an answer it is known that the server wrote it after the request was sent and before the answer was
+// read, of a report that it was written some time before it came. Until it is sure which of two notices is
+// the later, the stricter one holds.
+//
 // # Usage
 //
 //	b := notice.New(roster, timers, notice.WithReporter(sendToOtherNodes))
 //	headers := notice.Headers{RequestLimit: "X-Request-Limit", RejectionLimit: "X-Rejection-Limit", Leaving: "X-Leaving"}
 //	b.Observe(server, notice.Answer{Notices: headers.Decode(response), SentAgo: …})  // for each answer
-//	b.ObserveReport(hash, notice, age)  // for each report of another node
-//	b.Learn(known)                      // at the start, what another node's Known returned
+//	b.ObserveReport(report)  // for each report of another node
+//	b.Learn(known, took)     // at the start, what another node's Known returned
 //	… b.State(server) …
 package notice
 
 import (
 	"fmt"
 	"math"
+	"time"
 
 	"github.com/violettally/violettally/registry"
 )
@@ -92,6 +97,22 @@
 	Value float64
 }
 
+// isStricter reports whether the notice asks more of the nodes than a value of its kind does.
+func (n Notice) isStricter(value float64) bool {
+	if n.Kind.isLimit() {
+		return n.Value < value
+	}
+	return n.Value > value
+}
+
+// endTime is how much later than the last notice of this kind an answer must be that takes it back.
+func (k Kind) endTime() time.Duration {
+	if k == KindServiceRejectionLimit {
+		return serviceEndTime
+	}
+	return 0
+}
+
 // Absent is the value of a notice of this kind in an answer that says nothing of it.
 func (k Kind) Absent() float64 {
 	if k.isLimit() {
--- a/notice/record.go
+++ b/notice/record.go
@@ -23,6 +23,12 @@
 // sent, answered and read; only the first and the last of these times are known.
 type span struct{ from, to time.Time }
 
+// newSpan returns when a server said what was heard so long ago, or longer ago by the doubt at most.
+func newSpan(now time.Time, age, doubt time.Duration) span {
+	to := now.Add(-age)
+	return span{from: to.Add(-doubt), to: to}
+}
+
 // doubt returns by how much it is not known when it was.
 func (s span) doubt() time.Duration { return s.to.Sub(s.from) }
 
@@ -42,9 +48,10 @@
 type fact struct {
 	// value is that of the last notice; Kind.Absent if there was none or it has ended.
 	value float64
-	// heardAt is when the server last said so, or first that it has ended; reportedAt is when a
-	// node last reported it.
-	heardAt, reportedAt time.Time
+	// said is when the server last said so, or first that it has ended; zero if nothing is known.
+	said span
+	// reportedAt is when a node last reported it.
+	reportedAt time.Time
 	// since is when what holds was first heard.
 	since time.Time
 }
@@ -60,10 +67,56 @@
 // present reports whether a fact of the given kind holds.
 func (f *fact) present(k Kind) bool { return f.value != k.Absent() }
 
+// isKnown reports whether the server is known to have said something of the kind, or that it has ended.
+func (f *fact) isKnown() bool { return !f.said.to.IsZero() }
+
+// admits reports whether a notice, said at the given time, may be later news than what is known. What asks
+// more of the nodes is taken unless it surely is older; what asks less only if it surely is later, since answers
+// pass each other and are read late.
+func (f *fact) admits(n Notice, said span) bool {
+	switch {
+	case !f.isKnown() || f.holds(n):
+		return true
+	case n.isStricter(f.value):
+		return !said.to.Before(f.said.from)
+	case n.Kind == KindLeaving:
+		return said.from.After(f.said.to)
+	default:
+		return said.from.Sub(f.said.to) >= n.Kind.endTime()
+	}
+}
+
+// admits reports whether a notice, said at the given time, may be later news than what is known of its kind.
+func (r *record) admits(n Notice, said span) bool {
+	if n.Kind == KindRest {
+		return !n.IsAbsent() || r.endsRest(said.from)
+	}
+	return r.facts[n.Kind].admits(n, said)
+}
+
+// holds reports whether a notice says what is known. Reports are rounded. Of the servers of a service some may
+// name more than others.
+func (f *fact) holds(n Notice) bool {
+	if n.Kind == KindServiceRejectionLimit && !n.IsAbsent() && n.Value > f.value {
+		return true
+	}
+	return !differ(n.Value, f.value, sameFactor)
+}
+
+// confirm records that the server has said the same at another time.
+func (f *fact) confirm(said span) {
+	if said.from.After(f.said.from) {
+		f.said.from = said.from
+	}
+	if said.to.After(f.said.to) {
+		f.said.to = said.to
+	}
+}
+
 // isEmpty reports whether nothing is known of the server.
 func (r *record) isEmpty() bool {
 	for _, f := range r.facts {
-		if !f.heardAt.IsZero() {
+		if f.isKnown() {
 			return false
 		}
 	}
@@ -84,7 +137,7 @@
 	case k == KindLeaving:
 		return leavingTrust
 	case k == KindRest:
-		return r.restUntil.Sub(r.facts[k].heardAt) + restMemory
+		return r.restUntil.Sub(r.facts[k].said.to) + restMemory
 	default:
 		return r.spread(minTrust)
 	}
@@ -108,19 +161,6 @@
 	return true
 }
 
-// isTakenBack reports whether an answer that says nothing of a kind, to a request sent at the given time,
-// takes back what is known: whether the request is later than the answers that said that the server
-// leaves, since answers may pass each other, than the end of the rest, or by serviceEndTime than the last
-// answer of any server of the service that named the limit.
-func (r *record) isTakenBack(k Kind, sentAt time.Time) bool {
-	switch k {
-	case KindLeaving:
-		return sentAt.After(r.facts[k].heardAt)
-	case KindRest:
-		return !sentAt.Before(r.restUntil)
-	case KindServiceRejectionLimit:
-		return sentAt.Sub(r.facts[k].heardAt) >= serviceEndTime
-	default:
-		return true
-	}
-}
+// endsRest reports whether an answer that asks for no rest, to a request sent at the given time, ends what was
+// asked for before.
+func (r *record) endsRest(sentAt time.Time) bool { return !sentAt.Before(r.restUntil) }
--- a/notice/report.go
+++ b/notice/report.go
@@ -36,7 +36,7 @@
 	if k == KindLeaving && !f.present(k) {
 		return false
 	}
-	if f.heardAt.IsZero() || (!changed && now.Sub(f.reportedAt) < r.reportInterval(k)) {
+	if !f.isKnown() || (!changed && now.Sub(f.reportedAt) < r.reportInterval(k)) {
 		return false
 	}
 	b.reports.SetLimitAt(now, rate.Limit(reportsPerSecond/float64(b.roster.Count())))
--- a/notice/service.go
+++ b/notice/service.go
@@ -27,7 +27,7 @@
 	ofService := Notice{KindServiceRejectionLimit, n.Value}
 	_, report := b.recordAnswer(hash, s.Service, ofService, sentAgo)
 	if report {
-		b.report(hash, ofService)
+		b.report(Report{Server: hash, Kind: ofService.Kind, Value: ofService.Value, Doubt: sentAgo})
 	}
 	if n.IsAbsent() {
 		b.exempt(s, sentAgo)
@@ -45,7 +45,7 @@
 	}
 	r := b.record(s.Hash())
 	if f := &r.facts[KindRejectionLimit]; !f.present(KindRejectionLimit) {
-		r.id, f.heardAt = s.ID, now
+		r.id, f.said = s.ID, newSpan(now, 0, sentAgo)
 	}
 }
 
@@ -72,7 +72,7 @@
 // caller holds mu.
 func (b *Board) rejectionLimit(s *registry.Server, r *record) (perSecond float64, since time.Time) {
 	ofService := b.serviceLimit(s.Service)
-	if r != nil && !r.facts[KindRejectionLimit].heardAt.IsZero() {
+	if r != nil && r.facts[KindRejectionLimit].isKnown() {
 		own := r.facts[KindRejectionLimit]
 		if !own.present(KindRejectionLimit) {
 			return Unlimited, time.Time{}
--- a/notice/service_test.go
+++ b/notice/service_test.go
@@ -81,7 +81,7 @@
 		other := newNode(timers)
 		tell := func() {
 			for i, n := range b.reported {
-				other.ObserveReport(b.reportedOf[i], n, 0)
+				other.ObserveReport(notice.Report{Server: b.reportedOf[i], Kind: n.Kind, Value: n.Value})
 			}
 			b.reported, b.reportedOf = nil, nil
 		}
--- a/notice/tunnels.go
+++ b/notice/tunnels.go
@@ -27,17 +27,18 @@
 	return func(b *Board) { b.tunnels = t }
 }
 
-// Report is what one node tells another of a server: the other end of a tunnel, or a node that has just
-// started. It is exported for the codecs.
+// Report is what one node tells others of a server. It is exported for the codecs.
 type Report struct {
 	// Server is the hash of what is reported: of the server's incarnation, of its ID for a request limit,
 	// or of a service.
 	Server uint64  `cbor:"1,keyasint"`
 	Kind   Kind    `cbor:"2,keyasint"`
 	Value  float64 `cbor:"3,keyasint"`
-	// Age is how long ago the server said so, FirstAge how long ago it first did, if that is told.
+	// Age is how long ago the server said so at least, FirstAge how long ago it first did, if that is told.
 	Age      time.Duration `cbor:"4,keyasint,omitempty"`
 	FirstAge time.Duration `cbor:"5,keyasint,omitempty"`
+	// Doubt is how much longer ago than Age it may have been.
+	Doubt time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // tellTunnels tells the nodes at the other ends of the tunnels to a server what it has just said.
@@ -59,6 +60,5 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	heardAt := b.timers.Steady().Add(-r.Age)
-	b.set(r.Server, "", n, span{heardAt, heardAt}, SourceTunnel)
+	b.set(r.Server, "", n, newSpan(b.timers.Steady(), r.Age, r.Doubt), SourceTunnel)
 }
--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -176,11 +176,16 @@
 	return n.c.nodes[i].places.Ask(a), nil
 }
 
-// report tells the other nodes of a limit.
-func (n *node) report(server uint64, said notice.Notice) {
+// report tells the other nodes of a limit. They know a bound alone of how long that was under way.
+func (n *node) report(r notice.Report) {
+	published := time.Now()
 	for _, other := range n.c.nodes {
 		if other != n {
-			n.c.after(time.Duration(rand.Float64()*float64(newsTime)), func() { other.limiter.board.ObserveReport(server, said, 0) })
+			n.c.after(time.Duration(rand.Float64()*float64(newsTime)), func() {
+				r := r
+				r.Doubt += time.Since(published) + time.Duration(rand.Float64()*float64(newsTime))
+				other.limiter.board.ObserveReport(r)
+			})
 		}
 	}
 }
@@ -195,7 +200,7 @@
 	n.places = rejection.NewPlaces(n.roster, n.c.timers)
 	for range 2 {
 		if other := n.c.nodes[rand.IntN(len(n.c.nodes))]; other != n && other.limiter != nil {
-			n.limiter.board.Learn(other.limiter.board.Known())
+			n.limiter.board.Learn(other.limiter.board.Known(), 0)
 		}
 	}
 	if n.kill != nil {
--- a/share/run.go
+++ b/share/run.go
@@ -67,6 +67,7 @@
 func (x *Exchange) callPeer(ctx context.Context, address string, l *layout) {
 	node, hall := l.hashes(address)
 	message, upTo := x.nextMessage(address, node, hall)
+	began := x.timers.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := x.client.Exchange(ctx, address, message)
@@ -77,7 +78,7 @@
 		x.mu.Unlock()
 		return
 	}
-	x.receive(reply.Batches, node)
+	x.receive(reply.Batches, node, x.timers.Now().Sub(began))
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.peers[address]
--- a/share/share.go
+++ b/share/share.go
@@ -71,9 +71,11 @@
 	Server uint64
 	// Prompt is the part of the prompt that other requests share.
 	Prompt prefix.Chain
-	// WorkMillis is how long the request keeps the server busy, in milliseconds.
+	// WorkMillis is how long the request keeps the server busy, in milliseconds; of a notice, how much
+	// longer ago than its age the server may have said so.
 	WorkMillis float32
-	// AgeMillis is how long ago the request was sent, in milliseconds.
+	// AgeMillis is how long ago the request was sent, or the server said what a notice tells, in
+	// milliseconds.
 	AgeMillis uint32
 	// Lost holds the features of a request that the server left without a response when it
 	// crashed; none if the record is no loss.
@@ -87,12 +89,13 @@
 	Value  float32
 }
 
-// ServerNotice returns what the record tells that the server says of itself.
-func (r Record) ServerNotice() notice.Notice {
-	return notice.Notice{Kind: r.Notice, Value: float64(r.Value)}
+// Report returns what the record tells that a server says.
+func (r Record) Report() notice.Report {
+	doubt := time.Duration(float64(r.WorkMillis) * float64(time.Millisecond))
+	return notice.Report{Server: r.Server, Kind: r.Notice, Value: float64(r.Value), Age: r.Age(), Doubt: doubt}
 }
 
-// Age returns how long ago the request was sent.
+// Age returns how long ago the request was sent, or the server said what a notice tells.
 func (r Record) Age() time.Duration { return time.Duration(r.AgeMillis) * time.Millisecond }
 
 // Batch holds records of one node.
@@ -153,7 +156,9 @@
 	// latestSequence is, by node, the latest sequence number received.
 	latestSequence map[uint64]uint64
 	// peers are by address.
-	peers           map[string]*peer
+	peers map[string]*peer
+	// calls are those of other nodes.
+	calls           callLog
 	budget          budget
 	losses, answers lossLimiter
 	// toldAnswers holds the time until which the answer that was passed on last clears a feature.
@@ -201,6 +206,7 @@
 		entries:        make([]entry, 0, logSize),
 		latestSequence: make(map[uint64]uint64),
 		peers:          make(map[string]*peer),
+		calls:          newCallLog(timers.Now()),
 		losses:         newLossLimiter(),
 		answers:        newLossLimiter(),
 		toldAnswers:    make(map[suspect.Feature]time.Time),
@@ -264,13 +270,17 @@
 	return true
 }
 
-// PublishNotice publishes what a server says of itself. The caller bounds how often.
-func (x *Exchange) PublishNotice(server uint64, n notice.Notice) {
+// PublishNotice publishes what a server says. The caller bounds how often.
+func (x *Exchange) PublishNotice(r notice.Report) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.addOwn(Record{Server: server, Notice: n.Kind, Value: float32(n.Value)}, x.timers.Now())
+	record := Record{Server: r.Server, Notice: r.Kind, Value: float32(r.Value), WorkMillis: millis(r.Doubt)}
+	x.addOwn(record, x.timers.Now().Add(-r.Age))
 }
 
+// millis returns a time as records hold it.
+func millis(d time.Duration) float32 { return float32(d.Seconds() * 1000) }
+
 // addOwn appends a record of this node, of what happened at the given time, to the log. The caller
 // holds mu.
 func (x *Exchange) addOwn(r Record, at time.Time) {
@@ -281,9 +291,10 @@
 
 // Handle receives a peer's records and returns those that the peer has not received.
 func (x *Exchange) Handle(m Message) Reply {
-	x.receive(m.Batches, m.Node)
+	x.receive(m.Batches, m.Node, x.timeUnderWay(m))
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.calls.replied(m.Node, x.count, x.timers.Now())
 	after := m.After
 	if m.LogID != x.logID {
 		after = 0
@@ -297,11 +308,15 @@
 	return Reply{LogID: x.logID, UpTo: x.count, Batches: batches}
 }
 
-// receive adds the records of other nodes to the log, each once.
-func (x *Exchange) receive(batches []Batch, from uint64) {
+// receive adds the records of other nodes to the log, each once. They were under way for the given time at
+// most.
+func (x *Exchange) receive(batches []Batch, from uint64, underWay time.Duration) {
 	now := x.timers.Now()
 	for _, batch := range batches {
 		for _, r := range batch.Records {
+			if r.Notice != notice.KindNone {
+				r.WorkMillis += millis(underWay)
+			}
 			if x.addIfNew(batch, r, from, now) {
 				x.onRecord(r)
 			}
--- a/throttle/cluster_test.go
+++ b/throttle/cluster_test.go
@@ -177,8 +177,9 @@
 }
 
 // report tells the other nodes, which learn of it at different times or not at all. They know how long the
-// report waited here, and not how long it was under way.
-func (n *node) report(server uint64, said notice.Notice) {
+// report waited here, and a bound alone of how long it was under way.
+func (n *node) report(r notice.Report) {
+	published := time.Now()
 	for _, other := range n.c.nodes {
 		if other == n || n.c.random.IntN(20) == 0 {
 			continue
@@ -186,7 +187,12 @@
 		limiter := other.limiter
 		waited := time.Duration(n.c.random.Float64() * float64(newsTime/2))
 		underWay := time.Duration(n.c.random.Float64() * float64(newsTime/2))
-		n.c.after(waited+underWay, other, func() { limiter.ObserveReport(server, said.Value, waited) })
+		n.c.after(waited+underWay, other, func() {
+			r := r
+			r.Age += waited
+			r.Doubt += time.Since(published) + time.Duration(n.c.random.Float64()*float64(newsTime))
+			limiter.board.ObserveReport(r)
+		})
 	}
 }
 
--- a/throttle/harness_test.go
+++ b/throttle/harness_test.go
@@ -31,7 +31,7 @@
 
 // ObserveReport records another node's report of a limit.
 func (l *limiter) ObserveReport(server uint64, perSecond float64, age time.Duration) {
-	l.board.ObserveReport(server, notice.Notice{Kind: notice.KindRequestLimit, Value: perSecond}, age)
+	l.board.ObserveReport(notice.Report{Server: server, Kind: notice.KindRequestLimit, Value: perSecond, Age: age})
 }
 
 // Limit returns the known limit of a server.
