--- a/rejection/ask.go
+++ b/rejection/ask.go
@@ -49,7 +49,7 @@
 	basis := BasisGranted
 	switch places, answered := combine(ask, first, second); {
 	case answered:
-		r.granted, r.grantedUntil, r.told = places, now.Add(holdTime), places
+		r.granted, r.grantedUntil, r.told = places, r.askedAt.Add(holdTime), places // owners count from when they were asked
 		if first.gives(places) || second.gives(places) {
 			r.told = max(first.grant.Places, second.grant.Places)
 			go l.ask(context.Background(), s, 0) // gives back what only one of them gives
@@ -77,11 +77,13 @@
 		return Ask{}, false // by the request that this one waited for
 	}
 	r.askedAt = now
+	l.sequence++
 	r.granted = r.inflight // what is not in use is given back
 	since := l.board.State(&r.server).RejectionLimitSince
 	return Ask{
 		Server: r.server.IDHash(), Node: l.roster.NodeHash(), DataHall: r.server.DataHall,
 		Slots: r.slots, InUse: r.inflight, Want: want, New: now.Sub(since) < settleTime,
+		Sequence: l.sequence,
 	}, true
 }
 
--- a/rejection/ask_test.go
+++ b/rejection/ask_test.go
@@ -24,16 +24,28 @@
 	places [2]*rejection.Places
 	down   [2]bool
 	asks   [2]int
+	// late is how long the answers of each wait until they are read, if the node that asked stands still.
+	late [2]time.Duration
 }
 
 func (p *ownerPair) Ask(_ context.Context, _ registry.Server, rank int, a rejection.Ask) (rejection.Grant, error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.down[rank] {
+		p.mu.Unlock()
 		return rejection.Grant{}, errors.New("down")
 	}
 	p.asks[rank]++
-	return p.places[rank].Ask(a), nil
+	grant, late := p.places[rank].Ask(a), p.late[rank]
+	p.mu.Unlock()
+	time.Sleep(late)
+	return grant, nil
+}
+
+// setLate sets how long the answers of each owner wait until they are read.
+func (p *ownerPair) setLate(first, second time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.late = [2]time.Duration{first, second}
 }
 
 // start starts the process of an owner, which knows nothing.
@@ -133,3 +145,32 @@
 		must.Eq(t, [2]int{1, 0}, p.takeCounts())
 	})
 }
+
+// TestPlaceGrantedLongAgoIsNotUsed checks that a place is not used whose grant was read so late that the owners
+// have given it to another node since.
+func TestPlaceGrantedLongAgoIsNotUsed(t *testing.T) {
+	withOwners(t, func(t *testing.T, p *ownerPair, a, b *limiter, _ *timer.Service) {
+		p.setLate(time.Second, 6*time.Second)
+		taken := make(chan bool)
+		go func() { taken <- a.Take(t.Context(), pairServer) }()
+		time.Sleep(6500 * time.Millisecond) // the owners have given it to a 6.5 and 5.5 s ago
+		p.setLate(0, 0)
+		must.True(t, b.Take(t.Context(), pairServer))
+		must.False(t, <-taken)
+	})
+}
+
+// TestLateAskTakesNothingBack checks that a request for places which an owner reads after a later one of the same
+// node changes nothing.
+func TestLateAskTakesNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := timer.New()
+		defer timers.Close()
+		p := newPlaces(timers)
+		must.Eq(t, 3, p.Ask(rejection.Ask{Server: 1, Node: 1, Sequence: 8, Slots: 4, InUse: 3, New: true}).Places)
+		p.Ask(rejection.Ask{Server: 1, Node: 1, Sequence: 7, Slots: 4, New: true})
+		other := rejection.Ask{Server: 1, Node: 2, Sequence: 3, Slots: 4, Want: 4, New: true}
+		must.Eq(t, 1, p.Ask(other).Places)
+		must.Eq(t, 3, p.Ask(rejection.Ask{Server: 1, Node: 1, Sequence: 9, Slots: 4, InUse: 2, Want: 4, New: true}).Places)
+	})
+}
--- a/rejection/places.go
+++ b/rejection/places.go
@@ -43,6 +43,9 @@
 	New bool `cbor:"6,keyasint,omitempty"`
 	// DataHall is the server's.
 	DataHall string `cbor:"7,keyasint,omitempty"`
+	// Sequence orders the requests of a node, also those of its processes one after the other; zero if it
+	// does not tell.
+	Sequence uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Grant is the answer to an Ask. The fields are exported for the codecs.
@@ -76,10 +79,11 @@
 	byNode     map[uint64]holding
 }
 
-// holding is what one node has until a time.
+// holding is what one node has until a time, by its request of the given sequence number.
 type holding struct {
-	places int
-	until  time.Time
+	places   int
+	until    time.Time
+	sequence uint64
 }
 
 // PlacesOption configures Places in NewPlaces.
@@ -111,16 +115,16 @@
 	p.clean(now)
 	h := p.holdersOf(a.Server, now)
 	h.askedAt = now
+	if held := h.byNode[a.Node]; a.Sequence != 0 && a.Sequence <= held.sequence {
+		return Grant{Places: a.InUse, Unsettled: true} // read after a later one of the same node
+	}
 	places := a.InUse
 	settled := a.New || p.isOwner(a, h) && !now.Before(h.settledAt)
 	if settled {
 		free := a.Slots - a.InUse - h.placesOfOthers(a.Node, now)
 		places += max(0, min(a.Want, free))
 	}
-	h.byNode[a.Node] = holding{places, now.Add(holdTime)}
-	if places == 0 {
-		delete(h.byNode, a.Node)
-	}
+	h.byNode[a.Node] = holding{places, now.Add(holdTime), a.Sequence}
 	return Grant{Places: places, Unsettled: !settled}
 }
 
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -70,12 +70,18 @@
 	rooms map[uint64]*room
 	// denied holds until when servers that had no place are not asked for one again.
 	denied map[uint64]time.Time
+	// sequence numbers the requests for places. It begins with the time of day in microseconds, so that
+	// it is above those of this node's earlier processes.
+	sequence uint64
 }
 
 // New returns a limiter of the node with the given roster, which knows the limits of servers from the
 // board.
 func New(board *notice.Board, roster *owner.Roster, timers *timer.Service, coordinators Coordinators) *Limiter {
-	return &Limiter{board: board, timers: timers, coordinators: coordinators, roster: roster, rooms: make(map[uint64]*room), denied: make(map[uint64]time.Time)}
+	return &Limiter{
+		board: board, timers: timers, coordinators: coordinators, roster: roster,
+		rooms: make(map[uint64]*room), denied: make(map[uint64]time.Time), sequence: uint64(timers.Now().UnixMicro()),
+	}
 }
 
 // ObserveSlots records how many requests a server says that it runs at once.
