--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -34,6 +34,8 @@
 	headTime = 100 * time.Millisecond
 	// newsTime is the longest time that a report takes from one node to another.
 	newsTime = 400 * time.Millisecond
+	// wakeTime is the longest time in which a node that stood still reads what has come.
+	wakeTime = 20 * time.Millisecond
 )
 
 // TestRejectionsOfAllNodes checks that servers do not end because they had to reject more requests
@@ -62,7 +64,7 @@
 			t.Run(fmt.Sprintf("%+v, limit %g", tt, limit), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					ctx, cancel := context.WithCancel(t.Context())
-					c := newCluster(ctx, tt.nodes, tt.slots, tt.work, limit)
+					c := newCluster(ctx, tt.nodes, serverCount, tt.slots, tt.work, limit)
 					defer c.timers.Close()
 					defer synctest.Wait()
 					defer cancel()
@@ -122,9 +124,11 @@
 	roster  *owner.Roster
 	limiter *limiter
 	places  *rejection.Places
-	// startedAt is when the process started; kill ends it.
+	// startedAt is when the process started, or last began to run again; kill ends it.
 	startedAt time.Time
-	kill      context.CancelFunc
+	// stillUntil is until when the node does nothing and reads nothing.
+	stillUntil time.Time
+	kill       context.CancelFunc
 	// listMu guards the list of nodes: unknown are those that are missing in this one's list; known is the
 	// list without them, made from the list that listed begins.
 	listMu  sync.Mutex
@@ -166,14 +170,50 @@
 
 // Ask asks the owner of a server that has the given rank.
 func (n *node) Ask(_ context.Context, s registry.Server, rank int, a rejection.Ask) (rejection.Grant, error) {
-	n.c.mu.Lock()
-	defer n.c.mu.Unlock()
 	owners := owner.Leading(n.Self(), n.Others(), s.DataHall, s.IDHash(), rank+1)
 	if len(owners) <= rank {
 		return rejection.Grant{}, errors.New("no owner")
 	}
 	i := slices.IndexFunc(n.c.nodes, func(other *node) bool { return other.Self().VM == owners[rank].VM })
-	return n.c.nodes[i].places.Ask(a), nil
+	return n.askNode(n.c.nodes[i], a)
+}
+
+// askNode asks another node. One that stands still reads what it was asked later, in any order. The error comes
+// at once, without a time for the answer: in synthetic time nobody may wait for who waits.
+func (n *node) askNode(other *node, a rejection.Ask) (rejection.Grant, error) {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	still := max(other.still(), n.still())
+	if still == 0 {
+		return other.places.Ask(a), nil
+	}
+	places := other.places
+	time.AfterFunc(other.still()+rand.N(wakeTime), func() { places.Ask(a) })
+	return rejection.Grant{}, errors.New("no answer")
+}
+
+// still returns for how long the node does nothing yet. The caller holds the cluster's mu, or is its run.
+func (n *node) still() time.Duration { return max(0, time.Until(n.stillUntil)) }
+
+// standStill makes nodes do nothing and read nothing for a time.
+func (c *cluster) standStill(nodes []*node, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range nodes {
+		n.stillUntil = time.Now().Add(d)
+		n.startedAt = n.stillUntil
+	}
+}
+
+// at lets a node do something after a time, or once it does not stand still any more.
+func (c *cluster) at(n *node, d time.Duration, do func()) {
+	c.after(d, func() {
+		if still := n.still(); still > 0 {
+			c.at(n, still+rand.N(wakeTime), do)
+			return
+		}
+		do()
+	})
 }
 
 // report tells the other nodes of a limit. They know a bound alone of how long that was under way.
@@ -181,7 +221,7 @@
 	published := time.Now()
 	for _, other := range n.c.nodes {
 		if other != n {
-			n.c.after(time.Duration(rand.Float64()*float64(newsTime)), func() {
+			n.c.at(other, time.Duration(rand.Float64()*float64(newsTime)), func() {
 				r := r
 				r.Doubt += time.Since(published) + time.Duration(rand.Float64()*float64(newsTime))
 				other.limiter.board.ObserveReport(r)
@@ -211,9 +251,9 @@
 	go n.limiter.Run(ctx)
 }
 
-func newCluster(ctx context.Context, nodes, slots int, work time.Duration, limit float64) *cluster {
+func newCluster(ctx context.Context, nodes, servers, slots int, work time.Duration, limit float64) *cluster {
 	c := &cluster{ctx: ctx, timers: timer.New(), events: make(map[int64][]func()), limit: limit, work: work, burst: 1}
-	for i := range serverCount {
+	for i := range servers {
 		s := &server{Server: registry.Server{ID: fmt.Sprint("s-", i), Service: "s", DataHall: fmt.Sprint("hall-", i%halls), Slots: slots}}
 		c.servers = append(c.servers, s)
 	}
@@ -221,7 +261,7 @@
 	for i := range nodes {
 		n := &node{c: c, Node: list.Add(view.Member{VM: fmt.Sprint("n-", i), DataHall: fmt.Sprint("hall-", i%halls)})}
 		c.nodes = append(c.nodes, n)
-		n.entries, n.targets = make([]*registry.Server, serverCount), make([]*server, serverCount)
+		n.entries, n.targets = make([]*registry.Server, servers), make([]*server, servers)
 		for i, s := range c.servers {
 			n.update(i, s.Server, s)
 		}
@@ -275,6 +315,9 @@
 
 // send sends a request to a server that may get one, if there is one.
 func (c *cluster) send(n *node) {
+	if n.still() > 0 {
+		return
+	}
 	n.roster.Refresh()
 	allowed := n.limiter.Filter(n.entries)
 	if len(allowed) == 0 {
@@ -316,14 +359,12 @@
 		s.waiting = append(s.waiting, q)
 	default:
 		c.reject(q)
-		c.after(time.Millisecond, func() {
-			c.observe(q)
-			q.ended = true
-			if !q.released {
-				q.released = true
-				q.limiter.Reject(q.incarnation)
-			}
-		})
+		q.ended = true
+		c.observe(q)
+		if !q.released {
+			q.released = true
+			c.at(q.node, time.Millisecond, func() { q.limiter.Reject(q.incarnation) })
+		}
 	}
 }
 
@@ -376,7 +417,7 @@
 	q.ended = true
 	if !q.released {
 		q.released = true
-		q.limiter.Release(q.incarnation)
+		c.at(q.node, 0, func() { q.limiter.Release(q.incarnation) })
 	}
 }
 
@@ -462,15 +503,18 @@
 func (c *cluster) announce(s *server) {
 	i, entry := slices.Index(c.servers, s), s.Server
 	for _, n := range c.nodes {
-		c.after(time.Duration(rand.Float64()*float64(newsTime)), func() { n.update(i, entry, s) })
+		c.at(n, time.Duration(rand.Float64()*float64(newsTime)), func() { n.update(i, entry, s) })
 	}
 }
 
-// observe lets the node of a request learn what the server says of itself.
+// observe lets the node of a request learn what the server says of itself now.
 func (c *cluster) observe(q *request) {
 	if q.released && q.ended {
 		return
 	}
-	q.limiter.Observe(q.incarnation, c.limit)
-	q.limiter.ObserveSlots(q.incarnation, q.server.Slots)
+	limit, slots := c.limit, q.server.Slots
+	c.at(q.node, time.Millisecond, func() {
+		q.limiter.ObserveAnswer(q.incarnation, limit, time.Since(q.sent))
+		q.limiter.ObserveSlots(q.incarnation, slots)
+	})
 }
--- a/rejection/faults_test.go
+++ b/rejection/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -27,6 +28,12 @@
 // allCases runs these tests at all loads, which takes some minutes with the race detector.
 var allCases = flag.Bool("all", false, "test all numbers of nodes, demands and limits")
 
+// The size of the model can be set for trials.
+var (
+	nodesOfCases   = flag.Int("nodes", 0, "number of nodes of the tests of faults; zero for the usual ones")
+	serversOfCases = flag.Int("servers", 12, "number of servers of the tests of faults")
+)
+
 var (
 	// faultNodes, faultDemands and faultLimits are the loads that are tested without -all. The demand is
 	// given in what the servers can run.
@@ -51,6 +58,9 @@
 	if *allCases {
 		nodes, demands, limits = allFaultNodes, allFaultDemands, allFaultLimits
 	}
+	if *nodesOfCases > 0 {
+		nodes = []int{*nodesOfCases}
+	}
 	var cases []faultCase
 	for _, n := range nodes {
 		for _, demand := range demands {
@@ -69,18 +79,18 @@
 		t.Run(fmt.Sprintf("%d nodes, demand %g, limit %g", tt.nodes, tt.demand, tt.limit), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				c := newCluster(ctx, tt.nodes, faultSlots, faultWork, tt.limit)
+				c := newCluster(ctx, tt.nodes, *serversOfCases, faultSlots, faultWork, tt.limit)
 				defer c.timers.Close()
 				defer synctest.Wait()
 				defer cancel()
-				perSecond := tt.demand * float64(serverCount*faultSlots) / faultWork.Seconds()
+				perSecond := tt.demand * float64(len(c.servers)*faultSlots) / faultWork.Seconds()
 				c.run(perSecond, false, limitrule.AdaptTime)
 				c.begin()
 				plan(c)
 				c.run(perSecond, false, length)
-				possible := min(1, tt.demand) * float64(serverCount*faultSlots) / faultWork.Seconds() * length.Seconds()
+				possible := min(1, tt.demand) * float64(len(c.servers)*faultSlots) / faultWork.Seconds() * length.Seconds()
 				t.Logf("%d served of %.0f, %d rejected, %d crashes", c.served, possible, c.rejected, c.crashes)
-				must.LessEq(t, limitrule.AllowedCrashes(serverCount), float64(c.crashes), must.Sprint("crashes"))
+				must.LessEq(t, limitrule.AllowedCrashes(len(c.servers)), float64(c.crashes), must.Sprint("crashes"))
 				must.GreaterEq(t, possible/2, float64(c.served), must.Sprint("requests served"))
 			})
 		})
@@ -193,6 +203,37 @@
 	})
 }
 
+// TestServersEndWhileNodesStandStill checks that servers do not end because nodes stand still again and again, and
+// then read what was said and asked before.
+func TestServersEndWhileNodesStandStill(t *testing.T) {
+	testFaults(t, faultTime, func(c *cluster) {
+		for at := 2 * time.Second; at < faultTime; at += 4 * time.Second {
+			c.after(at, func() { c.standStill(c.someNodes(), 3*time.Second) })
+		}
+	})
+}
+
+// TestServersEndAsLimitIsNamedWhileNodesStandStill checks the same for nodes that read what servers said before
+// they named the limit.
+func TestServersEndAsLimitIsNamedWhileNodesStandStill(t *testing.T) {
+	testFaults(t, faultTime, func(c *cluster) {
+		limit := c.limit
+		for at := time.Second; at < faultTime; at += 16 * time.Second {
+			c.after(at, func() { c.limit, c.begun = notice.Unlimited, false })
+			c.after(at+5*time.Second, func() { c.standStill(c.someNodes(), limitrule.AdaptTime+2*time.Second) })
+			c.after(at+6*time.Second, func() { c.limit = limit })
+			c.after(at+6*time.Second+limitrule.AdaptTime, func() { c.begun = true })
+		}
+	})
+}
+
+// someNodes returns a tenth of the nodes, one at least.
+func (c *cluster) someNodes() []*node {
+	count := (len(c.nodes) + 9) / 10
+	first := rand.IntN(len(c.nodes) - count + 1)
+	return c.nodes[first : first+count]
+}
+
 // replace replaces a server by one with another ID; the old one serves on.
 func (c *cluster) replace(i int) {
 	s := &server{Server: c.servers[i].Server}
--- a/rejection/rejection_test.go
+++ b/rejection/rejection_test.go
@@ -59,8 +59,11 @@
 }
 
 // Observe records an answer that names a limit.
-func (l *limiter) Observe(s registry.Server, perSecond float64) {
-	l.board.Observe(s, notice.Answer{Notices: []notice.Notice{{Kind: notice.KindRejectionLimit, Value: perSecond}}})
+func (l *limiter) Observe(s registry.Server, perSecond float64) { l.ObserveAnswer(s, perSecond, 0) }
+
+// ObserveAnswer records an answer that names a limit, to a request that was sent so long ago.
+func (l *limiter) ObserveAnswer(s registry.Server, perSecond float64, sentAgo time.Duration) {
+	l.board.Observe(s, notice.Answer{Notices: []notice.Notice{{Kind: notice.KindRejectionLimit, Value: perSecond}}, SentAgo: sentAgo})
 }
 
 // newPlaces returns the places of a node that has just started, alone.
