--- a/notice/service.go
+++ b/notice/service.go
@@ -40,8 +40,8 @@
 	defer b.mu.Unlock()
 	ofService := b.serviceLimit(s.Service)
 	now := b.timers.Steady()
-	if ofService == nil || now.Add(-sentAgo).Before(ofService.since) {
-		return // the server may have answered before it began to name the limit
+	if ofService == nil || now.Add(-sentAgo).Before(ofService.said.to) {
+		return // the server may have answered before it began to name the limit, as others do
 	}
 	r := b.record(s.Hash())
 	if f := &r.facts[KindRejectionLimit]; !f.present(KindRejectionLimit) {
@@ -74,13 +74,16 @@
 	ofService := b.serviceLimit(s.Service)
 	if r != nil && r.facts[KindRejectionLimit].isKnown() {
 		own := r.facts[KindRejectionLimit]
-		if !own.present(KindRejectionLimit) {
+		switch {
+		case !own.present(KindRejectionLimit) && ofService != nil && own.said.from.Before(ofService.said.to):
+			return ofService.value, ofService.since // the server may name it again, as others do
+		case !own.present(KindRejectionLimit):
 			return Unlimited, time.Time{}
-		}
-		if ofService != nil && ofService.since.Before(own.since) {
+		case ofService != nil && ofService.since.Before(own.since):
 			return own.value, ofService.since
+		default:
+			return own.value, own.since
 		}
-		return own.value, own.since
 	}
 	if ofService == nil {
 		return Unlimited, time.Time{}
--- a/notice/service_test.go
+++ b/notice/service_test.go
@@ -95,3 +95,23 @@
 		must.Eq(t, notice.Unlimited, rejectionLimit(other, added))
 	})
 }
+
+// TestRejectionLimitOfServiceNamedAgain checks that a server which has said that it names no rejection limit any more
+// counts as naming one again once another of its service does, until its own next answer.
+func TestRejectionLimitOfServiceNamedAgain(t *testing.T) {
+	withBoard(t, func(t *testing.T, b *testBoard) {
+		first, second := ofService("a", 1), ofService("b", 1)
+		b.Observe(first, answers(notice.KindRejectionLimit, 3, 0))
+		b.Observe(second, answers(notice.KindRejectionLimit, 3, 0))
+		time.Sleep(4 * time.Second)
+		b.Observe(first, answers(notice.KindRejectionLimit, notice.Unlimited, 0))
+		b.Observe(second, answers(notice.KindRejectionLimit, notice.Unlimited, 0))
+		must.Eq(t, notice.Unlimited, rejectionLimit(b, second))
+		time.Sleep(2 * time.Second)
+		b.Observe(first, answers(notice.KindRejectionLimit, 1, 0))
+		must.Eq(t, 1, rejectionLimit(b, second))
+		time.Sleep(time.Second)
+		b.Observe(second, answers(notice.KindRejectionLimit, notice.Unlimited, 0))
+		must.Eq(t, notice.Unlimited, rejectionLimit(b, second))
+	})
+}
--- a/rejection/cluster_test.go
+++ b/rejection/cluster_test.go
@@ -104,6 +104,8 @@
 	burst                     float64
 	mu                        sync.Mutex
 	served, rejected, crashes int
+	// rejectedBy counts the rejected requests by the basis on which they were sent.
+	rejectedBy map[rejection.Basis]int
 }
 
 // server is a backend server.
@@ -252,7 +254,7 @@
 }
 
 func newCluster(ctx context.Context, nodes, servers, slots int, work time.Duration, limit float64) *cluster {
-	c := &cluster{ctx: ctx, timers: timer.New(), events: make(map[int64][]func()), limit: limit, work: work, burst: 1}
+	c := &cluster{ctx: ctx, timers: timer.New(), events: make(map[int64][]func()), limit: limit, work: work, burst: 1, rejectedBy: make(map[rejection.Basis]int)}
 	for i := range servers {
 		s := &server{Server: registry.Server{ID: fmt.Sprint("s-", i), Service: "s", DataHall: fmt.Sprint("hall-", i%halls), Slots: slots}}
 		c.servers = append(c.servers, s)
@@ -324,11 +326,12 @@
 		return
 	}
 	entry := allowed[rand.IntN(len(allowed))]
-	if !n.limiter.Take(c.ctx, *entry) {
+	basis := n.limiter.Limiter.Take(c.ctx, *entry)
+	if basis == rejection.BasisNone {
 		return
 	}
 	target := n.targets[slices.Index(n.entries, entry)]
-	q := &request{node: n, limiter: n.limiter, server: target, incarnation: *entry, sent: time.Now()}
+	q := &request{node: n, limiter: n.limiter, server: target, incarnation: *entry, sent: time.Now(), basis: basis}
 	c.after(time.Millisecond, func() { c.arrive(q) })
 }
 
@@ -340,6 +343,7 @@
 	// incarnation is the server as the node knew it when the request was sent.
 	incarnation registry.Server
 	sent        time.Time
+	basis       rejection.Basis
 	// ended means that the server has ended the request, released that its node has.
 	ended, released bool
 }
@@ -470,6 +474,7 @@
 func (c *cluster) reject(q *request) {
 	s, now := q.server, time.Now()
 	c.rejected++
+	c.rejectedBy[q.basis]++
 	s.rejections = slices.DeleteFunc(s.rejections, func(r rejected) bool { return now.Sub(r.at) >= time.Second })
 	s.rejections = append(s.rejections, rejected{now, now.Sub(q.node.startedAt) >= limitrule.AdaptTime})
 	if float64(len(s.rejections)) <= c.limit {
--- a/rejection/faults_test.go
+++ b/rejection/faults_test.go
@@ -89,7 +89,7 @@
 				plan(c)
 				c.run(perSecond, false, length)
 				possible := min(1, tt.demand) * float64(len(c.servers)*faultSlots) / faultWork.Seconds() * length.Seconds()
-				t.Logf("%d served of %.0f, %d rejected, %d crashes", c.served, possible, c.rejected, c.crashes)
+				t.Logf("%d served of %.0f, %d rejected %v, %d crashes", c.served, possible, c.rejected, c.rejectedBy, c.crashes)
 				must.LessEq(t, limitrule.AllowedCrashes(len(c.servers)), float64(c.crashes), must.Sprint("crashes"))
 				must.GreaterEq(t, possible/2, float64(c.served), must.Sprint("requests served"))
 			})
--- a/rejection/rejection.go
+++ b/rejection/rejection.go
@@ -157,11 +157,10 @@
 
 // Release gives back the place of a request that is not at the server any more.
 func (l *Limiter) Release(s registry.Server) {
-	limited := l.limited(&s)
 	l.mu.Lock()
 	r := l.room(s)
 	r.inflight = max(0, r.inflight-1)
-	giveBack := limited && r.granted > r.inflight
+	giveBack := r.granted > r.inflight // also if the server names no limit any more: others may not know
 	r.granted = min(r.granted, r.inflight)
 	l.mu.Unlock()
 	if giveBack {
