--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -29,7 +29,7 @@
 		slog.Error("invalid rollout order", "service", service, "error", err)
 		return
 	}
-	order.Service = service
+	order.Service, order.ID = service, c.Revision
 	order.WarmUp = g.warmUpLimit(service).Duration
 	g.servicePicker.SetOrder(order)
 }
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -137,6 +137,7 @@
 		return p
 	}
 	candidate, baseline := d.nodes.totals(countKey(m.Name, m.Rollout.Version), inServiceKey(m), &p)
+	d.logEvidence(m, p, candidate, baseline, now)
 	test := d.test(m, "bad")
 	bad := test.Update(m.Rollout.Guards, m.Rollout.TotalMinSamples(), candidate, baseline)
 	if bad || d.slightlyWorse(m, candidate, baseline) {
@@ -166,6 +167,13 @@
 	return p.advance(last)
 }
 
+// logEvidence logs what a running rollout is judged by.
+func (d *Driver) logEvidence(m *config.Model, p Progress, candidate, baseline Count, now time.Time) {
+	slog.Info("rollout evidence", "model", m.Name, "version", p.Version, "stage", p.Stage, "stage_ms", now.Sub(p.StageSince).Milliseconds(),
+		"share", p.Share, "answers", candidate.Answers, "bad", candidate.Bad, "slow", candidate.Slow, "running", candidate.Running,
+		"in_service_answers", baseline.Answers, "in_service_bad", baseline.Bad, "in_service_slow", baseline.Slow, "in_service_running", baseline.Running)
+}
+
 // inServiceKey returns the count key of the version in service, or "" if there
 // is none.
 func inServiceKey(m *config.Model) string {
--- /dev/null
+++ b/rollout/later_test.go
@@ -0,0 +1,127 @@
+package rollout_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/rollout"
+	"github.com/violettally/violettally/timer"
+)
+
+// oneNode is a deployment of one node, which also drives the rollouts.
+type oneNode struct {
+	*fakeCluster
+	t      *testing.T
+	picker *rollout.Picker
+	node   *rollout.ServicePicker
+	driver *rollout.Driver
+}
+
+func newOneNode(t *testing.T) *oneNode {
+	n := &oneNode{fakeCluster: &fakeCluster{token: 1, counts: map[string]rollout.Counts{}}, t: t, picker: rollout.NewPicker()}
+	n.node = rollout.NewServicePicker(n.picker, 0.1)
+	n.driver = rollout.NewDriver("rollouts", n, n, n, n.node.Models, timer.New())
+	return n
+}
+
+// order gives an order, which the driver begins at once.
+func (n *oneNode) order(id int64, target string) {
+	n.node.SetOrder(rollout.Order{ID: id, Service: "s", Target: target, Period: 20 * time.Second})
+	n.step()
+}
+
+// step lets the driver take a step, of which the node hears.
+func (n *oneNode) step() rollout.Progress {
+	n.counts["n"] = n.picker.Counts()
+	n.driver.Step(context.Background(), 1)
+	must.NoError(n.t, n.picker.Apply(document.Item{Data: n.stored, Revision: int64(n.writes)}))
+	progress, _ := n.picker.Progress("s")
+	return progress
+}
+
+// answers lets servers of a version answer, a part of them badly.
+func (n *oneNode) answers(version string, count, bad int) {
+	for _, s := range testServers {
+		if s.Version != version {
+			continue
+		}
+		for i := range count {
+			name := n.nameOf(version)
+			n.node.Begin("s", name, "")
+			n.node.Count("s", name, rollout.Sample{Kind: "k", Wait: 50 * time.Millisecond, Failed: i < bad})
+			n.node.End("s", name, "")
+		}
+		return
+	}
+}
+
+// nameOf returns the name under which the answers of a version are counted.
+func (n *oneNode) nameOf(version string) string {
+	for i := range 10000 {
+		servers, name := n.node.Choose("s", time.Duration(i).String(), "", testServers)
+		if servers[0].Version == version {
+			return name
+		}
+	}
+	n.t.Fatalf("no request goes to %s", version)
+	return ""
+}
+
+// TestLaterRolloutIsSizedByItsOwnRequests checks that the first share of a service's second rollout follows from
+// the requests since its order, not from those of the first one.
+func TestLaterRolloutIsSizedByItsOwnRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		n.order(1, "v0")
+		n.answers("v1", 10000, 0)
+		time.Sleep(time.Minute)
+		n.order(2, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 1000, 0)
+		// 500 requests a second in the remaining 8.4 s of the stage.
+		must.Between(t, 0.052, n.step().Share, 0.0525)
+	})
+}
+
+// TestLaterRolloutIsJudgedByItsOwnAnswers checks that a version which answers badly now is stopped, though the
+// version in service did so during an earlier rollout.
+func TestLaterRolloutIsJudgedByItsOwnAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		n.order(1, "v0")
+		n.answers("v1", 5000, 2500)
+		n.order(2, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 500, 0)
+		must.Positive(t, n.step().Share)
+		n.answers("v2", 100, 40)
+		must.Eq(t, rollout.VerdictStopped, n.step().Verdict)
+	})
+}
+
+// TestVersionOrderedAgain checks that a version which was stopped is rolled out again by a later order, and is
+// judged by its answers since.
+func TestVersionOrderedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		n.order(1, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 500, 0)
+		must.Positive(t, n.step().Share)
+		n.answers("v2", 100, 40)
+		must.Eq(t, rollout.VerdictStopped, n.step().Verdict)
+		n.order(1, "v2")
+		must.Eq(t, rollout.VerdictStopped, n.step().Verdict, must.Sprint("the same order"))
+		n.order(2, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 500, 0)
+		must.Positive(t, n.step().Share)
+		n.answers("v2", 100, 0)
+		must.Eq(t, rollout.VerdictRunning, n.step().Verdict)
+	})
+}
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -17,6 +17,8 @@
 // service. During the rollout, servers of the target version run beside the old
 // ones, which are stopped as soon as the rollout is complete.
 type Order struct {
+	// ID identifies the order; of two orders for a service the later one's is higher.
+	ID      int64
 	Service string
 	Target  string
 	// Period is the time in which the rollout should complete.
