--- a/config/config.go
+++ b/config/config.go
@@ -167,6 +167,8 @@
 	// the rollout is complete, so no request may still run there. It cannot be
 	// set in a file.
 	Replace bool `json:"-"`
+	// Order identifies the operator's order, if the rollout was ordered. It cannot be set in a file.
+	Order int64 `json:"-"`
 }
 
 // TotalMinSamples returns the sum of MinSamples over all stages.
--- a/dispatch/chat.go
+++ b/dispatch/chat.go
@@ -131,7 +131,7 @@
 		return
 	}
 	count := func(rating float64) {
-		d.Picker.Count(resp.model, resp.version.Name, rollout.IsBad(m.Rollout.Guards, false, rating, resp.firstToken))
+		d.Picker.Count(m, resp.version.Name, rollout.IsBad(m.Rollout.Guards, false, rating, resp.firstToken))
 	}
 	if rating >= 0 {
 		count(rating)
@@ -241,7 +241,7 @@
 // countResult counts a failed try for the model's rollout, if there is one.
 func (m *modelRun) countResult(failed bool) {
 	if declared := m.d.Config().Model(m.model); declared != nil && declared.Rollout != nil && failed {
-		m.d.Picker.Count(m.model, m.version, true)
+		m.d.Picker.Count(declared, m.version, true)
 	}
 }
 
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -59,7 +59,7 @@
 // isOngoing reports whether an ordered rollout has not ended yet.
 func (g *Gateway) isOngoing(m config.Model) bool {
 	p, known := g.picker.Progress(m.Name)
-	return !known || p.Version != m.Rollout.Version || p.Verdict == rollout.VerdictRunning
+	return !known || !p.Concerns(m.Rollout) || p.Verdict == rollout.VerdictRunning
 }
 
 // stageUpdater updates the driver's document, which holds the stages of all rollouts.
--- a/node/peers.go
+++ b/node/peers.go
@@ -216,7 +216,7 @@
 func (n *Node) versionShare(m *config.Model, version string) float64 {
 	progress, known := n.picker.Progress(m.Name)
 	candidate := 0.0
-	if known && m.Rollout != nil && progress.Version == m.Rollout.Version && progress.Verdict != rollout.VerdictStopped {
+	if known && m.Rollout != nil && progress.Concerns(m.Rollout) && progress.Verdict != rollout.VerdictStopped {
 		candidate = m.Rollout.Stages[min(progress.Stage, len(m.Rollout.Stages)-1)].Share
 	}
 	switch v := m.InService(); {
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -45,7 +45,7 @@
 	timers    *timer.Service
 	models    func() []config.Model
 
-	// tests is keyed by the candidate's "model@version" and the kind of test.
+	// tests is keyed by the candidate's key in Counts and the kind of test.
 	// Each candidate has up to three tests; the guards may disable two of them.
 	tests map[string]*SequentialTest
 	nodes *nodeCounts
@@ -130,22 +130,22 @@
 // next returns the progress that follows from the current counts.
 func (d *Driver) next(m *config.Model, p Progress, known bool) Progress {
 	now := d.timers.Now().UTC()
-	if !known || p.Version != m.Rollout.Version {
-		return Progress{Version: m.Rollout.Version, StageSince: now, Reason: "started"}
+	if !known || !p.Concerns(m.Rollout) {
+		return d.begin(m, now)
 	}
 	if p.Verdict != VerdictRunning {
 		return p
 	}
-	candidate, baseline := d.nodes.totals(countKey(m.Name, m.Rollout.Version), inServiceKey(m), &p)
+	candidate, baseline := d.nodes.totals(candidateKey(m, p), inServiceKey(m, p), &p)
 	d.logEvidence(m, p, candidate, baseline, now)
-	test := d.test(m, "bad")
+	test := d.test(m, p, "bad")
 	bad := test.Update(m.Rollout.Guards, m.Rollout.TotalMinSamples(), candidate, baseline)
-	if bad || d.slightlyWorse(m, candidate, baseline) {
+	if bad || d.slightlyWorse(m, p, candidate, baseline) {
 		p.Verdict, p.Evidence, p.Samples = VerdictStopped, test.Score(), candidate.Answers
 		p.Reason = fmt.Sprintf("%d of %d answers bad, against %d of %d in service", candidate.Bad, candidate.Answers, baseline.Bad, baseline.Answers)
 		return p
 	}
-	if d.tooSlow(m, candidate, baseline) {
+	if d.tooSlow(m, p, candidate, baseline) {
 		p.Verdict, p.Samples = VerdictStopped, candidate.Answers
 		p.Reason = fmt.Sprintf("%d of %d answers slow, against %d of %d in service", candidate.Slow, candidate.Answers, baseline.Slow, baseline.Answers)
 		return p
@@ -160,7 +160,7 @@
 		return p
 	}
 	last := p.Stage+1 >= len(m.Rollout.Stages)
-	if last && m.Rollout.Replace && d.nodes.running(inServiceKey(m)) > 0 {
+	if last && m.Rollout.Replace && d.nodes.runningElsewhere(m.Name, candidateKey(m, p)) > 0 {
 		return p
 	}
 	p.StageSince, p.Evidence, p.Samples = now, test.Score(), candidate.Answers
@@ -174,11 +174,24 @@
 		"in_service_answers", baseline.Answers, "in_service_bad", baseline.Bad, "in_service_slow", baseline.Slow, "in_service_running", baseline.Running)
 }
 
+// begin returns the progress of a rollout that begins now.
+func (d *Driver) begin(m *config.Model, now time.Time) Progress {
+	p := Progress{Version: m.Rollout.Version, Order: declaredOrder(m.Rollout), StageSince: now, Reason: "started"}
+	_, baseline := d.nodes.totals(candidateKey(m, p), inServiceKey(m, p), &p)
+	p.Requests = baseline.Answers + baseline.Running
+	return p
+}
+
+// candidateKey returns the count key of the version that is rolled out.
+func candidateKey(m *config.Model, p Progress) string {
+	return countKey(m.Name, countName(m.Rollout.Version, p.order(m.Rollout)))
+}
+
 // inServiceKey returns the count key of the version in service, or "" if there
 // is none.
-func inServiceKey(m *config.Model) string {
+func inServiceKey(m *config.Model, p Progress) string {
 	if v := m.InService(); v != nil {
-		return countKey(m.Name, v.Name)
+		return countKey(m.Name, countName(v.Name, p.order(m.Rollout)))
 	}
 	return ""
 }
@@ -208,13 +221,13 @@
 	if elapsed < max(measureDuration.Seconds(), stage.HoldSeconds) || remaining <= 0 {
 		return p
 	}
-	expected := float64(baseline.Answers+baseline.Running) / elapsed * remaining
+	expected := float64(baseline.Answers+baseline.Running-p.Requests) / elapsed * remaining
 	p.Share = min(stage.Share, float64(stage.TargetSamples)/max(1, expected))
-	inService := inServiceKey(m)
-	if inService == "" {
+	inService := m.InService()
+	if inService == nil {
 		return p
 	}
-	p.StickySessions = encodeSessions(d.nodes.recentSessions(inService))
+	p.StickySessions = encodeSessions(d.nodes.recentSessions(countKey(m.Name, inService.Name)))
 	p.Reason = fmt.Sprintf("share for %d answers of about %.0f requests", stage.TargetSamples, expected)
 	return p
 }
@@ -222,17 +235,17 @@
 // slightlyWorse runs the test with the smaller StrictBadIncrease, if one is set.
 // The test with the larger increase does not detect a few failures in many
 // answers.
-func (d *Driver) slightlyWorse(m *config.Model, candidate, baseline Count) bool {
+func (d *Driver) slightlyWorse(m *config.Model, p Progress, candidate, baseline Count) bool {
 	guards := m.Rollout.Guards
 	if guards.StrictBadIncrease == 0 {
 		return false
 	}
 	guards.MaxBadIncrease = guards.StrictBadIncrease
-	return d.test(m, "slightly worse").Update(guards, m.Rollout.TotalMinSamples(), candidate, baseline)
+	return d.test(m, p, "slightly worse").Update(guards, m.Rollout.TotalMinSamples(), candidate, baseline)
 }
 
 // tooSlow runs the test on slow answers, if the guards limit them.
-func (d *Driver) tooSlow(m *config.Model, candidate, baseline Count) bool {
+func (d *Driver) tooSlow(m *config.Model, p Progress, candidate, baseline Count) bool {
 	guards := m.Rollout.Guards
 	if guards.MaxSlowIncrease == 0 {
 		return false
@@ -240,13 +253,13 @@
 	guards.MaxBadIncrease = guards.MaxSlowIncrease
 	candidate.Bad = candidate.Slow
 	baseline.Bad = max(baseline.Slow, int64(guards.MinSlowBaseline*float64(baseline.Answers)))
-	return d.test(m, "slow").Update(guards, m.Rollout.TotalMinSamples(), candidate, baseline)
+	return d.test(m, p, "slow").Update(guards, m.Rollout.TotalMinSamples(), candidate, baseline)
 }
 
-// test returns the test of the given kind for a model's candidate and creates it
+// test returns the test of the given kind for a model's rollout and creates it
 // on first use. Tests are kept for the lifetime of the process.
-func (d *Driver) test(m *config.Model, kind string) *SequentialTest {
-	key := countKey(m.Name, m.Rollout.Version) + " " + kind
+func (d *Driver) test(m *config.Model, p Progress, kind string) *SequentialTest {
+	key := candidateKey(m, p) + " " + kind
 	if d.tests[key] == nil {
 		d.tests[key] = &SequentialTest{}
 	}
--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -123,5 +123,9 @@
 		must.Positive(t, n.step().Share)
 		n.answers("v2", 100, 0)
 		must.Eq(t, rollout.VerdictRunning, n.step().Verdict)
+		name := n.nameOf("v2")
+		n.order(3, "v2")
+		must.Eq(t, name, n.nameOf("v2"), must.Sprint("an order for what is being rolled out"))
+		must.Eq(t, 0, n.step().Stage)
 	})
 }
--- a/rollout/node_counts.go
+++ b/rollout/node_counts.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "strings"
+
 // departedAfterSteps is the number of consecutive steps without a response after
 // which a node counts as departed.
 const departedAfterSteps = 3
@@ -45,14 +47,19 @@
 	return candidate.add(p.DepartedCandidate.count()), baseline.add(p.DepartedBaseline.count())
 }
 
-// running returns the number of running requests of a count key. A node that did
-// not respond is included with its last count, because it may only have been
-// late.
-func (n *nodeCounts) running(key string) int64 {
+// runningElsewhere returns the number of requests of a model that run on other versions than the candidate with
+// the given count key, whatever order they began under. A node that did not respond is included with its last
+// count, because it may only have been late.
+func (n *nodeCounts) runningElsewhere(model, candidate string) int64 {
 	running := int64(0)
 	for node, counts := range n.reported {
-		if !n.departed(node) {
-			running += counts[key].Running + counts[key].RunningBeforeOrder
+		if n.departed(node) {
+			continue
+		}
+		for key, c := range counts {
+			if key != candidate && strings.HasPrefix(key, countKey(model, "")) {
+				running += c.Running + c.RunningBeforeOrder
+			}
 		}
 	}
 	return running
--- a/rollout/picker.go
+++ b/rollout/picker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"sync"
 
 	"github.com/violettally/violettally/config"
@@ -16,6 +17,8 @@
 	mu     sync.Mutex
 	stages Stages
 	counts Counts
+	// orders maps a model to the order under which answers are counted, as far as it is known here.
+	orders map[string]int64
 	// stickySessions maps a model to the hashes of the sessions that stay on the
 	// version in service.
 	stickySessions map[string]map[uint32]bool
@@ -27,7 +30,7 @@
 // NewPicker returns a picker without stages. Until Apply is called, no session
 // goes to a version that is rolling out.
 func NewPicker() *Picker {
-	return &Picker{counts: make(Counts), recentSessions: make(map[string]map[uint32]sessionActivity)}
+	return &Picker{counts: make(Counts), orders: make(map[string]int64), recentSessions: make(map[string]map[uint32]sessionActivity)}
 }
 
 // Apply replaces the stages by those of the shared document. A document that
@@ -83,7 +86,7 @@
 	if m.Rollout == nil || !allowed(m.Rollout.Version) {
 		return nil
 	}
-	if progress, ok := p.Progress(m.Name); ok && progress.Version == m.Rollout.Version && progress.Verdict == VerdictStopped {
+	if progress, ok := p.Progress(m.Name); ok && progress.Concerns(m.Rollout) && progress.Verdict == VerdictStopped {
 		return nil
 	}
 	for i := range m.Versions {
@@ -100,7 +103,7 @@
 func (p *Picker) share(m *config.Model) float64 {
 	progress, ok := p.Progress(m.Name)
 	switch {
-	case !ok || progress.Version != m.Rollout.Version:
+	case !ok || !progress.Concerns(m.Rollout):
 		return 0
 	case progress.Verdict == VerdictComplete:
 		return 1
@@ -117,8 +120,43 @@
 	return rendezvous.Position(rendezvous.Hash(model + "/" + key))
 }
 
-// Count records one answer of a version.
-func (p *Picker) Count(model, version string, bad bool) { p.count(model, version, bad, false) }
+// countName returns the name under which the answers of a version of a model that is rolled out are counted now.
+func (p *Picker) countName(m *config.Model, version string) string {
+	progress, _ := p.Progress(m.Name)
+	return countName(version, progress.order(m.Rollout))
+}
+
+// Count records one answer of a version of a model that is rolled out.
+func (p *Picker) Count(m *config.Model, version string, bad bool) {
+	p.setOrder(m)
+	p.count(m.Name, p.countName(m, version), bad, false)
+}
+
+// setOrder drops what was counted under earlier orders for a model and has ended.
+func (p *Picker) setOrder(m *config.Model) {
+	progress, _ := p.Progress(m.Name)
+	order := progress.order(m.Rollout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.orders[m.Name] == order {
+		return
+	}
+	p.orders[m.Name] = order
+	for key, c := range p.counts {
+		if strings.HasPrefix(key, countKey(m.Name, "")) && p.isOver(m.Name, key, c) {
+			delete(p.counts, key)
+		}
+	}
+}
+
+// isOver reports whether a count of a model is not needed any more. The caller must hold mu.
+func (p *Picker) isOver(model, key string, c Count) bool {
+	if c.Running != 0 || c.RunningBeforeOrder != 0 {
+		return false
+	}
+	_, order := splitName(key)
+	return c.Answers == 0 || order != 0 && order != p.orders[model]
+}
 
 func (p *Picker) count(model, version string, bad, slow bool) {
 	p.mu.Lock()
@@ -160,14 +198,15 @@
 }
 
 // updateRunning changes the number of running requests of a version. It deletes
-// counts that are all zero, so that services without a rollout use no memory.
+// counts that are all zero or of earlier orders, so that services without a rollout
+// use no memory.
 func (p *Picker) updateRunning(model, version string, change func(*Count)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	name := countKey(model, version)
 	c := p.counts[name]
 	change(&c)
-	if c.Answers == 0 && c.Running == 0 && c.RunningBeforeOrder == 0 {
+	if p.isOver(model, name, c) {
 		delete(p.counts, name)
 		return
 	}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -54,7 +54,9 @@
 
 // Progress is the state of one rollout.
 type Progress struct {
-	Version    string    `json:"version"`
+	Version string `json:"version"`
+	// Order identifies the order that began the rollout.
+	Order      int64     `json:"order,omitempty"`
 	Stage      int       `json:"stage"`
 	StageSince time.Time `json:"since"`
 	Verdict    Verdict   `json:"verdict"`
@@ -64,6 +66,8 @@
 	// candidate's answers when a stage last passed or the rollout was stopped.
 	Evidence float64 `json:"evidence"`
 	Samples  int64   `json:"samples"`
+	// Requests is the number of requests to the version in service that were counted when the rollout began.
+	Requests int64 `json:"requests,omitempty"`
 	// Share is the traffic share of a stage that is sized by the request rate
 	// (config.Stage.TargetSamples); zero until the rate is known.
 	Share float64 `json:"share,omitempty"`
@@ -132,8 +136,8 @@
 	RecentSessions []uint32 `cbor:"4,keyasint,omitempty" json:"recent,omitempty"`
 }
 
-// Counts maps "model@version" to a node's count.
+// Counts maps "model@name" to a node's count, where the name is that of a version during a rollout.
 type Counts map[string]Count
 
-// countKey returns the key of a version in Counts.
-func countKey(model, version string) string { return model + "@" + version }
+// countKey returns the key of a version in Counts, by the name under which it is counted.
+func countKey(model, name string) string { return model + "@" + name }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -141,13 +141,14 @@
 		must.NoError(t, err)
 		return stages.Models["m"]
 	}
+	m := &s.Models()[0]
 	step := func(d *rollout.Driver, token int64, answers, bad int64) {
-		c.counts["n1"] = rollout.Counts{"m@v2": {Answers: answers, Bad: bad}, "m@v1": {Answers: 1000, Bad: 50}}
+		c.counts["n1"] = rollout.Counts{rollout.CountKey(m, "v2"): {Answers: answers, Bad: bad}, rollout.CountKey(m, "v1"): {Answers: 1000, Bad: 50}}
 		d.Step(t.Context(), token)
 	}
 	first, second := newDriver(), newDriver()
 	step(first, 5, 0, 0)
-	must.Eq(t, rollout.Progress{Version: "v2", Stage: 0, StageSince: progress().StageSince, Reason: "started"}, progress())
+	must.Eq(t, rollout.Progress{Version: "v2", Order: progress().Order, Stage: 0, StageSince: progress().StageSince, Reason: "started", Requests: 1000}, progress())
 	step(first, 5, 10, 0)
 	must.Eq(t, 1, progress().Stage)
 	step(second, 7, 12, 0)
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -148,8 +148,11 @@
 			},
 			Guards:  serviceGuards,
 			Replace: true,
+			Order:   o.ID,
 		},
 	}
+	model := s.models[o.Service]
+	s.picker.setOrder(&model)
 	slog.Info("rollout ordered", "service", o.Service, "target", o.Target, "period_ms", o.Period.Milliseconds())
 }
 
@@ -171,7 +174,7 @@
 	return models
 }
 
-// Choose returns the servers that may get a request and the version name under
+// Choose returns the servers that may get a request and the name under
 // which their responses are counted, or "" if the service has no order or no
 // version can be picked. The key is the request's session, or else its ID; its
 // hash is compared with the stage's share. previous is the version name of an
@@ -190,16 +193,17 @@
 		slog.Error("picking a version failed; any server may be picked", "service", service, "error", err)
 		return servers, ""
 	}
-	stopped := s.stopped(service, target)
+	stopped := s.stopped(&m)
 	toTarget := picked.Name == target
 	if previous != "" && !stopped {
-		toTarget = previous == target
+		version, _ := splitName(previous)
+		toTarget = version == target
 	}
 	targetServers, oldServers := splitByVersion(servers, target)
 	if len(targetServers) > 0 && !stopped && (toTarget || len(oldServers) == 0) {
-		return s.concentrate(&m, targetServers, len(oldServers)), target
+		return s.concentrate(&m, targetServers, len(oldServers)), s.picker.countName(&m, target)
 	}
-	return oldServers, inServiceVersion
+	return oldServers, s.picker.countName(&m, inServiceVersion)
 }
 
 // Begin records that a request with the version name from Choose is sent. The
@@ -226,7 +230,7 @@
 }
 
 func (s *ServicePicker) trackSession(service, version, key string, change int) {
-	if version == "" || version == inServiceVersion {
+	if version == "" || isInService(version) {
 		s.picker.TrackSession(service, inServiceVersion, key, s.firstStageShare, change)
 	}
 }
@@ -274,16 +278,16 @@
 // Count records a sample under a version name that Choose returned.
 func (s *ServicePicker) Count(service, version string, sample Sample) {
 	slow := sample.Late || s.baseline.isSlow(sample)
-	if version == inServiceVersion && !sample.Failed && !sample.Late {
+	if isInService(version) && !sample.Failed && !sample.Late {
 		s.baseline.observe(sample.Kind, sample.Wait)
 	}
 	s.picker.count(service, version, sample.Failed, slow)
 }
 
-// stopped reports whether the rollout of the target was stopped.
-func (s *ServicePicker) stopped(service, target string) bool {
-	progress, ok := s.picker.Progress(service)
-	return ok && progress.Version == target && progress.Verdict == VerdictStopped
+// stopped reports whether the rollout of a service was stopped.
+func (s *ServicePicker) stopped(m *config.Model) bool {
+	progress, ok := s.picker.Progress(m.Name)
+	return ok && progress.Concerns(m.Rollout) && progress.Verdict == VerdictStopped
 }
 
 // splitByVersion separates the servers of a version from all others.
