--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -33,6 +33,7 @@
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/dispatch"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/responsehead"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/placement"
 	"github.com/violettally/violettally/route"
@@ -123,6 +124,8 @@
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: responsehead.MaxBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -224,8 +227,11 @@
 			carrier = conn.Carrier()
 		}
 	}}
-	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	ctx, head := responsehead.Watch(httptrace.WithClientTrace(request.Context(), trace))
+	response, err := c.http.Do(request.WithContext(ctx))
+	head.End()
 	if err != nil {
+		head.Cancel()
 		return nil, notice.Answer{}, err
 	}
 	return response, notice.Answer{Notices: noticeHeaders.Decode(response), SentAgo: time.Since(began), Carrier: carrier}, nil
@@ -271,7 +277,11 @@
 		return s.readBody()
 	}
 	for s.events.Scan() {
-		data, ok := strings.CutPrefix(s.events.Text(), "data:")
+		line := s.events.Text()
+		if s.remaining -= int64(len(line) + 1); s.remaining < 0 {
+			return nil, errs.New(dispatch.TooLarge, "read", "the answer exceeds its bound")
+		}
+		data, ok := strings.CutPrefix(line, "data:")
 		if !ok {
 			continue
 		}
@@ -279,9 +289,6 @@
 		if data == "[DONE]" {
 			return nil, io.EOF
 		}
-		if s.remaining -= int64(len(data)); s.remaining < 0 {
-			return nil, errs.New(dispatch.TooLarge, "read", "the answer exceeds its bound")
-		}
 		return []byte(data), nil
 	}
 	// A stream that ends without [DONE] is incomplete.
@@ -342,8 +349,12 @@
 	return dispatch.ServiceResponse{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// loadReportTimeout limits the request for a load report.
-const loadReportTimeout = time.Second
+const (
+	// loadReportTimeout limits the request for a load report.
+	loadReportTimeout = time.Second
+	// maxLoadReportBytes bounds a load report; it names the models that a server holds.
+	maxLoadReportBytes = 256 << 10
+)
 
 // LoadReport fetches a server's load report.
 func (c *Client) LoadReport(ctx context.Context, server config.Server) (route.Report, error) {
@@ -370,7 +381,7 @@
 	if response.StatusCode != http.StatusOK {
 		return route.Report{}, fmt.Errorf("server %s returned status %d", server.Name, response.StatusCode)
 	}
-	if err := json.NewDecoder(response.Body).Decode(&in); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadReportBytes)).Decode(&in); err != nil {
 		return route.Report{}, err
 	}
 	return route.Report{
--- a/adapter/rating/rating.go
+++ b/adapter/rating/rating.go
@@ -7,9 +7,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 )
 
+// maxResponseBytes bounds a response, which holds one number.
+const maxResponseBytes = 64 << 10
+
 // Client is a client of the rating service. It is safe for concurrent use.
 type Client struct {
 	url  string
@@ -45,7 +49,7 @@
 	if response.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("rating service answered %d", response.StatusCode)
 	}
-	if err := json.NewDecoder(response.Body).Decode(&out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&out); err != nil {
 		return 0, err
 	}
 	if out.Rating == nil || *out.Rating < 0 || *out.Rating > 1 {
