--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -32,7 +32,7 @@
 // late.
 func (x *exchange) recordVersionSample(ctx context.Context, assignment *route.Assignment, version string, resp Response, wait time.Duration) {
 	late := resp == nil && stalled(ctx)
-	if version == "" || (resp == nil && !late) || (resp != nil && resp.Declined()) {
+	if (resp == nil && !late) || (resp != nil && resp.Declined()) {
 		return
 	}
 	x.relay.Versions.Count(x.service, version, rollout.Sample{
--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -129,3 +129,29 @@
 		must.Eq(t, 0, n.step().Stage)
 	})
 }
+
+// TestLaterRolloutIsComparedWithWaitsOfNow checks that answers of a version which take several times as long as
+// those in service just before the order are slow, though all took as long during an earlier rollout.
+func TestLaterRolloutIsComparedWithWaitsOfNow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const usual, long = 50 * time.Millisecond, 500 * time.Millisecond
+		n := newOneNode(t)
+		n.order(1, "v0")
+		inService := n.nameOf("v1")
+		for range 200 {
+			n.node.Count("s", inService, rollout.Sample{Kind: "k", Wait: long})
+		}
+		n.node.RemoveOrder("s")
+		for range 200 {
+			n.node.Count("s", "", rollout.Sample{Kind: "k", Wait: usual})
+		}
+		n.order(2, "v2")
+		time.Sleep(2 * time.Second)
+		must.Positive(t, n.step().Share)
+		target := n.nameOf("v2")
+		for range 20 {
+			n.node.Count("s", target, rollout.Sample{Kind: "k", Wait: long})
+		}
+		must.Eq(t, 20, n.picker.Counts()["s@"+target].Slow)
+	})
+}
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -275,13 +275,16 @@
 	return chosen
 }
 
-// Count records a sample under a version name that Choose returned.
+// Count records a sample under a name that Choose returned. Without an order (name ""), it tells how long responses
+// usually take.
 func (s *ServicePicker) Count(service, version string, sample Sample) {
 	slow := sample.Late || s.baseline.isSlow(sample)
-	if isInService(version) && !sample.Failed && !sample.Late {
+	if (version == "" || isInService(version)) && !sample.Failed && !sample.Late {
 		s.baseline.observe(sample.Kind, sample.Wait)
 	}
-	s.picker.count(service, version, sample.Failed, slow)
+	if version != "" {
+		s.picker.count(service, version, sample.Failed, slow)
+	}
 }
 
 // stopped reports whether the rollout of a service was stopped.
