--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -137,7 +137,6 @@
 		return p
 	}
 	candidate, baseline := d.nodes.totals(candidateKey(m, p), inServiceKey(m, p), &p)
-	d.logEvidence(m, p, candidate, baseline, now)
 	test := d.test(m, p, "bad")
 	bad := test.Update(m.Rollout.Guards, m.Rollout.TotalMinSamples(), candidate, baseline)
 	if bad || d.slightlyWorse(m, p, candidate, baseline) {
@@ -154,9 +153,10 @@
 	if stage.TargetSamples > 0 && p.Share == 0 {
 		return d.setShare(m, p, stage, baseline, now)
 	}
+	d.logEvidence(m, p, candidate, baseline, now)
 	enough := candidate.Answers-p.Samples >= int64(stage.MinSamples)
 	longEnough := now.Sub(p.StageSince).Seconds() >= stage.MinSeconds
-	if !enough || !longEnough {
+	if !enough || !longEnough || test.SpeaksAgainst() || d.test(m, p, "slow").SpeaksAgainst() {
 		return p
 	}
 	last := p.Stage+1 >= len(m.Rollout.Stages)
@@ -170,7 +170,8 @@
 // logEvidence logs what a running rollout is judged by.
 func (d *Driver) logEvidence(m *config.Model, p Progress, candidate, baseline Count, now time.Time) {
 	slog.Info("rollout evidence", "model", m.Name, "version", p.Version, "stage", p.Stage, "stage_ms", now.Sub(p.StageSince).Milliseconds(),
-		"share", p.Share, "answers", candidate.Answers, "bad", candidate.Bad, "slow", candidate.Slow, "running", candidate.Running,
+		"share", p.Share, "bad_score", d.test(m, p, "bad").Score(), "slow_score", d.test(m, p, "slow").Score(),
+		"answers", candidate.Answers, "bad", candidate.Bad, "slow", candidate.Slow, "running", candidate.Running,
 		"in_service_answers", baseline.Answers, "in_service_bad", baseline.Bad, "in_service_slow", baseline.Slow, "in_service_running", baseline.Running)
 }
 
--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -155,3 +155,25 @@
 		must.Eq(t, 20, n.picker.Counts()["s@"+target].Slow)
 	})
 }
+
+// TestStageWaitsWhileEvidenceSpeaksAgainstVersion checks that a stage does not end, though its time is over, while
+// the answers rather show that the version is bad, and ends once they do not.
+func TestStageWaitsWhileEvidenceSpeaksAgainstVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		n.order(1, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 500, 0)
+		must.Positive(t, n.step().Share)
+		name := n.nameOf("v2")
+		for i := range 8 { // too few to stop the version
+			n.node.Count("s", name, rollout.Sample{Kind: "k", Wait: 50 * time.Millisecond, Late: i < 3})
+		}
+		time.Sleep(9 * time.Second)
+		p := n.step()
+		must.Eq(t, rollout.VerdictRunning, p.Verdict)
+		must.Eq(t, 0, p.Stage)
+		n.answers("v2", 80, 0)
+		must.Eq(t, 1, n.step().Stage)
+	})
+}
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -65,6 +65,9 @@
 	return t.sprt >= threshold || t.cusum >= threshold+math.Log(float64(max(planned, minPlannedAnswers)))
 }
 
+// SpeaksAgainst reports whether the answers so far rather show that the version is worse than tolerated.
+func (t *SequentialTest) SpeaksAgainst() bool { return t.sprt > 0 }
+
 // minRate keeps the rates of the test inside (0, 1).
 const minRate = 0.001
 
