--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -455,4 +455,4 @@
 func (g *Gateway) Previous(key string) (mirror.Item, bool) { return g.mirror.Previous(key) }
 
 // Counts returns this gateway's ID and its counts for the driver of rollouts.
-func (g *Gateway) Counts() (string, rollout.Counts) { return g.self.ID, g.picker.Counts() }
+func (g *Gateway) Counts() (string, rollout.Counts) { return g.self.ID, g.servicePicker.Counts() }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -134,6 +134,7 @@
 			x.silentSince = wd.since
 		}
 	}()
+	stopAwaiting := x.relay.Versions.Await(x.service, version, x.awaitedSample(assignment))
 	resp, err := x.relay.Backends.Send(ctx, server, Call{
 		Request:     x.request,
 		Account:     x.account,
@@ -150,7 +151,9 @@
 	})
 	removePending()
 	rejected = x.observeServer(server, sent, resp)
-	x.recordVersionSample(ctx, assignment, version, resp, time.Since(sent))
+	if counted := stopAwaiting(); !counted {
+		x.recordVersionSample(ctx, assignment, version, resp, time.Since(sent))
+	}
 	f := x.checkHeader(ctx, assignment, sent, resp, err)
 	if resp != nil {
 		defer resp.Close()
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -166,6 +166,9 @@
 func (noRollout) Begin(_, _, _ string)                {}
 func (noRollout) End(_, _, _ string)                  {}
 func (noRollout) Count(_, _ string, _ rollout.Sample) {}
+func (noRollout) Await(_, _ string, _ rollout.Sample) func() bool {
+	return func() bool { return false }
+}
 
 // unlimitedBudget allows every retry.
 type unlimitedBudget struct{}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -35,14 +35,15 @@
 	if (resp == nil && !late) || (resp != nil && resp.Declined()) {
 		return
 	}
-	x.relay.Versions.Count(x.service, version, rollout.Sample{
-		Kind:      x.kind(),
-		Failed:    !late && isServerError(resp),
-		Wait:      wait,
-		Expected:  assignment.ExpectedServiceTime(),
-		Late:      late,
-		Objective: x.route.Objective,
-	})
+	sample := x.awaitedSample(assignment)
+	sample.Wait, sample.Late = wait, late
+	sample.Failed = !late && isServerError(resp)
+	x.relay.Versions.Count(x.service, version, sample)
+}
+
+// awaitedSample returns what is known of a sample before the response begins.
+func (x *exchange) awaitedSample(assignment *route.Assignment) rollout.Sample {
+	return rollout.Sample{Kind: x.kind(), Expected: assignment.ExpectedServiceTime(), Objective: x.route.Objective}
 }
 
 // checkHeader decides on a response by its header. It returns nil if the response is to be
--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -37,7 +37,7 @@
 
 // step lets the driver take a step, of which the node hears.
 func (n *oneNode) step() rollout.Progress {
-	n.counts["n"] = n.picker.Counts()
+	n.counts["n"] = n.node.Counts()
 	n.driver.Step(context.Background(), 1)
 	must.NoError(n.t, n.picker.Apply(document.Item{Data: n.stored, Revision: int64(n.writes)}))
 	progress, _ := n.picker.Progress("s")
@@ -177,3 +177,29 @@
 		must.Eq(t, 1, n.step().Stage)
 	})
 }
+
+// TestAwaitedResponsesOfSlowVersion checks that responses which are late already count against their version before
+// they begin, and once.
+func TestAwaitedResponsesOfSlowVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		n.order(1, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 500, 0)
+		must.Positive(t, n.step().Share)
+		name, sample := n.nameOf("v2"), rollout.Sample{Kind: "k", Expected: 50 * time.Millisecond}
+		var stop []func() bool
+		for range 10 {
+			stop = append(stop, n.node.Await("s", name, sample))
+		}
+		must.False(t, n.node.Await("s", name, sample)())
+		time.Sleep(200 * time.Millisecond)
+		must.Zero(t, n.node.Counts()["s@"+name].Answers, must.Sprint("not slow yet"))
+		time.Sleep(time.Second)
+		must.Eq(t, rollout.VerdictStopped, n.step().Verdict)
+		for _, s := range stop {
+			must.True(t, s())
+		}
+		must.Eq(t, rollout.Count{Answers: 10, Slow: 10}, n.node.Counts()["s@"+name])
+	})
+}
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -93,6 +93,8 @@
 	mu sync.Mutex
 	// models maps a service to its order in the form of a model's rollout.
 	models map[string]config.Model
+	// awaited holds the responses that have not begun.
+	awaited map[*awaited]struct{}
 }
 
 // Sample describes one response of a server, which counts for or against its
@@ -122,6 +124,7 @@
 		firstStageShare: share,
 		baseline:        waitBaseline{waits: make(map[string]*meanWait)},
 		models:          make(map[string]config.Model),
+		awaited:         make(map[*awaited]struct{}),
 	}
 }
 
