--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rejection"
+	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/suspect"
 )
@@ -134,7 +135,10 @@
 			x.silentSince = wd.since
 		}
 	}()
-	stopAwaiting := x.relay.Versions.Await(x.service, version, x.awaitedSample(assignment))
+	awaited := x.relay.Versions.Await(x.service, version, rollout.Sample{
+		Kind: x.kind(), Expected: assignment.ExpectedServiceTime(), Objective: x.route.Objective,
+	})
+	defer awaited.End()
 	resp, err := x.relay.Backends.Send(ctx, server, Call{
 		Request:     x.request,
 		Account:     x.account,
@@ -151,9 +155,7 @@
 	})
 	removePending()
 	rejected = x.observeServer(server, sent, resp)
-	if counted := stopAwaiting(); !counted {
-		x.recordVersionSample(ctx, assignment, version, resp, time.Since(sent))
-	}
+	recordBegin(ctx, awaited, resp)
 	f := x.checkHeader(ctx, assignment, sent, resp, err)
 	if resp != nil {
 		defer resp.Close()
@@ -161,7 +163,7 @@
 	if f != nil {
 		return f
 	}
-	return x.forward(ctx, assignment, sent, resp, wd)
+	return x.forward(ctx, assignment, sent, resp, wd, awaited)
 }
 
 // finish ends the decision record of the request.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/violettally/violettally/catalog"
+	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/route"
 	"github.com/violettally/violettally/suspect"
 )
@@ -23,9 +24,9 @@
 )
 
 // forward copies a response to the client as it arrives.
-func (x *exchange) forward(ctx context.Context, assignment *route.Assignment, sent time.Time, resp Response, wd *watchdog) *failure {
+func (x *exchange) forward(ctx context.Context, assignment *route.Assignment, sent time.Time, resp Response, wd *watchdog, awaited *rollout.Awaited) *failure {
 	if x.route.Kind == catalog.KindStream && resp.Status() == http.StatusOK {
-		return x.forwardStream(ctx, assignment, sent, resp, wd)
+		return x.forwardStream(ctx, assignment, sent, resp, wd, awaited)
 	}
 	return x.forwardPlain(ctx, assignment, resp, wd)
 }
@@ -63,7 +64,7 @@
 
 // forwardStream forwards whole events only, so that a stream that breaks off within an event
 // can be resumed after the previous one.
-func (x *exchange) forwardStream(ctx context.Context, assignment *route.Assignment, sent time.Time, resp Response, wd *watchdog) *failure {
+func (x *exchange) forwardStream(ctx context.Context, assignment *route.Assignment, sent time.Time, resp Response, wd *watchdog, awaited *rollout.Awaited) *failure {
 	events := newEvents(resp.Body())
 	lastReport := sent
 	begun, survived := !x.fromFirstEvent, false
@@ -78,6 +79,7 @@
 			return x.interrupted(ctx, assignment, err)
 		}
 		begun = true
+		awaited.Event()
 		assignment.RecordProgress()
 		if time.Since(lastReport) > progressInterval {
 			lastReport = time.Now()
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -163,11 +163,10 @@
 func (noRollout) Choose(_, _, _ string, s []*registry.Server) ([]*registry.Server, string) {
 	return s, ""
 }
-func (noRollout) Begin(_, _, _ string)                {}
-func (noRollout) End(_, _, _ string)                  {}
-func (noRollout) Count(_, _ string, _ rollout.Sample) {}
-func (noRollout) Await(_, _ string, _ rollout.Sample) func() bool {
-	return func() bool { return false }
+func (noRollout) Begin(_, _, _ string) {}
+func (noRollout) End(_, _, _ string)   {}
+func (noRollout) Await(_, _ string, _ rollout.Sample) *rollout.Awaited {
+	return nil
 }
 
 // unlimitedBudget allows every retry.
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -27,23 +27,15 @@
 	minAttemptTime = 50 * time.Millisecond
 )
 
-// recordVersionSample records a response as a sample for its version. Only responses by the
-// server itself count, with the time until the header, or until the attempt was given up as
-// late.
-func (x *exchange) recordVersionSample(ctx context.Context, assignment *route.Assignment, version string, resp Response, wait time.Duration) {
-	late := resp == nil && stalled(ctx)
-	if (resp == nil && !late) || (resp != nil && resp.Declined()) {
-		return
+// recordBegin records, for the version of its server, that a response has begun or was given up as late. Only
+// responses by the server itself count.
+func recordBegin(ctx context.Context, awaited *rollout.Awaited, resp Response) {
+	switch {
+	case resp == nil && stalled(ctx):
+		awaited.Begin(true, false)
+	case resp != nil && !resp.Declined():
+		awaited.Begin(false, isServerError(resp))
 	}
-	sample := x.awaitedSample(assignment)
-	sample.Wait, sample.Late = wait, late
-	sample.Failed = !late && isServerError(resp)
-	x.relay.Versions.Count(x.service, version, sample)
-}
-
-// awaitedSample returns what is known of a sample before the response begins.
-func (x *exchange) awaitedSample(assignment *route.Assignment) rollout.Sample {
-	return rollout.Sample{Kind: x.kind(), Expected: assignment.ExpectedServiceTime(), Objective: x.route.Objective}
 }
 
 // checkHeader decides on a response by its header. It returns nil if the response is to be
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -247,10 +247,9 @@
 	// Begin and End count a request as sent and ended, under the version that Choose returned.
 	Begin(service, version, key string)
 	End(service, version, key string)
-	// Await records that a response is awaited until stop is called, which reports whether the response
-	// was counted meanwhile, since it is slow already.
-	Await(service, version string, sample rollout.Sample) (stop func() (counted bool))
-	Count(service, version string, sample rollout.Sample)
+	// Await follows a response, which is counted under the version that Choose returned. The sample tells what is
+	// known before the response begins.
+	Await(service, version string, sample rollout.Sample) *rollout.Awaited
 }
 
 // Cascade decides which of a route's models to ask.
--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -188,18 +188,60 @@
 		n.answers("v1", 500, 0)
 		must.Positive(t, n.step().Share)
 		name, sample := n.nameOf("v2"), rollout.Sample{Kind: "k", Expected: 50 * time.Millisecond}
-		var stop []func() bool
+		var responses []*rollout.Awaited
 		for range 10 {
-			stop = append(stop, n.node.Await("s", name, sample))
+			responses = append(responses, n.node.Await("s", name, sample))
 		}
-		must.False(t, n.node.Await("s", name, sample)())
+		n.node.Await("s", name, sample).End()
 		time.Sleep(200 * time.Millisecond)
 		must.Zero(t, n.node.Counts()["s@"+name].Answers, must.Sprint("not slow yet"))
 		time.Sleep(time.Second)
 		must.Eq(t, rollout.VerdictStopped, n.step().Verdict)
-		for _, s := range stop {
-			must.True(t, s())
+		for _, r := range responses {
+			r.Begin(false, false)
+			r.End()
 		}
 		must.Eq(t, rollout.Count{Answers: 10, Slow: 10}, n.node.Counts()["s@"+name])
 	})
 }
+
+// TestVersionWithSlowStreamsIsStopped checks that a version is stopped whose streams begin in time, and then come
+// several times slower than usual.
+func TestVersionWithSlowStreamsIsStopped(t *testing.T) {
+	const pause, events = 30 * time.Millisecond, 12
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		stream := func(name string, pause time.Duration, events int) {
+			r := n.node.Await("s", name, rollout.Sample{Kind: "k", Expected: 50 * time.Millisecond})
+			time.Sleep(50 * time.Millisecond)
+			r.Begin(false, false)
+			for range events {
+				time.Sleep(pause)
+				r.Event()
+			}
+			r.End()
+		}
+		for range 20 {
+			stream("", pause, events)
+		}
+		n.order(1, "v2")
+		for range 10 {
+			stream(n.nameOf("v1"), pause, events)
+		}
+		must.Positive(t, n.step().Share)
+		name := n.nameOf("v2")
+		for range 4 {
+			stream(name, pause, events)
+			stream(name, pause, 2)
+		}
+		must.Zero(t, n.node.Counts()["s@"+name].Slow)
+		for i := range 16 {
+			go stream(name, 8*pause, events-i%8)
+		}
+		time.Sleep(1200 * time.Millisecond) // none of them has ended
+		must.Eq(t, 16, n.node.Counts()["s@"+name].Slow)
+		must.Eq(t, rollout.VerdictStopped, n.step().Verdict)
+		time.Sleep(4 * time.Second)
+		must.Eq(t, rollout.Count{Answers: 24, Slow: 16}, n.node.Counts()["s@"+name])
+	})
+}
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -88,13 +88,14 @@
 	// firstStageShare is the largest share of requests that the first stage sends
 	// to the target.
 	firstStageShare float64
-	baseline        waitBaseline
+	// waits and paces tell how long responses usually take until they begin, and for paceEvents events.
+	waits, paces waitBaseline
 
 	mu sync.Mutex
 	// models maps a service to its order in the form of a model's rollout.
 	models map[string]config.Model
-	// awaited holds the responses that have not begun.
-	awaited map[*awaited]struct{}
+	// awaited holds the responses that are being followed for an order.
+	awaited map[*Awaited]struct{}
 }
 
 // Sample describes one response of a server, which counts for or against its
@@ -108,6 +109,8 @@
 	// Wait is the time until the response began. Expected is that time on an
 	// otherwise idle server, or zero if it is not known.
 	Wait, Expected time.Duration
+	// Pace is the time for the first events of a stream, or zero if it is not known.
+	Pace time.Duration
 	// Late means that no response had begun when the request was moved to another
 	// server.
 	Late bool
@@ -122,9 +125,10 @@
 	return &ServicePicker{
 		picker:          picker,
 		firstStageShare: share,
-		baseline:        waitBaseline{waits: make(map[string]*meanWait)},
+		waits:           newWaitBaseline(),
+		paces:           newWaitBaseline(),
 		models:          make(map[string]config.Model),
-		awaited:         make(map[*awaited]struct{}),
+		awaited:         make(map[*Awaited]struct{}),
 	}
 }
 
@@ -281,15 +285,23 @@
 // Count records a sample under a name that Choose returned. Without an order (name ""), it tells how long responses
 // usually take.
 func (s *ServicePicker) Count(service, version string, sample Sample) {
-	slow := sample.Late || s.baseline.isSlow(sample)
+	slow := sample.Late || s.isSlow(sample)
 	if (version == "" || isInService(version)) && !sample.Failed && !sample.Late {
-		s.baseline.observe(sample.Kind, sample.Wait)
+		s.waits.observe(sample.Kind, sample.Wait)
+		if sample.Pace > 0 {
+			s.paces.observe(sample.Kind, sample.Pace)
+		}
 	}
 	if version != "" {
 		s.picker.count(service, version, sample.Failed, slow)
 	}
 }
 
+// isSlow reports whether a response takes several times as long as usual, until it begins or for its events.
+func (s *ServicePicker) isSlow(sample Sample) bool {
+	return s.waits.isSlow(sample.Kind, sample.Wait, sample.Expected, sample.Objective) || s.paces.isSlow(sample.Kind, sample.Pace, 0, 0)
+}
+
 // stopped reports whether the rollout of a service was stopped.
 func (s *ServicePicker) stopped(m *config.Model) bool {
 	progress, ok := s.picker.Progress(m.Name)
--- a/rollout/wait_baseline.go
+++ b/rollout/wait_baseline.go
@@ -18,8 +18,8 @@
 	minBaselineSamples = 10
 )
 
-// waitBaseline averages the time until responses of the version in service begin,
-// by kind of request. It is safe for concurrent use.
+// waitBaseline averages a time that responses of the version in service take, until they begin or for their
+// events, by kind of request. It is safe for concurrent use.
 type waitBaseline struct {
 	mu    sync.Mutex
 	waits map[string]*meanWait
@@ -30,19 +30,21 @@
 	samples int
 }
 
-// isSlow reports whether the wait for a response is several times both the
-// baseline of its kind and the wait expected for its size. The expected wait
+func newWaitBaseline() waitBaseline { return waitBaseline{waits: make(map[string]*meanWait)} }
+
+// isSlow reports whether a time is several times both the
+// baseline of its kind and the one expected for its size. The expected wait
 // matters because one long prompt in ten takes four times the baseline, and more
 // do on servers whose caches are still empty. Without a baseline, as on a node
 // that started late in a rollout, a response is slow if it misses its objective.
-func (b *waitBaseline) isSlow(s Sample) bool {
+func (b *waitBaseline) isSlow(kind string, wait, expected, objective time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.waits[s.Kind]
+	w := b.waits[kind]
 	if w == nil || w.samples < minBaselineSamples {
-		return s.Objective > 0 && s.Wait > s.Objective
+		return objective > 0 && wait > objective
 	}
-	return s.Wait > slowFactor*max(w.mean, s.Expected)+slowMargin
+	return wait > slowFactor*max(w.mean, expected)+slowMargin
 }
 
 func (b *waitBaseline) observe(kind string, wait time.Duration) {
