--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -245,3 +245,25 @@
 		must.Eq(t, rollout.Count{Answers: 24, Slow: 16}, n.node.Counts()["s@"+name])
 	})
 }
+
+// TestVersionWithThirdOfAnswersSlowIsStopped checks that a version of a small service is stopped in its first stage
+// if three in ten of its answers are slow, and not if one in ten is.
+func TestVersionWithThirdOfAnswersSlowIsStopped(t *testing.T) {
+	for _, tt := range []struct {
+		slowOfTen int
+		want      rollout.Verdict
+	}{{3, rollout.VerdictStopped}, {1, rollout.VerdictRunning}} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newOneNode(t)
+			n.order(1, "v2")
+			time.Sleep(2 * time.Second)
+			n.answers("v1", 200, 0)
+			must.Positive(t, n.step().Share)
+			name := n.nameOf("v2")
+			for i := range 40 {
+				n.node.Count("s", name, rollout.Sample{Kind: "k", Wait: 50 * time.Millisecond, Late: i%10 < tt.slowOfTen})
+			}
+			must.Eq(t, tt.want, n.step().Verdict)
+		})
+	}
+}
