--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -156,7 +156,7 @@
 	d.logEvidence(m, p, candidate, baseline, now)
 	enough := candidate.Answers-p.Samples >= int64(stage.MinSamples)
 	longEnough := now.Sub(p.StageSince).Seconds() >= stage.MinSeconds
-	if !enough || !longEnough || test.SpeaksAgainst() || d.test(m, p, "slow").SpeaksAgainst() {
+	if !enough || !longEnough || test.SpeaksAgainst(m.Rollout.Guards) || d.test(m, p, "slow").SpeaksAgainst(m.Rollout.Guards) {
 		return p
 	}
 	last := p.Stage+1 >= len(m.Rollout.Stages)
--- a/rollout/export_test.go
+++ b/rollout/export_test.go
@@ -6,3 +6,6 @@
 func CountKey(m *config.Model, version string) string {
 	return countKey(m.Name, countName(version, declaredOrder(m.Rollout)))
 }
+
+// Position returns where a session stands among all, from 0 to 1; a share moves those below it.
+func Position(model, key string) float64 { return position(model, key) }
--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -62,10 +62,16 @@
 
 // nameOf returns the name under which the answers of a version are counted.
 func (n *oneNode) nameOf(version string) string {
+	_, name := n.node.Choose("s", n.keyOf(version), "", testServers)
+	return name
+}
+
+// keyOf returns the key of a request that goes to a version.
+func (n *oneNode) keyOf(version string) string {
 	for i := range 10000 {
-		servers, name := n.node.Choose("s", time.Duration(i).String(), "", testServers)
-		if servers[0].Version == version {
-			return name
+		key := time.Duration(i).String()
+		if servers, _ := n.node.Choose("s", key, "", testServers); servers[0].Version == version {
+			return key
 		}
 	}
 	n.t.Fatalf("no request goes to %s", version)
@@ -178,6 +184,60 @@
 	})
 }
 
+// TestStageWaitsWhileLatestAnswersSpeakAgainstVersion checks the same where many answers were good before.
+func TestStageWaitsWhileLatestAnswersSpeakAgainstVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		n.order(1, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 500, 0)
+		must.Positive(t, n.step().Share)
+		n.answers("v2", 40, 0)
+		must.Eq(t, 0, n.step().Stage)
+		name := n.nameOf("v2")
+		for range 3 { // too few to stop the version
+			n.node.Count("s", name, rollout.Sample{Kind: "k", Late: true})
+		}
+		time.Sleep(9 * time.Second)
+		p := n.step()
+		must.Eq(t, rollout.VerdictRunning, p.Verdict)
+		must.Eq(t, 0, p.Stage)
+		n.answers("v2", 80, 0)
+		must.Eq(t, 1, n.step().Stage)
+	})
+}
+
+// TestSessionBegunBeforeShareIsKnownStays checks that a session which began on the version in service after the
+// driver had collected the sessions, and before its node heard of the share, stays there in the first stage.
+func TestSessionBegunBeforeShareIsKnownStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		n.order(1, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 500, 0)
+		session := ""
+		for i := 0; session == ""; i++ { // one that the stage could move
+			if position := rollout.Position("s", time.Duration(i).String()); position < 0.01 {
+				session = time.Duration(i).String()
+			}
+		}
+		n.counts["n"] = n.node.Counts()
+		n.driver.Step(context.Background(), 1)
+		servers, name := n.node.Choose("s", session, "", testServers)
+		must.Eq(t, "v1", servers[0].Version)
+		n.node.Begin("s", name, session)
+		n.node.End("s", name, session)
+		must.NoError(t, n.picker.Apply(document.Item{Data: n.stored, Revision: 1}))
+		servers, _ = n.node.Choose("s", session, "", testServers)
+		must.Eq(t, "v1", servers[0].Version)
+		must.NoError(t, n.picker.Apply(document.Item{Data: n.stored, Revision: 2}))
+		servers, _ = n.node.Choose("s", session, "", testServers)
+		must.Eq(t, "v1", servers[0].Version, must.Sprint("applied again"))
+		servers, _ = n.node.Choose("s", n.keyOf("v2"), "", testServers)
+		must.Eq(t, "v2", servers[0].Version, must.Sprint("another session"))
+	})
+}
+
 // TestAwaitedResponsesOfSlowVersion checks that responses which are late already count against their version before
 // they begin, and once.
 func TestAwaitedResponsesOfSlowVersion(t *testing.T) {
--- a/rollout/picker.go
+++ b/rollout/picker.go
@@ -42,14 +42,38 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.stages.Models
 	p.stages = stages
-	p.stickySessions = make(map[string]map[uint32]bool)
+	sticky := make(map[string]map[uint32]bool)
 	for model, progress := range stages.Models {
-		p.stickySessions[model] = decodeSessions(progress.StickySessions)
+		sticky[model] = p.stickySessionsOf(model, progress, before[model])
 	}
+	p.stickySessions = sticky
 	return nil
 }
 
+// stickySessionsOf returns the sessions that stay on the version in service during a stage: those that the driver
+// knew as it set the share, and those that have been active at this node until it hears of that. The caller must
+// hold mu.
+func (p *Picker) stickySessionsOf(model string, progress, before Progress) map[uint32]bool {
+	sessions := decodeSessions(progress.StickySessions)
+	switch {
+	case progress.Share == 0:
+	case progress.StageSince.Equal(before.StageSince) && before.Share > 0:
+		maps.Copy(sessions, p.stickySessions[model])
+	default:
+		for key := range p.recentSessions {
+			if !strings.HasPrefix(key, countKey(model, "")) {
+				continue
+			}
+			for _, hash := range p.activeSessions(key) {
+				sessions[hash] = true
+			}
+		}
+	}
+	return sessions
+}
+
 // Progress returns the state of a model's rollout, if it is known.
 func (p *Picker) Progress(model string) (Progress, bool) {
 	p.mu.Lock()
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -52,7 +52,7 @@
 		// The sum has lost the counts of a node; continue from the rest.
 		return false
 	}
-	increase, falseAlarm := orDefault(g.MaxBadIncrease, defaultBadIncrease), orDefault(g.FalseAlarmRate, defaultFalseAlarm)/2
+	increase, falseAlarm := orDefault(g.MaxBadIncrease, defaultBadIncrease), acceptedFalseAlarms(g)
 	// The Laplace estimate is above zero even without bad answers.
 	baselineRate := float64(baseline.Bad+1) / float64(baseline.Answers+2)
 	baselineRate = min(baselineRate, 1-increase-minRate)
@@ -65,8 +65,16 @@
 	return t.sprt >= threshold || t.cusum >= threshold+math.Log(float64(max(planned, minPlannedAnswers)))
 }
 
-// SpeaksAgainst reports whether the answers so far rather show that the version is worse than tolerated.
-func (t *SequentialTest) SpeaksAgainst() bool { return t.sprt > 0 }
+// SpeaksAgainst reports whether the answers so far, or the latest ones alone, rather show that the version is worse
+// than tolerated. Of the latest ones that takes half of what stops a version: a few bad ones in a row may be chance.
+func (t *SequentialTest) SpeaksAgainst(g config.Guards) bool {
+	return t.sprt > 0 || t.cusum > math.Log(1/acceptedFalseAlarms(g))/2
+}
+
+// acceptedFalseAlarms returns the accepted rate of false alarms of each of the two sums.
+func acceptedFalseAlarms(g config.Guards) float64 {
+	return orDefault(g.FalseAlarmRate, defaultFalseAlarm) / 2
+}
 
 // minRate keeps the rates of the test inside (0, 1).
 const minRate = 0.001
--- a/rollout/wait_baseline.go
+++ b/rollout/wait_baseline.go
@@ -10,7 +10,7 @@
 	// slowMargin. Bad versions are several times slower. The waits of a good one
 	// vary with prompt length and load, as do those of the version in service.
 	slowFactor = 4
-	slowMargin = 100 * time.Millisecond
+	slowMargin = 50 * time.Millisecond
 	// waitSmoothing is the weight of one response in the moving average.
 	waitSmoothing = 0.05
 	// minBaselineSamples is the number of responses needed before the baseline is
