--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -245,16 +245,26 @@
 	return d.test(m, p, "slightly worse").Update(guards, m.Rollout.TotalMinSamples(), candidate, baseline)
 }
 
-// tooSlow runs the test on slow answers, if the guards limit them.
+// tooSlow runs the tests on slow answers, if the guards limit them.
 func (d *Driver) tooSlow(m *config.Model, p Progress, candidate, baseline Count) bool {
 	guards := m.Rollout.Guards
 	if guards.MaxSlowIncrease == 0 {
 		return false
 	}
-	guards.MaxBadIncrease = guards.MaxSlowIncrease
+	strict := d.test(m, p, "slow")
+	d.updateSlow(m, strict, guards.StrictSlowIncrease, guards.StrictSlowBaseline, candidate, baseline)
+	stop := d.updateSlow(m, d.test(m, p, "much slower"), guards.MaxSlowIncrease, guards.MinSlowBaseline, candidate, baseline)
+	return stop || strict.WorseFromStart(guards)
+}
+
+// updateSlow runs a test on slow answers, with the rate that is tolerated in addition to the one in service, which
+// counts as a least rate at least.
+func (d *Driver) updateSlow(m *config.Model, test *SequentialTest, increase, leastRate float64, candidate, baseline Count) (stop bool) {
+	guards := m.Rollout.Guards
+	guards.MaxBadIncrease = increase
 	candidate.Bad = candidate.Slow
-	baseline.Bad = max(baseline.Slow, int64(guards.MinSlowBaseline*float64(baseline.Answers)))
-	return d.test(m, p, "slow").Update(guards, m.Rollout.TotalMinSamples(), candidate, baseline)
+	baseline.Bad = max(baseline.Slow, int64(leastRate*float64(baseline.Answers)))
+	return test.Update(guards, m.Rollout.TotalMinSamples(), candidate, baseline)
 }
 
 // test returns the test of the given kind for a model's rollout and creates it
--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -327,3 +327,22 @@
 		})
 	}
 }
+
+// TestSecondsOfSlowAnswersDoNotStopGoodVersion checks that a version is not stopped because some of its answers are
+// slow for a moment, as when a stage begins and the caches of its servers are empty.
+func TestSecondsOfSlowAnswersDoNotStopGoodVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		n.order(1, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 1000, 0)
+		must.Positive(t, n.step().Share)
+		n.answers("v2", 80, 0)
+		must.Eq(t, rollout.VerdictRunning, n.step().Verdict)
+		name := n.nameOf("v2")
+		for i := range 66 {
+			n.node.Count("s", name, rollout.Sample{Kind: "k", Wait: 50 * time.Millisecond, Late: i < 20})
+		}
+		must.Eq(t, rollout.VerdictRunning, n.step().Verdict)
+	})
+}
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -71,14 +71,16 @@
 
 // serviceGuards stop a version if its failure rate is 0.1 higher than in service,
 // which few responses suffice to show, or 0.005 higher, which takes many, or if
-// its rate of slow responses is 0.17 higher than in service, where the rate in
-// service counts as at least 0.08. Each test may stop one good version in a
+// its rate of slow responses is 0.3 higher than in service, where the rate in
+// service counts as at least 0.125, or, of all responses, 0.17 higher than 0.08.
+// Good versions are slow for seconds as a stage begins, and not from the start. Each test may stop one good version in a
 // hundred.
 //
 // Some responses of good versions are slow because the prompt caches of their new
 // servers are empty, which MinSlowBaseline allows for.
 var serviceGuards = config.Guards{
-	MaxBadIncrease: 0.1, StrictBadIncrease: 0.005, MaxSlowIncrease: 0.17, MinSlowBaseline: 0.08, FalseAlarmRate: 0.01,
+	MaxBadIncrease: 0.1, StrictBadIncrease: 0.005, FalseAlarmRate: 0.01,
+	MaxSlowIncrease: 0.3, MinSlowBaseline: 0.125, StrictSlowIncrease: 0.17, StrictSlowBaseline: 0.08,
 }
 
 // ServicePicker picks the servers of a service according to the current orders.
