--- a/notice/board.go
+++ b/notice/board.go
@@ -132,34 +132,31 @@
 		if a.Probe && n.Kind == KindRest && n.IsAbsent() {
 			continue
 		}
-		subject := n.Kind.subject(&s)
-		changed, report := b.recordAnswer(subject, s.ID, n, a.SentAgo)
-		if report {
-			b.report(Report{Server: subject, Kind: n.Kind, Value: n.Value, Doubt: a.SentAgo})
-		}
-		if changed && n.concernsTunnels() {
+		if b.observe(n.Kind.subject(&s), s.ID, n, a.SentAgo) && n.concernsTunnels() {
 			b.tellTunnels(s, n, a.Carrier)
 		}
 		b.observeService(s, n, a.SentAgo)
 	}
 }
 
+// observe records what an answer says about a subject, and reports it to the other nodes if that is due. It returns
+// whether what is known has changed.
+func (b *Board) observe(subject uint64, id string, n Notice, sentAgo time.Duration) (changed bool) {
+	changed, report := b.recordAnswer(subject, id, n, sentAgo)
+	if report {
+		b.report(Report{Server: subject, Kind: n.Kind, Value: n.Value, Doubt: sentAgo})
+	}
+	return changed
+}
+
 // recordAnswer records what an answer says, and reports whether what is known has changed, and
 // whether it is to be reported to the other nodes.
-func (b *Board) recordAnswer(hash uint64, id string, n Notice, sentAgo time.Duration) (changed, report bool) {
+func (b *Board) recordAnswer(subject uint64, id string, n Notice, sentAgo time.Duration) (changed, report bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.records[hash]
-	if n.IsAbsent() && r == nil {
-		return false, false
-	}
 	now := b.timers.Steady()
-	said := newSpan(now, 0, sentAgo)
-	if r != nil && !r.admits(n, said) {
-		return false, false
-	}
-	changed = b.set(hash, id, n, said, SourceAnswer)
-	return changed, b.isReportDue(hash, n.Kind, changed, now)
+	changed, admitted := b.set(subject, id, n, newSpan(now, 0, sentAgo), SourceAnswer)
+	return changed, admitted && b.isReportDue(subject, n.Kind, changed, now)
 }
 
 // ObserveReport records a report of another node. Whether a server that leaves stays after all is known by its own
@@ -174,31 +171,29 @@
 	b.set(r.Server, "", n, newSpan(b.timers.Steady(), r.Age, r.Doubt), SourceReport)
 }
 
-// set stores a notice that a server said at the given time, unless a later one is known. It reports
-// whether what is known has changed. The ID may be "". The caller holds mu.
-func (b *Board) set(hash uint64, id string, n Notice, said span, source Source) (changed bool) {
+// set stores a notice that a server said at the given time, unless it may be older than what is known. It reports
+// whether what is known has changed, and whether the notice was admitted, though it may tell nothing new. The ID may
+// be "". The caller holds mu.
+func (b *Board) set(hash uint64, id string, n Notice, said span, source Source) (changed, admitted bool) {
 	if n.Kind.isLimit() && n.Value >= maxPerSecond {
 		n.Value = Unlimited
 	}
 	if b.records[hash] == nil && n.IsAbsent() {
-		return false
+		return false, false
 	}
 	r := b.record(hash)
 	if id != "" {
 		r.id = id
 	}
 	f := &r.facts[n.Kind]
-	if !r.admits(n, said) {
-		return false
-	}
-	if n.Kind == KindRest && !r.extendRest(n, said.to) {
-		return false
+	if !r.admits(n, said) || n.Kind == KindRest && !r.extendRest(n, said.to) {
+		return false, false
 	}
 	if source != SourceAnswer {
 		f.reportedAt = b.timers.Steady()
 	}
 	if n.IsAbsent() && !f.present(n.Kind) {
-		return false
+		return false, true
 	}
 	if !f.present(n.Kind) {
 		f.since = said.to
@@ -216,7 +211,7 @@
 	if changed = c.matters(); changed {
 		b.onChange(c)
 	}
-	return changed
+	return changed, true
 }
 
 // record returns the record of a hash. The caller holds mu.
--- a/notice/service.go
+++ b/notice/service.go
@@ -23,12 +23,7 @@
 	if n.Kind != KindRejectionLimit || s.Service == "" {
 		return
 	}
-	hash := serviceHash(s.Service)
-	ofService := Notice{KindServiceRejectionLimit, n.Value}
-	_, report := b.recordAnswer(hash, s.Service, ofService, sentAgo)
-	if report {
-		b.report(Report{Server: hash, Kind: ofService.Kind, Value: ofService.Value, Doubt: sentAgo})
-	}
+	b.observe(serviceHash(s.Service), s.Service, Notice{KindServiceRejectionLimit, n.Value}, sentAgo)
 	if n.IsAbsent() {
 		b.exempt(s, sentAgo)
 	}
@@ -72,21 +67,20 @@
 // caller holds mu.
 func (b *Board) rejectionLimit(s *registry.Server, r *record) (perSecond float64, since time.Time) {
 	ofService := b.serviceLimit(s.Service)
-	if r != nil && r.facts[KindRejectionLimit].isKnown() {
-		own := r.facts[KindRejectionLimit]
-		switch {
-		case !own.present(KindRejectionLimit) && ofService != nil && own.said.from.Before(ofService.said.to):
-			return ofService.value, ofService.since // the server may name it again, as others do
-		case !own.present(KindRejectionLimit):
-			return Unlimited, time.Time{}
-		case ofService != nil && ofService.since.Before(own.since):
-			return own.value, ofService.since
-		default:
-			return own.value, own.since
-		}
-	}
 	if ofService == nil {
+		ofService = &fact{value: Unlimited}
+	}
+	if r == nil {
+		return ofService.value, ofService.since
+	}
+	switch own := &r.facts[KindRejectionLimit]; {
+	case own.present(KindRejectionLimit) && (ofService.since.IsZero() || own.since.Before(ofService.since)):
+		return own.value, own.since
+	case own.present(KindRejectionLimit):
+		return own.value, ofService.since
+	case own.isKnown() && !own.said.from.Before(ofService.said.to):
 		return Unlimited, time.Time{}
+	default: // nothing is known of it, or it may have begun to name a limit with the others
+		return ofService.value, ofService.since
 	}
-	return ofService.value, ofService.since
 }
