--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -45,10 +45,9 @@
 	timers    *timer.Service
 	models    func() []config.Model
 
-	// tests is keyed by the candidate's key in Counts and the kind of test.
-	// Each candidate has up to three tests; the guards may disable two of them.
-	tests map[string]*SequentialTest
-	nodes *nodeCounts
+	// evidence is kept by the candidate's key in Counts, for the lifetime of the process.
+	evidence map[string]*evidence
+	nodes    *nodeCounts
 }
 
 // NewDriver returns a driver of the given models' rollouts that stores its
@@ -61,7 +60,7 @@
 		lease:     lease,
 		timers:    timers,
 		models:    models,
-		tests:     make(map[string]*SequentialTest),
+		evidence:  make(map[string]*evidence),
 		nodes:     newNodeCounts(),
 	}
 }
@@ -136,45 +135,41 @@
 	if p.Verdict != VerdictRunning {
 		return p
 	}
-	candidate, baseline := d.nodes.totals(candidateKey(m, p), inServiceKey(m, p), &p)
-	test := d.test(m, p, "bad")
-	bad := test.Update(m.Rollout.Guards, m.Rollout.TotalMinSamples(), candidate, baseline)
-	if bad || d.slightlyWorse(m, p, candidate, baseline) {
-		p.Verdict, p.Evidence, p.Samples = VerdictStopped, test.Score(), candidate.Answers
-		p.Reason = fmt.Sprintf("%d of %d answers bad, against %d of %d in service", candidate.Bad, candidate.Answers, baseline.Bad, baseline.Answers)
-		return p
+	key := candidateKey(m, p)
+	candidate, baseline := d.nodes.totals(key, inServiceKey(m, p), &p)
+	e := d.evidenceOf(key)
+	if e.updateBad(m.Rollout, candidate, baseline) {
+		p.Evidence = e.bad.Score()
+		return p.stop(candidate, "%d of %d answers bad, against %d of %d in service", candidate.Bad, candidate.Answers, baseline.Bad, baseline.Answers)
 	}
-	if d.tooSlow(m, p, candidate, baseline) {
-		p.Verdict, p.Samples = VerdictStopped, candidate.Answers
-		p.Reason = fmt.Sprintf("%d of %d answers slow, against %d of %d in service (%d and %d by the finer measure)",
+	if e.updateSlow(m.Rollout, p.Stage, candidate, baseline) {
+		return p.stop(candidate, "%d of %d answers slow, against %d of %d in service (%d and %d by the finer measure)",
 			candidate.Slow, candidate.Answers, baseline.Slow, baseline.Answers, candidate.SlowFine, baseline.SlowFine)
-		return p
 	}
 	stage := m.Rollout.Stages[min(p.Stage, len(m.Rollout.Stages)-1)]
 	if stage.TargetSamples > 0 && p.Share == 0 {
 		return d.setShare(m, p, stage, baseline, now)
 	}
-	d.logEvidence(m, p, candidate, baseline, now)
+	e.log(m.Name, p, candidate, baseline, now)
 	enough := candidate.Answers-p.Samples >= int64(stage.MinSamples)
 	longEnough := now.Sub(p.StageSince).Seconds() >= stage.MinSeconds
-	if !enough || !longEnough || !d.mayPass(m, p) {
+	if !enough || !longEnough || !e.mayPass(m.Rollout.Guards, p.Stage) {
 		return p
 	}
 	last := p.Stage+1 >= len(m.Rollout.Stages)
-	if last && m.Rollout.Replace && d.nodes.runningElsewhere(m.Name, candidateKey(m, p)) > 0 {
+	if last && m.Rollout.Replace && d.nodes.runningElsewhere(m.Name, key) > 0 {
 		return p
 	}
-	p.StageSince, p.Evidence, p.Samples = now, test.Score(), candidate.Answers
+	p.StageSince, p.Evidence, p.Samples = now, e.bad.Score(), candidate.Answers
 	return p.advance(last)
 }
 
-// logEvidence logs what a running rollout is judged by.
-func (d *Driver) logEvidence(m *config.Model, p Progress, candidate, baseline Count, now time.Time) {
-	slog.Info("rollout evidence", "model", m.Name, "version", p.Version, "stage", p.Stage, "stage_ms", now.Sub(p.StageSince).Milliseconds(),
-		"share", p.Share, "bad_score", d.test(m, p, "bad").Score(), "slow_score", d.test(m, p, "slow").Score(),
-		"first_stage_score", d.test(m, p, "slow in the first stage").sprt,
-		"answers", candidate.Answers, "bad", candidate.Bad, "slow", candidate.Slow, "slow_fine", candidate.SlowFine, "running", candidate.Running,
-		"in_service_answers", baseline.Answers, "in_service_bad", baseline.Bad, "in_service_slow", baseline.Slow, "in_service_slow_fine", baseline.SlowFine, "in_service_running", baseline.Running)
+// evidenceOf returns the evidence on a candidate, by its count key.
+func (d *Driver) evidenceOf(candidate string) *evidence {
+	if d.evidence[candidate] == nil {
+		d.evidence[candidate] = &evidence{}
+	}
+	return d.evidence[candidate]
 }
 
 // begin returns the progress of a rollout that begins now.
@@ -199,6 +194,12 @@
 	return ""
 }
 
+// stop stops the rollout for the given reason.
+func (p Progress) stop(candidate Count, format string, args ...any) Progress {
+	p.Verdict, p.Samples, p.Reason = VerdictStopped, candidate.Answers, fmt.Sprintf(format, args...)
+	return p
+}
+
 // advance moves to the next stage, or completes the rollout after the last one.
 // It clears the fields that apply to a single stage.
 func (p Progress) advance(last bool) Progress {
@@ -234,60 +235,3 @@
 	p.Reason = fmt.Sprintf("share for %d answers of about %.0f requests", stage.TargetSamples, expected)
 	return p
 }
-
-// slightlyWorse runs the test with the smaller StrictBadIncrease, if one is set.
-// The test with the larger increase does not detect a few failures in many
-// answers.
-func (d *Driver) slightlyWorse(m *config.Model, p Progress, candidate, baseline Count) bool {
-	guards := m.Rollout.Guards
-	if guards.StrictBadIncrease == 0 {
-		return false
-	}
-	guards.MaxBadIncrease = guards.StrictBadIncrease
-	return d.test(m, p, "slightly worse").Update(guards, m.Rollout.TotalMinSamples(), candidate, baseline)
-}
-
-// tooSlow runs the tests on slow answers, if the guards limit them.
-func (d *Driver) tooSlow(m *config.Model, p Progress, candidate, baseline Count) bool {
-	guards := m.Rollout.Guards
-	if guards.MaxSlowIncrease == 0 {
-		return false
-	}
-	stop := d.updateSlow(m, d.test(m, p, "slow"), guards.MaxSlowIncrease, guards.MinSlowBaseline, candidate, baseline)
-	if guards.StrictSlowIncrease > 0 && p.Stage == 0 {
-		candidate.Slow, baseline.Slow = candidate.SlowFine, baseline.SlowFine
-		strict := d.test(m, p, "slow in the first stage")
-		stop = d.updateSlow(m, strict, guards.StrictSlowIncrease, guards.StrictSlowBaseline, candidate, baseline) || stop
-	}
-	return stop
-}
-
-// mayPass reports whether the evidence lets a rollout leave its stage. It does not while the answers, or the latest
-// ones, rather speak against the version, nor the first stage before enough of them speak for it.
-func (d *Driver) mayPass(m *config.Model, p Progress) bool {
-	guards := m.Rollout.Guards
-	if d.test(m, p, "bad").SpeaksAgainst(guards) || d.test(m, p, "slow").SpeaksAgainst(guards) {
-		return false
-	}
-	return guards.StrictSlowIncrease == 0 || p.Stage > 0 || d.test(m, p, "slow in the first stage").SpeaksFor()
-}
-
-// updateSlow runs a test on slow answers, with the rate that is tolerated in addition to the one in service, which
-// counts as a least rate at least.
-func (d *Driver) updateSlow(m *config.Model, test *SequentialTest, increase, leastRate float64, candidate, baseline Count) (stop bool) {
-	guards := m.Rollout.Guards
-	guards.MaxBadIncrease = increase
-	candidate.Bad = candidate.Slow
-	baseline.Bad = max(baseline.Slow, int64(leastRate*float64(baseline.Answers)))
-	return test.Update(guards, m.Rollout.TotalMinSamples(), candidate, baseline)
-}
-
-// test returns the test of the given kind for a model's rollout and creates it
-// on first use. Tests are kept for the lifetime of the process.
-func (d *Driver) test(m *config.Model, p Progress, kind string) *SequentialTest {
-	key := candidateKey(m, p) + " " + kind
-	if d.tests[key] == nil {
-		d.tests[key] = &SequentialTest{}
-	}
-	return d.tests[key]
-}
