--- a/rollout/awaited.go
+++ b/rollout/awaited.go
@@ -50,7 +50,7 @@
 	a.begunAt = time.Now()
 	a.sample.Wait, a.sample.Late, a.sample.Failed = a.begunAt.Sub(a.sentAt), late, failed
 	a.markSlow(a.sample)
-	a.services.count(a.service, a.name, a.sample, false)
+	a.services.count(a.service, a.name, a.sample)
 }
 
 // Event records that an event of a stream has come.
--- a/rollout/node_counts.go
+++ b/rollout/node_counts.go
@@ -1,7 +1,5 @@
 package rollout
 
-import "strings"
-
 // departedAfterSteps is the number of consecutive steps without a response after
 // which a node counts as departed.
 const departedAfterSteps = 3
@@ -57,7 +55,7 @@
 			continue
 		}
 		for key, c := range counts {
-			if key != candidate && strings.HasPrefix(key, countKey(model, "")) {
+			if key != candidate && isKeyOf(model, key) {
 				running += c.Running + c.RunningBeforeOrder
 			}
 		}
--- a/rollout/picker.go
+++ b/rollout/picker.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"strings"
 	"sync"
 
 	"github.com/violettally/violettally/config"
@@ -62,13 +61,8 @@
 	case progress.StageSince.Equal(before.StageSince) && before.Share > 0:
 		maps.Copy(sessions, p.stickySessions[model])
 	default:
-		for key := range p.recentSessions {
-			if !strings.HasPrefix(key, countKey(model, "")) {
-				continue
-			}
-			for _, hash := range p.activeSessions(key) {
-				sessions[hash] = true
-			}
+		for _, hash := range p.activeSessions(countKey(model, inServiceVersion)) {
+			sessions[hash] = true
 		}
 	}
 	return sessions
@@ -144,30 +138,29 @@
 	return rendezvous.Position(rendezvous.Hash(model + "/" + key))
 }
 
-// countName returns the name under which the answers of a version of a model that is rolled out are counted now.
-func (p *Picker) countName(m *config.Model, version string) string {
+// order returns the order under which the answers of a model that is rolled out are counted now.
+func (p *Picker) order(m *config.Model) int64 {
 	progress, _ := p.Progress(m.Name)
-	return countName(version, progress.order(m.Rollout))
+	return progress.order(m.Rollout)
 }
 
 // Count records one answer of a version of a model that is rolled out.
 func (p *Picker) Count(m *config.Model, version string, bad bool) {
-	p.setOrder(m)
-	p.count(m.Name, p.countName(m, version), answer{bad: bad})
+	order := p.order(m)
+	p.setOrder(m.Name, order)
+	p.count(m.Name, countName(version, order), bad, false)
 }
 
 // setOrder drops what was counted under earlier orders for a model and has ended.
-func (p *Picker) setOrder(m *config.Model) {
-	progress, _ := p.Progress(m.Name)
-	order := progress.order(m.Rollout)
+func (p *Picker) setOrder(model string, order int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.orders[m.Name] == order {
+	if p.orders[model] == order {
 		return
 	}
-	p.orders[m.Name] = order
+	p.orders[model] = order
 	for key, c := range p.counts {
-		if strings.HasPrefix(key, countKey(m.Name, "")) && p.isOver(m.Name, key, c) {
+		if isKeyOf(model, key) && p.isOver(model, key, c) {
 			delete(p.counts, key)
 		}
 	}
@@ -182,24 +175,18 @@
 	return c.Answers == 0 && c.SlowFine == 0 || order != 0 && order != p.orders[model]
 }
 
-// answer is what is counted of one answer.
-type answer struct{ bad, slow, slowFine bool }
-
-func (p *Picker) count(model, version string, a answer) {
+func (p *Picker) count(model, version string, bad, slow bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	name := countKey(model, version)
 	c := p.counts[name]
 	c.Answers++
-	if a.bad {
+	if bad {
 		c.Bad++
 	}
-	if a.slow {
+	if slow {
 		c.Slow++
 	}
-	if a.slowFine {
-		c.SlowFine++
-	}
 	p.counts[name] = c
 }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -16,15 +16,18 @@
 //
 //	version, err := picker.Pick(model, sessionKey, allowed)
 //	…
-//	picker.Count(model.Name, version.Name, rollout.IsBad(guards, failed, rating, firstToken))
+//	picker.Count(model, version.Name, rollout.IsBad(guards, failed, rating, firstToken))
 //
 //	servers, version := services.Choose("look", sessionKey, "", known)
 //	…
-//	services.Count("look", version, rollout.Sample{Kind: …, Wait: …})
+//	response := services.Await("look", version, rollout.Sample{Kind: …})
+//	… response.Begin(late, failed), response.Event() for each event of a stream …
+//	response.End()
 package rollout
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/violettally/violettally/internal/errs"
@@ -147,3 +150,6 @@
 
 // countKey returns the key of a version in Counts, by the name under which it is counted.
 func countKey(model, name string) string { return model + "@" + name }
+
+// isKeyOf reports whether a key in Counts is one of a model.
+func isKeyOf(model, key string) bool { return strings.HasPrefix(key, countKey(model, "")) }
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -17,7 +17,7 @@
 // service. During the rollout, servers of the target version run beside the old
 // ones, which are stopped as soon as the rollout is complete.
 type Order struct {
-	// ID identifies the order; of two orders for a service the later one's is higher.
+	// ID identifies the order among those for its service.
 	ID      int64
 	Service string
 	Target  string
@@ -74,8 +74,8 @@
 // its rate of slow responses is 0.3 higher than in service, where the rate in
 // service counts as at least 0.125, or in the first stage, by a finer measure, 0.17
 // higher than 0.08. In later stages some servers carry more than their later load,
-// with empty caches, so that good versions are slow for a while. Each test may stop one good version in a
-// hundred.
+// with empty caches, so that good versions are slow for a while. Each test may stop
+// one good version in a hundred.
 //
 // Some responses of good versions are slow because the prompt caches of their new
 // servers are empty, which MinSlowBaseline allows for.
@@ -164,7 +164,7 @@
 		},
 	}
 	model := s.models[o.Service]
-	s.picker.setOrder(&model)
+	s.picker.setOrder(o.Service, s.picker.order(&model))
 	slog.Info("rollout ordered", "service", o.Service, "target", o.Target, "period_ms", o.Period.Milliseconds())
 }
 
@@ -213,9 +213,9 @@
 	}
 	targetServers, oldServers := splitByVersion(servers, target)
 	if len(targetServers) > 0 && !stopped && (toTarget || len(oldServers) == 0) {
-		return s.concentrate(&m, targetServers, len(oldServers)), s.picker.countName(&m, target)
+		return s.concentrate(&m, targetServers, len(oldServers)), countName(target, s.picker.order(&m))
 	}
-	return oldServers, s.picker.countName(&m, inServiceVersion)
+	return oldServers, countName(inServiceVersion, s.picker.order(&m))
 }
 
 // Begin records that a request with the version name from Choose is sent. The
@@ -287,29 +287,21 @@
 	return chosen
 }
 
-// Count records a sample under a name that Choose returned. Without an order (name ""), it tells how long responses
+// count records a sample under a name that Choose returned. Without an order (name ""), it tells how long responses
 // usually take.
-func (s *ServicePicker) Count(service, version string, sample Sample) {
-	s.count(service, version, sample, s.isSlowFine(sample))
-}
-
-// count records a sample, and whether it is slow by the finer measure.
-func (s *ServicePicker) count(service, version string, sample Sample, slowFine bool) {
-	a := answer{bad: sample.Failed, slow: s.isSlow(sample), slowFine: slowFine}
-	if (version == "" || isInService(version)) && !sample.Failed && !sample.Late {
-		s.observe(version, sample)
+func (s *ServicePicker) count(service, name string, sample Sample) {
+	if name != "" {
+		s.picker.count(service, name, sample.Failed, s.isSlow(sample))
 	}
-	if version != "" {
-		s.picker.count(service, version, a)
+	if sample.Failed || sample.Late {
+		return
 	}
-}
-
-// observe learns from a response of a version in service how long they usually take.
-func (s *ServicePicker) observe(version string, sample Sample) {
-	if version != "" {
+	if isInService(name) {
 		s.waits.observe(sample.Kind, sample.Wait)
 	}
-	s.recentWaits.observe(sample.Kind, sample.Wait)
+	if name == "" || isInService(name) {
+		s.recentWaits.observe(sample.Kind, sample.Wait)
+	}
 }
 
 // isSlow reports whether a response takes several times as long as usual until it begins.
