--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -318,3 +318,47 @@
 		must.Eq(t, rollout.VerdictRunning, n.step().Verdict)
 	})
 }
+
+// TestSessionsOnCompletedVersionAreKnown checks that sessions of a version whose rollout is complete stay on it in the
+// first stage of the next one, though they had no request since its order, and that its responses tell how long they
+// usually take.
+func TestSessionsOnCompletedVersionAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		n.stored = []byte(`{"models": {"s": {"version": "v1", "order": 1, "stage": 2, "verdict": "complete"}}}`)
+		n.order(1, "v1")
+		session := ""
+		for i := 0; session == ""; i++ { // one that the stage could move
+			if key := time.Duration(i).String(); rollout.Position("s", key) < 0.01 {
+				session = key
+			}
+		}
+		servers, name := n.node.Choose("s", session, "", testServers)
+		must.Eq(t, "v1", servers[0].Version)
+		n.node.Begin("s", name, session)
+		for range 20 {
+			n.node.Count("s", name, rollout.Sample{Kind: "k", Wait: 50 * time.Millisecond})
+		}
+		n.node.End("s", name, session)
+		time.Sleep(time.Second)
+		n.order(2, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 500, 0)
+		must.Positive(t, n.step().Share)
+		servers, _ = n.node.Choose("s", session, "", testServers)
+		must.Eq(t, "v1", servers[0].Version)
+	})
+}
+
+// TestRequestsGoOnToCompletedVersion checks that requests go to the version whose rollout is complete while the old
+// servers are still there, and count as those of the version in service.
+func TestRequestsGoOnToCompletedVersion(t *testing.T) {
+	s := newServicePicker(t, `{"models": {"s": {"version": "v2", "stage": 2, "verdict": "complete"}}}`)
+	for _, previous := range []string{"", "in-service", "v2"} {
+		servers, name := s.Choose("s", "key", previous, testServers)
+		must.Eq(t, "v2", servers[0].Version)
+		must.Eq(t, "in-service", name)
+	}
+	servers, _ := s.Choose("s", "key", "", testServers[:2])
+	must.Eq(t, "v1", servers[0].Version, must.Sprint("none of the new ones is left"))
+}
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -191,7 +191,8 @@
 // version can be picked. The key is the request's session, or else its ID; its
 // hash is compared with the stage's share. previous is the version name of an
 // earlier attempt of the request, if any: the request stays on that version unless
-// the rollout was stopped or the version has no servers.
+// the rollout was stopped or the version has no servers. Once the rollout is complete,
+// the target is the version in service, also for the next rollout.
 func (s *ServicePicker) Choose(service, key, previous string, servers []*registry.Server) ([]*registry.Server, string) {
 	s.mu.Lock()
 	m, ordered := s.models[service]
@@ -205,17 +206,22 @@
 		slog.Error("picking a version failed; any server may be picked", "service", service, "error", err)
 		return servers, ""
 	}
-	stopped := s.stopped(&m)
+	verdict := s.verdict(&m)
 	toTarget := picked.Name == target
-	if previous != "" && !stopped {
+	if previous != "" && verdict == VerdictRunning {
 		version, _ := splitName(previous)
 		toTarget = version == target
 	}
 	targetServers, oldServers := splitByVersion(servers, target)
-	if len(targetServers) > 0 && !stopped && (toTarget || len(oldServers) == 0) {
-		return s.concentrate(&m, targetServers, len(oldServers)), countName(target, s.picker.order(&m))
+	order := s.picker.order(&m)
+	switch {
+	case len(targetServers) > 0 && verdict == VerdictComplete:
+		return targetServers, countName(inServiceVersion, order)
+	case len(targetServers) > 0 && verdict == VerdictRunning && (toTarget || len(oldServers) == 0):
+		return s.concentrate(&m, targetServers, len(oldServers)), countName(target, order)
+	default:
+		return oldServers, countName(inServiceVersion, order)
 	}
-	return oldServers, countName(inServiceVersion, s.picker.order(&m))
 }
 
 // Begin records that a request with the version name from Choose is sent. The
@@ -315,10 +321,13 @@
 		s.recentPaces.isSlow(sample.Kind, sample.Pace, 0, 0, fineMargin)
 }
 
-// stopped reports whether the rollout of a service was stopped.
-func (s *ServicePicker) stopped(m *config.Model) bool {
+// verdict returns the verdict on the rollout of a service; VerdictRunning if none is known.
+func (s *ServicePicker) verdict(m *config.Model) Verdict {
 	progress, ok := s.picker.Progress(m.Name)
-	return ok && progress.Concerns(m.Rollout) && progress.Verdict == VerdictStopped
+	if !ok || !progress.Concerns(m.Rollout) {
+		return VerdictRunning
+	}
+	return progress.Verdict
 }
 
 // splitByVersion separates the servers of a version from all others.
--- a/rollout/service_test.go
+++ b/rollout/service_test.go
@@ -54,12 +54,15 @@
 			for i := range keys {
 				servers, version := s.Choose("s", fmt.Sprint(i), "", tt.servers)
 				must.SliceNotEmpty(t, servers)
-				if version == "v2" {
+				if servers[0].Version == "v2" {
 					target++
 				}
 				for _, chosen := range servers {
-					must.Eq(t, version == "v2", chosen.Version == "v2")
+					must.Eq(t, servers[0].Version, chosen.Version)
 				}
+				counted := servers[0].Version == "v2" && tt.name != "complete"
+				must.Eq(t, counted, version == "v2", must.Sprint(version))
+				must.Eq(t, !counted, version == "in-service", must.Sprint(version))
 			}
 			must.Between(t, tt.share-0.03, float64(target)/keys, tt.share+0.03)
 		})
