--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -28,12 +28,12 @@
 )
 
 // body returns the body of a request: numbered lines, so that a gap shows where it is.
-func body(id string) []byte {
+func body(id string, size int) []byte {
 	var b bytes.Buffer
-	for n := 0; b.Len() < bodySize; n++ {
+	for n := 0; b.Len() < size; n++ {
 		fmt.Fprintf(&b, "%s %08d\n", id, n)
 	}
-	return b.Bytes()[:bodySize]
+	return b.Bytes()[:size]
 }
 
 // arrival is what a runner has received of a request's body.
@@ -132,7 +132,7 @@
 	sent := make(map[string][]byte)
 	for n := range requests {
 		id := "a" + strconv.Itoa(n)
-		sent[id] = body(id)
+		sent[id] = body(id, bodySize)
 		w.send(g, id, sent[id], n%2 == 1)
 	}
 	time.Sleep(time.Second)
