--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -20,6 +20,8 @@
 	leases   map[int64]*lease
 	nextID   int64
 	changed  chan struct{}
+	// tooLarge counts the transactions that had more than maxEntries entries.
+	tooLarge int
 	// reject turns callers from an address away; nil serves all.
 	reject func(host string) bool
 }
@@ -178,6 +180,9 @@
 	}
 }
 
+// maxEntries is the number of entries that one transaction may have.
+const maxEntries = 32
+
 func (s *store) txn(w http.ResponseWriter, r *http.Request) {
 	var t struct {
 		Expect []item   `json:"expect_rev"`
@@ -190,6 +195,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(t.Expect)+len(t.Puts)+len(t.Remove) > maxEntries {
+		s.tooLarge++
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	failed, present := false, []item{}
 	for _, e := range t.Expect {
 		i := s.items[e.Key]
