Review, case 3: the runner's window is small from the start

Cause: buffers of the kernel took the whole body in up to five of ten requests under load, so that no window closed. Change: the stand-in sets its buffer before it listens and pauses for 7 s; the drivers of scripts also end their processes if they are ended themselves.

--- a/review/standin/harness.go
+++ b/review/standin/harness.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -47,6 +48,14 @@
 		w.close()
 		os.Exit(exitFailed)
 	})
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.record("interrupted")
+		w.close()
+		os.Exit(exitFailed)
+	}()
 	code := w.play(cases[os.Args[1]])
 	w.record("result: %s", map[int]string{exitHeld: "the rule held", exitBroken: "the rule was broken", exitFailed: "the case could not run"}[code])
 	w.close()
@@ -196,6 +205,7 @@
 	g.command = exec.Command("target/violettally", "gateway")
 	g.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "VIOLETTALLY_SETTINGS=" + g.settings}
 	g.command.Stdout, g.command.Stderr = output, output
+	g.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := g.command.Start(); err != nil {
 		w.fail("%v", err)
 	}
--- a/review/standin/pause.go
+++ b/review/standin/pause.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 )
 
@@ -19,12 +21,12 @@
 	// pauseBody is the length of their bodies; the configuration allows 4,194,304.
 	pauseBody = 7 << 19
 	// readPause is how long the runner does not read on after its answer has begun.
-	readPause = 5 * time.Second
+	readPause = 7 * time.Second
 	// pauseEvents and pauseInterval make an answer of 8 s; the client waits 20 s.
 	pauseEvents   = 40
 	pauseInterval = 200 * time.Millisecond
 	// runnerBuffer is the size of the runner's receive buffers. Windows are small on the platform.
-	runnerBuffer = 64 << 10
+	runnerBuffer = 256 << 10
 )
 
 // pauseRunner answers with streams. With pause set, it begins its answer to a long body after the first
@@ -40,7 +42,6 @@
 		if err != nil {
 			return
 		}
-		_ = conn.(*net.TCPConn).SetReadBuffer(runnerBuffer)
 		go r.serveConn(conn)
 	}
 }
@@ -100,7 +101,12 @@
 }
 
 func playPause(w *world) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, runnerBuffer)
+		})
+	}}
+	l, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		w.fail("%v", err)
 	}
