--- a/review/standin/orders.go
+++ b/review/standin/orders.go
@@ -14,13 +14,15 @@
 func init() { cases["orders"] = playOrders }
 
 const (
-	// idleServices are services without traffic that have been given an order each.
+	// idleServices are services without traffic that have been given an order each, lateServices those that
+	// are given one later.
 	idleServices = 29
+	lateServices = 2
 	// orderPeriod is the time budget of each order.
 	orderPeriod = 60
 	// requestInterval is the time between two requests of the clients together.
 	requestInterval = 12 * time.Millisecond
-	// badAfter is how long after the last order the new version turns bad.
+	// badAfter is how long after the last orders the new version turns bad.
 	badAfter = 2 * time.Second
 	// rollbackTime is rollback_ms of the site.
 	rollbackTime = 5 * time.Second
@@ -66,8 +68,8 @@
 	fmt.Fprintf(w, "%s of %s", id, r.version)
 }
 
-// playOrders has a new version turn bad during its roll-out. With the disruption, an order for one more
-// service comes meanwhile.
+// playOrders has a new version turn bad during its roll-out. With the disruption, orders for two more
+// services come meanwhile.
 func playOrders(w *world) int {
 	var sent sync.Map
 	sentAt := func(id string) time.Time {
@@ -77,7 +79,7 @@
 	}
 	var bad atomic.Bool
 	services := []map[string]any{}
-	for n := range idleServices + 2 {
+	for n := range 1 + idleServices + lateServices {
 		name := fmt.Sprintf("service-%02d", n)
 		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_conns": 96, "protocol": "h1", "tls": false})
 	}
@@ -109,7 +111,7 @@
 		defer clients.Done()
 		w.sendMany(gateways, &sent, stop)
 	}()
-	for n := range idleServices + 1 {
+	for n := range 1 + idleServices {
 		w.order(services[n]["name"].(string))
 	}
 	count := func() int {
@@ -128,7 +130,9 @@
 	}
 	w.record("operator: the new version of %s has had %d requests", services[0]["name"], count())
 	if w.trouble {
-		w.order(services[idleServices+1]["name"].(string))
+		for n := range lateServices {
+			w.order(services[1+idleServices+n]["name"].(string))
+		}
 	}
 	time.Sleep(badAfter)
 	bad.Store(true)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -180,7 +180,8 @@
 	}
 }
 
-// maxEntries is the number of entries that one transaction may have.
+// maxEntries is the number of entries that one transaction may have. The page can be read as one limit for
+// all three lists or as one for each; this is the wider reading.
 const maxEntries = 32
 
 func (s *store) txn(w http.ResponseWriter, r *http.Request) {
@@ -195,7 +196,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(t.Expect)+len(t.Puts)+len(t.Remove) > maxEntries {
+	if max(len(t.Expect), len(t.Puts), len(t.Remove)) > maxEntries {
 		s.tooLarge++
 		w.WriteHeader(http.StatusBadRequest)
 		return
