--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 # project, after the build of the deploy file. It needs no network: the stand-ins use nothing but Go's
 # standard library.
 set -euo pipefail
-cd "$(dirname "$0")/standin"
-GOFLAGS=-mod=mod GOWORK=off go build -o ../../target/review-standin .
+cd "$(dirname "$0")/.."
+go build -o target/review-standin ./review/standin
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -78,12 +78,6 @@
 	return s.write([]item{{Key: key, Value: data}}, nil)
 }
 
-func (s *store) remove(key string) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.write(nil, []string{key})
-}
-
 func (s *store) get(key string) (item, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
