Review, case 2: longer work and a longer wait, ports of its own

Change: runners work for 50 ms and turn bad 5 s after the last orders; gateways listen on loopback addresses that depend on the process.

--- a/review/standin/harness.go
+++ b/review/standin/harness.go
@@ -144,6 +144,13 @@
 
 func (g *gateway) signal(s syscall.Signal) { _ = g.command.Process.Signal(s) }
 
+// loopback returns the loopback address of the gateway with a number. It depends on the process, so that
+// cases which run at the same time don't take each other's ports.
+func loopback(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 20+pid%200, pid/200%250, 11+i)
+}
+
 // freePort returns a port of an address that is free now.
 func freePort(ip string) string {
 	l, err := net.Listen("tcp", ip+":0")
@@ -158,7 +165,7 @@
 func (w *world) startGateways(n int) []*gateway {
 	var seeds []string
 	for i := range n {
-		ip := fmt.Sprintf("127.0.0.%d", 11+i)
+		ip := loopback(i)
 		g := &gateway{name: fmt.Sprintf("front-%d", i+1), caller: freePort(ip), ready: freePort(ip), peer: freePort(ip)}
 		if i < 3 {
 			seeds = append(seeds, g.peer)
@@ -167,7 +174,7 @@
 		g.settings = filepath.Join(w.temp, g.name+".json")
 	}
 	for i, g := range w.gateways {
-		ip := fmt.Sprintf("127.0.0.%d", 11+i)
+		ip := loopback(i)
 		zone := fmt.Sprintf("zone-%c", 'a'+i%3)
 		data, _ := json.MarshalIndent(map[string]any{
 			"name": g.name, "region": "region-a", "data_hall": zone,
--- a/review/standin/orders.go
+++ b/review/standin/orders.go
@@ -20,10 +20,12 @@
 	lateServices = 2
 	// orderPeriod is the time budget of each order.
 	orderPeriod = 60
+	// workTime is how long a runner works on a request.
+	workTime = 50 * time.Millisecond
 	// requestInterval is the time between two requests of the clients together.
 	requestInterval = 12 * time.Millisecond
 	// badAfter is how long after the last orders the new version turns bad.
-	badAfter = 2 * time.Second
+	badAfter = 5 * time.Second
 	// rollbackTime is rollback_ms of the site.
 	rollbackTime = 5 * time.Second
 	// ordersLength is how long requests are sent after the new version has turned bad.
@@ -56,7 +58,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(workTime)
 	bad := r.bad != nil && r.bad.Load()
 	r.mu.Lock()
 	r.arrivals = append(r.arrivals, arrivalAt{id, r.sentAt(id), time.Now(), bad})
