relay: attempts that were given up tell how silent their connection was

Callers saw nothing of this. Of an attempt that was given up, a record told neither its connection nor for how long that had been silent, so that the hypotheses on requests that ran twice could not be told apart: a close that cannot arrive (silent), a server that works on after it heard the close (not silent), a carrier that holds it back.

No decision changes. go test ./relay ./platform ./metrics ./accuracy passes.

--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -33,6 +33,12 @@
 // Resumed counts a stream that continues at another server.
 func (r RelayCounters) Resumed() { add(r.m.resumes, 1) }
 
+// GaveUp counts an attempt that was given up while its server might still run the request, by whether its
+// connection had been silent.
+func (r RelayCounters) GaveUp(silent bool) {
+	add(r.m.givenUp, 1, attribute.Bool("silent", silent))
+}
+
 // Sent records, for a request sent to a server, the age of the data from the platform's
 // store by which the server was chosen.
 func (r RelayCounters) Sent(age time.Duration) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -40,6 +40,8 @@
 	runs  int
 	// abandoned means that the present server may still run the request although it was given up.
 	abandoned bool
+	// connection is what is known of the connection of the present attempt.
+	connection connection
 	// basis is why the present server may get the request, if it names a rejection limit.
 	basis rejection.Basis
 	// otherServers is how many servers remained for a further attempt at the last choice.
@@ -107,7 +109,10 @@
 	server := assignment.Server()
 	x.abandoned = false
 	rejected, begun := false, time.Now()
-	defer func() { x.releasePlace(assignment, begun, rejected) }()
+	defer func() {
+		x.releasePlace(assignment, begun, rejected)
+		x.recordGivenUp(server)
+	}()
 	x.relay.Versions.Begin(x.service, version, x.request.hashKey())
 	defer x.relay.Versions.End(x.service, version, x.request.hashKey())
 	x.sends++
@@ -127,6 +132,7 @@
 	}
 	features := x.features()
 	sent := time.Now()
+	x.connection = connection{heard: sent}
 	removePending := x.relay.pending.add(x.request, cancel)
 	wd := x.startWatchdog(assignment, cancel)
 	defer wd.stop()
@@ -146,6 +152,7 @@
 		Model:       x.model(),
 		LastEventID: x.lastEventID,
 		SilentSince: x.silentSince,
+		Connected:   func(opened time.Time, carrier string) { x.connection.opened, x.connection.carrier = opened, carrier },
 		// The choice may become stale while a connection is dialed or this process is not
 		// scheduled.
 		Stale: func() bool {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -79,6 +79,7 @@
 			return x.interrupted(ctx, assignment, err)
 		}
 		begun = true
+		x.connection.heard = time.Now()
 		awaited.Event()
 		assignment.RecordProgress()
 		if time.Since(lastReport) > progressInterval {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -187,6 +187,7 @@
 func (noCounters) Retried(relay.Reason)                                {}
 func (noCounters) Escalated(string)                                    {}
 func (noCounters) Resumed()                                            {}
+func (noCounters) GaveUp(bool)                                         {}
 func (noCounters) Sent(time.Duration)                                  {}
 func (noCounters) ServerRejected(rejection.Basis)                      {}
 func (noCounters) SentLimited()                                        {}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -116,6 +116,9 @@
 	// zero if there was none. Connections that have received nothing since then may be dead as
 	// well.
 	SilentSince time.Time
+	// Connected is told of the connection that the attempt gets, before the first byte is sent: when it was
+	// opened, and the address of the node that carries it, "" for none.
+	Connected func(opened time.Time, carrier string)
 	// Stale reports whether the choice of the server is out of date. It is called just before
 	// the first byte is sent; if it returns true, nothing is sent.
 	Stale func() bool
@@ -281,6 +284,9 @@
 	Retried(reason Reason)
 	Escalated(model string)
 	Resumed()
+	// GaveUp counts an attempt that was given up while its server might still run the request, by whether
+	// its connection had been silent.
+	GaveUp(silent bool)
 	// Sent counts a request sent to a server, with the age of the store view by which the
 	// server was chosen.
 	Sent(age time.Duration)
