sendonce: net/http sends no request twice by itself

Callers saw: a request without a body and with an empty Idempotency-Key, whose server read it on a kept connection and closed without an answer, ran twice. On the product's own interface each GET, HEAD and OPTIONS call without a body did.

Cause: a list of ours of the requests that net/http resends had to match a list inside net/http. The transport asks whether the header is there, ours asked for its value; the engine client took away GetBody from a body that http.NewRequest had made http.NoBody, which is resent without it.

Change: no list. A connection refuses to write a request of which another may have written a byte (internal/sendonce, used by both clients). A request of which nothing was written still takes another connection.

Looked at: all clients. The store's writes carry conditions and 'may be done' is their contract; the cloud's keep no connection; ratings, the operators' command and etcd POST a body without such a header, which is not resent.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -34,6 +34,7 @@
 	"github.com/violettally/violettally/dispatch"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/internal/responsehead"
+	"github.com/violettally/violettally/internal/sendonce"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/placement"
 	"github.com/violettally/violettally/route"
@@ -120,7 +121,7 @@
 	}
 	c.http = &http.Client{
 		Transport: &http.Transport{
-			DialContext:         c.dial,
+			DialContext:         sendonce.Dialer(c.dial),
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
@@ -223,11 +224,11 @@
 	began := time.Now()
 	carrier := ""
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*tunnel.Conn); ok {
+		if conn, ok := info.Conn.(*sendonce.Conn).NetConn().(*tunnel.Conn); ok {
 			carrier = conn.Carrier()
 		}
 	}}
-	ctx, head := responsehead.Watch(httptrace.WithClientTrace(request.Context(), trace))
+	ctx, head := responsehead.Watch(httptrace.WithClientTrace(sendonce.Watch(request.Context()), trace))
 	response, err := c.http.Do(request.WithContext(ctx))
 	head.End()
 	if err != nil {
@@ -327,9 +328,6 @@
 	if err != nil {
 		return dispatch.ServiceResponse{}, errs.Wrap(dispatch.NotRun, "call", err, "server %s", server.Name)
 	}
-	// The call must not be sent twice. Without GetBody the transport can't resend
-	// it.
-	request.GetBody = nil
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
