handoff: a run that was given up ends before another server continues the request

Callers and operators saw (TWICE): a stream went on at another server while the earlier one still worked on it, for as long as it had left. Dozens of requests at once: each stream under way as connections go silent.

Cause: the end of a connection was the only thing that told a server to stop, and giving up was an act of the node alone. On a connection that has gone silent for good the end never arrives, while new ones work. Class: an order without an answer taken as carried out.

Change: before another server continues, the earlier one is told by another connection to end the run and to hand its memory over; it answers (package handoff). The later server continues the same run from that memory (Kv-From) if model and version are the same. The request waits 250 ms at most for the answer; what has not answered, may still stand in the queue, or is continued nowhere is looked after in the background until the time that the server was told is over. The same for reroutes, resumptions, lost connections, suspected requests and clients that leave, where the connection had been silent for 250 ms.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/handoff"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/internal/stall"
 	"github.com/violettally/violettally/lease"
@@ -300,6 +301,7 @@
 		Reroutes:    g.newRetryBudgets(min(rerouteRatio, g.settings.Bounds.RetryRatio)),
 		Suspects:    relaySuspects{g},
 		Backends:    g.backends,
+		Handoffs:    handoff.NewStopper(g.backends, handoff.WithObserver(g.metrics.RunStopped)),
 		Records:     g.decisions,
 		Counters:    g.metrics.Relay(),
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -70,6 +70,7 @@
 	escalations metric.Int64Counter
 	resumes     metric.Int64Counter
 	givenUp     metric.Int64Counter
+	runStops    metric.Int64Counter
 }
 
 // latencyBuckets are the histogram bounds of response times in seconds. The latency
@@ -116,6 +117,7 @@
 		{&m.escalations, "violettally_escalations", "Answers dropped for one of a costlier model, by that model."},
 		{&m.resumes, "violettally_resumes", "Streams that went on at another backend server."},
 		{&m.givenUp, "violettally_given_up_attempts", "Attempts given up while the backend server might still run the request, by whether the connection had been silent."},
+		{&m.runStops, "violettally_run_stops", "Runs of requests given up that were to be ended at their backend servers, by outcome."},
 		{&m.unusableEntries, "violettally_entries_unusable", "Entries in the platform's store that name no server or node to use, by reason."},
 		{&m.mirrorEvents, "violettally_news", "What happened to the news of the platform's store, by event."},
 		{&m.suspectEvents, "violettally_suspects", "What happened to the evidence on requests under which servers end, by event."},
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -7,6 +7,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/violettally/violettally/handoff"
 	"github.com/violettally/violettally/rejection"
 	"github.com/violettally/violettally/relay"
 )
@@ -39,6 +40,11 @@
 	add(r.m.givenUp, 1, attribute.Bool("silent", silent))
 }
 
+// RunStopped counts a run of a request given up that was to be ended at its server.
+func (m *Metrics) RunStopped(o handoff.Outcome) {
+	add(m.runStops, 1, attribute.String("outcome", o.String()))
+}
+
 // Sent records, for a request sent to a server, the age of the data from the platform's
 // store by which the server was chosen.
 func (r RelayCounters) Sent(age time.Duration) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -40,6 +40,8 @@
 	runs  int
 	// abandoned means that the present server may still run the request although it was given up.
 	abandoned bool
+	// leftRun is the last run that was given up and may go on at its server.
+	leftRun *leftRun
 	// connection is what is known of the connection of the present attempt.
 	connection connection
 	// basis is why the present server may get the request, if it names a rejection limit.
@@ -72,6 +74,7 @@
 	x.relay.Budgets.RecordRequest(x.service)
 	x.relay.Reroutes.RecordRequest(x.service)
 	x.chooseModel()
+	defer x.stopLeftRunLater()
 	if !x.endsBeforeShutdown() {
 		return x.shutdownRefusal("the answer would not be whole before its end")
 	}
@@ -84,6 +87,7 @@
 			return x.deliver(refusal)
 		}
 		f := x.attempt(ctx, assignment, version)
+		x.leaveRun(f, assignment.Server())
 		if f == nil {
 			x.finish("answered")
 			return nil
@@ -109,10 +113,7 @@
 	server := assignment.Server()
 	x.abandoned = false
 	rejected, begun := false, time.Now()
-	defer func() {
-		x.releasePlace(assignment, begun, rejected)
-		x.recordGivenUp(server)
-	}()
+	defer func() { x.releasePlace(assignment, begun, rejected) }()
 	x.relay.Versions.Begin(x.service, version, x.request.hashKey())
 	defer x.relay.Versions.End(x.service, version, x.request.hashKey())
 	x.sends++
@@ -131,6 +132,7 @@
 		x.record.AddStep("limit", "%s can reject %g requests a second; place: %s", server.ID, said.RejectionLimit, x.basis)
 	}
 	features := x.features()
+	memory := x.stopLeftRun(ctx, server)
 	sent := time.Now()
 	x.connection = connection{heard: sent}
 	removePending := x.relay.pending.add(x.request, cancel)
@@ -151,6 +153,7 @@
 		TimeLeft:    time.Until(x.deadline),
 		Model:       x.model(),
 		LastEventID: x.lastEventID,
+		Copy:        memory,
 		SilentSince: x.silentSince,
 		Connected:   func(opened time.Time, carrier string) { x.connection.opened, x.connection.carrier = opened, carrier },
 		// The choice may become stale while a connection is dialed or this process is not
@@ -161,6 +164,9 @@
 		},
 	})
 	removePending()
+	if resp == nil || resp.Declined() {
+		x.relay.Handoffs.Release(memory)
+	}
 	rejected = x.observeServer(server, sent, resp)
 	recordBegin(ctx, awaited, resp)
 	f := x.checkHeader(ctx, assignment, sent, resp, err)
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -79,7 +79,7 @@
 			return x.interrupted(ctx, assignment, err)
 		}
 		begun = true
-		x.connection.heard = time.Now()
+		x.connection.hear()
 		awaited.Event()
 		assignment.RecordProgress()
 		if time.Since(lastReport) > progressInterval {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/handoff"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rejection"
@@ -53,7 +54,7 @@
 	target.Targets = []catalog.Target{{Service: "s", Weight: 1}}
 	c, err := catalog.New(catalog.Document{
 		Version:  1,
-		Services: []catalog.Service{{Name: "s"}},
+		Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{}}},
 		Routes:   []catalog.Route{target},
 	})
 	must.NoError(t, err)
@@ -69,6 +70,7 @@
 	options.Suspects = cmp.Or[relay.Suspects](options.Suspects, noSuspects{})
 	options.Versions = cmp.Or[relay.Versions](options.Versions, noRollout{})
 	options.Counters = noCounters{}
+	options.Handoffs = cmp.Or[relay.Handoffs](options.Handoffs, noHandoffs{})
 	options.Balancer = cmp.Or(options.Balancer, route.NewBalancer("", func(string) {}))
 	options.Cascade = cascade.NewConfidencePolicy()
 	options.Records = cmp.Or(options.Records, decision.New("n"))
@@ -181,6 +183,15 @@
 
 func (noReroutes) Take(string, float64) bool { return false }
 
+// noHandoffs ends no runs.
+type noHandoffs struct{}
+
+func (noHandoffs) Stop(context.Context, handoff.Run, registry.Server) (handoff.Copy, handoff.Outcome) {
+	return handoff.Copy{}, handoff.OutcomeNotRunning
+}
+func (noHandoffs) StopLater(handoff.Run, registry.Server) {}
+func (noHandoffs) Release(handoff.Copy)                   {}
+
 type noCounters struct{}
 
 func (noCounters) Refused(relay.Reason, string)                        {}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return x.classifyError(ctx, assignment, err)
 	}
-	x.connection.heard = time.Now()
+	x.connection.hear()
 	if load, ok := resp.Load(); ok {
 		assignment.RecordLoad(load)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,6 +42,7 @@
 	"github.com/violettally/violettally/cascade"
 	"github.com/violettally/violettally/catalog"
 	"github.com/violettally/violettally/decision"
+	"github.com/violettally/violettally/handoff"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/prefix"
@@ -112,6 +113,9 @@
 	Model string
 	// LastEventID is the ID of the last stream event that the client has; "" for none.
 	LastEventID string
+	// Copy is the memory of the request's earlier run from which the server continues it; the zero Copy for
+	// none.
+	Copy handoff.Copy
 	// SilentSince is when an earlier attempt began to wait for a server that stayed silent;
 	// zero if there was none. Connections that have received nothing since then may be dead as
 	// well.
@@ -153,6 +157,16 @@
 	Send(ctx context.Context, server registry.Server, call Call) (Response, error)
 }
 
+// Handoffs ends runs of requests that were given up; see package handoff.
+type Handoffs interface {
+	// Stop ends a run before the target continues its request. A copy that it returns has to be used or
+	// released.
+	Stop(ctx context.Context, run handoff.Run, target registry.Server) (handoff.Copy, handoff.Outcome)
+	// StopLater ends a run in the background, by way of another server of the service.
+	StopLater(run handoff.Run, another registry.Server)
+	Release(c handoff.Copy)
+}
+
 // ResponseWriter writes the response to the client.
 type ResponseWriter interface {
 	// WriteHeader sends the header of a server's response.
@@ -358,6 +372,7 @@
 	Reroutes Budgets
 	Suspects Suspects
 	Backends Backends
+	Handoffs Handoffs
 	Records  *decision.Log
 	Counters Counters
 	Usage    Usage
