platform: a head that breaks off reaches no client as a success; nor does a response that was never written

An operator of a system like ours reported: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Looked for here, not found: eight forms of a head (a length, chunks, bare LF, no length, HTTP/1.0, interim answers before it) cut after every byte and closed or reset, at the platform's client (GET, HEAD, POST) and at the client of the product's own interface (calls, whole and streamed completions, resumptions); and through whole gateways, sampled, on routes of each kind, directly and through another gateway, closed, reset and silent. No success but from whole answers.

Found on the way: net/http sends an empty 200 for a handler that writes nothing, and ends the response of one that returns after its client's connection failed. Such a connection is now closed.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -129,6 +129,7 @@
 	x.reportAbandoned(assignment)
 	x.learnDuration(x.relay.durations.learnTruncated)
 	x.record.AddStep("client left", "after event %q", x.lastEventID)
+	x.writer.Abort()
 	return nil
 }
 
