rollout: rollouts go on however many services have had one

Cause: the driver wrote the status of every service that ever had an order beside the stages, in one transaction; the store takes 32 entries in one. The cost of a write grew with history.

Change: a write holds the statuses that change, and a step changes 24 at most; bad versions are stopped first.

--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -78,15 +78,26 @@
 // update is retried.
 type stageStore struct{ mirroredStore }
 
-// Swap writes the stages and the status of each rollout in one transaction, if the
-// stages are still at the expected revision.
+// Swap writes the stages and the status of each rollout that has changed in one transaction, if the stages are
+// still at the expected revision. The driver changes no more of them at once than a transaction takes.
 func (s stageStore) Swap(ctx context.Context, key string, data []byte, expected int64) (int64, bool, error) {
-	decoded, err := rollout.DecodeStages(data)
+	item, _ := s.g.mirror.Get(key)
+	if item.Revision != expected {
+		return 0, false, nil
+	}
+	before, err := rollout.DecodeStages(item.Value)
+	if err != nil {
+		return 0, false, err
+	}
+	after, err := rollout.DecodeStages(data)
 	if err != nil {
 		return 0, false, err
 	}
 	puts := []mirror.Item{{Key: key, Value: data}}
-	for service, p := range decoded.Models {
+	for service, p := range after.Models {
+		if was, known := before.Models[service]; known && was.SameStatus(p) {
+			continue
+		}
 		statusKey, value, err := platform.EncodeStatus(service, p.Version, p.Verdict)
 		if err != nil {
 			return 0, false, err
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -270,6 +270,9 @@
 	return events, s.revision, s.changed, after < s.compacted
 }
 
+// maxTxnEntries is the number of entries that the store takes in a transaction.
+const maxTxnEntries = 32
+
 func (s *Store) commitTxn(w http.ResponseWriter, r *http.Request) {
 	var in struct {
 		Expect []storeItem `json:"expect_rev"`
@@ -279,6 +282,10 @@
 	if !readJSON(w, r, &in) {
 		return
 	}
+	if len(in.Expect)+len(in.Puts)+len(in.Remove) > maxTxnEntries {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range in.Expect {
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -1,11 +1,13 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/violettally/violettally/config"
@@ -34,6 +36,9 @@
 const (
 	stepInterval = time.Second
 	writeTimeout = time.Second
+	// maxStatusChanges is the number of rollouts whose status changes in one step. The store takes 32 entries in a
+	// transaction, the stages and the condition on them included.
+	maxStatusChanges = 24
 )
 
 // Driver advances or stops rollouts while this node holds the driver's lease.
@@ -105,25 +110,63 @@
 	if stages.Token > token {
 		return nil, errs.New(Fenced, "change", "token %d is older than the stored token %d", token, stages.Token)
 	}
-	changed := false
+	steps := limitStatusChanges(d.nextSteps(stages))
+	for _, s := range steps {
+		slog.Info("rollout progressed", "model", s.name, "version", s.after.Version, "stage", s.after.Stage,
+			"verdict", s.after.Verdict.String(), "reason", s.after.Reason)
+		stages.Models[s.name] = s.after
+	}
+	if len(steps) == 0 {
+		return nil, document.ErrUnchanged
+	}
+	stages.Token = token
+	return json.Marshal(stages)
+}
+
+// driverStep is a change of the progress of one rollout.
+type driverStep struct {
+	name  string
+	after Progress
+	// newStatus means that operators are told of it.
+	newStatus bool
+}
+
+// nextSteps returns the changes of all rollouts that follow from the current counts.
+func (d *Driver) nextSteps(stages Stages) []driverStep {
+	var steps []driverStep
 	for _, m := range d.models() {
 		if m.Rollout == nil {
 			continue
 		}
 		before, known := stages.Models[m.Name]
-		after := d.next(&m, before, known)
-		if !known || after != before {
-			slog.Info("rollout progressed", "model", m.Name, "version", after.Version, "stage", after.Stage,
-				"verdict", after.Verdict.String(), "reason", after.Reason)
-			stages.Models[m.Name] = after
-			changed = true
+		if after := d.next(&m, before, known); !known || after != before {
+			steps = append(steps, driverStep{m.Name, after, !known || !before.SameStatus(after)})
 		}
 	}
-	if !changed {
-		return nil, document.ErrUnchanged
+	return steps
+}
+
+// limitStatusChanges leaves out steps beyond maxStatusChanges that operators are told of, until the next time; bad
+// versions are stopped first.
+func limitStatusChanges(steps []driverStep) []driverStep {
+	slices.SortStableFunc(steps, func(a, b driverStep) int {
+		return cmp.Compare(stopRank(a.after.Verdict), stopRank(b.after.Verdict))
+	})
+	changes := 0
+	return slices.DeleteFunc(steps, func(s driverStep) bool {
+		if s.newStatus {
+			changes++
+		}
+		return s.newStatus && changes > maxStatusChanges
+	})
+}
+
+// stopRank orders the verdicts by how urgent they are.
+func stopRank(v Verdict) int {
+	if v == VerdictStopped {
+		return 0
 	}
-	stages.Token = token
-	return json.Marshal(stages)
+	return 1
 }
 
 // next returns the progress that follows from the current counts.
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -85,6 +85,11 @@
 	DepartedBaseline  StoredCount `json:"gone_in_service,omitzero"`
 }
 
+// SameStatus reports whether operators are told the same of both.
+func (p Progress) SameStatus(other Progress) bool {
+	return p.Version == other.Version && p.Verdict == other.Verdict
+}
+
 // StoredCount is the part of a Count that is kept after its node has left.
 type StoredCount struct {
 	Answers int64 `json:"answers"`
