relay: a server at which a run is still being ended gets no new run of the request

Cause: a request whose first server had hung was continued, and then, for another model, went back to the first server, whose earlier run was still being ended in the background: the call named the request, and ended the new run.

Change: such servers are left out until the earlier run has certainly ended.

Evidence: relay TestNewRunEndedInPlaceOfEarlier failed before (a third send, to the first server).

--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -76,6 +76,17 @@
 	OutcomeDropped
 )
 
+// IsCertain reports whether the run goes on no more, now or later.
+func (o Outcome) IsCertain(run Run) bool {
+	switch o {
+	case OutcomeMoved, OutcomeStopped, OutcomeExpired:
+		return true
+	case OutcomeNotRunning:
+		return run.Begun
+	}
+	return false
+}
+
 // Run is the work of a server on a request.
 type Run struct {
 	RequestID string
@@ -152,7 +163,7 @@
 		case <-ctx.Done():
 			s.free(r.copy)
 		}
-		if r.mayGoOn(run) {
+		if !r.outcome.IsCertain(run) {
 			r.outcome = s.check(run, target)
 		}
 		s.observe(r.outcome)
@@ -203,11 +214,6 @@
 	copy    Copy
 }
 
-// mayGoOn reports whether the run may go on, or begin, all the same.
-func (r result) mayGoOn(run Run) bool {
-	return r.outcome == OutcomeUnanswered || r.outcome == OutcomeNotRunning && !run.Begun
-}
-
 // endRun calls the server to end a run.
 func (s *Stopper) endRun(run Run, target registry.Server) result {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -40,8 +40,10 @@
 	runs  int
 	// abandoned means that the present server may still run the request although it was given up.
 	abandoned bool
-	// leftRun is the last run that was given up and may go on at its server.
-	leftRun *leftRun
+	// leftRun is the last run that was given up and may go on at its server. leftServers holds the servers
+	// of such runs that have not certainly ended: a new run there could be taken for the earlier one.
+	leftRun     *leftRun
+	leftServers map[registry.Incarnation]bool
 	// connection is what is known of the connection of the present attempt.
 	connection connection
 	// basis is why the present server may get the request, if it names a rejection limit.
--- a/relay/left_run.go
+++ b/relay/left_run.go
@@ -56,6 +56,7 @@
 		return
 	}
 	x.stopLeftRunLater() // an even earlier one
+	x.leftServers[server.Incarnation()] = true
 	x.leftRun = &leftRun{
 		Run:   handoff.Run{RequestID: x.request.ID, Server: server, Begun: x.connection.responded, Until: x.deadline},
 		model: x.model(),
@@ -73,6 +74,9 @@
 	begun := time.Now()
 	memory, outcome := x.relay.Handoffs.Stop(ctx, run.Run, server)
 	x.record.AddStep("stop", "the run at %s: %s after %d ms", run.Server.ID, outcome, time.Since(begun).Milliseconds())
+	if outcome.IsCertain(run.Run) {
+		delete(x.leftServers, run.Server.Incarnation())
+	}
 	if memory.IsZero() {
 		return handoff.Copy{}
 	}
--- a/relay/left_run_test.go
+++ b/relay/left_run_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -129,3 +130,48 @@
 		})
 	}
 }
+
+// escalatingLog is a handoffLog whose servers answer with a low confidence. From the second answer on, only the
+// server of the first attempt is left.
+type escalatingLog struct {
+	handoffLog
+	allUsable
+	sent []string
+}
+
+func (l *escalatingLog) Servers(string) []*registry.Server {
+	all := []*registry.Server{{ID: "a"}, {ID: "b"}}
+	if len(l.sent) < 2 {
+		return all
+	}
+	return slices.DeleteFunc(all, func(s *registry.Server) bool { return s.ID != l.sent[0] })
+}
+
+func (l *escalatingLog) Send(ctx context.Context, s registry.Server, call relay.Call) (relay.Response, error) {
+	call.Connected(time.Now(), "")
+	l.sent = append(l.sent, s.ID)
+	if len(l.sent) == 1 {
+		<-ctx.Done()
+		return nil, relay.Failed.Wrap(ctx.Err(), "no answer")
+	}
+	return lowConfidence{response{200, strings.NewReader("id: 1\n\n")}}, nil
+}
+
+func (l *escalatingLog) Stop(context.Context, handoff.Run, registry.Server) (handoff.Copy, handoff.Outcome) {
+	return handoff.Copy{}, handoff.OutcomePending
+}
+
+// TestNewRunEndedInPlaceOfEarlier checks that a server at which an earlier run is still being ended gets no new
+// run of the request, not of another model either: the new run would be ended in its place.
+func TestNewRunEndedInPlaceOfEarlier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &escalatingLog{}
+		target := catalog.Route{
+			Kind: catalog.KindStream, Attempts: 4, Timeout: 20 * time.Second, Objective: 2 * time.Second, Models: []string{"small", "large"},
+		}
+		client := &recorder{}
+		serve(t, target, relay.Options{Backends: l, Handoffs: l, Servers: l}, relay.Request{Body: emptyBody(t), AnyModel: true}, client)
+		must.Len(t, 2, l.sent)
+		must.Eq(t, "id: 1\n\n", client.String())
+	})
+}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -186,7 +187,7 @@
 	}
 	// The server that responded may run the other model as well.
 	tried := x.tried
-	x.tried = make(map[registry.Incarnation]bool)
+	x.tried = maps.Clone(x.leftServers)
 	defer func() {
 		if !ok {
 			x.tried = tried
