rollout: a version that was stopped stays out of later rollouts

Cause: an order replaced the earlier one of its service with its verdict; servers were split into those of the new target and all others, so that the withdrawn version counted as in service until its servers had drained.

Change: the progress of a rollout carries the versions that earlier ones were stopped for, and their servers are left out while others are there; an order for such a version takes it off. Nodes that have the order before the driver has begun it go by the earlier progress.

--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/violettally/violettally/config"
@@ -173,7 +174,7 @@
 func (d *Driver) next(m *config.Model, p Progress, known bool) Progress {
 	now := d.timers.Now().UTC()
 	if !known || !p.Concerns(m.Rollout) {
-		return d.begin(m, now)
+		return d.begin(m, p, now)
 	}
 	if p.Verdict != VerdictRunning {
 		return p
@@ -215,9 +216,10 @@
 	return d.evidence[candidate]
 }
 
-// begin returns the progress of a rollout that begins now.
-func (d *Driver) begin(m *config.Model, now time.Time) Progress {
+// begin returns the progress of a rollout that begins now, after an earlier one.
+func (d *Driver) begin(m *config.Model, earlier Progress, now time.Time) Progress {
 	p := Progress{Version: m.Rollout.Version, Order: declaredOrder(m.Rollout), StageSince: now, Reason: "started"}
+	p.Withdrawn = strings.Join(earlier.withdrawn(p.Version), "\n")
 	_, baseline := d.nodes.totals(candidateKey(m, p), inServiceKey(m, p), &p)
 	p.Requests = baseline.Answers + baseline.Running
 	return p
--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/document"
+	"github.com/violettally/violettally/registry"
 	"github.com/violettally/violettally/rollout"
 	"github.com/violettally/violettally/timer"
 )
@@ -362,3 +364,38 @@
 	servers, _ := s.Choose("s", "key", "", testServers[:2])
 	must.Eq(t, "v1", servers[0].Version, must.Sprint("none of the new ones is left"))
 }
+
+// TestWithdrawnVersionComesBack checks that no order brings back a version whose rollout was stopped, before the
+// driver has seen the order or after, until that version is ordered again or there is no other.
+func TestWithdrawnVersionComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newOneNode(t)
+		servers := append([]*registry.Server{{ID: "c-1", Version: "v3"}, {ID: "c-2", Version: "v3"}}, testServers...)
+		counts := func() map[string]int {
+			byVersion := make(map[string]int)
+			for i := range 1000 {
+				chosen, _ := n.node.Choose("s", fmt.Sprint(i), "", servers)
+				for _, s := range chosen {
+					byVersion[s.Version]++
+				}
+			}
+			return byVersion
+		}
+		n.order(1, "v2")
+		time.Sleep(2 * time.Second)
+		n.answers("v1", 500, 0)
+		n.step()
+		n.answers("v2", 100, 100)
+		must.Eq(t, rollout.VerdictStopped, n.step().Verdict)
+		n.node.SetOrder(rollout.Order{ID: 2, Service: "s", Target: "v3", Period: 20 * time.Second})
+		must.MapNotContainsKey(t, counts(), "v2", must.Sprint("before the driver has seen the order"))
+		must.Eq(t, "v2", n.step().Withdrawn)
+		must.MapNotContainsKey(t, counts(), "v2")
+		must.MapContainsKey(t, counts(), "v1")
+		servers = slices.DeleteFunc(servers, func(s *registry.Server) bool { return s.Version == "v1" })
+		must.MapContainsKey(t, counts(), "v2", must.Sprint("no other version in service"))
+		n.order(3, "v2")
+		progress, _ := n.picker.Progress("s")
+		must.Eq(t, "", progress.Withdrawn)
+	})
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -27,6 +27,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -78,6 +79,9 @@
 	// when the share was set. They stay on the version in service during that
 	// stage.
 	StickySessions string `json:"held,omitempty"`
+	// Withdrawn holds the versions that earlier rollouts were stopped for, one a line. Their servers may
+	// run for a while beside those of the version in service.
+	Withdrawn string `json:"withdrawn,omitempty"`
 	// DepartedCandidate and DepartedBaseline hold the counts of departed nodes
 	// for the candidate and for the version in service. They are stored because
 	// the next driver cannot collect them.
@@ -85,6 +89,20 @@
 	DepartedBaseline  StoredCount `json:"gone_in_service,omitzero"`
 }
 
+// maxWithdrawn is the number of stopped versions that are remembered. Their servers run for some seconds.
+const maxWithdrawn = 8
+
+// withdrawn returns the versions, other than a later rollout's target, that rollouts up to this one were stopped
+// for.
+func (p Progress) withdrawn(target string) []string {
+	versions := strings.FieldsFunc(p.Withdrawn, func(r rune) bool { return r == '\n' })
+	if p.Verdict == VerdictStopped {
+		versions = append(versions, p.Version)
+	}
+	versions = slices.DeleteFunc(versions, func(v string) bool { return v == target })
+	return versions[max(0, len(versions)-maxWithdrawn):]
+}
+
 // SameStatus reports whether operators are told the same of both.
 func (p Progress) SameStatus(other Progress) bool {
 	return p.Version == other.Version && p.Verdict == other.Verdict
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -213,6 +213,7 @@
 		toTarget = version == target
 	}
 	targetServers, oldServers := splitByVersion(servers, target)
+	oldServers = s.withoutWithdrawn(&m, oldServers)
 	order := s.picker.order(&m)
 	switch {
 	case len(targetServers) > 0 && verdict == VerdictComplete:
@@ -224,6 +225,21 @@
 	}
 }
 
+// withoutWithdrawn leaves out the servers of versions that earlier rollouts of the service were stopped for, unless
+// there are no others.
+func (s *ServicePicker) withoutWithdrawn(m *config.Model, servers []*registry.Server) []*registry.Server {
+	progress, _ := s.picker.Progress(m.Name)
+	withdrawn := progress.withdrawn(m.Rollout.Version)
+	if len(withdrawn) == 0 {
+		return servers
+	}
+	others := slices.DeleteFunc(slices.Clone(servers), func(v *registry.Server) bool { return slices.Contains(withdrawn, v.Version) })
+	if len(others) == 0 {
+		return servers
+	}
+	return others
+}
+
 // Begin records that a request with the version name from Choose is sent. The
 // caller must call End when it ends. Requests to the version in service and their
 // sessions are tracked even without an order (version ""), because a stream may
