relay, handoff: runs end by way of any other server of the version; names read through

Cause, found on reading: a run that no server continues was always moved to the first server in the list, so that copies which are freed at once would all have passed through one server. Change: any other server of the version, drawn at random. Evidence: go test -race ./relay ./handoff ./adapter/engine ./rollout passes; no figure was measured before and after.

--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -161,7 +161,7 @@
 		select {
 		case results <- r:
 		case <-ctx.Done():
-			s.free(r.copy)
+			s.free(r.memory)
 		}
 		if !r.outcome.IsCertain(run) {
 			r.outcome = s.check(run, target)
@@ -170,7 +170,7 @@
 	}()
 	select {
 	case r := <-results:
-		return r.copy, r.outcome
+		return r.memory, r.outcome
 	case <-ctx.Done():
 		return Copy{}, OutcomePending
 	}
@@ -211,7 +211,7 @@
 // result is that of one call to end a run.
 type result struct {
 	outcome Outcome
-	copy    Copy
+	memory  Copy
 }
 
 // endRun calls the server to end a run.
@@ -264,7 +264,7 @@
 		return OutcomeNotRunning, run.Begun || !queued
 	}
 	r := s.endRun(run, target)
-	s.free(r.copy)
+	s.free(r.memory)
 	switch r.outcome {
 	case OutcomeMoved, OutcomeStopped:
 		return OutcomeStopped, true
--- a/relay/left_run.go
+++ b/relay/left_run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/violettally/violettally/handoff"
@@ -67,7 +69,7 @@
 // which the server can do so, if that is of the same model and version and the client has a part of the response.
 func (x *exchange) stopLeftRun(ctx context.Context, server registry.Server) handoff.Copy {
 	run := x.leftRun
-	if run == nil || run.Server.Incarnation() == server.Incarnation() {
+	if run == nil {
 		return handoff.Copy{}
 	}
 	x.leftRun = nil
@@ -95,10 +97,10 @@
 	if run == nil {
 		return
 	}
-	for _, s := range x.relay.Servers.Servers(x.service) {
-		if s.Incarnation() != run.Server.Incarnation() && s.Version == run.Server.Version {
-			x.relay.Handoffs.StopLater(run.Run, *s)
-			return
-		}
+	others := slices.DeleteFunc(slices.Clone(x.relay.Servers.Servers(x.service)), func(s *registry.Server) bool {
+		return s.Incarnation() == run.Server.Incarnation() || s.Version != run.Server.Version
+	})
+	if len(others) > 0 {
+		x.relay.Handoffs.StopLater(run.Run, *others[rand.IntN(len(others))])
 	}
 }
