standin: a backend's control calls are no requests

The platform's servers take no slot for such calls; the stand-in answers them apart.

Callers saw nothing of it: the cause was in the stand-in alone.

--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -121,6 +121,10 @@
 	if b.hasCrashed() {
 		panic(http.ErrAbortHandler)
 	}
+	if strings.HasPrefix(r.URL.Path, "/api/") {
+		serveControlCall(w, r)
+		return
+	}
 	if expected := r.Header.Get("X-Expect-Runner"); expected != "" && expected != b.id {
 		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -129,6 +133,15 @@
 	b.respond(w, r, b.record(BackendRequest{At: time.Now(), Method: r.Method, URI: r.RequestURI, Header: r.Header.Clone(), Body: string(body)}))
 }
 
+// serveControlCall answers a call that is no request of a client: a Backend tells of no runs.
+func serveControlCall(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet || r.URL.Path != "/api/report" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = io.WriteString(w, `{"queued":0,"runs":[]}`)
+}
+
 func (b *Backend) hasCrashed() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
