handoff: a server that refuses connections has ended, and its runs with it

Where servers crash, each attempt that was lost had its run asked for four times more, directly and through other nodes, though the first refusal told that nobody is there.

--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -35,6 +35,8 @@
 
 	// NotRunning means that a server does not run a request. It may still have it in its queue.
 	NotRunning = namespace.NewType("not_running")
+	// Gone is NotRunning since the server's process has ended: connections to it are refused.
+	Gone = NotRunning.NewSubtype("gone")
 	// Unanswered means that a server gave no usable answer, so that it may run the request.
 	Unanswered = namespace.NewType("unanswered")
 )
@@ -66,6 +68,8 @@
 	OutcomeStopped
 	// OutcomeNotRunning: the server did not run the request any more.
 	OutcomeNotRunning
+	// OutcomeGone: the server has ended, and its runs with it.
+	OutcomeGone
 	// OutcomePending: the server has not answered yet.
 	OutcomePending
 	// OutcomeUnanswered: the server cannot be reached, or its answer could not be used.
@@ -79,7 +83,7 @@
 // IsCertain reports whether the run goes on no more, now or later.
 func (o Outcome) IsCertain(run Run) bool {
 	switch o {
-	case OutcomeMoved, OutcomeStopped, OutcomeExpired:
+	case OutcomeMoved, OutcomeStopped, OutcomeGone, OutcomeExpired:
 		return true
 	case OutcomeNotRunning:
 		return run.Begun
@@ -109,7 +113,7 @@
 // IsZero reports whether there is no copy.
 func (c Copy) IsZero() bool { return c.Handle == "" }
 
-// Engines calls servers on connections of their own. Errors are NotRunning or Unanswered.
+// Engines calls servers on connections of their own. Errors are NotRunning, Gone or Unanswered.
 type Engines interface {
 	// EndRun ends the run of a request and copies its memory to another server. It returns what the server
 	// calls the memory, "" if there is none, and whether it was copied.
@@ -220,6 +224,8 @@
 	defer cancel()
 	handle, copied, err := s.engines.EndRun(ctx, run.RequestID, run.Server, target)
 	switch {
+	case errs.IsOfType(err, Gone):
+		return result{outcome: OutcomeGone}
 	case errs.IsOfType(err, NotRunning):
 		return result{outcome: OutcomeNotRunning}
 	case err != nil:
@@ -258,6 +264,8 @@
 	defer cancel()
 	runs, queued, err := s.engines.MayRun(ctx, run.RequestID, run.Server)
 	switch {
+	case errs.IsOfType(err, Gone):
+		return OutcomeGone, true
 	case err != nil:
 		return OutcomeUnanswered, false
 	case !runs:
@@ -268,10 +276,10 @@
 	switch r.outcome {
 	case OutcomeMoved, OutcomeStopped:
 		return OutcomeStopped, true
-	case OutcomeNotRunning:
-		return OutcomeNotRunning, true // it has ended since the report
+	case OutcomeUnanswered:
+		return OutcomeUnanswered, false
 	}
-	return r.outcome, false
+	return r.outcome, true // it has ended since the report
 }
 
 // free frees a copy.
--- a/handoff/handoff_enumer.go
+++ b/handoff/handoff_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _OutcomeName = "movedstoppednot_runningpendingunansweredexpireddropped"
+const _OutcomeName = "movedstoppednot_runninggonependingunansweredexpireddropped"
 
-var _OutcomeIndex = [...]uint8{0, 5, 12, 23, 30, 40, 47, 54}
+var _OutcomeIndex = [...]uint8{0, 5, 12, 23, 27, 34, 44, 51, 58}
 
-const _OutcomeLowerName = "movedstoppednot_runningpendingunansweredexpireddropped"
+const _OutcomeLowerName = "movedstoppednot_runninggonependingunansweredexpireddropped"
 
 func (i Outcome) String() string {
 	if i < 0 || i >= Outcome(len(_OutcomeIndex)-1) {
@@ -27,42 +27,46 @@
 	_ = x[OutcomeMoved-(0)]
 	_ = x[OutcomeStopped-(1)]
 	_ = x[OutcomeNotRunning-(2)]
-	_ = x[OutcomePending-(3)]
-	_ = x[OutcomeUnanswered-(4)]
-	_ = x[OutcomeExpired-(5)]
-	_ = x[OutcomeDropped-(6)]
+	_ = x[OutcomeGone-(3)]
+	_ = x[OutcomePending-(4)]
+	_ = x[OutcomeUnanswered-(5)]
+	_ = x[OutcomeExpired-(6)]
+	_ = x[OutcomeDropped-(7)]
 }
 
-var _OutcomeValues = []Outcome{OutcomeMoved, OutcomeStopped, OutcomeNotRunning, OutcomePending, OutcomeUnanswered, OutcomeExpired, OutcomeDropped}
+var _OutcomeValues = []Outcome{OutcomeMoved, OutcomeStopped, OutcomeNotRunning, OutcomeGone, OutcomePending, OutcomeUnanswered, OutcomeExpired, OutcomeDropped}
 
 var _OutcomeNameToValueMap = map[string]Outcome{
 	_OutcomeName[0:5]:   OutcomeMoved,
 	_OutcomeName[5:12]:  OutcomeStopped,
 	_OutcomeName[12:23]: OutcomeNotRunning,
-	_OutcomeName[23:30]: OutcomePending,
-	_OutcomeName[30:40]: OutcomeUnanswered,
-	_OutcomeName[40:47]: OutcomeExpired,
-	_OutcomeName[47:54]: OutcomeDropped,
+	_OutcomeName[23:27]: OutcomeGone,
+	_OutcomeName[27:34]: OutcomePending,
+	_OutcomeName[34:44]: OutcomeUnanswered,
+	_OutcomeName[44:51]: OutcomeExpired,
+	_OutcomeName[51:58]: OutcomeDropped,
 }
 
 var _OutcomeLowerNameToValueMap = map[string]Outcome{
 	_OutcomeLowerName[0:5]:   OutcomeMoved,
 	_OutcomeLowerName[5:12]:  OutcomeStopped,
 	_OutcomeLowerName[12:23]: OutcomeNotRunning,
-	_OutcomeLowerName[23:30]: OutcomePending,
-	_OutcomeLowerName[30:40]: OutcomeUnanswered,
-	_OutcomeLowerName[40:47]: OutcomeExpired,
-	_OutcomeLowerName[47:54]: OutcomeDropped,
+	_OutcomeLowerName[23:27]: OutcomeGone,
+	_OutcomeLowerName[27:34]: OutcomePending,
+	_OutcomeLowerName[34:44]: OutcomeUnanswered,
+	_OutcomeLowerName[44:51]: OutcomeExpired,
+	_OutcomeLowerName[51:58]: OutcomeDropped,
 }
 
 var _OutcomeNames = []string{
 	_OutcomeName[0:5],
 	_OutcomeName[5:12],
 	_OutcomeName[12:23],
-	_OutcomeName[23:30],
-	_OutcomeName[30:40],
-	_OutcomeName[40:47],
-	_OutcomeName[47:54],
+	_OutcomeName[23:27],
+	_OutcomeName[27:34],
+	_OutcomeName[34:44],
+	_OutcomeName[44:51],
+	_OutcomeName[51:58],
 }
 
 // OutcomeString retrieves an enum value from the enum constants string name.
--- a/handoff/handoff_test.go
+++ b/handoff/handoff_test.go
@@ -20,6 +20,8 @@
 	begins, ends, queue time.Duration
 	// silentUntil is until when the server does not answer, delay how long it takes to answer.
 	silentUntil, delay time.Duration
+	// gone means that connections to the server are refused.
+	gone bool
 	// noRoom means that the other server has no room for the memory.
 	noRoom bool
 
@@ -34,6 +36,9 @@
 
 // answer waits for the server's answer. It returns the time since the start of the test.
 func (e *engines) answer(ctx context.Context) (time.Duration, error) {
+	if e.gone {
+		return 0, handoff.Gone.New("refused")
+	}
 	delay := e.delay
 	if time.Since(e.started) < e.silentUntil {
 		delay = time.Hour
@@ -104,6 +109,7 @@
 	}{
 		"runs":                           {engines: &engines{ends: timeTold}, begun: true, want: handoff.OutcomeMoved, wantEnded: 1},
 		"other server has no room":       {engines: &engines{ends: timeTold, noRoom: true}, begun: true, want: handoff.OutcomeStopped, wantEnded: 1},
+		"has ended":                      {engines: &engines{gone: true}, want: handoff.OutcomeGone},
 		"has heard of it":                {engines: &engines{}, begun: true, want: handoff.OutcomeNotRunning},
 		"has heard of it in its queue":   {engines: &engines{queue: time.Second}, want: handoff.OutcomeNotRunning},
 		"runs later, from its queue":     {engines: &engines{begins: time.Second, ends: timeTold}, want: handoff.OutcomeNotRunning, wantEnded: 2 * time.Second},
@@ -146,6 +152,7 @@
 	}{
 		"has heard of it": {&engines{ends: 100 * time.Millisecond}, handoff.OutcomeNotRunning},
 		"runs":            {&engines{ends: time.Minute}, handoff.OutcomeStopped},
+		"has ended":       {&engines{gone: true}, handoff.OutcomeGone},
 		"cannot be reached until its time is over": {&engines{ends: time.Minute, silentUntil: time.Minute}, handoff.OutcomeUnanswered},
 	} {
 		t.Run(name, func(t *testing.T) {
