relay: the earlier run has that name everywhere

A reader took leftRun and leaveRun for 'left' as against 'right'. Renamed to earlierRun, keepEarlierRun, endEarlierRun and unendedAt, the files with them; no decision changes. go test -race ./relay passes before and after.

--- a/relay/left_run.go
+++ b/relay/earlier_run.go
@@ -32,17 +32,17 @@
 // isSilent reports whether the connection has received nothing for doubtfulSilence.
 func (c connection) isSilent() bool { return time.Since(c.heard) >= doubtfulSilence }
 
-// leftRun is a run that was given up and may go on at its server.
-type leftRun struct {
+// earlierRun is a run that was given up and may go on at its server.
+type earlierRun struct {
 	handoff.Run
 	// model is the model that ran the request.
 	model string
 }
 
-// leaveRun records an attempt that was given up while its server might still run the request, and remembers
+// keepEarlierRun records an attempt that was given up while its server might still run the request, and remembers
 // its run if the server may not have learned of that. A server that has just been heard learns of it from the end
 // of its connection. One whose connection has ended by itself, or that was too late, may work on.
-func (x *exchange) leaveRun(f *failure, server registry.Server) {
+func (x *exchange) keepEarlierRun(f *failure, server registry.Server) {
 	if !x.abandoned || x.connection.opened.IsZero() {
 		return
 	}
@@ -57,27 +57,27 @@
 	if x.engine() == nil {
 		return
 	}
-	x.stopLeftRunLater() // an even earlier one
-	x.leftServers[server.Incarnation()] = true
-	x.leftRun = &leftRun{
+	x.endEarlierRunLater() // an even earlier one
+	x.unendedAt[server.Incarnation()] = true
+	x.earlierRun = &earlierRun{
 		Run:   handoff.Run{RequestID: x.request.ID, Server: server, Begun: x.connection.responded, Until: x.deadline},
 		model: x.model(),
 	}
 }
 
-// stopLeftRun ends the earlier run before the given server continues the request. It returns the memory from
+// endEarlierRun ends the earlier run before the given server continues the request. It returns the memory from
 // which the server can do so, if that is of the same model and version and the client has a part of the response.
-func (x *exchange) stopLeftRun(ctx context.Context, server registry.Server) handoff.Copy {
-	run := x.leftRun
+func (x *exchange) endEarlierRun(ctx context.Context, server registry.Server) handoff.Copy {
+	run := x.earlierRun
 	if run == nil {
 		return handoff.Copy{}
 	}
-	x.leftRun = nil
+	x.earlierRun = nil
 	begun := time.Now()
 	memory, outcome := x.relay.Handoffs.Stop(ctx, run.Run, server)
 	x.record.AddStep("stop", "the run at %s: %s after %d ms", run.Server.ID, outcome, time.Since(begun).Milliseconds())
 	if outcome.IsCertain(run.Run) {
-		delete(x.leftServers, run.Server.Incarnation())
+		delete(x.unendedAt, run.Server.Incarnation())
 	}
 	if memory.IsZero() {
 		return handoff.Copy{}
@@ -89,11 +89,11 @@
 	return memory
 }
 
-// stopLeftRunLater ends the earlier run if no server continues the request. A server ends a run only as it
+// endEarlierRunLater ends the earlier run if no server continues the request. A server ends a run only as it
 // hands its memory over, so it takes another server of the same version.
-func (x *exchange) stopLeftRunLater() {
-	run := x.leftRun
-	x.leftRun = nil
+func (x *exchange) endEarlierRunLater() {
+	run := x.earlierRun
+	x.earlierRun = nil
 	if run == nil {
 		return
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -40,10 +40,10 @@
 	runs  int
 	// abandoned means that the present server may still run the request although it was given up.
 	abandoned bool
-	// leftRun is the last run that was given up and may go on at its server. leftServers holds the servers
-	// of such runs that have not certainly ended: a new run there could be taken for the earlier one.
-	leftRun     *leftRun
-	leftServers map[registry.Incarnation]bool
+	// earlierRun is the last run that was given up and may go on at its server; nil for none. unendedAt holds
+	// the servers of such runs that have not certainly ended: a new run there could be taken for the earlier one.
+	earlierRun *earlierRun
+	unendedAt  map[registry.Incarnation]bool
 	// connection is what is known of the connection of the present attempt.
 	connection connection
 	// basis is why the present server may get the request, if it names a rejection limit.
@@ -76,7 +76,7 @@
 	x.relay.Budgets.RecordRequest(x.service)
 	x.relay.Reroutes.RecordRequest(x.service)
 	x.chooseModel()
-	defer x.stopLeftRunLater()
+	defer x.endEarlierRunLater()
 	if !x.endsBeforeShutdown() {
 		return x.shutdownRefusal("the answer would not be whole before its end")
 	}
@@ -89,7 +89,7 @@
 			return x.deliver(refusal)
 		}
 		f := x.attempt(ctx, assignment, version)
-		x.leaveRun(f, assignment.Server())
+		x.keepEarlierRun(f, assignment.Server())
 		if f == nil {
 			x.finish("answered")
 			return nil
@@ -134,7 +134,7 @@
 		x.record.AddStep("limit", "%s can reject %g requests a second; place: %s", server.ID, said.RejectionLimit, x.basis)
 	}
 	features := x.features()
-	memory := x.stopLeftRun(ctx, server)
+	memory := x.endEarlierRun(ctx, server)
 	sent := time.Now()
 	x.connection = connection{heard: sent}
 	removePending := x.relay.pending.add(x.request, cancel)
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -187,7 +187,7 @@
 	}
 	// The server that responded may run the other model as well.
 	tried := x.tried
-	x.tried = maps.Clone(x.leftServers)
+	x.tried = maps.Clone(x.unendedAt)
 	defer func() {
 		if !ok {
 			x.tried = tried
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -454,7 +454,7 @@
 		service:     pickService(matched, q),
 		deadline:    q.Arrived.Add(timeout),
 		tried:       make(map[registry.Incarnation]bool),
-		leftServers: make(map[registry.Incarnation]bool),
+		unendedAt:   make(map[registry.Incarnation]bool),
 		lastEventID: q.LastEventID,
 	}, nil
 }
