--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -53,6 +53,8 @@
 	maxCheckInterval = 2 * time.Second
 	// maxUnanswered is the number of checks in a row without an answer after which a server counts as unreachable.
 	maxUnanswered = 4
+	// maxFreeTries is how often a server is asked to free a copy; it frees it by itself after a time.
+	maxFreeTries = 2
 	// maxPending bounds the runs that one node ends or checks at once.
 	maxPending = 256
 )
@@ -287,7 +289,12 @@
 	if c.IsZero() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	_ = s.engines.FreeCopy(ctx, c.Source, c.Handle) // otherwise the server frees it after a time
+	for range maxFreeTries {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		err := s.engines.FreeCopy(ctx, c.Source, c.Handle)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
 }
