platform, relay, rollout: what the read-through of the change found

- The connection of an attempt was told twice, by Call.Connected and by Response.Carrier and ConnOpened: the first is left.
- Versions that were stopped are looked for only where servers in service are chosen, not for each request to the target; the set of servers with unended runs is made only by requests that left one.
- Copy.Target, which nobody read, is gone.

--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -108,8 +108,6 @@
 	// Source is the server of the run, and Handle what it calls the memory.
 	Source registry.Server
 	Handle string
-	// Target is the server to which the memory was copied.
-	Target registry.Incarnation
 }
 
 // IsZero reports whether there is no copy.
@@ -236,7 +234,7 @@
 		s.Release(Copy{Source: run.Server, Handle: handle})
 		return result{outcome: OutcomeStopped}
 	}
-	return result{OutcomeMoved, Copy{Source: run.Server, Handle: handle, Target: target.Incarnation()}}
+	return result{OutcomeMoved, Copy{Source: run.Server, Handle: handle}}
 }
 
 // check asks the server whether the run goes on, and ends it if so, until that is certain or the time that the
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -10,13 +10,12 @@
 //
 //	transport := &http.Transport{DialContext: sendonce.Dialer(dial)}
 //	response, err := transport.RoundTrip(request.WithContext(sendonce.Watch(ctx)))
-//
-// A dialer that wraps connections itself calls the methods of a [Request] in their Write.
 package sendonce
 
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -25,17 +24,16 @@
 // ErrSent is returned by Write for a request of which another connection may have written a part.
 var ErrSent = errors.New("the request has already been sent on another connection")
 
-// Request is one request that is to be sent once. The zero value is ready to use. It is safe for
-// concurrent use.
-type Request struct {
+// request is one request that is to be sent once. It is safe for concurrent use.
+type request struct {
 	mu sync.Mutex
 	// conn is the connection that may have written a part of the request; nil for none.
-	conn net.Conn
+	conn *Conn
 }
 
-// Begin returns ErrSent if a connection other than the given one may have written a part of the request.
-// Otherwise the given one counts as such until End.
-func (r *Request) Begin(c net.Conn) error {
+// begin returns ErrSent if a connection other than the given one may have written a part of the request.
+// Otherwise the given one counts as such until end.
+func (r *request) begin(c *Conn) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.conn != nil && r.conn != c {
@@ -45,9 +43,9 @@
 	return nil
 }
 
-// End is called after the first write of the request on a connection, with the number of bytes that were
+// end is called after the first write of the request on a connection, with the number of bytes that were
 // written. If there were none, another connection may write it.
-func (r *Request) End(written int) {
+func (r *request) end(written int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if written == 0 {
@@ -57,7 +55,7 @@
 
 // Watch returns a context for one request to a transport whose connections are from [Dialer].
 func Watch(ctx context.Context) context.Context {
-	r := new(Request)
+	r := new(request)
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
 			c.use(r)
@@ -85,7 +83,7 @@
 
 	mu sync.Mutex
 	// request is the one that uses the connection, begun means that it has been written to some part.
-	request *Request
+	request *request
 	begun   bool
 }
 
@@ -93,7 +91,7 @@
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
 // use records that a request uses the connection from now on.
-func (c *Conn) use(r *Request) {
+func (c *Conn) use(r *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.request, c.begun = r, false
@@ -107,11 +105,12 @@
 	if r == nil || begun {
 		return c.Conn.Write(p)
 	}
-	if err := r.Begin(c); err != nil {
+	if err := r.begin(c); err != nil {
+		slog.Warn("request not sent again by the transport", "server", c.RemoteAddr().String())
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
-	r.End(n)
+	r.end(n)
 	c.mu.Lock()
 	c.begun = n > 0
 	c.mu.Unlock()
--- a/relay/earlier_run.go
+++ b/relay/earlier_run.go
@@ -58,6 +58,9 @@
 		return
 	}
 	x.endEarlierRunLater() // an even earlier one
+	if x.unendedAt == nil {
+		x.unendedAt = make(map[registry.Incarnation]bool)
+	}
 	x.unendedAt[server.Incarnation()] = true
 	x.earlierRun = &earlierRun{
 		Run:   handoff.Run{RequestID: x.request.ID, Server: server, Begun: x.connection.responded, Until: x.deadline},
--- a/relay/earlier_run_test.go
+++ b/relay/earlier_run_test.go
@@ -55,7 +55,7 @@
 	if run.Server.ID == target.ID {
 		l.add("at the server that continues it")
 	}
-	return handoff.Copy{Source: run.Server, Handle: "memory", Target: target.Incarnation()}, handoff.OutcomeMoved
+	return handoff.Copy{Source: run.Server, Handle: "memory"}, handoff.OutcomeMoved
 }
 
 func (l *handoffLog) StopLater(run handoff.Run, another registry.Server) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -41,7 +41,8 @@
 	// abandoned means that the present server may still run the request although it was given up.
 	abandoned bool
 	// earlierRun is the last run that was given up and may go on at its server; nil for none. unendedAt holds
-	// the servers of such runs that have not certainly ended: a new run there could be taken for the earlier one.
+	// the servers of such runs that have not certainly ended, nil for none: a new run there could be taken for
+	// the earlier one.
 	earlierRun *earlierRun
 	unendedAt  map[registry.Incarnation]bool
 	// connection is what is known of the connection of the present attempt.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -84,7 +84,7 @@
 		assignment.RecordProgress()
 		if time.Since(lastReport) > progressInterval {
 			lastReport = time.Now()
-			x.reportProgress(assignment, sent, resp)
+			x.reportProgress(assignment, sent)
 		}
 		if !survived && time.Since(x.headerReceived) > suspect.SurvivalTime {
 			survived = true
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -215,10 +215,8 @@
 func (a response) Declined() bool              { return false }
 func (a response) Confidence() (float64, bool) { return 0, false }
 func (a response) Load() (route.Load, bool)    { return route.Load{}, false }
-func (a response) Carrier() string             { return "" }
 func (a response) Notices() []notice.Notice    { return nil }
 func (a response) RetryAfter() time.Duration   { return 0 }
-func (a response) ConnOpened() time.Time       { return time.Time{} }
 func (a response) Framed() bool                { return true }
 func (a response) Body() io.Reader             { return a.body }
 func (a response) Close()                      {}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -55,10 +55,10 @@
 		assignment.End(route.OutcomeDeclined)
 		return &failure{reason: ReasonDeclined, retryAfter: resp.RetryAfter(), cause: http.StatusText(resp.Status())}
 	}
-	x.reportProgress(assignment, sent, resp)
+	x.reportProgress(assignment, sent)
 	x.record.AddStep("head", "after %d ms, expected %d, of it %d waiting; confidence %s of %s",
 		time.Since(sent).Milliseconds(), assignment.ExpectedLatency().Milliseconds(), assignment.ExpectedWait().Milliseconds(), formatConfidence(resp), x.model())
-	if carrier := resp.Carrier(); carrier != "" {
+	if carrier := x.connection.carrier; carrier != "" {
 		x.record.AddStep("tunnel", "%s was reached through the node at %s", assignment.Server().ID, carrier)
 	}
 	x.headerReceived = time.Now()
@@ -90,7 +90,7 @@
 	if resp == nil {
 		return false
 	}
-	answer := notice.Answer{Notices: resp.Notices(), SentAgo: time.Since(sent), Carrier: resp.Carrier()}
+	answer := notice.Answer{Notices: resp.Notices(), SentAgo: time.Since(sent), Carrier: x.connection.carrier}
 	x.relay.Notices.Observe(server, answer)
 	for _, n := range answer.Notices {
 		if !n.IsAbsent() {
@@ -187,7 +187,8 @@
 	}
 	// The server that responded may run the other model as well.
 	tried := x.tried
-	x.tried = maps.Clone(x.unendedAt)
+	x.tried = make(map[registry.Incarnation]bool)
+	maps.Copy(x.tried, x.unendedAt)
 	defer func() {
 		if !ok {
 			x.tried = tried
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -140,10 +140,6 @@
 	// Notices is what the response says of its server.
 	Notices() []notice.Notice
 	RetryAfter() time.Duration
-	// Carrier is the address of the node that carries the connection of this response; "" for none.
-	Carrier() string
-	// ConnOpened is when the connection of this response was opened.
-	ConnOpened() time.Time
 	// Framed reports whether the end of the body is told by a length or by chunks, rather than by that
 	// of the connection.
 	Framed() bool
@@ -454,7 +450,6 @@
 		service:     pickService(matched, q),
 		deadline:    q.Arrived.Add(timeout),
 		tried:       make(map[registry.Incarnation]bool),
-		unendedAt:   make(map[registry.Incarnation]bool),
 		lastEventID: q.LastEventID,
 	}, nil
 }
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -113,9 +113,9 @@
 
 // reportProgress reports that part of the response to a request sent at the given time has
 // arrived.
-func (x *exchange) reportProgress(assignment *route.Assignment, sent time.Time, resp Response) {
+func (x *exchange) reportProgress(assignment *route.Assignment, sent time.Time) {
 	if !x.relay.Suspects.Empty() {
-		x.relay.Suspects.ReportProgress(assignment.Server().Incarnation().Hash(), sent, resp.ConnOpened())
+		x.relay.Suspects.ReportProgress(assignment.Server().Incarnation().Hash(), sent, x.connection.opened)
 	}
 }
 
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -213,7 +213,6 @@
 		toTarget = version == target
 	}
 	targetServers, oldServers := splitByVersion(servers, target)
-	oldServers = s.withoutWithdrawn(&m, oldServers)
 	order := s.picker.order(&m)
 	switch {
 	case len(targetServers) > 0 && verdict == VerdictComplete:
@@ -221,7 +220,7 @@
 	case len(targetServers) > 0 && verdict == VerdictRunning && (toTarget || len(oldServers) == 0):
 		return s.concentrate(&m, targetServers, len(oldServers)), countName(target, order)
 	default:
-		return oldServers, countName(inServiceVersion, order)
+		return s.withoutWithdrawn(&m, oldServers), countName(inServiceVersion, order)
 	}
 }
 
