--- a/handoff/handoff_test.go
+++ b/handoff/handoff_test.go
@@ -94,6 +94,12 @@
 	return e.ended, e.held, e.calls
 }
 
+// newStopper returns a Stopper, and a channel that receives the outcome of each run.
+func newStopper(e handoff.Engines) (*handoff.Stopper, <-chan handoff.Outcome) {
+	outcomes := make(chan handoff.Outcome, 512)
+	return handoff.NewStopper(e, handoff.WithObserver(func(o handoff.Outcome) { outcomes <- o })), outcomes
+}
+
 // TestRunGoesOnAfterCall checks that a run that was given up ends whatever its server is like, that the
 // caller waits no longer than MaxWait, and that no copy is left behind.
 func TestRunGoesOnAfterCall(t *testing.T) {
@@ -123,8 +129,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				e := tt.engines
 				e.started = time.Now()
-				outcomes := make(chan handoff.Outcome, 1)
-				s := handoff.NewStopper(e, handoff.WithObserver(func(o handoff.Outcome) { outcomes <- o }))
+				s, outcomes := newStopper(e)
 				run := handoff.Run{RequestID: "1", Server: registry.Server{ID: "a"}, Begun: tt.begun, Until: e.started.Add(timeTold)}
 				copied, outcome := s.Stop(t.Context(), run, registry.Server{ID: "b"})
 				must.Eq(t, tt.want, outcome)
@@ -159,8 +164,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				e := tt.engines
 				e.started = time.Now()
-				outcomes := make(chan handoff.Outcome, 1)
-				s := handoff.NewStopper(e, handoff.WithObserver(func(o handoff.Outcome) { outcomes <- o }))
+				s, outcomes := newStopper(e)
 				s.StopLater(handoff.Run{RequestID: "1", Begun: true, Until: e.started.Add(20 * time.Second)}, registry.Server{ID: "b"})
 				must.Eq(t, tt.want, <-outcomes)
 				synctest.Wait()
@@ -176,9 +180,7 @@
 func TestPendingRunsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const runs = 300
-		e := &deaf{}
-		outcomes := make(chan handoff.Outcome, runs)
-		s := handoff.NewStopper(e, handoff.WithObserver(func(o handoff.Outcome) { outcomes <- o }))
+		s, outcomes := newStopper(&deaf{})
 		for range runs {
 			s.StopLater(handoff.Run{Until: time.Now().Add(time.Minute)}, registry.Server{})
 		}
--- a/internal/standin/engine_runs.go
+++ b/internal/standin/engine_runs.go
@@ -3,16 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 )
 
-// EngineRuns records which requests the engines of a platform run, and since when, and moves the memory
+// EngineRuns records which requests the engines of a platform run, and moves the memory
 // of a run from one engine to another as the platform's engines do. All engines of a test share
 // one EngineRuns. It is safe for concurrent use.
 type EngineRuns struct {
@@ -21,36 +19,28 @@
 	runs []*EngineRun
 	// copies holds the memory that waits to be used, by the source's address and the handle.
 	copies map[string]*runCopy
-	// moves counts the calls to move a run, by the status of the response.
-	moves map[int]int
 }
 
 // EngineRun is the work of one engine on one request.
 type EngineRun struct {
 	// ID is that of the request, Server that of the engine, and Address the engine's.
 	ID, Server, Address string
-	Began               time.Time
-	// Continues means that the run began with the memory of an earlier one, as a part of which it counts.
-	Continues bool
 
 	all    *EngineRuns
-	cancel context.CancelCauseFunc
+	cancel context.CancelFunc
 
 	// The fields below are guarded by all.mu.
 
-	ended  time.Time
+	ended  bool
 	events int
 }
 
 // runCopy is the memory of a run that was moved to another engine.
 type runCopy struct{ id, target string }
 
-// errMoved is the cause of the end of a run whose memory was moved.
-var errMoved = fmt.Errorf("the run was moved")
-
-// NewEngineRuns returns a EngineRuns without runs.
+// NewEngineRuns returns an EngineRuns without runs.
 func NewEngineRuns() *EngineRuns {
-	return &EngineRuns{copies: make(map[string]*runCopy), moves: make(map[int]int)}
+	return &EngineRuns{copies: make(map[string]*runCopy)}
 }
 
 // Begin records that an engine begins to work on a request. It returns false if the request is to go
@@ -59,16 +49,15 @@
 func (s *EngineRuns) Begin(server, address string, q *http.Request) (context.Context, *EngineRun, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := &EngineRun{ID: q.Header.Get("X-Attempt-Id"), Server: server, Address: address, Began: time.Now(), all: s}
+	r := &EngineRun{ID: q.Header.Get("X-Attempt-Id"), Server: server, Address: address, all: s}
 	if from := q.Header.Get("Kv-From"); from != "" {
 		found := s.copies[from]
 		if found == nil || found.id != r.ID || found.target != address {
 			return nil, nil, false
 		}
 		delete(s.copies, from)
-		r.Continues = true
 	}
-	ctx, cancel := context.WithCancelCause(q.Context())
+	ctx, cancel := context.WithCancel(q.Context())
 	r.cancel = cancel
 	s.runs = append(s.runs, r)
 	return ctx, r, true
@@ -83,17 +72,10 @@
 
 // End records that the engine has ended its work.
 func (r *EngineRun) End() {
-	r.cancel(nil)
+	r.cancel()
 	r.all.mu.Lock()
 	defer r.all.mu.Unlock()
-	r.endLocked()
-}
-
-// endLocked sets when the run ended. The caller holds all.mu.
-func (r *EngineRun) endLocked() {
-	if r.ended.IsZero() {
-		r.ended = time.Now()
-	}
+	r.ended = true
 }
 
 // Earlier returns the runs of the same request that other engines began before this one and have not
@@ -106,7 +88,7 @@
 		if other == r {
 			break
 		}
-		if other.ID == r.ID && other.Address != r.Address && other.ended.IsZero() {
+		if other.ID == r.ID && other.Address != r.Address && !other.ended {
 			earlier = append(earlier, other)
 		}
 	}
@@ -119,7 +101,7 @@
 	defer s.mu.Unlock()
 	count := 0
 	for _, r := range s.runs {
-		if r.ended.IsZero() {
+		if !r.ended {
 			count++
 		}
 	}
@@ -140,23 +122,16 @@
 	return len(s.copies)
 }
 
-// Moves returns the number of calls to move a run that were answered with a status.
-func (s *EngineRuns) Moves(status int) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.moves[status]
-}
-
 // Handler returns a handler that answers the control calls to the engine at an address, and passes other
-// requests on. The state of queued requests is told by queued; nil for none.
-func (s *EngineRuns) Handler(address func() string, queued func() int, next http.Handler) http.Handler {
+// requests on. No requests are queued.
+func (s *EngineRuns) Handler(address func() string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		handle, isHandle := strings.CutPrefix(q.URL.Path, "/api/kv-handle/")
 		switch {
 		case q.Method == http.MethodPost && q.URL.Path == "/api/kv-move":
 			s.serveMove(address(), w, q)
 		case q.Method == http.MethodGet && q.URL.Path == "/api/report":
-			s.serveReport(address(), queued, w)
+			s.serveReport(address(), w)
 		case q.Method == http.MethodDelete && isHandle:
 			s.mu.Lock()
 			delete(s.copies, address()+"/"+handle)
@@ -182,35 +157,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.runs {
-		if r.ID != move.ID || r.Address != address || !r.ended.IsZero() {
+		if r.ID != move.ID || r.Address != address || r.ended {
 			continue
 		}
-		r.endLocked()
-		r.cancel(errMoved)
+		r.ended = true
+		r.cancel()
 		handle := strconv.Itoa(len(s.runs)) + "-" + r.ID
 		s.copies[address+"/"+handle] = &runCopy{id: r.ID, target: move.Target}
-		s.moves[http.StatusOK]++
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle, "created": r.events})
 		return
 	}
-	s.moves[http.StatusNotFound]++
 	w.WriteHeader(http.StatusNotFound)
 }
 
 // serveReport tells what an engine runs.
-func (s *EngineRuns) serveReport(address string, queued func() int, w http.ResponseWriter) {
+func (s *EngineRuns) serveReport(address string, w http.ResponseWriter) {
 	report := struct {
 		Queued int     `json:"queued"`
 		Runs   [][]any `json:"runs"`
 	}{Runs: [][]any{}}
-	if queued != nil {
-		report.Queued = queued()
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.runs {
-		if r.Address == address && r.ended.IsZero() {
+		if r.Address == address && !r.ended {
 			report.Runs = append(report.Runs, []any{r.ID, 0, r.events, 5})
 		}
 	}
