duplex: a server that has answered early gets the rest of a long body

What callers saw: 200 and the whole answer, while the server got 491,520 of 2,097,152 bytes and a reset; the upload was reset as well, and with it the client's kept connection. A refusal that a server sent before it had read the body reached the client as 400, or through another node not at all.

Cause: net/http's client closes a connection 50 ms after a response has ended while the request is still being written; net/http's server ends the client's body with the handler. A write error won over an answer that had come. A carrier closed its connection to the server as soon as the server took no more, with the answer unread.

Change: internal/duplex sends bodies over 32 KiB (what the sockets take unread) on a connection of their own, which stays open until the body has been sent and the server has closed its end, at most until the request's deadline. The relay keeps a handler until a body that is read from the client has been sent; if the server takes no more, the rest is read and dropped for 2 s, so that the client gets the answer and can use its connection again. A short whole answer gets a length, so that its end needn't wait. A tunnel can be closed in one direction; a carrier passes on what a server answered before it stopped taking. The client of the product's own interface uses the same.

Ruled out: keeping net/http's connection open from below (its 50 ms and its buffered end of a chunked body can't be seen there); sending nothing more once the answer is whole (the server reads on and was told it gets a body).

Evidence: TestBodyCutShortAfterWholeAnswer, 20 forms (2, 200,000, 3,000,000 bytes, in chunks, a 500; length or chunks; directly and carried): 20 failed before, 0 after. TestEarlyRefusalLost: 4 of 4 failed before (400, or no answer in 60 s), 0 after. adapter/engine TestBodyCutShortAfterWholeAnswer: 3,990 of 409,600 bytes before, all after. TestBodyLooksWholeAfterClientLeft and TestRequestBehindLongBodyLost held before and hold.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -32,6 +32,7 @@
 
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/dispatch"
+	"github.com/violettally/violettally/internal/duplex"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/internal/responsehead"
 	"github.com/violettally/violettally/internal/sendonce"
@@ -119,15 +120,17 @@
 	for _, option := range options {
 		option(c)
 	}
+	dial := sendonce.Dialer(c.dial)
+	short := &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: responsehead.MaxBytes,
+	}
 	c.http = &http.Client{
-		Transport: &http.Transport{
-			DialContext:         sendonce.Dialer(c.dial),
-			MaxIdleConnsPerHost: maxIdleConnsPerHost,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-
-			MaxResponseHeaderBytes: responsehead.MaxBytes,
-		},
+		Transport:     duplex.NewTransport(duplex.DialFunc(dial), short, responsehead.MaxBytes),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c
--- a/adapter/peer/tunnel.go
+++ b/adapter/peer/tunnel.go
@@ -10,6 +10,7 @@
 
 	"storj.io/drpc"
 
+	"github.com/violettally/violettally/internal/duplex"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/tunnel"
 )
@@ -78,14 +79,16 @@
 			return stream.MsgSend(&tunnelReply{Refusal: errs.Kind(err)}, codec{})
 		}
 		defer conn.Close()
+		defer context.AfterFunc(stream.Context(), func() { _ = conn.Close() })()
 		if err := stream.MsgSend(&tunnelReply{}, codec{}); err != nil {
 			return err
 		}
 		received := make(chan struct{})
 		go func() {
 			defer close(received)
-			defer conn.Close()
-			receiveFrames(stream, conn)
+			if err := receiveFrames(stream, conn); !errors.Is(err, io.EOF) || duplex.CloseWrite(conn) != nil {
+				_ = conn.Close()
+			}
 		}()
 		if err := sendFrames(stream, conn); err != nil {
 			return err
@@ -95,15 +98,18 @@
 	}
 }
 
-// receiveFrames writes the received frames to a connection until either ends.
-func receiveFrames(stream drpc.Stream, conn net.Conn) {
+// receiveFrames writes the received frames to a connection until the stream ends. It returns io.EOF if the opener has
+// closed its sending end. A server that takes no more may have responded before.
+func receiveFrames(stream drpc.Stream, conn net.Conn) error {
+	taken := true
 	for {
 		var f frame
 		if err := stream.MsgRecv(&f, frameCodec{}); err != nil {
-			return
+			return err
 		}
-		if _, err := conn.Write(f.data); err != nil {
-			return
+		if taken {
+			_, err := conn.Write(f.data)
+			taken = err == nil
 		}
 	}
 }
@@ -183,6 +189,9 @@
 	return written, nil
 }
 
+// CloseWrite closes the sending end. The carrier still writes what has been sent.
+func (t *tunnelConn) CloseWrite() error { return t.stream.CloseSend() }
+
 // Close ends the tunnel at once; the carrier closes its connection to the server.
 func (t *tunnelConn) Close() error {
 	t.closeOnce.Do(func() {
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -19,6 +19,8 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/violettally/violettally/internal/duplex"
 )
 
 // ErrSent is returned by Write for a request of which another connection may have written a part.
@@ -90,6 +92,9 @@
 // NetConn returns the connection that dial opened.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// CloseWrite closes the sending end of the connection.
+func (c *Conn) CloseWrite() error { return duplex.CloseWrite(c.Conn) }
+
 // use records that a request uses the connection from now on.
 func (c *Conn) use(r *request) {
 	c.mu.Lock()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -15,8 +15,12 @@
 	"github.com/violettally/violettally/suspect"
 )
 
-// maxSends bounds how often one request is offered to servers, including those that decline it.
-const maxSends = 6
+const (
+	// maxSends bounds how often one request is offered to servers, including those that decline it.
+	maxSends = 6
+	// restRecordTime is the time that a body must still take after the answer to be recorded.
+	restRecordTime = 10 * time.Millisecond
+)
 
 // exchange is the state of one request. It is used by one goroutine.
 type exchange struct {
@@ -179,7 +183,24 @@
 	if f != nil {
 		return f
 	}
-	return x.forward(ctx, assignment, sent, resp, wd, awaited)
+	f = x.forward(ctx, assignment, sent, resp, wd, awaited)
+	if f == nil {
+		x.sendRestOfBody(ctx, resp)
+	}
+	return f
+}
+
+// sendRestOfBody waits until a body that is read from the client has been sent. A server may respond first and read
+// on.
+func (x *exchange) sendRestOfBody(ctx context.Context, resp Response) {
+	if x.request.Body.FullyBuffered() {
+		return
+	}
+	began := time.Now()
+	err := resp.AwaitSent(ctx)
+	if took := time.Since(began); err != nil || took >= restRecordTime {
+		x.record.AddStep("rest of body", "awaited for %d ms after the answer; error: %v", took.Milliseconds(), err)
+	}
 }
 
 // finish ends the decision record of the request.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/violettally/violettally/catalog"
@@ -39,6 +40,9 @@
 		return x.interrupted(ctx, assignment, err)
 	}
 	wd.stop() // a response that the client has part of can't be rerouted
+	if len(buffered) < plainBufferSize {
+		x.setLength(resp, len(buffered))
+	}
 	x.startResponse(resp)
 	if x.writer.Write(buffered) != nil {
 		return x.clientDisconnected(assignment)
@@ -62,6 +66,14 @@
 	return nil
 }
 
+// setLength gives a whole response without a length one, so that its end reaches the client before the request's body
+// has been read.
+func (x *exchange) setLength(resp Response, length int) {
+	if !x.request.Body.FullyBuffered() && length > 0 && resp.Header().Get("Content-Length") == "" {
+		resp.Header().Set("Content-Length", strconv.Itoa(length))
+	}
+}
+
 // forwardStream forwards whole events only, so that a stream that breaks off within an event
 // can be resumed after the previous one.
 func (x *exchange) forwardStream(ctx context.Context, assignment *route.Assignment, sent time.Time, resp Response, wd *watchdog, awaited *rollout.Awaited) *failure {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -210,16 +210,17 @@
 	body   io.Reader
 }
 
-func (a response) Status() int                 { return a.status }
-func (a response) Header() http.Header         { return http.Header{} }
-func (a response) Declined() bool              { return false }
-func (a response) Confidence() (float64, bool) { return 0, false }
-func (a response) Load() (route.Load, bool)    { return route.Load{}, false }
-func (a response) Notices() []notice.Notice    { return nil }
-func (a response) RetryAfter() time.Duration   { return 0 }
-func (a response) Framed() bool                { return true }
-func (a response) Body() io.Reader             { return a.body }
-func (a response) Close()                      {}
+func (a response) Status() int                     { return a.status }
+func (a response) Header() http.Header             { return http.Header{} }
+func (a response) Declined() bool                  { return false }
+func (a response) Confidence() (float64, bool)     { return 0, false }
+func (a response) Load() (route.Load, bool)        { return route.Load{}, false }
+func (a response) Notices() []notice.Notice        { return nil }
+func (a response) RetryAfter() time.Duration       { return 0 }
+func (a response) Framed() bool                    { return true }
+func (a response) Body() io.Reader                 { return a.body }
+func (a response) AwaitSent(context.Context) error { return nil }
+func (a response) Close()                          {}
 
 // recorder records what a client gets.
 type recorder struct {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -144,6 +144,9 @@
 	// of the connection.
 	Framed() bool
 	Body() io.Reader
+	// AwaitSent waits until the server has been sent the whole request, which it may read on after it has
+	// responded. It returns an error if the server no longer takes it, or if the context ends before.
+	AwaitSent(ctx context.Context) error
 	// Close cancels the request at the server if it is still running there.
 	Close()
 }
--- a/tunnel/carrier.go
+++ b/tunnel/carrier.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 
+	"github.com/violettally/violettally/internal/duplex"
 	"github.com/violettally/violettally/internal/errs"
 )
 
@@ -133,6 +134,9 @@
 	closeOnce sync.Once
 }
 
+// CloseWrite closes the sending end of the connection.
+func (c *carriedConn) CloseWrite() error { return duplex.CloseWrite(c.Conn) }
+
 // Close closes the connection.
 func (c *carriedConn) Close() error {
 	c.closeOnce.Do(c.release)
--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/violettally/violettally/internal/duplex"
 )
 
 // Conn is a connection to a server.
@@ -45,6 +47,9 @@
 	return c.Conn.Write(p)
 }
 
+// CloseWrite closes the sending end of the connection.
+func (c *Conn) CloseWrite() error { return duplex.CloseWrite(c.Conn) }
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.dialer.untrack(c)
