platform: a request whose client stops sending its body has an answer at its deadline

What callers saw: nothing, for as long as they kept the connection open: no answer at the route's time-out (2 s), nor a minute later.

Cause: the first 256 KiB of a body were read without any bound, and net/http's client waits for its writer, which waits for the client's bytes, before it returns an error.

New reason body_late.

--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -20,6 +20,8 @@
 	// ReasonBodyBroken: reading the client's body failed, or it grew too large, after part of
 	// it had been forwarded.
 	ReasonBodyBroken
+	// ReasonBodyLate: the time of the request was over before its body had come.
+	ReasonBodyLate
 	ReasonMalformed
 	// ReasonNoServer: the service has no server that can be chosen now.
 	ReasonNoServer
@@ -86,6 +88,7 @@
 	ReasonKeyUnknown:      http.StatusUnauthorized,
 	ReasonBodyTooLarge:    http.StatusRequestEntityTooLarge,
 	ReasonBodyBroken:      http.StatusRequestEntityTooLarge,
+	ReasonBodyLate:        http.StatusRequestTimeout,
 	ReasonMalformed:       http.StatusBadRequest,
 	ReasonNoServer:        http.StatusServiceUnavailable,
 	ReasonEvacuated:       http.StatusServiceUnavailable,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -419,6 +419,23 @@
 	}
 }
 
+// Deadline returns when a request must have its final answer; ok is false if no route is known for it.
+func (r *Relay) Deadline(q *Request) (deadline time.Time, ok bool) {
+	matched, ok := r.Catalog().Match(q.Host, q.Path)
+	if !ok {
+		return time.Time{}, false
+	}
+	return q.deadline(matched.Timeout), true
+}
+
+// deadline returns when the request must have its final answer, on a route with the given timeout.
+func (q *Request) deadline(timeout time.Duration) time.Time {
+	if q.TimeLeft > 0 {
+		timeout = min(timeout, q.TimeLeft)
+	}
+	return q.Arrived.Add(timeout)
+}
+
 // accept finds the route and the client account of a request.
 func (r *Relay) accept(q *Request, w ResponseWriter, record *decision.Record) (*exchange, *Refusal) {
 	c := r.Catalog()
@@ -439,10 +456,6 @@
 	}
 	record.SetAccount(account)
 	record.AddStep("route", "%s of version %d, at most %d tokens to make", matched.Name, c.Version(), q.Prompt.MaxOutput)
-	timeout := matched.Timeout
-	if q.TimeLeft > 0 {
-		timeout = min(timeout, q.TimeLeft)
-	}
 	return &exchange{
 		relay:       r,
 		request:     q,
@@ -451,7 +464,7 @@
 		route:       matched,
 		account:     account,
 		service:     pickService(matched, q),
-		deadline:    q.Arrived.Add(timeout),
+		deadline:    q.deadline(matched.Timeout),
 		tried:       make(map[registry.Incarnation]bool),
 		lastEventID: q.LastEventID,
 	}, nil
--- a/relay/relay_enumer.go
+++ b/relay/relay_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_upserver_limitservers_restingservers_leavingrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
+const _ReasonName = "no_configurationno_routekey_unknownbody_too_largebody_brokenbody_latemalformedno_serverevacuatedwarming_upserver_limitservers_restingservers_leavingrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
-var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 87, 97, 109, 124, 139, 154, 162, 173, 186, 193, 201, 208, 215, 224, 233}
+var _ReasonIndex = [...]uint8{0, 16, 24, 35, 49, 60, 69, 78, 87, 96, 106, 118, 133, 148, 163, 171, 182, 195, 202, 210, 217, 224, 233, 242}
 
-const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenmalformedno_serverevacuatedwarming_upserver_limitservers_restingservers_leavingrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
+const _ReasonLowerName = "no_configurationno_routekey_unknownbody_too_largebody_brokenbody_latemalformedno_serverevacuatedwarming_upserver_limitservers_restingservers_leavingrejection_limitdeclinedunreachableserver_failedstalleddeadlineleavingstoppedsuspectedovertaken"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -29,26 +29,27 @@
 	_ = x[ReasonKeyUnknown-(2)]
 	_ = x[ReasonBodyTooLarge-(3)]
 	_ = x[ReasonBodyBroken-(4)]
-	_ = x[ReasonMalformed-(5)]
-	_ = x[ReasonNoServer-(6)]
-	_ = x[ReasonEvacuated-(7)]
-	_ = x[ReasonWarmingUp-(8)]
-	_ = x[ReasonServerLimit-(9)]
-	_ = x[ReasonServersResting-(10)]
-	_ = x[ReasonServersLeaving-(11)]
-	_ = x[ReasonRejectionLimit-(12)]
-	_ = x[ReasonDeclined-(13)]
-	_ = x[ReasonUnreachable-(14)]
-	_ = x[ReasonServerFailed-(15)]
-	_ = x[ReasonStalled-(16)]
-	_ = x[ReasonDeadline-(17)]
-	_ = x[ReasonLeaving-(18)]
-	_ = x[ReasonStopped-(19)]
-	_ = x[ReasonSuspected-(20)]
-	_ = x[ReasonOvertaken-(21)]
+	_ = x[ReasonBodyLate-(5)]
+	_ = x[ReasonMalformed-(6)]
+	_ = x[ReasonNoServer-(7)]
+	_ = x[ReasonEvacuated-(8)]
+	_ = x[ReasonWarmingUp-(9)]
+	_ = x[ReasonServerLimit-(10)]
+	_ = x[ReasonServersResting-(11)]
+	_ = x[ReasonServersLeaving-(12)]
+	_ = x[ReasonRejectionLimit-(13)]
+	_ = x[ReasonDeclined-(14)]
+	_ = x[ReasonUnreachable-(15)]
+	_ = x[ReasonServerFailed-(16)]
+	_ = x[ReasonStalled-(17)]
+	_ = x[ReasonDeadline-(18)]
+	_ = x[ReasonLeaving-(19)]
+	_ = x[ReasonStopped-(20)]
+	_ = x[ReasonSuspected-(21)]
+	_ = x[ReasonOvertaken-(22)]
 }
 
-var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonMalformed, ReasonNoServer, ReasonEvacuated, ReasonWarmingUp, ReasonServerLimit, ReasonServersResting, ReasonServersLeaving, ReasonRejectionLimit, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
+var _ReasonValues = []Reason{ReasonNoConfiguration, ReasonNoRoute, ReasonKeyUnknown, ReasonBodyTooLarge, ReasonBodyBroken, ReasonBodyLate, ReasonMalformed, ReasonNoServer, ReasonEvacuated, ReasonWarmingUp, ReasonServerLimit, ReasonServersResting, ReasonServersLeaving, ReasonRejectionLimit, ReasonDeclined, ReasonUnreachable, ReasonServerFailed, ReasonStalled, ReasonDeadline, ReasonLeaving, ReasonStopped, ReasonSuspected, ReasonOvertaken}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:16]:    ReasonNoConfiguration,
@@ -56,23 +57,24 @@
 	_ReasonName[24:35]:   ReasonKeyUnknown,
 	_ReasonName[35:49]:   ReasonBodyTooLarge,
 	_ReasonName[49:60]:   ReasonBodyBroken,
-	_ReasonName[60:69]:   ReasonMalformed,
-	_ReasonName[69:78]:   ReasonNoServer,
-	_ReasonName[78:87]:   ReasonEvacuated,
-	_ReasonName[87:97]:   ReasonWarmingUp,
-	_ReasonName[97:109]:  ReasonServerLimit,
-	_ReasonName[109:124]: ReasonServersResting,
-	_ReasonName[124:139]: ReasonServersLeaving,
-	_ReasonName[139:154]: ReasonRejectionLimit,
-	_ReasonName[154:162]: ReasonDeclined,
-	_ReasonName[162:173]: ReasonUnreachable,
-	_ReasonName[173:186]: ReasonServerFailed,
-	_ReasonName[186:193]: ReasonStalled,
-	_ReasonName[193:201]: ReasonDeadline,
-	_ReasonName[201:208]: ReasonLeaving,
-	_ReasonName[208:215]: ReasonStopped,
-	_ReasonName[215:224]: ReasonSuspected,
-	_ReasonName[224:233]: ReasonOvertaken,
+	_ReasonName[60:69]:   ReasonBodyLate,
+	_ReasonName[69:78]:   ReasonMalformed,
+	_ReasonName[78:87]:   ReasonNoServer,
+	_ReasonName[87:96]:   ReasonEvacuated,
+	_ReasonName[96:106]:  ReasonWarmingUp,
+	_ReasonName[106:118]: ReasonServerLimit,
+	_ReasonName[118:133]: ReasonServersResting,
+	_ReasonName[133:148]: ReasonServersLeaving,
+	_ReasonName[148:163]: ReasonRejectionLimit,
+	_ReasonName[163:171]: ReasonDeclined,
+	_ReasonName[171:182]: ReasonUnreachable,
+	_ReasonName[182:195]: ReasonServerFailed,
+	_ReasonName[195:202]: ReasonStalled,
+	_ReasonName[202:210]: ReasonDeadline,
+	_ReasonName[210:217]: ReasonLeaving,
+	_ReasonName[217:224]: ReasonStopped,
+	_ReasonName[224:233]: ReasonSuspected,
+	_ReasonName[233:242]: ReasonOvertaken,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -81,23 +83,24 @@
 	_ReasonLowerName[24:35]:   ReasonKeyUnknown,
 	_ReasonLowerName[35:49]:   ReasonBodyTooLarge,
 	_ReasonLowerName[49:60]:   ReasonBodyBroken,
-	_ReasonLowerName[60:69]:   ReasonMalformed,
-	_ReasonLowerName[69:78]:   ReasonNoServer,
-	_ReasonLowerName[78:87]:   ReasonEvacuated,
-	_ReasonLowerName[87:97]:   ReasonWarmingUp,
-	_ReasonLowerName[97:109]:  ReasonServerLimit,
-	_ReasonLowerName[109:124]: ReasonServersResting,
-	_ReasonLowerName[124:139]: ReasonServersLeaving,
-	_ReasonLowerName[139:154]: ReasonRejectionLimit,
-	_ReasonLowerName[154:162]: ReasonDeclined,
-	_ReasonLowerName[162:173]: ReasonUnreachable,
-	_ReasonLowerName[173:186]: ReasonServerFailed,
-	_ReasonLowerName[186:193]: ReasonStalled,
-	_ReasonLowerName[193:201]: ReasonDeadline,
-	_ReasonLowerName[201:208]: ReasonLeaving,
-	_ReasonLowerName[208:215]: ReasonStopped,
-	_ReasonLowerName[215:224]: ReasonSuspected,
-	_ReasonLowerName[224:233]: ReasonOvertaken,
+	_ReasonLowerName[60:69]:   ReasonBodyLate,
+	_ReasonLowerName[69:78]:   ReasonMalformed,
+	_ReasonLowerName[78:87]:   ReasonNoServer,
+	_ReasonLowerName[87:96]:   ReasonEvacuated,
+	_ReasonLowerName[96:106]:  ReasonWarmingUp,
+	_ReasonLowerName[106:118]: ReasonServerLimit,
+	_ReasonLowerName[118:133]: ReasonServersResting,
+	_ReasonLowerName[133:148]: ReasonServersLeaving,
+	_ReasonLowerName[148:163]: ReasonRejectionLimit,
+	_ReasonLowerName[163:171]: ReasonDeclined,
+	_ReasonLowerName[171:182]: ReasonUnreachable,
+	_ReasonLowerName[182:195]: ReasonServerFailed,
+	_ReasonLowerName[195:202]: ReasonStalled,
+	_ReasonLowerName[202:210]: ReasonDeadline,
+	_ReasonLowerName[210:217]: ReasonLeaving,
+	_ReasonLowerName[217:224]: ReasonStopped,
+	_ReasonLowerName[224:233]: ReasonSuspected,
+	_ReasonLowerName[233:242]: ReasonOvertaken,
 }
 
 var _ReasonNames = []string{
@@ -109,20 +112,21 @@
 	_ReasonName[60:69],
 	_ReasonName[69:78],
 	_ReasonName[78:87],
-	_ReasonName[87:97],
-	_ReasonName[97:109],
-	_ReasonName[109:124],
-	_ReasonName[124:139],
-	_ReasonName[139:154],
-	_ReasonName[154:162],
-	_ReasonName[162:173],
-	_ReasonName[173:186],
-	_ReasonName[186:193],
-	_ReasonName[193:201],
-	_ReasonName[201:208],
-	_ReasonName[208:215],
-	_ReasonName[215:224],
+	_ReasonName[87:96],
+	_ReasonName[96:106],
+	_ReasonName[106:118],
+	_ReasonName[118:133],
+	_ReasonName[133:148],
+	_ReasonName[148:163],
+	_ReasonName[163:171],
+	_ReasonName[171:182],
+	_ReasonName[182:195],
+	_ReasonName[195:202],
+	_ReasonName[202:210],
+	_ReasonName[210:217],
+	_ReasonName[217:224],
 	_ReasonName[224:233],
+	_ReasonName[233:242],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
