rollout: the stages of all rollouts stay within what the store takes in a value

Cause: a stopped rollout kept the list of the sessions it had held back (9 bytes each, without a bound) until the service's next order, and services whose order is gone were kept for good; nothing looked at the size.

Change: a rollout that is stopped drops its list; a list holds 16,384 sessions at most; above 512 KiB the ended rollouts without an order go, and rollouts that need more room wait, behind what stops or advances others. The rest of the value is for what those under way still add. New rollouts come last among the statuses of a step.

--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -40,6 +39,9 @@
 	// maxStatusChanges is the number of rollouts whose status changes in one step. The store takes 32 entries in a
 	// transaction, the stages and the condition on them included.
 	maxStatusChanges = 24
+	// maxStagesBytes is the size of the shared document up to which it gets more to hold. Half of what a value of the
+	// store may take is left for what rollouts under way still add, so that they can always be ended.
+	maxStagesBytes = 512 << 10
 )
 
 // Driver advances or stops rollouts while this node holds the driver's lease.
@@ -112,24 +114,36 @@
 		return nil, errs.New(Fenced, "change", "token %d is older than the stored token %d", token, stages.Token)
 	}
 	steps := limitStatusChanges(d.nextSteps(stages))
+	stages.Token = token
+	data, err := stages.encodeWith(steps)
+	if err == nil && len(data) > maxStagesBytes {
+		stages.compact(d.models())
+		data, err = stages.encodeWith(steps)
+	}
+	if err == nil && len(data) > maxStagesBytes {
+		slog.Warn("rollouts wait until the stages of others take less room", "bytes", len(data))
+		steps = slices.DeleteFunc(steps, func(s driverStep) bool { return s.grows })
+		data, err = stages.encodeWith(steps)
+	}
+	if err != nil {
+		return nil, err
+	}
 	for _, s := range steps {
 		slog.Info("rollout progressed", "model", s.name, "version", s.after.Version, "stage", s.after.Stage,
 			"verdict", s.after.Verdict.String(), "reason", s.after.Reason)
-		stages.Models[s.name] = s.after
 	}
 	if len(steps) == 0 {
 		return nil, document.ErrUnchanged
 	}
-	stages.Token = token
-	return json.Marshal(stages)
+	return data, nil
 }
 
 // driverStep is a change of the progress of one rollout.
 type driverStep struct {
 	name  string
 	after Progress
-	// newStatus means that operators are told of it.
-	newStatus bool
+	// newStatus means that operators are told of it, grows that the shared document gets more to hold for it.
+	newStatus, grows bool
 }
 
 // nextSteps returns the changes of all rollouts that follow from the current counts.
@@ -141,18 +155,21 @@
 		}
 		before, known := stages.Models[m.Name]
 		if after := d.next(&m, before, known); !known || after != before {
-			steps = append(steps, driverStep{m.Name, after, !known || !before.SameStatus(after)})
+			steps = append(steps, driverStep{
+				name:      m.Name,
+				after:     after,
+				newStatus: !known || !before.SameStatus(after),
+				grows:     !known || len(after.StickySessions) > len(before.StickySessions),
+			})
 		}
 	}
 	return steps
 }
 
 // limitStatusChanges leaves out steps beyond maxStatusChanges that operators are told of, until the next time; bad
-// versions are stopped first.
+// versions are stopped first, and new rollouts begin last.
 func limitStatusChanges(steps []driverStep) []driverStep {
-	slices.SortStableFunc(steps, func(a, b driverStep) int {
-		return cmp.Compare(stopRank(a.after.Verdict), stopRank(b.after.Verdict))
-	})
+	slices.SortStableFunc(steps, func(a, b driverStep) int { return cmp.Compare(a.rank(), b.rank()) })
 	changes := 0
 	return slices.DeleteFunc(steps, func(s driverStep) bool {
 		if s.newStatus {
@@ -162,12 +179,16 @@
 	})
 }
 
-// stopRank orders the verdicts by how urgent they are.
-func stopRank(v Verdict) int {
-	if v == VerdictStopped {
+// rank orders steps by how urgent they are.
+func (s driverStep) rank() int {
+	switch {
+	case s.after.Verdict == VerdictStopped:
 		return 0
+	case !s.grows:
+		return 1
+	default:
+		return 2
 	}
-	return 1
 }
 
 // next returns the progress that follows from the current counts.
@@ -239,8 +260,9 @@
 	return ""
 }
 
-// stop stops the rollout for the given reason.
+// stop stops the rollout for the given reason. No session is held back any more.
 func (p Progress) stop(candidate Count, format string, args ...any) Progress {
+	p.Share, p.StickySessions = 0, ""
 	p.Verdict, p.Samples, p.Reason = VerdictStopped, candidate.Answers, fmt.Sprintf(format, args...)
 	return p
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -27,10 +27,12 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/internal/errs"
 )
 
@@ -147,6 +149,33 @@
 	return s, nil
 }
 
+// encodeWith returns the encoded document with the given steps.
+func (s Stages) encodeWith(steps []driverStep) ([]byte, error) {
+	s.Models = maps.Clone(s.Models)
+	for _, step := range steps {
+		s.Models[step.name] = step.after
+	}
+	return json.Marshal(s)
+}
+
+// compact drops the ended rollouts that are not among the given models', and what the others no longer need.
+func (s Stages) compact(models []config.Model) {
+	ordered := make(map[string]bool, len(models))
+	for _, m := range models {
+		ordered[m.Name] = m.Rollout != nil
+	}
+	for name, p := range s.Models {
+		switch {
+		case p.Verdict == VerdictRunning:
+		case !ordered[name]:
+			delete(s.Models, name)
+		default:
+			p.Share, p.StickySessions = 0, ""
+			s.Models[name] = p
+		}
+	}
+}
+
 // Count is what one node has counted for one version. Answers, Bad and Slow
 // are cumulative, so a newer count of a node replaces the older one.
 type Count struct {
--- a/rollout/sessions.go
+++ b/rollout/sessions.go
@@ -76,11 +76,16 @@
 	return hashes
 }
 
+// maxStickySessions bounds the sessions that are held back in one rollout. The others may change their version.
+const maxStickySessions = 16384
+
 // encodeSessions encodes session hashes as a sorted, comma-separated list of
 // hexadecimal numbers. The order makes equal sets compare equal.
 func encodeSessions(hashes map[uint32]bool) string {
-	texts := make([]string, 0, len(hashes))
-	for _, hash := range slices.Sorted(maps.Keys(hashes)) {
+	sorted := slices.Sorted(maps.Keys(hashes))
+	sorted = sorted[:min(len(sorted), maxStickySessions)]
+	texts := make([]string, 0, len(sorted))
+	for _, hash := range sorted {
 		texts = append(texts, strconv.FormatUint(uint64(hash), 16))
 	}
 	return strings.Join(texts, ",")
