platform, settings: no order or name makes a key that the store refuses

What callers would see: with an order for a service whose name has 186 to 189 bytes, no rollout of any service is begun, stopped or completed any more. The operator's key op/rollout/SERVICE has 200 bytes at most, the status of the same service would have more, and it stands in one transaction with all stages.

Cause: what operators write goes into keys and values of our own without a look at what the store takes: 200 bytes a key, value_bytes a value.

Change: such an order is invalid, as is one whose version has more than 200 bytes, which the stages of all hold; each is logged. Names in the settings have 128 bytes at most. The stand-in's store keeps all of its own bounds: 32 entries, 200 bytes a key, 1 MiB a value, and no writes under op/ and servers/.

The whole of platform/e2e runs on the stricter stand-in.

--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -24,12 +24,12 @@
 		g.servicePicker.RemoveOrder(service)
 		return
 	}
-	order, err := platform.DecodeOrder(c.Value)
+	order, err := platform.DecodeOrder(c.Key, c.Value)
 	if err != nil {
 		slog.Error("invalid rollout order", "service", service, "error", err)
 		return
 	}
-	order.Service, order.ID = service, c.Revision
+	order.ID = c.Revision
 	order.WarmUp = g.warmUpLimit(service).Duration
 	g.servicePicker.SetOrder(order)
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -270,8 +270,39 @@
 	return events, s.revision, s.changed, after < s.compacted
 }
 
-// maxTxnEntries is the number of entries that the store takes in a transaction.
-const maxTxnEntries = 32
+// The store's bounds.
+const (
+	// maxTxnEntries is the number of entries in a transaction.
+	maxTxnEntries = 32
+	maxKeyBytes   = 200
+	maxValueBytes = 1 << 20
+)
+
+// reservedPrefixes start the keys that only operators and backend servers write.
+var reservedPrefixes = []string{"op/", "servers/"}
+
+// checkTxn returns the status with which the store refuses a transaction, 0 if it takes it.
+func checkTxn(entries int, puts []storeItem, remove []string) int {
+	if entries > maxTxnEntries {
+		return http.StatusBadRequest
+	}
+	keys := slices.Clone(remove)
+	for _, p := range puts {
+		keys = append(keys, p.Key)
+		if len(p.Value) > maxValueBytes {
+			return http.StatusBadRequest
+		}
+	}
+	for _, key := range keys {
+		if len(key) > maxKeyBytes {
+			return http.StatusBadRequest
+		}
+		if slices.ContainsFunc(reservedPrefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) }) {
+			return http.StatusForbidden
+		}
+	}
+	return 0
+}
 
 func (s *Store) commitTxn(w http.ResponseWriter, r *http.Request) {
 	var in struct {
@@ -282,8 +313,8 @@
 	if !readJSON(w, r, &in) {
 		return
 	}
-	if len(in.Expect)+len(in.Puts)+len(in.Remove) > maxTxnEntries {
-		w.WriteHeader(http.StatusBadRequest)
+	if status := checkTxn(len(in.Expect)+len(in.Puts)+len(in.Remove), in.Puts, in.Remove); status != 0 {
+		w.WriteHeader(status)
 		return
 	}
 	s.mu.Lock()
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -174,12 +174,8 @@
 
 // check reports settings that a gateway cannot run with.
 func (g *Gateway) check(report strictjson.Report) {
-	if g.Name == "" {
-		report("/name", "want the VM's name")
-	}
-	if g.DataHall == "" {
-		report("/data_hall", "want the data hall's name")
-	}
+	checkName(report, "/name", "the VM's name", g.Name)
+	checkName(report, "/data_hall", "the data hall's name", g.DataHall)
 	checkListener(report, "/caller", g.Caller)
 	checkListener(report, "/ready", g.Ready)
 	checkListener(report, "/directory", g.Directory)
@@ -216,6 +212,16 @@
 	checkLogLevel(report, g.LogLevel)
 }
 
+// maxNameBytes bounds names that keys in the platform's store contain.
+const maxNameBytes = 128
+
+// checkName reports a name that is missing or too long.
+func checkName(report strictjson.Report, path, what, name string) {
+	if name == "" || len(name) > maxNameBytes {
+		report(path, "want %s, of 1 to %d bytes, found %d", what, maxNameBytes, len(name))
+	}
+}
+
 // LoadGateway reads and validates a gateway's settings file.
 func LoadGateway(file string) (*Gateway, error) {
 	data, err := os.ReadFile(file)
