rollout: a first stage that nobody drove is started again

What callers would see: a rollout that stays "running" for good, with nothing on the new version, if no driver was at work from 1.5 s after its begin until its first stage was over (an outage of the store of some seconds at that moment, or a period under 3 s).

Cause: the share is set once the rate has been measured and while the stage lasts; after that nothing moved it on. Found while reading what a full document makes wait.

Change: such a stage begins anew; one that is too short for a measured rate gets the largest share that it may have.

Evidence: TestRolloutStuckAfterMissedStage with periods of 10 s and 1 s: no share after 26 s before, one now.

--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -284,21 +284,29 @@
 // size a stage.
 const measureDuration = 1500 * time.Millisecond
 
-// setShare sizes a stage from the measured request rate, so that the candidate
-// gives about TargetSamples answers, and makes the active sessions sticky.
+// setShare sizes a stage from the measured request rate, so that the candidate gives about TargetSamples answers, and
+// makes the active sessions sticky. A stage that is too short to measure the rate gets the largest share.
 func (d *Driver) setShare(m *config.Model, p Progress, stage config.Stage, baseline Count, now time.Time) Progress {
 	elapsed := now.Sub(p.StageSince).Seconds()
+	measured := max(measureDuration.Seconds(), stage.HoldSeconds)
 	remaining := stage.MinSeconds - elapsed
-	if elapsed < max(measureDuration.Seconds(), stage.HoldSeconds) || remaining <= 0 {
+	requests := baseline.Answers + baseline.Running
+	switch {
+	case stage.MinSeconds <= measured:
+		p.Share, p.Reason = stage.Share, "share without a measured rate"
+	case remaining <= 0: // no driver was at work, or the shares of others took all room
+		p.StageSince, p.Requests = now, requests
+		p.Reason = "started again: the first stage passed without a share"
 		return p
-	}
-	expected := float64(baseline.Answers+baseline.Running-p.Requests) / elapsed * remaining
-	p.Share = min(stage.Share, float64(stage.TargetSamples)/max(1, expected))
-	inService := m.InService()
-	if inService == nil {
+	case elapsed < measured:
 		return p
+	default:
+		expected := float64(requests-p.Requests) / elapsed * remaining
+		p.Share = min(stage.Share, float64(stage.TargetSamples)/max(1, expected))
+		p.Reason = fmt.Sprintf("share for %d answers of about %.0f requests", stage.TargetSamples, expected)
+	}
+	if inService := m.InService(); inService != nil {
+		p.StickySessions = encodeSessions(d.nodes.recentSessions(countKey(m.Name, inService.Name)))
 	}
-	p.StickySessions = encodeSessions(d.nodes.recentSessions(countKey(m.Name, inService.Name)))
-	p.Reason = fmt.Sprintf("share for %d answers of about %.0f requests", stage.TargetSamples, expected)
 	return p
 }
--- a/rollout/later_test.go
+++ b/rollout/later_test.go
@@ -399,3 +399,38 @@
 		must.Eq(t, "", progress.Withdrawn)
 	})
 }
+
+// TestRolloutStuckAfterMissedStage checks that a rollout goes on if no driver was at work while its first stage should
+// have got its share, and if that stage is too short for one that is measured.
+func TestRolloutStuckAfterMissedStage(t *testing.T) {
+	for _, period := range []time.Duration{time.Second, 10 * time.Second} {
+		t.Run(period.String(), func(t *testing.T) { testMissedStage(t, period) })
+	}
+}
+
+func testMissedStage(t *testing.T, period time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &fakeCluster{token: 1, counts: map[string]rollout.Counts{}}
+		s := rollout.NewServicePicker(rollout.NewPicker(), 0.1)
+		s.SetOrder(rollout.Order{Service: "s", Target: "v2", Period: period})
+		d := rollout.NewDriver("rollouts", c, c, c, s.Models, timer.New())
+		answers := int64(0)
+		step := func() rollout.Progress {
+			answers += 100
+			c.counts["n"] = rollout.Counts{"s@in-service": {Answers: answers}}
+			d.Step(context.Background(), 1)
+			time.Sleep(time.Second)
+			stages, err := rollout.DecodeStages(c.stored)
+			must.NoError(t, err)
+			return stages.Models["s"]
+		}
+		must.Eq(t, 0, step().Share)
+		time.Sleep(20 * time.Second) // no driver
+		for range 5 {
+			step()
+		}
+		p := step()
+		must.Positive(t, p.Share)
+		must.Eq(t, 0, p.Stage)
+	})
+}
