tree, gateway: a node's entry with an absurd fan-out ends no process

Cause: the sizes of the tree's levels are sums of what nodes say of themselves, without a bound; the sum overflows.

Change: no node counts for more than the data hall has nodes; an entry with a fan-out below 0 or above 1,024, without a name, or with port 0 is no entry. Names in the settings have 96 bytes at most, as a key holds two of them.

--- a/gateway/entries_test.go
+++ b/gateway/entries_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"math"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -147,11 +148,20 @@
 
 // TestInvalidGatewayEntries checks that a gateway with an invalid entry is not used.
 func TestInvalidGatewayEntries(t *testing.T) {
-	member := func(caller, peer string) []byte {
-		value, err := json.Marshal(view.NewMember(view.Member{VM: "n-2", Region: "home", DataHall: "hall-1", Caller: caller, Peer: peer}))
+	encode := func(m view.Member) []byte {
+		value, err := json.Marshal(m)
 		must.NoError(t, err)
 		return value
 	}
+	newMember := func(caller, peer string) view.Member {
+		return view.NewMember(view.Member{VM: "n-2", Region: "home", DataHall: "hall-1", Caller: caller, Peer: peer})
+	}
+	member := func(caller, peer string) []byte { return encode(newMember(caller, peer)) }
+	fanOut := func(nodes int) []byte {
+		m := newMember("10.0.0.2:8000", "10.0.0.2:8001")
+		m.FanOut = nodes
+		return encode(m)
+	}
 	valid := member("10.0.0.2:8000", "10.0.0.2:8001")
 	for name, value := range map[string][]byte{
 		"binary data":            []byte("\x00\xff"),
@@ -160,6 +170,10 @@
 		"no client address":      member("", "10.0.0.2:8001"),
 		"no peer address":        member("10.0.0.2:8000", ""),
 		"address without a port": member("10.0.0.2", "10.0.0.2:8001"),
+		"port zero":              member("10.0.0.2:8000", "10.0.0.2:0"),
+		"no name":                encode(view.Member{Caller: "10.0.0.2:8000", Peer: "10.0.0.2:8001"}),
+		"very large fan-out":     fanOut(math.MaxInt),
+		"negative fan-out":       fanOut(-1),
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newTestGateway(t)
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -36,17 +36,26 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
-// decodeEntry decodes an entry and checks the gateway's addresses.
+// maxEntryFanOut is the largest fan-out of another gateway that is plausible.
+const maxEntryFanOut = 1024
+
+// decodeEntry decodes an entry and checks the gateway's names, addresses and fan-out.
 func decodeEntry(value []byte) (entry, error) {
 	var e entry
 	if err := json.Unmarshal(value, &e); err != nil {
 		return entry{}, errs.Wrap(InvalidEntry, "decode", err, "malformed gateway entry")
 	}
+	if e.ID == "" || e.VM == "" {
+		return entry{}, errs.New(InvalidEntry, "decode", "gateway %q of VM %q: a name is missing", e.ID, e.VM)
+	}
 	for _, address := range []string{e.Caller, e.Peer} {
-		if _, err := netip.ParseAddrPort(address); err != nil {
-			return entry{}, errs.Wrap(InvalidEntry, "decode", err, "address of gateway %q of VM %q", e.ID, e.VM)
+		if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
+			return entry{}, errs.New(InvalidEntry, "decode", "gateway %q of VM %q: invalid address %q", e.ID, e.VM, address)
 		}
 	}
+	if e.FanOut < 0 || e.FanOut > maxEntryFanOut {
+		return entry{}, errs.New(InvalidEntry, "decode", "gateway %q of VM %q: invalid fan-out %d", e.ID, e.VM, e.FanOut)
+	}
 	return e, nil
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -212,8 +212,8 @@
 	checkLogLevel(report, g.LogLevel)
 }
 
-// maxNameBytes bounds names that keys in the platform's store contain.
-const maxNameBytes = 128
+// maxNameBytes bounds names of which keys in the platform's store contain two.
+const maxNameBytes = 96
 
 // checkName reports a name that is missing or too long.
 func checkName(report strictjson.Report, path, what, name string) {
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -73,7 +73,7 @@
 		start += size
 		size = 0
 		for _, n := range level {
-			size += max(minFanOut, n.FanOut)
+			size += min(max(minFanOut, n.FanOut), len(ordered)) // what a node says of itself may be absurd
 		}
 	}
 	return levels
--- a/tree/tree_test.go
+++ b/tree/tree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -91,6 +92,21 @@
 	must.LessEq(t, 5, changed)
 }
 
+// TestAbsurdFanOutEndsProcess checks that nodes which claim to serve very many others, or fewer than none, have places
+// in the tree, as all others do.
+func TestAbsurdFanOutEndsProcess(t *testing.T) {
+	for _, fanOut := range []int{math.MaxInt, math.MaxInt / 2, math.MinInt} {
+		nodes := hall(100)
+		for i := range 20 {
+			nodes = append(nodes, view.Member{VM: fmt.Sprintf("odd-%d", i), FanOut: fanOut})
+		}
+		for _, n := range nodes {
+			parents := tree.Parents(n, nodes)
+			must.LessEq(t, 30, len(parents))
+		}
+	}
+}
+
 // TestUnknownSelf checks that a node which is not listed yet has parents as well.
 func TestUnknownSelf(t *testing.T) {
 	must.Positive(t, len(tree.Parents(view.Member{VM: "new", FanOut: 8}, hall(10))))
