suspect: a stored verdict with absurdly many probes keeps no request waiting

What would be seen: one entry under suspects/ with "tests": 2^63-1, and each request with that feature, and then every request, waits at every node for good.

Cause: the delay until the next probe was computed by a loop over the number of probes that the entry tells, under the detector's lock.

Change: the loop ends once the delay has reached its bound.

Evidence: TestAbsurdProbesStopNode did not end on (timed out after 15 s); holds now.

--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -517,3 +517,16 @@
 		must.True(t, d.Empty())
 	})
 }
+
+// TestAbsurdProbesStopNode checks that a stored verdict with an absurd number of probes holds, and keeps nobody waiting.
+func TestAbsurdProbesStopNode(t *testing.T) {
+	for _, probes := range []int{math.MaxInt, math.MinInt} {
+		withDetector(t, func(t *testing.T, d *suspect.Detector) {
+			f := suspect.Feature(1)
+			must.False(t, d.ApplyStored(f, probes))
+			must.True(t, d.Refuses(f))
+			_, due := d.ProbeDue(f)
+			must.False(t, due)
+		})
+	}
+}
--- a/suspect/verdict.go
+++ b/suspect/verdict.go
@@ -43,7 +43,7 @@
 // probeDelay returns the time from lastProbe to the next probe, given the initial delay.
 func (v *verdict) probeDelay(initial time.Duration) time.Duration {
 	delay := initial
-	for range v.probes {
+	for probe := 0; probe < v.probes && delay < maxProbeDelay; probe++ {
 		delay = min(probeDelayFactor*delay, maxProbeDelay)
 	}
 	return delay
