rollout: odd stages of one rollout stop neither processes nor the other rollouts

What would be seen: a stage number that is negative or that overflows ends each process that reads the stages (index out of range) while its service has an order, again and again; one rollout that cannot be decoded, or a document that is none, stops all rollouts for good, bad ones included; one that began in the far future never ends.

Cause: the shared document was decoded as one, and its numbers were used as they came.

Change: rollouts are decoded one by one; those that no driver may have written are left out, logged, and begin anew. A document that is none counts as empty. A stage that begins in the future begins now.

Left: a fencing token beyond all of the store still stops the driver; only this system writes that key.

--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -85,10 +85,7 @@
 	if item.Revision != expected {
 		return 0, false, nil
 	}
-	before, err := rollout.DecodeStages(item.Value)
-	if err != nil {
-		return 0, false, err
-	}
+	before, _ := rollout.DecodeStages(item.Value) // none if they cannot be read
 	after, err := rollout.DecodeStages(data)
 	if err != nil {
 		return 0, false, err
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -108,7 +108,7 @@
 func (d *Driver) change(old []byte, token int64) ([]byte, error) {
 	stages, err := DecodeStages(old)
 	if err != nil {
-		return nil, err
+		slog.Error("stored stages cannot be read; the rollouts begin anew", "error", err)
 	}
 	if stages.Token > token {
 		return nil, errs.New(Fenced, "change", "token %d is older than the stored token %d", token, stages.Token)
@@ -200,6 +200,9 @@
 	if p.Verdict != VerdictRunning {
 		return p
 	}
+	if p.StageSince.After(now) { // by the clock of an earlier driver, or of another writer
+		p.StageSince = now
+	}
 	key := candidateKey(m, p)
 	candidate, baseline := d.nodes.totals(key, inServiceKey(m, p), &p)
 	e := d.evidenceOf(key)
--- a/rollout/picker.go
+++ b/rollout/picker.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"log/slog"
 	"maps"
 	"sync"
 
@@ -39,6 +40,9 @@
 	if err != nil {
 		return err
 	}
+	if len(stages.invalid) > 0 {
+		slog.Error("invalid stages of rollouts are left out", "models", stages.invalid, "revision", item.Revision)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.stages.Models
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -132,23 +132,44 @@
 type Stages struct {
 	Token  int64               `json:"token"`
 	Models map[string]Progress `json:"models"`
+	// invalid holds the names of those that were left out since they cannot be used.
+	invalid []string
 }
 
-// DecodeStages decodes the shared document. Empty data yields no rollouts; other
-// data that is not valid JSON yields a Malformed error.
+// DecodeStages decodes the shared document, without the rollouts that cannot be used. Empty data yields no rollouts;
+// other data that is not valid JSON yields no rollouts and a Malformed error.
 func DecodeStages(data []byte) (Stages, error) {
-	s := Stages{}
-	if len(data) > 0 {
-		if err := json.Unmarshal(data, &s); err != nil {
-			return s, errs.Wrap(Malformed, "decode", err, "stored stages")
-		}
+	s := Stages{Models: make(map[string]Progress)}
+	if len(data) == 0 {
+		return s, nil
+	}
+	var stored struct {
+		Token  int64                      `json:"token"`
+		Models map[string]json.RawMessage `json:"models"`
 	}
-	if s.Models == nil {
-		s.Models = make(map[string]Progress)
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return s, errs.Wrap(Malformed, "decode", err, "stored stages")
+	}
+	s.Token = stored.Token
+	for name, data := range stored.Models {
+		var p Progress
+		if err := json.Unmarshal(data, &p); err != nil || !p.valid() {
+			s.invalid = append(s.invalid, name)
+			continue
+		}
+		s.Models[name] = p
 	}
 	return s, nil
 }
 
+// maxStage is the largest number of a stage that is plausible.
+const maxStage = 1000
+
+// valid reports whether the progress is one that a driver may have written.
+func (p Progress) valid() bool {
+	return p.Stage >= 0 && p.Stage <= maxStage && p.Share >= 0 && p.Share <= 1
+}
+
 // encodeWith returns the encoded document with the given steps.
 func (s Stages) encodeWith(steps []driverStep) ([]byte, error) {
 	s.Models = maps.Clone(s.Models)
--- a/rollout/store_bounds_test.go
+++ b/rollout/store_bounds_test.go
@@ -128,3 +128,39 @@
 		}
 	})
 }
+
+// TestOddStagesStopRollouts checks that rollouts go on whatever another writer has left in the shared document.
+func TestOddStagesStopRollouts(t *testing.T) {
+	const running = `{"version": "v2", "stage": 1, "since": "2000-01-01T00:00:00Z"}`
+	for name, stored := range map[string]string{
+		"no document":         `none`,
+		"of another type":     `[1, 2]`,
+		"too large a token":   `{"token": 1e400, "models": {}}`,
+		"deeply nested":       `{"models": {"odd": ` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}}`,
+		"an odd rollout":      `{"models": {"odd": {"stage": "none"}, "s": ` + running + `}}`,
+		"an unknown verdict":  `{"models": {"s": {"version": "v2", "verdict": "none"}}}`,
+		"a negative stage":    `{"models": {"s": {"version": "v2", "stage": -1}}}`,
+		"a very late stage":   `{"models": {"s": {"version": "v2", "stage": 9223372036854775807}}}`,
+		"too large a share":   `{"models": {"s": {"version": "v2", "stage": 0, "share": 1e300}}}`,
+		"begun in the future": `{"models": {"s": {"version": "v2", "stage": 0, "share": 0.1, "since": "9999-01-01T00:00:00Z"}}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &fakeCluster{token: 1, stored: []byte(stored)}
+				s := newServicePicker(t, `{}`)
+				d := rollout.NewDriver("rollouts", c, c, c, s.Models, timer.New())
+				progress := rollout.Progress{}
+				for second := range 100 {
+					answers := int64(100 * second)
+					c.counts = map[string]rollout.Counts{"n": {"s@in-service": {Answers: answers}, "s@v2": {Answers: answers / 10}}}
+					d.Step(context.Background(), 1)
+					time.Sleep(time.Second)
+					stages, err := rollout.DecodeStages(c.stored)
+					must.NoError(t, err)
+					progress = stages.Models["s"]
+				}
+				must.Eq(t, rollout.VerdictComplete, progress.Verdict)
+			})
+		})
+	}
+}
