usage: an odd last report does not stop later ones

What would be seen: with a last report of a window in the far future, usage is never reported again; with one of window 0, as {} decodes to, the holder logs and counts each window since 1970, one by one, and reports nothing meanwhile.

Change: a window that is negative or more than an hour ahead makes the report unreadable, which was handled already; windows whose time is over are passed over at once, with one line, and 10,000 of them at most are counted.

Evidence: TestOddReportStopsReports, five reports; on it timed out after 50 s.

--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -68,6 +68,10 @@
 	settleTime = time.Second
 	// callTimeout bounds one call to the platform or its store. The lease must outlast it.
 	callTimeout = time.Second
+	// maxClockAhead is how far the clock of another node may be ahead of this one's.
+	maxClockAhead = time.Hour
+	// maxCountedWindows bounds the windows that are counted as given up at once.
+	maxCountedWindows = 10_000
 )
 
 // report is the stored report of one window. Its fields are exported for the codec.
@@ -149,10 +153,12 @@
 		last.Window = r.first - 1
 	}
 	oldest := r.Windows.Oldest(now)
-	for window := max(last.Window, r.passedOver) + 1; window < oldest; window++ {
-		slog.Warn("usage is not reported any more; its time is over", "window", window)
-		r.Count(ResultGivenUp)
-		r.passedOver = window
+	if next := max(last.Window, r.passedOver) + 1; next < oldest {
+		slog.Warn("usage is not reported any more; its time is over", "window", next, "last_window", oldest-1)
+		for range min(oldest-next, maxCountedWindows) {
+			r.Count(ResultGivenUp)
+		}
+		r.passedOver = oldest - 1
 	}
 	return max(last.Window+1, oldest)
 }
@@ -167,7 +173,11 @@
 	case revision == 0:
 		return report{}, 0, false
 	}
-	if err := json.Unmarshal(data, &last); err != nil {
+	err = json.Unmarshal(data, &last)
+	if newest := r.Windows.At(r.Clock.Now().Add(maxClockAhead)); err == nil && (last.Window < 0 || last.Window > newest) {
+		err = errs.New(Unreadable, "last", "window %d is later than %d", last.Window, newest)
+	}
+	if err != nil {
 		r.skipUnreadable(revision, err)
 		return report{}, revision, false
 	}
--- a/usage/schedules_test.go
+++ b/usage/schedules_test.go
@@ -402,3 +402,24 @@
 func (p *port) ReportUsage(ctx context.Context, token, window int64, counts usage.Counts) error {
 	return p.call(ctx, func() { p.node.world.receive(p.node, token, window, counts) })
 }
+
+// TestOddReportStopsReports checks that usage is reported although another writer has left a report of a window in the
+// far future, or one that is none.
+func TestOddReportStopsReports(t *testing.T) {
+	for _, stored := range []string{`{"window": 9223372036854775807, "counts": {}}`, `{"window": -1}`, `{}`, `{"window": 1e400}`, `none`} {
+		t.Run(stored, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(1, 1))
+				w := &world{keys: make(map[string]storedKey), leases: make(map[int64]time.Time), reports: make(map[int64]usage.Counts)}
+				w.revision = 1
+				w.keys["usage"] = storedKey{data: []byte(stored), revision: 1}
+				n := &node{world: w, vm: "vm-0"}
+				n.start(t, random)
+				time.Sleep(time.Minute)
+				n.stop()
+				time.Sleep(time.Minute)
+				must.Positive(t, len(w.reports), must.Sprint("no window was reported"))
+			})
+		})
+	}
+}
