vmlist: one odd entry hides no other of the list

An address with a port out of range was handed on.

Cause: the list was decoded as one. encoding/json rejects all of it for one type, number or depth.

Change: internal/jsonlist finds where the elements end; each is decoded by itself. Of a VM whose entry cannot be used, what was known holds; while the VM of an odd entry cannot be told, no VM counts as gone. Addresses are checked. The list is bounded (16 MiB); the number of odd entries is logged as it changes.

--- a/adapter/vmlist/vmlist.go
+++ b/adapter/vmlist/vmlist.go
@@ -12,11 +12,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/violettally/violettally/internal/jsonlist"
 	"github.com/violettally/violettally/timer"
 )
 
@@ -31,8 +34,11 @@
 	mu     sync.RWMutex
 	vms    map[string]vm
 	loaded bool
+	// nameless is the number of entries of the last list whose VM cannot be told, odd that of all that cannot be used.
+	nameless, odd int
 }
 
+// vm is an entry of the list.
 type vm struct {
 	Name  string `json:"name"`
 	State string `json:"state"`
@@ -43,6 +49,8 @@
 const (
 	stateLeaving = "leaving"
 	readTimeout  = 2 * time.Second
+	// maxListBytes bounds the list; an entry takes some hundred bytes.
+	maxListBytes = 16 << 20
 )
 
 // New returns a list that Run reads every interval from a base URL.
@@ -77,32 +85,74 @@
 		return err
 	}
 	defer response.Body.Close()
-	var in struct {
-		VMs []vm `json:"vms"`
-	}
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("VM list service returned status %d", response.StatusCode)
 	}
-	if err := json.NewDecoder(response.Body).Decode(&in); err != nil {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
 		return err
 	}
-	vms := make(map[string]vm, len(in.VMs))
-	for _, v := range in.VMs {
-		vms[v.Name] = v
+	entries, err := jsonlist.Elements(data, "vms")
+	if err != nil {
+		return err
 	}
+	l.replace(entries)
+	return nil
+}
+
+// replace replaces the list. Of a VM whose entry cannot be used, what was known before is kept.
+func (l *List) replace(entries []json.RawMessage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.vms, l.loaded = vms, true
-	return nil
+	vms := make(map[string]vm, len(entries))
+	nameless, odd := 0, 0
+	for _, entry := range entries {
+		v, sound := decode(entry)
+		if !sound {
+			odd++
+		}
+		_, listed := vms[v.Name]
+		switch {
+		case v.Name == "":
+			nameless++
+		case sound || !listed:
+			vms[v.Name] = v.orKnown(l.vms[v.Name], sound)
+		}
+	}
+	if odd != l.odd {
+		slog.Warn("entries of the VM list cannot be used", "entries", odd, "without_name", nameless, "of", len(entries))
+	}
+	l.vms, l.loaded, l.nameless, l.odd = vms, true, nameless, odd
+}
+
+// orKnown returns the entry if it is sound, or else what was known of its VM.
+func (v vm) orKnown(known vm, sound bool) vm {
+	if !sound {
+		v.State, v.Peer = known.State, known.Peer
+	}
+	return v
+}
+
+// decode decodes an entry. It returns false if the entry cannot be used, with the VM's name if that can be told.
+func decode(entry json.RawMessage) (vm, bool) {
+	var v vm
+	if err := json.Unmarshal(entry, &v); err != nil || v.Name == "" {
+		return v, false // an error of another field leaves the name
+	}
+	if v.Peer == "" {
+		return v, true
+	}
+	address, err := netip.ParseAddrPort(v.Peer)
+	return v, err == nil && address.Port() != 0
 }
 
 // Listed reports whether a VM is on the list. ok is false if that is not known
-// because the list has not been read yet or is empty.
+// because the list has not been read yet or is empty, or because an entry may be the VM's whose name cannot be told.
 func (l *List) Listed(name string) (listed, ok bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	_, listed = l.vms[name]
-	return listed, l.loaded && len(l.vms) > 0
+	return listed, listed || l.loaded && len(l.vms) > 0 && l.nameless == 0
 }
 
 // Leaving reports whether the list shows a VM as leaving.
