--- a/adapter/etcd/etcd.go
+++ b/adapter/etcd/etcd.go
@@ -18,6 +18,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -200,7 +201,7 @@
 	return revisions, nil
 }
 
-// Journals returns all journals of bills (package ledger).
+// Journals returns all journals of bills (package ledger). One that cannot be decoded hides no other.
 func (c *Client) Journals(ctx context.Context) ([]ledger.Snapshot, error) {
 	pairs, err := c.List(ctx, ledger.KeyPrefix)
 	if err != nil {
@@ -208,8 +209,10 @@
 	}
 	journals := make([]ledger.Snapshot, len(pairs))
 	for i, pair := range pairs {
-		if journals[i], err = ledger.Decode(pair.Data, strings.TrimPrefix(pair.Key, ledger.KeyPrefix)); err != nil {
-			return nil, err
+		name := strings.TrimPrefix(pair.Key, ledger.KeyPrefix)
+		if journals[i], err = ledger.Decode(pair.Data, name); err != nil {
+			slog.Error("a journal of bills cannot be read", "journal", name, "revision", pair.Revision, "error", err)
+			journals[i] = ledger.Snapshot{Journal: name, Unreadable: true}
 		}
 	}
 	return journals, nil
--- a/ledger/closer.go
+++ b/ledger/closer.go
@@ -103,9 +103,10 @@
 			slog.Warn("closed journals not archived", "error", err)
 		}
 		for _, a := range stored {
-			if a.Closed {
+			switch {
+			case a.Closed:
 				c.closed[a.Journal] = true
-			} else {
+			case !a.Unreadable:
 				names = append(names, a.Journal)
 			}
 		}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -100,6 +100,8 @@
 	// Skipped lists the latest sequences whose bill another claim has won. They
 	// are not counted in Totals.
 	Skipped []int64 `json:"skipped,omitempty"`
+	// Unreadable means that what is stored under the journal's name cannot be decoded. It is not stored itself.
+	Unreadable bool `json:"unreadable,omitempty"`
 	// Archived is set only in the archive. It lists the journals whose totals are
 	// included but which may still exist separately.
 	Archived []string `json:"absorbed,omitempty"`
