peer: a tunnel that is closed at once does not pass on what was given up

Change: the opener's half-close is a frame of its own, which earlier carriers pass over; the end of the stream closes all.

--- a/adapter/peer/tunnel.go
+++ b/adapter/peer/tunnel.go
@@ -42,7 +42,7 @@
 // frame is a part of what a connection carries, or its end.
 type frame struct {
 	data []byte
-	// end means that the server has closed its end after all data.
+	// end means that the sender, the server or the opener, has closed its end after all data.
 	end bool
 }
 
@@ -79,16 +79,14 @@
 			return stream.MsgSend(&tunnelReply{Refusal: errs.Kind(err)}, codec{})
 		}
 		defer conn.Close()
-		defer context.AfterFunc(stream.Context(), func() { _ = conn.Close() })()
 		if err := stream.MsgSend(&tunnelReply{}, codec{}); err != nil {
 			return err
 		}
 		received := make(chan struct{})
 		go func() {
 			defer close(received)
-			if err := receiveFrames(stream, conn); !errors.Is(err, io.EOF) || duplex.CloseWrite(conn) != nil {
-				_ = conn.Close()
-			}
+			defer conn.Close()
+			receiveFrames(stream, conn)
 		}()
 		if err := sendFrames(stream, conn); err != nil {
 			return err
@@ -98,19 +96,22 @@
 	}
 }
 
-// receiveFrames writes the received frames to a connection until the stream ends. It returns io.EOF if the opener has
-// closed its sending end. A server that takes no more may have responded before.
-func receiveFrames(stream drpc.Stream, conn net.Conn) error {
+// receiveFrames writes the received frames to a connection until the stream ends. A server that takes no more may have
+// responded before.
+func receiveFrames(stream drpc.Stream, conn net.Conn) {
 	taken := true
 	for {
 		var f frame
 		if err := stream.MsgRecv(&f, frameCodec{}); err != nil {
-			return err
+			return
 		}
 		if taken {
 			_, err := conn.Write(f.data)
 			taken = err == nil
 		}
+		if f.end {
+			_ = duplex.CloseWrite(conn) // if it cannot, the opener closes the connection later
+		}
 	}
 }
 
@@ -189,8 +190,9 @@
 	return written, nil
 }
 
-// CloseWrite closes the sending end. The carrier still writes what has been sent.
-func (t *tunnelConn) CloseWrite() error { return t.stream.CloseSend() }
+// CloseWrite closes the sending end. The carrier still writes what has been sent. Carriers of earlier versions keep their
+// connection open until Close.
+func (t *tunnelConn) CloseWrite() error { return t.stream.MsgSend(&frame{end: true}, frameCodec{}) }
 
 // Close ends the tunnel at once; the carrier closes its connection to the server.
 func (t *tunnelConn) Close() error {
--- a/adapter/peer/tunnel_test.go
+++ b/adapter/peer/tunnel_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/violettally/violettally/adapter/peer"
+	"github.com/violettally/violettally/internal/duplex"
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/rejection"
@@ -158,3 +159,63 @@
 	_, err := client.OpenTunnel(ctx, carrier, "server", "self")
 	must.True(t, errorx.IsOfType(err, peer.Unreachable), must.Sprint(err))
 }
+
+// recordedConn tells whether its sending end or all of it was closed first.
+type recordedConn struct {
+	*net.TCPConn
+	closed chan string
+}
+
+func (c recordedConn) CloseWrite() error {
+	c.closed <- "sending end"
+	return c.TCPConn.CloseWrite()
+}
+
+func (c recordedConn) Close() error {
+	select {
+	case c.closed <- "all":
+	default:
+	}
+	return c.TCPConn.Close()
+}
+
+// TestGivenUpRequestArrivesThroughCarrier checks that the carrier closes its connection at once if the tunnel is closed,
+// so that bytes of what was given up can be withheld, and only its sending end if the opener has closed that alone.
+func TestGivenUpRequestArrivesThroughCarrier(t *testing.T) {
+	for want, end := range map[string]func(net.Conn) error{
+		"all":         net.Conn.Close,
+		"sending end": duplex.CloseWrite,
+	} {
+		t.Run(want, func(t *testing.T) {
+			t.Parallel()
+			dial, accepted := listenServer(t)
+			closed := make(chan string, 1)
+			client, carrier := startCarrier(t, func() (net.Conn, error) {
+				conn, err := dial()
+				if err != nil {
+					return nil, err
+				}
+				return recordedConn{conn.(*net.TCPConn), closed}, nil
+			})
+			conn, err := client.OpenTunnel(t.Context(), carrier, "server", "self")
+			must.NoError(t, err)
+			server := <-accepted
+			_, err = io.WriteString(conn, "request")
+			must.NoError(t, err)
+			must.NoError(t, end(conn))
+			must.Eq(t, want, <-closed)
+			if want == "sending end" {
+				received, err := io.ReadAll(server)
+				must.NoError(t, err)
+				must.Eq(t, "request", string(received))
+				_, err = io.WriteString(server, "response")
+				must.NoError(t, err)
+				must.NoError(t, server.Close())
+				response, err := io.ReadAll(conn)
+				must.NoError(t, err)
+				must.Eq(t, "response", string(response))
+				must.NoError(t, conn.Close())
+			}
+		})
+	}
+}
