duplex: a test leaves its bubble when the read of a body that is under way has ended

The fault is the test's.

Change: the test waits, in the bubble's time, until that read has ended. Its assertions stay.

--- a/internal/duplex/duplex_test.go
+++ b/internal/duplex/duplex_test.go
@@ -170,6 +170,7 @@
 				}
 				must.NoError(t, response.Body.Close())
 				must.Error(t, <-s.err)
+				time.Sleep(2 * time.Second) // a read of the body that is under way ends in the bubble
 			})
 		})
 	}
