internal/hostport: one check of addresses that others have written

Change: hostport.Valid serves all three. What is taken and what is refused stays as it is.

Result: TestValid; TestServerEntryFaults, TestInvalidGatewayEntries and TestOddEntryHidesList, unchanged, pass with -race.

--- a/adapter/vmlist/vmlist.go
+++ b/adapter/vmlist/vmlist.go
@@ -15,10 +15,10 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/violettally/violettally/internal/hostport"
 	"github.com/violettally/violettally/internal/jsonlist"
 	"github.com/violettally/violettally/timer"
 )
@@ -139,11 +139,7 @@
 	if err := json.Unmarshal(entry, &v); err != nil || v.Name == "" {
 		return v, false // an error of another field leaves the name
 	}
-	if v.Peer == "" {
-		return v, true
-	}
-	address, err := netip.ParseAddrPort(v.Peer)
-	return v, err == nil && address.Port() != 0
+	return v, v.Peer == "" || hostport.Valid(v.Peer)
 }
 
 // Listed reports whether a VM is on the list. ok is false if that is not known
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -3,12 +3,12 @@
 import (
 	"encoding/json"
 	"log/slog"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/hostport"
 	"github.com/violettally/violettally/mirror"
 	"github.com/violettally/violettally/tree"
 	"github.com/violettally/violettally/view"
@@ -49,7 +49,7 @@
 		return entry{}, errs.New(InvalidEntry, "decode", "gateway %q of VM %q: a name is missing", e.ID, e.VM)
 	}
 	for _, address := range []string{e.Caller, e.Peer} {
-		if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
+		if !hostport.Valid(address) {
 			return entry{}, errs.New(InvalidEntry, "decode", "gateway %q of VM %q: invalid address %q", e.ID, e.VM, address)
 		}
 	}
