duplex: one name for what sockets take unread; no type of a dialer of its own

Cause: "32 KiB that a server's socket takes without its reading them" stood in package duplex and in platform's connections, which have to agree; duplex had a third name for a function that opens connections, and both clients converted to it.

Change: duplex.SocketBytes serves both; the dialer is a plain function type; relay's Discard asks FullyBuffered. Nothing behaves otherwise.

Result: the tests of duplex, platform, adapter/engine and relay, unchanged, pass with -race.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -130,7 +130,7 @@
 		MaxResponseHeaderBytes: responsehead.MaxBytes,
 	}
 	c.http = &http.Client{
-		Transport:     duplex.NewTransport(duplex.DialFunc(dial), short, responsehead.MaxBytes),
+		Transport:     duplex.NewTransport(dial, short, responsehead.MaxBytes),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c
--- a/internal/duplex/duplex.go
+++ b/internal/duplex/duplex.go
@@ -31,10 +31,11 @@
 	"time"
 )
 
+// SocketBytes is the number of bytes that the sockets of a connection take without the server's reading them. Longer
+// bodies are not left to the other RoundTripper.
+const SocketBytes = 32 << 10
+
 const (
-	// maxShortBody is the largest number of bytes of a body that is sent by the other RoundTripper: the sockets
-	// take so many without the server's reading them.
-	maxShortBody = 32 << 10
 	// maxSurplus is the number of bytes after a whole response that are read and discarded.
 	maxSurplus = 64 << 10
 	// defaultTimeout bounds requests without a deadline.
@@ -52,19 +53,16 @@
 	return errNoHalfClose
 }
 
-// DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Transport is an http.RoundTripper. It is safe for concurrent use.
 type Transport struct {
-	dial         DialFunc
+	dial         func(ctx context.Context, network, address string) (net.Conn, error)
 	short        http.RoundTripper
 	maxHeadBytes int64
 }
 
 // NewTransport returns a transport that opens connections with dial for requests with long bodies, and leaves the
 // others to short. A response's head may have maxHeadBytes.
-func NewTransport(dial DialFunc, short http.RoundTripper, maxHeadBytes int64) *Transport {
+func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error), short http.RoundTripper, maxHeadBytes int64) *Transport {
 	return &Transport{dial: dial, short: short, maxHeadBytes: maxHeadBytes}
 }
 
@@ -102,7 +100,7 @@
 	if request.Body == nil || request.Body == http.NoBody || request.URL.Scheme != "http" {
 		return false
 	}
-	return request.ContentLength <= 0 || request.ContentLength > maxShortBody
+	return request.ContentLength <= 0 || request.ContentLength > SocketBytes
 }
 
 // address returns the address of a request's server, with its port.
--- a/relay/body.go
+++ b/relay/body.go
@@ -78,7 +78,7 @@
 
 // Discard reads what is left of the body, and drops it. Attempts can no longer read the body.
 func (b *Body) Discard() error {
-	if b.rest == nil {
+	if b.FullyBuffered() {
 		return nil
 	}
 	b.reading.Lock()
