--- a/usage/schedules_test.go
+++ b/usage/schedules_test.go
@@ -72,6 +72,8 @@
 		n.stop()
 	}
 	time.Sleep(time.Minute)
+	w.mu.Lock() // calls that were lost may have ended unseen
+	defer w.mu.Unlock()
 	must.SliceEmpty(t, w.violations, must.Sprint(w.violations))
 	must.Positive(t, len(w.reports), must.Sprint("no window was reported"))
 }
@@ -418,6 +420,8 @@
 				time.Sleep(time.Minute)
 				n.stop()
 				time.Sleep(time.Minute)
+				w.mu.Lock()
+				defer w.mu.Unlock()
 				must.Positive(t, len(w.reports), must.Sprint("no window was reported"))
 			})
 		})
