sendonce, relay: what happens on connections to servers that lets a request run twice can be seen

What a decline came on, and what that connection had carried before, stood nowhere. New: the step 'declined' (status, when, on which connection, through whom); the events 'repeat' (a connection carries a request a second time), 'stray' (bytes before a request that they could answer), 'foreign' (an answer for another request) and 'resend' (so far a line of its own), each logged with the request and counted in violettally_server_connection_events_total.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -49,8 +49,9 @@
 	idleTimeout         = 30 * time.Second
 	maxIdleConnsPerHost = 64
 	// notRunHeader is set in the response of a server that did not run the request.
-	notRunHeader = "X-Not-Run"
-	streamHeader = "X-Stream-Id"
+	notRunHeader    = "X-Not-Run"
+	streamHeader    = "X-Stream-Id"
+	requestIDHeader = "X-Request-Id"
 	// requestLimitHeader is the number of requests a second that a server in need takes from all
 	// nodes together. Load reports don't count, and responses without it end the limit.
 	requestLimitHeader = "X-Request-Limit"
@@ -72,6 +73,7 @@
 	dial             func(ctx context.Context, network, address string) (net.Conn, error)
 	maxResponseBytes int64
 	observer         Observer
+	observeConn      func(sendonce.Event)
 }
 
 // Option configures a Client in New.
@@ -102,6 +104,11 @@
 	return func(c *Client) { c.dial = dial }
 }
 
+// WithConnObserver sets a function that is told of events on connections.
+func WithConnObserver(observe func(sendonce.Event)) Option {
+	return func(c *Client) { c.observeConn = observe }
+}
+
 // DialServer opens a connection to a server.
 func DialServer(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -120,7 +127,7 @@
 	for _, option := range options {
 		option(c)
 	}
-	dial := sendonce.Dialer(c.dial)
+	dial := sendonce.Dialer(c.dial, c.observeConn)
 	short := &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
@@ -150,7 +157,7 @@
 		return nil, errs.Wrap(dispatch.NotRun, "complete", err, "server %s", server.Name)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("X-Request-Id", call.RequestID)
+	request.Header.Set(requestIDHeader, call.RequestID)
 	request.Header.Set("X-Priority", call.Priority.String())
 	response, err := c.send(request, server)
 	if err != nil {
@@ -231,7 +238,7 @@
 			carrier = conn.Carrier()
 		}
 	}}
-	ctx, head := responsehead.Watch(httptrace.WithClientTrace(sendonce.Watch(request.Context()), trace))
+	ctx, head := responsehead.Watch(httptrace.WithClientTrace(sendonce.Watch(request.Context(), request.Header.Get(requestIDHeader)), trace))
 	response, err := c.http.Do(request.WithContext(ctx))
 	head.End()
 	if err != nil {
@@ -334,7 +341,7 @@
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
-	request.Header.Set("X-Request-Id", call.RequestID)
+	request.Header.Set(requestIDHeader, call.RequestID)
 	response, err := c.send(request, server)
 	if err != nil {
 		return dispatch.ServiceResponse{}, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -234,7 +234,7 @@
 		tunnel.WithIdleCloser(func(drop func(net.Conn) bool) { g.backends.CloseIdleIf(drop) }),
 		tunnel.WithObserver(g.metrics.ServerDialed),
 		tunnel.WithPathObserver(g.recordPath))
-	g.backends = platform.NewBackendClient(platform.WithDialer(g.dialer.DialContext))
+	g.backends = platform.NewBackendClient(platform.WithDialer(g.dialer.DialContext), platform.WithConnObserver(g.metrics.ConnEvent))
 	g.carrier = tunnel.NewCarrier(g.dialer, g.hasServerAt, func() bool { return !g.leaving.Load() }, tunnel.WithWithheld(g.isWithheldAt))
 }
 
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -55,10 +55,10 @@
 				}
 				inner, err := new(net.Dialer).DialContext(ctx, network, address)
 				return brokenConn{inner, broken}, err
-			})}
+			}, nil)}
 			defer transport.CloseIdleConnections()
 			get := func() error {
-				q, err := http.NewRequestWithContext(sendonce.Watch(t.Context()), http.MethodGet, server.URL, nil)
+				q, err := http.NewRequestWithContext(sendonce.Watch(t.Context(), ""), http.MethodGet, server.URL, nil)
 				must.NoError(t, err)
 				response, err := transport.RoundTrip(q)
 				if err == nil {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -24,6 +24,7 @@
 	"github.com/violettally/violettally/claim"
 	"github.com/violettally/violettally/dispatch"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/sendonce"
 	"github.com/violettally/violettally/ledger"
 	"github.com/violettally/violettally/member"
 	"github.com/violettally/violettally/mirror"
@@ -61,6 +62,7 @@
 	limitChanges    metric.Int64Counter
 	limitedSends    metric.Int64Counter
 	serverDials     metric.Int64Counter
+	connEvents      metric.Int64Counter
 
 	rejectionLimitChanges        metric.Int64Counter
 	serviceRejectionLimitChanges metric.Int64Counter
@@ -131,6 +133,7 @@
 		{&m.rests, "violettally_server_rests", "Rests that backend servers want of this node, by change and source."},
 		{&m.serverRejections, "violettally_server_rejections", "Requests that backend servers with a rejection limit rejected."},
 		{&m.serverDials, "violettally_server_connections", "Connections to backend servers that were to be opened, by way and outcome."},
+		{&m.connEvents, "violettally_server_connection_events", "Events on connections to backend servers that let requests run twice, by event."},
 		{&m.breakersOpened, "violettally_breakers_opened", "Backend servers taken out after failures."},
 	}
 	for _, c := range counters {
@@ -277,6 +280,11 @@
 	add(m.serverDials, 1, attribute.String("way", w.String()), attribute.String("outcome", o.String()))
 }
 
+// ConnEvent counts an event on a connection to a backend server.
+func (m *Metrics) ConnEvent(e sendonce.Event) {
+	add(m.connEvents, 1, attribute.String("event", e.String()))
+}
+
 // ServerRejected counts a request that a server with a rejection limit rejected.
 func (m *Metrics) ServerRejected() { add(m.serverRejections, 1) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -222,7 +222,8 @@
 	n.limits = newServerLimits(n)
 	n.viewManager.Subscribe(n.limits.setView)
 	n.initConnections()
-	n.engines = engine.New(engine.WithDialer(n.dialer.DialContext), engine.WithMaxResponseBytes(s.Bounds.ResponseBytes), engine.WithObserver(n.limits))
+	n.engines = engine.New(engine.WithDialer(n.dialer.DialContext), engine.WithMaxResponseBytes(s.Bounds.ResponseBytes), engine.WithObserver(n.limits),
+		engine.WithConnObserver(n.metrics.ConnEvent))
 	chooser := route.New(n.self.ID,
 		route.WithLeaving(n.vms.Leaving),
 		route.WithNodes(n.viewNodes),
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -53,6 +53,8 @@
 		// The response may come from another server, at the address of one that has ended, so
 		// it is not reported as progress.
 		assignment.End(route.OutcomeDeclined)
+		x.record.AddStep("declined", "by %s with %d after %d ms, on a connection opened %d ms before, carried by %q", assignment.Server().ID,
+			resp.Status(), time.Since(sent).Milliseconds(), time.Since(x.connection.opened).Milliseconds(), x.connection.carrier)
 		return &failure{reason: ReasonDeclined, retryAfter: resp.RetryAfter(), cause: http.StatusText(resp.Status())}
 	}
 	x.reportProgress(assignment, sent)
