--- a/adapter/peer/export_test.go
+++ b/adapter/peer/export_test.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"net"
+
 	"github.com/klauspost/compress/zstd"
+	"storj.io/drpc"
 
 	"github.com/violettally/violettally/mirror"
 )
@@ -52,3 +55,8 @@
 	}
 	return w.EncodeAll(data, nil)
 }
+
+// NewTunnelConn returns this node's end of a tunnel on a stream.
+func NewTunnelConn(stream drpc.Stream) net.Conn {
+	return &tunnelConn{stream: stream, cancel: func() {}, remote: "server"}
+}
--- a/adapter/peer/tunnel_test.go
+++ b/adapter/peer/tunnel_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/shoenig/test/must"
+	"storj.io/drpc"
 
 	"github.com/violettally/violettally/adapter/peer"
 	"github.com/violettally/violettally/internal/duplex"
@@ -219,3 +220,35 @@
 		})
 	}
 }
+
+// failingStream passes messages on, and then fails.
+type failingStream struct {
+	drpc.Stream
+	ctx  context.Context
+	sent int
+}
+
+func (s *failingStream) Context() context.Context { return s.ctx }
+
+func (s *failingStream) MsgSend(drpc.Message, drpc.Encoding) error {
+	s.sent++
+	return errors.New("canceled after the frame went out")
+}
+
+// TestSentFrameLooksUnwritten checks that a write that fails counts as nothing written only if the tunnel had ended before:
+// what may have gone out must not be sent again.
+func TestSentFrameLooksUnwritten(t *testing.T) {
+	t.Parallel()
+	stream := &failingStream{ctx: t.Context()}
+	n, err := peer.NewTunnelConn(stream).Write([]byte("request"))
+	must.Error(t, err)
+	must.Eq(t, 1, stream.sent)
+	must.Positive(t, n)
+	ended, end := context.WithCancel(t.Context())
+	end()
+	stream = &failingStream{ctx: ended}
+	n, err = peer.NewTunnelConn(stream).Write([]byte("request"))
+	must.Error(t, err)
+	must.Eq(t, 0, stream.sent)
+	must.Eq(t, 0, n)
+}
