sendonce: a connection carries each request once

Cause: an answer is matched by the request's ID, and one kept connection carried the same ID twice. A server that has started again at its address declines what is for its earlier lifetime; the new lifetime becomes known, and the request goes to it on the connection that has just carried the decline. A second, late decline is taken for the answer to the second send, which runs. The class: a call's outcome is matched by something that does not name the one send it belongs to.

Change: a connection refuses a request that it has carried before, so that connection and ID together name one send; it remembers all that it carries, 256 at most, and is closed then. Bytes that come before a request is written retire the connection: they can answer none that is still to come. A response that comes although nothing was written is no response. Closing each connection after a decline would be simpler, but costs a new connection for each, at servers that decline because they are full.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -238,7 +238,8 @@
 			carrier = conn.Carrier()
 		}
 	}}
-	ctx, head := responsehead.Watch(httptrace.WithClientTrace(sendonce.Watch(request.Context(), request.Header.Get(requestIDHeader)), trace))
+	ctx, _ := sendonce.Watch(request.Context(), request.Header.Get(requestIDHeader))
+	ctx, head := responsehead.Watch(httptrace.WithClientTrace(ctx, trace))
 	response, err := c.http.Do(request.WithContext(ctx))
 	head.End()
 	if err != nil {
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -6,10 +6,19 @@
 // another connection may have written a byte. A request of which nothing was written is still sent on
 // another connection.
 //
+// A request that was declined may be sent again to the same address, where another server may run by then. Servers may
+// answer twice, the second time late, and an answer names its request, not the send that it belongs to. A
+// connection therefore also refuses a request that it has carried before, and every request once it has
+// received bytes that no request could have asked for.
+//
 // # Usage
 //
 //	transport := &http.Transport{DialContext: sendonce.Dialer(dial, observe)}
-//	response, err := transport.RoundTrip(request.WithContext(sendonce.Watch(ctx, id)))
+//	ctx, send := sendonce.Watch(ctx, id)
+//	response, err := transport.RoundTrip(request.WithContext(ctx))
+//	if send.Refused() {
+//		… // nothing was written, so a response is not this request's
+//	}
 package sendonce
 
 import (
@@ -27,7 +36,7 @@
 
 //go:generate go tool enumer -type=Event -trimprefix=Event -transform=snake -output=sendonce_enumer.go
 
-// Event is something about a connection that lets a request run twice.
+// Event is something about a connection that could let a request run twice.
 type Event int
 
 // The events.
@@ -42,61 +51,81 @@
 	EventForeign
 )
 
-// ErrSent is returned by Write for a request of which another connection may have written a part.
-var ErrSent = errors.New("the request has already been sent on another connection")
+var (
+	// ErrSent is returned by Write for a request of which another connection may have written a part.
+	ErrSent = errors.New("the request has already been sent on another connection")
+	// ErrUnfit is returned by Write if an answer on the connection could belong to another send.
+	ErrUnfit = errors.New("the connection is unfit for the request")
+)
 
-// maxCarried is the number of requests that are remembered for a connection, the latest ones.
+// maxCarried is the number of requests that a connection carries. All of them are remembered.
 const maxCarried = 256
 
-// request is one request that is to be sent once. It is safe for concurrent use.
-type request struct {
+// Send is one send of a request. It is safe for concurrent use.
+type Send struct {
 	id string
 
 	mu sync.Mutex
 	// conn is the connection that may have written a part of the request; nil for none.
 	conn *Conn
+	// refused means that a connection was unfit.
+	refused bool
+}
+
+// Refused reports whether nothing was written because connections were unfit for the request.
+func (s *Send) Refused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused && s.conn == nil
 }
 
 // begin returns ErrSent if a connection other than the given one may have written a part of the request.
 // Otherwise the given one counts as such until end.
-func (r *request) begin(c *Conn) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.conn != nil && r.conn != c {
+func (s *Send) begin(c *Conn) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil && s.conn != c {
 		return ErrSent
 	}
-	r.conn = c
+	s.conn = c
 	return nil
 }
 
 // end is called after the first write of the request on a connection, with the number of bytes that were
 // written. If there were none, another connection may write it.
-func (r *request) end(written int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (s *Send) end(written int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if written == 0 {
-		r.conn = nil
+		s.conn = nil
 	}
 }
 
-// Watch returns a context for one send of a request to a transport whose connections are from [Dialer]. Answers name
-// the request by its ID; "" if they don't.
-func Watch(ctx context.Context, id string) context.Context {
-	r := &request{id: id}
+// refuse records that a connection is unfit for the request.
+func (s *Send) refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = true
+}
+
+// Watch returns a context for one send of a request to a transport whose connections are from [Dialer]. The ID is that by
+// which answers name the request; "" if they don't.
+func Watch(ctx context.Context, id string) (context.Context, *Send) {
+	s := &Send{id: id}
 	var conn *Conn
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*Conn); ok {
 				conn = c
-				c.use(r)
+				c.use(s)
 			}
 		},
 		PutIdleConn: func(err error) {
 			if err == nil && conn != nil {
-				conn.rest(r)
+				conn.rest(s)
 			}
 		},
-	})
+	}), s
 }
 
 // DialFunc opens a connection.
@@ -119,12 +148,13 @@
 	observe func(Event)
 
 	mu sync.Mutex
-	// request is the one that uses the connection, nil while it is idle; begun means that it has been written to some
-	// part.
-	request *request
-	begun   bool
-	// carried holds the hashes of the IDs of the latest requests.
+	// send is the one that uses the connection, nil while it is idle; begun means that it is being written, or has been.
+	send  *Send
+	begun bool
+	// carried holds the hashes of the IDs of the requests that were written.
 	carried []uint64
+	// retired means that no further request is written.
+	retired bool
 }
 
 // NetConn returns the connection that dial opened.
@@ -133,27 +163,43 @@
 // CloseWrite closes the sending end of the connection.
 func (c *Conn) CloseWrite() error { return duplex.CloseWrite(c.Conn) }
 
-// use records that a request uses the connection from now on.
-func (c *Conn) use(r *request) {
+// Retire makes the connection unfit for further requests, and reports whether it was before. The one that uses it goes
+// on.
+func (c *Conn) Retire() (before bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request, c.begun = r, false
+	before, c.retired = c.retired, true
+	return before
 }
 
-// rest records that the connection is idle, unless another request uses it already.
-func (c *Conn) rest(r *request) {
+// use records that a send uses the connection from now on.
+func (c *Conn) use(s *Send) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.request == r {
-		c.request, c.begun = nil, false
+	c.send, c.begun = s, false
+}
+
+// rest records that the connection is idle, unless another send uses it already, and closes it if it is of no more use.
+func (c *Conn) rest(s *Send) {
+	c.mu.Lock()
+	idle := c.send == s
+	if idle {
+		c.send, c.begun = nil, false
+	}
+	unfit := c.retired || len(c.carried) >= maxCarried
+	c.mu.Unlock()
+	if idle && unfit {
+		_ = c.Conn.Close() // the transport notices
 	}
 }
 
-// Read reads from the connection, and notices what comes before a request that it could answer.
+// Read reads from the connection. It retires a connection that receives something before a request is written that
+// could have asked for it.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	stray := n > 0 && !c.begun
+	c.retired = c.retired || stray
 	c.mu.Unlock()
 	if stray {
 		c.report(EventStray, "")
@@ -161,47 +207,56 @@
 	return n, err
 }
 
-// Write writes to the connection, unless the request may have been sent on another one.
+// Write writes to the connection, unless the request may have been sent on another one or the connection is unfit for
+// it.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	r, begun := c.request, c.begun
-	c.begun = r != nil
+	s, begun := c.send, c.begun
 	c.mu.Unlock()
-	if r == nil || begun {
+	switch {
+	case begun:
 		return c.Conn.Write(p)
+	case s == nil:
+		return 0, ErrUnfit
 	}
-	if err := r.begin(c); err != nil {
-		c.report(EventResend, r.id)
+	if err := s.begin(c); err != nil {
+		c.report(EventResend, s.id)
 		return 0, err
 	}
-	if c.carry(r.id) {
-		c.report(EventRepeat, r.id)
+	n, err := 0, c.carry(s.id)
+	if err == nil {
+		n, err = c.Conn.Write(p)
+	} else {
+		s.refuse()
+	}
+	s.end(n)
+	if n == 0 {
+		c.use(s)
 	}
-	n, err := c.Conn.Write(p)
-	r.end(n)
-	c.mu.Lock()
-	c.begun = n > 0
-	c.mu.Unlock()
 	return n, err
 }
 
 // idSeed is the seed of the hashes of IDs.
 var idSeed = maphash.MakeSeed()
 
-// carry records that the connection carries the request with an ID, and reports whether it has done so before.
-func (c *Conn) carry(id string) (before bool) {
-	if id == "" {
-		return false
-	}
+// carry records that the connection begins to write the request with an ID, or returns ErrUnfit.
+func (c *Conn) carry(id string) error {
 	hash := maphash.String(idSeed, id)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	before = slices.Contains(c.carried, hash)
-	if len(c.carried) == maxCarried {
-		c.carried = slices.Delete(c.carried, 0, 1)
+	repeat := id != "" && slices.Contains(c.carried, hash)
+	unfit := repeat || c.retired || len(c.carried) >= maxCarried
+	if id != "" && !unfit {
+		c.carried = append(c.carried, hash)
 	}
-	c.carried = append(c.carried, hash)
-	return before
+	c.begun = !unfit
+	c.mu.Unlock()
+	if repeat {
+		c.report(EventRepeat, id)
+	}
+	if unfit {
+		return ErrUnfit
+	}
+	return nil
 }
 
 // report logs an event, with the ID of the request, and tells of it.
