adapter/engine: a decline ends its connection, orders have one of their own

A late second 409 was taken for the answer to the next order.

Change: a connection that has carried a decline carries nothing more, and a decline on such a connection counts as no answer (the request may have run). An order has a connection of its own. A response that comes although nothing was written is no response.

Left: a whole second answer that is no decline and comes after the next call was written is taken for that call's; nothing in those answers tells them apart.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -69,7 +69,9 @@
 
 // Client is a client of backend servers. It is safe for concurrent use.
 type Client struct {
-	http             *http.Client
+	http *http.Client
+	// orders opens a connection for each request: an answer to an order names none.
+	orders           *http.Client
 	dial             func(ctx context.Context, network, address string) (net.Conn, error)
 	maxResponseBytes int64
 	observer         Observer
@@ -136,11 +138,19 @@
 
 		MaxResponseHeaderBytes: responsehead.MaxBytes,
 	}
-	c.http = &http.Client{
-		Transport:     duplex.NewTransport(dial, short, responsehead.MaxBytes),
+	c.http = newHTTPClient(duplex.NewTransport(dial, short, responsehead.MaxBytes))
+	c.orders = newHTTPClient(&http.Transport{
+		DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: responsehead.MaxBytes,
+	})
+	return c
+}
+
+// newHTTPClient returns a client that follows no redirects.
+func newHTTPClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return c
 }
 
 // CloseIdle closes the idle connections to all servers.
@@ -207,46 +217,66 @@
 
 // send sends a request and classifies its errors by whether it may have run.
 func (c *Client) send(request *http.Request, server config.Server) (*http.Response, error) {
-	response, answer, err := c.do(request)
+	response, err := do(c.http, request)
 	if err != nil {
 		kind := dispatch.Failed
 		switch {
 		case errs.IsOfType(err, tunnel.NoWay):
 			kind = dispatch.NoWay
-		case isDialError(err):
+		case isDialError(err), errors.Is(err, errUnasked):
 			kind = dispatch.NotRun
 		}
 		return nil, errs.Wrap(kind, "send", err, "server %s", server.Name)
 	}
-	c.observer.Noticed(server, answer)
+	c.observer.Noticed(server, response.answer)
 	if response.Header.Get(notRunHeader) != "" {
 		defer response.Body.Close()
+		// The answer names no request, and a second one may follow.
+		if response.conn.Retire() {
+			return nil, errs.New(dispatch.Failed, "send", "server %s answered %d, perhaps to an earlier request", server.Name, response.StatusCode)
+		}
 		if response.StatusCode == http.StatusServiceUnavailable {
 			c.observer.Rejected(server)
 		}
 		return nil, errs.Wrap(dispatch.NotRun, "send", dispatch.ErrDeclined, "server %s answered %d", server.Name, response.StatusCode)
 	}
-	return response, nil
+	return response.Response, nil
+}
+
+// exchange is a response, what it says of its server, and the connection that it came on.
+type exchange struct {
+	*http.Response
+	answer notice.Answer
+	conn   *sendonce.Conn
 }
 
-// do sends a request, and also returns what the response says of its server.
-func (c *Client) do(request *http.Request) (*http.Response, notice.Answer, error) {
+// errUnasked means that a response came although nothing had been sent.
+var errUnasked = errors.New("the response is for an earlier request")
+
+// do sends a request by one of the HTTP clients.
+func do(client *http.Client, request *http.Request) (*exchange, error) {
 	began := time.Now()
-	carrier := ""
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*sendonce.Conn).NetConn().(*tunnel.Conn); ok {
-			carrier = conn.Carrier()
-		}
-	}}
-	ctx, _ := sendonce.Watch(request.Context(), request.Header.Get(requestIDHeader))
-	ctx, head := responsehead.Watch(httptrace.WithClientTrace(ctx, trace))
-	response, err := c.http.Do(request.WithContext(ctx))
+	x := new(exchange)
+	ctx, sent := sendonce.Watch(request.Context(), request.Header.Get(requestIDHeader))
+	ctx, head := responsehead.Watch(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		x.conn = info.Conn.(*sendonce.Conn)
+	}}))
+	response, err := client.Do(request.WithContext(ctx))
 	head.End()
+	if err == nil && sent.Refused() {
+		response.Body.Close()
+		err = errUnasked
+	}
 	if err != nil {
 		head.Cancel()
-		return nil, notice.Answer{}, err
+		return nil, err
+	}
+	x.Response = response
+	x.answer = notice.Answer{Notices: noticeHeaders.Decode(response), SentAgo: time.Since(began)}
+	if conn, ok := x.conn.NetConn().(*tunnel.Conn); ok {
+		x.answer.Carrier = conn.Carrier()
 	}
-	return response, notice.Answer{Notices: noticeHeaders.Decode(response), SentAgo: time.Since(began), Carrier: carrier}, nil
+	return x, nil
 }
 
 // isDialError reports whether no connection was made.
@@ -373,13 +403,13 @@
 	if err != nil {
 		return route.Report{}, err
 	}
-	response, answer, err := c.do(request)
+	response, err := do(c.http, request)
 	if err != nil {
 		return route.Report{}, err
 	}
 	defer response.Body.Close()
-	answer.Probe = true
-	c.observer.Noticed(server, answer)
+	response.answer.Probe = true
+	c.observer.Noticed(server, response.answer)
 	var in struct {
 		Running   int      `json:"running"`
 		Waiting   int      `json:"waiting"`
@@ -412,7 +442,7 @@
 	if err != nil {
 		return err
 	}
-	response, _, err := c.do(request)
+	response, err := do(c.orders, request)
 	if err != nil {
 		return err
 	}
--- a/adapter/engine/second_answer_test.go
+++ b/adapter/engine/second_answer_test.go
@@ -13,6 +13,7 @@
 	"github.com/violettally/violettally/config"
 	"github.com/violettally/violettally/dispatch"
 	"github.com/violettally/violettally/internal/standin"
+	"github.com/violettally/violettally/placement"
 )
 
 // TestSecondDeclineTakenForAnswer lets a server decline a call, and decline it a second time, late: the next call, which the
@@ -21,24 +22,20 @@
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		for _, body := range []string{"", "data"} {
 			var ran atomic.Int32
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			must.NoError(t, err)
-			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			url := serveSecondAnswers(t, func(w http.ResponseWriter, q *http.Request) {
 				if q.URL.Path == "/declined" {
 					w.Header().Set("X-Not-Run", "true")
 					w.WriteHeader(http.StatusServiceUnavailable)
 					return
 				}
 				ran.Add(1)
-			})}
-			go func() { _ = server.Serve(standin.SecondAnswers{Listener: listener}) }()
-			t.Cleanup(func() { _ = server.Close() })
+			})
 			client := engine.New()
 			call := func(path string) (dispatch.ServiceResponse, error) {
-				return client.Call(t.Context(), config.Server{Name: "s", URL: "http://" + listener.Addr().String()},
+				return client.Call(t.Context(), config.Server{Name: "s", URL: url},
 					dispatch.ServiceCall{RequestID: "id of " + path, Method: method, Path: path, Body: []byte(body)})
 			}
-			_, err = call("/declined")
+			_, err := call("/declined")
 			must.True(t, errorx.IsOfType(err, dispatch.NotRun))
 			response, err := call("/run")
 			must.NoError(t, err)
@@ -47,3 +44,31 @@
 		}
 	}
 }
+
+// TestSecondAnswerTakenForOrder lets an engine refuse an order twice, the second time late: the next order, which it accepts,
+// must not look refused.
+func TestSecondAnswerTakenForOrder(t *testing.T) {
+	var orders atomic.Int32
+	url := serveSecondAnswers(t, func(w http.ResponseWriter, _ *http.Request) {
+		if orders.Add(1) == 1 {
+			w.Header().Set("X-Not-Run", "true")
+			w.WriteHeader(http.StatusConflict)
+		}
+	})
+	client := engine.New()
+	order := placement.Order{Server: config.Server{Name: "s", URL: url}, Model: "m"}
+	must.Error(t, client.Order(t.Context(), order, 1))
+	must.NoError(t, client.Order(t.Context(), order, 2))
+	must.Eq(t, 2, orders.Load())
+}
+
+// serveSecondAnswers runs a handler that answers the requests that it declines twice, and returns its URL.
+func serveSecondAnswers(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(standin.SecondAnswers{Listener: listener}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return "http://" + listener.Addr().String()
+}
