peer: a frame that may have gone out through a tunnel counts as written

A tunnel's Write said that nothing was written whenever sending a frame failed. drpc may report a failure after the frame went out, as when the tunnel is closed meanwhile; net/http then sends a request without a body again, and sendonce let it.

Change: such a frame counts as written, so that the request is not sent again; nothing counts as written once the tunnel was known to have ended before.

--- a/adapter/peer/tunnel.go
+++ b/adapter/peer/tunnel.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc"
@@ -155,8 +156,10 @@
 	cancel context.CancelFunc
 	remote tunnelAddr
 	// unread is what is left of the last frame, ended means that the last one was received.
-	unread    []byte
-	ended     bool
+	unread []byte
+	ended  bool
+	// broken means that Read has met the end of the stream.
+	broken    atomic.Bool
 	closeOnce sync.Once
 }
 
@@ -168,6 +171,7 @@
 		}
 		var f frame
 		if err := t.stream.MsgRecv(&f, frameCodec{}); err != nil {
+			t.broken.Store(true)
 			return 0, errs.Wrap(Unreachable, callTunnel, err, "tunnel to %s broke", t.remote)
 		}
 		t.unread, t.ended = f.data, f.end
@@ -177,13 +181,17 @@
 	return n, nil
 }
 
-// Write sends all of p.
+// Write sends all of p. A frame whose sending fails counts as written, since it may have gone out, unless the tunnel had
+// ended before.
 func (t *tunnelConn) Write(p []byte) (int, error) {
 	written := 0
 	for written < len(p) {
 		part := p[written:min(len(p), written+maxFrameBytes)]
+		if t.broken.Load() || t.stream.Context().Err() != nil {
+			return written, errs.New(Unreachable, callTunnel, "tunnel to %s has ended", t.remote)
+		}
 		if err := t.stream.MsgSend(&frame{data: part}, frameCodec{}); err != nil {
-			return written, errs.Wrap(Unreachable, callTunnel, err, "tunnel to %s broke", t.remote)
+			return written + len(part), errs.Wrap(Unreachable, callTunnel, err, "tunnel to %s broke", t.remote)
 		}
 		written += len(part)
 	}
--- a/adapter/peer/tunnel_test.go
+++ b/adapter/peer/tunnel_test.go
@@ -252,3 +252,16 @@
 	must.Eq(t, 0, stream.sent)
 	must.Eq(t, 0, n)
 }
+
+// TestEndedTunnelLooksWritten checks that nothing counts as written to a tunnel that the carrier has ended.
+func TestEndedTunnelLooksWritten(t *testing.T) {
+	t.Parallel()
+	conn, server := openTunnel(t)
+	must.NoError(t, server.SetLinger(0))
+	must.NoError(t, server.Close())
+	_, err := conn.Read(make([]byte, 1))
+	must.Error(t, err)
+	n, err := conn.Write([]byte("request"))
+	must.Error(t, err)
+	must.Eq(t, 0, n)
+}
