--- a/internal/standin/second_answer.go
+++ b/internal/standin/second_answer.go
@@ -5,13 +5,12 @@
 	"net"
 )
 
-// SecondAnswers is a listener for a server that answers each request that it declines twice: the second answer comes
-// late, in the place of the next answer on the connection. The whole first one must have been written at once, as
-// net/http does.
+// SecondAnswers is a listener for a server that gives some answers twice: the second one comes late, in the place of the
+// next answer on the connection. The whole first one must have been written at once, as net/http does with short ones.
 type SecondAnswers struct {
 	net.Listener
-	// Active reports whether the server behaves so now; nil means always.
-	Active func() bool
+	// Twice reports whether an answer is given twice; nil means [IsDecline].
+	Twice func(answer []byte) bool
 }
 
 // Accept accepts a connection.
@@ -20,13 +19,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &secondAnswerConn{Conn: conn, active: l.Active}, nil
+	c := &secondAnswerConn{Conn: conn, twice: l.Twice}
+	if c.twice == nil {
+		c.twice = IsDecline
+	}
+	return c, nil
 }
 
 // secondAnswerConn is a connection of SecondAnswers. net/http writes to it from one goroutine at a time.
 type secondAnswerConn struct {
 	net.Conn
-	active func() bool
+	twice func(answer []byte) bool
 	// second is the second answer that is due before the next one; nil for none.
 	second []byte
 }
@@ -39,14 +42,14 @@
 		}
 		c.second = nil
 	}
-	if declines(p) && (c.active == nil || c.active()) {
+	if c.twice(p) {
 		c.second = bytes.Clone(p)
 	}
 	return c.Conn.Write(p)
 }
 
-// declines reports whether a server that writes these bytes declines a request.
-func declines(answer []byte) bool {
+// IsDecline reports whether an answer says that the request has not run.
+func IsDecline(answer []byte) bool {
 	head, _, _ := bytes.Cut(answer, []byte("\r\n\r\n"))
 	return bytes.HasPrefix(head, []byte("HTTP/1.1 421 ")) || bytes.Contains(head, []byte("X-Not-Run:"))
 }
