relay: a long request of which nothing was sent is sent again

What callers saw: 503 (overtaken, also declined) for a request with a body of more than 256 KiB, at once, though a server was there and nothing had been sent.

Cause: a body that is not buffered as a whole counted as sent once an attempt had made a reader of it. Where the choice of the server went out of date while a connection was opened, or a server declined before it had read on, the request could not be sent again, although what had been read was still in memory.

Change: such a body counts as sent once an attempt has read beyond what is buffered. Of two attempts only the later one may; an earlier one, whose sender may still run, gets an error there.

TestLongRequestRefusedUnsent failed in 4 of its 6 cases on the code before, passes; TestBodyOfTwoAttempts is new.

--- a/relay/body.go
+++ b/relay/body.go
@@ -11,22 +11,24 @@
 // again. The rest of a longer body is streamed and can be sent only once.
 const maxBufferedBody = 256 << 10
 
-// errDiscarded fails the reads of an attempt after Discard.
-var errDiscarded = errors.New("the rest of the body is discarded")
+// errRestTaken fails the reads of an attempt after Discard, or once another attempt may read the rest of the body.
+var errRestTaken = errors.New("the rest of the body is not for this attempt")
 
 // Body is a request body. It must be used by one goroutine at a time, but an attempt may read it meanwhile.
 type Body struct {
 	prefix []byte
 	// length of the whole body; -1 if unknown.
 	length int64
-	sent   bool
 
 	// reading is held while rest is read.
-	reading   sync.Mutex
-	rest      io.Reader
-	discarded bool
+	reading sync.Mutex
+	rest    io.Reader
 
 	mu sync.Mutex
+	// current is the reader of the latest attempt, the only one that may read the rest; nil for none.
+	current *restReader
+	// restRead means that some of the rest may have been read.
+	restRead bool
 	// err is the error of reading the rest from the client.
 	err error
 }
@@ -53,20 +55,36 @@
 func (b *Body) Length() int64 { return b.length }
 
 // Replayable reports whether the body can be sent now: a fully buffered body always, any other
-// one only once.
-func (b *Body) Replayable() bool { return b.FullyBuffered() || !b.sent }
+// one until some of its rest has been read.
+func (b *Body) Replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.FullyBuffered() || !b.restRead
+}
 
 // FullyBuffered reports whether the whole body is in memory, so that it can be sent any number
 // of times.
 func (b *Body) FullyBuffered() bool { return b.rest == nil }
 
-// Reader returns a reader of the whole body for one attempt.
+// Rewind ends the reading of an attempt that is over, and reports whether the body can be sent again.
+func (b *Body) Rewind() bool {
+	b.mu.Lock()
+	b.current = nil
+	b.mu.Unlock()
+	return b.Replayable()
+}
+
+// Reader returns a reader of the whole body for one attempt. An earlier attempt can no longer read beyond what is
+// buffered.
 func (b *Body) Reader() io.Reader {
 	if b.rest == nil {
 		return bytes.NewReader(b.prefix)
 	}
-	b.sent = true
-	return io.MultiReader(bytes.NewReader(b.prefix), restReader{b})
+	rest := &restReader{body: b}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.current = rest
+	return io.MultiReader(bytes.NewReader(b.prefix), rest)
 }
 
 // Err returns the error of reading the body from the client, if any.
@@ -83,25 +101,45 @@
 	}
 	b.reading.Lock()
 	defer b.reading.Unlock()
-	b.discarded = true
+	b.mu.Lock()
+	b.current, b.restRead = nil, true
+	b.mu.Unlock()
 	_, err := io.Copy(io.Discard, b.rest)
 	return err
 }
 
-// restReader reads the part that is not buffered and keeps the error.
-type restReader struct{ b *Body }
+// restReader reads the part that is not buffered, for one attempt.
+type restReader struct {
+	body *Body
+	// began means that this attempt has read some of the rest.
+	began bool
+}
 
-func (r restReader) Read(p []byte) (int, error) {
-	r.b.reading.Lock()
-	defer r.b.reading.Unlock()
-	if r.b.discarded {
-		return 0, errDiscarded
+// Read reads from the rest and keeps the error.
+func (r *restReader) Read(p []byte) (int, error) {
+	b := r.body
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if !r.begin() {
+		return 0, errRestTaken
 	}
-	n, err := r.b.rest.Read(p)
+	n, err := b.rest.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
-		r.b.mu.Lock()
-		r.b.err = err
-		r.b.mu.Unlock()
+		b.mu.Lock()
+		b.err = err
+		b.mu.Unlock()
 	}
 	return n, err
 }
+
+// begin reports whether this attempt may read the rest from where it is now, and records that it does.
+func (r *restReader) begin() bool {
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.current != r || (b.restRead && !r.began) {
+		return false
+	}
+	r.began, b.restRead = true, true
+	return true
+}
--- a/relay/failure.go
+++ b/relay/failure.go
@@ -62,7 +62,7 @@
 		return refusalf(f.reason, 0, "the server gave no answer: %s", f.cause)
 	case !f.budgetTaken && !x.endsBeforeShutdown(): // a budgeted retry was checked when it took its budget
 		return x.shutdownRefusal(f.cause)
-	case x.sends >= maxSends, !x.request.Body.Replayable():
+	case x.sends >= maxSends, !x.request.Body.Rewind():
 		return x.finalRefusal(f)
 	case !f.budgetTaken && !x.relay.Budgets.Take(x.service, 0):
 		return x.finalRefusal(f)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// TestBodyOfTwoAttempts checks that of two attempts with a long body only the later one reads beyond what is buffered, and
+// that it gets all of the body or an error.
+func TestBodyOfTwoAttempts(t *testing.T) {
+	const size = 300 << 10
+	for _, earlierReads := range []int{0, 1000, 256 << 10, 256<<10 + 1} {
+		b, err := relay.NewBody(strings.NewReader(strings.Repeat("x", size)), -1)
+		must.NoError(t, err)
+		earlier := b.Reader()
+		_, err = io.CopyN(io.Discard, earlier, int64(earlierReads))
+		must.NoError(t, err)
+		restUnread := earlierReads <= 256<<10
+		must.Eq(t, restUnread, b.Rewind())
+		_, err = io.Copy(io.Discard, earlier)
+		must.Error(t, err)
+		later := b.Reader()
+		data, err := io.ReadAll(later)
+		must.Eq(t, restUnread, err == nil)
+		must.Eq(t, restUnread, len(data) == size)
+		must.False(t, b.Replayable())
+		must.NoError(t, b.Err())
+	}
+}
+
 // TestBodyReadError checks that a failure of the client is distinguished from one of the
 // server.
 func TestBodyReadError(t *testing.T) {
--- a/relay/stale_choice_test.go
+++ b/relay/stale_choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -13,12 +14,18 @@
 	"github.com/violettally/violettally/relay"
 )
 
+// TestLongRequestRefusedUnsent checks the same with a body too long to be buffered, of which nothing was sent.
+func TestLongRequestRefusedUnsent(t *testing.T) { testStaleChoice(t, 300<<10) }
+
 // TestStaleChoice checks that the choice of the server is verified before the first byte is
 // sent. Between the two, a dial may take a second or the process may not be scheduled;
 // meanwhile the server may leave or the store view may become too old, and the request was sent
 // nevertheless. It must go to another server or wait for a fresh view, without counting a
 // server as tried or a retry as used.
-func TestStaleChoice(t *testing.T) {
+func TestStaleChoice(t *testing.T) { testStaleChoice(t, 0) }
+
+// testStaleChoice sends requests with bodies of a size.
+func testStaleChoice(t *testing.T, size int) {
 	tests := []struct {
 		name string
 		// before sets the state when the request arrives; nil for a fresh view.
@@ -41,8 +48,10 @@
 				tt.before(l)
 			}
 			got := &recorder{}
+			body, err := relay.NewBody(strings.NewReader(strings.Repeat("x", size)), int64(size))
+			must.NoError(t, err)
 			serve(t, catalog.Route{Kind: catalog.KindOnce, Attempts: 1, Timeout: time.Second}, relay.Options{Servers: l, Throttle: l, StoreView: l, Backends: l, Budgets: noRetryBudget{}},
-				relay.Request{Body: emptyBody(t)}, got)
+				relay.Request{Body: body}, got)
 			must.Eq(t, 200, got.status, must.Sprint(got.refusal))
 			must.Eq(t, tt.sent, l.sent)
 		})
@@ -88,6 +97,7 @@
 }
 
 func (l *leavingServers) Send(_ context.Context, s registry.Server, call relay.Call) (relay.Response, error) {
+	body := call.Request.Body.Reader()
 	if l.calls++; l.calls == 1 {
 		l.beforeFirstByte(l)
 	}
@@ -95,6 +105,9 @@
 		return nil, relay.StaleChoice.New("nothing sent")
 	}
 	l.sent = append(l.sent, s.ID)
+	if n, err := io.Copy(io.Discard, body); err != nil || n != call.Request.Body.Length() {
+		return nil, relay.Failed.New("%d bytes of the body: %v", n, err)
+	}
 	return response{200, strings.NewReader("")}, nil
 }
 
