relay, adapter/engine: an answer is replaced only if no attempt still reads a long body; unsent calls say so

Read through; no caller had met either.

Cause: since a long body counts as unsent until its rest is read, a server's failure, or the answer of a smaller model, could be dropped while its attempt was still sending the body; the next attempt would then have found the rest taken. And a call of the product's own interface whose connection refused it, and that got no other, counted as one that may have run.

A call of which nothing was written for want of a fit connection is not run, whatever the transport returned.

Evidence: go test -race ./relay ./adapter/engine passed; no figure of callers changes, none was measured.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -223,7 +223,7 @@
 		switch {
 		case errs.IsOfType(err, tunnel.NoWay):
 			kind = dispatch.NoWay
-		case isDialError(err), errors.Is(err, errUnasked):
+		case isDialError(err), errors.Is(err, errUnsent):
 			kind = dispatch.NotRun
 		}
 		return nil, errs.Wrap(kind, "send", err, "server %s", server.Name)
@@ -250,8 +250,9 @@
 	conn   *sendonce.Conn
 }
 
-// errUnasked means that a response came although nothing had been sent.
-var errUnasked = errors.New("the response is for an earlier request")
+// errUnsent means that nothing was sent, since the kept connections were unfit for the request. A response that came is
+// for an earlier one.
+var errUnsent = errors.New("no connection was fit for the request")
 
 // do sends a request by one of the HTTP clients.
 func do(client *http.Client, request *http.Request) (*exchange, error) {
@@ -263,9 +264,11 @@
 	}}))
 	response, err := client.Do(request.WithContext(ctx))
 	head.End()
-	if err == nil && sent.Refused() {
-		response.Body.Close()
-		err = errUnasked
+	if sent.Refused() {
+		if err == nil {
+			response.Body.Close()
+		}
+		err = errUnsent
 	}
 	if err != nil {
 		head.Cancel()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -133,7 +133,7 @@
 		{&m.rests, "violettally_server_rests", "Rests that backend servers want of this node, by change and source."},
 		{&m.serverRejections, "violettally_server_rejections", "Requests that backend servers with a rejection limit rejected."},
 		{&m.serverDials, "violettally_server_connections", "Connections to backend servers that were to be opened, by way and outcome."},
-		{&m.connEvents, "violettally_server_connection_events", "Events on connections to backend servers that let requests run twice, by event."},
+		{&m.connEvents, "violettally_server_connection_events", "Events on connections to backend servers that could let requests run twice, by event."},
 		{&m.breakersOpened, "violettally_breakers_opened", "Backend servers taken out after failures."},
 	}
 	for _, c := range counters {
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -73,7 +73,7 @@
 		assignment.End(route.OutcomeNeutral)
 		return &failure{reason: ReasonServerFailed, ran: true, cause: "resumed stream: " + http.StatusText(resp.Status())}
 	}
-	if isServerError(resp) && x.mayRunAgain() && x.mayReplaceResponse() && x.relay.Budgets.Take(x.service, 0) {
+	if isServerError(resp) && x.mayRunBeside() && x.mayReplaceResponse() && x.relay.Budgets.Take(x.service, 0) {
 		assignment.End(route.OutcomeNeutral)
 		return &failure{reason: ReasonServerFailed, ran: true, budgetTaken: true, cause: http.StatusText(resp.Status())}
 	}
@@ -175,7 +175,7 @@
 // escalation returns the model to ask instead of one whose answer has too low a confidence.
 func (x *exchange) escalation(resp Response) (next int, ok bool) {
 	confidence, reported := resp.Confidence()
-	if !x.systemChooses() || !reported || resp.Status() != http.StatusOK || x.responseStarted || !x.mayRunAgain() {
+	if !x.systemChooses() || !reported || resp.Status() != http.StatusOK || x.responseStarted || !x.mayRunBeside() {
 		return 0, false
 	}
 	if x.requestsScarce() {
@@ -209,6 +209,9 @@
 	return next, true
 }
 
+// mayRunBeside is mayRunAgain while an attempt is still reading the body.
+func (x *exchange) mayRunBeside() bool { return x.request.Body.FullyBuffered() && x.mayRunAgain() }
+
 // mayRunAgain reports whether one more server may run the request now.
 func (x *exchange) mayRunAgain() bool {
 	return x.route.Repeatable() && x.runs < x.route.Attempts && time.Until(x.deadline) > minAttemptTime && x.request.Body.Replayable()
