sendonce: a retired connection that is idle is closed at once

Cause: a decline without a body has its connection back in the pool before the client can retire it. The connection stayed there, for up to 30 s on the product's own interface, and cost the next call a refused write and another try.

Change: to retire an idle connection closes it; the transport notices.

Evidence: go test -race -count=5 ./internal/sendonce ./adapter/engine passed, TestSecondDeclineTakenForAnswer among them; the try that is saved was not measured.

--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -163,12 +163,16 @@
 // CloseWrite closes the sending end of the connection.
 func (c *Conn) CloseWrite() error { return duplex.CloseWrite(c.Conn) }
 
-// Retire makes the connection unfit for further requests, and reports whether it was before. The one that uses it goes
-// on.
+// Retire makes the connection unfit for further requests, and reports whether it was before. It closes an idle one; a
+// send that uses it goes on.
 func (c *Conn) Retire() (before bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	before, c.retired = c.retired, true
+	idle := c.send == nil
+	c.mu.Unlock()
+	if idle {
+		_ = c.Conn.Close() // the transport notices
+	}
 	return before
 }
 
