sendonce: foreign answers are logged as the other events; a refusal returns at once

Read through. docs/OPERATIONS.md tells of a line 'connection to a server' for the event 'foreign', but the client counted the event itself and logged none; it also looked a second time whether there is an observer.

Change: a send reports the foreign answer on its own connection, as the other events are reported. A write that is refused returns before the write instead of passing its error along; what is written and refused is as before.

Evidence: go test -race -count=3 of sendonce, platform and adapter/engine, and platform/e2e TestSecondDeclineRanTwice and TestFaults, pass.

--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -47,7 +47,7 @@
 	EventRepeat
 	// EventStray: a connection has received bytes before a request was written that they could answer.
 	EventStray
-	// EventForeign: an answer named another request than the one that awaited it. The client tells of it.
+	// EventForeign: an answer named another request than the one that awaited it; see [Send.ReportForeign].
 	EventForeign
 )
 
@@ -101,11 +101,21 @@
 	}
 }
 
-// refuse records that a connection is unfit for the request.
+// refuse ends a write that has not begun, since the connection is unfit for the request.
 func (s *Send) refuse() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refused = true
+	s.conn, s.refused = nil, true
+}
+
+// ReportForeign reports that the answer that came named another request.
+func (s *Send) ReportForeign() {
+	s.mu.Lock()
+	conn := s.conn
+	s.mu.Unlock()
+	if conn != nil {
+		conn.report(EventForeign, s.id)
+	}
 }
 
 // Watch returns a context for one send of a request to a transport whose connections are from [Dialer]. The ID is that by
@@ -227,12 +237,11 @@
 		c.report(EventResend, s.id)
 		return 0, err
 	}
-	n, err := 0, c.carry(s.id)
-	if err == nil {
-		n, err = c.Conn.Write(p)
-	} else {
+	if err := c.carry(s.id); err != nil {
 		s.refuse()
+		return 0, err
 	}
+	n, err := c.Conn.Write(p)
 	s.end(n)
 	if n == 0 {
 		c.use(s)
