relay: one mark for the attempt that may read the rest of a body

Read through. Each reader of a long body kept whether it had begun the rest, beside the body's own mark of the same and the name of the latest reader.

Change: a reader that is made after some of the rest was read may not read it, which leaves one question: is this the reader that may. What attempts get is as before.

Evidence: go test -race -count=3 ./relay passes, TestBodyOfTwoAttempts and TestLongRequestRefusedUnsent unchanged among them; platform/e2e tests of long bodies pass.

--- a/relay/body.go
+++ b/relay/body.go
@@ -25,7 +25,7 @@
 	rest    io.Reader
 
 	mu sync.Mutex
-	// current is the reader of the latest attempt, the only one that may read the rest; nil for none.
+	// current is the reader of the attempt that may read the rest, the latest one; nil for none.
 	current *restReader
 	// restRead means that some of the rest may have been read.
 	restRead bool
@@ -83,7 +83,10 @@
 	rest := &restReader{body: b}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.current = rest
+	b.current = nil
+	if !b.restRead {
+		b.current = rest
+	}
 	return io.MultiReader(bytes.NewReader(b.prefix), rest)
 }
 
@@ -109,18 +112,14 @@
 }
 
 // restReader reads the part that is not buffered, for one attempt.
-type restReader struct {
-	body *Body
-	// began means that this attempt has read some of the rest.
-	began bool
-}
+type restReader struct{ body *Body }
 
 // Read reads from the rest and keeps the error.
 func (r *restReader) Read(p []byte) (int, error) {
 	b := r.body
 	b.reading.Lock()
 	defer b.reading.Unlock()
-	if !r.begin() {
+	if !b.beginRest(r) {
 		return 0, errRestTaken
 	}
 	n, err := b.rest.Read(p)
@@ -132,14 +131,13 @@
 	return n, err
 }
 
-// begin reports whether this attempt may read the rest from where it is now, and records that it does.
-func (r *restReader) begin() bool {
-	b := r.body
+// beginRest reports whether a reader may read the rest, and records that it does.
+func (b *Body) beginRest(r *restReader) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.current != r || (b.restRead && !r.began) {
+	if b.current != r {
 		return false
 	}
-	r.began, b.restRead = true, true
+	b.restRead = true
 	return true
 }
