--- a/adapter/engine/second_answer_test.go
+++ b/adapter/engine/second_answer_test.go
@@ -1,7 +1,6 @@
 package engine_test
 
 import (
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -22,17 +21,18 @@
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		for _, body := range []string{"", "data"} {
 			var ran atomic.Int32
-			url := serveSecondAnswers(t, func(w http.ResponseWriter, q *http.Request) {
+			server := standin.NewSecondAnswerServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 				if q.URL.Path == "/declined" {
 					w.Header().Set("X-Not-Run", "true")
 					w.WriteHeader(http.StatusServiceUnavailable)
 					return
 				}
 				ran.Add(1)
-			})
+			}))
+			t.Cleanup(server.Close)
 			client := engine.New()
 			call := func(path string) (dispatch.ServiceResponse, error) {
-				return client.Call(t.Context(), config.Server{Name: "s", URL: url},
+				return client.Call(t.Context(), config.Server{Name: "s", URL: server.URL},
 					dispatch.ServiceCall{RequestID: "id of " + path, Method: method, Path: path, Body: []byte(body)})
 			}
 			_, err := call("/declined")
@@ -49,26 +49,16 @@
 // must not look refused.
 func TestSecondAnswerTakenForOrder(t *testing.T) {
 	var orders atomic.Int32
-	url := serveSecondAnswers(t, func(w http.ResponseWriter, _ *http.Request) {
+	server := standin.NewSecondAnswerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if orders.Add(1) == 1 {
 			w.Header().Set("X-Not-Run", "true")
 			w.WriteHeader(http.StatusConflict)
 		}
-	})
+	}))
+	t.Cleanup(server.Close)
 	client := engine.New()
-	order := placement.Order{Server: config.Server{Name: "s", URL: url}, Model: "m"}
+	order := placement.Order{Server: config.Server{Name: "s", URL: server.URL}, Model: "m"}
 	must.Error(t, client.Order(t.Context(), order, 1))
 	must.NoError(t, client.Order(t.Context(), order, 2))
 	must.Eq(t, 2, orders.Load())
 }
-
-// serveSecondAnswers runs a handler that answers the requests that it declines twice, and returns its URL.
-func serveSecondAnswers(t *testing.T, handler http.HandlerFunc) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	server := &http.Server{Handler: handler}
-	go func() { _ = server.Serve(standin.SecondAnswers{Listener: listener}) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return "http://" + listener.Addr().String()
-}
--- a/internal/standin/second_answer.go
+++ b/internal/standin/second_answer.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"net"
+	"net/http"
+	"net/http/httptest"
 )
 
 // SecondAnswers is a listener for a server that gives some answers twice: the second one comes late, in the place of the
@@ -13,6 +15,14 @@
 	Twice func(answer []byte) bool
 }
 
+// NewSecondAnswerServer starts a server that declines twice what it declines.
+func NewSecondAnswerServer(handler http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(handler)
+	server.Listener = SecondAnswers{Listener: server.Listener}
+	server.Start()
+	return server
+}
+
 // Accept accepts a connection.
 func (l SecondAnswers) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
