internal/tcpconn: a reset that a writer meets first is told to the reader

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel tells the error of a connection that breaks once, to whoever asks first. The writer of the upload and the reader of the answer are two goroutines. If the writer got ECONNRESET, the error was gone, and the reader found the end of the stream, as after a close in order. An answer without a length ends there, so it was taken as whole; by internal/duplex for long bodies, by net/http for others, and at the far end of a carrier, which told the opener that the server had closed its end.

Change: package tcpconn. At the end of a stream a connection asks the kernel whether it is over in both directions (TCP_INFO). If so, a write that goes on ends at once; the reader waits for it and gets its error. It is not taken for an error if the other side has closed its end alone, or before a reset: writes then fail with EPIPE, and the answer is whole.

Ruled out: taking any failed write for a broken answer, as servers may answer, close in order and take no more; waiting for the write at each end of a stream, as a server that closes its end alone may take the rest later.

Answers with a length or in chunks held before.

--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -36,6 +36,7 @@
 	"github.com/violettally/violettally/internal/errs"
 	"github.com/violettally/violettally/internal/responsehead"
 	"github.com/violettally/violettally/internal/sendonce"
+	"github.com/violettally/violettally/internal/tcpconn"
 	"github.com/violettally/violettally/notice"
 	"github.com/violettally/violettally/placement"
 	"github.com/violettally/violettally/route"
@@ -113,8 +114,7 @@
 
 // DialServer opens a connection to a server.
 func DialServer(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return dialer.DialContext(ctx, network, address)
+	return tcpconn.Dialer(&net.Dialer{Timeout: dialTimeout})(ctx, network, address)
 }
 
 const defaultMaxResponseBytes = 1 << 20
