internal/responsehead: a status below 100 is no response

What callers saw (on systems of this kind): an answer whose status was 000 reached the client. Here the handler panicked ("invalid WriteHeader code 0") and the connection closed without an answer; with a long upload the answer was taken for an interim one, and what followed it, a 200, for the answer. On the product's own interface the status 0 was passed on.

Cause: net/http takes any three characters that read as a number of at least 0 for a status: 000, 001, 099, +20.

Change: responsehead.Transport, around the transports of both interfaces, of checks, of calls that concern the runs of engines, of orders, of the store, the cloud and etcd. It refuses a response whose status is below 100; the caller of a server gets 502, as for other answers that are none, and a call to the store, the cloud or etcd counts as unanswered, in place of refused. Package duplex, which reads the answers to long requests, checks interim answers as well. The transport also sets the bound of heads, which those of the store, the cloud and etcd did not have (net/http's own is 10 MB).

Left as they are, as not asked for: 600 to 999, and 101.

--- a/adapter/engine/broken_answer_test.go
+++ b/adapter/engine/broken_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -78,3 +79,31 @@
 		})
 	}
 }
+
+// checkNoAnswer checks that answers are no responses of a plain service, or of an engine that is asked in some ways.
+func checkNoAnswer(t *testing.T, answers []standin.Answer, kinds ...string) {
+	for _, answer := range answers {
+		for _, size := range uploadSizes {
+			t.Run(fmt.Sprint(answer.Name, ", upload ", size), func(t *testing.T) {
+				response, err := callService(t, answer, size)
+				must.Error(t, err, must.Sprintf("status %d, body %q", response.Status, response.Body))
+			})
+		}
+		for _, kind := range kinds {
+			t.Run(fmt.Sprint(answer.Name, ", ", kind), func(t *testing.T) {
+				stream, err := asks(engine.New())[kind](t.Context(), startAnswerServer(t, answer))
+				if err == nil {
+					_, err = stream.Next()
+					stream.Close()
+				}
+				must.Error(t, err)
+				must.False(t, errors.Is(err, io.EOF))
+			})
+		}
+	}
+}
+
+// TestBadStatusReachesClient checks that an answer whose status is below 100 is no response.
+func TestBadStatusReachesClient(t *testing.T) {
+	checkNoAnswer(t, standin.BadStatusAnswers, "whole", "stream", "resume")
+}
--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -130,18 +130,16 @@
 		option(c)
 	}
 	dial := sendonce.Dialer(c.dial, c.observeConn)
-	short := &http.Transport{
+	short := responsehead.NewTransport(&http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: responsehead.MaxBytes,
-	}
-	c.http = newHTTPClient(duplex.NewTransport(dial, short, responsehead.MaxBytes))
-	c.orders = newHTTPClient(&http.Transport{
-		DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: responsehead.MaxBytes,
 	})
+	c.http = newHTTPClient(duplex.NewTransport(dial, short, responsehead.MaxBytes))
+	c.orders = newHTTPClient(responsehead.NewTransport(&http.Transport{
+		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
+	}))
 	return c
 }
 
--- a/adapter/etcd/etcd.go
+++ b/adapter/etcd/etcd.go
@@ -27,6 +27,7 @@
 
 	"github.com/violettally/violettally/document"
 	"github.com/violettally/violettally/internal/errs"
+	"github.com/violettally/violettally/internal/responsehead"
 	"github.com/violettally/violettally/ledger"
 )
 
@@ -69,10 +70,10 @@
 		endpoints: endpoints,
 		prefix:    prefix,
 		countCall: func(string) {},
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: responsehead.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
 			MaxIdleConnsPerHost: 8,
-		}},
+		})},
 	}
 	for _, option := range options {
 		option(c)
--- a/internal/duplex/duplex.go
+++ b/internal/duplex/duplex.go
@@ -29,6 +29,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/violettally/violettally/internal/responsehead"
 )
 
 // SocketBytes is the number of bytes that the sockets of a connection take without the server's reading them. Longer
@@ -168,6 +170,9 @@
 	}
 	for {
 		response, err := http.ReadResponse(buffered, request)
+		if err == nil {
+			err = responsehead.Check(response)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -1,9 +1,9 @@
-// Package responsehead bounds the heads of HTTP responses: a server in trouble may send bytes without end, or
-// one at a time, that never become a response.
+// Package responsehead bounds the heads of HTTP responses, and refuses malformed ones that net/http accepts: a server
+// in trouble may send bytes without end, or one at a time, that never become a response, or such as only look like one.
 //
 // # Usage
 //
-//	transport := &http.Transport{MaxResponseHeaderBytes: responsehead.MaxBytes}
+//	transport := responsehead.NewTransport(&http.Transport{DialContext: dial})
 //	ctx, head := responsehead.Watch(ctx)
 //	response, err := transport.RoundTrip(request.WithContext(ctx))
 //	head.End()
