internal/responsehead: a blank in the name of a field makes a head malformed

What callers saw (on systems of this kind, and on this code as measured by the users): an answer in whose head the name of a field held a blank reached the client as a 200, with a body that was not the server's: "Content-Length : 4" was no length, so that junk behind the body came with it, and after "Transfer-Encoding : chunked" or "Transfer Encoding: chunked" the chunks' own framing came as the body, on streams too. The line itself did not come through.

Cause: net/http accepts a blank in the name of a field of a response, keeps the field under that name, and does not take it for the one that it looks like. Control bytes, tabs, DEL and bytes over 127 in a name it refuses itself.

Change: responsehead.Check, and with it both interfaces, checks, the store, the cloud and etcd, refuses such a head; of interim answers too, which the transport looks at as net/http tells of them. net/http then bounds these one by one only, so the transport bounds them together. A malformed head may end its response (a length of 0) with more bytes to come: its connection carries no further request (sendonce.Send.RetireConn).

--- a/adapter/engine/broken_answer_test.go
+++ b/adapter/engine/broken_answer_test.go
@@ -107,3 +107,8 @@
 func TestBadStatusReachesClient(t *testing.T) {
 	checkNoAnswer(t, standin.BadStatusAnswers, "whole", "stream", "resume")
 }
+
+// TestBlankInNameReachesClient checks that an answer with a blank in the name of a field is no response.
+func TestBlankInNameReachesClient(t *testing.T) {
+	checkNoAnswer(t, standin.BadNameAnswers, "whole", "stream", "resume")
+}
--- a/adapter/engine/engine.go
+++ b/adapter/engine/engine.go
@@ -270,6 +270,9 @@
 	}
 	if err != nil {
 		head.Cancel()
+		if errs.IsOfType(err, responsehead.Malformed) {
+			sent.RetireConn()
+		}
 		return nil, err
 	}
 	x.Response = response
--- a/adapter/etcd/broken_answer_test.go
+++ b/adapter/etcd/broken_answer_test.go
@@ -37,3 +37,6 @@
 
 // TestBadStatusCounts checks that an answer whose status is below 100 is none.
 func TestBadStatusCounts(t *testing.T) { checkNoAnswer(t, standin.BadStatusAnswers) }
+
+// TestBlankInNameCounts checks that an answer with a blank in the name of a field is none.
+func TestBlankInNameCounts(t *testing.T) { checkNoAnswer(t, standin.BadNameAnswers) }
--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -1,7 +1,11 @@
 package responsehead
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
 
 	"github.com/violettally/violettally/internal/errs"
 )
@@ -14,6 +18,17 @@
 	if response.StatusCode < http.StatusContinue {
 		return errs.New(Malformed, "check", "the status %q is below 100", response.Status)
 	}
+	return checkNames(response.Header)
+}
+
+// checkNames returns an error if the name of a field has a blank in it. net/http takes such fields for unknown ones, also
+// where they say how the body is framed.
+func checkNames[Header ~map[string][]string](fields Header) error {
+	for name := range fields {
+		if strings.Contains(name, " ") {
+			return errs.New(Malformed, "check", "the field name %q has a blank in it", name)
+		}
+	}
 	return nil
 }
 
@@ -29,7 +44,7 @@
 
 // RoundTrip sends a request and returns the head of its response.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.next.RoundTrip(request)
+	response, err := t.next.RoundTrip(request.WithContext(withInterimCheck(request.Context())))
 	if err != nil {
 		return nil, err
 	}
@@ -42,3 +57,29 @@
 
 // CloseIdleConnections closes the idle connections.
 func (t *Transport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+
+// minInterimBytes is what each interim response counts at least against MaxBytes. net/http bounds them one by one only,
+// once they are looked at.
+const minInterimBytes = 4 << 10
+
+// withInterimCheck returns a context for a request whose interim responses are checked, and bounded together.
+func withInterimCheck(ctx context.Context) context.Context {
+	left := MaxBytes
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
+		if left -= max(minInterimBytes, size(fields)); left < 0 {
+			return errs.New(Malformed, "check", "the interim responses exceed %d bytes", MaxBytes)
+		}
+		return checkNames(fields)
+	}})
+}
+
+// size returns the number of bytes of the names and values of fields.
+func size(fields textproto.MIMEHeader) int {
+	total := 0
+	for name, values := range fields {
+		for _, value := range values {
+			total += len(name) + len(value)
+		}
+	}
+	return total
+}
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -110,14 +110,25 @@
 
 // ReportForeign reports that the answer that came named another request.
 func (s *Send) ReportForeign() {
-	s.mu.Lock()
-	conn := s.conn
-	s.mu.Unlock()
-	if conn != nil {
+	if conn := s.writingConn(); conn != nil {
 		conn.report(EventForeign, s.id)
 	}
 }
 
+// RetireConn makes the connection that has written the request unfit for further ones: what came on it is malformed.
+func (s *Send) RetireConn() {
+	if conn := s.writingConn(); conn != nil {
+		conn.Retire()
+	}
+}
+
+// writingConn returns the connection that may have written a part of the request; nil for none.
+func (s *Send) writingConn() *Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn
+}
+
 // Watch returns a context for one send of a request to a transport whose connections are from [Dialer]. The ID is that by
 // which answers name the request; "" if they don't.
 func Watch(ctx context.Context, id string) (context.Context, *Send) {
