internal/responsehead: a blank in the name of a field makes a trailer malformed

What callers saw (on this code, as measured by the users): an answer in chunks whose trailer had a blank in the name of a field reached the client as a whole 200; the trailer was dropped. One whose trailer was cut gave 502.

Cause: as in the head: net/http accepts such a name.

Change: the body of a response ends with an error in place of io.EOF if its trailer has such a field, for short and long requests (CheckedBody). A stream of an engine on the product's own interface ends with its own mark, and what follows is not read: whole, as before.

--- a/adapter/engine/broken_answer_test.go
+++ b/adapter/engine/broken_answer_test.go
@@ -112,3 +112,9 @@
 func TestBlankInNameReachesClient(t *testing.T) {
 	checkNoAnswer(t, standin.BadNameAnswers, "whole", "stream", "resume")
 }
+
+// TestBadTrailerReachesClient checks that a response whose trailer is malformed is none, unless it is a stream, which
+// has a mark of its own at its end.
+func TestBadTrailerReachesClient(t *testing.T) {
+	checkNoAnswer(t, standin.BadTrailerAnswers, "whole")
+}
--- a/internal/duplex/duplex.go
+++ b/internal/duplex/duplex.go
@@ -93,7 +93,7 @@
 		}
 		return nil, err
 	}
-	response.Body = &responseBody{ReadCloser: response.Body, exchange: x}
+	response.Body = &responseBody{ReadCloser: responsehead.CheckedBody(response), exchange: x}
 	return response, nil
 }
 
--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -1,7 +1,10 @@
 package responsehead
 
 import (
+	"cmp"
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -32,8 +35,31 @@
 	return nil
 }
 
-// Transport is an http.RoundTripper that bounds the heads of responses and refuses malformed ones. It is safe for
-// concurrent use.
+// CheckedBody returns the body of a response. Reading it fails at its end if the trailer is malformed.
+func CheckedBody(response *http.Response) io.ReadCloser {
+	if response.Body == http.NoBody {
+		return response.Body
+	}
+	return &checkedBody{ReadCloser: response.Body, response: response}
+}
+
+// checkedBody is a body whose trailer is checked.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read reads from the body.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(checkNames(b.response.Trailer), err)
+	}
+	return n, err
+}
+
+// Transport is an http.RoundTripper that bounds the heads of responses and refuses malformed ones, and
+// malformed trailers. It is safe for concurrent use.
 type Transport struct{ next *http.Transport }
 
 // NewTransport returns a transport that sends requests by another one, which nothing else may use.
@@ -52,6 +78,7 @@
 		response.Body.Close()
 		return nil, err
 	}
+	response.Body = CheckedBody(response)
 	return response, nil
 }
 
