internal/standin: other malformed answers reach no client, which held before

Tests only, for what the users saw to hold: a control byte, NUL, tab, CR, DEL or a byte over 127 in a name, an empty name, a line without a colon, a first line that is folded, NUL or CR in a value, lengths that differ, a signed length, an odd chunk size, an unknown coding.

--- a/adapter/engine/broken_answer_test.go
+++ b/adapter/engine/broken_answer_test.go
@@ -118,3 +118,8 @@
 func TestBadTrailerReachesClient(t *testing.T) {
 	checkNoAnswer(t, standin.BadTrailerAnswers, "whole")
 }
+
+// TestMalformedAnswers checks that an answer with a line that is no field, or framing that is ambiguous, is no response.
+func TestMalformedAnswers(t *testing.T) {
+	checkNoAnswer(t, standin.BadAnswers, "whole", "stream", "resume")
+}
--- a/adapter/etcd/broken_answer_test.go
+++ b/adapter/etcd/broken_answer_test.go
@@ -40,3 +40,6 @@
 
 // TestBlankInNameCounts checks that an answer with a blank in the name of a field is none.
 func TestBlankInNameCounts(t *testing.T) { checkNoAnswer(t, standin.BadNameAnswers) }
+
+// TestMalformedAnswers checks that an answer with a line that is no field, or framing that is ambiguous, is none.
+func TestMalformedAnswers(t *testing.T) { checkNoAnswer(t, standin.BadAnswers) }
--- a/internal/standin/broken_answer.go
+++ b/internal/standin/broken_answer.go
@@ -104,15 +104,6 @@
 	}
 )
 
-// MalformedAnswers returns all answers that are malformed.
-func MalformedAnswers() []Answer {
-	var all []Answer
-	for _, group := range [][]Answer{BadStatusAnswers, BadNameAnswers, BadTrailerAnswers, BadAnswers} {
-		all = append(all, group...)
-	}
-	return all
-}
-
 const (
 	// resetPause lets what was sent arrive before the reset.
 	resetPause = 20 * time.Millisecond
