adapter/etcd: an answer without end is not kept

Cause: the decoder reads a value whole, and nothing bounded what it read.

Change: a response, or one message of a watch, has 64 MB at most.

--- a/adapter/etcd/etcd.go
+++ b/adapter/etcd/etcd.go
@@ -42,8 +42,13 @@
 	Refused = namespace.NewType("refused")
 )
 
-// callTimeout limits one call. A healthy service responds within milliseconds.
-const callTimeout = 2 * time.Second
+const (
+	// callTimeout limits one call. A healthy service responds within milliseconds.
+	callTimeout = 2 * time.Second
+	// maxReply is the largest size of a response, or of one message of a watch, in bytes. A listing has some values of
+	// 1 MB at most.
+	maxReply = 64 << 20
+)
 
 // Client is a client of the key-value service. It is safe for concurrent use.
 type Client struct {
@@ -231,8 +236,10 @@
 		return err
 	}
 	defer response.Body.Close()
-	decoder := json.NewDecoder(response.Body)
+	limited := &io.LimitedReader{R: response.Body}
+	decoder := json.NewDecoder(limited)
 	for {
+		limited.N = maxReply
 		var out watchResponse
 		if err := decoder.Decode(&out); err != nil {
 			return errs.Wrap(Unavailable, "watch", err, "watch of prefix %s ended", prefix)
@@ -265,7 +272,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReply)).Decode(out); err != nil {
 		return errs.Wrap(Unavailable, operation, err, "answer of the key-value service broke off")
 	}
 	return nil
