platform/frontend: an upload that lasts to the end of the grace is answered

What callers would see: in a planned stop of a gateway, a request whose body had not come by the end of the grace period (the first 256 kB of it, which are received before a server is chosen) was cut with no answer; it may have come before the signal or late in the grace.

Cause: at the end the relay ends the requests that it has. One whose body is still being received is not the relay's yet; it was read until the request's own deadline, which the process did not live to see.

Change: Frontend.Abort, called with Relay.Close, ends such reads. The request is refused as leaving, 503, as it has not run, with when to come back (at once, elsewhere), as other requests of a node that leaves are.

Evidence: TestUploadUnansweredAtEnd: nothing or 50 kB of 1 MB sent, with a length and in chunks: no answer 2 s after the gateway's end in 4 of 4 cases before, 503 with Retry-After after, 3 runs with the race detector. Passed before and after: an upload of which a server has the beginning (502), and TestLateRequestUnansweredAtEnd: requests that come after the signal, taken since they are expected to end in time, on a server that then does not answer; repeatable, not repeatable, streams, with 1 s and with 20 s left: 504 at their deadline, 502 at the end.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -442,6 +442,7 @@
 	}
 	slog.Warn("aborting remaining requests", "count", len(g.decisions.Unfinished()))
 	g.relay.Close()
+	g.frontend.Abort()
 	flushCtx, cancelFlush := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancelFlush()
 	if err := g.frontend.Wait(flushCtx); err != nil {
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -132,8 +132,11 @@
 // NewRefusal returns a refusal of a request that the adapter cannot read.
 func NewRefusal(reason Reason, message string) *Refusal {
 	retryAfter := time.Duration(0)
-	if reason == ReasonNoRoom {
+	switch reason {
+	case ReasonNoRoom:
 		retryAfter = inbound.RetryAfter
+	case ReasonLeaving:
+		retryAfter = retryElsewhere
 	}
 	return refusalf(reason, retryAfter, "%s", message)
 }
