--- a/internal/standin/broken_answer.go
+++ b/internal/standin/broken_answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,9 @@
 	reset bool
 }
 
+// Sound reports whether the answer may reach clients.
+func (a Answer) Sound() bool { return slices.Contains(SoundAnswers, a) }
+
 // AnswerBody is the body of the sound answers. It begins with a JSON value, and is the last event of a stream.
 const AnswerBody = "{}\ndata: [DONE]\n\n"
 
