--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -26,7 +26,7 @@
 
 // checkNames returns an error if the name of a field has a blank in it. net/http takes such fields for unknown ones, also
 // where they say how the body is framed.
-func checkNames[Header ~map[string][]string](fields Header) error {
+func checkNames(fields map[string][]string) error {
 	for name := range fields {
 		if strings.Contains(name, " ") {
 			return errs.New(Malformed, "check", "the field name %q has a blank in it", name)
@@ -58,8 +58,8 @@
 	return n, err
 }
 
-// Transport is an http.RoundTripper that bounds the heads of responses and refuses malformed ones, and
-// malformed trailers. It is safe for concurrent use.
+// Transport is an http.RoundTripper that bounds the heads of responses, and refuses malformed heads and trailers. It is
+// safe for concurrent use.
 type Transport struct{ next *http.Transport }
 
 // NewTransport returns a transport that sends requests by another one, which nothing else may use.
@@ -93,15 +93,15 @@
 func withInterimCheck(ctx context.Context) context.Context {
 	left := MaxBytes
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
-		if left -= max(minInterimBytes, size(fields)); left < 0 {
+		if left -= max(minInterimBytes, fieldBytes(fields)); left < 0 {
 			return errs.New(Malformed, "check", "the interim responses exceed %d bytes", MaxBytes)
 		}
 		return checkNames(fields)
 	}})
 }
 
-// size returns the number of bytes of the names and values of fields.
-func size(fields textproto.MIMEHeader) int {
+// fieldBytes returns the number of bytes of the names and values of fields.
+func fieldBytes(fields map[string][]string) int {
 	total := 0
 	for name, values := range fields {
 		for _, value := range values {
