--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -26,6 +26,7 @@
 
 // Conn is a TCP connection. It is safe for concurrent use.
 type Conn struct {
+	// Conn hides the methods of tcp by which io.Copy would go past Read and Write.
 	net.Conn
 	tcp *net.TCPConn
 
