--- a/review/_cases-2/pinned.go
+++ b/review/_cases-2/pinned.go
@@ -17,7 +17,7 @@
 const (
 	pinnedGateways = 6
 	pinnedRunners  = 6
-	pinnedSessions = 60
+	pinnedSessions = 120
 	// sessionRequests is how many requests a session has.
 	sessionRequests = 40
 	rolloutPeriod   = 24 * time.Second
@@ -41,6 +41,7 @@
 				id: fmt.Sprintf("i-%s-%d", version, i), service: pool, version: version, zone: halls[i%len(halls)], slots: 32,
 				work: streamEvents(3, 10*time.Millisecond), runs: seen,
 			}))
+			time.Sleep(heartbeat / (2 * pinnedRunners)) // runners don't write their entries all at once
 		}
 		return all
 	}
--- a/review/_cases-2/world.go
+++ b/review/_cases-2/world.go
@@ -196,6 +196,9 @@
 // halls are the places of a small deployment, in which gateways stand by turns.
 var halls = []string{"chaguanas", "port-spain", "arima"}
 
+// startGap is the time between the starts of two gateways: "all within 0.3 s of each other".
+const startGap = 50 * time.Millisecond
+
 // startGateways starts so many gateways and waits until they are ready.
 func (w *world) startGateways(count int) []*gateway {
 	places := make([]place, count)
@@ -212,6 +215,7 @@
 		g := w.newGateway(p, seeds, w.storeAt, nil)
 		g.start()
 		all = append(all, g)
+		time.Sleep(startGap)
 	}
 	for _, g := range all {
 		g.awaitReady()
